Serve one request end to end through separate processes

The workspace holds small crates with one job each: protocol (gRPC types generated from proto/ with protox and committed, and the OpenAI-shaped caller JSON), settings (JSON with comments, checked with errors that name field and remedy), placement (frequency and LRU policies, pure), catalog (customers, adapters, versions and audit entries in the table service, one conditional commit per change), stand-ins (engine with slots, pins and continuous batching; weight store at N loads/s one at a time; table service with conditional commits; fault switches on each), daemon (axum front, routing, status polls, heartbeats), cli (argh commands and the load tool), and the thin programs comfreyhalld, comfreyhall and comfreyhall-standin.

--- /dev/null
+++ b/crates/comfreyhall-catalog/src/records.rs
@@ -0,0 +1,75 @@
+//! The records kept in the table service, as JSON values.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Labels on a record: operators select by them.
+pub type Labels = BTreeMap<String, String>;
+
+/// What was sold to a customer.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Default)]
+pub struct Terms {
+    /// Longest promised wait for an adapter load, in ms.
+    pub stall_ms: u64,
+    /// Priority of the customer's requests; higher runs first.
+    pub priority: i32,
+}
+
+/// A customer of the hosting firm.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Customer {
+    /// Unique name.
+    pub name: String,
+    /// Operator labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Service terms.
+    #[serde(default)]
+    pub terms: Terms,
+}
+
+/// One version of an adapter's weights.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Version {
+    /// Version name, such as `v3`.
+    pub name: String,
+    /// Operator labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// A fine-tuned adapter owned by one customer.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Adapter {
+    /// Unique name.
+    pub name: String,
+    /// The owning customer.
+    pub customer: String,
+    /// Operator labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Versions, oldest first.
+    #[serde(default)]
+    pub versions: Vec<Version>,
+}
+
+impl Adapter {
+    /// Whether the adapter has a version named `name`.
+    pub fn has_version(&self, name: &str) -> bool {
+        self.versions.iter().any(|v| v.name == name)
+    }
+}
+
+/// One entry of the audit trail.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Audit {
+    /// Wall-clock time of the change, ms since the Unix epoch.
+    pub at_ms: u64,
+    /// Who made it, as given to the command line.
+    pub actor: String,
+    /// What was done, such as `customer.create`.
+    pub action: String,
+    /// The key of the changed record.
+    pub key: String,
+}
--- /dev/null
+++ b/crates/comfreyhall-catalog/src/store.rs
@@ -0,0 +1,309 @@
+//! Catalog operations, each one conditional commit with its audit entry.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use comfreyhall_protocol::{Check, Put, Row};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{Adapter, Audit, CatalogError, Customer, Table, Version, records::Labels};
+
+/// Rows a scan returns at most; listings past it are cut.
+const SCAN_LIMIT: u32 = 100_000;
+
+/// Puts per commit when seeding many records.
+const SEED_BATCH: usize = 200;
+
+/// Customers, adapters and the audit trail in the table service.
+#[derive(Clone)]
+pub struct Catalog {
+    table: Table,
+    actor: String,
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("catalog records serialise")
+}
+
+fn decode<T: DeserializeOwned>(row: &Row) -> Result<T, CatalogError> {
+    serde_json::from_slice(&row.value).map_err(|e| CatalogError::Invalid {
+        problem: format!("row {} does not hold a valid record: {e}", row.key),
+        remedy: "rewrite the record with the command line",
+    })
+}
+
+fn check_name(name: &str) -> Result<(), CatalogError> {
+    let ok = !name.is_empty()
+        && name.len() <= 64
+        && name
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.');
+    if ok {
+        return Ok(());
+    }
+    Err(CatalogError::Invalid {
+        problem: format!("{name:?} is not a valid name"),
+        remedy: "use up to 64 letters, digits, '-', '_' or '.'",
+    })
+}
+
+/// Key of a customer record.
+pub(crate) fn customer_key(name: &str) -> String {
+    format!("customer/{name}")
+}
+
+/// Key of an adapter record.
+pub(crate) fn adapter_key(name: &str) -> String {
+    format!("adapter/{name}")
+}
+
+impl Catalog {
+    /// A catalog in `table`; changes are audited under `actor`.
+    pub fn new(table: Table, actor: &str) -> Self {
+        Self {
+            table,
+            actor: actor.to_string(),
+        }
+    }
+
+    fn audit(&self, action: &str, key: &str) -> Put {
+        let at_ms = now_ms();
+        let entry = Audit {
+            at_ms,
+            actor: self.actor.clone(),
+            action: action.to_string(),
+            key: key.to_string(),
+        };
+        // The random suffix keeps two changes in the same millisecond apart.
+        let nonce: u32 = rand::random();
+        Put {
+            key: format!("audit/{at_ms:015}-{nonce:08x}"),
+            value: encode(&entry),
+            delete: false,
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        what: &'static str,
+        name: &str,
+    ) -> Result<(T, u64), CatalogError> {
+        let row = self.table.get(key).await?.ok_or(CatalogError::Missing {
+            what,
+            name: name.to_string(),
+        })?;
+        Ok((decode(&row)?, row.version))
+    }
+
+    async fn write(
+        &self,
+        key: String,
+        version: u64,
+        value: Vec<u8>,
+        action: &str,
+    ) -> Result<(), CatalogError> {
+        let checks = vec![Check {
+            key: key.clone(),
+            version,
+        }];
+        let audit = self.audit(action, &key);
+        let puts = vec![
+            Put {
+                key,
+                value,
+                delete: false,
+            },
+            audit,
+        ];
+        self.table.commit(checks, puts).await.map(|_| ())
+    }
+
+    /// Creates a customer; fails with `Exists` if the name is taken.
+    pub async fn create_customer(&self, customer: &Customer) -> Result<(), CatalogError> {
+        check_name(&customer.name)?;
+        let key = customer_key(&customer.name);
+        let result = self
+            .write(key, 0, encode(customer), "customer.create")
+            .await;
+        match result {
+            Err(CatalogError::Conflict { .. }) => Err(CatalogError::Exists {
+                what: "customer",
+                name: customer.name.clone(),
+            }),
+            other => other,
+        }
+    }
+
+    /// Creates an adapter with no versions for an existing customer.
+    pub async fn create_adapter(
+        &self,
+        name: &str,
+        customer: &str,
+        labels: Labels,
+    ) -> Result<(), CatalogError> {
+        check_name(name)?;
+        let (_, owner_version): (Customer, u64) = self
+            .read(&customer_key(customer), "customer", customer)
+            .await?;
+        let adapter = Adapter {
+            name: name.to_string(),
+            customer: customer.to_string(),
+            labels,
+            versions: Vec::new(),
+        };
+        let key = adapter_key(name);
+        // The owner must still be the one read: a customer deleted and made
+        // again in between would otherwise own an adapter it never asked for.
+        let checks = vec![
+            Check {
+                key: key.clone(),
+                version: 0,
+            },
+            Check {
+                key: customer_key(customer),
+                version: owner_version,
+            },
+        ];
+        let puts = vec![
+            Put {
+                key: key.clone(),
+                value: encode(&adapter),
+                delete: false,
+            },
+            self.audit("adapter.create", &key),
+        ];
+        match self.table.commit(checks, puts).await {
+            Err(CatalogError::Conflict { key: k }) if k == key => Err(CatalogError::Exists {
+                what: "adapter",
+                name: name.to_string(),
+            }),
+            other => other.map(|_| ()),
+        }
+    }
+
+    /// Adds a version to an adapter; fails with `Exists` if it is there.
+    pub async fn add_version(&self, adapter: &str, version: Version) -> Result<(), CatalogError> {
+        check_name(&version.name)?;
+        let key = adapter_key(adapter);
+        let (mut record, row_version): (Adapter, u64) = self.read(&key, "adapter", adapter).await?;
+        if record.has_version(&version.name) {
+            return Err(CatalogError::Exists {
+                what: "version",
+                name: format!("{adapter}@{}", version.name),
+            });
+        }
+        record.versions.push(version);
+        self.write(key, row_version, encode(&record), "version.add")
+            .await
+    }
+
+    /// Sets one label on a customer or adapter (`kind` is either word).
+    pub async fn label(
+        &self,
+        kind: &str,
+        name: &str,
+        label: (String, String),
+    ) -> Result<(), CatalogError> {
+        match kind {
+            "customer" => {
+                let key = customer_key(name);
+                let (mut c, v): (Customer, u64) = self.read(&key, "customer", name).await?;
+                c.labels.insert(label.0, label.1);
+                self.write(key, v, encode(&c), "customer.label").await
+            }
+            "adapter" => {
+                let key = adapter_key(name);
+                let (mut a, v): (Adapter, u64) = self.read(&key, "adapter", name).await?;
+                a.labels.insert(label.0, label.1);
+                self.write(key, v, encode(&a), "adapter.label").await
+            }
+            _ => Err(CatalogError::Invalid {
+                problem: format!("{kind:?} cannot carry labels"),
+                remedy: "label a customer or an adapter",
+            }),
+        }
+    }
+
+    /// Reads one adapter.
+    pub async fn adapter(&self, name: &str) -> Result<Adapter, CatalogError> {
+        let (a, _) = self.read(&adapter_key(name), "adapter", name).await?;
+        Ok(a)
+    }
+
+    /// Lists all customers in name order.
+    pub async fn customers(&self) -> Result<Vec<Customer>, CatalogError> {
+        let rows = self.table.scan("customer/", SCAN_LIMIT).await?;
+        rows.iter().map(decode).collect()
+    }
+
+    /// Lists all adapters in name order.
+    pub async fn adapters(&self) -> Result<Vec<Adapter>, CatalogError> {
+        let rows = self.table.scan("adapter/", SCAN_LIMIT).await?;
+        rows.iter().map(decode).collect()
+    }
+
+    /// The newest `limit` audit entries, oldest first.
+    pub async fn audit_trail(&self, limit: usize) -> Result<Vec<Audit>, CatalogError> {
+        let rows = self.table.scan("audit/", SCAN_LIMIT).await?;
+        let skip = rows.len().saturating_sub(limit);
+        rows[skip..].iter().map(decode).collect()
+    }
+
+    /// Creates many customers and adapters (each with version `v1`) at once.
+    ///
+    /// Records that exist already are left alone, so seeding twice is safe.
+    pub async fn seed(
+        &self,
+        customers: &[Customer],
+        adapters: &[Adapter],
+    ) -> Result<usize, CatalogError> {
+        let mut rows: Vec<(String, Vec<u8>)> = Vec::new();
+        for c in customers {
+            rows.push((customer_key(&c.name), encode(c)));
+        }
+        for a in adapters {
+            rows.push((adapter_key(&a.name), encode(a)));
+        }
+        let mut created = 0;
+        for chunk in rows.chunks(SEED_BATCH) {
+            created += self.seed_batch(chunk).await?;
+        }
+        Ok(created)
+    }
+
+    async fn seed_batch(&self, chunk: &[(String, Vec<u8>)]) -> Result<usize, CatalogError> {
+        let mut fresh = Vec::new();
+        for (key, value) in chunk {
+            if self.table.get(key).await?.is_none() {
+                fresh.push((key.clone(), value.clone()));
+            }
+        }
+        if fresh.is_empty() {
+            return Ok(0);
+        }
+        let checks = fresh
+            .iter()
+            .map(|(key, _)| Check {
+                key: key.clone(),
+                version: 0,
+            })
+            .collect();
+        let mut puts: Vec<Put> = fresh
+            .iter()
+            .map(|(key, value)| Put {
+                key: key.clone(),
+                value: value.clone(),
+                delete: false,
+            })
+            .collect();
+        puts.push(self.audit("seed", &fresh[0].0));
+        self.table.commit(checks, puts).await?;
+        Ok(fresh.len())
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -0,0 +1,181 @@
+//! Command-line arguments.
+
+use argh::FromArgs;
+
+/// Operate a comfreyhall deployment.
+#[derive(FromArgs, Debug)]
+pub struct Cli {
+    /// settings file of the deployment (JSON with comments)
+    #[argh(option, default = "String::from(\"comfreyhall.jsonc\")")]
+    pub settings: String,
+    /// print JSON instead of text
+    #[argh(switch)]
+    pub json: bool,
+    /// who makes the change, for the audit trail
+    #[argh(option, default = "default_actor()")]
+    pub actor: String,
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+fn default_actor() -> String {
+    std::env::var("USER").unwrap_or_else(|_| "operator".into())
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Customer(CustomerCmd),
+    Adapter(AdapterCmd),
+    Version(VersionCmd),
+    Audit(AuditCmd),
+    Seed(SeedCmd),
+    Settings(SettingsCmd),
+    Addresses(AddressesCmd),
+    Generate(GenerateCmd),
+    Drain(DrainCmd),
+    Bench(BenchCmd),
+}
+
+/// Create, label or list customers.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "customer")]
+pub(crate) struct CustomerCmd {
+    /// create, label or list
+    #[argh(positional)]
+    pub(crate) action: String,
+    /// the customer's name
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+    /// a label key=value; may repeat
+    #[argh(option)]
+    pub(crate) label: Vec<String>,
+    /// promised longest wait for an adapter load, in ms
+    #[argh(option, default = "2000")]
+    pub(crate) stall_ms: u64,
+    /// priority of the customer's requests
+    #[argh(option, default = "0")]
+    pub(crate) priority: i32,
+}
+
+/// Create, label or list adapters.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "adapter")]
+pub(crate) struct AdapterCmd {
+    /// create, label or list
+    #[argh(positional)]
+    pub(crate) action: String,
+    /// the adapter's name
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+    /// the owning customer, for create
+    #[argh(option)]
+    pub(crate) customer: Option<String>,
+    /// a label key=value; may repeat
+    #[argh(option)]
+    pub(crate) label: Vec<String>,
+}
+
+/// Add a version to an adapter.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "version")]
+pub(crate) struct VersionCmd {
+    /// add
+    #[argh(positional)]
+    pub(crate) action: String,
+    /// the adapter
+    #[argh(positional)]
+    pub(crate) adapter: String,
+    /// the new version's name
+    #[argh(positional)]
+    pub(crate) version: String,
+    /// a label key=value; may repeat
+    #[argh(option)]
+    pub(crate) label: Vec<String>,
+}
+
+/// Show the audit trail of changes.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "audit")]
+pub(crate) struct AuditCmd {
+    /// how many of the newest entries
+    #[argh(option, default = "50")]
+    pub(crate) last: usize,
+}
+
+/// Create the customers and adapters of the settings' workload.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "seed")]
+pub(crate) struct SeedCmd {}
+
+/// Check a settings file.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "settings")]
+pub(crate) struct SettingsCmd {
+    /// check
+    #[argh(positional)]
+    pub(crate) action: String,
+    /// the file
+    #[argh(positional)]
+    pub(crate) file: String,
+}
+
+/// Ask which entry instances to use.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "addresses")]
+pub(crate) struct AddressesCmd {
+    /// preferred failure domain
+    #[argh(option)]
+    pub(crate) domain: Option<String>,
+}
+
+/// Send one completion request.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "generate")]
+pub(crate) struct GenerateCmd {
+    /// adapter@version
+    #[argh(positional)]
+    pub(crate) model: String,
+    /// the prompt
+    #[argh(positional)]
+    pub(crate) prompt: String,
+    /// tokens to generate
+    #[argh(option, default = "16")]
+    pub(crate) max_tokens: u32,
+    /// the request id; a random one when absent
+    #[argh(option)]
+    pub(crate) id: Option<String>,
+    /// entry instance address; the first from the settings when absent
+    #[argh(option)]
+    pub(crate) to: Option<String>,
+}
+
+/// Drain an instance: it takes no new work and stops once idle.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "drain")]
+pub(crate) struct DrainCmd {
+    /// the instance id
+    #[argh(positional)]
+    pub(crate) instance: String,
+}
+
+/// Drive the deployment with a shifting popularity workload.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "bench")]
+pub(crate) struct BenchCmd {
+    /// seconds to run, 1 to 600
+    #[argh(option, default = "10")]
+    pub(crate) seconds: u64,
+    /// concurrent callers, 1 to 512
+    #[argh(option, default = "32")]
+    pub(crate) callers: usize,
+    /// random seed
+    #[argh(option, default = "7")]
+    pub(crate) seed: u64,
+    /// tokens per request
+    #[argh(option, default = "16")]
+    pub(crate) max_tokens: u32,
+    /// label for the report, such as the policy under test
+    #[argh(option, default = "String::from(\"run\")")]
+    pub(crate) label: String,
+}
--- /dev/null
+++ b/crates/comfreyhall-cli/src/catalog.rs
@@ -0,0 +1,248 @@
+//! Catalog commands: customers, adapters, versions, audit, seeding.
+
+use comfreyhall_catalog::{Adapter, Catalog, Customer, Table, Terms, Version};
+use comfreyhall_settings::Settings;
+use eyre::{bail, eyre};
+
+use crate::{
+    args::{AdapterCmd, AuditCmd, CustomerCmd, SettingsCmd, VersionCmd},
+    output::{render, table},
+};
+
+fn open(settings: &str, actor: &str) -> eyre::Result<Catalog> {
+    let s = Settings::load(settings)?;
+    Ok(Catalog::new(Table::new(&s.platform.table)?, actor))
+}
+
+fn labels(raw: &[String]) -> eyre::Result<std::collections::BTreeMap<String, String>> {
+    raw.iter()
+        .map(|l| {
+            l.split_once('=')
+                .map(|(k, v)| (k.to_string(), v.to_string()))
+                .ok_or_else(|| eyre!("label {l:?} is not key=value; write it as tier=gold"))
+        })
+        .collect()
+}
+
+fn one_label(raw: &[String]) -> eyre::Result<(String, String)> {
+    let mut all = labels(raw)?;
+    match (all.len(), all.pop_first()) {
+        (1, Some(l)) => Ok(l),
+        _ => bail!("label takes exactly one --label key=value"),
+    }
+}
+
+fn need(name: Option<String>, what: &str) -> eyre::Result<String> {
+    name.ok_or_else(|| eyre!("name the {what}: comfreyhall {what} ACTION NAME"))
+}
+
+fn show_labels(l: &std::collections::BTreeMap<String, String>) -> String {
+    let parts: Vec<String> = l.iter().map(|(k, v)| format!("{k}={v}")).collect();
+    parts.join(",")
+}
+
+pub(crate) async fn customer(
+    settings: &str,
+    actor: &str,
+    cmd: CustomerCmd,
+    json: bool,
+) -> eyre::Result<String> {
+    let catalog = open(settings, actor)?;
+    match cmd.action.as_str() {
+        "create" => {
+            let c = Customer {
+                name: need(cmd.name, "customer")?,
+                labels: labels(&cmd.label)?,
+                terms: Terms {
+                    stall_ms: cmd.stall_ms,
+                    priority: cmd.priority,
+                },
+            };
+            catalog.create_customer(&c).await?;
+            Ok(render(json, &c, || {
+                format!("created customer {}\n", c.name)
+            }))
+        }
+        "label" => {
+            let name = need(cmd.name, "customer")?;
+            let l = one_label(&cmd.label)?;
+            catalog.label("customer", &name, l.clone()).await?;
+            Ok(render(json, &l, || {
+                format!("labelled customer {name} {}={}\n", l.0, l.1)
+            }))
+        }
+        "list" => {
+            let all = catalog.customers().await?;
+            Ok(render(json, &all, || {
+                let rows: Vec<Vec<String>> = all
+                    .iter()
+                    .map(|c| {
+                        vec![
+                            c.name.clone(),
+                            c.terms.stall_ms.to_string(),
+                            c.terms.priority.to_string(),
+                            show_labels(&c.labels),
+                        ]
+                    })
+                    .collect();
+                table(&["NAME", "STALL_MS", "PRIORITY", "LABELS"], &rows)
+            }))
+        }
+        other => bail!("customer has no action {other:?}; use create, label or list"),
+    }
+}
+
+pub(crate) async fn adapter(
+    settings: &str,
+    actor: &str,
+    cmd: AdapterCmd,
+    json: bool,
+) -> eyre::Result<String> {
+    let catalog = open(settings, actor)?;
+    match cmd.action.as_str() {
+        "create" => {
+            let name = need(cmd.name, "adapter")?;
+            let owner = cmd
+                .customer
+                .ok_or_else(|| eyre!("say whose adapter it is with --customer NAME"))?;
+            catalog
+                .create_adapter(&name, &owner, labels(&cmd.label)?)
+                .await?;
+            let done = serde_json::json!({ "adapter": name, "customer": owner });
+            Ok(render(json, &done, || {
+                format!("created adapter {name} for {owner}\n")
+            }))
+        }
+        "label" => {
+            let name = need(cmd.name, "adapter")?;
+            let l = one_label(&cmd.label)?;
+            catalog.label("adapter", &name, l.clone()).await?;
+            Ok(render(json, &l, || {
+                format!("labelled adapter {name} {}={}\n", l.0, l.1)
+            }))
+        }
+        "list" => {
+            let all = catalog.adapters().await?;
+            Ok(render(json, &all, || adapter_table(&all)))
+        }
+        other => bail!("adapter has no action {other:?}; use create, label or list"),
+    }
+}
+
+fn adapter_table(all: &[Adapter]) -> String {
+    let rows: Vec<Vec<String>> = all
+        .iter()
+        .map(|a| {
+            let versions: Vec<&str> = a.versions.iter().map(|v| v.name.as_str()).collect();
+            vec![
+                a.name.clone(),
+                a.customer.clone(),
+                versions.join(","),
+                show_labels(&a.labels),
+            ]
+        })
+        .collect();
+    table(&["NAME", "CUSTOMER", "VERSIONS", "LABELS"], &rows)
+}
+
+pub(crate) async fn version(
+    settings: &str,
+    actor: &str,
+    cmd: VersionCmd,
+    json: bool,
+) -> eyre::Result<String> {
+    if cmd.action != "add" {
+        bail!("version has no action {:?}; use add", cmd.action);
+    }
+    let catalog = open(settings, actor)?;
+    let v = Version {
+        name: cmd.version,
+        labels: labels(&cmd.label)?,
+    };
+    catalog.add_version(&cmd.adapter, v.clone()).await?;
+    Ok(render(json, &v, || {
+        format!("added version {} to {}\n", v.name, cmd.adapter)
+    }))
+}
+
+pub(crate) async fn audit(settings: &str, cmd: AuditCmd, json: bool) -> eyre::Result<String> {
+    let catalog = open(settings, "")?;
+    let trail = catalog.audit_trail(cmd.last).await?;
+    Ok(render(json, &trail, || {
+        let rows: Vec<Vec<String>> = trail
+            .iter()
+            .map(|a| {
+                vec![
+                    a.at_ms.to_string(),
+                    a.actor.clone(),
+                    a.action.clone(),
+                    a.key.clone(),
+                ]
+            })
+            .collect();
+        table(&["AT_MS", "ACTOR", "ACTION", "KEY"], &rows)
+    }))
+}
+
+/// Name of seeded customer `i`.
+pub(crate) fn seed_customer(i: u32) -> String {
+    format!("customer-{i:03}")
+}
+
+/// Name of seeded adapter `i`.
+pub(crate) fn seed_adapter(i: u32) -> String {
+    format!("adapter-{i:05}")
+}
+
+pub(crate) async fn seed(settings: &str, actor: &str, json: bool) -> eyre::Result<String> {
+    let s = Settings::load(settings)?;
+    let catalog = Catalog::new(Table::new(&s.platform.table)?, actor);
+    let w = &s.workload;
+    let customers: Vec<Customer> = (0..w.customers)
+        .map(|i| Customer {
+            name: seed_customer(i),
+            labels: Default::default(),
+            terms: Terms {
+                stall_ms: 2_000,
+                priority: 0,
+            },
+        })
+        .collect();
+    let adapters: Vec<Adapter> = (0..w.adapters)
+        .map(|i| Adapter {
+            name: seed_adapter(i),
+            customer: seed_customer(i % w.customers),
+            labels: Default::default(),
+            versions: vec![Version {
+                name: "v1".into(),
+                labels: Default::default(),
+            }],
+        })
+        .collect();
+    let created = catalog.seed(&customers, &adapters).await?;
+    let done = serde_json::json!({ "created": created });
+    Ok(render(json, &done, || {
+        format!("seeded {created} records\n")
+    }))
+}
+
+pub(crate) fn settings(cmd: SettingsCmd, json: bool) -> eyre::Result<String> {
+    if cmd.action != "check" {
+        bail!("settings has no action {:?}; use check", cmd.action);
+    }
+    let s = Settings::load(&cmd.file)?;
+    let done = serde_json::json!({
+        "deployment": &*s.deployment,
+        "instances": s.instances.len(),
+        "engines": s.engines.len(),
+    });
+    Ok(render(json, &done, || {
+        format!(
+            "{} is valid: deployment {}, {} instances, {} engines\n",
+            cmd.file,
+            s.deployment,
+            s.instances.len(),
+            s.engines.len()
+        )
+    }))
+}
--- /dev/null
+++ b/crates/comfreyhall-cli/src/lib.rs
@@ -0,0 +1,54 @@
+//! The operator command line of comfreyhall, and its load tool.
+//!
+//! Commands that change the catalog write to the platform's table service
+//! named in the settings file, each change with its audit entry. Commands
+//! that talk to the service (`addresses`, `generate`, `drain`) go to a
+//! daemon over HTTP, as any caller would. Every command prints a readable
+//! form, or JSON with `--json`.
+
+mod args;
+mod bench;
+mod catalog;
+mod http;
+mod output;
+
+use std::process::ExitCode;
+
+pub use args::Cli;
+
+/// Parses the process arguments, runs the command and reports errors.
+pub fn main() -> ExitCode {
+    let cli: Cli = argh::from_env();
+    let runtime = tokio::runtime::Runtime::new().expect("a tokio runtime starts");
+    match runtime.block_on(run(cli)) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs one command and returns what it prints.
+pub async fn run(cli: Cli) -> eyre::Result<String> {
+    use args::Command::*;
+    let json = cli.json;
+    match cli.command {
+        Customer(c) => catalog::customer(&cli.settings, &cli.actor, c, json).await,
+        Adapter(c) => catalog::adapter(&cli.settings, &cli.actor, c, json).await,
+        Version(c) => catalog::version(&cli.settings, &cli.actor, c, json).await,
+        Audit(c) => catalog::audit(&cli.settings, c, json).await,
+        Seed(_) => catalog::seed(&cli.settings, &cli.actor, json).await,
+        Settings(c) => catalog::settings(c, json),
+        Addresses(c) => http::addresses(&cli.settings, c, json).await,
+        Generate(c) => http::generate(&cli.settings, c, json).await,
+        Drain(c) => http::drain(&cli.settings, c, json).await,
+        Bench(c) => bench::run(&cli.settings, c, json).await,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -0,0 +1,46 @@
+//! The comfreyhall daemon, one per entry instance.
+//!
+//! It answers callers over HTTP (which addresses to use, and their completion
+//! requests), routes each request to an engine that holds or will load the
+//! requested adapter version, and runs the control duties: membership
+//! heartbeats in the table service and the engine status polls that feed
+//! placement. Each duty is its own task; they share the [`app::App`] state.
+//!
+//! The daemon keeps nothing on disk. What must last (catalog, membership)
+//! lives in the platform's table service.
+
+mod app;
+mod engines;
+mod error;
+mod http;
+mod member;
+mod resolve;
+mod route;
+
+use comfreyhall_settings::{PolicyKind, Settings};
+use eyre::{WrapErr, eyre};
+
+/// Runs the daemon of instance `id` until it is stopped or drained.
+///
+/// `policy` overrides the settings' placement policy when given.
+pub async fn run(settings: Settings, id: &str, policy: Option<PolicyKind>) -> eyre::Result<()> {
+    let instance = settings
+        .instance(id)
+        .ok_or_else(|| {
+            eyre!("instance {id} is not in the settings; use one of the ids under \"instances\"")
+        })?
+        .clone();
+    let app = app::App::new(settings, instance, policy)?;
+    engines::spawn_polls(&app);
+    member::spawn_heartbeat(&app);
+    let listener = tokio::net::TcpListener::bind(&app.instance.listen)
+        .await
+        .wrap_err_with(|| {
+            format!(
+                "cannot listen on {}; is another process using it?",
+                app.instance.listen
+            )
+        })?;
+    log::info!(target: "daemon", "instance {} serving on {} in domain {}", app.instance.id, app.instance.listen, app.instance.domain);
+    http::serve(app, listener).await
+}
--- /dev/null
+++ b/crates/comfreyhall-placement/src/frequency.rs
@@ -0,0 +1,105 @@
+//! The frequency policy: decayed request rates decide residency.
+
+use std::sync::Arc;
+
+use comfreyhall_protocol::Map;
+
+use crate::{Decision, EngineView, Policy};
+
+/// The cost of taking a free slot: below any score, which is at least 0.
+const FREE_SLOT: f64 = -1.0;
+
+/// A request rate that halves every half-life.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    value: f64,
+    at_ms: u64,
+}
+
+/// Keeps hot adapters resident and copies them when their engines saturate.
+///
+/// The score of an adapter is its request count decayed with the configured
+/// half-life. A victim is the evictable slot with the lowest score, and a new
+/// copy is only made when the requested adapter scores above that victim, so
+/// a burst of one-off requests cannot push out an adapter in steady use.
+pub struct Frequency {
+    half_life_ms: f64,
+    rates: Map<Arc<str>, Rate>,
+}
+
+impl Frequency {
+    /// A policy whose rates halve every `half_life_ms`.
+    pub fn new(half_life_ms: u64) -> Self {
+        Self {
+            half_life_ms: half_life_ms.max(1) as f64,
+            rates: Map::default(),
+        }
+    }
+
+    fn score(&self, key: &str, now_ms: u64) -> f64 {
+        self.rates.get(key).map_or(0.0, |r| {
+            let age = now_ms.saturating_sub(r.at_ms) as f64;
+            r.value * (-age / self.half_life_ms).exp2()
+        })
+    }
+
+    fn bump(&mut self, key: &str, now_ms: u64) -> f64 {
+        let value = self.score(key, now_ms) + 1.0;
+        self.rates.insert(
+            key.into(),
+            Rate {
+                value,
+                at_ms: now_ms,
+            },
+        );
+        value
+    }
+
+    /// The cheapest slot to give up on `engine`, as (score, victims).
+    ///
+    /// A free slot costs less than any victim, even one never asked for;
+    /// `None` when every slot is pinned or loading.
+    fn cost(&self, engine: &EngineView, now_ms: u64) -> Option<(f64, Vec<Arc<str>>)> {
+        let mut victims: Vec<(f64, Arc<str>)> = engine
+            .slots
+            .iter()
+            .filter(|s| s.evictable())
+            .map(|s| (self.score(&s.key, now_ms), s.key.clone()))
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let keys = victims.iter().map(|v| v.1.clone()).collect();
+        if engine.has_free() {
+            return Some((FREE_SLOT, keys));
+        }
+        victims.first().map(|v| (v.0, keys))
+    }
+}
+
+impl Policy for Frequency {
+    fn route(&mut self, key: &str, engines: &[EngineView], now_ms: u64) -> Decision {
+        let score = self.bump(key, now_ms);
+        let resident = engines
+            .iter()
+            .enumerate()
+            .filter(|(_, e)| e.up && e.holds(key))
+            .min_by_key(|(_, e)| e.load)
+            .map(|(i, _)| i);
+        if let Some(i) = resident
+            && !engines[i].saturated()
+        {
+            return Decision::Run { engine: i };
+        }
+        let target = engines
+            .iter()
+            .enumerate()
+            .filter(|(_, e)| e.up && !e.holds(key))
+            .filter_map(|(i, e)| self.cost(e, now_ms).map(|c| (i, c, e.load)))
+            .min_by(|a, b| a.1.0.total_cmp(&b.1.0).then(a.2.cmp(&b.2)));
+        match (resident, target) {
+            (Some(i), Some((_, (cost, _), _))) if cost >= score => Decision::Run { engine: i },
+            (Some(i), None) => Decision::Run { engine: i },
+            (_, Some((engine, (_, victims), _))) => Decision::Load { engine, victims },
+            (None, None) => Decision::Busy,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-placement/src/lib.rs
@@ -0,0 +1,42 @@
+//! Placement: which engine serves a request and which adapter gives up its slot.
+//!
+//! A daemon keeps a view of every engine (its slots, their pins, its queue)
+//! from status polls, and asks a [`Policy`] for a [`Decision`] per request.
+//! Policies are pure: they read the view and their own history of requests
+//! and never talk to an engine, so they can be tested and measured alone.
+//!
+//! Two policies exist. [`Frequency`] keeps a decayed request rate per adapter
+//! version: a hot adapter keeps its slot against a burst of rare ones, and a
+//! hot adapter whose engines are saturated gets a second copy. [`Lru`] is the
+//! plain baseline that loads on demand and evicts the least recently used.
+//! Neither ever names a pinned or loading slot as a victim; the engine refuses
+//! such an eviction anyway, so a stale view cannot evict an adapter in use.
+
+mod frequency;
+mod lru;
+mod view;
+
+pub use frequency::Frequency;
+pub use lru::Lru;
+pub use view::{Decision, EngineView, SlotView};
+
+use comfreyhall_settings::PolicyKind;
+
+/// A placement policy.
+pub trait Policy: Send {
+    /// Chooses where the request for `key` (`adapter@version`) runs.
+    ///
+    /// `now_ms` is a monotonic clock in milliseconds.
+    fn route(&mut self, key: &str, engines: &[EngineView], now_ms: u64) -> Decision;
+}
+
+/// Builds the policy the settings name.
+pub fn build(kind: PolicyKind, half_life_ms: u64) -> Box<dyn Policy> {
+    match kind {
+        PolicyKind::Frequency => Box::new(Frequency::new(half_life_ms)),
+        PolicyKind::Lru => Box::new(Lru::default()),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/comfreyhall-placement/src/tests.rs
@@ -0,0 +1,145 @@
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use super::*;
+
+fn engine(id: &str, slots: &[(&str, u32)], load: u32) -> EngineView {
+    EngineView {
+        id: id.into(),
+        slots: slots
+            .iter()
+            .map(|(k, pins)| SlotView {
+                key: (*k).into(),
+                pins: *pins,
+                loading: false,
+            })
+            .collect(),
+        capacity: 2,
+        load,
+        width: 4,
+        up: true,
+    }
+}
+
+#[test]
+fn route_resident_runs() {
+    let view = [engine("e1", &[("a@1", 0)], 0), engine("e2", &[], 0)];
+    let mut policy = Frequency::new(1_000);
+    assert_eq!(policy.route("a@1", &view, 0), Decision::Run { engine: 0 });
+}
+
+#[test]
+fn route_prefers_free_slot() {
+    let view = [
+        engine("e1", &[("a@1", 0), ("b@1", 0)], 0),
+        engine("e2", &[("c@1", 0)], 3),
+    ];
+    for mut policy in [
+        build(PolicyKind::Frequency, 1_000),
+        build(PolicyKind::Lru, 0),
+    ] {
+        match policy.route("d@1", &view, 10) {
+            Decision::Load { engine, .. } => assert_eq!(engine, 1),
+            other => panic!("expected a load, got {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn route_keeps_hot_adapter() {
+    // Symptom: a one-off request evicted the adapter that served most traffic.
+    // Sequence: "hot" is asked for often, then a rare adapter arrives while
+    // both slots are full. Cause: recency alone ranks the hot adapter below a
+    // slot touched a moment later. The frequency policy ranks by decayed rate.
+    let view = [engine("e1", &[("hot@1", 0), ("warm@1", 0)], 0)];
+    let mut policy = Frequency::new(60_000);
+    for t in 0..20 {
+        policy.route("hot@1", &view, t);
+    }
+    policy.route("warm@1", &view, 21);
+    match policy.route("rare@1", &view, 22) {
+        Decision::Load { victims, .. } => assert_eq!(&*victims[0], "warm@1"),
+        other => panic!("expected a load, got {other:?}"),
+    }
+}
+
+#[test]
+fn route_copies_saturated_hot_adapter() {
+    let mut view = [engine("e1", &[("hot@1", 0)], 4), engine("e2", &[], 0)];
+    view[0].slots[0].pins = 4;
+    let mut policy = Frequency::new(60_000);
+    assert!(matches!(
+        policy.route("hot@1", &view, 0),
+        Decision::Load { engine: 1, .. }
+    ));
+}
+
+#[test]
+fn route_all_pinned_is_busy() {
+    let view = [engine("e1", &[("a@1", 1), ("b@1", 2)], 3)];
+    for mut policy in [
+        build(PolicyKind::Frequency, 1_000),
+        build(PolicyKind::Lru, 0),
+    ] {
+        assert_eq!(policy.route("c@1", &view, 0), Decision::Busy);
+    }
+}
+
+fn arb_view() -> impl Strategy<Value = Vec<EngineView>> {
+    let slot = (0u8..6, 0u32..3, any::<bool>()).prop_map(|(k, pins, loading)| SlotView {
+        key: Arc::from(format!("a{k}@1")),
+        pins,
+        loading,
+    });
+    let eng = (
+        proptest::collection::vec(slot, 0..4),
+        0u32..10,
+        any::<bool>(),
+    )
+        .prop_map(|(mut slots, load, up)| {
+            slots.sort_by(|a, b| a.key.cmp(&b.key));
+            slots.dedup_by(|a, b| a.key == b.key);
+            EngineView {
+                id: "e".into(),
+                capacity: 3.max(slots.len() as u32),
+                slots,
+                load,
+                width: 4,
+                up,
+            }
+        });
+    proptest::collection::vec(eng, 1..5)
+}
+
+proptest! {
+    // Whatever the view and history, a decision never names a pinned or
+    // loading slot as a victim, runs only where the adapter is held, and
+    // loads only on an engine that is up and does not hold it yet.
+    #[test]
+    fn route_never_names_pinned_victim(
+        view in arb_view(),
+        asks in proptest::collection::vec(0u8..8, 1..30),
+        lru in any::<bool>(),
+    ) {
+        let mut policy = build(if lru { PolicyKind::Lru } else { PolicyKind::Frequency }, 500);
+        for (t, k) in asks.iter().enumerate() {
+            let key = format!("a{k}@1");
+            match policy.route(&key, &view, t as u64 * 10) {
+                Decision::Run { engine } => {
+                    prop_assert!(view[engine].up && view[engine].holds(&key));
+                }
+                Decision::Load { engine, victims } => {
+                    let e = &view[engine];
+                    prop_assert!(e.up && !e.holds(&key));
+                    prop_assert!(e.has_free() || !victims.is_empty());
+                    for v in &victims {
+                        let slot = e.slots.iter().find(|s| s.key == *v).unwrap();
+                        prop_assert!(slot.evictable());
+                    }
+                }
+                Decision::Busy => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-protocol/src/api.rs
@@ -0,0 +1,103 @@
+//! The caller-facing HTTP/JSON shapes.
+//!
+//! Requests and streamed chunks follow the OpenAI completions API so that
+//! existing client libraries work unchanged. The `model` field names the
+//! adapter and its version as `adapter@version`. comfreyhall's own fields
+//! (priority, deadline, non-idempotent marking) ride as extension fields that
+//! those libraries pass through untouched.
+
+use serde::{Deserialize, Serialize};
+
+/// A completion request, as posted to `/v1/completions`.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct CompletionRequest {
+    /// `adapter@version`; a bare adapter name is refused.
+    pub model: String,
+    /// The prompt text.
+    pub prompt: String,
+    /// Tokens to generate, 1 to 4096; 16 when absent.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u32,
+    /// Whether to stream chunks as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+    /// Higher runs first; 0 when absent.
+    #[serde(default)]
+    pub priority: i32,
+    /// Milliseconds the caller will wait in all; the settings' default when absent.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+    /// Set for calls that must run at most once, such as billed sessions.
+    #[serde(default)]
+    pub non_idempotent: bool,
+}
+
+fn default_max_tokens() -> u32 {
+    16
+}
+
+/// One choice inside a completion chunk.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Choice {
+    /// Always 0: one choice per request.
+    pub index: u32,
+    /// The text of this chunk.
+    pub text: String,
+    /// `length` or `stop` on the last chunk, absent before.
+    pub finish_reason: Option<String>,
+}
+
+/// A completion, whole or as one streamed chunk.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Completion {
+    /// The caller's request id.
+    pub id: String,
+    /// Always `text_completion`.
+    pub object: String,
+    /// `adapter@version` of the slot that produced the text.
+    pub model: String,
+    /// The choices; one.
+    pub choices: Vec<Choice>,
+}
+
+/// Whether a failed request ran.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Certainly not run; safe to send again after `retry_after_ms`.
+    NotRun,
+    /// It may have run; check before sending a non-idempotent call again.
+    Unknown,
+}
+
+/// The body of every error answer.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct ErrorBody {
+    /// The error itself.
+    pub error: ErrorDetail,
+}
+
+/// What went wrong and what the caller should do.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct ErrorDetail {
+    /// A stable kind, such as `unknown_adapter` or `overloaded`.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// A sentence that names the remedy.
+    pub message: String,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// When to come back, in ms, for errors that may pass.
+    pub retry_after_ms: Option<u64>,
+    /// The caller's request id.
+    pub request_id: String,
+}
+
+/// The answer to `/v1/addresses`: which entry instances to use.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Addresses {
+    /// Socket addresses of live entry instances, nearest domain first.
+    pub addresses: Vec<String>,
+    /// How long the caller may keep this answer, in ms.
+    pub ttl_ms: u64,
+}
--- /dev/null
+++ b/crates/comfreyhall-standins/src/text.rs
@@ -0,0 +1,29 @@
+//! The text an engine stand-in generates.
+//!
+//! It is a pure function of adapter, version, prompt and token index, so a
+//! test can tell from the answer alone which adapter and version produced it
+//! and whether any token is missing, doubled or someone else's.
+
+use std::hash::{Hash, Hasher};
+
+const WORDS: [&str; 16] = [
+    "breathe", "slowly", "the", "dawn", "listing", "ute", "quiet", "river", "seller", "light",
+    "morning", "calm", "Hobart", "Lagos", "rest", "and",
+];
+
+/// Token `index` of the answer to `prompt` on `adapter@version`.
+pub fn token(adapter: &str, version: &str, prompt: &str, index: u32) -> String {
+    let mut h = rustc_hash::FxHasher::default();
+    (adapter, version, prompt, index).hash(&mut h);
+    let word = WORDS[(h.finish() % WORDS.len() as u64) as usize];
+    if index == 0 {
+        word.to_string()
+    } else {
+        format!(" {word}")
+    }
+}
+
+/// The whole answer of `n` tokens, as the stand-in streams it.
+pub fn expected_text(adapter: &str, version: &str, prompt: &str, n: u32) -> String {
+    (0..n).map(|i| token(adapter, version, prompt, i)).collect()
+}
--- /dev/null
+++ b/crates/comfreyhall-telemetry/src/lib.rs
@@ -0,0 +1,54 @@
+//! Logs and metrics set-up shared by comfreyhall's processes.
+//!
+//! Logs go to standard error through log4rs. Each part of a process logs
+//! under its own target, and the pattern prints that target as a fixed
+//! prefix (`route:`, `member:`, `settings:` and so on), so an operator can
+//! grep one part's sentences. docs/OPERATIONS.md lists the prefixes.
+//!
+//! Metrics are recorded through the opentelemetry API under the meter
+//! [`METER`]; the process that wants them exported installs a provider.
+
+use log::LevelFilter;
+use log4rs::{
+    append::console::{ConsoleAppender, Target},
+    config::{Appender, Config, Root},
+    encode::pattern::PatternEncoder,
+};
+
+/// Name of the opentelemetry meter every part records under.
+pub const METER: &str = "comfreyhall";
+
+/// Log line layout: time, level, the part's prefix, the sentence.
+const PATTERN: &str = "{d(%H:%M:%S%.3f)} {l:<5} {t}: {m}{n}";
+
+/// Sends logs at `level` and above to standard error.
+///
+/// `level` is one of `error`, `warn`, `info`, `debug`, `trace`; anything
+/// else means `info`. Calling it twice keeps the first set-up.
+pub fn init_logs(level: &str) {
+    let filter = level.parse().unwrap_or(LevelFilter::Info);
+    let stderr = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(PatternEncoder::new(PATTERN)))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(stderr)))
+        .build(Root::builder().appender("stderr").build(filter))
+        .expect("the fixed log set-up is valid");
+    let _ = log4rs::init_config(config);
+}
+
+/// The meter every part records its instruments under.
+pub fn meter() -> opentelemetry::metrics::Meter {
+    opentelemetry::global::meter(METER)
+}
+
+/// Resolves on the first SIGINT or SIGTERM: the signals of a planned stop.
+pub async fn stop_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut term = signal(SignalKind::terminate()).expect("SIGTERM can be watched");
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = term.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall/src/bin/comfreyhall.rs
@@ -0,0 +1,5 @@
+//! `comfreyhall`: the operator command line.
+
+fn main() -> std::process::ExitCode {
+    comfreyhall::cli::main()
+}
