Fetch weights before an engine gives up a slot

The engine stand-in claimed a slot the moment a load order arrived and held it, empty and marked loading, for the whole wait in the weight store's queue: one load at a time at 3 loads/s, so with 48 slots and three daemons ordering loads, slots sat empty for seconds and new requests found none they could use.

Ruled out: the placement policies (both refuse only when the view has no evictable slot, and the view here was accurate: the slots really were loading) and the retry count (more tries hit the same full engine).

Change: a load order now fetches the weights first, with no slot held; loads of the same adapter on one engine join the pending fetch. Only when the weights are there does the engine take a free slot or evict the first unpinned victim the order names (or any unpinned one if the order's view was stale). A victim thus keeps serving until the last moment, and nothing pinned is ever evicted.

--- a/crates/comfreyhall-standins/src/engine.rs
+++ b/crates/comfreyhall-standins/src/engine.rs
@@ -67,6 +67,8 @@
     used: u64,
     /// Highest fencing token seen on an order.
     fence: u64,
+    /// `adapter@version` of loads waiting for weights; they hold no slot.
+    pending: rustc_hash::FxHashSet<String>,
 }
 
 impl State {
@@ -262,22 +264,22 @@
         self.inner.faults.gate().await?;
         let order = req.into_inner();
         let start = Instant::now();
-        let evicted = {
+        let key = format!("{}@{}", order.adapter, order.version);
+        let joined = {
             let mut state = self.inner.state.lock().unwrap();
             self.check_fence(&mut state, order.fence)?;
-            match claim(&mut state, &order, self.inner.capacity) {
-                Claim::Ready => return Ok(Response::new(reply(true, "", "", start))),
-                Claim::Loading => None,
-                Claim::Claimed(evicted) => Some(evicted),
-                Claim::Full => {
-                    let why = "every slot is pinned or loading; try another engine";
-                    return Ok(Response::new(reply(false, "", why, start)));
-                }
+            if state.slot(&order.adapter, &order.version).is_some() {
+                return Ok(Response::new(reply(true, "", "", start)));
             }
+            !state.pending.insert(key.clone())
         };
-        let Some(evicted) = evicted else {
-            return Ok(Response::new(self.wait_loaded(&order, start).await));
-        };
+        if joined {
+            return Ok(Response::new(self.wait_loaded(&order, &key, start).await));
+        }
+        // The weights are fetched before any slot is taken. Taking the slot
+        // first held it empty for the whole weight-store queue (seconds at
+        // 3 loads/s), so requests found every slot "loading" and were
+        // refused; now a victim keeps serving until the weights are here.
         let fetch = FetchRequest {
             adapter: order.adapter.clone(),
             version: order.version.clone(),
@@ -288,24 +290,18 @@
             self.inner.weights.clone().fetch(fetch).await.map(|_| ())
         };
         let mut state = self.inner.state.lock().unwrap();
-        let ok = fetched.is_ok();
-        if ok {
-            if let Some(slot) = state.slot(&order.adapter, &order.version) {
-                slot.loading = false;
-            }
-        } else {
-            state
-                .slots
-                .retain(|s| !s.is(&order.adapter, &order.version));
-        }
+        state.pending.remove(&key);
+        let answer = match fetched {
+            Err(e) => reply(false, "", e.message(), start),
+            Ok(()) => match claim(&mut state, &order, self.inner.capacity) {
+                Some(evicted) => reply(true, &evicted, "", start),
+                None => reply(false, "", "every slot is pinned; try another engine", start),
+            },
+        };
         drop(state);
         self.inner.loaded.notify_waiters();
-        let error = fetched
-            .err()
-            .map(|e| e.message().to_string())
-            .unwrap_or_default();
-        log::debug!(target: "engine", "{} loaded {}@{}: {}", self.inner.id, order.adapter, order.version, ok);
-        Ok(Response::new(reply(ok, &evicted, &error, start)))
+        log::debug!(target: "engine", "{} load of {key}: {}", self.inner.id, answer.loaded);
+        Ok(Response::new(answer))
     }
 
     async fn status(&self, _: Request<StatusQuery>) -> Result<Response<EngineStatus>, Status> {
@@ -341,15 +337,16 @@
 
 impl EngineStandin {
     /// Waits for another order's load of the same adapter to finish.
-    async fn wait_loaded(&self, order: &LoadOrder, start: Instant) -> LoadReply {
+    async fn wait_loaded(&self, order: &LoadOrder, key: &str, start: Instant) -> LoadReply {
         loop {
             let notified = self.inner.loaded.notified();
             {
                 let mut state = self.inner.state.lock().unwrap();
-                match state.slot(&order.adapter, &order.version) {
-                    Some(s) if !s.loading => return reply(true, "", "", start),
-                    Some(_) => {}
-                    None => return reply(false, "", "the load this order joined failed", start),
+                if state.slot(&order.adapter, &order.version).is_some() {
+                    return reply(true, "", "", start);
+                }
+                if !state.pending.contains(key) {
+                    return reply(false, "", "the load this order joined failed", start);
                 }
             }
             notified.await;
@@ -357,45 +354,32 @@
     }
 }
 
-enum Claim {
-    Ready,
-    Loading,
-    Claimed(String),
-    Full,
-}
-
-/// Takes a slot for the order: a free one, or the first evictable victim.
-fn claim(state: &mut State, order: &LoadOrder, capacity: usize) -> Claim {
-    if let Some(slot) = state.slot(&order.adapter, &order.version) {
-        return if slot.loading {
-            Claim::Loading
-        } else {
-            Claim::Ready
-        };
-    }
+/// Takes a slot for a fetched adapter: a free one, or an evictable victim.
+///
+/// Returns the evicted `adapter@version` (empty for a free slot), or `None`
+/// when every slot is pinned.
+fn claim(state: &mut State, order: &LoadOrder, capacity: usize) -> Option<String> {
     let mut evicted = String::new();
     if state.slots.len() >= capacity {
-        let victim = order.victims.iter().find_map(|v| {
-            state.slots.iter().position(|s| {
-                s.pins == 0 && !s.loading && format!("{}@{}", s.adapter, s.version) == *v
-            })
+        let named = order.victims.iter().find_map(|v| {
+            state
+                .slots
+                .iter()
+                .position(|s| s.pins == 0 && format!("{}@{}", s.adapter, s.version) == *v)
         });
-        // An order naming only pinned slots takes the first evictable one
+        // An order naming only pinned slots takes the first unpinned one
         // instead of failing: the sender's view may simply be stale.
-        let victim = victim.or_else(|| state.slots.iter().position(|s| s.pins == 0 && !s.loading));
-        let Some(i) = victim else {
-            return Claim::Full;
-        };
-        let old = state.slots.swap_remove(i);
+        let victim = named.or_else(|| state.slots.iter().position(|s| s.pins == 0))?;
+        let old = state.slots.swap_remove(victim);
         evicted = format!("{}@{}", old.adapter, old.version);
     }
     state.slots.push(SlotState {
         adapter: order.adapter.as_str().into(),
         version: order.version.as_str().into(),
         pins: 0,
-        loading: true,
+        loading: false,
     });
-    Claim::Claimed(evicted)
+    Some(evicted)
 }
 
 fn reply(loaded: bool, evicted: &str, error: &str, start: Instant) -> LoadReply {
