--- a/crates/comfreyhall-catalog/src/follow.rs
+++ b/crates/comfreyhall-catalog/src/follow.rs
@@ -36,6 +36,9 @@
 /// Changes remembered for peers that are behind.
 const LOG_LIMIT: usize = 1_024;
 
+/// Times a record is read when changes keep dropping it from the cache.
+const READ_TRIES: u32 = 3;
+
 #[derive(Default)]
 struct State {
     synced: bool,
@@ -58,6 +61,11 @@
         true
     }
 
+    /// Whether a read begun at this count of drops may go into the cache.
+    fn keeps(&self, drops: u64) -> bool {
+        self.synced && self.drops == drops
+    }
+
     fn forget(&mut self, key: &str) {
         self.drops += 1;
         if key == EVERY_KEY {
@@ -210,36 +218,48 @@
 
     /// One adapter, from the cache or the table.
     pub async fn adapter(&self, name: &str) -> Result<Arc<Adapter>, CatalogError> {
-        let drops = {
-            let state = self.state();
-            if let Some(a) = state.adapters.get(name) {
-                return Ok(a.clone());
+        let mut tries = 1;
+        loop {
+            let drops = {
+                let state = self.state();
+                if let Some(a) = state.adapters.get(name) {
+                    return Ok(a.clone());
+                }
+                state.drops
+            };
+            let record = Arc::new(self.catalog.adapter(name).await?);
+            let mut state = self.state();
+            if state.keeps(drops) {
+                state.adapters.insert(name.into(), record.clone());
+            } else if tries < READ_TRIES {
+                tries += 1;
+                continue;
             }
-            state.drops
-        };
-        let record = Arc::new(self.catalog.adapter(name).await?);
-        let mut state = self.state();
-        if state.synced && state.drops == drops {
-            state.adapters.insert(name.into(), record.clone());
+            return Ok(record);
         }
-        Ok(record)
     }
 
     /// One customer, from the cache or the table.
     pub async fn customer(&self, name: &str) -> Result<Arc<Customer>, CatalogError> {
-        let drops = {
-            let state = self.state();
-            if let Some(c) = state.customers.get(name) {
-                return Ok(c.clone());
+        let mut tries = 1;
+        loop {
+            let drops = {
+                let state = self.state();
+                if let Some(c) = state.customers.get(name) {
+                    return Ok(c.clone());
+                }
+                state.drops
+            };
+            let record = Arc::new(self.catalog.customer(name).await?);
+            let mut state = self.state();
+            if state.keeps(drops) {
+                state.customers.insert(name.into(), record.clone());
+            } else if tries < READ_TRIES {
+                tries += 1;
+                continue;
             }
-            state.drops
-        };
-        let record = Arc::new(self.catalog.customer(name).await?);
-        let mut state = self.state();
-        if state.synced && state.drops == drops {
-            state.customers.insert(name.into(), record.clone());
+            return Ok(record);
         }
-        Ok(record)
     }
 
     /// One adapter from the table, whatever the cache holds.
--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -7,7 +7,7 @@
 //! be repeated then goes on at another engine from the first token the
 //! caller does not have; one that may not ends with its outcome unknown.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use comfreyhall_protocol::GenerateChunk;
 use futures::{Stream, StreamExt};
@@ -22,6 +22,9 @@
 /// Times one answer goes on at another engine.
 const RESUMES: u32 = 8;
 
+/// Pause before trying again to go on with a broken answer.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a chunk from an engine means for the answer.
 #[derive(Debug, PartialEq, Eq)]
 enum Fit {
@@ -138,14 +141,27 @@
         self.app.inner.metrics.resume();
         // The run before this one may still hold its slot.
         route::cancel(&self.app, self.started.engine, id);
-        self.started = match route::start(&self.app, &self.job).await {
-            Ok(started) => started,
-            // The answer began, so "not run" would be wrong from here on.
-            Err(e) if e.not_run() => return Err(RouteError::InDoubt(e.to_string())),
-            Err(e) => return Err(e),
-        };
+        self.started = self.restart().await?;
         Ok(())
     }
+
+    /// Starts the rest of the answer, trying until the caller's time is up.
+    ///
+    /// A fresh request is refused at once when no engine can take it, since
+    /// the caller can come back. This caller holds half an answer: refusing
+    /// it would cut that off, and engines that vanished together (a silent
+    /// link, a restart) are often back within a second.
+    async fn restart(&self) -> Result<Started, RouteError> {
+        loop {
+            match route::start(&self.app, &self.job).await {
+                Ok(started) => return Ok(started),
+                // The answer began, so "not run" would be wrong from here on.
+                Err(RouteError::Late) => return Err(RouteError::Deadline),
+                Err(e) if e.not_run() => tokio::time::sleep(RESUME_PAUSE).await,
+                Err(e) => return Err(e),
+            }
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall/tests/end_to_end.rs
+++ b/crates/comfreyhall/tests/end_to_end.rs
@@ -99,18 +99,14 @@
 #[test]
 fn addresses_lists_live_instances() {
     let d = Deployment::start("addresses", 3, 1, 2);
-    // Heartbeats are 100 ms apart; a few are enough for all three rows.
-    std::thread::sleep(std::time::Duration::from_millis(500));
-    let out = d.cli_ok(&["--json", "addresses"]);
-    let v: serde_json::Value = serde_json::from_str(&out).unwrap();
-    let mut got: Vec<String> = v["addresses"]
-        .as_array()
-        .unwrap()
-        .iter()
-        .map(|a| a.as_str().unwrap().to_string())
-        .collect();
-    got.sort();
     let mut want = d.instances.clone();
     want.sort();
-    assert_eq!(got, want);
+    support::wait_for("all three instances to be listed", || {
+        let out = d.cli_ok(&["--json", "addresses"]);
+        let v: serde_json::Value = serde_json::from_str(&out).unwrap();
+        let listed = v["addresses"].as_array().unwrap().iter();
+        let mut got: Vec<&str> = listed.map(|a| a.as_str().unwrap()).collect();
+        got.sort_unstable();
+        got == want
+    });
 }
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -6,14 +6,30 @@
 
 #![allow(dead_code)]
 
+mod wire;
+
 use std::{
-    io::{Read, Write},
+    collections::BTreeMap,
+    io::{BufRead, BufReader, Read, Write},
     net::{TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
+use comfreyhall_protocol::{
+    MarkOrder, RunsQuery, engine_client::EngineClient, instances_client::InstancesClient,
+    plain_client::PlainClient,
+};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+#[allow(unused_imports)]
+pub use wire::Wire;
+
 /// Longest a process may take to start answering.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -22,106 +38,249 @@
     pub dir: PathBuf,
     pub settings: PathBuf,
     pub instances: Vec<String>,
-    children: Vec<Child>,
+    engines: Vec<String>,
+    services: Vec<String>,
+    /// Running processes by name: `platform`, engine ids, instance ids.
+    children: BTreeMap<String, Child>,
 }
 
+/// First port tests use; all are below the kernel's ephemeral range.
+const FIRST_PORT: u16 = 12_000;
+
+/// Ports tests may use.
+const PORTS: u16 = 18_000;
+
+/// A port nobody listens on.
+///
+/// Asking the kernel for a free port and closing it again is not enough: the
+/// kernel soon hands the same port to a connection of another test, and the
+/// process meant to listen there cannot start. So ports are taken in turn
+/// from a range the kernel does not use for connections.
 fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = (std::process::id() % u32::from(PORTS)) as u16;
+    loop {
+        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (base + turn % PORTS) % PORTS;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Settings text for `daemons` instances and `engines` engines on free ports.
 pub fn settings_text(daemons: usize, engines: usize, slots: u32) -> (String, Vec<String>) {
-    let domains = ["ikeja", "lekki", "yaba"];
-    let mut instances = Vec::new();
-    let mut text =
-        String::from("// Written by the end-to-end tests.\n{ deployment: \"test\", instances: [\n");
-    for i in 0..daemons {
-        let addr = format!("127.0.0.1:{}", free_port());
-        text.push_str(&format!(
-            "  {{ id: \"d{i}\", domain: \"{}\", listen: \"{addr}\" }},\n",
-            domains[i % 3]
-        ));
-        instances.push(addr);
-    }
-    text.push_str("], engines: [\n");
-    for i in 0..engines {
-        text.push_str(&format!(
-            "  {{ id: \"e{i}\", domain: \"{}\", listen: \"127.0.0.1:{}\", slots: {slots}, width: 4 }},\n",
-            domains[i % 3],
-            free_port()
-        ));
-    }
-    text.push_str(&format!(
-        "], platform: {{ table: \"127.0.0.1:{}\", weights: \"127.0.0.1:{}\", objects: \"127.0.0.1:{}\", instances: \"127.0.0.1:{}\", loads_per_sec: 20.0 }},\n\
-         tuning: {{ heartbeat_ms: 100, lease_ms: 400, poll_ms: 20, follow_ms: 50, address_ttl_ms: 500 }},\n\
-         workload: {{ customers: 2, adapters: 20 }} }}\n",
-        free_port(),
-        free_port(),
-        free_port(),
-        free_port()
-    ));
-    (text, instances)
+    let text = Layout::new(daemons, engines, slots);
+    (text.text, text.instances)
+}
+
+struct Layout {
+    text: String,
+    instances: Vec<String>,
+    engines: Vec<String>,
+    services: Vec<String>,
+}
+
+impl Layout {
+    fn new(daemons: usize, engines: usize, slots: u32) -> Self {
+        let domains = ["ikeja", "lekki", "yaba"];
+        let addr = || format!("127.0.0.1:{}", free_port());
+        let list = |n: usize, prefix: &str, extra: &str| {
+            let addrs: Vec<String> = (0..n).map(|_| addr()).collect();
+            let row = |(i, a): (usize, &String)| {
+                let domain = domains[i % 3];
+                format!(
+                    "  {{ id: \"{prefix}{i}\", domain: \"{domain}\", listen: \"{a}\"{extra} }},\n"
+                )
+            };
+            let rows: String = addrs.iter().enumerate().map(row).collect();
+            (addrs, rows)
+        };
+        let (instances, instance_rows) = list(daemons, "d", "");
+        let (engines, engine_rows) = list(engines, "e", &format!(", slots: {slots}, width: 4"));
+        let (services, service_rows) = list(2, "s", "");
+        let text = format!(
+            "// Written by the tests.\n{{ deployment: \"test\", instances: [\n{instance_rows}],\n\
+             engines: [\n{engine_rows}],\nservices: [\n{service_rows}],\n\
+             platform: {{ table: \"{}\", weights: \"{}\", objects: \"{}\", instances: \"{}\", loads_per_sec: 20.0 }},\n\
+             tuning: {{ heartbeat_ms: 100, lease_ms: 400, poll_ms: 20, follow_ms: 50, address_ttl_ms: 500 }},\n\
+             workload: {{ customers: 2, adapters: 20 }} }}\n",
+            addr(),
+            addr(),
+            addr(),
+            addr()
+        );
+        Self {
+            text,
+            instances,
+            engines,
+            services,
+        }
+    }
 }
 
 impl Deployment {
-    /// Starts the stand-ins and `daemons` daemons, and waits until they answer.
+    /// Starts the stand-ins and `daemons` daemons, and waits until they serve.
     pub fn start(name: &str, daemons: usize, engines: usize, slots: u32) -> Self {
+        Self::start_behind(name, daemons, engines, slots, |_, text| text)
+    }
+
+    /// Like [`Deployment::start`], with the settings of each daemon (by its
+    /// number) passed through `change` first: to put a [`Wire`] before what
+    /// it talks to.
+    pub fn start_behind(
+        name: &str,
+        daemons: usize,
+        engines: usize,
+        slots: u32,
+        mut change: impl FnMut(usize, String) -> String,
+    ) -> Self {
         let dir = std::env::temp_dir().join(format!("comfreyhall-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
-        let (text, instances) = settings_text(daemons, engines, slots);
+        let layout = Layout::new(daemons, engines, slots);
         let settings = dir.join("settings.jsonc");
-        std::fs::write(&settings, text).unwrap();
+        std::fs::write(&settings, &layout.text).unwrap();
+        for i in 0..daemons {
+            let text = change(i, layout.text.clone());
+            std::fs::write(dir.join(format!("d{i}.jsonc")), text).unwrap();
+        }
         let mut d = Self {
             dir,
             settings,
-            instances,
-            children: Vec::new(),
+            instances: layout.instances,
+            engines: layout.engines,
+            services: layout.services,
+            children: BTreeMap::new(),
         };
-        d.spawn(env!("CARGO_BIN_EXE_comfreyhall-standin"), &[], "standin");
+        d.start_platform();
+        for i in 0..engines {
+            d.start_engine(i);
+        }
         for i in 0..daemons {
-            let id = format!("d{i}");
-            d.spawn(
-                env!("CARGO_BIN_EXE_comfreyhalld"),
-                &["--instance", &id],
-                &id,
-            );
+            d.start_daemon(i);
         }
-        for addr in d.instances.clone() {
-            d.wait_http(&addr);
+        for i in 0..daemons {
+            d.wait_serving(i);
         }
         d
     }
 
-    fn spawn(&mut self, bin: &str, extra: &[&str], log: &str) {
-        let log = std::fs::File::create(self.dir.join(format!("{log}.log"))).unwrap();
+    fn start_platform(&mut self) {
+        let names = ["table", "weights", "objects", "instances", "s0", "s1"];
+        let args: Vec<&str> = names.iter().flat_map(|n| ["--only", n]).collect();
+        let settings = self.settings.clone();
+        let bin = env!("CARGO_BIN_EXE_comfreyhall-standin");
+        self.spawn(bin, &settings, &args, "platform");
+    }
+
+    /// Starts engine `i`, cold.
+    pub fn start_engine(&mut self, i: usize) {
+        let id = format!("e{i}");
+        let settings = self.settings.clone();
+        let bin = env!("CARGO_BIN_EXE_comfreyhall-standin");
+        self.spawn(bin, &settings, &["--only", &id], &id);
+    }
+
+    /// Starts daemon `i`.
+    pub fn start_daemon(&mut self, i: usize) {
+        let id = format!("d{i}");
+        let settings = self.dir.join(format!("{id}.jsonc"));
+        let bin = env!("CARGO_BIN_EXE_comfreyhalld");
+        self.spawn(bin, &settings, &["--instance", &id], &id);
+    }
+
+    fn spawn(&mut self, bin: &str, settings: &Path, extra: &[&str], name: &str) {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{name}.log")))
+            .unwrap();
         let child = Command::new(bin)
             .arg("--settings")
-            .arg(&self.settings)
+            .arg(settings)
             .args(extra)
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
             .unwrap();
-        self.children.push(child);
+        self.children.insert(name.to_string(), child);
+    }
+
+    /// Waits until daemon `i` serves.
+    pub fn wait_serving(&self, i: usize) {
+        // Up is not enough: a daemon refuses work until it has read a
+        // configuration.
+        let addr = &self.instances[i];
+        wait_for(
+            &format!("{addr} to serve"),
+            || matches!(http(addr, "GET", "/v1/health", "", &[]), Ok((200, body)) if body.contains("serving")),
+        );
+    }
+
+    /// Sends the process `name` a signal.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let pid = Pid::from_raw(self.children[name].id() as i32);
+        kill(pid, signal).unwrap();
+    }
+
+    /// Kills the process `name` at once.
+    pub fn kill(&mut self, name: &str) {
+        let mut child = self.children.remove(name).unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
     }
 
-    fn wait_http(&self, addr: &str) {
+    /// Waits for the process `name` to end by itself; true if it succeeded.
+    pub fn ended_well(&mut self, name: &str) -> bool {
+        let mut child = self.children.remove(name).unwrap();
         let begun = Instant::now();
         while begun.elapsed() < START_LIMIT {
-            // Up is not enough: a daemon refuses work until it has read a
-            // configuration.
-            if let Ok((200, body)) = http(addr, "GET", "/v1/health", "", &[])
-                && body.contains("serving")
-            {
-                return;
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.success();
             }
-            std::thread::sleep(Duration::from_millis(50));
+            std::thread::sleep(Duration::from_millis(20));
         }
-        panic!("{addr} did not answer within {START_LIMIT:?}");
+        child.kill().unwrap();
+        child.wait().unwrap();
+        false
+    }
+
+    /// Starts of `request` (a prefix of request ids) over every engine and
+    /// service that is up.
+    pub fn starts(&self, request: &str) -> u32 {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let mut runs = Vec::new();
+            for addr in &self.engines {
+                if let Ok(mut c) = EngineClient::connect(format!("http://{addr}")).await {
+                    runs.extend(c.runs(RunsQuery {}).await.unwrap().into_inner().runs);
+                }
+            }
+            for addr in &self.services {
+                if let Ok(mut c) = PlainClient::connect(format!("http://{addr}")).await {
+                    runs.extend(c.runs(RunsQuery {}).await.unwrap().into_inner().runs);
+                }
+            }
+            let ours = runs.iter().filter(|r| r.request_id.starts_with(request));
+            ours.map(|r| r.starts).sum()
+        })
+    }
+
+    /// Tells the platform's instance list that `id` is leaving.
+    pub fn mark_leaving(&self, id: &str) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let settings = comfreyhall::settings::Settings::parse(&text, "settings").unwrap();
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let addr = format!("http://{}", settings.platform.instances);
+            let mut list = InstancesClient::connect(addr).await.unwrap();
+            let order = MarkOrder {
+                id: id.into(),
+                leaving: true,
+                gone: false,
+            };
+            list.mark(order).await.unwrap();
+        });
     }
 
     /// Runs the command line against this deployment.
@@ -150,21 +309,80 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        for c in &mut self.children {
+        for c in self.children.values_mut() {
             let _ = c.kill();
             let _ = c.wait();
         }
     }
 }
 
-/// One HTTP/1.1 exchange; returns the status and the body (chunks joined).
-pub fn http(
+/// Waits until `done` holds; panics naming `what` if it never does.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while begun.elapsed() < START_LIMIT {
+        if done() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("waited {START_LIMIT:?} in vain for {what}");
+}
+
+/// An HTTP answer that is read line by line as it comes.
+pub struct Answer {
+    pub status: u16,
+    /// Header lines, in lowercase.
+    pub headers: Vec<String>,
+    reader: BufReader<TcpStream>,
+}
+
+impl Answer {
+    /// The value of header `name`.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let line = |h: &&String| h.starts_with(&format!("{name}: "));
+        let found = self.headers.iter().find(line)?;
+        found.split_once(": ").map(|h| h.1)
+    }
+
+    /// The next event of a stream; `None` at its end.
+    pub fn event(&mut self) -> Option<String> {
+        loop {
+            let mut line = String::new();
+            if self.reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            if let Some(data) = line.trim_end().strip_prefix("data: ") {
+                return Some(data.to_string());
+            }
+        }
+    }
+
+    /// Reads the stream to its end; the joined text and the last event.
+    pub fn finish(mut self, mut text: String) -> (String, String) {
+        let mut last = String::new();
+        while let Some(event) = self.event() {
+            text.push_str(&chunk_text(&event));
+            last = event;
+        }
+        (text, last)
+    }
+}
+
+/// The text of one streamed chunk; empty for other events.
+pub fn chunk_text(event: &str) -> String {
+    let v: serde_json::Value = serde_json::from_str(event).unwrap_or_default();
+    let text = v["choices"][0]["text"].as_str();
+    text.unwrap_or_default().to_string()
+}
+
+/// Sends one request and returns when the answer's headers are there.
+pub fn open(
     addr: &str,
     method: &str,
     path: &str,
     body: &str,
     headers: &[(&str, &str)],
-) -> std::io::Result<(u16, String)> {
+) -> std::io::Result<Answer> {
     let mut s = TcpStream::connect(addr)?;
     s.set_read_timeout(Some(Duration::from_secs(30)))?;
     let mut req = format!(
@@ -177,13 +395,34 @@
     req.push_str("\r\n");
     req.push_str(body);
     s.write_all(req.as_bytes())?;
+    let mut reader = BufReader::new(s);
+    let mut headers = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        match line.trim_end() {
+            "" => break,
+            line => headers.push(line.to_ascii_lowercase()),
+        }
+    }
+    let status = headers.first().and_then(|l| l.split(' ').nth(1));
+    Ok(Answer {
+        status: status.and_then(|c| c.parse().ok()).unwrap_or(0),
+        headers,
+        reader,
+    })
+}
+
+/// One HTTP/1.1 exchange; returns the status and the body (chunks joined).
+pub fn http(
+    addr: &str,
+    method: &str,
+    path: &str,
+    body: &str,
+    headers: &[(&str, &str)],
+) -> std::io::Result<(u16, String)> {
+    let mut answer = open(addr, method, path, body, headers)?;
     let mut raw = String::new();
-    s.read_to_string(&mut raw)?;
-    let status = raw
-        .split(' ')
-        .nth(1)
-        .and_then(|c| c.parse().ok())
-        .unwrap_or(0);
-    let body = raw.split_once("\r\n\r\n").map(|x| x.1).unwrap_or("");
-    Ok((status, body.to_string()))
+    answer.reader.read_to_string(&mut raw)?;
+    Ok((answer.status, raw))
 }
--- /dev/null
+++ b/crates/comfreyhall/tests/support/wire.rs
@@ -0,0 +1,99 @@
+//! A TCP wire between a daemon and what it talks to, which tests can cut.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+#[derive(Default)]
+struct State {
+    /// Connections opened before this count are silent.
+    silent: AtomicU64,
+    /// Connections opened so far.
+    opened: AtomicU64,
+    /// Whether new connections are refused and old ones reset.
+    cut: AtomicBool,
+}
+
+/// Forwards connections to one address until told otherwise.
+pub struct Wire {
+    /// Where to connect to.
+    pub addr: String,
+    state: Arc<State>,
+}
+
+impl Wire {
+    /// A wire to `target`.
+    pub fn to(target: &str) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", super::free_port())).unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let state = Arc::new(State::default());
+        let wire = state.clone();
+        let target = target.to_string();
+        std::thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let number = wire.opened.fetch_add(1, Ordering::SeqCst) + 1;
+                if wire.cut.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let Ok(far) = TcpStream::connect(&target) else {
+                    continue;
+                };
+                pump(&near, &far, &wire, number);
+                pump(&far, &near, &wire, number);
+            }
+        });
+        Self { addr, state }
+    }
+
+    /// Makes every connection open now silent for good: no byte passes and
+    /// nothing is closed. New ones work.
+    pub fn silence(&self) {
+        let opened = self.state.opened.load(Ordering::SeqCst);
+        self.state.silent.store(opened, Ordering::SeqCst);
+    }
+
+    /// Resets every connection and refuses new ones, or mends the wire.
+    pub fn cut(&self, cut: bool) {
+        self.state.cut.store(cut, Ordering::SeqCst);
+    }
+}
+
+fn pump(from: &TcpStream, to: &TcpStream, state: &Arc<State>, number: u64) {
+    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+    let state = state.clone();
+    std::thread::spawn(move || {
+        let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
+        let mut buf = [0; 16 << 10];
+        loop {
+            if state.cut.load(Ordering::SeqCst) {
+                break;
+            }
+            let read = from.read(&mut buf);
+            if number <= state.silent.load(Ordering::SeqCst) {
+                // Swallow what comes; keep both ends open.
+                match read {
+                    Ok(0) => break,
+                    _ => continue,
+                }
+            }
+            match read {
+                Ok(0) => break,
+                Ok(n) => {
+                    if to.write_all(&buf[..n]).is_err() {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => break,
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    });
+}
