--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -27,6 +27,7 @@
     member::Members,
     metrics::Metrics,
     stats::Counters,
+    stuck::Stuck,
 };
 
 /// Shared daemon state; cheap to clone.
@@ -54,6 +55,7 @@
     pub(crate) idle: Notify,
     pub(crate) counters: Counters,
     pub(crate) metrics: Metrics,
+    pub(crate) stuck: Stuck,
     /// Whether a background copy is in flight.
     pub(crate) copying: AtomicBool,
     view: Mutex<Vec<EngineView>>,
@@ -107,6 +109,7 @@
                 idle: Notify::new(),
                 counters: Counters::default(),
                 metrics: Metrics::new(),
+                stuck: Stuck::default(),
                 copying: AtomicBool::new(false),
                 view: Mutex::new(view),
                 policy: Mutex::new(policy),
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod resolve;
 mod route;
 mod stats;
+mod stuck;
 
 use comfreyhall_settings::{PolicyKind, Settings};
 use eyre::{WrapErr, eyre};
--- a/crates/comfreyhall-daemon/src/metrics.rs
+++ b/crates/comfreyhall-daemon/src/metrics.rs
@@ -26,6 +26,7 @@
     requests: Counter<u64>,
     tokens: Counter<u64>,
     resumes: Counter<u64>,
+    loads: Counter<u64>,
     efficiency: Gauge<f64>,
     /// Steps and used slots of each engine at the last report.
     engines: Mutex<Map<String, (u64, u64)>>,
@@ -63,6 +64,10 @@
                 .u64_counter("resumes")
                 .with_description("answers that went on at another engine")
                 .build(),
+            loads: meter
+                .u64_counter("load_orders")
+                .with_description("load orders sent to engines")
+                .build(),
             efficiency: meter
                 .f64_gauge("batch_efficiency")
                 .with_description("used share of an engine's batch steps, 0 to 1")
@@ -97,6 +102,11 @@
         self.resumes.add(1, &[]);
     }
 
+    /// Counts a load order.
+    pub(crate) fn load(&self) {
+        self.loads.add(1, &[]);
+    }
+
     /// Takes an engine's report: its batch efficiency since the last one.
     pub(crate) fn engine(&self, id: &str, status: &EngineStatus) {
         let mut engines = self.engines.lock().expect("no holder of this lock panics");
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -16,8 +16,11 @@
 /// Placement tries per request before it is given up.
 const TRIES: u32 = 4;
 
-/// Longest a load order may take before the engine counts as unhelpful.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time a load may take beyond twice its turn at the weight store.
+const LOAD_SLACK: Duration = Duration::from_secs(3);
+
+/// Longest a background copy is waited for.
+const COPY_LIMIT: Duration = Duration::from_secs(60);
 
 /// Longest an engine may take to accept a request.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -129,7 +132,8 @@
 /// is the time spent waiting for a load.
 async fn place(app: &App, job: &Job, key: &Arc<str>) -> Option<(Option<usize>, Duration)> {
     let decision = {
-        let view = app.view().clone();
+        let mut view = app.view().clone();
+        app.inner.stuck.hide(key, &mut view);
         let now = app.now_ms();
         app.policy().route(key, &view, now)
     };
@@ -199,7 +203,7 @@
     let app = app.clone();
     let req = req.clone();
     tokio::spawn(async move {
-        load(&app, engine, &req, victims, LOAD_TIMEOUT).await;
+        load(&app, engine, &req, victims, COPY_LIMIT).await;
         app.inner.copying.store(false, Ordering::Release);
     });
 }
@@ -223,8 +227,10 @@
     };
     let key: Arc<str> = format!("{}@{}", req.adapter, req.version).into();
     mark_loading(app, engine, &key);
+    app.inner.metrics.load();
     let mut client = app.inner.clients[engine].clone();
-    let answer = tokio::time::timeout(limit.min(LOAD_TIMEOUT), client.load(order)).await;
+    let patience = patience(app);
+    let answer = tokio::time::timeout(limit.min(patience), client.load(order)).await;
     let reply = match answer {
         Ok(Ok(r)) => r.into_inner(),
         Ok(Err(s)) => {
@@ -233,7 +239,10 @@
             return false;
         }
         Err(_) => {
-            log::warn!(target: "route", "load of {key} timed out");
+            if limit >= patience {
+                log::warn!(target: "route", "load of {key} is stuck; avoiding its engine for it");
+                app.inner.stuck.note(engine, &key);
+            }
             forget(app, engine, &key);
             return false;
         }
@@ -256,6 +265,20 @@
     true
 }
 
+/// How long a load ordered now is waited for before it counts as stuck.
+///
+/// The weight store takes loads in turn, so a long wait alone proves
+/// nothing; twice the time that the loads on their way need does.
+fn patience(app: &App) -> Duration {
+    let pending: usize = app
+        .view()
+        .iter()
+        .map(|e| e.slots.iter().filter(|s| s.loading).count())
+        .sum();
+    let rate = app.inner.settings.platform.loads_per_sec;
+    LOAD_SLACK + Duration::from_secs_f64(2.0 * (pending + 1) as f64 / rate)
+}
+
 /// Whether the view shows `key` on its way to `engine`.
 fn loading(app: &App, engine: usize, key: &str) -> bool {
     let view = app.view();
--- a/crates/comfreyhall-standins/src/engine.rs
+++ b/crates/comfreyhall-standins/src/engine.rs
@@ -36,6 +36,9 @@
 /// Age of the oldest status the engine reports.
 const REPORT_LAG: Duration = Duration::from_millis(50);
 
+/// Longest fetched weights wait for a slot to be unpinned.
+const HOLD_LIMIT: Duration = Duration::from_secs(2);
+
 /// Chunks buffered per stream before a slow reader holds its sequence back.
 const STREAM_BUFFER: usize = 64;
 
@@ -116,6 +119,18 @@
     }
 }
 
+/// A load order being carried out.
+struct Accepted {
+    order: LoadOrder,
+    /// `adapter@version`.
+    key: String,
+    /// Value of the accept counter when the order arrived.
+    arrived: u64,
+    /// Cold restarts before the order; a restart forgets it.
+    epoch: u64,
+    start: Instant,
+}
+
 struct Inner {
     id: Arc<str>,
     capacity: usize,
@@ -324,42 +339,36 @@
         let order = req.into_inner();
         let start = Instant::now();
         let key = format!("{}@{}", order.adapter, order.version);
-        let (joined, arrived) = {
+        let (joined, arrived, epoch) = {
             let mut state = self.inner.state.lock().unwrap();
             self.check_fence(&mut state, order.fence)?;
             if state.slot(&order.adapter, &order.version).is_some() {
                 return Ok(Response::new(reply(true, "", "", start)));
             }
-            (!state.pending.insert(key.clone()), state.accepted)
+            let joined = !state.pending.insert(key.clone());
+            (joined, state.accepted, state.epoch)
         };
         if joined {
             return Ok(Response::new(self.wait_loaded(&order, &key, start).await));
         }
-        // The weights are fetched before any slot is taken. Taking the slot
-        // first held it empty for the whole weight-store queue (seconds at
-        // 3 loads/s), so requests found every slot "loading" and were
-        // refused; now a victim keeps serving until the weights are here.
-        let fetch = FetchRequest {
-            adapter: order.adapter.clone(),
-            version: order.version.clone(),
-        };
-        let fetched = if self.inner.faults.load_fails() {
-            Err(Status::internal("load failed by fault order"))
-        } else {
-            self.inner.weights.clone().fetch(fetch).await.map(|_| ())
-        };
-        let mut state = self.inner.state.lock().unwrap();
-        state.pending.remove(&key);
-        let answer = match fetched {
-            Err(e) => reply(false, "", e.message(), start),
-            Ok(()) => match claim(&mut state, &order, arrived, self.inner.capacity) {
-                Some(evicted) => reply(true, &evicted, "", start),
-                None => reply(false, "", "every slot is pinned; try another engine", start),
-            },
+        // An accepted order is carried out even if its sender dies: the call
+        // ends with the sender's connection, the order must not. Otherwise
+        // it stayed pending for good, and whoever joined it waited for good.
+        let engine = self.clone();
+        let accepted = Accepted {
+            order,
+            key,
+            arrived,
+            epoch,
+            start,
         };
-        drop(state);
-        self.inner.loaded.notify_waiters();
-        log::debug!(target: "engine", "{} load of {key}: {}", self.inner.id, answer.loaded);
+        let carried = tokio::spawn(async move { engine.carry_out(accepted).await });
+        let answer = carried
+            .await
+            .map_err(|e| Status::internal(format!("load order failed: {e}")))?;
+        if self.inner.faults.loses_answer() {
+            return Err(Status::unavailable("answer lost by fault order"));
+        }
         Ok(Response::new(answer))
     }
 
@@ -428,6 +437,63 @@
         Ok(rx)
     }
 
+    /// Carries out an accepted load order.
+    ///
+    /// The weights are fetched before any slot is taken. Taking the slot
+    /// first held it empty for the whole weight-store queue (seconds at
+    /// 3 loads/s), so requests found every slot "loading" and were refused;
+    /// now a victim keeps serving until the weights are here.
+    async fn carry_out(&self, a: Accepted) -> LoadReply {
+        let fetch = FetchRequest {
+            adapter: a.order.adapter.clone(),
+            version: a.order.version.clone(),
+        };
+        let fetched = if self.inner.faults.load_fails() {
+            Err(Status::internal("load failed by fault order"))
+        } else {
+            self.inner.weights.clone().fetch(fetch).await.map(|_| ())
+        };
+        let answer = match fetched {
+            Err(e) => reply(false, "", e.message(), a.start),
+            Ok(()) => self.take_slot(&a).await,
+        };
+        let mut state = self.inner.state.lock().unwrap();
+        if state.epoch == a.epoch {
+            state.pending.remove(&a.key);
+        }
+        drop(state);
+        self.inner.loaded.notify_waiters();
+        log::debug!(target: "engine", "{} load of {}: {}", self.inner.id, a.key, answer.loaded);
+        answer
+    }
+
+    /// Puts fetched weights into a slot, waiting a while for one to be
+    /// unpinned rather than throwing the weights away.
+    async fn take_slot(&self, a: &Accepted) -> LoadReply {
+        let fetched = Instant::now();
+        loop {
+            {
+                let mut state = self.inner.state.lock().unwrap();
+                if state.epoch != a.epoch {
+                    return reply(false, "", "the engine restarted; order again", a.start);
+                }
+                let capacity = self.inner.capacity;
+                if let Some(evicted) = claim(&mut state, &a.order, a.arrived, capacity) {
+                    return reply(true, &evicted, "", a.start);
+                }
+            }
+            if fetched.elapsed() >= HOLD_LIMIT {
+                return reply(
+                    false,
+                    "",
+                    "every slot is pinned; try another engine",
+                    a.start,
+                );
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
     /// Waits for another order's load of the same adapter to finish.
     async fn wait_loaded(&self, order: &LoadOrder, key: &str, start: Instant) -> LoadReply {
         loop {
--- a/crates/comfreyhall-telemetry/src/lib.rs
+++ b/crates/comfreyhall-telemetry/src/lib.rs
@@ -38,6 +38,20 @@
     let _ = log4rs::init_config(config);
 }
 
+/// Makes a panic of any task end the whole process.
+///
+/// What goes wrong without it: an invariant is found broken in one task, the
+/// runtime swallows the panic, and the process goes on with half of its
+/// duties dead and its locks poisoned. Instances are replaced at any time,
+/// so ending is the safe answer, and it is noticed.
+pub fn end_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 /// The meter every part records its instruments under.
 pub fn meter() -> opentelemetry::metrics::Meter {
     opentelemetry::global::meter(METER)
--- a/crates/comfreyhall/src/bin/comfreyhalld.rs
+++ b/crates/comfreyhall/src/bin/comfreyhalld.rs
@@ -27,6 +27,7 @@
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     comfreyhall_telemetry::init_logs(&args.log);
+    comfreyhall_telemetry::end_on_panic();
     let settings = Settings::load(&args.settings)?;
     let policy = match args.policy.as_deref() {
         None => None,
--- a/crates/comfreyhall/tests/failures.rs
+++ b/crates/comfreyhall/tests/failures.rs
@@ -108,6 +108,30 @@
     assert_eq!(last, "[DONE]");
 }
 
+#[test]
+fn load_stuck_goes_elsewhere() {
+    // Symptom: every request for one adapter waited until its deadline,
+    // again and again. Sequence: an engine accepts a load order and never
+    // finishes it, but reports the adapter as loading; all requests join
+    // it. Cause: nobody gave the load up. A load that takes far longer than
+    // its turn at the weight store is now ordered elsewhere.
+    let d = Deployment::start("stuck", 1, 2, 2);
+    catalog(&d);
+    d.cli_ok(&["fault", "weights", "--slow-ms", "60000"]);
+    let addr = d.instances[0].clone();
+    let caller = thread::spawn(move || {
+        let ask = body("narrator@v1", 8, r#","deadline_ms":25000"#);
+        http(&addr, "POST", "/v1/completions", &ask, &[]).unwrap()
+    });
+    wait_for("the order to reach the engine", || {
+        let out = d.cli_ok(&["metrics", "d0"]);
+        out.contains("load_orders_total")
+    });
+    d.cli_ok(&["fault", "weights"]);
+    let (status, text) = caller.join().unwrap();
+    assert_eq!(status, 200, "{text}");
+}
+
 #[test]
 fn once_lost_answer_not_repeated() {
     // Symptom: a member was billed twice. Sequence: the engine runs the
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -245,6 +245,12 @@
         false
     }
 
+    /// Whether no process ended by itself.
+    pub fn all_running(&mut self) -> bool {
+        let ended = |c: &mut Child| c.try_wait().unwrap().is_some();
+        !self.children.values_mut().any(ended)
+    }
+
     /// Starts of `request` (a prefix of request ids) over every engine and
     /// service that is up.
     pub fn starts(&self, request: &str) -> u32 {
