--- a/crates/comfreyhall-catalog/src/follow.rs
+++ b/crates/comfreyhall-catalog/src/follow.rs
@@ -228,42 +228,39 @@
 
     /// One adapter, from the cache or the table.
     pub async fn adapter(&self, name: &str) -> Result<Arc<Adapter>, CatalogError> {
-        let mut tries = 1;
-        loop {
-            let drops = {
-                let state = self.state();
-                if let Some(a) = state.adapters.get(name) {
-                    return Ok(a.clone());
-                }
-                state.drops
-            };
-            let record = Arc::new(self.catalog.adapter(name).await?);
-            let mut state = self.state();
-            if state.keeps(drops) {
-                state.adapters.insert(name.into(), record.clone());
-            } else if tries < READ_TRIES {
-                tries += 1;
-                continue;
-            }
-            return Ok(record);
-        }
+        self.cached_or(name, |s| &mut s.adapters, || self.catalog.adapter(name))
+            .await
     }
 
     /// One customer, from the cache or the table.
     pub async fn customer(&self, name: &str) -> Result<Arc<Customer>, CatalogError> {
+        self.cached_or(name, |s| &mut s.customers, || self.catalog.customer(name))
+            .await
+    }
+
+    /// The record `name` in the cache that `cache` picks, or `read` anew.
+    async fn cached_or<T, F>(
+        &self,
+        name: &str,
+        cache: impl Fn(&mut State) -> &mut Map<Arc<str>, Arc<T>>,
+        read: impl Fn() -> F,
+    ) -> Result<Arc<T>, CatalogError>
+    where
+        F: Future<Output = Result<T, CatalogError>>,
+    {
         let mut tries = 1;
         loop {
             let drops = {
-                let state = self.state();
-                if let Some(c) = state.customers.get(name) {
-                    return Ok(c.clone());
+                let mut state = self.state();
+                if let Some(found) = cache(&mut state).get(name) {
+                    return Ok(found.clone());
                 }
                 state.drops
             };
-            let record = Arc::new(self.catalog.customer(name).await?);
+            let record = Arc::new(read().await?);
             let mut state = self.state();
             if state.keeps(drops) {
-                state.customers.insert(name.into(), record.clone());
+                cache(&mut state).insert(name.into(), record.clone());
             } else if tries < READ_TRIES {
                 tries += 1;
                 continue;
--- a/crates/comfreyhall-catalog/src/table.rs
+++ b/crates/comfreyhall-catalog/src/table.rs
@@ -1,11 +1,18 @@
 //! A thin client of the platform's table service.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use comfreyhall_protocol::{
     Check, CommitRequest, GetRequest, Put, Row, ScanRequest, proves_not_run,
     table_client::TableClient,
 };
+use prost::Message;
 use thiserror::Error;
 use tonic::transport::{Channel, Endpoint};
 
@@ -123,11 +130,22 @@
     }
 }
 
+/// Bytes a gRPC message has besides its own: the length prefix.
+const FRAME: usize = 5;
+
+/// What a client and its clones sent and received.
+#[derive(Debug, Default)]
+struct Traffic {
+    calls: AtomicU64,
+    bytes: AtomicU64,
+}
+
 /// A client of the table service at one address.
 #[derive(Clone)]
 pub struct Table {
     addr: String,
     client: TableClient<Channel>,
+    traffic: Arc<Traffic>,
 }
 
 impl Table {
@@ -146,9 +164,32 @@
         Ok(Self {
             addr: addr.to_string(),
             client: TableClient::new(endpoint.connect_lazy()),
+            traffic: Arc::default(),
         })
     }
 
+    /// Calls made so far, and the bytes of their messages both ways (without
+    /// HTTP/2 headers).
+    pub fn traffic(&self) -> (u64, u64) {
+        let t = &self.traffic;
+        (
+            t.calls.load(Ordering::Relaxed),
+            t.bytes.load(Ordering::Relaxed),
+        )
+    }
+
+    fn sent(&self, message: &impl Message) {
+        self.traffic.calls.fetch_add(1, Ordering::Relaxed);
+        self.count(message);
+    }
+
+    fn count(&self, message: &impl Message) {
+        let bytes = message.encoded_len() + FRAME;
+        self.traffic
+            .bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     fn failed(&self, status: tonic::Status) -> CatalogError {
         let addr = self.addr.clone();
         if proves_not_run(&status) {
@@ -164,8 +205,10 @@
 impl Rows for Table {
     async fn get(&self, key: &str) -> Result<Option<Row>, CatalogError> {
         let req = GetRequest { key: key.into() };
+        self.sent(&req);
         let answer = self.client.clone().get(req).await;
         let reply = answer.map_err(|s| self.failed(s))?.into_inner();
+        self.count(&reply);
         Ok(reply.row.filter(|_| reply.found))
     }
 
@@ -175,15 +218,19 @@
             limit,
             after: after.into(),
         };
+        self.sent(&req);
         let answer = self.client.clone().scan(req).await;
-        let reply = answer.map_err(|s| self.failed(s))?;
-        Ok(reply.into_inner().rows)
+        let reply = answer.map_err(|s| self.failed(s))?.into_inner();
+        self.count(&reply);
+        Ok(reply.rows)
     }
 
     async fn commit(&self, checks: Vec<Check>, puts: Vec<Put>) -> Result<Vec<u64>, CatalogError> {
         let req = CommitRequest { checks, puts };
+        self.sent(&req);
         let answer = self.client.clone().commit(req).await;
         let reply = answer.map_err(|s| self.failed(s))?.into_inner();
+        self.count(&reply);
         if !reply.applied {
             return Err(CatalogError::Conflict {
                 key: reply.conflict,
--- a/crates/comfreyhall-cli/src/args.rs
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -225,6 +225,9 @@
     /// the version you edited; refused if another one is in force by now
     #[argh(option)]
     pub(crate) base: Option<u64>,
+    /// wait until every instance that answers has the new version in force
+    #[argh(switch)]
+    pub(crate) wait: bool,
 }
 
 /// Cancel a running request.
--- a/crates/comfreyhall-cli/src/catalog.rs
+++ b/crates/comfreyhall-cli/src/catalog.rs
@@ -205,6 +205,9 @@
                 .ok_or_else(|| eyre!("name the rules file: comfreyhall rules apply FILE"))?;
             let rules = read_rules(&file)?;
             let version = catalog.apply(&rules, cmd.base).await?;
+            if cmd.wait {
+                return crate::force::wait(settings, version, json).await;
+            }
             let done = serde_json::json!({ "version": version });
             Ok(render(json, &done, || {
                 format!("rules accepted as version {version}\n")
--- a/crates/comfreyhall-cli/src/lib.rs
+++ b/crates/comfreyhall-cli/src/lib.rs
@@ -9,6 +9,7 @@
 mod args;
 mod bench;
 mod catalog;
+mod force;
 mod http;
 mod output;
 mod stats;
--- a/crates/comfreyhall-cli/src/stats.rs
+++ b/crates/comfreyhall-cli/src/stats.rs
@@ -28,6 +28,7 @@
     requests: u64,
     control_calls: u64,
     control_bytes: u64,
+    table_calls: u64,
     adapters_cached: u64,
 }
 
@@ -40,6 +41,7 @@
     pub(crate) rss_mib: f64,
     pub(crate) control_bytes_per_s: f64,
     pub(crate) control_calls_per_s: f64,
+    pub(crate) table_calls_per_s: f64,
     pub(crate) requests_per_s: f64,
     /// Processor ms per request routed, when any were.
     pub(crate) cpu_ms_per_request: Option<f64>,
@@ -78,6 +80,7 @@
         rss_mib: round(b.rss_kib as f64 / 1024.0, 1),
         control_bytes_per_s: round((b.control_bytes - a.control_bytes) as f64 / secs, 0),
         control_calls_per_s: round((b.control_calls - a.control_calls) as f64 / secs, 1),
+        table_calls_per_s: round((b.table_calls - a.table_calls) as f64 / secs, 1),
         requests_per_s: round(requests as f64 / secs, 1),
         cpu_ms_per_request: (requests > 0).then(|| round(cpu / requests as f64, 3)),
         adapters_cached: b.adapters_cached,
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -50,11 +50,7 @@
             }
             resp
         }
-        Err(e) => {
-            let how = if e.not_run() { "not_run" } else { "unknown" };
-            app.inner.metrics.request(how);
-            e.answer(&id)
-        }
+        Err(e) => super::refuse(&app, &id, &e),
     }
 }
 
--- a/crates/comfreyhall-daemon/src/http/complete.rs
+++ b/crates/comfreyhall-daemon/src/http/complete.rs
@@ -92,11 +92,7 @@
     };
     match serve(&app, &ask).await {
         Ok(resp) => resp,
-        Err(e) => {
-            let how = if e.not_run() { "not_run" } else { "unknown" };
-            app.inner.metrics.request(how);
-            e.answer(&ask.id)
-        }
+        Err(e) => super::refuse(&app, &ask.id, &e),
     }
 }
 
--- a/crates/comfreyhall-daemon/src/http/mod.rs
+++ b/crates/comfreyhall-daemon/src/http/mod.rs
@@ -11,7 +11,7 @@
     Json, Router,
     extract::{Query, State},
     http::HeaderMap,
-    response::IntoResponse,
+    response::{IntoResponse, Response},
     routing::{get, post},
 };
 use comfreyhall_protocol::{REQUEST_ID_HEADER, api::CancelRequest, peer_server::PeerServer};
@@ -137,7 +137,8 @@
 
 async fn stats(State(app): State<App>) -> impl IntoResponse {
     let cached = app.inner.follower.cached();
-    Json(app.inner.counters.snapshot(&app.instance.id, cached))
+    let table = app.inner.table.traffic();
+    Json(app.inner.counters.snapshot(&app.instance.id, cached, table))
 }
 
 #[derive(Deserialize)]
@@ -162,6 +163,14 @@
     (!text.is_empty() && text.len() <= 128).then_some(text)
 }
 
+/// Answers a request with an error, counted and logged.
+fn refuse(app: &App, id: &str, why: &RouteError) -> Response {
+    let how = if why.not_run() { "not_run" } else { "unknown" };
+    log::debug!(target: "route", "{id} ends {how}: {why}");
+    app.inner.metrics.request(how);
+    why.answer(id)
+}
+
 /// Whether this instance takes new requests now.
 fn admit(app: &App) -> Result<(), RouteError> {
     match app.inner.life.stage() {
--- a/crates/comfreyhall-daemon/src/member.rs
+++ b/crates/comfreyhall-daemon/src/member.rs
@@ -124,7 +124,6 @@
     };
     let value = serde_json::to_vec(&row).expect("member rows serialise");
     let put = put(&format!("member/{}", row.id), value);
-    app.inner.counters.control(put.encoded_len() + 2, 4);
     app.inner.table.commit(Vec::new(), vec![put]).await?;
     Ok(())
 }
@@ -132,8 +131,6 @@
 /// Reads every member row once.
 async fn scan(app: &App) -> Result<(), CatalogError> {
     let rows = app.inner.table.scan("member/", "", 0).await?;
-    let received: usize = rows.iter().map(|r| r.encoded_len() + 2).sum();
-    app.inner.counters.control(9, received);
     let members = rows
         .iter()
         .filter_map(|r| serde_json::from_slice(&r.value).ok())
--- a/crates/comfreyhall-daemon/src/peer.rs
+++ b/crates/comfreyhall-daemon/src/peer.rs
@@ -23,9 +23,6 @@
 /// Peers asked per poll that failed.
 const PEERS_ASKED: usize = 2;
 
-/// Control bytes of an epoch read beyond its value.
-const EPOCH_BYTES: usize = 24;
-
 /// Answers the other daemons.
 pub(crate) struct Answers {
     pub(crate) app: App,
@@ -80,7 +77,6 @@
     let Ok(Ok(fresh)) = tokio::time::timeout(POLL_TIMEOUT, follower.poll()).await else {
         return false;
     };
-    app.inner.counters.control(EPOCH_BYTES, EPOCH_BYTES);
     app.inner.life.handle(Event::Synced);
     if fresh {
         log::info!(target: "follow", "configuration {} is in force", follower.config().version);
@@ -109,7 +105,9 @@
         let answer = tokio::time::timeout(PEER_TIMEOUT, peer.sync(ask)).await;
         let Ok(Ok(news)) = answer else { continue };
         let news = news.into_inner();
-        app.inner.counters.control(EPOCH_BYTES, news.encoded_len());
+        app.inner
+            .counters
+            .control(ask.encoded_len(), news.encoded_len());
         match follower.learn(&news) {
             Ok(true) => {
                 let version = follower.config().version;
--- a/crates/comfreyhall-daemon/src/stats.rs
+++ b/crates/comfreyhall-daemon/src/stats.rs
@@ -2,8 +2,8 @@
 //!
 //! docs/CAPACITY.md is worked out from these: processor time and resident
 //! memory read from `/proc/self`, and the control messages (status polls,
-//! heartbeats, member scans, catalog reads) counted by their encoded
-//! protobuf size plus the 5-byte gRPC frame header. HTTP/2 headers and TCP
+//! every call to the table service, instance list, peers) counted by their
+//! encoded protobuf size plus the 5-byte gRPC frame header. HTTP/2 headers and TCP
 //! overhead are not counted, so control bytes are a lower bound.
 
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -46,20 +46,30 @@
     pub(crate) requests: u64,
     pub(crate) control_calls: u64,
     pub(crate) control_bytes: u64,
+    /// Calls to the table service; part of the control calls.
+    pub(crate) table_calls: u64,
     /// Adapter records cached for resolving model names.
     pub(crate) adapters_cached: usize,
 }
 
 impl Counters {
     /// The totals so far, with this process's own cost.
-    pub(crate) fn snapshot(&self, instance: &str, adapters_cached: usize) -> Stats {
+    ///
+    /// `table` is the calls and bytes of the table client.
+    pub(crate) fn snapshot(
+        &self,
+        instance: &str,
+        adapters_cached: usize,
+        table: (u64, u64),
+    ) -> Stats {
         Stats {
             instance: instance.to_string(),
             cpu_ms: cpu_ms(),
             rss_kib: rss_kib(),
             requests: self.requests.load(Ordering::Relaxed),
-            control_calls: self.control_calls.load(Ordering::Relaxed),
-            control_bytes: self.control_bytes.load(Ordering::Relaxed),
+            control_calls: self.control_calls.load(Ordering::Relaxed) + table.0,
+            control_bytes: self.control_bytes.load(Ordering::Relaxed) + table.1,
+            table_calls: table.0,
             adapters_cached,
         }
     }
--- a/crates/comfreyhall-telemetry/src/lib.rs
+++ b/crates/comfreyhall-telemetry/src/lib.rs
@@ -11,7 +11,7 @@
 use log::LevelFilter;
 use log4rs::{
     append::console::{ConsoleAppender, Target},
-    config::{Appender, Config, Root},
+    config::{Appender, Config, Logger, Root},
     encode::pattern::PatternEncoder,
 };
 
@@ -21,6 +21,9 @@
 /// Log line layout: time, level, the part's prefix, the sentence.
 const PATTERN: &str = "{d(%H:%M:%S%.3f)} {l:<5} {t}: {m}{n}";
 
+/// Libraries whose debug lines would drown ours.
+const LIBRARIES: [&str; 5] = ["h2", "hyper", "hyper_util", "tower", "tonic"];
+
 /// Sends logs at `level` and above to standard error.
 ///
 /// `level` is one of `error`, `warn`, `info`, `debug`, `trace`; anything
@@ -31,8 +34,10 @@
         .target(Target::Stderr)
         .encoder(Box::new(PatternEncoder::new(PATTERN)))
         .build();
+    let libraries = LIBRARIES.map(|name| Logger::builder().build(name, LevelFilter::Warn));
     let config = Config::builder()
         .appender(Appender::builder().build("stderr", Box::new(stderr)))
+        .loggers(libraries)
         .build(Root::builder().appender("stderr").build(filter))
         .expect("the fixed log set-up is valid");
     let _ = log4rs::init_config(config);
--- a/crates/comfreyhall/tests/cli.rs
+++ b/crates/comfreyhall/tests/cli.rs
@@ -121,3 +121,31 @@
         "error: customer nobody does not exist; create it first or check the spelling\n"
     );
 }
+
+#[test]
+fn rules_apply_and_show() {
+    let d = Deployment::start("rules-cli", 2, 1, 1);
+    let sample = concat!(env!("CARGO_MANIFEST_DIR"), "/../../samples/rules.jsonc");
+    let out = d.cli_ok(&["rules", "apply", sample, "--base", "0", "--wait"]);
+    assert!(
+        out.starts_with("rules version 1 in force on 2 instances after"),
+        "{out}"
+    );
+    insta::assert_snapshot!("rules", d.cli_ok(&["rules", "show"]));
+}
+
+#[test]
+fn rules_bad_file_changes_nothing() {
+    let d = Deployment::start("rules-bad", 1, 1, 1);
+    let path = d.dir.join("bad-rules.jsonc");
+    std::fs::write(&path, "{ rules: [ { name: \"x\", set: { priorty: 1 } } ] }").unwrap();
+    let out = d.cli(&["rules", "apply", path.to_str().unwrap()]);
+    assert!(!out.status.success());
+    let err = String::from_utf8(out.stderr).unwrap();
+    assert!(
+        err.contains("priorty") && err.contains("samples/rules.jsonc"),
+        "{err}"
+    );
+    assert!(d.cli_ok(&["rules", "show"]).starts_with("version 0"));
+    assert_eq!(d.cli_ok(&["--json", "audit"]).trim(), "[]");
+}
--- a/crates/comfreyhall/tests/end_to_end.rs
+++ b/crates/comfreyhall/tests/end_to_end.rs
@@ -78,6 +78,64 @@
     assert_eq!(text, expected_text("narrator", "v2", "before sleep", 9));
 }
 
+#[test]
+fn chat_whole_and_streamed() {
+    let d = Deployment::start("chat", 1, 1, 2);
+    catalog(&d);
+    let ask = |stream: bool| {
+        let body = format!(
+            r#"{{"model":"narrator@v1","messages":[{{"role":"user","content":"dawn"}}],"max_tokens":6,"stream":{stream}}}"#
+        );
+        let headers = [("x-request-id", "c-1")];
+        let path = "/v1/chat/completions";
+        http(&d.instances[0], "POST", path, &body, &headers).unwrap()
+    };
+    let text = expected_text("narrator", "v1", "user: dawn\n", 6);
+    let (status, whole) = ask(false);
+    assert_eq!(status, 200, "{whole}");
+    let v: serde_json::Value = serde_json::from_str(&whole).unwrap();
+    assert_eq!(v["object"], "chat.completion");
+    assert_eq!(v["choices"][0]["message"]["content"], text);
+    let (_, raw) = ask(true);
+    let events = raw.lines().filter_map(|l| l.strip_prefix("data: "));
+    let deltas = events.filter_map(|e| serde_json::from_str::<serde_json::Value>(e).ok());
+    let joined: String = deltas
+        .map(|v| {
+            v["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap()
+                .to_string()
+        })
+        .collect();
+    assert_eq!(joined, text);
+}
+
+#[test]
+fn plain_call_answers() {
+    let d = Deployment::start("plain-call", 1, 1, 2);
+    let (status, text) = http(
+        &d.instances[0],
+        "POST",
+        "/v1/call/search",
+        "utes in Hobart",
+        &[],
+    )
+    .unwrap();
+    assert_eq!((status, text.as_str()), (200, "utes in Hobart"));
+}
+
+#[test]
+fn metrics_count_stalls() {
+    let d = Deployment::start("metrics", 1, 1, 2);
+    catalog(&d);
+    let body = r#"{"model":"narrator@v1","prompt":"x","max_tokens":2}"#;
+    let (status, _) = http(&d.instances[0], "POST", "/v1/completions", body, &[]).unwrap();
+    assert_eq!(status, 200);
+    let text = d.cli_ok(&["metrics"]);
+    assert!(text.contains("load_stall_seconds_count"), "{text}");
+    assert!(text.contains("requests_total{how=\"answered\""), "{text}");
+}
+
 #[test]
 fn completion_unknown_version_not_run() {
     let d = Deployment::start("unknown", 1, 1, 2);
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -2,32 +2,29 @@
 # Measures the slopes docs/CAPACITY.md is worked out from, on this machine,
 # with the loopback stand-ins of samples/oduya.jsonc (12 engines):
 #   1. control cost of an idle daemon as the deployment grows from 3 to 30
-#      to 100 daemons (CPU, memory, control bytes and calls a second);
-#   2. processor time per routed request, with every adapter resident;
-#   3. table-service memory per adapter record, at 3,000 and 30,000.
+#      to 100 daemons, and the time until accepted rules are in force on all;
+#   2. the same with the periods meant for a large deployment;
+#   3. processor time per routed request and per token, all resident;
+#   4. a daemon's memory per adapter record it caches;
+#   5. table-service memory per adapter record;
+#   6. processor time per at-most-once request.
 # Every run is bounded in time; everything started is stopped on exit.
 #
 # usage: scripts/capacity.sh [WINDOW_SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 window=${1:-10}
+. scripts/deployment.sh
 cargo build --release --locked --quiet
-bin=target/release
 out=run/capacity
 mkdir -p "$out"
-pids=()
-stop() {
-    for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    pids=()
-}
-trap stop EXIT
 
-# Writes settings for N daemons beside the sample's engines and platform.
-settings_for() {
-    python3 - "$1" "$2" "$3" <<'PY'
+# Settings for N daemons and ADAPTERS beside the sample's engines; further
+# words replace tuning, as in "heartbeat_ms: 5000".
+settings_for() { # N ADAPTERS FILE [TUNING...]
+    python3 - "$@" <<'PY'
 import re, sys
-n, adapters, path = int(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
+n, adapters, path, tuning = int(sys.argv[1]), sys.argv[2], sys.argv[3], sys.argv[4:]
 text = open("samples/oduya.jsonc").read()
 domains = ["ikeja", "lekki", "yaba"]
 rows = "".join(
@@ -35,79 +32,124 @@
     for i in range(n))
 text = re.sub(r"instances: \[\n.*?\n  \],", "instances: [\n" + rows + "  ],", text, flags=re.S)
 text = text.replace("adapters: 3000", f"adapters: {adapters}")
+for t in tuning:
+    name = t.split(":")[0]
+    text = re.sub(rf"    {name}: \S+,\n", "", text)
+    text = text.replace("  tuning: {\n", f"  tuning: {{\n    {t},\n")
 open(path, "w").write(text)
 PY
 }
 
-start() {
-    local settings=$1 n=$2
-    "$bin/comfreyhall-standin" --settings "$settings" 2>>"$out/standin.log" &
-    pids+=($!)
-    standin=$!
-    sleep 0.3
-    grep -o 'id: "[a-z]*-[0-9]*"' "$settings" | cut -d'"' -f2 | head -"$n" | while read -r id; do
-        "$bin/comfreyhalld" --settings "$settings" --instance "$id" --log warn 2>>"$out/daemons.log" &
-        echo $! >>"$out/pids"
-    done
-    while read -r p; do pids+=("$p"); done <"$out/pids"
-    rm -f "$out/pids"
-    for _ in $(seq 100); do
-        "$bin/comfreyhall" --settings "$settings" addresses >/dev/null 2>&1 && return 0
-        sleep 0.1
-    done
-    echo "daemons did not come up" >&2
-    return 1
+# The mean over the daemons that answered of what they spent.
+means() { # LABEL FILE
+    python3 - "$@" <<'PY'
+import json, sys
+rows = json.load(open(sys.argv[2]))
+avg = lambda k: sum(r[k] or 0 for r in rows) / len(rows)
+line = (f"{sys.argv[1]}: cpu {avg('cpu_pct'):.2f}% of a core, rss {avg('rss_mib'):.1f} MiB, "
+        f"control {avg('control_bytes_per_s'):.0f} B/s in {avg('control_calls_per_s'):.1f} calls/s, "
+        f"table {avg('table_calls_per_s'):.1f} calls/s")
+if avg('requests_per_s') > 1:
+    line += f", {avg('requests_per_s'):.1f} req/s, {avg('cpu_ms_per_request'):.3f} cpu ms per request"
+print(line + f" (mean of {len(rows)} daemons)")
+PY
 }
 
-rss_kib() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
+stats() { # SETTINGS FILE
+    "$bin/comfreyhall" --json --settings "$1" stats --window "$window" >"$2"
+}
 
-echo "== 1. idle control cost per daemon"
-for n in 3 30 100; do
-    settings_for "$n" 3000 "$out/n$n.jsonc"
-    start "$out/n$n.jsonc" "$n"
+idle() { # LABEL N [TUNING...]
+    local label=$1 n=$2 file=$out/$1-$2.jsonc
+    shift 2
+    settings_for "$n" 3000 "$file" "$@"
+    start_deployment "$file" "capacity-$label-$n" "$n" --log warn
     sleep 2
-    "$bin/comfreyhall" --json --settings "$out/n$n.jsonc" stats --window "$window" >"$out/idle-$n.json"
-    python3 - "$out/idle-$n.json" "$n" <<'PY'
-import json, sys
-rows = json.load(open(sys.argv[1])); n = sys.argv[2]
-avg = lambda k: sum(r[k] for r in rows) / len(rows)
-print(f"daemons {n:>3}: cpu {avg('cpu_pct'):.2f}% of a core, rss {avg('rss_mib'):.1f} MiB, "
-      f"control {avg('control_bytes_per_s'):.0f} B/s in {avg('control_calls_per_s'):.1f} calls/s (mean per daemon, {len(rows)} answered)")
-PY
-    stop
+    stats "$file" "$out/$label-$n.json"
+    means "$label, $n daemons" "$out/$label-$n.json"
+    for _ in 1 2 3; do
+        "$bin/comfreyhall" --settings "$file" rules apply samples/rules.jsonc --wait
+    done
+    stop_deployment
+}
+
+echo "== 1. idle control cost, sample periods"
+for n in 3 30 100; do idle sample "$n"; done
+
+echo "== 2. idle control cost, periods for a large deployment"
+for n in 30 100; do
+    idle large "$n" "heartbeat_ms: 5000" "lease_ms: 15000" "follow_ms: 2000" "poll_ms: 1000"
 done
 
-echo "== 2. processor time per routed request (12 adapters, all resident)"
-settings_for 3 3000 "$out/n3.jsonc"
-start "$out/n3.jsonc" 3
-"$bin/comfreyhall" --settings "$out/n3.jsonc" seed >/dev/null
-"$bin/comfreyhall" --settings "$out/n3.jsonc" bench --seconds 5 --adapters 12 --label warm >/dev/null
-"$bin/comfreyhall" --settings "$out/n3.jsonc" bench --seconds $((window + 4)) --adapters 12 --callers 96 \
-    --label routed >"$out/routed-bench.txt" &
-bench=$!
-sleep 2
-"$bin/comfreyhall" --json --settings "$out/n3.jsonc" stats --window "$window" >"$out/routed.json"
-wait "$bench"
-cat "$out/routed-bench.txt"
-python3 - "$out/routed.json" <<'PY'
-import json, sys
-rows = json.load(open(sys.argv[1]))
-for r in rows:
-    print(f"{r['instance']}: {r['requests_per_s']} req/s, cpu {r['cpu_pct']}% of a core, "
-          f"{r['cpu_ms_per_request']} cpu ms per request, rss {r['rss_mib']} MiB")
+echo "== 3. processor time per request and token (12 adapters, all resident)"
+for tokens in 16 240; do
+    settings_for 3 3000 "$out/routed.jsonc"
+    start_deployment "$out/routed.jsonc" capacity-routed 3 --log warn
+    "$bin/comfreyhall" --settings "$out/routed.jsonc" seed >/dev/null
+    "$bin/comfreyhall" --settings "$out/routed.jsonc" bench --warmup 8 --seconds "$((window + 4))" \
+        --adapters 12 --callers 64 --stream 1 --max-tokens "$tokens" --label "routed-$tokens" \
+        >"$out/routed-$tokens.txt" &
+    bench=$!
+    sleep 10
+    stats "$out/routed.jsonc" "$out/routed-$tokens.json"
+    wait "$bench"
+    means "streamed, $tokens tokens" "$out/routed-$tokens.json"
+    stop_deployment
+done
+
+echo "== 4. daemon memory per cached adapter record"
+for adapters in 3000 30000; do
+    settings_for 1 "$adapters" "$out/cache.jsonc"
+    start_deployment "$out/cache.jsonc" capacity-cache 1 --log error
+    "$bin/comfreyhall" --settings "$out/cache.jsonc" seed >/dev/null
+    python3 - "$adapters" <<'PY'
+import http.client, json, sys, threading
+n, workers = int(sys.argv[1]), 8
+def stats():
+    c = http.client.HTTPConnection("127.0.0.1", 9000)
+    c.request("GET", "/v1/stats")
+    return json.load(c.getresponse())
+before = stats()
+def touch(k):
+    c = http.client.HTTPConnection("127.0.0.1", 9000)
+    for i in range(k, n, workers):
+        body = json.dumps({"model": f"adapter-{i:05}@v1", "prompt": "x", "deadline_ms": 1})
+        c.request("POST", "/v1/completions", body, {"content-type": "application/json"})
+        c.getresponse().read()
+threads = [threading.Thread(target=touch, args=(k,)) for k in range(workers)]
+[t.start() for t in threads]; [t.join() for t in threads]
+after = stats()
+grown = (after["rss_kib"] - before["rss_kib"]) * 1024
+print(f"{after['adapters_cached']} records cached: rss {before['rss_kib']} -> {after['rss_kib']} KiB, "
+      f"{grown / max(after['adapters_cached'], 1):.0f} B per record, policy history included")
 PY
-stop
+    stop_deployment
+done
 
-echo "== 3. table-service memory per adapter record"
+echo "== 5. table-service memory per adapter record"
 for adapters in 3000 30000; do
-    settings_for 1 "$adapters" "$out/a$adapters.jsonc"
-    "$bin/comfreyhall-standin" --settings "$out/a$adapters.jsonc" --only table 2>>"$out/standin.log" &
+    settings_for 1 "$adapters" "$out/table.jsonc"
+    "$bin/comfreyhall-standin" --settings "$out/table.jsonc" --only table 2>/dev/null &
     table=$!
     pids+=("$table")
     sleep 0.3
-    before=$(rss_kib "$table")
-    "$bin/comfreyhall" --settings "$out/a$adapters.jsonc" seed >/dev/null
-    after=$(rss_kib "$table")
-    echo "adapters $adapters: table rss $before -> $after KiB, $(( (after - before) * 1024 / adapters )) B per adapter record"
-    stop
+    rss() { awk '/VmRSS/ {print $2}' "/proc/$table/status"; }
+    before=$(rss)
+    "$bin/comfreyhall" --settings "$out/table.jsonc" seed >/dev/null
+    after=$(rss)
+    echo "$adapters adapters: table rss $before -> $after KiB, $(( (after - before) * 1024 / adapters )) B per record"
+    stop_deployment
 done
+
+echo "== 6. at-most-once requests (claim, run, keep), 16 tokens"
+settings_for 3 3000 "$out/once.jsonc"
+start_deployment "$out/once.jsonc" capacity-once 3 --log warn
+"$bin/comfreyhall" --settings "$out/once.jsonc" seed >/dev/null
+"$bin/comfreyhall" --settings "$out/once.jsonc" bench --warmup 8 --seconds "$((window + 4))" \
+    --adapters 12 --callers 64 --stream 1 --once 1 --label once >"$out/once.txt" &
+bench=$!
+sleep 10
+stats "$out/once.jsonc" "$out/once.json"
+wait "$bench"
+means "at most once, 16 tokens" "$out/once.json"
+stop_deployment
