--- a/crates/comfreyhall-fakes/src/lib.rs
+++ b/crates/comfreyhall-fakes/src/lib.rs
@@ -6,15 +6,22 @@
 //! calls. [`FakeTable`] takes the next [`Fate`] from its script (or
 //! [`Fate::Answer`] when the script is empty) and runs the rows of the
 //! table stand-in in process, so no test depends on timing.
+//!
+//! What stateful fuzz tests share is here too: [`fates`] draws scripts, and
+//! [`Free`] is the reference machine of runs whose steps are always possible.
 
 use std::{
     collections::VecDeque,
+    fmt::Debug,
+    marker::PhantomData,
     sync::{Arc, Mutex},
 };
 
 use comfreyhall_catalog::{CatalogError, Rows};
 use comfreyhall_protocol::{Check, CommitRequest, Put, Row};
 use comfreyhall_standins::TableStandin;
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
 
 /// What becomes of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -135,3 +142,43 @@
         }
     }
 }
+
+/// Fates of up to `most` calls in a row, most of them sound.
+pub fn fates(most: usize) -> impl Strategy<Value = Vec<Fate>> {
+    let fate = prop_oneof![
+        6 => Just(Fate::Answer),
+        1 => Just(Fate::Unsent),
+        1 => Just(Fate::Lost),
+        2 => Just(Fate::Unheard),
+        2 => Just(Fate::Late),
+    ];
+    proptest::collection::vec(fate, 0..=most)
+}
+
+/// The steps of a run in which every step is possible at any time.
+pub trait Steps: 'static {
+    /// One step.
+    type Step: Clone + Debug;
+
+    /// How steps are drawn.
+    fn steps() -> BoxedStrategy<Self::Step>;
+}
+
+/// The reference machine of such a run. It keeps no state: what must hold is
+/// asserted by the system under test against its own oracle.
+pub struct Free<S>(PhantomData<S>);
+
+impl<S: Steps> ReferenceStateMachine for Free<S> {
+    type State = ();
+    type Transition = S::Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<S::Step> {
+        S::steps()
+    }
+
+    fn apply((): (), _: &S::Step) {}
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -10,10 +10,11 @@
 #   6. processor time per at-most-once request.
 # Every run is bounded in time; everything started is stopped on exit.
 #
-# usage: scripts/capacity.sh [WINDOW_SECONDS]
+# usage: scripts/capacity.sh [WINDOW_SECONDS] [STEPS, as in 456]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 window=${1:-10}
+steps=${2:-123456}
 . scripts/deployment.sh
 cargo build --release --locked --quiet
 out=run/capacity
@@ -73,36 +74,46 @@
     stop_deployment
 }
 
-echo "== 1. idle control cost, sample periods"
-for n in 3 30 100; do idle sample "$n"; done
+step1() {
+    echo "== 1. idle control cost, sample periods"
+    for n in 3 30 100; do idle sample "$n"; done
+}
 
-echo "== 2. idle control cost, periods for a large deployment"
-for n in 30 100; do
-    idle large "$n" "heartbeat_ms: 5000" "lease_ms: 15000" "follow_ms: 2000" "poll_ms: 1000"
-done
+step2() {
+    echo "== 2. idle control cost, periods for a large deployment"
+    for n in 30 100; do
+        idle large "$n" "heartbeat_ms: 5000" "lease_ms: 15000" "follow_ms: 2000" "poll_ms: 1000"
+    done
+}
 
-echo "== 3. processor time per request and token (12 adapters, all resident)"
-for tokens in 16 240; do
-    settings_for 3 3000 "$out/routed.jsonc"
-    start_deployment "$out/routed.jsonc" capacity-routed 3 --log warn
-    "$bin/comfreyhall" --settings "$out/routed.jsonc" seed >/dev/null
-    "$bin/comfreyhall" --settings "$out/routed.jsonc" bench --warmup 8 --seconds "$((window + 4))" \
-        --adapters 12 --callers 64 --stream 1 --max-tokens "$tokens" --label "routed-$tokens" \
-        >"$out/routed-$tokens.txt" &
-    bench=$!
-    sleep 10
-    stats "$out/routed.jsonc" "$out/routed-$tokens.json"
-    wait "$bench"
-    means "streamed, $tokens tokens" "$out/routed-$tokens.json"
-    stop_deployment
-done
+step3() {
+    echo "== 3. processor time per request and token (12 adapters, all resident)"
+    for tokens in 16 240; do
+        settings_for 3 3000 "$out/routed.jsonc"
+        start_deployment "$out/routed.jsonc" capacity-routed 3 --log warn
+        "$bin/comfreyhall" --settings "$out/routed.jsonc" seed >/dev/null
+        "$bin/comfreyhall" --settings "$out/routed.jsonc" bench --warmup 8 --seconds "$((window + 4))" \
+            --adapters 12 --callers 64 --stream 1 --max-tokens "$tokens" --label "routed-$tokens" \
+            >"$out/routed-$tokens.txt" &
+        bench=$!
+        sleep 10
+        stats "$out/routed.jsonc" "$out/routed-$tokens.json"
+        wait "$bench"
+        means "streamed, $tokens tokens" "$out/routed-$tokens.json"
+        stop_deployment
+    done
+}
 
-echo "== 4. daemon memory per cached adapter record"
-for adapters in 3000 30000; do
-    settings_for 1 "$adapters" "$out/cache.jsonc"
-    start_deployment "$out/cache.jsonc" capacity-cache 1 --log error
-    "$bin/comfreyhall" --settings "$out/cache.jsonc" seed >/dev/null
-    python3 - "$adapters" <<'PY'
+step4() {
+    echo "== 4. daemon memory per cached adapter record"
+    for adapters in 3000 30000; do
+        settings_for 1 "$adapters" "$out/cache.jsonc"
+        start_deployment "$out/cache.jsonc" capacity-cache 1 --log error
+        "$bin/comfreyhall" --settings "$out/cache.jsonc" seed >/dev/null
+        # Resolving caches the record; the rule refuses the request after it.
+        echo '{ rules: [ { name: "none", set: { admit: false } } ] }' >"$out/none.jsonc"
+        "$bin/comfreyhall" --settings "$out/cache.jsonc" rules apply "$out/none.jsonc" --wait >/dev/null
+        python3 - "$adapters" <<'PY'
 import http.client, json, sys, threading
 n, workers = int(sys.argv[1]), 8
 def stats():
@@ -113,7 +124,7 @@
 def touch(k):
     c = http.client.HTTPConnection("127.0.0.1", 9000)
     for i in range(k, n, workers):
-        body = json.dumps({"model": f"adapter-{i:05}@v1", "prompt": "x", "deadline_ms": 1})
+        body = json.dumps({"model": f"adapter-{i:05}@v1", "prompt": "x"})
         c.request("POST", "/v1/completions", body, {"content-type": "application/json"})
         c.getresponse().read()
 threads = [threading.Thread(target=touch, args=(k,)) for k in range(workers)]
@@ -121,35 +132,42 @@
 after = stats()
 grown = (after["rss_kib"] - before["rss_kib"]) * 1024
 print(f"{after['adapters_cached']} records cached: rss {before['rss_kib']} -> {after['rss_kib']} KiB, "
-      f"{grown / max(after['adapters_cached'], 1):.0f} B per record, policy history included")
+      f"{grown / max(after['adapters_cached'], 1):.0f} B per record")
 PY
-    stop_deployment
-done
+        stop_deployment
+    done
+}
+
+step5() {
+    echo "== 5. table-service memory per adapter record"
+    for adapters in 3000 30000; do
+        settings_for 1 "$adapters" "$out/table.jsonc"
+        "$bin/comfreyhall-standin" --settings "$out/table.jsonc" --only table 2>/dev/null &
+        table=$!
+        pids+=("$table")
+        sleep 0.3
+        rss() { awk '/VmRSS/ {print $2}' "/proc/$table/status"; }
+        before=$(rss)
+        "$bin/comfreyhall" --settings "$out/table.jsonc" seed >/dev/null
+        after=$(rss)
+        echo "$adapters adapters: table rss $before -> $after KiB, $(( (after - before) * 1024 / adapters )) B per record"
+        stop_deployment
+    done
+}
 
-echo "== 5. table-service memory per adapter record"
-for adapters in 3000 30000; do
-    settings_for 1 "$adapters" "$out/table.jsonc"
-    "$bin/comfreyhall-standin" --settings "$out/table.jsonc" --only table 2>/dev/null &
-    table=$!
-    pids+=("$table")
-    sleep 0.3
-    rss() { awk '/VmRSS/ {print $2}' "/proc/$table/status"; }
-    before=$(rss)
-    "$bin/comfreyhall" --settings "$out/table.jsonc" seed >/dev/null
-    after=$(rss)
-    echo "$adapters adapters: table rss $before -> $after KiB, $(( (after - before) * 1024 / adapters )) B per record"
+step6() {
+    echo "== 6. at-most-once requests (claim, run, keep), 16 tokens"
+    settings_for 3 3000 "$out/once.jsonc"
+    start_deployment "$out/once.jsonc" capacity-once 3 --log warn
+    "$bin/comfreyhall" --settings "$out/once.jsonc" seed >/dev/null
+    "$bin/comfreyhall" --settings "$out/once.jsonc" bench --warmup 8 --seconds "$((window + 4))" \
+        --adapters 12 --callers 64 --stream 1 --once 1 --label once >"$out/once.txt" &
+    bench=$!
+    sleep 10
+    stats "$out/once.jsonc" "$out/once.json"
+    wait "$bench"
+    means "at most once, 16 tokens" "$out/once.json"
     stop_deployment
-done
+}
 
-echo "== 6. at-most-once requests (claim, run, keep), 16 tokens"
-settings_for 3 3000 "$out/once.jsonc"
-start_deployment "$out/once.jsonc" capacity-once 3 --log warn
-"$bin/comfreyhall" --settings "$out/once.jsonc" seed >/dev/null
-"$bin/comfreyhall" --settings "$out/once.jsonc" bench --warmup 8 --seconds "$((window + 4))" \
-    --adapters 12 --callers 64 --stream 1 --once 1 --label once >"$out/once.txt" &
-bench=$!
-sleep 10
-stats "$out/once.jsonc" "$out/once.json"
-wait "$bench"
-means "at most once, 16 tokens" "$out/once.json"
-stop_deployment
+for ((i = 0; i < ${#steps}; i++)); do "step${steps:i:1}"; done
