--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -320,6 +320,10 @@
             let _ = c.kill();
             let _ = c.wait();
         }
+        // The logs of a failed test are kept: they say why it failed.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
