--- a/crates/comfreyhall-catalog/src/lib.rs
+++ b/crates/comfreyhall-catalog/src/lib.rs
@@ -18,7 +18,7 @@
 pub use follow::Follower;
 pub use records::{Adapter, Audit, Customer, EVERY_KEY, Labels, Terms, Version};
 pub use rules::{Config, Effects, Rule, Rules, Select, Subject};
-pub use store::{Catalog, adapter_key, customer_key};
+pub use store::{Catalog, now_ms};
 pub use table::{CatalogError, Rows, Table, check, delete, put};
 
 #[cfg(test)]
--- a/crates/comfreyhall-catalog/src/store.rs
+++ b/crates/comfreyhall-catalog/src/store.rs
@@ -26,7 +26,7 @@
 }
 
 /// Wall-clock time in ms since the Unix epoch.
-pub(crate) fn now_ms() -> u64 {
+pub fn now_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| d.as_millis() as u64)
@@ -61,12 +61,12 @@
 }
 
 /// Key of a customer record.
-pub fn customer_key(name: &str) -> String {
+pub(crate) fn customer_key(name: &str) -> String {
     format!("customer/{name}")
 }
 
 /// Key of an adapter record.
-pub fn adapter_key(name: &str) -> String {
+pub(crate) fn adapter_key(name: &str) -> String {
     format!("adapter/{name}")
 }
 
--- a/crates/comfreyhall-once/src/lib.rs
+++ b/crates/comfreyhall-once/src/lib.rs
@@ -19,12 +19,9 @@
 //! ([`Once::release`]), so a retry may run. A claimer that has the answer
 //! records that ([`Once::finish`]), so a retry gets the same answer.
 
-use std::{
-    sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::sync::Arc;
 
-use comfreyhall_catalog::{CatalogError, Rows, Table, check, delete, put};
+use comfreyhall_catalog::{CatalogError, Rows, Table, check, delete, now_ms, put};
 use comfreyhall_protocol::Row;
 use serde::{Deserialize, Serialize};
 
@@ -90,12 +87,6 @@
     serde_json::to_vec(record).expect("claim records serialise")
 }
 
-fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
-}
-
 impl<R: Rows> Once<R> {
     /// Claims in `table`, made in the name of instance `owner`.
     pub fn new(table: R, owner: Arc<str>) -> Self {
--- a/crates/comfreyhall-standins/src/engine/load.rs
+++ b/crates/comfreyhall-standins/src/engine/load.rs
@@ -119,7 +119,7 @@
 fn claim(state: &mut State, order: &LoadOrder, arrived: u64, capacity: usize) -> Option<String> {
     let mut evicted = String::new();
     if state.slots.len() >= capacity {
-        let idle = |s: &SlotState| s.pins == 0 && !s.loading;
+        let idle = |s: &SlotState| s.pins == 0;
         let named = order.victims.iter().find_map(|v| {
             state.slots.iter().position(|s| {
                 idle(s) && s.used <= arrived && format!("{}@{}", s.adapter, s.version) == *v
@@ -147,7 +147,6 @@
         adapter: order.adapter.as_str().into(),
         version: order.version.as_str().into(),
         pins: 0,
-        loading: false,
         used,
     });
     Some(evicted)
--- a/crates/comfreyhall-standins/src/engine/mod.rs
+++ b/crates/comfreyhall-standins/src/engine/mod.rs
@@ -120,7 +120,7 @@
             adapter: s.adapter.to_string(),
             version: s.version.to_string(),
             pins: s.pins,
-            loading: s.loading,
+            loading: false,
         })
         .collect();
     // Pending loads are reported as loading slots so that every daemon
@@ -277,12 +277,6 @@
                 req.adapter, req.version
             ))));
         };
-        if slot.loading {
-            return Err(not_run(Status::failed_precondition(format!(
-                "{}@{} is still loading; wait for the load order's answer",
-                req.adapter, req.version
-            ))));
-        }
         slot.pins += 1;
         slot.used = accepted;
         let seq = Seq {
--- a/crates/comfreyhall-standins/src/engine/state.rs
+++ b/crates/comfreyhall-standins/src/engine/state.rs
@@ -12,7 +12,6 @@
     pub(super) adapter: Arc<str>,
     pub(super) version: Arc<str>,
     pub(super) pins: u32,
-    pub(super) loading: bool,
     /// Value of the accept counter when a request last used the slot.
     pub(super) used: u64,
 }
