--- a/crates/comfreyhall-node/src/keeper.rs
+++ b/crates/comfreyhall-node/src/keeper.rs
@@ -468,8 +468,11 @@
         let reply = reply.unwrap_or_else(|_| OrderReply::Silent("no answer in time".into()));
         log::debug!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), action:? = action, version, expected = self.sequence, token, reply:? = reply; "order");
         match &reply {
-            OrderReply::Accepted => self.sequence += 1,
-            OrderReply::Holds => {}
+            // A load that is on its way already is accepted again without
+            // counting; dropping what is unused is done at once and counts.
+            OrderReply::Accepted if !self.coming.contains_key(adapter) => self.sequence += 1,
+            OrderReply::Holds if action == Action::Unload => self.sequence += 1,
+            OrderReply::Accepted | OrderReply::Holds => {}
             OrderReply::Conflict | OrderReply::Silent(_) => {
                 self.synced = false;
                 self.ready_at = self.node.now() + SETTLE.as_millis() as u64;
