--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -15,6 +15,9 @@
 //! - The holder is paused and its lease lapses without its knowledge. It
 //!   asks [`Lease::token`] before each order, which compares the clock
 //!   then; what it had sent before is refused by engines that check tokens.
+//! - The holder's process dies and its instance starts another: the new one
+//!   takes the lease at once, under a new token, because an instance never
+//!   runs two. Without it every restart stopped orders for one term.
 //! - The answer to a renewal or take-over is lost. The row is read at the
 //!   next step; only a write found in it extends the lease.
 
@@ -61,6 +64,8 @@
     sent: Option<(Record, Instant)>,
     /// Until when the lease may be trusted, if held.
     until: Option<Instant>,
+    /// Whether `row` is what our last write left, so that it need not be read.
+    known: bool,
 }
 
 /// One process's side of one lease.
@@ -109,6 +114,16 @@
         record.filter(|r| held && self.ours(r)).map(|r| r.token)
     }
 
+    /// The token of the last row seen, if that row is ours, lapsed or not.
+    ///
+    /// Only for orders to targets that refuse tokens lower than one they
+    /// have seen: there the target itself stops a holder that was replaced.
+    pub fn lapsed_token(&self) -> Option<u64> {
+        let state = self.state();
+        let record = state.row.as_ref().map(|r| &r.0);
+        record.filter(|r| self.ours(r)).map(|r| r.token)
+    }
+
     /// The highest token this process has seen; 0 before any.
     pub fn last_token(&self) -> u64 {
         self.state().row.as_ref().map_or(0, |r| r.0.token)
@@ -130,19 +145,30 @@
     /// Reads the row and renews the lease, or takes it if `want` and it is
     /// free. To be called every third of a term or so.
     pub async fn step(&self, clock: impl Fn() -> Instant, want: bool) -> Result<(), CatalogError> {
-        let found = self.table.get(&self.key).await?;
-        let row = match found {
-            Some(row) => Some((decode(&self.key, &row.value)?, row.version)),
-            None => None,
-        };
-        let now = clock();
-        self.observe(row, now);
+        let mut now = clock();
+        // A holder whose last write was answered knows the row: one call a
+        // renewal in place of two.
+        if !self.knows(now) {
+            let found = self.table.get(&self.key).await?;
+            let row = match found {
+                Some(row) => Some((decode(&self.key, &row.value)?, row.version)),
+                None => None,
+            };
+            now = clock();
+            self.observe(row, now);
+        }
         let Some((next, version)) = self.next(now, want) else {
             return Ok(());
         };
         self.write(next, version, now).await
     }
 
+    /// Whether the row is surely as our last write left it.
+    fn knows(&self, now: Instant) -> bool {
+        let state = self.state();
+        state.known && state.until.is_some_and(|until| now < until)
+    }
+
     /// Takes over what the row says, as read at `now`.
     fn observe(&self, row: Option<(Record, u64)>, now: Instant) {
         let mut state = self.state();
@@ -184,12 +210,19 @@
         let quiet = state
             .changed
             .is_some_and(|at| now.saturating_duration_since(at) >= self.term);
-        let free = record.owner.is_empty() || quiet;
+        // The owner's process before this one: an instance runs one, so it
+        // is dead, and nobody gives orders under its token any more.
+        let former = record.owner == self.owner;
+        let free = record.owner.is_empty() || quiet || former;
         (want && free).then(|| (fresh(record.token + 1), *version))
     }
 
     async fn write(&self, next: Record, version: u64, sent: Instant) -> Result<(), CatalogError> {
-        self.state().sent = Some((next.clone(), sent));
+        {
+            let mut state = self.state();
+            state.sent = Some((next.clone(), sent));
+            state.known = false;
+        }
         let value = serde_json::to_vec(&next).expect("lease records serialise");
         let checks = vec![check(&self.key, version)];
         match self.table.commit(checks, vec![put(&self.key, value)]).await {
@@ -198,6 +231,7 @@
                 let mut state = self.state();
                 state.row = Some((next, version));
                 state.until = Some(sent + self.term);
+                state.known = true;
                 Ok(())
             }
             // Another process was first; the next step sees who.
@@ -211,6 +245,7 @@
         let held = {
             let mut state = self.state();
             state.until = None;
+            state.known = false;
             state.row.clone()
         };
         let Some((mut record, version)) = held.filter(|(r, _)| self.ours(r)) else {
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -140,7 +140,7 @@
             out.push(choice);
             continue;
         }
-        let held_lease = node.leases.token(&t.domain).is_some();
+        let held_lease = node.token(&t.domain).is_some();
         if !held_lease && node.fleet.holder(&t.domain, now).is_none() {
             continue;
         }
--- a/crates/comfreyhall-node/src/fleet.rs
+++ b/crates/comfreyhall-node/src/fleet.rs
@@ -231,12 +231,12 @@
     /// Who holds the lease of `group`, other than this daemon.
     pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
         let state = self.state();
-        let held = |p: &&(&Name, &Peer)| p.1.holdings.iter().any(|(g, _)| &**g == group);
         let alive = state.peers.iter().filter(|(_, p)| p.alive(now));
-        alive
-            .filter(|p| held(&p))
-            .max_by_key(|(_, p)| p.holdings.iter().map(|(_, t)| *t).max())
-            .map(|(addr, _)| addr.clone())
+        let held = alive.filter_map(|(addr, peer)| {
+            let holding = peer.holdings.iter().find(|(g, _)| &**g == group)?;
+            Some((holding.1, addr.clone()))
+        });
+        held.max().map(|(_, addr)| addr)
     }
 
     pub(crate) fn client(&self, peer: &str) -> Option<FleetClient<Channel>> {
@@ -331,7 +331,7 @@
             work,
             holdings: node
                 .leases
-                .held()
+                .held(node.settings().bounds.fencing)
                 .into_iter()
                 .map(|(group, token)| Holding {
                     group: group.to_string(),
@@ -356,7 +356,7 @@
         for addr in &news.peers {
             self.meet(addr, false);
         }
-        self.learn_peer(&from, &news, now);
+        self.learn_peer(node, &from, &news, now);
         let peer: Name = from.id.as_str().into();
         let mut view = node.view();
         let used: Vec<&TargetWork> = news.work.iter().collect();
@@ -393,7 +393,10 @@
         }
     }
 
-    fn learn_peer(&self, from: &Daemon, news: &News, now: u64) {
+    fn learn_peer(&self, node: &Node, from: &Daemon, news: &News, now: u64) {
+        for holding in &news.holdings {
+            node.leases.beat(&holding.group, holding.token);
+        }
         let mut state = self.state();
         let Some(peer) = state.peers.get_mut(from.peer.as_str()) else {
             return;
--- a/crates/comfreyhall-node/src/keeper.rs
+++ b/crates/comfreyhall-node/src/keeper.rs
@@ -62,6 +62,11 @@
 /// A load that takes this much longer than its like is given up, in ms.
 const STUCK_MS: u64 = 3_000;
 
+/// How long a job waits for a place to fall free before its caller looks
+/// elsewhere, in ms. Requests hold a place for some hundred ms; answering at
+/// once made callers go round all engines and give up within some ms.
+const FULL_WAIT_MS: u64 = 150;
+
 /// Longest pause of a keeper with nothing to do, in ms.
 const IDLE_MS: u64 = 500;
 
@@ -78,6 +83,8 @@
     version: u64,
     priority: u32,
     done: Option<Done>,
+    /// When it was taken on.
+    since: u64,
     until: u64,
 }
 
@@ -127,7 +134,7 @@
     tokio::spawn(async move {
         loop {
             for target in engines(&node) {
-                if node.leases.token(&target.domain).is_some() {
+                if node.token(&target.domain).is_some() {
                     start(&node, &target);
                 }
             }
@@ -167,7 +174,6 @@
         sequence: 0,
         synced: false,
         ready_at: 0,
-        fenced: None,
         queue: Vec::new(),
         model_due: 0,
     };
@@ -185,7 +191,7 @@
     limit: Duration,
 ) -> Result<u64, String> {
     let priority = u32::from(priority);
-    if node.leases.token(&target.domain).is_some() {
+    if node.token(&target.domain).is_some() {
         return ensure_here(node, &target.id, adapter, version, priority, limit).await;
     }
     let holder = node.fleet.holder(&target.domain, node.now());
@@ -224,6 +230,7 @@
         version,
         priority,
         done: Some(done),
+        since: node.now(),
         until: node.now() + limit.as_millis() as u64,
     };
     let jobs = node.keepers.jobs().get(target).cloned();
@@ -284,8 +291,6 @@
     synced: bool,
     /// No report before this.
     ready_at: u64,
-    /// The token under which the engine refused us.
-    fenced: Option<u64>,
     queue: Vec<Job>,
     /// No order for a model before this.
     model_due: u64,
@@ -317,7 +322,7 @@
         let found = self.node.view().targets.get(&self.target.id).cloned();
         let Some(target) = found else { return false };
         self.target = target;
-        self.node.leases.token(&self.target.domain).is_some()
+        self.node.token(&self.target.domain).is_some()
     }
 
     /// Does what can be done now; returns when to look again.
@@ -449,10 +454,10 @@
 
     /// Gives one order under the lease as it is right now.
     async fn order(&mut self, action: Action, adapter: &AdapterRef, version: u64) -> OrderReply {
-        let Some(token) = self.node.leases.token(&self.target.domain) else {
+        let Some(token) = self.node.token(&self.target.domain) else {
             return OrderReply::Fenced;
         };
-        if self.fenced == Some(token) || self.node.leaving() {
+        if self.node.leaving() {
             return OrderReply::Fenced;
         }
         let order = Order {
@@ -479,7 +484,7 @@
             }
             OrderReply::Fenced => {
                 log::warn!(target: "keeper", id:% = self.target.id, token; "engine has seen a higher token; giving it no more orders under this one");
-                self.fenced = Some(token);
+                self.node.leases.beat(&self.target.domain, token);
             }
             OrderReply::Gone => {
                 let until = self.node.now() + IDLE_MS;
@@ -619,6 +624,7 @@
                     version,
                     priority: 0,
                     done: None,
+                    since: now,
                     until: now + STUCK_MS,
                 });
             }
@@ -657,6 +663,9 @@
             return Some(job);
         }
         if !self.make_room().await {
+            if self.node.now().saturating_sub(job.since) < FULL_WAIT_MS {
+                return Some(job);
+            }
             answer_job(job.done, Err("every place there is in use".to_string()));
             return None;
         }
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -26,35 +26,64 @@
 /// A lease without its way to the store.
 trait Held: Send + Sync {
     fn token(&self, now: Instant) -> Option<u64>;
+    fn lapsed(&self) -> Option<u64>;
 }
 
 impl<R: Rows> Held for Lease<R> {
     fn token(&self, now: Instant) -> Option<u64> {
         Lease::token(self, now)
     }
+
+    fn lapsed(&self) -> Option<u64> {
+        self.lapsed_token()
+    }
 }
 
 /// The leases this daemon knows.
 #[derive(Default)]
 pub(crate) struct Leases {
     held: Mutex<Map<Name, Arc<dyn Held>>>,
+    /// Highest token of another holder by group, as told by engines and peers.
+    beaten: Mutex<Map<Name, u64>>,
 }
 
 impl Leases {
-    /// The fencing token for an order in `group`, while its lease holds.
-    pub(crate) fn token(&self, group: &str) -> Option<u64> {
+    /// The fencing token for an order in `group`.
+    ///
+    /// While the store is away nobody can renew, and stopping all loads for
+    /// the length of an outage would refuse every request for an adapter
+    /// that is not in place. Where engines check tokens (`fencing`) a holder
+    /// whose lease lapsed goes on under its token until an engine or a peer
+    /// tells of a higher one: whoever takes the lease gets a higher token,
+    /// and engines refuse the lower one from then on.
+    pub(crate) fn token(&self, group: &str, fencing: bool) -> Option<u64> {
         let held = self.held.lock().expect("no holder of this lock panics");
-        held.get(group)?.token(clock::instant())
+        let lease = held.get(group)?;
+        let token = lease.token(clock::instant());
+        let token = token.or_else(|| lease.lapsed().filter(|_| fencing))?;
+        let beaten = self.beaten.lock().expect("no holder of this lock panics");
+        beaten.get(group).is_none_or(|b| token > *b).then_some(token)
     }
 
     /// Groups held now, with their tokens.
-    pub(crate) fn held(&self) -> Vec<(Name, u64)> {
-        let now = clock::instant();
-        let held = self.held.lock().expect("no holder of this lock panics");
-        let tokens = held.iter().map(|(g, l)| Some((g.clone(), l.token(now)?)));
+    pub(crate) fn held(&self, fencing: bool) -> Vec<(Name, u64)> {
+        let groups: Vec<Name> = {
+            let held = self.held.lock().expect("no holder of this lock panics");
+            held.keys().cloned().collect()
+        };
+        let tokens = groups
+            .into_iter()
+            .map(|g| Some((g.clone(), self.token(&g, fencing)?)));
         tokens.flatten().collect()
     }
 
+    /// Another holder of `group` has `token`, or an engine refused it.
+    pub(crate) fn beat(&self, group: &str, token: u64) {
+        let mut beaten = self.beaten.lock().expect("no holder of this lock panics");
+        let highest = beaten.entry(group.into()).or_default();
+        *highest = token.max(*highest);
+    }
+
     fn add(&self, group: &Name, lease: Arc<dyn Held>) {
         let mut held = self.held.lock().expect("no holder of this lock panics");
         held.insert(group.clone(), lease);
@@ -109,6 +138,13 @@
     });
 }
 
+impl Node {
+    /// The fencing token for an order in `group`, if this daemon may give it.
+    pub(crate) fn token(&self, group: &str) -> Option<u64> {
+        self.leases.token(group, self.settings().bounds.fencing)
+    }
+}
+
 async fn step<R: Rows>(node: &Node, group: &Name, lease: &Lease<R>, term: Duration) {
     let before = lease.token(clock::instant());
     let now = node.now();
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -83,6 +83,8 @@
     pub(crate) changed: Notify,
     view: Mutex<View>,
     in_flight: AtomicUsize,
+    /// When a planned stop began; 0 for not yet.
+    stopping: AtomicU64,
 }
 
 impl Node {
@@ -114,6 +116,7 @@
                 book: Book::default(),
             }),
             in_flight: AtomicUsize::new(0),
+            stopping: AtomicU64::new(0),
         })
     }
 
@@ -165,6 +168,15 @@
         Tracked(self.clone())
     }
 
+    /// When a planned stop began; 0 for not yet.
+    pub(crate) fn stopping(&self) -> u64 {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_stopping(&self, now: u64) {
+        self.stopping.store(now, Ordering::SeqCst);
+    }
+
     /// Ms of the daemon's clock.
     pub(crate) fn now(&self) -> u64 {
         clock::now()
--- a/crates/comfreyhall-node/src/serve.rs
+++ b/crates/comfreyhall-node/src/serve.rs
@@ -23,11 +23,12 @@
     node::{Node, Tracked},
     ports::{Body, Extra, Response, SendError},
     relay::Relay,
+    stop,
 };
 
 /// Sends and looks for a place in one request at most: a guard against
 /// going round in circles, above what the time of a request allows.
-const ROUNDS: u32 = 12;
+const ROUNDS: u32 = 40;
 
 /// Part of a caller's time that may go by before the first send. Beyond it
 /// a late answer is unlikely to be in time, and the caller's own return is
@@ -127,6 +128,12 @@
         let Some(mut job) = Job::new(self, &config, ask) else {
             return Reply::NoRoute;
         };
+        if !stop::takes(self, job.limit) {
+            log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name; "refused: the stop is near its end");
+            return Reply::NotReady {
+                retry_ms: NOT_READY_MS,
+            };
+        }
         job.tracked = Some(tracked);
         match job.route.kind {
             Kind::Unsafe => match tokio::spawn(job.run()).await {
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -28,17 +28,37 @@
     CloseIdle,
 }
 
+/// Whether a stopping daemon still takes a request that may last until
+/// `limit`.
+///
+/// What goes wrong without it: a caller with an old address answer sends a
+/// stream seconds after the signal, and the process ends in its middle. Once
+/// callers have had time to learn of the stop, only what surely ends before
+/// the process is taken.
+pub(crate) fn takes(node: &Node, limit: u64) -> bool {
+    let began = node.stopping();
+    if began == 0 || node.now().saturating_sub(began) < LINGER.as_millis() as u64 {
+        return true;
+    }
+    limit < began + last_ms(node)
+}
+
+/// Ms after the signal at which the process ends at the latest.
+fn last_ms(node: &Node) -> u64 {
+    (node.settings().bounds.grace_s * 1_000.0 * LAST_PART) as u64
+}
+
 /// Leaves: returns once nothing is in progress or time is up. `close_idle`
 /// is called when callers have had time to learn of it.
 pub async fn leave(node: &Arc<Node>, close_idle: impl Fn(Drained)) {
     let began = node.now();
+    node.set_stopping(began);
     node.life.handle(Event::Stop);
     log::info!(target: "stop", in_flight = node.in_flight(); "leaving");
     fleet::tell_all(node).await;
     tokio::time::sleep(LINGER).await;
     close_idle(Drained::CloseIdle);
-    let bound = (node.settings().bounds.grace_s * 1_000.0 * LAST_PART) as u64;
-    while node.in_flight() > 0 && node.now().saturating_sub(began) < bound {
+    while node.in_flight() > 0 && node.now().saturating_sub(began) < last_ms(node) {
         tokio::time::sleep(LOOK).await;
     }
     // The last answers are still on their way to their callers.
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -47,6 +47,8 @@
     pub retry_allowance: f64,
     /// Window of the repeats, in s.
     pub retry_s: f64,
+    /// Whether engines refuse orders under a token lower than one they saw.
+    pub fencing: bool,
     /// Time for an entry to come back after the store was away, in s.
     pub return_s: f64,
 }
