--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -62,7 +62,7 @@
             .values()
             .filter(|t| &*t.service == service)
             .filter(|t| t.stage == comfreyhall_domain::Stage::Ready)
-            .filter(|t| !self.dead.get(&t.id).is_some_and(|until| now < *until))
+            .filter(|t| self.dead.get(&t.id).is_none_or(|until| now >= *until))
             .cloned()
             .collect();
         out.sort_by(|a, b| a.id.cmp(&b.id));
@@ -85,6 +85,8 @@
     in_flight: AtomicUsize,
     /// When a planned stop began; 0 for not yet.
     stopping: AtomicU64,
+    /// Whether every request is refused because the process is about to end.
+    closed: AtomicBool,
 }
 
 impl Node {
@@ -117,6 +119,7 @@
             }),
             in_flight: AtomicUsize::new(0),
             stopping: AtomicU64::new(0),
+            closed: AtomicBool::new(false),
         })
     }
 
@@ -173,6 +176,15 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Whether the process is about to end.
+    pub(crate) fn closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
     pub(crate) fn set_stopping(&self, now: u64) {
         self.stopping.store(now, Ordering::SeqCst);
     }
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -24,7 +24,8 @@
 /// What remains to be done by whoever listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Drained {
-    /// Close idle connections; those in progress end on their own.
+    /// Take no new connections and close idle ones; those in progress end on
+    /// their own.
     CloseIdle,
 }
 
@@ -37,6 +38,9 @@
 /// the process is taken.
 pub(crate) fn takes(node: &Node, limit: u64) -> bool {
     let began = node.stopping();
+    if node.closed() {
+        return false;
+    }
     if began == 0 || node.now().saturating_sub(began) < LINGER.as_millis() as u64 {
         return true;
     }
@@ -58,11 +62,21 @@
     fleet::tell_all(node).await;
     tokio::time::sleep(LINGER).await;
     close_idle(Drained::CloseIdle);
-    while node.in_flight() > 0 && node.now().saturating_sub(began) < last_ms(node) {
-        tokio::time::sleep(LOOK).await;
-    }
+    drained(node, began).await;
+    // What goes wrong without it: nothing is in progress, the process is
+    // about to end, and a request that comes in that instant is passed on
+    // and cut. From here on everything is refused.
+    node.close();
+    drained(node, began).await;
     // The last answers are still on their way to their callers.
     tokio::time::sleep(LOOK * 4).await;
     node.life.handle(Event::Drained);
     log::info!(target: "stop", in_flight = node.in_flight(), stage:? = Stage::Stopped; "stopped");
 }
+
+/// Waits until nothing is in progress, at most until the bound.
+async fn drained(node: &Node, began: u64) {
+    while node.in_flight() > 0 && node.now().saturating_sub(began) < last_ms(node) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -0,0 +1,299 @@
+//! A world for one daemon: settings, targets and what they answer, scripted.
+
+#![allow(dead_code)]
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use comfreyhall_domain::*;
+use comfreyhall_node::{Node, Reply, ports::*};
+use comfreyhall_settings::NodeSettings;
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
+use http::{HeaderMap, Method, StatusCode};
+
+/// What a target does with one send.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Answers whole after so many ms.
+    Answer(u16, u64),
+    /// Nothing reaches it.
+    Unreached,
+    /// It runs and never answers.
+    Mute,
+    /// The answer is lost.
+    Lost,
+    /// Proves that it did not run.
+    Refuse(Refusal),
+    /// A success without the mark of a target.
+    Forged,
+    /// A failure with this status and no proof.
+    Unproved(u16),
+    /// Streams these ids; then ends whole, or breaks off.
+    Stream(Vec<u64>, bool),
+}
+
+/// One send as targets saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub target: Name,
+    pub request: Name,
+    pub extra: Extra,
+}
+
+/// Targets with scripted answers.
+#[derive(Default)]
+pub struct Script {
+    pub acts: Mutex<Vec<Act>>,
+    pub seen: Mutex<Vec<Seen>>,
+    /// Used when `acts` is empty.
+    pub always: Mutex<Option<Act>>,
+}
+
+fn event(id: u64) -> Bytes {
+    format!("id: {id}\ndata: t{id}\n\n").into()
+}
+
+fn respond(status: u16, body: Body) -> Response {
+    Response {
+        status: StatusCode::from_u16(status).unwrap(),
+        headers: HeaderMap::new(),
+        refusal: None,
+        genuine: true,
+        events: false,
+        body,
+    }
+}
+
+fn whole(text: &'static str) -> Body {
+    stream::iter([Ok(Bytes::from_static(text.as_bytes()))]).boxed()
+}
+
+impl Backend for Script {
+    fn send(
+        &self,
+        target: Arc<Target>,
+        ask: Arc<Ask>,
+        extra: Extra,
+    ) -> BoxFuture<'static, Result<Response, SendError>> {
+        self.seen.lock().unwrap().push(Seen {
+            target: target.id.clone(),
+            request: ask.id.clone(),
+            extra,
+        });
+        let mut acts = self.acts.lock().unwrap();
+        let act = match acts.is_empty() {
+            true => self.always.lock().unwrap().clone(),
+            false => Some(acts.remove(0)),
+        };
+        let act = act.unwrap_or(Act::Answer(200, 0));
+        async move {
+            match act {
+                Act::Answer(status, ms) => {
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    Ok(respond(status, whole("body")))
+                }
+                Act::Unreached => Err(SendError::NotSent("scripted".into())),
+                Act::Lost => Err(SendError::Doubt("scripted".into())),
+                Act::Mute => std::future::pending().await,
+                Act::Refuse(refusal) => Ok(Response {
+                    refusal: Some(refusal),
+                    genuine: false,
+                    ..respond(503, whole(""))
+                }),
+                Act::Forged => Ok(Response {
+                    genuine: false,
+                    ..respond(200, whole("not a target's"))
+                }),
+                Act::Unproved(status) => Ok(Response {
+                    genuine: false,
+                    ..respond(status, whole(""))
+                }),
+                Act::Stream(ids, ends) => {
+                    let mut pieces: Vec<Piece> = ids.into_iter().map(|i| Ok(event(i))).collect();
+                    if !ends {
+                        pieces.push(Ok(Bytes::from_static(b"id: 99\nda")));
+                        pieces.push(Err("scripted break".into()));
+                    }
+                    Ok(Response {
+                        events: true,
+                        ..respond(200, stream::iter(pieces).boxed())
+                    })
+                }
+            }
+        }
+        .boxed()
+    }
+
+    fn order(&self, _: Arc<Target>, _: Order) -> BoxFuture<'static, OrderReply> {
+        async { OrderReply::Gone }.boxed()
+    }
+
+    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Option<Report>> {
+        async { None }.boxed()
+    }
+
+    fn retain(&self, _: &[Arc<Target>]) {}
+}
+
+/// Facts that never change.
+pub struct Facts1 {
+    pub config: Config,
+    pub targets: Vec<Target>,
+}
+
+impl Source for Facts1 {
+    fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Facts, SourceError>> {
+        let row = |key: &str| Fact {
+            key: key.into(),
+            value: Some(Bytes::new()),
+            version: 1,
+        };
+        let rows = match topic {
+            Topic::Settings => vec![row("config")],
+            Topic::Targets => self.targets.iter().map(|t| row(&t.id)).collect(),
+        };
+        async { Ok(Facts { rows, version: 1 }) }.boxed()
+    }
+
+    fn changes(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Facts, SourceError>> {
+        std::future::pending().boxed()
+    }
+
+    fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String> {
+        Ok(match topic {
+            Topic::Settings => Decoded::Config(self.config.clone()),
+            Topic::Targets => {
+                let target = self.targets.iter().find(|t| t.id == fact.key);
+                Decoded::Target(target.unwrap().clone())
+            }
+        })
+    }
+}
+
+pub fn route(kind: Kind, attempts: u32, resumable: bool) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind,
+        timeout_ms: 3_000,
+        target_ms: 300,
+        priority: 0,
+        shares: vec![Share {
+            service: "s".into(),
+            weight: 1,
+        }],
+        attempts,
+        resumable,
+    }
+}
+
+pub fn target(id: &str) -> Target {
+    Target {
+        id: id.into(),
+        service: "s".into(),
+        addr: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        stage: Stage::Ready,
+        slots: 4,
+        held: Vec::new(),
+        sequence: 0,
+        version: 1,
+    }
+}
+
+fn settings() -> NodeSettings {
+    let text = r#"{
+      id: "n", domain: "d", seeds: [], store: "127.0.0.1:1",
+      listen: { front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:1", peers: "127.0.0.1:1" },
+      bounds: { grace_s: 8, drain_ms: 2000, lease_ms: 3000, version_ms: 5000, address_s: 5,
+                retry_ratio: 0.2, retry_allowance: 54, retry_s: 10, fencing: true, return_s: 2 },
+    }"#;
+    NodeSettings::parse(text, "test").unwrap()
+}
+
+/// A daemon that serves `route` with targets `a` and `b`.
+pub async fn serving(route: Route, acts: Vec<Act>) -> (Arc<Node>, Arc<Script>) {
+    let service = Service {
+        name: "s".into(),
+        connections: 10,
+        engine: None,
+    };
+    let source = Facts1 {
+        config: Config {
+            version: 1,
+            routes: vec![route],
+            services: [("s".into(), service)].into_iter().collect(),
+            limits: Limits {
+                header_bytes: 1,
+                body_bytes: 1,
+                header_ms: 1,
+                idle_ms: 1,
+            },
+        },
+        targets: vec![target("a"), target("b")],
+    };
+    let script = Arc::new(Script::default());
+    *script.acts.lock().unwrap() = acts;
+    let node = Node::new(settings(), Arc::new(source), script.clone());
+    comfreyhall_node::spawn(&node, comfreyhall_fakes::FakeTable::default());
+    while !node.ready() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    (node, script)
+}
+
+pub fn ask(id: &str) -> Ask {
+    Ask {
+        id: id.into(),
+        host: "h".into(),
+        left_ms: Some(2_000),
+        adapter: None,
+        tokens: None,
+        parts: Vec::new(),
+        last_event: None,
+        message: Message {
+            method: Method::GET,
+            path: "/x".into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        },
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, PartialEq)]
+pub enum Got {
+    Whole(u16),
+    NotRun,
+    TimedOut,
+    Unknown,
+    /// The ids of the stream's events and whether it ended whole.
+    Stream(Vec<u64>, bool),
+    Other,
+}
+
+pub async fn got(reply: Reply) -> Got {
+    match reply {
+        Reply::Whole { status, .. } => Got::Whole(status.as_u16()),
+        Reply::NotReady { .. } | Reply::Unanswered(Answer::NotRun { .. }) => Got::NotRun,
+        Reply::Unanswered(Answer::TimedOut) => Got::TimedOut,
+        Reply::Unanswered(Answer::Unknown) => Got::Unknown,
+        Reply::NoRoute => Got::Other,
+        Reply::Events { mut body, .. } => {
+            let mut ids = Vec::new();
+            while let Some(piece) = body.next().await {
+                let Ok(bytes) = piece else {
+                    return Got::Stream(ids, false);
+                };
+                let text = String::from_utf8(bytes.to_vec()).unwrap();
+                let found = text.lines().filter_map(|l| l.strip_prefix("id: "));
+                ids.extend(found.map(|i| i.parse::<u64>().unwrap()));
+            }
+            Got::Stream(ids, true)
+        }
+    }
+}
