--- a/crates/comfreyhall-node/src/serve.rs
+++ b/crates/comfreyhall-node/src/serve.rs
@@ -216,6 +216,9 @@
                 }
                 continue;
             }
+            if plan.load && !self.still_ready(&plan) {
+                continue;
+            }
             if self.arrivals > 0 && !self.repeat() {
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
@@ -298,6 +301,18 @@
         choose::choose(&self.node, &wish)
     }
 
+    /// Whether the target still takes work.
+    ///
+    /// What goes wrong without it: a request waits seconds for its adapter,
+    /// its target says meanwhile that it leaves, and gets the request long
+    /// after the bound for new work at leaving targets.
+    fn still_ready(&self, plan: &Plan) -> bool {
+        let now = self.node.now();
+        let view = self.node.view();
+        let ready = view.ready(&self.service, now);
+        ready.iter().any(|t| t.id == plan.target.id)
+    }
+
     /// Has the adapter placed; false if it has no place there.
     async fn place(&mut self, plan: &Plan) -> bool {
         let Some(adapter) = &self.ask.adapter else {
@@ -565,7 +580,7 @@
             return Err(());
         }
         let plan = self.choose().ok_or(())?;
-        if plan.load && !self.place(&plan).await {
+        if plan.load && (!self.place(&plan).await || !self.still_ready(&plan)) {
             return Err(());
         }
         self.send(&plan, last_event).await
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -50,6 +50,10 @@
     pub seen: Mutex<Vec<Seen>>,
     /// Used when `acts` is empty.
     pub always: Mutex<Option<Act>>,
+    /// Orders to load so far; a load is done at the second look.
+    pub orders: Mutex<Vec<Order>>,
+    /// Whether loads end.
+    pub loads: std::sync::atomic::AtomicBool,
 }
 
 fn event(id: u64) -> Bytes {
@@ -127,29 +131,56 @@
         .boxed()
     }
 
-    fn order(&self, _: Arc<Target>, _: Order) -> BoxFuture<'static, OrderReply> {
-        async { OrderReply::Gone }.boxed()
+    fn order(&self, _: Arc<Target>, order: Order) -> BoxFuture<'static, OrderReply> {
+        let mut orders = self.orders.lock().unwrap();
+        let again = orders.iter().any(|o| o.adapter == order.adapter);
+        orders.push(order);
+        let ended = again && self.loads.load(std::sync::atomic::Ordering::SeqCst);
+        async move {
+            match ended {
+                true => OrderReply::Holds,
+                false => OrderReply::Accepted,
+            }
+        }
+        .boxed()
     }
 
     fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Option<Report>> {
-        async { None }.boxed()
+        async {
+            Some(Report {
+                held: vec![held("m")],
+                ..Report::default()
+            })
+        }
+        .boxed()
     }
 
     fn retain(&self, _: &[Arc<Target>]) {}
 }
 
-/// Facts that never change.
-pub struct Facts1 {
+/// A model without adapters.
+pub fn held(model: &str) -> Held {
+    Held {
+        model: model.into(),
+        adapters: Vec::new(),
+    }
+}
+
+/// A configuration that never changes, and targets that may leave.
+pub struct World {
     pub config: Config,
     pub targets: Vec<Target>,
+    /// Targets that say that they leave.
+    pub leaving: Mutex<Vec<Name>>,
 }
 
-impl Source for Facts1 {
+impl Source for World {
     fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Facts, SourceError>> {
+        let leaving = self.leaving.lock().unwrap().clone();
         let row = |key: &str| Fact {
             key: key.into(),
             value: Some(Bytes::new()),
-            version: 1,
+            version: 1 + u64::from(leaving.iter().any(|l| &**l == key)),
         };
         let rows = match topic {
             Topic::Settings => vec![row("config")],
@@ -167,7 +198,11 @@
             Topic::Settings => Decoded::Config(self.config.clone()),
             Topic::Targets => {
                 let target = self.targets.iter().find(|t| t.id == fact.key);
-                Decoded::Target(target.unwrap().clone())
+                let mut target = target.unwrap().clone();
+                if fact.version > 1 {
+                    target.stage = Stage::Draining;
+                }
+                Decoded::Target(target)
             }
         })
     }
@@ -217,12 +252,43 @@
 
 /// A daemon that serves `route` with targets `a` and `b`.
 pub async fn serving(route: Route, acts: Vec<Act>) -> (Arc<Node>, Arc<Script>) {
+    let (node, script, _) = world(route, None, acts).await;
+    (node, script)
+}
+
+/// A model service whose engines have one place for adapters of model `m`.
+pub fn engine() -> Engine {
+    Engine {
+        slots: 4,
+        cache_tokens: 1_000,
+        weights_mb: 100.0,
+        places: 1,
+        loads_rate: 1.0,
+        models: vec![Model {
+            name: "m".into(),
+            weights_mb: 50.0,
+            load_ms: 100,
+            adapter_mb: 1.0,
+        }],
+    }
+}
+
+/// The same with the world it sees; `engine` makes its targets engines.
+pub async fn world(
+    route: Route,
+    engine: Option<Engine>,
+    acts: Vec<Act>,
+) -> (Arc<Node>, Arc<Script>, Arc<World>) {
+    let mut targets = vec![target("a"), target("b")];
+    if engine.is_some() {
+        targets.iter_mut().for_each(|t| t.held = vec![held("m")]);
+    }
     let service = Service {
         name: "s".into(),
         connections: 10,
-        engine: None,
+        engine,
     };
-    let source = Facts1 {
+    let source = Arc::new(World {
         config: Config {
             version: 1,
             routes: vec![route],
@@ -234,16 +300,17 @@
                 idle_ms: 1,
             },
         },
-        targets: vec![target("a"), target("b")],
-    };
+        targets,
+        leaving: Mutex::default(),
+    });
     let script = Arc::new(Script::default());
     *script.acts.lock().unwrap() = acts;
-    let node = Node::new(settings(), Arc::new(source), script.clone());
+    let node = Node::new(settings(), source.clone(), script.clone());
     comfreyhall_node::spawn(&node, comfreyhall_fakes::FakeTable::default());
     while !node.ready() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    (node, script)
+    (node, script, source)
 }
 
 pub fn ask(id: &str) -> Ask {
