--- a/crates/comfreyhall-cli/src/args.rs
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -40,6 +40,7 @@
     Metrics(MetricsCmd),
     Fault(FaultCmd),
     Stats(StatsCmd),
+    Explain(ExplainCmd),
 }
 
 /// Create, label or list customers.
@@ -271,3 +272,15 @@
     #[argh(switch)]
     pub(crate) restart: bool,
 }
+
+/// Tell the story of one request from the logs of several daemons.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainCmd {
+    /// the request's id
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// log files, of every daemon that may have seen it
+    #[argh(positional)]
+    pub(crate) logs: Vec<String>,
+}
--- /dev/null
+++ b/crates/comfreyhall-cli/src/explain.rs
@@ -0,0 +1,114 @@
+//! Tells the story of one request from the logs of several daemons.
+//!
+//! Every line of a daemon is one JSON object; whatever stands before it (a
+//! collector's prefix) is passed over. The story is every line about the
+//! request, and what the daemons came to believe about the targets it was
+//! sent to shortly before and while it lasted, in time order.
+
+use std::collections::BTreeSet;
+
+use eyre::{WrapErr, eyre};
+use serde_json::Value;
+
+use crate::{args::ExplainCmd, output};
+
+/// How long before its first line news of a request's targets still counts,
+/// in ms: two publishing intervals of a target.
+const BEFORE_MS: u64 = 2_400;
+
+/// Fields that every line has and the text form shows in its own way.
+const COMMON: [&str; 5] = ["t", "level", "part", "msg", "daemon"];
+
+/// One line of a log.
+#[derive(Debug, Clone, PartialEq)]
+struct Line {
+    at: u64,
+    value: Value,
+}
+
+impl Line {
+    fn text(&self, field: &str) -> &str {
+        self.value.get(field).and_then(Value::as_str).unwrap_or("")
+    }
+}
+
+fn parse(text: &str, origin: &str) -> Vec<Line> {
+    let line = |raw: &str| {
+        let start = raw.find('{')?;
+        let mut value: Value = serde_json::from_str(&raw[start..]).ok()?;
+        let at = value.get("t")?.as_u64()?;
+        let prefix = raw[..start].split_whitespace().last();
+        let daemon = prefix.unwrap_or(origin).to_string();
+        value
+            .as_object_mut()?
+            .insert("daemon".into(), daemon.into());
+        Some(Line { at, value })
+    };
+    text.lines().filter_map(line).collect()
+}
+
+/// The lines that tell the story of `id`, in time order.
+fn story(lines: Vec<Line>, id: &str) -> Vec<Line> {
+    let own: Vec<&Line> = lines.iter().filter(|l| l.text("id") == id).collect();
+    let targets: BTreeSet<&str> = own.iter().map(|l| l.text("target_id")).collect();
+    let first = own.iter().map(|l| l.at).min().unwrap_or(0);
+    let last = own.iter().map(|l| l.at).max().unwrap_or(0);
+    let around = first.saturating_sub(BEFORE_MS)..=last;
+    let about_target = |l: &Line| {
+        let id = l.text("id");
+        !id.is_empty() && targets.contains(id) && around.contains(&l.at)
+    };
+    let mut out: Vec<Line> = lines
+        .iter()
+        .filter(|l| l.text("id") == id || about_target(l))
+        .cloned()
+        .collect();
+    out.sort_by_key(|l| l.at);
+    out
+}
+
+fn show(lines: &[Line]) -> String {
+    let start = lines.first().map_or(0, |l| l.at);
+    let mut out = String::new();
+    for line in lines {
+        let fields = line.value.as_object().into_iter().flatten();
+        let fields = fields.filter(|(k, _)| !COMMON.contains(&k.as_str()));
+        let fields = fields.map(|(k, v)| match v {
+            Value::String(s) => format!("{k}={s}"),
+            other => format!("{k}={other}"),
+        });
+        let fields: Vec<String> = fields.collect();
+        out.push_str(&format!(
+            "+{:>6} ms  {}  {}: {}  {}\n",
+            line.at - start,
+            line.text("daemon"),
+            line.text("part"),
+            line.text("msg"),
+            fields.join(" ")
+        ));
+    }
+    out
+}
+
+/// Prints the story of one request.
+pub(crate) fn run(cmd: ExplainCmd, json: bool) -> eyre::Result<String> {
+    let mut lines = Vec::new();
+    for path in &cmd.logs {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("cannot read {path}; give paths of log files"))?;
+        lines.extend(parse(&text, path));
+    }
+    let story = story(lines, &cmd.id);
+    if story.is_empty() {
+        return Err(eyre!(
+            "no line is about request {}; check its id, and give the logs of every daemon of that time",
+            cmd.id
+        ));
+    }
+    let values: Vec<&Value> = story.iter().map(|l| &l.value).collect();
+    Ok(output::render(json, &values, || show(&story)))
+}
+
+#[cfg(test)]
+#[path = "explain_tests.rs"]
+mod tests;
--- a/crates/comfreyhall-cli/src/lib.rs
+++ b/crates/comfreyhall-cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod bench;
 mod catalog;
 mod client;
+mod explain;
 mod force;
 mod instance;
 mod output;
@@ -55,6 +56,7 @@
         Metrics(c) => instance::metrics(&cli.settings, c).await,
         Fault(c) => instance::fault(&cli.settings, c, json).await,
         Stats(c) => stats::run(&cli.settings, c, json).await,
+        Explain(c) => explain::run(c, json),
     }
 }
 
--- a/crates/comfreyhall-daemon/src/metrics.rs
+++ b/crates/comfreyhall-daemon/src/metrics.rs
@@ -7,20 +7,18 @@
 use std::sync::Mutex;
 
 use comfreyhall_protocol::{EngineStatus, Map};
+use comfreyhall_telemetry::Exposition;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 
 /// Bounds of the load stall histogram, in seconds.
 const STALL_BOUNDS: [f64; 10] = [0.0, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0];
 
 /// The daemon's instruments.
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     stall: Histogram<f64>,
     missed: Counter<u64>,
     requests: Counter<u64>,
@@ -34,13 +32,8 @@
 
 impl Metrics {
     pub(crate) fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a fresh registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter(comfreyhall_telemetry::METER);
+        let exposition = Exposition::new();
+        let meter = exposition.meter();
         Self {
             stall: meter
                 .f64_histogram("load_stall")
@@ -73,8 +66,7 @@
                 .with_description("used share of an engine's batch steps, 0 to 1")
                 .build(),
             engines: Mutex::default(),
-            registry,
-            _provider: provider,
+            exposition,
         }
     }
 
@@ -123,11 +115,6 @@
 
     /// Everything recorded so far, in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
-        let mut out = Vec::new();
-        let families = self.registry.gather();
-        if let Err(e) = TextEncoder::new().encode(&families, &mut out) {
-            log::warn!(target: "daemon", "metrics not written: {e}");
-        }
-        String::from_utf8_lossy(&out).into_owned()
+        self.exposition.text()
     }
 }
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -61,6 +61,7 @@
                 feed.await
             }
         };
+        node.metrics.store("settings", answer.is_ok());
         match answer {
             Ok(facts) => {
                 if down {
@@ -107,7 +108,9 @@
         let due = beat + rand::rng().random_range(0..beat.max(1));
         await_age(&node, due).await;
         let began = node.now();
-        match node.source.read(Topic::Targets).await {
+        let answer = node.source.read(Topic::Targets).await;
+        node.metrics.store("targets", answer.is_ok());
+        match answer {
             Ok(listed) => {
                 if down {
                     log::info!(target: "follow", version = listed.version; "store answers again for targets");
--- a/crates/comfreyhall-node/src/keeper.rs
+++ b/crates/comfreyhall-node/src/keeper.rs
@@ -511,6 +511,7 @@
         let reply = tokio::time::timeout(ORDER_TIMEOUT, call).await;
         let reply = reply.unwrap_or_else(|_| OrderReply::Silent("no answer in time".into()));
         log::debug!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), action:? = action, version, expected = self.sequence, token, reply:? = reply; "order");
+        self.node.metrics.order(reply.name());
         match &reply {
             // A load that is on its way already is accepted again without
             // counting; dropping what is unused is done at once and counts.
@@ -636,6 +637,7 @@
         self.node
             .fleet
             .placed(&self.target.id, adapter, Some(version));
+        self.node.metrics.load(coming.recent);
         log::info!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), version, recent = coming.recent, queued = coming.queued, blocked = coming.blocked, ms = took; "adapter loaded");
         finish(&mut coming, Ok(version));
     }
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -168,6 +168,7 @@
     }
     let after = lease.token(clock::instant());
     if before != after {
+        node.metrics.lease(after.is_some());
         log::info!(target: "leases", group:% = group, before:? = before, token:? = after; "lease changed");
         node.changed.notify_waiters();
     }
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod keeper;
 mod leases;
 mod members;
+mod metrics;
 mod node;
 pub mod ports;
 mod relay;
--- /dev/null
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -0,0 +1,116 @@
+//! What the core counts and times.
+//!
+//! No label grows with adapters, customers or requests: the number of series
+//! is bounded by the routes' kinds and the ways things end.
+
+use comfreyhall_domain::Kind;
+use comfreyhall_telemetry::Exposition;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram},
+};
+
+/// Bounds of times to a first event and of load stalls, in seconds; the
+/// objectives of the deployments served are 0.15 to 1 s.
+const BOUNDS: [f64; 11] = [0.0, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0];
+
+/// The instruments.
+pub(crate) struct Metrics {
+    exposition: Exposition,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    repeats: Counter<u64>,
+    refusals: Counter<u64>,
+    loads: Counter<u64>,
+    orders: Counter<u64>,
+    leases: Counter<u64>,
+    store: Counter<u64>,
+    first: Histogram<f64>,
+    stall: Histogram<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let exposition = Exposition::new();
+        let meter = exposition.meter();
+        let counter = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        let seconds = |name: &'static str, about: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s");
+            let histogram = histogram.with_description(about);
+            histogram.with_boundaries(BOUNDS.to_vec()).build()
+        };
+        Self {
+            requests: counter("requests", "requests by kind and how they ended"),
+            sends: counter("sends", "sends to targets by how they ended"),
+            repeats: counter(
+                "repeats",
+                "sends beyond a request's first, by whether the budget allowed them",
+            ),
+            refusals: counter("refusals", "requests given up on, by reason"),
+            loads: counter("adapter_loads", "adapters loaded, by where from"),
+            orders: counter("orders", "orders to engines by answer"),
+            leases: counter("lease_changes", "leases on orders gained or lost"),
+            store: counter("store_reads", "readings of settings and targets by outcome"),
+            first: seconds(
+                "first_event",
+                "time from a request's arrival to its first event",
+            ),
+            stall: seconds("load_stall", "time a request waited for an adapter"),
+            exposition,
+        }
+    }
+
+    pub(crate) fn request(&self, kind: Kind, how: &'static str) {
+        let kind = match kind {
+            Kind::Safe => "safe",
+            Kind::Unsafe => "unsafe",
+            Kind::Stream => "stream",
+        };
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("how", how)];
+        self.requests.add(1, &labels);
+    }
+
+    pub(crate) fn send(&self, how: &'static str) {
+        self.sends.add(1, &[KeyValue::new("how", how)]);
+    }
+
+    pub(crate) fn repeat(&self, granted: bool) {
+        self.repeats.add(1, &[KeyValue::new("granted", granted)]);
+    }
+
+    pub(crate) fn refusal(&self, why: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("why", why)]);
+    }
+
+    pub(crate) fn load(&self, recent: bool) {
+        let from = if recent { "at_hand" } else { "store" };
+        self.loads.add(1, &[KeyValue::new("from", from)]);
+    }
+
+    pub(crate) fn order(&self, reply: &'static str) {
+        self.orders.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    pub(crate) fn lease(&self, gained: bool) {
+        self.leases.add(1, &[KeyValue::new("gained", gained)]);
+    }
+
+    pub(crate) fn store(&self, topic: &'static str, ok: bool) {
+        let labels = [KeyValue::new("topic", topic), KeyValue::new("ok", ok)];
+        self.store.add(1, &labels);
+    }
+
+    pub(crate) fn first(&self, ms: u64) {
+        self.first.record(ms as f64 / 1_000.0, &[]);
+    }
+
+    pub(crate) fn stall(&self, ms: u64) {
+        self.stall.record(ms as f64 / 1_000.0, &[]);
+    }
+
+    pub(crate) fn text(&self) -> String {
+        self.exposition.text()
+    }
+}
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -21,6 +21,7 @@
     fleet::Fleet,
     keeper::Keepers,
     leases::Leases,
+    metrics::Metrics,
     ports::{Backend, Source},
 };
 
@@ -79,6 +80,7 @@
     pub(crate) leases: Leases,
     pub(crate) fleet: Fleet,
     pub(crate) keepers: Keepers,
+    pub(crate) metrics: Metrics,
     /// Wakes duties that act on changed settings or targets.
     pub(crate) changed: Notify,
     view: Mutex<View>,
@@ -104,6 +106,7 @@
             life: Life::new(),
             leases: Leases::default(),
             keepers: Keepers::default(),
+            metrics: Metrics::new(),
             changed: Notify::new(),
             view: Mutex::new(View {
                 config: None,
@@ -165,6 +168,11 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Everything counted so far, in the Prometheus text format.
+    pub fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+
     /// Counts a request in progress until the guard drops.
     pub fn track(self: &Arc<Self>) -> Tracked {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -174,6 +174,21 @@
     Silent(String),
 }
 
+impl OrderReply {
+    /// Its name in metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            OrderReply::Accepted => "accepted",
+            OrderReply::Holds => "holds",
+            OrderReply::Conflict => "conflict",
+            OrderReply::Fenced => "fenced",
+            OrderReply::Gone => "gone",
+            OrderReply::Invalid => "invalid",
+            OrderReply::Silent(_) => "silent",
+        }
+    }
+}
+
 /// What an engine reports of itself, some hundred ms old.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Report {
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -132,6 +132,7 @@
                 Ok(Step::Events) => continue,
                 Ok(Step::End) => {
                     self.flight.note(true, 1.0);
+                    job.node.metrics.request(job.route.kind, "answered");
                     log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, target_id:% = self.flight.target, adapter:% = job.adapter(), events = self.passed, resumes = self.resumes, first = job.first, stall = job.stall, sends = job.verdict.sends, ms = self.flight.took(); "streamed");
                     return None;
                 }
@@ -184,6 +185,7 @@
             self.flight = flight;
             return Ok(());
         }
+        job.node.metrics.request(job.route.kind, "broken_off");
         log::info!(target: "serve", id:% = job.ask.id, last:? = last, resumes = self.resumes; "stream given up");
         Err(why)
     }
--- a/crates/comfreyhall-node/src/serve.rs
+++ b/crates/comfreyhall-node/src/serve.rs
@@ -284,7 +284,10 @@
         let daemons = self.node.fleet.size(now);
         let mut view = self.node.view();
         let budget = view.budgets.get_mut(&self.service);
-        budget.is_some_and(|b| b.repeat(now, daemons))
+        let granted = budget.is_some_and(|b| b.repeat(now, daemons));
+        drop(view);
+        self.node.metrics.repeat(granted);
+        granted
     }
 
     fn choose(&self) -> Option<Plan> {
@@ -333,7 +336,9 @@
         let call = keeper::ensure(&self.node, &plan.target, adapter, wish);
         let placed = call.await;
         self.node.fleet.unpin(&plan.target.id, adapter);
-        self.stall += self.node.now() - began;
+        let stall = self.node.now() - began;
+        self.stall += stall;
+        self.node.metrics.stall(stall);
         match placed {
             Ok(version) => {
                 let now = self.node.now();
@@ -421,7 +426,8 @@
         }
     }
 
-    fn tell(&self, target: &Name, outcome: &str, why: &str) {
+    fn tell(&self, target: &Name, outcome: &'static str, why: &str) {
+        self.node.metrics.send(outcome);
         let left = self.left();
         log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, target_id:% = target, outcome, why, left; "send");
     }
@@ -503,6 +509,7 @@
                     view.prefixes.note(adapter, &self.ask.parts, target, now);
                 }
                 let job = self.take();
+                self.node.metrics.first(job.first);
                 let body = relay.run(job);
                 Next::Reply(Reply::Events {
                     status,
@@ -558,6 +565,9 @@
         }
         self.verdict.add(Outcome::Answered);
         log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, target_id:% = flight.target, status = status.as_u16(), ms = now - self.began; "answered");
+        self.node
+            .metrics
+            .request(self.route.kind, if ok { "answered" } else { "failed" });
         let again = self.route.kind == Kind::Safe
             && !ok
             && (self.tried.len() as u32) < self.route.attempts
@@ -587,7 +597,8 @@
     }
 
     /// The final answer, at once.
-    fn give_up(&mut self, why: &str, excess_ms: f64) -> Reply {
+    fn give_up(&mut self, why: &'static str, excess_ms: f64) -> Reply {
+        self.node.metrics.refusal(why);
         let left = self.left();
         if let Some((status, headers, body)) = self.spare.take() {
             log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, why; "passed on a target's failure");
@@ -597,6 +608,12 @@
         let retry = admission::retry_ms(excess_ms, left, draw);
         let answer = answer_for(&self.verdict, left == 0, retry);
         let held = self.node.now() - self.began;
+        let how = match answer {
+            Answer::NotRun { .. } => "not_run",
+            Answer::TimedOut => "timed_out",
+            Answer::Unknown => "unknown",
+        };
+        self.node.metrics.request(self.route.kind, how);
         log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, why, answer:? = answer, sends = self.verdict.sends, held, left; "given up");
         Reply::Unanswered(answer)
     }
--- a/crates/comfreyhall-telemetry/src/lib.rs
+++ b/crates/comfreyhall-telemetry/src/lib.rs
@@ -8,8 +8,11 @@
 //! Metrics are recorded through the opentelemetry API under the meter
 //! [`METER`]; the process that wants them exported installs a provider.
 
+mod exposition;
 mod json;
 
+pub use exposition::Exposition;
+
 use log::LevelFilter;
 use log4rs::{
     append::console::{ConsoleAppender, Target},
