Load a new version beside the old one; leave engines alone while it runs

Change: an outdated adapter is dropped when nobody uses it or half of the bound has passed; requests prefer a load elsewhere to an outdated copy; a request waits for one engine no longer than its objective.

--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -11,6 +11,11 @@
 /// serves, as part of the bound: replacements are on their way meanwhile.
 const GRACE_PART: u64 = 2;
 
+/// What running on a version that is about to be replaced costs, in ms. The
+/// replacement waits for its runs, and requests that come meanwhile are
+/// refused there: unless it is much sooner, the new version is loaded beside.
+const OUTDATED_MS: f64 = 250.0;
+
 /// Homes beyond the targets that hold an adapter to which it may be loaded.
 /// With more, daemons that see loads differently have the same adapter
 /// loaded on several targets, and each brings it from the weight store and
@@ -134,21 +139,25 @@
     let now = node.now();
     let key = crate::fleet::key_of(adapter);
     let in_use = node.fleet.in_use(now);
+    let named = view.named.get(adapter).map_or(0, |n| n.version);
     let mut loaders: Vec<(bool, u64, Choice)> = Vec::new();
     let mut out = Vec::new();
     for t in targets.iter().filter(|t| t.holds(&adapter.model)) {
         let mut choice = base(t);
         let tokens = unread(view, wish.ask, adapter, &t.id);
         choice.wait_ms = view.board.prefill_ms(&t.id, tokens, now);
-        let held = adapter.adapter.is_none()
-            || view
-                .residency
-                .version(adapter, &t.id)
-                .is_some_and(|v| v >= version);
+        let resident = view.residency.version(adapter, &t.id);
+        let held = adapter.adapter.is_none() || resident.is_some_and(|v| v >= version);
         if held {
+            if resident.is_some_and(|v| v < named) {
+                choice.wait_ms += OUTDATED_MS;
+            }
             out.push(choice);
             continue;
         }
+        if resident.is_some() && in_use.get(&t.id).is_some_and(|u| u.contains(adapter)) {
+            continue;
+        }
         let held_lease = node.token(&t.domain).is_some();
         if !held_lease && node.fleet.holder(&t.domain, now).is_none() {
             continue;
--- a/crates/comfreyhall-node/src/keeper.rs
+++ b/crates/comfreyhall-node/src/keeper.rs
@@ -71,6 +71,10 @@
 /// Longest pause of a keeper with nothing to do, in ms.
 const IDLE_MS: u64 = 500;
 
+/// Part of the bound for named versions after which an adapter that is still
+/// in use is dropped all the same.
+const RENEW_PART: u64 = 2;
+
 /// Least score at which an outdated adapter is loaded anew right away: about
 /// one request within the last two half-lives.
 const RENEW_SCORE: f64 = 0.25;
@@ -643,8 +647,14 @@
     }
 
     /// Replaces adapters of which a newer version was named.
+    ///
+    /// Dropping an adapter waits for its runs and refuses what comes
+    /// meanwhile: ordered at once for a hot adapter it was ordered again
+    /// every 300 ms for seconds, and each time the engine took no other
+    /// order. So it waits until nobody uses it, or the bound comes near.
     async fn renew_outdated(&mut self) {
         let now = self.node.now();
+        let grace = self.node.settings().bounds.version_ms / RENEW_PART;
         let outdated: Vec<(AdapterRef, u64, f64)> = {
             let view = self.node.view();
             let newer = |a: &AdapterRef, h: &Hold| {
@@ -655,6 +665,10 @@
                 .iter()
                 .filter_map(|(a, h)| {
                     let version = newer(a, h)?;
+                    let learned = view.named.get(a).map_or(0, |n| n.learned);
+                    let due = now.saturating_sub(learned) >= grace;
+                    let used = self.node.fleet.pins(&self.target.id, a, now) > 0;
+                    (due || !used).then_some(())?;
                     Some((a.clone(), version, view.demand.score(&key_of(a), now)))
                 })
                 .collect()
--- a/crates/comfreyhall-node/src/serve.rs
+++ b/crates/comfreyhall-node/src/serve.rs
@@ -329,7 +329,7 @@
             version: plan.version,
             priority: u32::from(self.route.priority),
             aim_ms: self.route.target_ms.saturating_sub(spent + after),
-            limit: Duration::from_millis(self.left() / 2 + 1),
+            limit: Duration::from_millis(self.left().min(self.route.target_ms) + 1),
         };
         // Others count on the place that this request is about to hold.
         self.node.fleet.pin(&plan.target.id, adapter);
