--- /dev/null
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -0,0 +1,289 @@
+//! The other daemons, and telling each other what is known.
+//!
+//! Every period a daemon swaps news with its peers, one call a pair for both
+//! directions: what it has at each target (so that estimates count
+//! everyone's work), which leases it holds, which adapters it has just
+//! placed, what was asked for. A daemon that the store turns away gets newer
+//! rows from its peers the same way. Whoever was not heard from lately is
+//! not handed out to callers.
+
+mod news;
+mod swap;
+
+pub use swap::serve_peers;
+pub(crate) use swap::{spawn, tell_all};
+
+use std::{
+    collections::VecDeque,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use comfreyhall_domain::{AdapterRef, Map, Name};
+use comfreyhall_protocol::{Daemon, Placed, fleet_client::FleetClient, link};
+use comfreyhall_settings::NodeSettings;
+use rand::{Rng, seq::IteratorRandom};
+use tonic::transport::Channel;
+
+use crate::node::Node;
+
+/// Period of the news, in ms: the wait estimate is then at most a quarter of
+/// a second old, about the time of one prompt.
+const PERIOD_MS: u64 = 250;
+
+/// Peers told in one period. With more daemons than this, news goes to a
+/// random part of them each time, which keeps the cost of a daemon constant.
+const FANOUT: usize = 16;
+
+/// Periods that a peer may be silent before it is not handed out, so that a
+/// few lost calls do not take it out. A fleet larger than the fan-out talks
+/// in turns, and the time stretches with it.
+const ALIVE_PERIODS: u64 = 4;
+
+/// Most addresses in one answer, as callers take them.
+const MOST_ADDRESSES: usize = 64;
+
+/// How long callers may keep an address answer. Some keep it three times as
+/// long, and a stopping daemon serves that long at least.
+const ADDRESS_TTL: Duration = Duration::from_secs(2);
+
+/// Placements remembered for peers that have not heard of them.
+const PLACED_KEPT: usize = 512;
+
+struct Peer {
+    client: FleetClient<Channel>,
+    seed: bool,
+    about: Option<Daemon>,
+    heard: u64,
+    called: u64,
+    calling: bool,
+    holdings: Vec<(Name, u64)>,
+    pins: Vec<(Name, AdapterRef)>,
+    /// Newest settings row it knows.
+    settings: u64,
+    /// Version of the targets it knows.
+    targets: u64,
+    demands: Map<Name, u32>,
+    /// First placement it has not been told.
+    told: u64,
+}
+
+#[derive(Default)]
+struct State {
+    /// By peer address.
+    peers: Map<Name, Peer>,
+    /// Requests in progress here, by target and adapter.
+    pins: Map<(Name, AdapterRef), u32>,
+    placed: VecDeque<(u64, Placed)>,
+    next: u64,
+}
+
+/// The fleet as this daemon knows it.
+pub(crate) struct Fleet {
+    me: Daemon,
+    state: Mutex<State>,
+}
+
+/// `model/adapter`.
+pub(crate) fn key_of(adapter: &AdapterRef) -> Name {
+    format!(
+        "{}/{}",
+        adapter.model,
+        adapter.adapter.as_deref().unwrap_or("")
+    )
+    .into()
+}
+
+fn parse_key(key: &str) -> Option<AdapterRef> {
+    let (model, adapter) = key.split_once('/')?;
+    Some(AdapterRef {
+        model: model.into(),
+        adapter: (!adapter.is_empty()).then(|| adapter.into()),
+    })
+}
+
+impl Fleet {
+    pub(crate) fn new(settings: &NodeSettings) -> Self {
+        let me = Daemon {
+            id: settings.id.to_string(),
+            boot: rand::rng().random(),
+            peer: settings.listen.peers.to_string(),
+            front: settings.listen.front.to_string(),
+            domain: settings.domain.to_string(),
+            ready: false,
+        };
+        let fleet = Self {
+            me,
+            state: Mutex::default(),
+        };
+        for seed in &settings.seeds {
+            fleet.meet(&seed.to_string(), true);
+        }
+        fleet
+    }
+
+    /// How long a peer may be silent, in ms, in a fleet of `peers`.
+    fn alive_ms(peers: usize) -> u64 {
+        let turns = (peers as f64 / FANOUT as f64).max(1.0);
+        (turns * (ALIVE_PERIODS * PERIOD_MS) as f64) as u64
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+
+    /// Adds a peer to call.
+    pub(crate) fn meet(&self, addr: &str, seed: bool) {
+        if addr == self.me.peer || addr.parse::<std::net::SocketAddr>().is_err() {
+            return;
+        }
+        let mut state = self.state();
+        let told = state.next;
+        state.peers.entry(addr.into()).or_insert_with(|| Peer {
+            client: FleetClient::new(link::channel(addr)),
+            seed,
+            about: None,
+            heard: 0,
+            called: 0,
+            calling: false,
+            holdings: Vec::new(),
+            pins: Vec::new(),
+            settings: 0,
+            targets: 0,
+            demands: Map::default(),
+            told,
+        });
+    }
+
+    /// Daemons alive now, this one included.
+    pub(crate) fn size(&self, now: u64) -> usize {
+        let state = self.state();
+        1 + state.alive(now).count()
+    }
+
+    /// Counts a request in progress that uses an adapter.
+    pub(crate) fn pin(&self, target: &Name, adapter: &AdapterRef) {
+        let key = (target.clone(), adapter.clone());
+        *self.state().pins.entry(key).or_default() += 1;
+    }
+
+    pub(crate) fn unpin(&self, target: &Name, adapter: &AdapterRef) {
+        let key = (target.clone(), adapter.clone());
+        let mut state = self.state();
+        if let Some(count) = state.pins.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                state.pins.remove(&key);
+            }
+        }
+    }
+
+    /// Requests that use `adapter` at `target` now, on any daemon.
+    pub(crate) fn pins(&self, target: &Name, adapter: &AdapterRef, now: u64) -> u32 {
+        let state = self.state();
+        let own = state.pins.get(&(target.clone(), adapter.clone()));
+        let theirs = state.alive(now).map(|(_, p)| p);
+        let pinned = |p: &&Peer| p.pins.iter().any(|(t, a)| t == target && a == adapter);
+        own.copied().unwrap_or(0) + theirs.filter(pinned).count() as u32
+    }
+
+    /// Adapters in use at each target, on any daemon.
+    pub(crate) fn in_use(&self, now: u64) -> Map<Name, Vec<AdapterRef>> {
+        let state = self.state();
+        let mut out: Map<Name, Vec<AdapterRef>> = Map::default();
+        let theirs = state
+            .alive(now)
+            .flat_map(|(_, p)| p.pins.iter().map(|(t, a)| (t, a)));
+        for (target, adapter) in state.pins.keys().map(|(t, a)| (t, a)).chain(theirs) {
+            let used = out.entry(target.clone()).or_default();
+            if !used.contains(adapter) {
+                used.push(adapter.clone());
+            }
+        }
+        out
+    }
+
+    /// A request for `adapter` was served: holders want to know.
+    pub(crate) fn demand(&self, key: &Name) {
+        for peer in self.state().peers.values_mut() {
+            if !peer.holdings.is_empty() {
+                *peer.demands.entry(key.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    /// An adapter has come to a target by our order, or was `None` of it
+    /// is left there.
+    pub(crate) fn placed(&self, target: &Name, adapter: &AdapterRef, version: Option<u64>) {
+        let mut state = self.state();
+        let serial = state.next;
+        state.next += 1;
+        let placed = Placed {
+            target: target.to_string(),
+            adapter: key_of(adapter).to_string(),
+            version: version.unwrap_or(0),
+            dropped: version.is_none(),
+        };
+        state.placed.push_back((serial, placed));
+        if state.placed.len() > PLACED_KEPT {
+            state.placed.pop_front();
+        }
+    }
+
+    /// Who holds the lease of `group`, other than this daemon.
+    pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
+        let state = self.state();
+        let held = state.alive(now).filter_map(|(addr, peer)| {
+            let holding = peer.holdings.iter().find(|(g, _)| &**g == group)?;
+            Some((holding.1, addr.clone()))
+        });
+        held.max().map(|(_, addr)| addr)
+    }
+
+    pub(crate) fn client(&self, peer: &str) -> Option<FleetClient<Channel>> {
+        self.state().peers.get(peer).map(|p| p.client.clone())
+    }
+
+    /// The alive peers' domains.
+    pub(crate) fn domains(&self, now: u64) -> Vec<Name> {
+        let state = self.state();
+        let about = state.alive(now).filter_map(|(_, p)| p.about.as_ref());
+        about
+            .filter(|a| a.ready)
+            .map(|a| a.domain.as_str().into())
+            .collect()
+    }
+
+    pub(crate) fn addresses(&self, node: &Node, _domain: &str) -> (Vec<Name>, Duration) {
+        let now = node.now();
+        let mut out: Vec<Name> = Vec::new();
+        if node.ready() {
+            out.push(self.me.front.as_str().into());
+        }
+        let state = self.state();
+        let about = state.alive(now).filter_map(|(_, p)| p.about.as_ref());
+        let about = about.filter(|a| a.ready);
+        out.extend(about.map(|a| Name::from(a.front.as_str())));
+        if out.len() > MOST_ADDRESSES {
+            out = out
+                .into_iter()
+                .choose_multiple(&mut rand::rng(), MOST_ADDRESSES);
+        }
+        let bound = Duration::from_secs_f64(node.settings().bounds.address_s);
+        (out, ADDRESS_TTL.min(bound))
+    }
+}
+
+impl State {
+    /// Peers heard from lately.
+    fn alive(&self, now: u64) -> impl Iterator<Item = (&Name, &Peer)> {
+        let limit = Fleet::alive_ms(self.peers.len());
+        self.peers.iter().filter(move |(_, p)| p.alive(now, limit))
+    }
+}
+
+impl Peer {
+    fn alive(&self, now: u64, limit: u64) -> bool {
+        self.heard > 0 && now.saturating_sub(self.heard) <= limit
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -0,0 +1,216 @@
+//! What daemons tell each other, made and taken in.
+
+use comfreyhall_domain::Name;
+use comfreyhall_protocol::{Daemon, Demand, Holding, News, TargetWork};
+use comfreyhall_routing::{Standing, Work};
+
+use super::{FANOUT, Fleet, State, key_of, parse_key};
+use crate::{
+    facts,
+    node::Node,
+    ports::{Fact, Facts, Topic},
+};
+
+impl Fleet {
+    /// What to tell the peer at `addr`.
+    pub(super) fn news_for(&self, node: &Node, addr: &str) -> News {
+        let now = node.now();
+        let mut news = self.own_news(node, now);
+        let mut state = self.state();
+        let known = state.alive(now).filter(|(a, _)| &***a != addr);
+        news.peers = known.map(|(a, _)| a.to_string()).take(FANOUT).collect();
+        let State {
+            peers,
+            pins,
+            placed,
+            next,
+        } = &mut *state;
+        for work in &mut news.work {
+            let used = pins.keys().filter(|(t, _)| **t == *work.target);
+            work.adapters = used.map(|(_, a)| key_of(a).to_string()).collect();
+        }
+        if let Some(peer) = peers.get_mut(addr) {
+            let untold = placed.iter().filter(|(serial, _)| *serial >= peer.told);
+            news.placed = untold.map(|(_, p)| p.clone()).collect();
+            peer.told = *next;
+            let demands = std::mem::take(&mut peer.demands);
+            news.demands = demands
+                .into_iter()
+                .map(|(key, requests)| Demand {
+                    key: key.to_string(),
+                    requests,
+                })
+                .collect();
+            news.wants_settings = peer.settings > news.settings_version;
+        }
+        news
+    }
+
+    pub(super) fn own_news(&self, node: &Node, now: u64) -> News {
+        let mut view = node.view();
+        let work = view.board.own().map(|(target, w)| TargetWork {
+            target: target.to_string(),
+            prefill: w.prefill,
+            running: w.running,
+            adapters: Vec::new(),
+        });
+        let work = work.collect();
+        let targets = view.book.shelf(Topic::Targets);
+        let targets_version = targets.version;
+        let targets_age = match targets.as_of {
+            0 => u64::MAX,
+            as_of => now.saturating_sub(as_of),
+        };
+        let rows = view.book.shelf(Topic::Settings).rows.values();
+        let settings_version = rows.map(|f| f.version).max().unwrap_or(0);
+        let mut from = self.me.clone();
+        from.ready = node.ready();
+        News {
+            from: Some(from),
+            work,
+            holdings: node
+                .leases
+                .held(node.settings().bounds.fencing)
+                .into_iter()
+                .map(|(group, token)| Holding {
+                    group: group.to_string(),
+                    token,
+                })
+                .collect(),
+            settings_version,
+            targets_version,
+            targets_age,
+            wants_settings: settings_version == 0,
+            ..News::default()
+        }
+    }
+
+    /// Takes in a peer's news.
+    pub(super) fn learn(&self, node: &Node, news: News) {
+        let Some(from) = news.from.clone() else {
+            return;
+        };
+        let now = node.now();
+        self.meet(&from.peer, false);
+        for addr in &news.peers {
+            self.meet(addr, false);
+        }
+        self.learn_peer(node, &from, &news, now);
+        let peer: Name = from.id.as_str().into();
+        let mut view = node.view();
+        let used: Vec<&TargetWork> = news.work.iter().collect();
+        for work in used {
+            let target: Name = work.target.as_str().into();
+            let told = Work {
+                prefill: work.prefill,
+                running: work.running,
+            };
+            view.board.peer(&target, &peer, told, now);
+        }
+        for placed in &news.placed {
+            if let Some(adapter) = parse_key(&placed.adapter) {
+                let target: Name = placed.target.as_str().into();
+                let standing = match placed.dropped {
+                    true => Standing::Absent,
+                    false => Standing::Held(placed.version),
+                };
+                view.residency.note(&adapter, &target, standing, now);
+            }
+        }
+        for demand in &news.demands {
+            view.demand.bump(&demand.key, demand.requests, now);
+        }
+        drop(view);
+        let age = news.targets_age;
+        let covers = news.targets_version >= node.view().book.targets.version;
+        for (topic, rows) in [
+            (Topic::Settings, news.settings),
+            (Topic::Targets, news.targets),
+        ] {
+            if rows.is_empty() {
+                continue;
+            }
+            let rows: Vec<Fact> = rows.into_iter().map(from_wire).collect();
+            let version = rows.iter().map(|f| f.version).max().unwrap_or(0);
+            facts::apply(node, topic, Facts { rows, version });
+            crate::follow::settle(node);
+        }
+        if age != u64::MAX && covers {
+            let mut view = node.view();
+            let targets = &mut view.book.targets;
+            targets.as_of = targets.as_of.max(now.saturating_sub(age));
+        }
+    }
+
+    pub(super) fn learn_peer(&self, node: &Node, from: &Daemon, news: &News, now: u64) {
+        for holding in &news.holdings {
+            node.leases.beat(&holding.group, holding.token);
+        }
+        let mut state = self.state();
+        let limit = Self::alive_ms(state.peers.len());
+        let Some(peer) = state.peers.get_mut(from.peer.as_str()) else {
+            return;
+        };
+        if !peer.alive(now, limit) {
+            log::info!(target: "fleet", peer:% = from.id, addr:% = from.peer; "peer heard");
+        }
+        peer.heard = now;
+        peer.about = Some(from.clone());
+        peer.settings = news.settings_version;
+        peer.targets = news.targets_version;
+        let holdings = news.holdings.iter();
+        peer.holdings = holdings
+            .map(|h| (h.group.as_str().into(), h.token))
+            .collect();
+        peer.pins = news
+            .work
+            .iter()
+            .flat_map(|w| {
+                let target: Name = w.target.as_str().into();
+                w.adapters
+                    .iter()
+                    .filter_map(move |a| Some((target.clone(), parse_key(a)?)))
+            })
+            .collect();
+    }
+}
+
+fn to_wire(fact: &Fact) -> comfreyhall_protocol::Fact {
+    comfreyhall_protocol::Fact {
+        key: fact.key.to_string(),
+        value: fact.value.as_ref().map(|v| v.to_vec()).unwrap_or_default(),
+        version: fact.version,
+        deleted: fact.value.is_none(),
+    }
+}
+
+fn from_wire(fact: comfreyhall_protocol::Fact) -> Fact {
+    Fact {
+        key: fact.key.into(),
+        value: (!fact.deleted).then(|| fact.value.into()),
+        version: fact.version,
+    }
+}
+
+/// Rows of `topic` with news since `version`.
+pub(super) fn rows_since(
+    node: &Node,
+    topic: Topic,
+    version: u64,
+) -> Vec<comfreyhall_protocol::Fact> {
+    let mut view = node.view();
+    let shelf = view.book.shelf(topic);
+    let newer = shelf.news.iter().filter(|(_, v)| **v > version);
+    let rows = newer.filter_map(|(key, _)| shelf.rows.get(key));
+    rows.map(to_wire).collect()
+}
+
+/// Adds the rows that the sender of `asked` wants to `news`.
+pub(super) fn add_rows(node: &Node, asked: &News, news: &mut News) {
+    if asked.wants_settings {
+        news.settings = rows_since(node, Topic::Settings, asked.settings_version);
+    }
+    if news.targets_age < asked.targets_age {
+        news.targets = rows_since(node, Topic::Targets, asked.targets_version);
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/keeper/load.rs
@@ -0,0 +1,285 @@
+//! Adapters into places: which job next, which adapter goes, when it is there.
+
+use comfreyhall_domain::AdapterRef;
+use comfreyhall_placement::{Occupant, Waiting, victim};
+use comfreyhall_routing::Standing;
+
+use super::{Coming, Hold, Job, Keeper, LOOK_MS, answer_job, finish};
+use crate::{
+    fleet::key_of,
+    ports::{Action, OrderReply},
+};
+
+/// Adapters on their way to one engine at once, as engines allow.
+const COMING_MOST: usize = 4;
+
+/// Part of the expected time before the first look. A look at the expected
+/// time itself never finds a load faster than expected, and the expectation
+/// only ever grew.
+const FIRST_LOOK: f64 = 0.8;
+
+/// A load that takes this much longer than its like is given up, in ms.
+const STUCK_MS: u64 = 3_000;
+
+/// How long a job waits for a place to fall free before its caller looks
+/// elsewhere, in ms. Requests hold a place for some hundred ms; answering at
+/// once made callers go round all engines and give up within some ms.
+const FULL_WAIT_MS: u64 = 200;
+
+/// Part of the bound for named versions after which an adapter that is still
+/// in use is dropped all the same.
+const RENEW_PART: u64 = 2;
+
+/// Least score at which an outdated adapter is loaded anew right away: about
+/// one request within the last two half-lives.
+const RENEW_SCORE: f64 = 0.25;
+
+impl Keeper {
+    /// Looks at loads that should have ended.
+    pub(super) async fn look_at_coming(&mut self) {
+        let now = self.node.now();
+        let due = self.coming.iter().filter(|(_, c)| c.look <= now);
+        let due: Vec<(AdapterRef, u64)> = due.map(|(a, c)| (a.clone(), c.version)).collect();
+        for (adapter, version) in due {
+            if !self.synced {
+                return;
+            }
+            // An order that holds already says so, and costs less than a report.
+            match self.order(Action::Load, &adapter, version).await {
+                OrderReply::Holds => self.loaded(&adapter),
+                OrderReply::Accepted => self.still_coming(&adapter),
+                OrderReply::Conflict | OrderReply::Silent(_) => {}
+                OrderReply::Fenced | OrderReply::Gone | OrderReply::Invalid => {
+                    if let Some(mut coming) = self.take_coming(&adapter) {
+                        finish(
+                            &mut coming,
+                            Err("the engine no longer loads it".to_string()),
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn still_coming(&mut self, adapter: &AdapterRef) {
+        let now = self.node.now();
+        let Some(coming) = self.coming.get_mut(adapter) else {
+            return;
+        };
+        coming.look = now + LOOK_MS;
+        if now.saturating_sub(coming.ordered) > STUCK_MS
+            && let Some(mut coming) = self.take_coming(adapter)
+        {
+            log::warn!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter); "load is stuck");
+            finish(&mut coming, Err("the load is stuck".to_string()));
+            self.synced = false;
+        }
+    }
+
+    /// A load has ended.
+    pub(super) fn loaded(&mut self, adapter: &AdapterRef) {
+        let now = self.node.now();
+        let Some(coming) = self.coming.get(adapter) else {
+            return;
+        };
+        let took = now.saturating_sub(coming.ordered);
+        self.node.keepers.learn(coming.recent, took, now);
+        let Some(mut coming) = self.take_coming(adapter) else {
+            return;
+        };
+        let version = coming.version;
+        let hold = Hold {
+            version,
+            since: now,
+        };
+        self.held.insert(adapter.clone(), hold);
+        let standing = Standing::Held(version);
+        let mut view = self.node.view();
+        view.residency.note(adapter, &self.target.id, standing, now);
+        drop(view);
+        self.node
+            .fleet
+            .placed(&self.target.id, adapter, Some(version));
+        self.node.metrics.load(coming.recent);
+        log::info!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), version, recent = coming.recent, queued = coming.queued, blocked = coming.blocked, ms = took; "adapter loaded");
+        finish(&mut coming, Ok(version));
+    }
+
+    /// Replaces adapters of which a newer version was named.
+    ///
+    /// Dropping an adapter waits for its runs and refuses what comes
+    /// meanwhile: ordered at once for a hot adapter it was ordered again
+    /// every 300 ms for seconds, and each time the engine took no other
+    /// order. So it waits until nobody uses it, or the bound comes near.
+    pub(super) async fn renew_outdated(&mut self) {
+        let now = self.node.now();
+        let grace = self.node.settings().bounds.version_ms / RENEW_PART;
+        let outdated: Vec<(AdapterRef, u64, f64)> = {
+            let view = self.node.view();
+            let newer = |a: &AdapterRef, h: &Hold| {
+                let named = view.named.get(a)?;
+                (named.version > h.version).then_some(named.version)
+            };
+            self.held
+                .iter()
+                .filter_map(|(a, h)| {
+                    let version = newer(a, h)?;
+                    let learned = view.named.get(a).map_or(0, |n| n.learned);
+                    let due = now.saturating_sub(learned) >= grace;
+                    let used = self.node.fleet.pins(&self.target.id, a, now) > 0;
+                    (due || !used).then_some(())?;
+                    Some((a.clone(), version, view.demand.score(&key_of(a), now)))
+                })
+                .collect()
+        };
+        for (adapter, version, score) in outdated {
+            if !self.synced || !self.unload(&adapter).await {
+                return;
+            }
+            log::info!(target: "keeper", id:% = self.target.id, adapter:% = key_of(&adapter), version, score; "outdated adapter dropped");
+            if score >= RENEW_SCORE {
+                self.queue.push(Job {
+                    adapter,
+                    version,
+                    waiting: Waiting {
+                        priority: 0,
+                        since: now,
+                        aim: now,
+                    },
+                    done: None,
+                    until: now + STUCK_MS,
+                    blocked: "",
+                });
+            }
+        }
+    }
+
+    /// Works on a job; gives it back if it has to wait.
+    pub(super) async fn work(&mut self, mut job: Job) -> Option<Job> {
+        let done = job.done.take();
+        if let Some(hold) = self.held.get(&job.adapter)
+            && hold.version >= job.version
+        {
+            answer_job(done, Ok(hold.version));
+            return None;
+        }
+        if let Some(coming) = self.coming.get_mut(&job.adapter) {
+            coming.done.extend(done);
+            return None;
+        }
+        job.done = done;
+        let now = self.node.now();
+        let recent = {
+            let view = self.node.view();
+            view.residency.recent(&job.adapter, &self.target.id, now)
+        };
+        // What the engine has at hand does not come from the weight store.
+        let busy = !recent && self.node.keepers.store_full();
+        if !self.synced {
+            job.blocked = "report";
+            return Some(job);
+        }
+        if self.coming.len() >= COMING_MOST || busy {
+            job.blocked = if busy { "weight store" } else { "engine" };
+            return Some(job);
+        }
+        let waited = self.node.now().saturating_sub(job.waiting.since);
+        if !self.make_room().await {
+            if waited < FULL_WAIT_MS {
+                job.blocked = "place";
+                return Some(job);
+            }
+            answer_job(job.done, Err("every place there is in use".to_string()));
+            return None;
+        }
+        self.load(job).await
+    }
+
+    pub(super) async fn load(&mut self, mut job: Job) -> Option<Job> {
+        let now = self.node.now();
+        let (version, recent) = {
+            let view = self.node.view();
+            let named = view.named.get(&job.adapter).map_or(0, |n| n.version);
+            let recent = view.residency.recent(&job.adapter, &self.target.id, now);
+            (named.max(job.version), recent)
+        };
+        match self.order(Action::Load, &job.adapter, version).await {
+            OrderReply::Accepted => {
+                let now = self.node.now();
+                let expected = self.node.keepers.load_ms(recent);
+                let coming = Coming {
+                    version,
+                    ordered: now,
+                    look: now + ((expected * FIRST_LOOK) as u64).max(LOOK_MS),
+                    recent,
+                    queued: now.saturating_sub(job.waiting.since),
+                    blocked: job.blocked,
+                    done: job.done.take().into_iter().collect(),
+                };
+                self.add_coming(job.adapter, coming);
+                None
+            }
+            OrderReply::Holds => {
+                let since = self.node.now();
+                self.held.insert(job.adapter, Hold { version, since });
+                answer_job(job.done, Ok(version));
+                None
+            }
+            OrderReply::Conflict => Some(job),
+            // Another engine may answer sooner than this one is understood.
+            OrderReply::Silent(_) => {
+                answer_job(
+                    job.done,
+                    Err("the engine leaves orders unanswered".to_string()),
+                );
+                None
+            }
+            OrderReply::Fenced | OrderReply::Gone | OrderReply::Invalid => {
+                answer_job(job.done, Err("the engine takes no order".to_string()));
+                None
+            }
+        }
+    }
+
+    /// Sees that a place is free; false if all are in use.
+    pub(super) async fn make_room(&mut self) -> bool {
+        let places = self.places();
+        while self.held.len() + self.coming.len() >= places {
+            let Some(out) = self.choose_victim() else {
+                return false;
+            };
+            if !self.unload(&out).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    pub(super) fn places(&self) -> usize {
+        let view = self.node.view();
+        let config = view.config.as_ref();
+        let service = config.and_then(|c| c.services.get(&self.target.service));
+        let engine = service.and_then(|s| s.engine.as_ref());
+        engine.map_or(0, |e| {
+            let models = e.models.iter().filter(|m| self.target.holds(&m.name));
+            models.map(|m| e.room(m)).min().unwrap_or(0) as usize
+        })
+    }
+
+    pub(super) fn choose_victim(&self) -> Option<AdapterRef> {
+        let now = self.node.now();
+        let view = self.node.view();
+        let occupants: Vec<Occupant<AdapterRef>> = self
+            .held
+            .iter()
+            .map(|(adapter, hold)| Occupant {
+                score: view.demand.score(&key_of(adapter), now),
+                copies: view.residency.copies(adapter).saturating_sub(1),
+                pins: self.node.fleet.pins(&self.target.id, adapter, now),
+                age_ms: now.saturating_sub(hold.since),
+                key: adapter.clone(),
+            })
+            .collect();
+        victim(&occupants).map(|o| o.key.clone())
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/keeper/order.rs
@@ -0,0 +1,119 @@
+//! One order at a time, under the lease as it is right now.
+
+use std::time::Duration;
+
+use comfreyhall_domain::{AdapterRef, Name, Stage};
+use comfreyhall_routing::Standing;
+
+use super::{IDLE_MS, Keeper, SETTLE};
+use crate::{
+    fleet::key_of,
+    ports::{Action, Order, OrderReply},
+};
+
+/// Longest an answer to an order is waited for. Answers take some ms; an
+/// engine that leaves orders unanswered must not hold up the next one.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(90);
+
+impl Keeper {
+    /// Gives one order under the lease as it is right now.
+    pub(super) async fn order(
+        &mut self,
+        action: Action,
+        adapter: &AdapterRef,
+        version: u64,
+    ) -> OrderReply {
+        let Some(token) = self.node.token(&self.target.domain) else {
+            return OrderReply::Fenced;
+        };
+        if self.node.leaving() {
+            return OrderReply::Fenced;
+        }
+        let order = Order {
+            action,
+            adapter: adapter.clone(),
+            version: (version > 0).then_some(version),
+            expected: self.sequence,
+            holder: self.node.settings().id.clone(),
+            token,
+        };
+        let call = self.node.backend.order(self.target.clone(), order);
+        let reply = tokio::time::timeout(ORDER_TIMEOUT, call).await;
+        let reply = reply.unwrap_or_else(|_| OrderReply::Silent("no answer in time".into()));
+        log::debug!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), action:? = action, version, expected = self.sequence, token, reply:? = reply; "order");
+        self.node.metrics.order(reply.name());
+        match &reply {
+            // A load that is on its way already is accepted again without
+            // counting; dropping what is unused is done at once and counts.
+            OrderReply::Accepted if !self.coming.contains_key(adapter) => self.sequence += 1,
+            OrderReply::Holds if action == Action::Unload => self.sequence += 1,
+            OrderReply::Accepted | OrderReply::Holds => {}
+            OrderReply::Conflict | OrderReply::Silent(_) => {
+                self.synced = false;
+                self.ready_at = self.node.now() + SETTLE.as_millis() as u64;
+            }
+            OrderReply::Fenced => {
+                log::warn!(target: "keeper", id:% = self.target.id, token; "engine has seen a higher token; giving it no more orders under this one");
+                self.node.leases.beat(&self.target.domain, token);
+            }
+            OrderReply::Gone => {
+                let until = self.node.now() + IDLE_MS;
+                let mut view = self.node.view();
+                view.dead.insert(self.target.id.clone(), until);
+            }
+            OrderReply::Invalid => {
+                log::warn!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter); "order refused as invalid");
+            }
+        }
+        reply
+    }
+
+    pub(super) async fn unload(&mut self, adapter: &AdapterRef) -> bool {
+        let reply = self.order(Action::Unload, adapter, 0).await;
+        if !matches!(reply, OrderReply::Accepted | OrderReply::Holds) {
+            return false;
+        }
+        let now = self.node.now();
+        self.held.remove(adapter);
+        let mut view = self.node.view();
+        view.residency
+            .note(adapter, &self.target.id, Standing::Absent, now);
+        drop(view);
+        self.node.fleet.placed(&self.target.id, adapter, None);
+        true
+    }
+
+    /// Orders a model into an engine that has none, as after a restart.
+    pub(super) async fn load_model(&mut self) {
+        let now = self.node.now();
+        let empty = self.target.held.is_empty() && self.held.is_empty();
+        if !empty || now < self.model_due || self.target.stage != Stage::Ready {
+            return;
+        }
+        let Some((model, load_ms)) = self.wanted_model() else {
+            return;
+        };
+        let adapter = AdapterRef {
+            model,
+            adapter: None,
+        };
+        let reply = self.order(Action::Load, &adapter, 0).await;
+        log::info!(target: "keeper", id:% = self.target.id, model:% = adapter.model, reply:? = reply; "model ordered");
+        // Loads queue at the weight store, so one may take several times its own.
+        self.model_due = self.node.now()
+            + match reply {
+                OrderReply::Accepted | OrderReply::Holds => 4 * load_ms,
+                _ => SETTLE.as_millis() as u64,
+            };
+    }
+
+    /// The model with the fewest engines for its service.
+    pub(super) fn wanted_model(&self) -> Option<(Name, u64)> {
+        let view = self.node.view();
+        let config = view.config.as_ref()?;
+        let engine = config.services.get(&self.target.service)?.engine.as_ref()?;
+        let holders = |name: &Name| view.targets.values().filter(|t| t.holds(name)).count();
+        let model = engine.models.iter().min_by_key(|m| holders(&m.name))?;
+        Some((model.name.clone(), model.load_ms))
+    }
+}
--- a/crates/comfreyhall-node/src/serve.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -4,25 +4,23 @@
 //! time is up, or what is known forbids another send; then [`answer_for`]
 //! alone chooses the answer. A request given up on is answered at once.
 
+mod send;
+
 use std::{pin::Pin, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use comfreyhall_domain::{
-    Answer, Ask, Config, Engine, Kind, Name, Outcome, Refusal, Route, Verdict, answer_for,
-};
+use bytes::Bytes;
+use comfreyhall_domain::{Answer, Ask, Config, Engine, Kind, Name, Route, Verdict, answer_for};
 use comfreyhall_routing::{Budget, Standing, admission};
-use futures::{Stream, StreamExt};
+use futures::Stream;
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
+use self::send::Next;
 use crate::{
     choose::{self, Plan, Wish},
     fleet::key_of,
-    flight::Flight,
     keeper,
     node::{Node, Tracked},
-    ports::{Body, Extra, Response, SendError},
-    relay::Relay,
     stop,
 };
 
@@ -38,18 +36,6 @@
 /// Pause before looking again when no target can take a request, in ms.
 const LOOK_MS: u64 = 25;
 
-/// A target that could not be reached is left out this long, in ms.
-const UNREACHED_MS: u64 = 700;
-
-/// Least ms after which a missing first event is taken for a mute target,
-/// and how many times the estimate: the estimate errs by a prompt or two.
-const PATIENCE_MS: u64 = 700;
-const PATIENCE_TIMES: f64 = 2.5;
-
-/// How much a failure proves about a target, against an answer's 1.
-const FAILED_WEIGHT: f64 = 1.0;
-const UNREACHED_WEIGHT: f64 = 2.0;
-
 /// A stream of whole events; an error means that it breaks off.
 pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, String>> + Send>>;
 
@@ -87,12 +73,6 @@
 /// When to come back to a daemon that is not ready, in ms.
 const NOT_READY_MS: u64 = 300;
 
-/// What the next step is after a send.
-pub(crate) enum Next {
-    Reply(Reply),
-    Again,
-}
-
 /// One request on its way.
 pub(crate) struct Job {
     pub(crate) node: Arc<Node>,
@@ -361,241 +341,6 @@
         }
     }
 
-    /// How long a first event may stay away before another target is tried.
-    fn patience(&self, plan: &Plan) -> u64 {
-        let tries = self.tried.len() as u32 + 1;
-        if !choose::repeatable(&self.route) || tries >= self.route.attempts {
-            return self.left();
-        }
-        let patience = PATIENCE_MS + (plan.wait_ms * PATIENCE_TIMES) as u64;
-        patience.min(self.left())
-    }
-
-    /// Sends it; an error has been taken into the verdict.
-    pub(crate) async fn send(
-        &mut self,
-        plan: &Plan,
-        last_event: Option<u64>,
-    ) -> Result<(Response, Flight), ()> {
-        let extra = Extra {
-            left_ms: self.left(),
-            expect: plan.expect,
-            priority: self.route.priority,
-            last_event,
-        };
-        let flight = Flight::begin(
-            &self.node,
-            &plan.target.id,
-            self.ask.adapter.clone().filter(|_| self.engine.is_some()),
-            plan.tokens,
-        );
-        let call = self
-            .node
-            .backend
-            .send(plan.target.clone(), self.ask.clone(), extra);
-        let patience = Duration::from_millis(self.patience(plan));
-        let result = tokio::time::timeout(patience, call).await;
-        let result = result.unwrap_or_else(|_| Err(SendError::Doubt("no answer in time".into())));
-        match result {
-            Ok(response) => {
-                self.arrive(&plan.target.id);
-                Ok((response, flight))
-            }
-            Err(SendError::NotSent(why)) => {
-                self.verdict.add(Outcome::NotSent);
-                flight.note(false, UNREACHED_WEIGHT);
-                let until = self.node.now() + UNREACHED_MS;
-                self.node.view().dead.insert(plan.target.id.clone(), until);
-                self.tell(&plan.target.id, "not sent", &why);
-                Err(())
-            }
-            Err(SendError::Doubt(why)) => {
-                self.arrive(&plan.target.id);
-                self.verdict.add(Outcome::Doubt);
-                flight.note(false, FAILED_WEIGHT);
-                self.tell(&plan.target.id, "in doubt", &why);
-                Err(())
-            }
-        }
-    }
-
-    fn arrive(&mut self, target: &Name) {
-        self.arrivals += 1;
-        if !self.tried.contains(target) {
-            self.tried.push(target.clone());
-        }
-    }
-
-    fn tell(&self, target: &Name, outcome: &'static str, why: &str) {
-        self.node.metrics.send(outcome);
-        let left = self.left();
-        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, target_id:% = target, outcome, why, left; "send");
-    }
-
-    /// Turns a target's answer into the caller's, or decides to go on.
-    async fn answer(&mut self, response: Response, mut flight: Flight, plan: Plan) -> Next {
-        if let Some(refusal) = response.refusal {
-            self.refused(refusal, &flight, &plan);
-            return Next::Again;
-        }
-        if response.status.is_success() && !response.genuine {
-            self.verdict.add(Outcome::Doubt);
-            flight.note(false, FAILED_WEIGHT);
-            self.tell(&flight.target, "in doubt", "the answer is not a target's");
-            return Next::Again;
-        }
-        if response.status.is_success() && response.events {
-            return self.relay(response, flight, plan).await;
-        }
-        let (status, headers) = (response.status, response.headers);
-        let left = Duration::from_millis(self.left());
-        let body = tokio::time::timeout(left, collect(response.body)).await;
-        match body {
-            Ok(Ok(body)) => {
-                flight.first();
-                self.whole(status, headers, body, flight)
-            }
-            broken => {
-                let why = match broken {
-                    Ok(Err(why)) => why,
-                    _ => "its time is up".to_string(),
-                };
-                self.verdict.add(Outcome::Broken);
-                flight.note(false, FAILED_WEIGHT);
-                self.tell(&flight.target, "broken off", &why);
-                Next::Again
-            }
-        }
-    }
-
-    fn refused(&mut self, refusal: Refusal, flight: &Flight, plan: &Plan) {
-        self.verdict.add(Outcome::Refused(refusal));
-        let now = self.node.now();
-        let target = &flight.target;
-        match (refusal, &self.ask.adapter) {
-            (Refusal::Elsewhere, Some(adapter)) => {
-                let mut view = self.node.view();
-                view.residency.note(adapter, target, Standing::Absent, now);
-            }
-            (Refusal::Elsewhere, None) => {
-                let until = now + UNREACHED_MS;
-                self.node.view().dead.insert(target.clone(), until);
-            }
-            _ => flight.note(false, FAILED_WEIGHT),
-        }
-        self.tell(
-            target,
-            "refused",
-            match refusal {
-                Refusal::Full => "the target is full",
-                Refusal::Elsewhere => "it is not there",
-                Refusal::Other => "for a reason of its own",
-            },
-        );
-        log::debug!(target: "serve", id:% = self.ask.id, expect:? = plan.expect, load = plan.load; "refused send");
-    }
-
-    async fn relay(&mut self, response: Response, flight: Flight, plan: Plan) -> Next {
-        let (status, headers) = (response.status, response.headers);
-        let patience = self.patience(&plan).saturating_sub(flight.took()).max(1);
-        let mut relay = Relay::new(response.body, flight, self.ask.last_event);
-        let first = relay.first(Duration::from_millis(patience)).await;
-        match first {
-            Ok(()) => {
-                if let Some(adapter) = &self.ask.adapter {
-                    let now = self.node.now();
-                    let mut view = self.node.view();
-                    let target = &plan.target.id;
-                    view.prefixes.note(adapter, &self.ask.parts, target, now);
-                }
-                let job = self.take();
-                self.node.metrics.first(job.first);
-                let body = relay.run(job);
-                Next::Reply(Reply::Events {
-                    status,
-                    headers,
-                    body,
-                })
-            }
-            Err(why) => {
-                self.verdict.add(Outcome::Broken);
-                relay.flight.note(false, FAILED_WEIGHT);
-                self.tell(&plan.target.id, "broken off before its first event", &why);
-                Next::Again
-            }
-        }
-    }
-
-    /// Moves the request into its stream.
-    fn take(&mut self) -> Job {
-        Job {
-            node: self.node.clone(),
-            ask: self.ask.clone(),
-            route: self.route.clone(),
-            service: self.service.clone(),
-            engine: self.engine.clone(),
-            began: self.began,
-            limit: self.limit,
-            draw: self.draw,
-            tried: self.tried.clone(),
-            closed: Vec::new(),
-            verdict: self.verdict,
-            arrivals: self.arrivals,
-            spare: None,
-            tracked: self.tracked.take(),
-            stall: self.stall,
-            first: self.node.now() - self.began,
-        }
-    }
-
-    /// A whole answer came.
-    fn whole(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: Bytes,
-        flight: Flight,
-    ) -> Next {
-        let now = self.node.now();
-        let ok = !status.is_server_error();
-        flight.note(ok, FAILED_WEIGHT);
-        if ok {
-            let took = flight.took();
-            self.node.view().board.learn_took(&flight.target, took);
-        }
-        self.verdict.add(Outcome::Answered);
-        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, target_id:% = flight.target, status = status.as_u16(), ms = now - self.began; "answered");
-        self.node
-            .metrics
-            .request(self.route.kind, if ok { "answered" } else { "failed" });
-        let again = self.route.kind == Kind::Safe
-            && !ok
-            && (self.tried.len() as u32) < self.route.attempts
-            && self.left() > self.route.target_ms / 4;
-        if again {
-            self.spare = Some((status, headers, body));
-            return Next::Again;
-        }
-        Next::Reply(whole(status, headers, body))
-    }
-
-    /// Chooses a target for the rest of a stream that broke off.
-    pub(crate) async fn again(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<(Response, Flight), ()> {
-        let may = self.verdict.may_send(self.route.repeatable(), u32::MAX)
-            && (self.tried.len() as u32) < self.route.attempts;
-        if !may || self.left() == 0 || !self.repeat() {
-            return Err(());
-        }
-        let plan = self.choose().ok_or(())?;
-        if plan.load && (!self.place(&plan).await || !self.still_ready(&plan)) {
-            return Err(());
-        }
-        self.send(&plan, last_event).await
-    }
-
     /// The final answer, at once.
     fn give_up(&mut self, why: &'static str, excess_ms: f64) -> Reply {
         self.node.metrics.refusal(why);
@@ -641,12 +386,3 @@
         },
     }
 }
-
-/// A whole body, or why it broke off.
-async fn collect(mut body: Body) -> Result<Bytes, String> {
-    let mut out = BytesMut::new();
-    while let Some(piece) = body.next().await {
-        out.extend_from_slice(&piece?);
-    }
-    Ok(out.freeze())
-}
