--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -83,8 +83,12 @@
     let (choices, version) = match (&wish.ask.adapter, wish.engine) {
         (Some(adapter), Some(engine)) => {
             let version = least_version(node, &view, adapter, now);
-            let choices =
-                engine_choices(node, &view, wish, engine, adapter, &targets, version, &base);
+            let wanted = Wanted {
+                adapter,
+                engine,
+                version,
+            };
+            let choices = engine_choices(node, &view, wish, wanted, &targets, &base);
             (choices, version)
         }
         _ => {
@@ -125,17 +129,27 @@
     prompt.saturating_sub(kept).max(1)
 }
 
-#[allow(clippy::too_many_arguments)]
+/// What an engine must have for a request.
+struct Wanted<'a> {
+    adapter: &'a AdapterRef,
+    engine: &'a Engine,
+    /// Least version that will do; 0 for any.
+    version: u64,
+}
+
 fn engine_choices(
     node: &Node,
     view: &View,
     wish: &Wish<'_>,
-    engine: &Engine,
-    adapter: &AdapterRef,
+    wanted: Wanted<'_>,
     targets: &[Arc<Target>],
-    version: u64,
     base: &impl Fn(&Target) -> Choice,
 ) -> Vec<Choice> {
+    let Wanted {
+        adapter,
+        engine,
+        version,
+    } = wanted;
     let now = node.now();
     let key = crate::fleet::key_of(adapter);
     let in_use = node.fleet.in_use(now);
--- a/crates/comfreyhall-node/src/keeper/mod.rs
+++ b/crates/comfreyhall-node/src/keeper/mod.rs
@@ -22,7 +22,7 @@
 };
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Target};
-use comfreyhall_placement::{Waiting, Window};
+use comfreyhall_placement::{Ceiling, Waiting, Window};
 use comfreyhall_protocol::{EnsureReply, EnsureRequest};
 use tokio::sync::{mpsc, oneshot};
 
@@ -68,6 +68,8 @@
     /// Loads on their way from the weight store.
     coming: AtomicU32,
     window: Mutex<Window>,
+    /// Model loads begun lately.
+    models: Mutex<Ceiling>,
     times: Mutex<[f64; 2]>,
 }
 
@@ -77,6 +79,7 @@
             jobs: Mutex::default(),
             coming: AtomicU32::new(0),
             window: Mutex::default(),
+            models: Mutex::default(),
             times: Mutex::new(FIRST_LOAD_MS),
         }
     }
@@ -89,6 +92,12 @@
         self.coming.load(Ordering::Relaxed) >= window.size()
     }
 
+    /// Whether a model load may begin now.
+    fn model_may_load(&self, rate: f64, part: f64, now: u64) -> bool {
+        let mut models = self.models.lock().expect("no holder of this lock panics");
+        models.begin(rate, part, now)
+    }
+
     /// Expected ms of a load.
     pub(crate) fn load_ms(&self, recent: bool) -> f64 {
         let times = self.times.lock().expect("no holder of this lock panics");
--- a/crates/comfreyhall-node/src/keeper/order.rs
+++ b/crates/comfreyhall-node/src/keeper/order.rs
@@ -8,6 +8,7 @@
 use super::{IDLE_MS, Keeper, SETTLE};
 use crate::{
     fleet::key_of,
+    leases,
     ports::{Action, Order, OrderReply},
 };
 
@@ -90,9 +91,14 @@
         if !empty || now < self.model_due || self.target.stage != Stage::Ready {
             return;
         }
-        let Some((model, load_ms)) = self.wanted_model() else {
+        let Some((model, load_ms, rate)) = self.wanted_model() else {
             return;
         };
+        let part = self.part_of_groups();
+        if !self.node.keepers.model_may_load(rate, part, now) {
+            self.model_due = now + IDLE_MS;
+            return;
+        }
         let adapter = AdapterRef {
             model,
             adapter: None,
@@ -108,12 +114,19 @@
     }
 
     /// The model with the fewest engines for its service.
-    pub(super) fn wanted_model(&self) -> Option<(Name, u64)> {
+    pub(super) fn wanted_model(&self) -> Option<(Name, u64, f64)> {
         let view = self.node.view();
         let config = view.config.as_ref()?;
         let engine = config.services.get(&self.target.service)?.engine.as_ref()?;
         let holders = |name: &Name| view.targets.values().filter(|t| t.holds(name)).count();
         let model = engine.models.iter().min_by_key(|m| holders(&m.name))?;
-        Some((model.name.clone(), model.load_ms))
+        Some((model.name.clone(), model.load_ms, engine.loads_rate))
+    }
+
+    /// This daemon's part of the groups that have engines.
+    fn part_of_groups(&self) -> f64 {
+        let own = self.node.leases.held(self.node.settings().bounds.fencing);
+        let all = leases::groups(&self.node).len();
+        own.len() as f64 / all.max(1) as f64
     }
 }
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -94,7 +94,7 @@
 }
 
 /// Domains in which engines are.
-fn groups(node: &Node) -> Vec<Name> {
+pub(crate) fn groups(node: &Node) -> Vec<Name> {
     let view = node.view();
     let Some(config) = &view.config else {
         return Vec::new();
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -26,7 +26,7 @@
 pub use fleet::serve_peers;
 pub use node::Node;
 pub use serve::{EventStream, Reply};
-pub use stop::{Drained, leave};
+pub use stop::leave;
 
 use std::sync::Arc;
 
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_life::{Event, Stage};
+use comfreyhall_life::Event;
 
 use crate::{fleet, node::Node};
 
@@ -21,14 +21,6 @@
 /// Pause between looks.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// What remains to be done by whoever listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Drained {
-    /// Take no new connections and close idle ones; those in progress end on
-    /// their own.
-    CloseIdle,
-}
-
 /// Whether a stopping daemon still takes a request that may last until
 /// `limit`.
 ///
@@ -52,16 +44,18 @@
     (node.settings().bounds.grace_s * 1_000.0 * LAST_PART) as u64
 }
 
-/// Leaves: returns once nothing is in progress or time is up. `close_idle`
-/// is called when callers have had time to learn of it.
-pub async fn leave(node: &Arc<Node>, close_idle: impl Fn(Drained)) {
+/// Leaves: returns once nothing is in progress or time is up.
+///
+/// `close_idle` is called when callers have had time to learn of it: take no
+/// new connections then and close idle ones; those in use end on their own.
+pub async fn leave(node: &Arc<Node>, close_idle: impl Fn()) {
     let began = node.now();
     node.set_stopping(began);
     node.life.handle(Event::Stop);
     log::info!(target: "stop", in_flight = node.in_flight(); "leaving");
     fleet::tell_all(node).await;
     tokio::time::sleep(LINGER).await;
-    close_idle(Drained::CloseIdle);
+    close_idle();
     drained(node, began).await;
     // What goes wrong without it: nothing is in progress, the process is
     // about to end, and a request that comes in that instant is passed on
@@ -71,7 +65,7 @@
     // The last answers are still on their way to their callers.
     tokio::time::sleep(LOOK * 4).await;
     node.life.handle(Event::Drained);
-    log::info!(target: "stop", in_flight = node.in_flight(), stage:? = Stage::Stopped; "stopped");
+    log::info!(target: "stop", in_flight = node.in_flight(); "stopped");
 }
 
 /// Waits until nothing is in progress, at most until the bound.
--- a/crates/comfreyhall-placement/src/lib.rs
+++ b/crates/comfreyhall-placement/src/lib.rs
@@ -12,6 +12,7 @@
 //! Neither ever names a pinned or loading slot as a victim; the engine refuses
 //! such an eviction anyway, so a stale view cannot evict an adapter in use.
 
+mod ceiling;
 mod demand;
 mod frequency;
 mod lru;
@@ -20,6 +21,7 @@
 mod view;
 mod window;
 
+pub use ceiling::Ceiling;
 pub use demand::Demand;
 pub use frequency::Frequency;
 pub use lru::Lru;
--- a/crates/comfreyhall-placement/src/tests.rs
+++ b/crates/comfreyhall-placement/src/tests.rs
@@ -364,3 +364,18 @@
     let (took, _) = play_store(8.0, 3, Some(16));
     assert!(took > 1_400.0, "{took}");
 }
+
+/// Symptom: after many engines restarted at once the weight store took far
+/// more loads than it allows. Events: each of 30 engines wants its model.
+/// Cause: each was ordered its load at once.
+#[test]
+fn begin_restarts_keep_to_rate() {
+    let mut ceiling = crate::Ceiling::default();
+    let begun = |ceiling: &mut crate::Ceiling, now| {
+        (0..30).filter(|_| ceiling.begin(2.8, 0.5, now)).count()
+    };
+    assert_eq!(begun(&mut ceiling, 0), 7);
+    assert_eq!(begun(&mut ceiling, 4_999), 0);
+    assert_eq!(begun(&mut ceiling, 5_000), 7);
+    assert!(ceiling.begin(0.01, 0.1, 20_000));
+}
--- a/crates/comfreyhall-settings/src/check.rs
+++ b/crates/comfreyhall-settings/src/check.rs
@@ -40,6 +40,18 @@
     },
 }
 
+/// Text of the file at `path`, and its name for errors.
+pub(crate) fn read(path: &std::path::Path) -> Result<(String, String), SettingsError> {
+    let origin = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((text, origin)),
+        Err(e) => Err(SettingsError::Unreadable {
+            origin,
+            detail: e.to_string(),
+        }),
+    }
+}
+
 fn field(field: String, problem: String, remedy: &str) -> SettingsError {
     SettingsError::Field {
         field,
--- a/crates/comfreyhall-settings/src/model.rs
+++ b/crates/comfreyhall-settings/src/model.rs
@@ -183,12 +183,7 @@
 
     /// Reads, parses and checks a settings file.
     pub fn load(path: impl AsRef<std::path::Path>) -> Result<Self, SettingsError> {
-        let path = path.as_ref();
-        let origin = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable {
-            origin: origin.clone(),
-            detail: e.to_string(),
-        })?;
+        let (text, origin) = check::read(path.as_ref())?;
         Self::parse(&text, &origin)
     }
 
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -8,7 +8,7 @@
 
 use serde::Deserialize;
 
-use crate::check::SettingsError;
+use crate::check::{self, SettingsError};
 
 /// Where a daemon listens, each as `ip:port`.
 #[derive(Debug, Clone, Deserialize, PartialEq, Eq)]
@@ -74,12 +74,7 @@
 impl NodeSettings {
     /// Reads and checks the file at `path`.
     pub fn load(path: impl AsRef<std::path::Path>) -> Result<Self, SettingsError> {
-        let path = path.as_ref();
-        let origin = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable {
-            origin: origin.clone(),
-            detail: e.to_string(),
-        })?;
+        let (text, origin) = check::read(path.as_ref())?;
         Self::parse(&text, &origin)
     }
 
--- a/crates/comfreyhall-telemetry/src/json.rs
+++ b/crates/comfreyhall-telemetry/src/json.rs
@@ -9,7 +9,7 @@
 use std::{
     io::Write,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
@@ -26,11 +26,50 @@
 /// Lines that may wait for the writer: about a second of a busy daemon.
 const QUEUE: usize = 4_096;
 
+/// Lines of one kind a second. A busy daemon serves some 40 requests a second
+/// with two lines each; a burst or a fault must not multiply what logging
+/// costs.
+const KIND_RATE: u32 = 200;
+
+/// Kinds that are never left out: how a request failed is told for each, or
+/// nobody could say whether one that runs at most once has run.
+const ALWAYS: [&str; 4] = ["send", "given up", "stream broke off", "stream given up"];
+
+/// Counts the lines of each kind in the current second.
+#[derive(Debug, Default)]
+pub(crate) struct Bound {
+    second: u64,
+    counts: std::collections::HashMap<(String, String), u32>,
+}
+
+impl Bound {
+    /// Whether a line of this kind is written; with the counts of what was
+    /// left out in the second before, when a new one begins.
+    pub(crate) fn admit(&mut self, record: &Record<'_>, at_ms: u64) -> (bool, u64) {
+        let mut left_out = 0;
+        if at_ms / 1_000 != self.second {
+            self.second = at_ms / 1_000;
+            let over = self.counts.values().map(|c| c.saturating_sub(KIND_RATE));
+            left_out = over.map(u64::from).sum();
+            self.counts.clear();
+        }
+        let message = record.args().to_string();
+        if record.level() <= log::Level::Warn || ALWAYS.contains(&message.as_str()) {
+            return (true, left_out);
+        }
+        let kind = (record.target().to_string(), message);
+        let count = self.counts.entry(kind).or_default();
+        *count += 1;
+        (*count <= KIND_RATE, left_out)
+    }
+}
+
 /// Sends lines to the writer's thread.
 #[derive(Debug)]
 pub(crate) struct Lines {
     queue: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    bound: Mutex<Bound>,
 }
 
 struct Fields(Map<String, serde_json::Value>);
@@ -78,7 +117,11 @@
         let dropped = Arc::new(AtomicU64::new(0));
         let counted = dropped.clone();
         std::thread::spawn(move || write_all(lines, counted, out));
-        Self { queue, dropped }
+        Self {
+            queue,
+            dropped,
+            bound: Mutex::default(),
+        }
     }
 }
 
@@ -103,7 +146,17 @@
 
 impl Append for Lines {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        if let Err(TrySendError::Full(_)) = self.queue.try_send(line(record, now_ms())) {
+        let now = now_ms();
+        let (admitted, left_out) = {
+            let mut bound = self.bound.lock().expect("no holder of this lock panics");
+            bound.admit(record, now)
+        };
+        // What is left out is counted with what was dropped.
+        self.dropped.fetch_add(left_out, Ordering::Relaxed);
+        if !admitted {
+            return Ok(());
+        }
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(line(record, now)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
--- a/crates/comfreyhall-telemetry/src/tests.rs
+++ b/crates/comfreyhall-telemetry/src/tests.rs
@@ -7,14 +7,18 @@
 use log::{Level, Record};
 use log4rs::append::Append;
 
-use crate::json::{Lines, line};
+use crate::json::{Bound, Lines, line};
 
 fn record<R>(f: impl FnOnce(&Record<'_>) -> R) -> R {
+    kind("send", f)
+}
+
+fn kind<R>(message: &str, f: impl FnOnce(&Record<'_>) -> R) -> R {
     let fields = [("id", "r1"), ("outcome", "refused")];
     f(&Record::builder()
         .level(Level::Info)
         .target("serve")
-        .args(format_args!("send"))
+        .args(format_args!("{message}"))
         .key_values(&fields)
         .build())
 }
@@ -67,3 +71,19 @@
         std::thread::yield_now();
     }
 }
+
+/// Symptom: a burst made logging cost more than serving. Events: a thousand
+/// requests are answered within a second. Cause: one line each, unbounded.
+#[test]
+fn admit_burst_is_bounded_failures_are_not() {
+    let mut bound = Bound::default();
+    let mut admitted = |message: &str, at_ms: u64| {
+        let lines = (0..1_000).map(|_| kind(message, |r| bound.admit(r, at_ms)));
+        lines.fold((0, 0), |sum, (ok, left)| {
+            (sum.0 + u32::from(ok), sum.1 + left)
+        })
+    };
+    assert_eq!(admitted("answered", 5_000), (200, 0));
+    assert_eq!(admitted("given up", 5_999), (1_000, 0));
+    assert_eq!(admitted("answered", 6_000), (200, 800));
+}
