Forget old demand; drop what nothing uses

Demand::prune was never called, so the node's memory grew with every adapter ever asked for; the directory parsed a query field it did not use.

--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -214,8 +214,7 @@
         }
     }
 
-    /// An adapter has come to a target by our order, or was `None` of it
-    /// is left there.
+    /// An adapter came to a target by our order, or left it (`None`).
     pub(crate) fn placed(&self, target: &Name, adapter: &AdapterRef, version: Option<u64>) {
         let mut state = self.state();
         let serial = state.next;
@@ -276,7 +275,7 @@
             .collect()
     }
 
-    pub(crate) fn addresses(&self, node: &Node, _domain: &str) -> (Vec<Name>, Duration) {
+    pub(crate) fn addresses(&self, node: &Node) -> (Vec<Name>, Duration) {
         let now = node.now();
         let mut out: Vec<Name> = Vec::new();
         if node.ready() {
--- a/crates/comfreyhall-node/src/keeper/mod.rs
+++ b/crates/comfreyhall-node/src/keeper/mod.rs
@@ -45,6 +45,11 @@
 /// Pause between looks at a load that should have ended, in ms.
 const LOOK_MS: u64 = 15;
 
+/// Score below which an adapter's demand is forgotten: some 40 s after its
+/// last request. Without it memory would grow with every adapter ever asked
+/// for.
+const FORGOTTEN_SCORE: f64 = 0.01;
+
 /// Longest pause of a keeper with nothing to do, in ms.
 const IDLE_MS: u64 = 500;
 
@@ -142,6 +147,8 @@
     let node = node.clone();
     tokio::spawn(async move {
         loop {
+            let now = node.now();
+            node.view().demand.prune(FORGOTTEN_SCORE, now);
             for target in engines(&node) {
                 if node.token(&target.domain).is_some() {
                     start(&node, &target);
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -157,10 +157,10 @@
         matches!(self.life.stage(), Stage::Leaving | Stage::Stopped)
     }
 
-    /// Addresses for callers in `domain`, this daemon's own among them, and
-    /// how long to keep them.
-    pub fn addresses(&self, domain: &str) -> (Vec<Name>, Duration) {
-        self.fleet.addresses(self, domain)
+    /// Addresses for callers, this daemon's own among them, and how long to
+    /// keep them.
+    pub fn addresses(&self) -> (Vec<Name>, Duration) {
+        self.fleet.addresses(self)
     }
 
     /// Requests in progress.
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -33,6 +33,10 @@
 /// worth more.
 const HOLD_PART: f64 = 0.4;
 
+/// When a caller whose sends are all spent should come back, as a part of the
+/// route's objective: the targets that failed it are then known to be ill.
+const SPENT_PART: f64 = 0.5;
+
 /// Pause before looking again when no target can take a request, in ms.
 const LOOK_MS: u64 = 25;
 
@@ -214,7 +218,8 @@
                 return self.give_up("it may have run", 0.0);
             }
             if self.exhausted() {
-                return self.give_up("every send it may have is spent", plan_wait(&self));
+                let excess = self.route.target_ms as f64 * SPENT_PART;
+                return self.give_up("every send it may have is spent", excess);
             }
         }
         self.give_up("no target took it", 0.0)
@@ -369,10 +374,6 @@
     }
 }
 
-fn plan_wait(job: &Job) -> f64 {
-    job.route.target_ms as f64 / 2.0
-}
-
 /// A target's own answer. A failure whose status would promise "not run"
 /// without the target's proof is passed on as one that promises nothing.
 fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Reply {
