--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -21,8 +21,6 @@
     pub(crate) news: Map<Name, u64>,
     /// Newest version covered.
     pub(crate) version: u64,
-    /// When the store itself last answered us; 0 for never.
-    pub(crate) read: u64,
     /// When the store said what is known here, to us or to a peer.
     pub(crate) as_of: u64,
 }
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -105,8 +105,7 @@
         }
         let peer: Name = from.id.as_str().into();
         let mut view = node.view();
-        let used: Vec<&TargetWork> = news.work.iter().collect();
-        for work in used {
+        for work in &news.work {
             let target: Name = work.target.as_str().into();
             let told = Work {
                 prefill: work.prefill,
@@ -212,8 +211,28 @@
     rows.map(to_wire).collect()
 }
 
-/// Adds the rows that the sender of `asked` wants to `news`.
-pub(super) fn add_rows(node: &Node, asked: &News, news: &mut News) {
+/// What the sender of news lacks.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lack {
+    wants_settings: bool,
+    settings_version: u64,
+    targets_version: u64,
+    targets_age: u64,
+}
+
+impl From<&News> for Lack {
+    fn from(news: &News) -> Self {
+        Self {
+            wants_settings: news.wants_settings,
+            settings_version: news.settings_version,
+            targets_version: news.targets_version,
+            targets_age: news.targets_age,
+        }
+    }
+}
+
+/// Adds the rows that a peer lacks to the news for it.
+pub(super) fn add_rows(node: &Node, asked: Lack, news: &mut News) {
     if asked.wants_settings {
         news.settings = rows_since(node, Topic::Settings, asked.settings_version);
     }
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -13,7 +13,7 @@
 
 use super::{
     FANOUT, Fleet, PERIOD_MS,
-    news::{add_rows, rows_since},
+    news::{Lack, add_rows, rows_since},
 };
 use crate::{keeper, node::Node, ports::Topic};
 
@@ -125,9 +125,10 @@
         let asked = req.into_inner();
         let addr = asked.from.as_ref().map(|d| d.peer.clone());
         let addr = addr.unwrap_or_default();
-        self.0.fleet.learn(&self.0, asked.clone());
+        let lack = Lack::from(&asked);
+        self.0.fleet.learn(&self.0, asked);
         let mut news = self.0.fleet.news_for(&self.0, &addr);
-        add_rows(&self.0, &asked, &mut news);
+        add_rows(&self.0, lack, &mut news);
         Ok(Response::new(news))
     }
 
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -52,7 +52,7 @@
 
 async fn settings(node: Arc<Node>) {
     let mut after: Option<u64> = None;
-    let mut down = false;
+    let mut link = Link::new("settings");
     loop {
         let answer = match after {
             None => node.source.read(Topic::Settings).await,
@@ -61,31 +61,44 @@
                 feed.await
             }
         };
-        node.metrics.store("settings", answer.is_ok());
+        link.note(&node, &answer);
         match answer {
             Ok(facts) => {
-                if down {
-                    log::info!(target: "follow", version = facts.version; "store answers again for settings");
-                    down = false;
-                }
                 after = Some(facts.version);
-                let now = node.now();
-                node.view().book.settings.read = now;
                 facts::apply(&node, Topic::Settings, facts);
                 settle(&node);
             }
-            Err(e) => {
-                if !down || e == SourceError::Forgotten {
-                    log::warn!(target: "follow", error:% = e; "settings not read");
-                }
-                down = true;
-                if e == SourceError::Forgotten {
-                    after = None;
-                    continue;
-                }
-                tokio::time::sleep(RETRY_PAUSE).await;
+            Err(SourceError::Forgotten) => after = None,
+            Err(SourceError::Unavailable(_)) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Whether the store answers for one topic; tells when that changes.
+struct Link {
+    topic: &'static str,
+    down: bool,
+}
+
+impl Link {
+    fn new(topic: &'static str) -> Self {
+        Self { topic, down: false }
+    }
+
+    fn note(&mut self, node: &Node, answer: &Result<Facts, SourceError>) {
+        let topic = self.topic;
+        node.metrics.store(topic, answer.is_ok());
+        match answer {
+            Ok(facts) if self.down => {
+                log::info!(target: "follow", version = facts.version; "store answers again for {topic}");
             }
+            Ok(_) => {}
+            Err(e) if !self.down || *e == SourceError::Forgotten => {
+                log::warn!(target: "follow", error:% = e; "{topic} not read");
+            }
+            Err(_) => {}
         }
+        self.down = answer.is_err();
     }
 }
 
@@ -102,29 +115,17 @@
 
 async fn targets(node: Arc<Node>) {
     let mut away = Outage::default();
-    let mut down = false;
+    let mut link = Link::new("targets");
     loop {
         let beat = node.settings().bounds.drain_ms / PARTS_PER_DRAIN;
         let due = beat + rand::rng().random_range(0..beat.max(1));
         await_age(&node, due).await;
         let began = node.now();
         let answer = node.source.read(Topic::Targets).await;
-        node.metrics.store("targets", answer.is_ok());
+        link.note(&node, &answer);
         match answer {
-            Ok(listed) => {
-                if down {
-                    log::info!(target: "follow", version = listed.version; "store answers again for targets");
-                    down = false;
-                }
-                take(&node, &mut away, listed, began, 2 * beat);
-            }
-            Err(e) => {
-                if !down {
-                    log::warn!(target: "follow", error:% = e; "targets not read");
-                }
-                down = true;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Ok(listed) => take(&node, &mut away, listed, began, 2 * beat),
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
@@ -152,7 +153,6 @@
     let last = {
         let mut view = node.view();
         let targets = &mut view.book.targets;
-        targets.read = now;
         // What a peer heard meanwhile may be newer than this answer.
         let last = targets.as_of;
         targets.as_of = last.max(began);
