--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -315,6 +315,12 @@
         self.state().peers.get(peer).map(|p| p.client.clone())
     }
 
+    /// Whether this daemon has too little processor to hold leases in a large
+    /// fleet while others can.
+    pub(crate) fn weak(&self) -> bool {
+        hub::large(self.state().peers.len()) && self.me.millicores < MUCH_CPU
+    }
+
     /// Whether another daemon is better placed to hold the lease of `group`.
     ///
     /// In a large fleet a holder answers everybody's reports, so the daemons
--- a/crates/comfreyhall-node/src/keeper/copies.rs
+++ b/crates/comfreyhall-node/src/keeper/copies.rs
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_domain::{AdapterRef, Name, Stage};
+use comfreyhall_domain::{AdapterRef, Map, Name, Stage};
 use comfreyhall_placement::{Waiting, engines_for};
 use comfreyhall_routing::pick::home_rank;
 
@@ -38,7 +38,8 @@
     let now = node.now();
     let due = {
         let view = node.view();
-        due(&view, now)
+        let in_use = node.fleet.in_use(now);
+        due(&view, &in_use, now)
     };
     for (target, domain, adapter) in due {
         if node.token(&domain).is_none() {
@@ -53,7 +54,7 @@
             waiting: Waiting {
                 priority: 0,
                 since: now,
-                aim: now,
+                aim: now + STUCK_MS,
             },
             done: None,
             until: now + STUCK_MS,
@@ -67,7 +68,14 @@
 
 /// Copies that adapters need beyond those that exist: target, its failure
 /// domain, adapter.
-fn due(view: &View, now: u64) -> Vec<(Name, Name, AdapterRef)> {
+///
+/// Engines whose places are all in use come last: a copy ordered there waits,
+/// and the queues that it is to relieve grow meanwhile.
+fn due(
+    view: &View,
+    in_use: &Map<Name, Vec<AdapterRef>>,
+    now: u64,
+) -> Vec<(Name, Name, AdapterRef)> {
     let cost_ms = view.board.reading_ms(view.prompt_tokens);
     let mut out = Vec::new();
     for (key, rate) in view.rush.rates(now) {
@@ -84,7 +92,11 @@
             .values()
             .filter(|t| t.stage == Stage::Ready && t.holds(&adapter.model))
             .filter(|t| view.residency.version(&adapter, &t.id).is_none())
-            .map(|t| (home_rank(&key, &t.id), t))
+            .map(|t| {
+                let used = in_use.get(&t.id).map_or(0, Vec::len);
+                let full = used as u32 >= view.places(t);
+                ((full, home_rank(&key, &t.id)), t)
+            })
             .collect();
         homes.sort_by_key(|(rank, _)| *rank);
         let missing = needed.saturating_sub(held) as usize;
--- a/crates/comfreyhall-node/src/keeper/load.rs
+++ b/crates/comfreyhall-node/src/keeper/load.rs
@@ -138,7 +138,7 @@
                     waiting: Waiting {
                         priority: 0,
                         since: now,
-                        aim: now,
+                        aim: now + STUCK_MS,
                     },
                     done: None,
                     until: now + STUCK_MS,
@@ -251,14 +251,7 @@
     }
 
     pub(super) fn places(&self) -> usize {
-        let view = self.node.view();
-        let config = view.config.as_ref();
-        let service = config.and_then(|c| c.services.get(&self.target.service));
-        let engine = service.and_then(|s| s.engine.as_ref());
-        engine.map_or(0, |e| {
-            let models = e.models.iter().filter(|m| self.target.holds(&m.name));
-            models.map(|m| e.room(m)).min().unwrap_or(0) as usize
-        })
+        self.node.view().places(&self.target) as usize
     }
 
     pub(super) fn choose_victim(&self) -> Option<AdapterRef> {
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -213,9 +213,14 @@
     let now = node.now();
     let held = before.is_some() || node.fleet.holder(group, now).is_some();
     let vacant = node.leases.vacant_ms(group, held, now);
-    // Those better placed may be unable to reach the store.
-    let mine = !node.fleet.better(group, now) || vacant >= VACANT_TERMS * term.as_millis() as u64;
-    let want = node.ready() && mine;
+    let term_ms = term.as_millis() as u64;
+    // Those better placed may not be known yet, or unable to reach the store.
+    let patience = match (node.fleet.better(group, now), node.fleet.weak()) {
+        (true, _) => VACANT_TERMS * term_ms,
+        (false, true) => term_ms,
+        (false, false) => 0,
+    };
+    let want = node.ready() && vacant >= patience;
     // A holder that was heard from lately needs no look at the store, and
     // whoever leaves the lease to others has none to take.
     if before.is_none() && (held || !want) {
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -32,7 +32,7 @@
 
 /// Half-life of the fast count, in ms: an adapter that becomes hot needs its
 /// copies within the first second.
-const RUSH_HALF_LIFE_MS: u64 = 1_000;
+const RUSH_HALF_LIFE_MS: u64 = 700;
 
 /// Prompt tokens of a request before any came.
 const FIRST_PROMPT: f64 = 1_500.0;
@@ -81,6 +81,17 @@
         self.prompt_tokens += PROMPT_GAIN * (f64::from(tokens) - self.prompt_tokens);
     }
 
+    /// Adapters that have a place at `target`, as configured.
+    pub(crate) fn places(&self, target: &Target) -> u32 {
+        let config = self.config.as_ref();
+        let service = config.and_then(|c| c.services.get(&target.service));
+        let engine = service.and_then(|s| s.engine.as_ref());
+        engine.map_or(0, |e| {
+            let models = e.models.iter().filter(|m| target.holds(&m.name));
+            models.map(|m| e.room(m)).min().unwrap_or(0)
+        })
+    }
+
     /// Targets of `service` that take work, in a fixed order.
     pub(crate) fn ready(&self, service: &str, now: u64) -> Vec<Arc<Target>> {
         let mut out: Vec<Arc<Target>> = self
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -29,11 +29,6 @@
 /// going round in circles, above what the time of a request allows.
 const ROUNDS: u32 = 40;
 
-/// Part of a caller's time that may go by before the first send. Beyond it
-/// a late answer is unlikely to be in time, and the caller's own return is
-/// worth more.
-const HOLD_PART: f64 = 0.4;
-
 /// When a caller whose sends are all spent should come back, as a part of the
 /// route's objective: the targets that failed it are then known to be ill.
 const SPENT_PART: f64 = 0.5;
@@ -192,7 +187,14 @@
                 tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
                 continue;
             };
-            if round == 0 && admission::refuse(plan.wait_ms, self.left(), self.route.priority) {
+            if round == 0
+                && admission::refuse(
+                    plan.wait_ms,
+                    self.left(),
+                    self.route.target_ms,
+                    self.route.priority,
+                )
+            {
                 return self.give_up("the wait is too long", plan.wait_ms / 2.0);
             }
             if plan.load && !self.place(&plan).await {
@@ -241,9 +243,8 @@
 
     /// Whether too much of its time went by without a send.
     fn held_long(&self) -> bool {
-        let total = (self.limit - self.began) as f64;
-        let gone = self.node.now().saturating_sub(self.began) as f64;
-        gone > total * HOLD_PART
+        let most = admission::hold_ms(self.limit - self.began, self.route.target_ms);
+        self.node.now().saturating_sub(self.began) > most
     }
 
     /// Counts the request for budgets and demand.
--- a/crates/comfreyhall-placement/src/copies.rs
+++ b/crates/comfreyhall-placement/src/copies.rs
@@ -1,9 +1,9 @@
 //! How many engines a hot adapter needs.
 
 /// Part of an engine's reading time that one adapter may take before it is
-/// worth another engine: the others in place want the rest, and a queue at
-/// twice this load grows without bound.
-const FILL: f64 = 0.5;
+/// worth another engine: the others in place want the rest, and a queue near
+/// full load grows without bound.
+const FILL: f64 = 0.4;
 
 /// Engines for an adapter that is asked for `rate` times a second, when one
 /// request keeps an engine reading for `cost_ms`.
--- a/crates/comfreyhall-routing/src/admission.rs
+++ b/crates/comfreyhall-routing/src/admission.rs
@@ -16,10 +16,28 @@
 /// time they have left.
 const RETRY_BOUNDS: (u64, u64) = (100, 3_000);
 
-/// Whether a request that would wait `wait_ms` is refused on arrival.
-pub fn refuse(wait_ms: f64, left_ms: u64, priority: u8) -> bool {
+/// How many times its objective a request may wait. Beyond it even an
+/// estimate that is half too high means a late answer, and engines that read
+/// late prompts make the next ones late too.
+const AIM_TIMES: f64 = 1.5;
+
+/// Whether a request that would wait `wait_ms` is refused on arrival;
+/// `aim_ms`: its latency objective.
+pub fn refuse(wait_ms: f64, left_ms: u64, aim_ms: u64, priority: u8) -> bool {
     let rank = usize::from(priority).min(WAIT_SHARE.len() - 1);
-    wait_ms > left_ms as f64 * WAIT_SHARE[rank]
+    let most = (left_ms as f64 * WAIT_SHARE[rank]).min(aim_ms as f64 * AIM_TIMES);
+    wait_ms > most
+}
+
+/// Parts of a caller's time, and of its objective, that may go by without a
+/// send: an answer after that is late, a caller that is told so at once still
+/// has time for another try, and the place it waits for goes to one in time.
+const HOLD_PARTS: (f64, f64) = (0.4, 1.0);
+
+/// Longest that a request with `total_ms` in all is held without a send.
+pub fn hold_ms(total_ms: u64, aim_ms: u64) -> u64 {
+    let (of_time, of_aim) = HOLD_PARTS;
+    (total_ms as f64 * of_time).min(aim_ms as f64 * of_aim) as u64
 }
 
 /// When a refused caller should come back, in ms.
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -223,8 +223,8 @@
 
 #[test]
 fn refuse_lower_rank_sooner() {
-    assert!(!admission::refuse(600.0, 1_000, 0));
-    assert!(admission::refuse(600.0, 1_000, 2));
+    assert!(!admission::refuse(600.0, 1_000, 1_000, 0));
+    assert!(admission::refuse(600.0, 1_000, 1_000, 2));
 }
 
 #[test]
