Copies that are due have a type and a test

Cause: the choice of engines for copies of a hot adapter had no kit-free test and returned a bare triple.

Change: `Due`; `due_hot_adapter_on_several_engines`.

--- a/crates/comfreyhall-node/src/keeper/copies.rs
+++ b/crates/comfreyhall-node/src/keeper/copies.rs
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_domain::{AdapterRef, Map, Name, Stage};
+use comfreyhall_domain::{AdapterRef, Map, Name, Stage, Target};
 use comfreyhall_placement::engines_for;
 use comfreyhall_routing::pick::home_rank;
 
@@ -41,30 +41,32 @@
         let in_use = node.fleet.in_use(now);
         due(&view, &in_use, now)
     };
-    for (target, domain, adapter) in due {
-        if node.token(&domain).is_none() {
+    for copy in due {
+        if node.token(&copy.target.domain).is_none() {
             continue;
         }
-        let Some(jobs) = node.keepers.jobs().get(&target).cloned() else {
+        let id = &copy.target.id;
+        let Some(jobs) = node.keepers.jobs().get(id).cloned() else {
             continue;
         };
-        let job = Job::ahead(adapter, 0, now);
+        let job = Job::ahead(copy.adapter, 0, now);
         if jobs.try_send(job).is_err() {
-            log::debug!(target: "keeper", id:% = target; "no copy ordered: the engine's queue is full");
+            log::debug!(target: "keeper", id:% = id; "no copy ordered: the engine's queue is full");
         }
     }
 }
 
-/// Copies that adapters need beyond those that exist: target, its failure
-/// domain, adapter.
+/// A copy of an adapter that an engine is to have.
+struct Due {
+    target: Arc<Target>,
+    adapter: AdapterRef,
+}
+
+/// Copies that adapters need beyond those that exist.
 ///
 /// Engines whose places are all in use come last: a copy ordered there waits,
 /// and the queues that it is to relieve grow meanwhile.
-fn due(
-    view: &View,
-    in_use: &Map<Name, Vec<AdapterRef>>,
-    now: u64,
-) -> Vec<(Name, Name, AdapterRef)> {
+fn due(view: &View, in_use: &Map<Name, Vec<AdapterRef>>, now: u64) -> Vec<Due> {
     let cost_ms = view.board.reading_ms(view.prompt_tokens);
     let mut out = Vec::new();
     for (key, rate) in view.rush.rates(now) {
@@ -89,12 +91,14 @@
             .collect();
         homes.sort_by_key(|(rank, _)| *rank);
         let missing = needed.saturating_sub(held) as usize;
-        out.extend(
-            homes
-                .into_iter()
-                .take(missing)
-                .map(|(_, t)| (t.id.clone(), t.domain.clone(), adapter.clone())),
-        );
+        let copies = homes.into_iter().take(missing).map(|(_, t)| Due {
+            target: t.clone(),
+            adapter: adapter.clone(),
+        });
+        out.extend(copies);
     }
     out
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/comfreyhall-node/src/keeper/copies/tests.rs
@@ -0,0 +1,68 @@
+use comfreyhall_domain::{AdapterRef, Held, Map, Name, Stage, Target};
+use comfreyhall_placement::Demand;
+use comfreyhall_routing::{Board, Prefixes, Residency, Standing};
+
+use super::due;
+use crate::{facts::Book, node::View};
+
+fn target(id: &str) -> Target {
+    Target {
+        id: id.into(),
+        service: "s".into(),
+        addr: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        stage: Stage::Ready,
+        slots: 4,
+        held: vec![Held {
+            model: "m".into(),
+            adapters: Vec::new(),
+        }],
+        sequence: 0,
+        version: 1,
+    }
+}
+
+/// What a holder knows of six engines, the first of which has the adapter
+/// that was asked for `requests` times in the last second.
+fn view(requests: u32, adapter: &AdapterRef) -> View {
+    let targets = ["a", "b", "c", "d", "e", "f"].map(|id| (Name::from(id), target(id).into()));
+    let mut view = View {
+        config: None,
+        named: Map::default(),
+        targets: targets.into_iter().collect(),
+        dead: Map::default(),
+        board: Board::default(),
+        residency: Residency::default(),
+        prefixes: Prefixes::default(),
+        budgets: Map::default(),
+        demand: Demand::new(6_000),
+        rush: Demand::new(700),
+        prompt_tokens: 2_000.0,
+        book: Book::default(),
+    };
+    let held = Standing::Held(1);
+    view.residency.note(adapter, &"a".into(), held, 1_000);
+    for i in 0..requests {
+        let at = 1_000 + u64::from(i) * 1_000 / u64::from(requests);
+        view.wanted("m/a1", 1, at);
+    }
+    view
+}
+
+/// Symptom: for four seconds after demand moved, most requests for the adapter
+/// that had become hot were late. Events: it is asked for 20 times a second,
+/// each time with 100 ms of prompt, and one engine has it. Cause: every copy
+/// was ordered by a request that had found all queues too long.
+#[test]
+fn due_hot_adapter_on_several_engines() {
+    let adapter = AdapterRef {
+        model: "m".into(),
+        adapter: Some("a1".into()),
+    };
+    let none = Map::default();
+    let copies = due(&view(20, &adapter), &none, 2_000);
+    assert!((2..=4).contains(&copies.len()), "{}", copies.len());
+    assert!(copies.iter().all(|c| c.adapter == adapter));
+    assert!(copies.iter().all(|c| &*c.target.id != "a"));
+    assert!(due(&view(2, &adapter), &none, 2_000).is_empty());
+}
