--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -20,17 +20,17 @@
 use super::{FANOUT, Fleet, PERIOD_MS, Peer, State};
 use crate::node::Node;
 
-/// Calls a holder answers in a second: at some 0.2 ms each (measured as
-/// processor time over calls with 89 daemons) 4% of a core, which is below
+/// Calls a holder answers in a second: at 0.2 ms each (processor time over
+/// calls with 89 daemons, all other work included) 4% of a core, which is below
 /// what a daemon may spend on control.
 const CALLS_PER_S: u64 = 200;
 
 /// Pause between calls to a random peer while holders are known, in ms.
 const OTHER_MS: u64 = 1_000;
 
-/// Age up to which a summary is handed out again, in ms: it is made from
-/// reports that are half a second old, and making it for each of two hundred
-/// calls a second took most of a call's time.
+/// Age up to which a summary is handed out again, in ms: a fifth of the age
+/// of the reports it is made from, so that ten are made in a second and not
+/// one for each call.
 const SUMMARY_MS: u64 = 100;
 
 /// Whether a fleet of `peers` reports to holders.
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -42,8 +42,8 @@
 const ALIVE_PERIODS: u64 = 4;
 
 /// Processor with which a daemon is well placed to hold leases in a large
-/// fleet, in thousandths of a core: reports of a hundred daemons and the
-/// orders to thirty engines take some 70 of them.
+/// fleet, in thousandths of a core: reports of 88 daemons and the orders
+/// to thirty engines took 59 to 69 of them.
 const MUCH_CPU: u32 = 250;
 
 /// Most addresses in one answer, as callers take them.
@@ -324,8 +324,9 @@
     /// Whether another daemon is better placed to hold the lease of `group`.
     ///
     /// In a large fleet a holder answers everybody's reports, so the daemons
-    /// with clearly more processor come first: on 0.12 of a core the holder
-    /// left 2,221 of 3,000 wishes for a place unanswered in 34 s. Then those
+    /// with clearly more processor come first: on 0.12 of a core holders
+    /// left 2,221 wishes for a place unanswered in 34 s, three quarters of all
+    /// that failed. Then those
     /// in the group's domain come first, beside its engines.
     pub(crate) fn better(&self, group: &str, now: u64) -> bool {
         let state = self.state();
--- a/crates/comfreyhall-routing/src/speed.rs
+++ b/crates/comfreyhall-routing/src/speed.rs
@@ -8,8 +8,8 @@
 //!
 //! What goes wrong with a rate alone: a lone prompt of 1,500 tokens takes
 //! 190 ms, which makes 8 tokens a ms, and a queue of 10,000 tokens then seems
-//! to take 1,250 ms where it takes 410 (4,288 samples of a day with 75
-//! requests a second). Adapters were loaded a second time, and others pushed
+//! to take 1,250 ms where it takes 410 (medians of 4,288 samples of one heavy
+//! day). Adapters were loaded a second time, and others pushed
 //! out for them, to escape queues that were short.
 
 /// Fixed part and ms for each token before anything is measured: an engine
