Only a holder's answer renews its roster and sums

In a call `roster_version` is the callee's roster as the caller knows it; the callee took it for the caller's own and counted all members of the caller's last roster as alive again. Holders called each other in one direction only, so the one that was called heard calls only. It also took the call, which has no sums, for empty engines.

Ruled out: rosters that vouch in a circle (a roster names only daemons its holder heard itself).

Change: sums and rosters are learned from answers only; holders call each other both ways.

--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -75,8 +75,9 @@
 }
 
 impl State {
-    /// Peers to call in a large fleet; `me` is this daemon's peer address.
-    pub(super) fn due_large(&mut self, me: &str, holding: bool, now: u64) -> Vec<Name> {
+    /// Peers to call in a large fleet; `holding`: whether this daemon holds a
+    /// lease itself.
+    pub(super) fn due_large(&mut self, holding: bool, now: u64) -> Vec<Name> {
         let pace = pace_ms(self.peers.len());
         let limit = Fleet::alive_ms(self.peers.len());
         let rested = |p: &Peer| now.saturating_sub(p.called) + PERIOD_MS / 2 >= pace;
@@ -85,9 +86,8 @@
         for (addr, peer) in &self.peers {
             let holds = peer.holds() && peer.alive(now, limit);
             known |= holds;
-            // Two holders swap in one call: the smaller address makes it.
-            let turn = !holding || me < &**addr || now.saturating_sub(peer.heard) > 2 * pace;
-            if (holds && turn || peer.hinted) && rested(peer) && !peer.calling {
+            // Holders call each other too: only answers bear sums.
+            if (holds || peer.hinted) && rested(peer) && !peer.calling {
                 out.push(addr.clone());
             }
         }
@@ -222,19 +222,20 @@
         }
     }
 
-    /// Takes in what a holder tells in a large fleet.
-    pub(super) fn learn_totals(&self, node: &Node, from: &Daemon, news: &News, now: u64) {
-        for addr in &news.holders {
+    /// Takes in who is said to hold leases in a large fleet.
+    pub(super) fn learn_holders(&self, holders: &[String], now: u64) {
+        for addr in holders {
             self.meet(addr, false);
         }
-        let until = {
-            let mut state = self.state();
-            state.hint(&news.holders, now);
-            if news.roster_version == 0 || news.holdings.is_empty() {
-                return;
-            }
-            now + 2 * pace_ms(state.peers.len()) + PERIOD_MS
-        };
+        self.state().hint(holders, now);
+    }
+
+    /// Takes in what a holder's answer tells in a large fleet.
+    pub(super) fn learn_totals(&self, node: &Node, from: &Daemon, news: &News, now: u64) {
+        if news.roster_version == 0 || news.holdings.is_empty() {
+            return;
+        }
+        let until = now + 2 * pace_ms(self.state().peers.len()) + PERIOD_MS;
         self.learn_roster(from, news, now);
         let mut view = node.view();
         let held = |domain: &str| news.holdings.iter().any(|h| h.group == domain);
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -105,6 +105,15 @@
     state: Mutex<State>,
 }
 
+/// How news came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// A peer called.
+    Call,
+    /// A peer answered a call of ours: only answers bear sums and rosters.
+    Answer,
+}
+
 /// `model/adapter`.
 pub(crate) fn key_of(adapter: &AdapterRef) -> Name {
     format!(
@@ -386,3 +395,6 @@
 fn recent(at: u64, now: u64, limit: u64) -> bool {
     at > 0 && now.saturating_sub(at) <= limit
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -123,7 +123,7 @@
     }
 
     /// Takes in a peer's news.
-    pub(super) fn learn(&self, node: &Node, news: News) {
+    pub(super) fn learn(&self, node: &Node, news: News, how: super::Origin) {
         let Some(from) = news.from.clone() else {
             return;
         };
@@ -133,7 +133,10 @@
             self.meet(addr, false);
         }
         self.learn_peer(node, &from, &news, now);
-        self.learn_totals(node, &from, &news, now);
+        self.learn_holders(&news.holders, now);
+        if how == super::Origin::Answer {
+            self.learn_totals(node, &from, &news, now);
+        }
         let ours = news.cessions.iter().filter(|c| c.to == self.me.peer);
         for cession in ours {
             node.leases.accept(&cession.group, cession.token);
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -12,7 +12,7 @@
 use tonic::{Request, Response, Status};
 
 use super::{
-    Fleet, PERIOD_MS, State, hub,
+    Fleet, Origin, PERIOD_MS, State, hub,
     news::{Lack, add_rows},
 };
 use crate::{keeper, node::Node};
@@ -54,7 +54,7 @@
     });
     let holding = node.leases.any(node.settings().bounds.fencing);
     let out = if hub::large(state.peers.len()) {
-        state.due_large(me, holding, now)
+        state.due_large(holding, now)
     } else {
         state.due_small(me, now)
     };
@@ -95,7 +95,7 @@
         peer.calling = false;
     }
     match answer {
-        Ok(Ok(reply)) => node.fleet.learn(&node, reply.into_inner()),
+        Ok(Ok(reply)) => node.fleet.learn(&node, reply.into_inner(), Origin::Answer),
         Ok(Err(status)) => {
             log::debug!(target: "fleet", peer:% = addr, error:% = status.message(); "peer not reached");
         }
@@ -139,7 +139,7 @@
         let lack = Lack::from(&asked);
         let asker = asked.from.clone();
         let roster = asked.roster_version;
-        self.0.fleet.learn(&self.0, asked);
+        self.0.fleet.learn(&self.0, asked, Origin::Call);
         let mut news = self.0.fleet.news_for(&self.0, &addr);
         add_rows(&self.0, lack, &mut news);
         if let Some(asker) = asker {
