A target's boot is its id and its birth; rows of other writers name no target

Cause: a worker may start again under its id and then knows nothing of before; everything the core learns of a target was keyed by the id alone. Rows of any table may come from other writers: an entry with a missing field, an unknown state or an unreadable value was filled in, taken for a target that leaves, or cost the whole listing; a row that is no lease stopped the orders of its group for good.

Change: a target's id in the core is the boot, the listed name apart; news of an earlier boot is passed over; a report of another boot is an error of its own. Rows are read one by one, an unreadable entry takes no new work and is logged once for each problem. A row that is no lease is taken over after a term under the row's version, which is above every token given.

Ruled out: comparing births at each use (a boot in the key needs none).

--- a/crates/comfreyhall-domain/src/target.rs
+++ b/crates/comfreyhall-domain/src/target.rs
@@ -23,8 +23,14 @@
 /// One boot of one target, as last published.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Target {
-    /// Id of this boot; a restart gets another.
+    /// Id of this boot; a restart gets another. All that is known of a target
+    /// is kept under it, so nothing learned from one boot is taken for
+    /// another's: not what it holds, nor how many orders it accepted.
     pub id: Name,
+    /// Name that it is listed under; a restart may keep it.
+    pub name: Name,
+    /// When this boot started, in Unix ms; 0 if it does not say.
+    pub born: u64,
     /// The service it serves.
     pub service: Name,
     /// `ip:port`.
--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -27,8 +27,12 @@
 };
 
 use comfreyhall_catalog::{CatalogError, Rows, Table, check, put};
+use comfreyhall_protocol::Row;
 use serde::{Deserialize, Serialize};
 
+/// Owner of a row that holds no lease: no instance's id.
+const STRANGER: &str = "(unknown)";
+
 /// What a lease row holds.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 struct Record {
@@ -78,10 +82,21 @@
     state: Mutex<State>,
 }
 
-fn decode(key: &str, value: &[u8]) -> Result<Record, CatalogError> {
-    serde_json::from_slice(value).map_err(|e| CatalogError::Invalid {
-        problem: format!("row {key} does not hold a lease: {e}"),
-        remedy: "delete the row while no daemon runs",
+/// The record of a row.
+///
+/// Others write to the table too. Without a record there is no token to count
+/// on from, and taking the lease would begin at a token that targets have
+/// seen. Each token was written by a transaction of its own, and the row's
+/// version counts all of them, so the version is above every token given.
+fn decode(key: &str, row: &Row) -> Record {
+    serde_json::from_slice(&row.value).unwrap_or_else(|e| {
+        log::warn!(target: "lease", key, error:% = e; "row holds no lease; taken over after a term");
+        Record {
+            owner: STRANGER.into(),
+            boot: 0,
+            token: row.version,
+            write: 0,
+        }
     })
 }
 
@@ -151,7 +166,7 @@
         if !self.knows(now) {
             let found = self.table.get(&self.key).await?;
             let row = match found {
-                Some(row) => Some((decode(&self.key, &row.value)?, row.version)),
+                Some(row) => Some((decode(&self.key, &row), row.version)),
                 None => None,
             };
             now = clock();
--- a/crates/comfreyhall-lease/tests/release.rs
+++ b/crates/comfreyhall-lease/tests/release.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyhall_catalog::{Rows, put};
 use comfreyhall_fakes::{FakeTable, Fate};
 use comfreyhall_lease::Lease;
 
@@ -42,3 +43,23 @@
     assert!(old.release().await.is_err());
     assert_eq!(old.lapsed_token(), token);
 }
+
+/// Symptom: the loads of a failure domain stood still for good. Events:
+/// another writer puts a row that is no lease in the place of one. Cause: every
+/// step ended at the row that it could not read. Whoever takes it must not
+/// begin at a token that engines have seen.
+#[tokio::test]
+async fn step_foreign_row_taken_after_term() {
+    let table = FakeTable::default();
+    let (old, next) = (lease(&table, "old"), lease(&table, "next"));
+    old.step(Instant::now, true).await.unwrap();
+    let token = old.token(Instant::now()).unwrap();
+    let foreign = put("lease/g", b"not a lease".to_vec());
+    table.commit(Vec::new(), vec![foreign]).await.unwrap();
+    let began = Instant::now();
+    next.step(|| began, true).await.unwrap();
+    assert_eq!(next.token(began), None, "its holder may not know yet");
+    let later = began + TERM;
+    next.step(|| later, true).await.unwrap();
+    assert!(next.token(later).unwrap() > token);
+}
--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -97,7 +97,10 @@
 fn take(node: &Node, view: &mut View, topic: Topic, fact: &Fact, now: u64) -> bool {
     if fact.value.is_none() {
         if topic == Topic::Targets {
-            forget(view, &fact.key);
+            view.unread.remove(&fact.key);
+            if let Some(known) = view.boot_of(&fact.key) {
+                forget(view, &known.id);
+            }
         }
         return true;
     }
@@ -125,6 +128,15 @@
             view.named.insert(adapter, named);
         }
         Ok(Decoded::Target(target)) => {
+            view.unread.remove(&fact.key);
+            if let Some(known) = view.boot_of(&target.name).filter(|k| k.id != target.id) {
+                if known.born > target.born {
+                    log::info!(target: "follow", id:% = target.id, newer:% = known.id; "entry of an earlier boot passed over");
+                    return false;
+                }
+                log::info!(target: "follow", id:% = known.id, next:% = target.id; "target started again");
+                forget(view, &known.id);
+            }
             let known = view.targets.get(&target.id);
             if known.is_none_or(|t| t.stage != target.stage) {
                 let stage = match target.stage {
@@ -139,6 +151,7 @@
             return news;
         }
         Ok(Decoded::Other) => {}
+        Err(problem) if topic == Topic::Targets => shun(view, &fact.key, problem),
         Err(problem) => {
             log::warn!(target: "follow", key:% = fact.key, problem:%; "row refused; the last good one stays in force");
         }
@@ -146,6 +159,23 @@
     true
 }
 
+/// Sends nothing new to the target listed under `name`, whose entry cannot be
+/// read.
+///
+/// Others write to the table too, so such an entry may stand where a living
+/// target's did: what is known of that target is kept for its next entry.
+fn shun(view: &mut View, name: &Name, problem: String) {
+    if let Some(known) = view.boot_of(name) {
+        let mut target = (*known).clone();
+        target.stage = Stage::Draining;
+        view.targets.insert(target.id.clone(), Arc::new(target));
+    }
+    if view.unread.get(name) != Some(&problem) {
+        log::warn!(target: "follow", key:% = name, problem:%; "entry names no target; correct or delete it");
+        view.unread.insert(name.clone(), problem);
+    }
+}
+
 /// Whether two entries of a target differ in nothing that routes depend on.
 fn same(a: &Target, b: &Target) -> bool {
     let models = |t: &Target| t.held.iter().map(|h| h.model.clone()).collect::<Vec<_>>();
@@ -187,3 +217,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -1,66 +1,8 @@
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use comfreyhall_domain::{Ask, Target};
 use comfreyhall_protocol::{Daemon, Holding, News};
-use comfreyhall_settings::NodeSettings;
-use futures::{FutureExt, future::BoxFuture};
 
-use crate::{
-    node::Node,
-    ports::{
-        Backend, Decoded, Extra, Fact, Facts, Order, OrderReply, Report, Response, SendError,
-        Source, SourceError, Topic,
-    },
-};
-
-/// A platform that never answers.
-struct Nothing;
-
-impl Source for Nothing {
-    fn read(&self, _: Topic) -> BoxFuture<'_, Result<Facts, SourceError>> {
-        std::future::pending().boxed()
-    }
-
-    fn changes(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Facts, SourceError>> {
-        std::future::pending().boxed()
-    }
-
-    fn decode(&self, _: Topic, _: &Fact) -> Result<Decoded, String> {
-        Ok(Decoded::Other)
-    }
-}
-
-impl Backend for Nothing {
-    fn send(
-        &self,
-        _: Arc<Target>,
-        _: Arc<Ask>,
-        _: Extra,
-    ) -> BoxFuture<'static, Result<Response, SendError>> {
-        std::future::pending().boxed()
-    }
-
-    fn order(&self, _: Arc<Target>, _: Order) -> BoxFuture<'static, OrderReply> {
-        std::future::pending().boxed()
-    }
-
-    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Option<Report>> {
-        std::future::pending().boxed()
-    }
-
-    fn retain(&self, _: &[Arc<Target>]) {}
-}
-
-fn node() -> Arc<Node> {
-    let text = r#"{
-      id: "n", domain: "d", seeds: [], store: "127.0.0.1:1", cores: 0.1,
-      listen: { front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:1", peers: "127.0.0.1:1" },
-      bounds: { grace_s: 8, drain_ms: 2000, lease_ms: 3000, apply_ms: 2000, version_ms: 5000, address_s: 5,
-                retry_ratio: 0.2, retry_allowance: 54, retry_s: 10, fencing: true, return_s: 2 },
-    }"#;
-    let settings = NodeSettings::parse(text, "test").unwrap();
-    Node::new(settings, Arc::new(Nothing), Arc::new(Nothing))
-}
+use crate::{node::Node, quiet::node};
 
 fn daemon(port: u16) -> Daemon {
     Daemon {
--- a/crates/comfreyhall-node/src/keeper/copies/tests.rs
+++ b/crates/comfreyhall-node/src/keeper/copies/tests.rs
@@ -1,13 +1,14 @@
 use comfreyhall_domain::{AdapterRef, Held, Map, Name, Stage, Target};
-use comfreyhall_placement::Demand;
-use comfreyhall_routing::{Board, Prefixes, Residency, Standing};
+use comfreyhall_routing::Standing;
 
 use super::due;
-use crate::{facts::Book, node::View};
+use crate::node::View;
 
 fn target(id: &str) -> Target {
     Target {
         id: id.into(),
+        name: id.into(),
+        born: 0,
         service: "s".into(),
         addr: "127.0.0.1:1".into(),
         domain: "d".into(),
@@ -27,18 +28,9 @@
 fn view(requests: u32, adapter: &AdapterRef) -> View {
     let targets = ["a", "b", "c", "d", "e", "f"].map(|id| (Name::from(id), target(id).into()));
     let mut view = View {
-        config: None,
-        named: Map::default(),
         targets: targets.into_iter().collect(),
-        dead: Map::default(),
-        board: Board::default(),
-        residency: Residency::default(),
-        prefixes: Prefixes::default(),
-        budgets: Map::default(),
-        demand: Demand::new(6_000),
-        rush: Demand::new(700),
         prompt_tokens: 2_000.0,
-        book: Book::default(),
+        ..View::default()
     };
     let held = Standing::Held(1);
     view.residency.note(adapter, &"a".into(), held, 1_000);
--- a/crates/comfreyhall-node/src/keeper/report.rs
+++ b/crates/comfreyhall-node/src/keeper/report.rs
@@ -8,8 +8,8 @@
 use comfreyhall_domain::{AdapterRef, Map};
 use comfreyhall_routing::Standing;
 
-use super::{Coming, Hold, Keeper, LOOK_MS, SETTLE, finish};
-use crate::ports::Report;
+use super::{Coming, Hold, IDLE_MS, Keeper, LOOK_MS, SETTLE, finish};
+use crate::ports::{NoReport, Report};
 
 /// Longest a report is waited for.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -23,12 +23,29 @@
         }
         let call = self.node.backend.report(self.target.clone());
         let report = tokio::time::timeout(REPORT_TIMEOUT, call).await;
-        let Ok(Some(report)) = report else {
-            self.ready_at = self.node.now() + SETTLE.as_millis() as u64;
-            return false;
-        };
-        self.adopt(report);
-        true
+        let report = report.unwrap_or_else(|_| Err(NoReport::Silent("no answer in time".into())));
+        match report {
+            Ok(report) => {
+                self.adopt(report);
+                true
+            }
+            Err(why) => {
+                self.unreported(&why);
+                false
+            }
+        }
+    }
+
+    fn unreported(&mut self, why: &NoReport) {
+        log::info!(target: "keeper", id:% = self.target.id, why:%; "no report");
+        let now = self.node.now();
+        self.ready_at = now + SETTLE.as_millis() as u64;
+        if *why == NoReport::OtherBoot {
+            // Requests sent to the boot that is gone are refused, one by one.
+            let until = now + IDLE_MS;
+            let mut view = self.node.view();
+            view.dead.insert(self.target.id.clone(), until);
+        }
     }
 
     pub(super) fn adopt(&mut self, report: Report) {
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -41,5 +41,7 @@
     keeper::spawn(node);
 }
 
+#[cfg(test)]
+mod quiet;
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -53,7 +53,10 @@
 pub(crate) struct View {
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) named: Map<AdapterRef, Named>,
+    /// Targets by the id of their boot.
     pub(crate) targets: Map<Name, Arc<Target>>,
+    /// What was wrong with entries that name no target.
+    pub(crate) unread: Map<Name, String>,
     /// Targets known to be gone or restarted before the store says so, and
     /// since when.
     pub(crate) dead: Map<Name, u64>,
@@ -69,6 +72,26 @@
     pub(crate) book: Book,
 }
 
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            config: None,
+            named: Map::default(),
+            targets: Map::default(),
+            unread: Map::default(),
+            dead: Map::default(),
+            board: Board::default(),
+            residency: Residency::default(),
+            prefixes: Prefixes::default(),
+            budgets: Map::default(),
+            demand: Demand::new(DEMAND_HALF_LIFE_MS),
+            rush: Demand::new(RUSH_HALF_LIFE_MS),
+            prompt_tokens: FIRST_PROMPT,
+            book: Book::default(),
+        }
+    }
+}
+
 impl View {
     /// Counts `requests` for the adapter `key`.
     pub(crate) fn wanted(&mut self, key: &str, requests: u32, now: u64) {
@@ -81,6 +104,12 @@
         self.prompt_tokens += PROMPT_GAIN * (f64::from(tokens) - self.prompt_tokens);
     }
 
+    /// The boot that is known of the target listed under `name`.
+    pub(crate) fn boot_of(&self, name: &str) -> Option<Arc<Target>> {
+        let mut boots = self.targets.values();
+        boots.find(|t| &*t.name == name).cloned()
+    }
+
     /// Adapters that have a place at `target`, as configured.
     pub(crate) fn places(&self, target: &Target) -> u32 {
         let config = self.config.as_ref();
@@ -144,20 +173,7 @@
             keepers: Keepers::default(),
             metrics: Metrics::new(),
             changed: Notify::new(),
-            view: Mutex::new(View {
-                config: None,
-                named: Map::default(),
-                targets: Map::default(),
-                dead: Map::default(),
-                board: Board::default(),
-                residency: Residency::default(),
-                prefixes: Prefixes::default(),
-                budgets: Map::default(),
-                demand: Demand::new(DEMAND_HALF_LIFE_MS),
-                rush: Demand::new(RUSH_HALF_LIFE_MS),
-                prompt_tokens: FIRST_PROMPT,
-                book: Book::default(),
-            }),
+            view: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             stopping: AtomicU64::new(0),
             closed: AtomicBool::new(false),
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -202,6 +202,17 @@
     pub busy: bool,
 }
 
+/// Why an engine has given no report.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+pub enum NoReport {
+    /// No answer, or none that can be read.
+    #[error("the engine gives no report ({0}); it is asked again")]
+    Silent(String),
+    /// Another boot of the engine answered.
+    #[error("the engine has started again; its new entry is awaited")]
+    OtherBoot,
+}
+
 /// Calls to targets.
 pub trait Backend: Send + Sync + 'static {
     /// Sends a request; resolves when the answer's head is there. Dropping
@@ -217,7 +228,7 @@
     fn order(&self, target: Arc<Target>, order: Order) -> BoxFuture<'static, OrderReply>;
 
     /// Asks for a report.
-    fn report(&self, target: Arc<Target>) -> BoxFuture<'static, Option<Report>>;
+    fn report(&self, target: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>>;
 
     /// The targets that are left; connections to others may be closed.
     fn retain(&self, targets: &[Arc<Target>]);
--- /dev/null
+++ b/crates/comfreyhall-node/src/quiet.rs
@@ -0,0 +1,91 @@
+//! A daemon for tests, on a platform that never answers.
+
+use std::{sync::Arc, time::Duration};
+
+use comfreyhall_domain::{Ask, Stage, Target};
+use comfreyhall_settings::NodeSettings;
+use futures::{FutureExt, future::BoxFuture};
+
+use crate::{
+    node::Node,
+    ports::{
+        Backend, Decoded, Extra, Fact, Facts, NoReport, Order, OrderReply, Report, Response,
+        SendError, Source, SourceError, Topic,
+    },
+};
+
+struct Quiet;
+
+/// A target's row, in the form `BORN STAGE`.
+fn target(fact: &Fact) -> Option<Target> {
+    let text = std::str::from_utf8(fact.value.as_ref()?).ok()?;
+    let (born, stage) = text.split_once(' ')?;
+    Some(Target {
+        id: format!("{}@{born}", fact.key).into(),
+        name: fact.key.clone(),
+        born: born.parse().ok()?,
+        service: "s".into(),
+        addr: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        stage: match stage {
+            "ready" => Stage::Ready,
+            _ => Stage::Draining,
+        },
+        slots: 1,
+        held: Vec::new(),
+        sequence: 0,
+        version: fact.version,
+    })
+}
+
+impl Source for Quiet {
+    fn read(&self, _: Topic) -> BoxFuture<'_, Result<Facts, SourceError>> {
+        std::future::pending().boxed()
+    }
+
+    fn changes(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Facts, SourceError>> {
+        std::future::pending().boxed()
+    }
+
+    fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String> {
+        match topic {
+            Topic::Settings => Ok(Decoded::Other),
+            Topic::Targets => target(fact)
+                .map(Decoded::Target)
+                .ok_or_else(|| "no target's".to_string()),
+        }
+    }
+}
+
+impl Backend for Quiet {
+    fn send(
+        &self,
+        _: Arc<Target>,
+        _: Arc<Ask>,
+        _: Extra,
+    ) -> BoxFuture<'static, Result<Response, SendError>> {
+        std::future::pending().boxed()
+    }
+
+    fn order(&self, _: Arc<Target>, _: Order) -> BoxFuture<'static, OrderReply> {
+        std::future::pending().boxed()
+    }
+
+    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>> {
+        std::future::pending().boxed()
+    }
+
+    fn retain(&self, _: &[Arc<Target>]) {}
+}
+
+/// A daemon that knows nothing yet.
+pub(crate) fn node() -> Arc<Node> {
+    let text = r#"{
+      id: "n", domain: "d", seeds: [], store: "127.0.0.1:1", cores: 0.1,
+      listen: { front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:1", peers: "127.0.0.1:1" },
+      bounds: { grace_s: 8, drain_ms: 2000, lease_ms: 3000, apply_ms: 2000, version_ms: 5000, address_s: 5,
+                retry_ratio: 0.2, retry_allowance: 54, retry_s: 10, fencing: true, return_s: 2 },
+    }"#;
+    let settings = NodeSettings::parse(text, "test").unwrap();
+    Node::new(settings, Arc::new(Quiet), Arc::new(Quiet))
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -145,9 +145,9 @@
         .boxed()
     }
 
-    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Option<Report>> {
+    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>> {
         async {
-            Some(Report {
+            Ok(Report {
                 held: vec![held("m")],
                 ..Report::default()
             })
@@ -229,6 +229,8 @@
 pub fn target(id: &str) -> Target {
     Target {
         id: id.into(),
+        name: id.into(),
+        born: 0,
         service: "s".into(),
         addr: "127.0.0.1:1".into(),
         domain: "d".into(),
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -206,6 +206,8 @@
     r.note(&adapter(), &t, Standing::Held(2), 1_000);
     let list = comfreyhall_domain::Target {
         id: t.clone(),
+        name: t.clone(),
+        born: 0,
         service: "s".into(),
         addr: "a".into(),
         domain: "d".into(),
