--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -37,6 +37,10 @@
     pub(crate) flight: Flight,
     passed: u64,
     resumes: u32,
+    /// When events were last passed on; 0 for never.
+    passed_at: u64,
+    /// Longest pause between events so far, in ms.
+    pause: u64,
 }
 
 /// What came next from a target.
@@ -57,6 +61,8 @@
             flight,
             passed: 0,
             resumes: 0,
+            passed_at: 0,
+            pause: 0,
         }
     }
 
@@ -125,6 +131,7 @@
     async fn next(&mut self, job: &mut Job) -> Option<Result<Bytes, String>> {
         loop {
             if let Some(bytes) = self.take_ready() {
+                self.time_pause(job.node.now());
                 return Some(Ok(bytes));
             }
             let pause = MUTE_MS.min(job.left());
@@ -133,7 +140,7 @@
                 Ok(Step::End) => {
                     self.flight.note(true, 1.0);
                     job.node.metrics.request(job.route.kind, "answered");
-                    log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, target_id:% = self.flight.target, adapter:% = job.adapter(), events = self.passed, resumes = self.resumes, first = job.first, stall = job.stall, sends = job.verdict.sends, ms = self.flight.took(); "streamed");
+                    log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, target_id:% = self.flight.target, adapter:% = job.adapter(), events = self.passed, resumes = self.resumes, first = job.first, stall = job.stall, pause = self.pause, sends = job.verdict.sends, ms = self.flight.took(); "streamed");
                     return None;
                 }
                 Ok(Step::Broken(why)) => why,
@@ -147,6 +154,14 @@
         }
     }
 
+    /// Notes the pause before what is passed on at `now`.
+    fn time_pause(&mut self, now: u64) {
+        if self.passed_at > 0 {
+            self.pause = self.pause.max(now.saturating_sub(self.passed_at));
+        }
+        self.passed_at = now;
+    }
+
     /// Events that wait, in one piece.
     fn take_ready(&mut self) -> Option<Bytes> {
         let first = self.ready.pop_front()?;
