--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -8,7 +8,10 @@
     pick::{Choice, Spread},
 };
 
-use crate::node::{Node, View};
+use crate::{
+    keeper::Pick,
+    node::{Node, View},
+};
 
 /// How long after a version of an adapter was named the one before still
 /// serves, as part of the bound: replacements are on their way meanwhile.
@@ -51,6 +54,8 @@
     pub(crate) expect: Option<u64>,
     /// Estimated ms to the first token, the load included.
     pub(crate) wait_ms: f64,
+    /// Engines that may load the adapter, the target first.
+    pub(crate) picks: Vec<Pick>,
 }
 
 /// What a choice is made for.
@@ -90,6 +95,7 @@
         health: view.board.health(&t.id, now),
         tried: wish.tried.contains(&t.id),
     };
+    let mut loaders = Vec::new();
     let (choices, version) = match (&wish.ask.adapter, wish.engine) {
         (Some(adapter), Some(engine)) => {
             let version = least_version(node, &view, adapter, now);
@@ -98,8 +104,9 @@
                 engine,
                 version,
             };
-            let choices = engine_choices(node, &view, wish, wanted, &targets, &base);
-            (choices, version)
+            let options = engine_choices(node, &view, wish, wanted, &targets, &base);
+            loaders = options.loaders;
+            (options.open, version)
         }
         _ => {
             let plain = |t: &Arc<Target>| Choice {
@@ -116,6 +123,10 @@
     };
     let best = pick::best(&choices, again_ms, spread, wish.draw)?;
     let target = targets.iter().find(|t| t.id == best.id)?.clone();
+    let picks = match best.load_ms > 0.0 {
+        true => picks(best, &loaders, &targets, &target.domain, again_ms),
+        false => Vec::new(),
+    };
     let adapter = wish.ask.adapter.as_ref();
     let tokens = adapter.map_or(0, |a| unread(&view, wish.ask, a, &target.id));
     Some(Plan {
@@ -125,9 +136,31 @@
         expect: (version > 0).then_some(version),
         wait_ms: best.wait_ms + best.load_ms,
         target,
+        picks,
     })
 }
 
+/// `best` and the other engines of its group that may load the adapter.
+fn picks(
+    best: &Choice,
+    loaders: &[Choice],
+    targets: &[Arc<Target>],
+    group: &str,
+    again_ms: f64,
+) -> Vec<Pick> {
+    let of_group = |c: &&Choice| targets.iter().any(|t| t.id == c.id && &*t.domain == group);
+    let others = loaders.iter().filter(|c| c.id != best.id).filter(of_group);
+    let others = others.map(|c| Pick {
+        target: c.id.clone(),
+        extra_ms: (c.cost(again_ms) - best.cost(again_ms)).max(0.0) as u64,
+    });
+    let first = Pick {
+        target: best.id.clone(),
+        extra_ms: 0,
+    };
+    std::iter::once(first).chain(others).collect()
+}
+
 /// The least version of `adapter` that may still serve.
 fn least_version(node: &Node, view: &View, adapter: &AdapterRef, now: u64) -> u64 {
     let grace = node.settings().bounds.version_ms / GRACE_PART;
@@ -137,7 +170,7 @@
 }
 
 /// Prompt tokens that `target` has not read yet.
-fn unread(view: &View, ask: &Ask, adapter: &AdapterRef, target: &Name) -> u64 {
+pub(crate) fn unread(view: &View, ask: &Ask, adapter: &AdapterRef, target: &Name) -> u64 {
     let prompt = ask.tokens.map_or(0, |t| u64::from(t.prompt));
     let kept = view.prefixes.kept(adapter, &ask.parts, target);
     prompt.saturating_sub(kept).max(1)
@@ -151,6 +184,14 @@
     version: u64,
 }
 
+/// Engines for a request.
+struct Options {
+    /// Those that it may choose from.
+    open: Vec<Choice>,
+    /// All that lack its adapter and may load it.
+    loaders: Vec<Choice>,
+}
+
 fn engine_choices(
     node: &Node,
     view: &View,
@@ -158,7 +199,7 @@
     wanted: Wanted<'_>,
     targets: &[Arc<Target>],
     base: &impl Fn(&Target) -> Choice,
-) -> Vec<Choice> {
+) -> Options {
     let Wanted {
         adapter,
         engine,
@@ -215,8 +256,9 @@
     } else {
         out.len().max(NEW_HOMES)
     };
-    out.extend(loaders.into_iter().take(homes).map(|(_, _, c)| c));
-    out
+    let loaders: Vec<Choice> = loaders.into_iter().map(|(_, _, c)| c).collect();
+    out.extend(loaders.iter().take(homes).cloned());
+    Options { open: out, loaders }
 }
 
 /// Whether a stalled send may be abandoned for another.
--- a/crates/comfreyhall-node/src/keeper/load.rs
+++ b/crates/comfreyhall-node/src/keeper/load.rs
@@ -4,7 +4,7 @@
 use comfreyhall_placement::{Occupant, victim};
 use comfreyhall_routing::Standing;
 
-use super::{Coming, Hold, Job, Keeper, LOOK_MS, STUCK_MS, Unplaced, answer_job, finish};
+use super::{Coming, Hold, Job, Keeper, LOOK_MS, Placed, STUCK_MS, Unplaced, finish, ticket::Done};
 use crate::{
     fleet::key_of,
     ports::{Action, OrderReply},
@@ -18,11 +18,6 @@
 /// only ever grew.
 const FIRST_LOOK: f64 = 0.8;
 
-/// How long a job waits for a place to fall free before its caller looks
-/// elsewhere, in ms. Requests hold a place for some hundred ms; answering at
-/// once made callers go round all engines and give up within some ms.
-const FULL_WAIT_MS: u64 = 200;
-
 /// Part of the bound for named versions after which an adapter that is still
 /// in use is dropped all the same.
 const RENEW_PART: u64 = 2;
@@ -96,7 +91,7 @@
             .placed(&self.target.id, adapter, Some(version));
         self.node.metrics.load(coming.recent);
         log::info!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), version, recent = coming.recent, queued = coming.queued, blocked = coming.blocked, ms = took; "adapter loaded");
-        finish(&mut coming, Ok(version));
+        finish(&mut coming, Ok(self.placed(version)));
     }
 
     /// Replaces adapters of which a newer version was named.
@@ -139,46 +134,70 @@
 
     /// Works on a job; gives it back if it has to wait.
     pub(super) async fn work(&mut self, mut job: Job) -> Option<Job> {
-        let done = job.done.take();
+        if !job.open() {
+            return None;
+        }
         if let Some(hold) = self.held.get(&job.adapter)
             && hold.version >= job.version
         {
-            answer_job(done, Ok(hold.version));
+            let placed = self.placed(hold.version);
+            answer_job(job.claim(), Ok(placed));
             return None;
         }
         if let Some(coming) = self.coming.get_mut(&job.adapter) {
-            coming.done.extend(done);
+            coming.done.extend(job.claim());
             return None;
         }
-        job.done = done;
-        let now = self.node.now();
-        let recent = {
-            let view = self.node.view();
-            view.residency.recent(&job.adapter, &self.target.id, now)
-        };
-        // What the engine has at hand does not come from the weight store.
-        let busy = !recent && self.node.keepers.store_full();
-        if !self.synced {
-            job.blocked = "report";
+        if let Some(blocked) = self.blocked(&job) {
+            job.blocked = blocked;
             return Some(job);
         }
-        if self.coming.len() >= COMING_MOST || busy {
-            job.blocked = if busy { "weight store" } else { "engine" };
+        if !self.make_room().await {
+            job.blocked = "place";
             return Some(job);
         }
-        let waited = self.node.now().saturating_sub(job.waiting.since);
-        if !self.make_room().await {
-            if waited < FULL_WAIT_MS {
-                job.blocked = "place";
-                return Some(job);
-            }
-            answer_job(job.done, Err("every place there is in use".into()));
+        // Another engine may have taken it while room was made.
+        if !job.open() {
             return None;
         }
         self.load(job).await
     }
 
-    pub(super) async fn load(&mut self, mut job: Job) -> Option<Job> {
+    /// Why `job` may not be loaded here yet.
+    fn blocked(&self, job: &Job) -> Option<&'static str> {
+        if !self.synced {
+            return Some("report");
+        }
+        let now = self.node.now();
+        if now.saturating_sub(job.waiting.since) < job.extra_ms {
+            return Some("turn");
+        }
+        // Another engine loads it for somebody else, and serves this one too
+        // once it looks at its queue; that takes no second load.
+        let among = job.ticket.as_ref().map_or(&[][..], |t| t.among());
+        let keepers = &self.node.keepers;
+        if keepers.loads_elsewhere(&job.adapter, &self.target.id, among) {
+            return Some("elsewhere");
+        }
+        if self.coming.len() >= COMING_MOST {
+            return Some("engine");
+        }
+        let recent = {
+            let view = self.node.view();
+            view.residency.recent(&job.adapter, &self.target.id, now)
+        };
+        // What the engine has at hand does not come from the weight store.
+        (!recent && self.node.keepers.store_full()).then_some("weight store")
+    }
+
+    fn placed(&self, version: u64) -> Placed {
+        Placed {
+            target: self.target.id.clone(),
+            version,
+        }
+    }
+
+    pub(super) async fn load(&mut self, job: Job) -> Option<Job> {
         let now = self.node.now();
         let (version, recent) = {
             let view = self.node.view();
@@ -186,7 +205,14 @@
             let recent = view.residency.recent(&job.adapter, &self.target.id, now);
             (named.max(job.version), recent)
         };
-        match self.order(Action::Load, &job.adapter, version).await {
+        let done = job.claim();
+        let target = self.target.id.clone();
+        self.node.keepers.begin_load(&job.adapter, &target);
+        let reply = self.order(Action::Load, &job.adapter, version).await;
+        if reply != OrderReply::Accepted {
+            self.node.keepers.end_load(&job.adapter, &target);
+        }
+        match reply {
             OrderReply::Accepted => {
                 let now = self.node.now();
                 let expected = self.node.keepers.load_ms(recent);
@@ -197,7 +223,7 @@
                     recent,
                     queued: now.saturating_sub(job.waiting.since),
                     blocked: job.blocked,
-                    done: job.done.take().into_iter().collect(),
+                    done: done.into_iter().collect(),
                 };
                 self.add_coming(job.adapter, coming);
                 None
@@ -205,21 +231,24 @@
             OrderReply::Holds => {
                 let since = self.node.now();
                 self.held.insert(job.adapter, Hold { version, since });
-                answer_job(job.done, Ok(version));
+                let placed = self.placed(version);
+                answer_job(done, Ok(placed));
                 None
             }
-            OrderReply::Conflict => Some(job),
+            OrderReply::Conflict => {
+                job.yield_to_others(done);
+                Some(job)
+            }
             // Another engine may answer sooner than this one is understood.
-            OrderReply::Silent(_) => {
-                answer_job(job.done, Err("the engine leaves orders unanswered".into()));
+            OrderReply::Silent(_) | OrderReply::Fenced | OrderReply::Invalid => {
+                job.yield_to_others(done);
                 None
             }
             OrderReply::Gone => {
-                answer_job(job.done, Err(Unplaced::Gone));
-                None
-            }
-            OrderReply::Fenced | OrderReply::Invalid => {
-                answer_job(job.done, Err("the engine refuses the order".into()));
+                if let Some(ticket) = &job.ticket {
+                    ticket.note_gone(&target);
+                }
+                job.yield_to_others(done);
                 None
             }
         }
@@ -260,3 +289,11 @@
         victim(&occupants).map(|o| o.key.clone())
     }
 }
+
+/// Tells whoever waits for a job how it ended.
+fn answer_job(done: Option<Done>, result: Result<Placed, Unplaced>) {
+    if let Some(done) = done {
+        // Whoever waited may have left.
+        let _ = done.send(result);
+    }
+}
--- a/crates/comfreyhall-node/src/keeper/mod.rs
+++ b/crates/comfreyhall-node/src/keeper/mod.rs
@@ -13,6 +13,8 @@
 mod order;
 mod report;
 mod task;
+mod ticket;
+mod wish;
 
 use std::{
     sync::{
@@ -24,9 +26,13 @@
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Target};
 use comfreyhall_placement::{Ceiling, Waiting, Window};
-use comfreyhall_protocol::{EnsureReply, EnsureRequest};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
+use self::ticket::{Done, Ticket};
+pub(crate) use self::{
+    ticket::{Placed, Unplaced},
+    wish::{Pick, Wish, answer, ensure},
+};
 use crate::node::Node;
 
 /// Jobs that may wait for one engine.
@@ -57,32 +63,16 @@
 /// Longest pause of a keeper with nothing to do, in ms.
 const IDLE_MS: u64 = 500;
 
-/// Why an adapter was not placed.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub(crate) enum Unplaced {
-    /// The engine is gone, or another boot is there.
-    #[error("the engine takes no order")]
-    Gone,
-    /// It may be placed later, or elsewhere.
-    #[error("{0}")]
-    Later(String),
-}
-
-impl From<&str> for Unplaced {
-    fn from(why: &str) -> Self {
-        Unplaced::Later(why.to_string())
-    }
-}
-
-type Done = oneshot::Sender<Result<u64, Unplaced>>;
-
-/// Someone wants an adapter on this engine.
+/// Someone wants an adapter on this engine, or on one of several.
 struct Job {
     adapter: AdapterRef,
     /// Least version that will do; 0 for any.
     version: u64,
     waiting: Waiting,
-    done: Option<Done>,
+    /// Who waits for it; `None` for a load that nobody waits for yet.
+    ticket: Option<Arc<Ticket>>,
+    /// Ms more than at the best engine that serving it here would take.
+    extra_ms: u64,
     until: u64,
     /// What it last waited for.
     blocked: &'static str,
@@ -100,16 +90,36 @@
                 since: now,
                 aim: now + STUCK_MS,
             },
-            done: None,
+            ticket: None,
+            extra_ms: 0,
             until: now + STUCK_MS,
             blocked: "",
         }
     }
+
+    /// Whether somebody may still want it here.
+    fn open(&self) -> bool {
+        self.ticket.as_ref().is_none_or(|t| t.open())
+    }
+
+    /// Takes it off the other engines: who waits for it, if anybody does.
+    fn claim(&self) -> Option<Done> {
+        self.ticket.as_ref()?.take()
+    }
+
+    /// This engine cannot serve it after all; the others may.
+    fn yield_to_others(&self, done: Option<Done>) {
+        if let (Some(ticket), Some(done)) = (&self.ticket, done) {
+            ticket.put_back(done);
+        }
+    }
 }
 
 /// All keepers of this daemon.
 pub(crate) struct Keepers {
     jobs: Mutex<Map<Name, mpsc::Sender<Job>>>,
+    /// Engines to which each adapter is on its way.
+    loading: Mutex<Map<AdapterRef, Vec<Name>>>,
     /// Loads on their way from the weight store.
     coming: AtomicU32,
     window: Mutex<Window>,
@@ -122,6 +132,7 @@
     fn default() -> Self {
         Self {
             jobs: Mutex::default(),
+            loading: Mutex::default(),
             coming: AtomicU32::new(0),
             window: Mutex::default(),
             models: Mutex::default(),
@@ -160,6 +171,40 @@
         *time += LOAD_GAIN * (took as f64 - *time);
     }
 
+    fn loading(&self) -> MutexGuard<'_, Map<AdapterRef, Vec<Name>>> {
+        self.loading.lock().expect("no holder of this lock panics")
+    }
+
+    /// Notes that `adapter` is on its way to `target`.
+    fn begin_load(&self, adapter: &AdapterRef, target: &Name) {
+        let mut loading = self.loading();
+        let targets = loading.entry(adapter.clone()).or_default();
+        if !targets.contains(target) {
+            targets.push(target.clone());
+        }
+    }
+
+    /// Whether `adapter` is on its way to another of the engines `among` than
+    /// `target`.
+    fn loads_elsewhere(&self, adapter: &AdapterRef, target: &Name, among: &[Name]) -> bool {
+        let loading = self.loading();
+        let other = |t: &Name| t != target && among.contains(t);
+        loading
+            .get(adapter)
+            .is_some_and(|targets| targets.iter().any(other))
+    }
+
+    /// Notes that `adapter` is no longer on its way to `target`.
+    fn end_load(&self, adapter: &AdapterRef, target: &Name) {
+        let mut loading = self.loading();
+        if let Some(targets) = loading.get_mut(adapter) {
+            targets.retain(|t| t != target);
+            if targets.is_empty() {
+                loading.remove(adapter);
+            }
+        }
+    }
+
     fn jobs(&self) -> MutexGuard<'_, Map<Name, mpsc::Sender<Job>>> {
         self.jobs.lock().expect("no holder of this lock panics")
     }
@@ -224,113 +269,6 @@
     tokio::spawn(keeper.run(receive));
 }
 
-/// What is wanted of a keeper.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Wish {
-    /// Least version that will do; 0 for any.
-    pub(crate) version: u64,
-    /// Rank of the route; 0 first.
-    pub(crate) priority: u32,
-    /// Ms within which the load must begin to meet the objective.
-    pub(crate) aim_ms: u64,
-    /// How long to wait.
-    pub(crate) limit: Duration,
-}
-
-/// Sees that `target` holds `adapter`, here or through the holder of the
-/// lease; returns the version held.
-pub(crate) async fn ensure(
-    node: &Arc<Node>,
-    target: &Target,
-    adapter: &AdapterRef,
-    wish: Wish,
-) -> Result<u64, Unplaced> {
-    if node.token(&target.domain).is_some() {
-        return ensure_here(node, &target.id, adapter, wish).await;
-    }
-    let holder = node.fleet.holder(&target.domain, node.now());
-    let holder = holder.ok_or("nobody holds the lease")?;
-    let mut client = node.fleet.client(&holder).ok_or("the holder is gone")?;
-    let ask = EnsureRequest {
-        target: target.id.to_string(),
-        model: adapter.model.to_string(),
-        adapter: adapter.adapter.as_deref().unwrap_or("").to_string(),
-        version: wish.version,
-        limit_ms: wish.limit.as_millis() as u64,
-        priority: wish.priority,
-        aim_ms: wish.aim_ms,
-    };
-    let answer = tokio::time::timeout(wish.limit, client.ensure(ask)).await;
-    let reply = answer
-        .map_err(|_| Unplaced::from("the holder does not answer"))?
-        .map_err(|s| Unplaced::Later(format!("the holder failed: {}", s.message())))?
-        .into_inner();
-    match reply.ready {
-        true => Ok(reply.version),
-        false if reply.gone => Err(Unplaced::Gone),
-        false => Err(Unplaced::Later(reply.error)),
-    }
-}
-
-async fn ensure_here(
-    node: &Arc<Node>,
-    target: &Name,
-    adapter: &AdapterRef,
-    wish: Wish,
-) -> Result<u64, Unplaced> {
-    let (done, wait) = oneshot::channel();
-    let now = node.now();
-    let job = Job {
-        adapter: adapter.clone(),
-        version: wish.version,
-        waiting: Waiting {
-            priority: wish.priority,
-            since: now,
-            aim: now + wish.aim_ms,
-        },
-        done: Some(done),
-        until: now + wish.limit.as_millis() as u64,
-        blocked: "",
-    };
-    let jobs = node.keepers.jobs().get(target).cloned();
-    let jobs = jobs.ok_or("the engine has no keeper yet")?;
-    jobs.try_send(job)
-        .map_err(|_| "the engine's queue is full")?;
-    match tokio::time::timeout(wish.limit, wait).await {
-        Ok(Ok(result)) => result,
-        Ok(Err(_)) => Err("the engine's keeper ended".into()),
-        Err(_) => Err("the load takes longer than the request may wait".into()),
-    }
-}
-
-/// Answers another daemon that wants an adapter on an engine.
-pub(crate) async fn answer(node: &Arc<Node>, ask: EnsureRequest) -> EnsureReply {
-    let target: Name = ask.target.as_str().into();
-    let adapter = AdapterRef {
-        model: ask.model.as_str().into(),
-        adapter: Some(ask.adapter.as_str().into()),
-    };
-    let wish = Wish {
-        version: ask.version,
-        priority: ask.priority,
-        aim_ms: ask.aim_ms,
-        limit: Duration::from_millis(ask.limit_ms),
-    };
-    let done = ensure_here(node, &target, &adapter, wish).await;
-    match done {
-        Ok(version) => EnsureReply {
-            ready: true,
-            version,
-            ..EnsureReply::default()
-        },
-        Err(why) => EnsureReply {
-            gone: why == Unplaced::Gone,
-            error: why.to_string(),
-            ..EnsureReply::default()
-        },
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Hold {
     version: u64,
@@ -364,15 +302,10 @@
     model_due: u64,
 }
 
-fn answer_job(done: Option<Done>, result: Result<u64, Unplaced>) {
-    if let Some(done) = done {
-        // Whoever waited may have left.
-        let _ = done.send(result);
-    }
-}
-
-fn finish(coming: &mut Coming, result: Result<u64, Unplaced>) {
+/// Tells all who wait for a load how it ended.
+fn finish(coming: &mut Coming, result: Result<Placed, Unplaced>) {
     for done in coming.done.drain(..) {
+        // Whoever waited may have left.
         let _ = done.send(result.clone());
     }
 }
--- a/crates/comfreyhall-node/src/keeper/report.rs
+++ b/crates/comfreyhall-node/src/keeper/report.rs
@@ -8,7 +8,7 @@
 use comfreyhall_domain::{AdapterRef, Map};
 use comfreyhall_routing::Standing;
 
-use super::{Coming, Hold, IDLE_MS, Keeper, LOOK_MS, SETTLE, finish};
+use super::{Coming, Hold, IDLE_MS, Keeper, LOOK_MS, Placed, SETTLE, finish};
 use crate::ports::{NoReport, Report};
 
 /// Longest a report is waited for.
@@ -72,7 +72,13 @@
         let old: Vec<(AdapterRef, Coming)> = old.collect();
         for (adapter, mut coming) in old {
             match (held.get(&adapter), listed.contains_key(&adapter)) {
-                (Some(hold), _) => finish(&mut coming, Ok(hold.version)),
+                (Some(hold), _) => {
+                    let placed = Placed {
+                        target: self.target.id.clone(),
+                        version: hold.version,
+                    };
+                    finish(&mut coming, Ok(placed));
+                }
                 (None, true) => self.add_coming(adapter, coming),
                 (None, false) => finish(&mut coming, Err("the order was lost".into())),
             }
@@ -117,11 +123,13 @@
         if !coming.recent {
             self.node.keepers.coming.fetch_add(1, Ordering::Relaxed);
         }
+        self.node.keepers.begin_load(&adapter, &self.target.id);
         self.coming.insert(adapter, coming);
     }
 
     pub(super) fn take_coming(&mut self, adapter: &AdapterRef) -> Option<Coming> {
         let coming = self.coming.remove(adapter)?;
+        self.node.keepers.end_load(adapter, &self.target.id);
         if !coming.recent {
             self.node.keepers.coming.fetch_sub(1, Ordering::Relaxed);
         }
--- a/crates/comfreyhall-node/src/keeper/task.rs
+++ b/crates/comfreyhall-node/src/keeper/task.rs
@@ -22,14 +22,15 @@
                 () = tokio::time::sleep(Duration::from_millis(pause)) => {}
             }
         }
+        self.queue.clear();
         self.forget_coming();
         log::info!(target: "keeper", id:% = self.target.id; "no longer keeping engine");
     }
 
     /// Queues a job; one copy of an adapter is enough.
     fn take(&mut self, job: Job) {
-        let same = |j: &Job| j.done.is_none() && j.adapter == job.adapter;
-        if job.done.is_some() || !self.queue.iter().any(same) {
+        let same = |j: &Job| j.ticket.is_none() && j.adapter == job.adapter;
+        if job.ticket.is_some() || !self.queue.iter().any(same) {
             self.queue.push(job);
         }
     }
@@ -69,7 +70,6 @@
 
     /// Forgets jobs whose callers no longer wait.
     pub(super) fn drop_late(&mut self, now: u64) {
-        self.queue
-            .retain(|j| now < j.until && j.done.as_ref().is_none_or(|d| !d.is_closed()));
+        self.queue.retain(|j| now < j.until && j.open());
     }
 }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -191,7 +191,7 @@
             if self.left() == 0 {
                 return self.give_up("time is up", 0.0);
             }
-            let Some(plan) = self.choose() else {
+            let Some(mut plan) = self.choose() else {
                 if self.held_long() || self.full >= FULL_TIMES {
                     return self.give_up("no target can take it", FULL_MS as f64);
                 }
@@ -210,7 +210,7 @@
             {
                 return self.give_up("the wait is too long", plan.wait_ms / 2.0);
             }
-            if plan.load && !self.place(&plan).await {
+            if plan.load && !self.place(&mut plan).await {
                 if self.held_long() {
                     return self.give_up("its adapter has no place", plan.wait_ms);
                 }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -276,8 +276,8 @@
         if !may || self.left() == 0 || !self.repeat() {
             return Err(());
         }
-        let plan = self.choose().ok_or(())?;
-        if plan.load && (!self.place(&plan).await || !self.still_ready(&plan)) {
+        let mut plan = self.choose().ok_or(())?;
+        if plan.load && (!self.place(&mut plan).await || !self.still_ready(&plan)) {
             return Err(());
         }
         self.send(&plan, last_event).await
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -480,10 +480,11 @@
     #[prost(uint64, tag = "5")]
     pub waiting: u64,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EnsureRequest {
-    #[prost(string, tag = "1")]
-    pub target: ::prost::alloc::string::String,
+    /// Targets that may take the adapter, the best one first.
+    #[prost(message, repeated, tag = "1")]
+    pub picks: ::prost::alloc::vec::Vec<Pick>,
     #[prost(string, tag = "2")]
     pub model: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
@@ -499,10 +500,23 @@
     /// Ms within which the load must begin to meet the latency objective.
     #[prost(uint64, tag = "7")]
     pub aim_ms: u64,
+    /// How long the asker waits for a load to begin, in ms.
+    #[prost(uint64, tag = "8")]
+    pub begin_ms: u64,
+}
+/// A target that may take an adapter.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pick {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// Ms more than at the best one until the request would be answered: it
+    /// takes the adapter only once that long went by without a place elsewhere.
+    #[prost(uint64, tag = "2")]
+    pub extra_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EnsureReply {
-    /// Whether the target holds the adapter now.
+    /// Whether a target holds the adapter now.
     #[prost(bool, tag = "1")]
     pub ready: bool,
     #[prost(uint64, tag = "2")]
@@ -510,9 +524,12 @@
     /// Why not.
     #[prost(string, tag = "3")]
     pub error: ::prost::alloc::string::String,
-    /// Whether the target takes no orders: it is gone, or another boot.
-    #[prost(bool, tag = "4")]
-    pub gone: bool,
+    /// Targets that take no orders: they are gone, or another boot.
+    #[prost(string, repeated, tag = "4")]
+    pub gone: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Which target holds it.
+    #[prost(string, tag = "5")]
+    pub target: ::prost::alloc::string::String,
 }
 /// A stopping daemon names who goes on with a group's orders, and under which
 /// fencing token.
