--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 mod hub;
 mod news;
+mod release;
 mod swap;
 
 pub use swap::serve_peers;
@@ -25,8 +26,10 @@
 use comfreyhall_protocol::{Cession, Daemon, Placed, fleet_client::FleetClient, link};
 use comfreyhall_settings::NodeSettings;
 use rand::{Rng, seq::IteratorRandom};
+use tokio::sync::mpsc;
 use tonic::transport::Channel;
 
+use self::release::Release;
 use crate::{clock, node::Node};
 
 /// Period of the news, in ms: the wait estimate is then at most a quarter of
@@ -103,6 +106,9 @@
 pub(crate) struct Fleet {
     me: Daemon,
     state: Mutex<State>,
+    /// Where releases are put to be told to holders.
+    release: mpsc::Sender<Release>,
+    releases: Mutex<Option<mpsc::Receiver<Release>>>,
 }
 
 /// How news came.
@@ -143,9 +149,12 @@
             ready: false,
             millicores: (settings.cores * 1_000.0) as u32,
         };
+        let (release, releases) = mpsc::channel(release::QUEUE);
         let fleet = Self {
             me,
             state: Mutex::default(),
+            release,
+            releases: Mutex::new(Some(releases)),
         };
         for seed in &settings.seeds {
             fleet.meet(&seed.to_string(), true);
@@ -225,6 +234,9 @@
             *count -= 1;
             if *count == 0 {
                 state.pins.remove(&key);
+                let (target, adapter) = key;
+                // What does not fit is told by the next news.
+                let _ = self.release.try_send(Release { target, adapter });
             }
         }
     }
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -4,7 +4,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{
-    EnsureReply, EnsureRequest, News,
+    EnsureReply, EnsureRequest, News, ReleaseReply, ReleaseRequest,
     fleet_server::{self, FleetServer},
 };
 use rand::Rng;
@@ -31,6 +31,7 @@
 
 /// Starts swapping news.
 pub(crate) fn spawn(node: &Arc<Node>) {
+    super::release::spawn(node);
     let node = node.clone();
     tokio::spawn(async move {
         loop {
@@ -153,6 +154,14 @@
             keeper::answer(&self.0, req.into_inner()).await,
         ))
     }
+
+    async fn release(
+        &self,
+        req: Request<ReleaseRequest>,
+    ) -> Result<Response<ReleaseReply>, Status> {
+        self.0.fleet.released(&req.into_inner());
+        Ok(Response::new(ReleaseReply::default()))
+    }
 }
 
 /// Answers the other daemons on `listener` for as long as the process runs.
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -504,6 +504,24 @@
     #[prost(uint64, tag = "8")]
     pub begin_ms: u64,
 }
+/// Adapters that a daemon's runs have just stopped using.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ReleaseRequest {
+    /// Peer address of the daemon.
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub unused: ::prost::alloc::vec::Vec<Unused>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Unused {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub adapter: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReleaseReply {}
 /// A target that may take an adapter.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pick {
@@ -3072,6 +3090,28 @@
                 .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Ensure"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells the holder that the caller's runs use adapters no more.
+        pub async fn release(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReleaseRequest>,
+        ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/comfreyhall.v1.Fleet/Release",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Release"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -3097,6 +3137,11 @@
             &self,
             request: tonic::Request<super::EnsureRequest>,
         ) -> std::result::Result<tonic::Response<super::EnsureReply>, tonic::Status>;
+        /// Tells the holder that the caller's runs use adapters no more.
+        async fn release(
+            &self,
+            request: tonic::Request<super::ReleaseRequest>,
+        ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status>;
     }
     /// Between daemons of one deployment: each tells the others what it knows.
     #[derive(Debug)]
@@ -3261,6 +3306,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/comfreyhall.v1.Fleet/Release" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReleaseSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::ReleaseRequest>
+                    for ReleaseSvc<T> {
+                        type Response = super::ReleaseReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReleaseRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::release(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReleaseSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
