An instance that starts again takes the leases that were its own at once

Ruled out: dropping the preference for better placed holders (weak holders in large fleets left three quarters of the wishes unanswered).

Change: the first look comes when the instance serves, and takes leases of the process before it. Test reclaim_only_own_former_lease.

--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -59,6 +59,17 @@
     Vacant,
 }
 
+/// Which lease to take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Want {
+    /// None; one that is held is renewed.
+    Nothing,
+    /// One that the process before this one held.
+    Former,
+    /// Any that is free.
+    Free,
+}
+
 #[derive(Default)]
 struct State {
     row: Option<(Record, u64)>,
@@ -160,6 +171,20 @@
     /// Reads the row and renews the lease, or takes it if `want` and it is
     /// free. To be called every third of a term or so.
     pub async fn step(&self, clock: impl Fn() -> Instant, want: bool) -> Result<(), CatalogError> {
+        let want = if want { Want::Free } else { Want::Nothing };
+        self.act(clock, want).await
+    }
+
+    /// Takes the lease if the process before this one held it.
+    ///
+    /// What goes wrong without it: all instances lose power, start again, and
+    /// each leaves the lease that was its own to others that seem better
+    /// placed, which wait a term for its owner: no orders for 3.4 s.
+    pub async fn reclaim(&self, clock: impl Fn() -> Instant) -> Result<(), CatalogError> {
+        self.act(clock, Want::Former).await
+    }
+
+    async fn act(&self, clock: impl Fn() -> Instant, want: Want) -> Result<(), CatalogError> {
         let mut now = clock();
         // A holder whose last write was answered knows the row: one call a
         // renewal in place of two.
@@ -200,7 +225,7 @@
     }
 
     /// The write to make next, with the row version it is conditional on.
-    fn next(&self, now: Instant, want: bool) -> Option<(Record, u64)> {
+    fn next(&self, now: Instant, want: Want) -> Option<(Record, u64)> {
         let state = self.state();
         let fresh = |token| Record {
             owner: self.owner.clone(),
@@ -209,7 +234,7 @@
             write: rand::random(),
         };
         let Some((record, version)) = &state.row else {
-            return want.then(|| (fresh(1), 0));
+            return (want == Want::Free).then(|| (fresh(1), 0));
         };
         if self.ours(record) {
             // A lapsed lease is taken anew, with a new token: orders given
@@ -220,7 +245,7 @@
             if !held {
                 next.token += 1;
             }
-            return (held || want).then_some((next, *version));
+            return (held || want == Want::Free).then_some((next, *version));
         }
         let quiet = state
             .changed
@@ -228,8 +253,13 @@
         // The owner's process before this one: an instance runs one, so it
         // is dead, and nobody gives orders under its token any more.
         let former = record.owner == self.owner;
-        let free = record.owner.is_empty() || quiet || former;
-        (want && free).then(|| (fresh(record.token + 1), *version))
+        let free = record.owner.is_empty() || quiet;
+        let take = match want {
+            Want::Nothing => false,
+            Want::Former => former,
+            Want::Free => free || former,
+        };
+        take.then(|| (fresh(record.token + 1), *version))
     }
 
     async fn write(&self, next: Record, version: u64, sent: Instant) -> Result<(), CatalogError> {
--- a/crates/comfreyhall-lease/tests/release.rs
+++ b/crates/comfreyhall-lease/tests/release.rs
@@ -63,3 +63,21 @@
     next.step(|| later, true).await.unwrap();
     assert!(next.token(later).unwrap() > token);
 }
+
+/// Symptom: no adapter was loaded in a failure domain for 3.4 s after all
+/// instances had lost power. Events: the holder starts again beside an
+/// instance that is better placed, leaves the lease to it, and that one waits
+/// for a term, as the holder might still live. Cause: only a process that wanted
+/// any free lease looked whose it had been.
+#[tokio::test]
+async fn reclaim_only_own_former_lease() {
+    let table = FakeTable::default();
+    let old = lease(&table, "a");
+    old.step(Instant::now, true).await.unwrap();
+    let token = old.token(Instant::now()).unwrap();
+    let (again, other) = (lease(&table, "a"), lease(&table, "b"));
+    other.reclaim(Instant::now).await.unwrap();
+    assert_eq!(other.token(Instant::now()), None);
+    again.reclaim(Instant::now).await.unwrap();
+    assert!(again.token(Instant::now()).unwrap() > token);
+}
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -11,9 +11,10 @@
     time::{Duration, Instant},
 };
 
-use comfreyhall_catalog::Rows;
+use comfreyhall_catalog::{CatalogError, Rows};
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_lease::Lease;
+use tokio::time::error::Elapsed;
 
 use crate::{clock, fleet, node::Node};
 
@@ -173,6 +174,11 @@
     let node = node.clone();
     tokio::spawn(async move {
         let mut leases: Map<Name, Arc<Lease<R>>> = Map::default();
+        // Which groups there are is known once it serves.
+        tokio::select! {
+            () = node.life.reached(comfreyhall_life::Stage::Serving) => {}
+            () = node.life.reached(comfreyhall_life::Stage::Leaving) => {}
+        }
         loop {
             let term = Duration::from_millis(node.settings().bounds.lease_ms);
             if node.leaving() {
@@ -181,17 +187,16 @@
                 return;
             }
             for group in groups(&node) {
-                let lease = leases.entry(group.clone()).or_insert_with(|| {
-                    let lease = Arc::new(Lease::new(
-                        rows.clone(),
-                        &group,
-                        node.settings().id.clone(),
-                        term,
-                    ));
-                    node.leases.add(&group, lease.clone());
-                    lease
-                });
-                step(&node, &group, lease, term).await;
+                match leases.get(&group) {
+                    Some(lease) => step(&node, &group, lease, term).await,
+                    None => {
+                        let id = node.settings().id.clone();
+                        let lease = Arc::new(Lease::new(rows.clone(), &group, id, term));
+                        node.leases.add(&group, lease.clone());
+                        first_step(&node, &group, &lease, term).await;
+                        leases.insert(group, lease);
+                    }
+                }
             }
             tokio::select! {
                 () = tokio::time::sleep(term / STEPS) => {}
@@ -208,6 +213,14 @@
     }
 }
 
+/// Takes the lease at once if it was this instance's before it started again;
+/// if not, does as in every step.
+async fn first_step<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
+    let call = tokio::time::timeout(term / STEP_PART, lease.reclaim(clock::instant));
+    noted(node, group, None, lease, call.await);
+    step(node, group, lease, term).await;
+}
+
 async fn step<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
     let before = lease.token(clock::instant());
     let now = node.now();
@@ -226,8 +239,19 @@
     if before.is_none() && (held || !want) {
         return;
     }
-    let call = lease.step(clock::instant, want);
-    match tokio::time::timeout(term / STEP_PART, call).await {
+    let call = tokio::time::timeout(term / STEP_PART, lease.step(clock::instant, want));
+    noted(node, group, before, lease, call.await);
+}
+
+/// Notes how a step ended; `before`: the token held until then.
+fn noted<R: Rows>(
+    node: &Arc<Node>,
+    group: &Name,
+    before: Option<u64>,
+    lease: &Lease<R>,
+    ended: Result<Result<(), CatalogError>, Elapsed>,
+) {
+    match ended {
         Ok(Ok(())) => {}
         Ok(Err(e)) => {
             log::warn!(target: "leases", group:% = group, error:% = e; "lease step failed")
