--- a/crates/comfreyhall-node/tests/place.rs
+++ b/crates/comfreyhall-node/tests/place.rs
@@ -5,6 +5,7 @@
 use std::{sync::atomic::Ordering, time::Duration};
 
 use comfreyhall_domain::{AdapterRef, Kind};
+use comfreyhall_node::ports::{Action, Order};
 use support::*;
 
 fn adapter_ask(id: &str) -> comfreyhall_domain::Ask {
@@ -51,3 +52,78 @@
     assert_eq!(call.await.unwrap(), Got::NotRun);
     assert!(script.seen.lock().unwrap().is_empty());
 }
+
+/// Targets that were ordered to load `adapter`.
+fn loaders(script: &Script, adapter: &str) -> Vec<comfreyhall_domain::Name> {
+    let orders = script.orders.lock().unwrap();
+    let ordered = script.ordered.lock().unwrap();
+    let of = |o: &Order| o.action == Action::Load && o.adapter.adapter.as_deref() == Some(adapter);
+    let both = orders.iter().zip(ordered.iter());
+    let mut out: Vec<_> = both
+        .filter(|(o, _)| of(o))
+        .map(|(_, t)| t.clone())
+        .collect();
+    out.dedup();
+    out
+}
+
+fn ask_for(id: &str, adapter: &str) -> comfreyhall_domain::Ask {
+    let mut ask = adapter_ask(id);
+    ask.adapter.as_mut().unwrap().adapter = Some(adapter.into());
+    ask
+}
+
+/// Symptom: engines loaded half as many adapters again as were used, and
+/// places stood idle meanwhile. Events: a load begins late, its request stops
+/// waiting for a place, and asks another engine for the same adapter. Cause:
+/// the wait for a place and the wait for a load had one limit.
+#[tokio::test]
+async fn serve_load_outlasts_wait_for_place() {
+    let mut long = route(Kind::Stream, 1, false);
+    long.timeout_ms = 8_000;
+    long.target_ms = 4_000;
+    let (node, script, _) = world(long, Some(engine()), Vec::new()).await;
+    *script.always.lock().unwrap() = Some(Act::Stream(vec![1], true));
+    let call = tokio::spawn(async move { got(node.serve(ask_for("q", "a1")).await).await });
+    while script.orders.lock().unwrap().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    script.loads.store(true, Ordering::SeqCst);
+    assert_eq!(call.await.unwrap(), Got::Stream(vec![1], true));
+    assert_eq!(loaders(&script, "a1").len(), 1);
+}
+
+/// Symptom: requests waited 200 ms at an engine whose places were all in use,
+/// were turned away, and waited at the next, while places fell free elsewhere.
+/// Events: both engines have one place, in use; the run at one of them ends.
+/// Cause: a request waited at the engine it had chosen.
+#[tokio::test]
+async fn serve_takes_place_that_falls_free() {
+    let mut long = route(Kind::Stream, 1, false);
+    long.timeout_ms = 8_000;
+    long.target_ms = 8_000;
+    let acts = vec![Act::Mute, Act::Mute, Act::Stream(vec![1], true)];
+    let (node, script, _) = world(long, Some(engine()), acts).await;
+    script.loads.store(true, Ordering::SeqCst);
+    let mut held = Vec::new();
+    for (i, adapter) in ["x", "y"].into_iter().enumerate() {
+        let node = node.clone();
+        held.push(tokio::spawn(async move {
+            got(node.serve(ask_for(adapter, adapter)).await).await
+        }));
+        while script.seen.lock().unwrap().len() <= i {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let free = script.seen.lock().unwrap()[1].target.clone();
+    let waiting = {
+        let node = node.clone();
+        tokio::spawn(async move { got(node.serve(ask_for("z", "z")).await).await })
+    };
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    held[1].abort();
+    assert_eq!(waiting.await.unwrap(), Got::Stream(vec![1], true));
+    assert_eq!(loaders(&script, "z"), [free]);
+    held[0].abort();
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -52,6 +52,8 @@
     pub always: Mutex<Option<Act>>,
     /// Orders to load so far; a load is done at the second look.
     pub orders: Mutex<Vec<Order>>,
+    /// Targets of the orders, in the same order.
+    pub ordered: Mutex<Vec<Name>>,
     /// Whether loads end.
     pub loads: std::sync::atomic::AtomicBool,
 }
@@ -131,7 +133,8 @@
         .boxed()
     }
 
-    fn order(&self, _: Arc<Target>, order: Order) -> BoxFuture<'static, OrderReply> {
+    fn order(&self, target: Arc<Target>, order: Order) -> BoxFuture<'static, OrderReply> {
+        self.ordered.lock().unwrap().push(target.id.clone());
         let mut orders = self.orders.lock().unwrap();
         let again = orders.iter().any(|o| o.adapter == order.adapter);
         orders.push(order);
