--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -125,8 +125,8 @@
 /// store falls silent in the middle of a feed call; it comes back, the others
 /// read a larger configuration, and this daemon still waits for its call to
 /// fail. Cause: it did not count as cut off, so nobody sent it the settings.
-#[test]
-fn own_news_behind_is_cut_off() {
+#[tokio::test]
+async fn own_news_behind_is_cut_off() {
     let node = node();
     let peer = daemon(100);
     node.fleet.meet(&peer.peer, false);
