One way to tell those who wait for a load how it ended

finish and answer_job sent the same result to the same kind of waiters, one to a list and one to an option; report.rs built a Placed beside the method that makes one. finish takes whatever can be iterated, Keeper::placed is called by both. Behaviour as before; the crate's tests pass unchanged.

--- a/crates/comfreyhall-node/src/keeper/load.rs
+++ b/crates/comfreyhall-node/src/keeper/load.rs
@@ -4,7 +4,7 @@
 use comfreyhall_placement::{Occupant, victim};
 use comfreyhall_routing::Standing;
 
-use super::{Coming, Hold, Job, Keeper, LOOK_MS, Placed, STUCK_MS, Unplaced, finish, ticket::Done};
+use super::{Coming, Hold, Job, Keeper, LOOK_MS, Placed, STUCK_MS, finish};
 use crate::{
     fleet::key_of,
     ports::{Action, OrderReply},
@@ -42,8 +42,8 @@
                 OrderReply::Accepted => self.still_coming(&adapter),
                 OrderReply::Conflict | OrderReply::Silent(_) => {}
                 OrderReply::Fenced | OrderReply::Gone | OrderReply::Invalid => {
-                    if let Some(mut coming) = self.take_coming(&adapter) {
-                        finish(&mut coming, Err("the engine no longer loads it".into()));
+                    if let Some(coming) = self.take_coming(&adapter) {
+                        finish(coming.done, Err("the engine no longer loads it".into()));
                     }
                 }
             }
@@ -57,10 +57,10 @@
         };
         coming.look = now + LOOK_MS;
         if now.saturating_sub(coming.ordered) > STUCK_MS
-            && let Some(mut coming) = self.take_coming(adapter)
+            && let Some(coming) = self.take_coming(adapter)
         {
             log::warn!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter); "load is stuck");
-            finish(&mut coming, Err("the load is stuck".into()));
+            finish(coming.done, Err("the load is stuck".into()));
             self.synced = false;
         }
     }
@@ -73,7 +73,7 @@
         };
         let took = now.saturating_sub(coming.ordered);
         self.node.keepers.learn(coming.recent, took, now);
-        let Some(mut coming) = self.take_coming(adapter) else {
+        let Some(coming) = self.take_coming(adapter) else {
             return;
         };
         let version = coming.version;
@@ -91,7 +91,7 @@
             .placed(&self.target.id, adapter, Some(version));
         self.node.metrics.load(coming.recent);
         log::info!(target: "keeper", id:% = self.target.id, adapter:% = key_of(adapter), version, recent = coming.recent, queued = coming.queued, blocked = coming.blocked, ms = took; "adapter loaded");
-        finish(&mut coming, Ok(self.placed(version)));
+        finish(coming.done, Ok(self.placed(version)));
     }
 
     /// Replaces adapters of which a newer version was named.
@@ -141,7 +141,7 @@
             && hold.version >= job.version
         {
             let placed = self.placed(hold.version);
-            answer_job(job.claim(), Ok(placed));
+            finish(job.claim(), Ok(placed));
             return None;
         }
         if let Some(coming) = self.coming.get_mut(&job.adapter) {
@@ -191,7 +191,8 @@
         (window && !recent && self.node.keepers.store_full()).then_some("weight store")
     }
 
-    fn placed(&self, version: u64) -> Placed {
+    /// This engine holds `version`.
+    pub(super) fn placed(&self, version: u64) -> Placed {
         Placed {
             target: self.target.id.clone(),
             version,
@@ -233,7 +234,7 @@
                 let since = self.node.now();
                 self.held.insert(job.adapter, Hold { version, since });
                 let placed = self.placed(version);
-                answer_job(done, Ok(placed));
+                finish(done, Ok(placed));
                 None
             }
             OrderReply::Conflict => {
@@ -290,11 +291,3 @@
         victim(&occupants).map(|o| o.key.clone())
     }
 }
-
-/// Tells whoever waits for a job how it ended.
-fn answer_job(done: Option<Done>, result: Result<Placed, Unplaced>) {
-    if let Some(done) = done {
-        // Whoever waited may have left.
-        let _ = done.send(result);
-    }
-}
--- a/crates/comfreyhall-node/src/keeper/mod.rs
+++ b/crates/comfreyhall-node/src/keeper/mod.rs
@@ -302,9 +302,9 @@
     model_due: u64,
 }
 
-/// Tells all who wait for a load how it ended.
-fn finish(coming: &mut Coming, result: Result<Placed, Unplaced>) {
-    for done in coming.done.drain(..) {
+/// Tells all who wait how it ended.
+fn finish(waiting: impl IntoIterator<Item = Done>, result: Result<Placed, Unplaced>) {
+    for done in waiting {
         // Whoever waited may have left.
         let _ = done.send(result.clone());
     }
--- a/crates/comfreyhall-node/src/keeper/report.rs
+++ b/crates/comfreyhall-node/src/keeper/report.rs
@@ -8,7 +8,7 @@
 use comfreyhall_domain::{AdapterRef, Map};
 use comfreyhall_routing::Standing;
 
-use super::{Coming, Hold, IDLE_MS, Keeper, LOOK_MS, Placed, SETTLE, finish};
+use super::{Coming, Hold, IDLE_MS, Keeper, LOOK_MS, SETTLE, finish};
 use crate::ports::{NoReport, Report};
 
 /// Longest a report is waited for.
@@ -70,17 +70,11 @@
             .into_iter()
             .filter_map(|a| Some((a.clone(), self.take_coming(&a)?)));
         let old: Vec<(AdapterRef, Coming)> = old.collect();
-        for (adapter, mut coming) in old {
+        for (adapter, coming) in old {
             match (held.get(&adapter), listed.contains_key(&adapter)) {
-                (Some(hold), _) => {
-                    let placed = Placed {
-                        target: self.target.id.clone(),
-                        version: hold.version,
-                    };
-                    finish(&mut coming, Ok(placed));
-                }
+                (Some(hold), _) => finish(coming.done, Ok(self.placed(hold.version))),
                 (None, true) => self.add_coming(adapter, coming),
-                (None, false) => finish(&mut coming, Err("the order was lost".into())),
+                (None, false) => finish(coming.done, Err("the order was lost".into())),
             }
         }
         for (adapter, version) in listed {
