Derive what was stored beside its source; look up what was searched

Plan.load was the same as having picks; choose() read the settings twice and wrote the look at what a target holds twice. Shelf::newest searched all rows in each news and ten times a second, and behind_ms searched them again: it is kept as rows come in. The parts of the bound for settings stood in two files.

--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -47,18 +47,23 @@
     pub(crate) target: Arc<Target>,
     /// Prompt tokens to read there.
     pub(crate) tokens: u64,
-    /// Whether the adapter has to be loaded first.
-    pub(crate) load: bool,
     /// Least version that will do; 0 for any.
     pub(crate) version: u64,
     /// Version to insist on.
     pub(crate) expect: Option<u64>,
     /// Estimated ms to the first token, the load included.
     pub(crate) wait_ms: f64,
-    /// Engines that may load the adapter, the target first.
+    /// Engines that may load the adapter, the target first; none if it is there.
     pub(crate) picks: Vec<Pick>,
 }
 
+impl Plan {
+    /// Whether the adapter has to be loaded first.
+    pub(crate) fn loads(&self) -> bool {
+        !self.picks.is_empty()
+    }
+}
+
 /// What a choice is made for.
 pub(crate) struct Wish<'a> {
     pub(crate) ask: &'a Ask,
@@ -83,14 +88,14 @@
 /// The target for a request; `None` if none can take it now.
 pub(crate) fn choose(node: &Node, wish: &Wish<'_>) -> Option<Plan> {
     let now = node.now();
-    let domain = node.settings().domain.clone();
-    let policies = node.policies();
+    let settings = node.settings();
+    let policies = settings.policies;
     let view = node.view();
     let targets = view.ready(wish.service, now);
     let targets: Vec<Arc<Target>> = targets.into_iter().filter(|t| wish.open(t)).collect();
     let base = |t: &Target| Choice {
         id: t.id.clone(),
-        near: t.domain == domain || !policies.near_first,
+        near: t.domain == settings.domain || !policies.near_first,
         wait_ms: 0.0,
         load_ms: 0.0,
         stored: false,
@@ -129,16 +134,17 @@
     };
     let best = pick::best(&choices, again_ms, spread, wish.draw)?;
     let target = targets.iter().find(|t| t.id == best.id)?.clone();
+    if !policies.shared_waits {
+        loaders.clear();
+    }
     let picks = match best.load_ms > 0.0 {
-        true if policies.shared_waits => picks(best, &loaders, &targets, &target.domain, again_ms),
-        true => picks(best, &[], &targets, &target.domain, again_ms),
+        true => picks(best, &loaders, &targets, &target.domain, again_ms),
         false => Vec::new(),
     };
     let adapter = wish.ask.adapter.as_ref();
     let tokens = adapter.map_or(0, |a| unread(&view, wish.ask, a, &target.id));
     Some(Plan {
         tokens,
-        load: best.load_ms > 0.0,
         version,
         expect: (version > 0).then_some(version),
         wait_ms: best.wait_ms + best.load_ms,
@@ -226,11 +232,9 @@
     let used = node.fleet.used(now);
     let named = view.named.get(adapter).map_or(0, |n| n.version);
     let policies = node.policies();
-    let holds = |t: &&Arc<Target>| {
-        let version_there = view.residency.version(adapter, &t.id);
-        version_there.is_some_and(|v| v >= version)
-    };
-    let holders = targets.iter().filter(holds).map(|t| &t.id);
+    let resident = |t: &Target| view.residency.version(adapter, &t.id);
+    let holds = |t: &Target| resident(t).is_some_and(|v| v >= version);
+    let holders = targets.iter().filter(|t| holds(t)).map(|t| &t.id);
     let reader = match policies.shared_prompts {
         true => pick::reader(&key, &wish.ask.parts, holders),
         false => None,
@@ -244,7 +248,7 @@
             tokens = tokens.min(own_tokens(wish.ask));
         }
         choice.wait_ms = view.board.prefill_ms(&t.id, tokens, now);
-        let resident = view.residency.version(adapter, &t.id);
+        let resident = resident(t);
         let held = adapter.adapter.is_none() || resident.is_some_and(|v| v >= version);
         if held {
             if resident.is_some_and(|v| v < named) {
--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -21,6 +21,8 @@
     pub(crate) news: Map<Name, u64>,
     /// Newest version covered.
     pub(crate) version: u64,
+    /// Version of the newest row.
+    newest: u64,
     /// When the store said what is known here, to us or to a peer.
     pub(crate) as_of: u64,
     /// Since when a peer is known to have a newer row; 0 if none has.
@@ -29,8 +31,17 @@
 
 impl Shelf {
     /// Version of the newest row.
+    ///
+    /// Kept and not searched: it is asked for in each news and ten times a
+    /// second, and there is a row for each version named of an adapter.
     pub(crate) fn newest(&self) -> u64 {
-        self.rows.values().map(|f| f.version).max().unwrap_or(0)
+        self.newest
+    }
+
+    /// Takes a row in place of the one known under its key.
+    fn put(&mut self, fact: Fact) {
+        self.newest = self.newest.max(fact.version);
+        self.rows.insert(fact.key.clone(), fact);
     }
 
     /// Ms since the store said what is known here; the most there is if it
@@ -95,7 +106,7 @@
         if news {
             shelf.news.insert(fact.key.clone(), fact.version);
         }
-        shelf.rows.insert(fact.key.clone(), fact);
+        shelf.put(fact);
         changed |= news;
     }
     drop(view);
@@ -145,7 +156,12 @@
         }
         Ok(Decoded::Target(target)) => {
             view.unread.remove(&fact.key);
-            if let Some(known) = view.boot_of(&target.name).filter(|k| k.id != target.id) {
+            // Another boot is only looked for when this one is not known:
+            // looking through all targets for each of their entries would
+            // take 4 million comparisons a second with 2,200 targets.
+            if !view.targets.contains_key(&target.id)
+                && let Some(known) = view.boot_of(&target.name)
+            {
                 if known.born > target.born {
                     log::info!(target: "follow", id:% = target.id, newer:% = known.id; "entry of an earlier boot passed over");
                     return false;
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -7,7 +7,7 @@
 
 use super::{Fleet, State, hub, key_of, parse_key};
 use crate::{
-    facts,
+    facts, follow,
     node::Node,
     ports::{Fact, Facts, Topic},
 };
@@ -25,16 +25,6 @@
 /// denials. The store has 400 times the link.
 const CARRIED_BYTES: usize = 8 * 1_024;
 
-/// Parts of the bound for settings: a daemon that has heard of newer settings
-/// for one part and does not have them counts as cut off from the store. In the
-/// others the peer that has them hears of it, and sends them.
-///
-/// What goes wrong without it: the store falls silent in the middle of a feed
-/// call, which takes its 11 s to fail, and until then the daemon does not know
-/// that it is cut off: routes denied 3 s after they were added, 17 times in a
-/// heavy day of 90 daemons.
-const PARTS_PER_APPLY: u64 = 3;
-
 impl Fleet {
     /// What to tell the peer at `addr`.
     pub(super) fn news_for(&self, node: &Node, addr: &str) -> News {
@@ -96,9 +86,16 @@
         let targets_age = targets.age(now);
         let settings_age = view.book.settings.age(now);
         let settings_version = view.book.settings.newest();
+        // Who has heard of newer settings for one part of their bound and does
+        // not have them counts as cut off; the other parts are left for a peer
+        // to hear of it and to send them. What goes wrong without it: the store
+        // falls silent in the middle of a feed call, which takes its 11 s to
+        // fail, and until then the daemon does not know that it is cut off:
+        // routes denied 3 s after they were added, 17 times in a heavy day of
+        // 90 daemons.
         let heard = self.settings_heard(now);
         let behind_ms = view.book.settings.behind_ms(heard, now);
-        let lag_ms = node.settings().bounds.apply_ms / PARTS_PER_APPLY;
+        let lag_ms = node.settings().bounds.apply_ms / follow::PARTS_PER_APPLY;
         let mut from = self.me.clone();
         from.ready = node.ready();
         News {
@@ -212,7 +209,7 @@
             let rows: Vec<Fact> = rows.into_iter().map(from_wire).collect();
             let version = rows.iter().map(|f| f.version).max().unwrap_or(0);
             facts::apply(node, topic, Facts { rows, version });
-            crate::follow::settle(node);
+            follow::settle(node);
         }
         let mut view = node.view();
         if age != u64::MAX && covers {
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -32,7 +32,7 @@
 /// not for each daemon. Each of their calls returns within one part, which
 /// confirms what they know; the others begin to follow by themselves once no
 /// holder has confirmed it for two parts, and have the third for that.
-const PARTS_PER_APPLY: u64 = 3;
+pub(crate) const PARTS_PER_APPLY: u64 = 3;
 
 /// Pause between looks at whether holders still tell of settings, in ms.
 const TOLD_LOOK_MS: u64 = 100;
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -230,13 +230,13 @@
             {
                 return self.give_up("the wait is too long", plan.wait_ms / 2.0);
             }
-            if plan.load && !self.place(&mut plan).await {
+            if plan.loads() && !self.place(&mut plan).await {
                 if self.held_long() {
                     return self.give_up("its adapter has no place", plan.wait_ms);
                 }
                 continue;
             }
-            if plan.load && !self.still_ready(&plan) {
+            if plan.loads() && !self.still_ready(&plan) {
                 continue;
             }
             if self.arrivals > 0 && !self.repeat() {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -182,7 +182,7 @@
                 Refusal::Other => "for a reason of its own",
             },
         );
-        log::debug!(target: "serve", id:% = self.ask.id, expect:? = plan.expect, load = plan.load; "refused send");
+        log::debug!(target: "serve", id:% = self.ask.id, expect:? = plan.expect, load = plan.loads(); "refused send");
     }
 
     pub(super) async fn relay(&mut self, response: Response, flight: Flight, plan: Plan) -> Next {
@@ -284,7 +284,7 @@
             return Err(());
         }
         let mut plan = self.choose().ok_or(())?;
-        if plan.load && (!self.place(&mut plan).await || !self.still_ready(&plan)) {
+        if plan.loads() && (!self.place(&mut plan).await || !self.still_ready(&plan)) {
             return Err(());
         }
         self.send(&plan, last_event).await
