--- /dev/null
+++ b/crates/comfreyhall-node/src/fleet/holding.rs
@@ -0,0 +1,68 @@
+//! Who holds the leases on orders, and who is well placed to.
+
+use comfreyhall_domain::Name;
+use comfreyhall_protocol::{Cession, Daemon};
+
+use super::{Fleet, hub};
+
+/// Processor with which a daemon is well placed to hold leases in a large
+/// fleet, in thousandths of a core: reports of 88 daemons and the orders
+/// to thirty engines took 59 to 69 of them.
+const MUCH_CPU: u32 = 250;
+
+impl Fleet {
+    /// Who holds the lease of `group`, other than this daemon.
+    pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
+        let state = self.state();
+        let held = state.heard(now).filter_map(|(addr, peer)| {
+            let holding = peer.holdings.iter().find(|(g, _)| &**g == group)?;
+            Some((holding.1, addr.clone()))
+        });
+        held.max().map(|(_, addr)| addr)
+    }
+
+    /// Who should go on with `group` when this daemon stops: a daemon that
+    /// takes requests, in the group's domain if there is one.
+    pub(crate) fn successor(&self, group: &str, now: u64) -> Option<Name> {
+        let state = self.state();
+        let large = hub::large(state.peers.len());
+        let ready = state.alive(now).filter_map(|(addr, peer)| {
+            let about = peer.about.as_ref().filter(|a| a.ready)?;
+            let weak = large && about.millicores < MUCH_CPU;
+            let far = about.domain != group;
+            Some((weak, far, peer.holdings.len(), addr.clone()))
+        });
+        ready.min().map(|(_, _, _, addr)| addr)
+    }
+
+    /// Tells peers that `to` goes on with `group` under `token`.
+    pub(crate) fn cede(&self, group: &str, token: u64, to: &str) {
+        self.state().cessions.push(Cession {
+            group: group.to_string(),
+            token,
+            to: to.to_string(),
+        });
+    }
+
+    /// Whether this daemon has too little processor to hold leases in a large
+    /// fleet while others can.
+    pub(crate) fn weak(&self) -> bool {
+        hub::large(self.state().peers.len()) && self.me.millicores < MUCH_CPU
+    }
+
+    /// Whether another daemon is better placed to hold the lease of `group`.
+    ///
+    /// In a large fleet a holder answers everybody's reports, so the daemons
+    /// with clearly more processor come first: on 0.12 of a core holders
+    /// left 2,221 wishes for a place unanswered in 34 s, three quarters of all
+    /// that failed. Then those in the group's domain come first, beside its
+    /// engines.
+    pub(crate) fn better(&self, group: &str, now: u64) -> bool {
+        let state = self.state();
+        let large = hub::large(state.peers.len());
+        let rank = |d: &Daemon| (large && d.millicores >= MUCH_CPU, d.domain == group);
+        let mine = rank(&self.me);
+        let about = state.alive(now).filter_map(|(_, p)| p.about.as_ref());
+        about.filter(|a| a.ready).any(|a| rank(a) > mine)
+    }
+}
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -11,7 +11,7 @@
 
 use std::hash::{Hash, Hasher};
 
-use comfreyhall_domain::{AdapterRef, Map, Name, Set};
+use comfreyhall_domain::{Map, Name};
 use comfreyhall_protocol::{Daemon, News, TargetTotal};
 use comfreyhall_routing::Work;
 use rand::seq::IteratorRandom;
@@ -117,13 +117,8 @@
 
     /// Adapters in use at each target by all daemons.
     fn used(&self, now: u64) -> Map<Name, u32> {
-        let theirs = self
-            .heard(now)
-            .flat_map(|(_, p)| p.pins.iter().map(|(t, a)| (t, a)));
-        let pins = self.pins.keys().map(|(t, a)| (t, a)).chain(theirs);
-        let distinct: Set<(&Name, &AdapterRef)> = pins.collect();
         let mut out: Map<Name, u32> = Map::default();
-        for (target, _) in distinct {
+        for (target, _) in self.pinned(now) {
             *out.entry(target.clone()).or_default() += 1;
         }
         out
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! not handed out to callers. In a large fleet ([`hub`]) news goes through
 //! the holders of leases.
 
+mod holding;
 mod hub;
 mod news;
 mod release;
@@ -22,7 +23,7 @@
     time::Duration,
 };
 
-use comfreyhall_domain::{AdapterRef, Map, Name};
+use comfreyhall_domain::{AdapterRef, Map, Name, Set};
 use comfreyhall_protocol::{Cession, Daemon, Placed, fleet_client::FleetClient, link};
 use comfreyhall_settings::NodeSettings;
 use rand::{Rng, seq::IteratorRandom};
@@ -44,11 +45,6 @@
 /// few lost calls do not take it out.
 const ALIVE_PERIODS: u64 = 4;
 
-/// Processor with which a daemon is well placed to hold leases in a large
-/// fleet, in thousandths of a core: reports of 88 daemons and the orders
-/// to thirty engines took 59 to 69 of them.
-const MUCH_CPU: u32 = 250;
-
 /// Most addresses in one answer, as callers take them.
 const MOST_ADDRESSES: usize = 64;
 
@@ -264,14 +260,8 @@
     pub(crate) fn in_use(&self, now: u64) -> Map<Name, Vec<AdapterRef>> {
         let state = self.state();
         let mut out: Map<Name, Vec<AdapterRef>> = Map::default();
-        let theirs = state
-            .heard(now)
-            .flat_map(|(_, p)| p.pins.iter().map(|(t, a)| (t, a)));
-        for (target, adapter) in state.pins.keys().map(|(t, a)| (t, a)).chain(theirs) {
-            let used = out.entry(target.clone()).or_default();
-            if !used.contains(adapter) {
-                used.push(adapter.clone());
-            }
+        for (target, adapter) in state.pinned(now) {
+            out.entry(target.clone()).or_default().push(adapter.clone());
         }
         out
     }
@@ -309,65 +299,10 @@
         }
     }
 
-    /// Who holds the lease of `group`, other than this daemon.
-    pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
-        let state = self.state();
-        let held = state.heard(now).filter_map(|(addr, peer)| {
-            let holding = peer.holdings.iter().find(|(g, _)| &**g == group)?;
-            Some((holding.1, addr.clone()))
-        });
-        held.max().map(|(_, addr)| addr)
-    }
-
-    /// Who should go on with `group` when this daemon stops: a daemon that
-    /// takes requests, in the group's domain if there is one.
-    pub(crate) fn successor(&self, group: &str, now: u64) -> Option<Name> {
-        let state = self.state();
-        let large = hub::large(state.peers.len());
-        let ready = state.alive(now).filter_map(|(addr, peer)| {
-            let about = peer.about.as_ref().filter(|a| a.ready)?;
-            let weak = large && about.millicores < MUCH_CPU;
-            let far = about.domain != group;
-            Some((weak, far, peer.holdings.len(), addr.clone()))
-        });
-        ready.min().map(|(_, _, _, addr)| addr)
-    }
-
-    /// Tells peers that `to` goes on with `group` under `token`.
-    pub(crate) fn cede(&self, group: &str, token: u64, to: &str) {
-        self.state().cessions.push(Cession {
-            group: group.to_string(),
-            token,
-            to: to.to_string(),
-        });
-    }
-
     pub(crate) fn client(&self, peer: &str) -> Option<FleetClient<Channel>> {
         self.state().peers.get(peer).map(|p| p.client.clone())
     }
 
-    /// Whether this daemon has too little processor to hold leases in a large
-    /// fleet while others can.
-    pub(crate) fn weak(&self) -> bool {
-        hub::large(self.state().peers.len()) && self.me.millicores < MUCH_CPU
-    }
-
-    /// Whether another daemon is better placed to hold the lease of `group`.
-    ///
-    /// In a large fleet a holder answers everybody's reports, so the daemons
-    /// with clearly more processor come first: on 0.12 of a core holders
-    /// left 2,221 wishes for a place unanswered in 34 s, three quarters of all
-    /// that failed. Then those
-    /// in the group's domain come first, beside its engines.
-    pub(crate) fn better(&self, group: &str, now: u64) -> bool {
-        let state = self.state();
-        let large = hub::large(state.peers.len());
-        let rank = |d: &Daemon| (large && d.millicores >= MUCH_CPU, d.domain == group);
-        let mine = rank(&self.me);
-        let about = state.alive(now).filter_map(|(_, p)| p.about.as_ref());
-        about.filter(|a| a.ready).any(|a| rank(a) > mine)
-    }
-
     pub(crate) fn addresses(&self, node: &Node) -> (Vec<Name>, Duration) {
         let now = node.now();
         let mut out: Vec<Name> = Vec::new();
@@ -395,6 +330,13 @@
         self.peers.iter().filter(move |(_, p)| p.seen(now, limit))
     }
 
+    /// Each adapter in use at a target by any daemon, once.
+    fn pinned(&self, now: u64) -> Set<(&Name, &AdapterRef)> {
+        let theirs = self.heard(now).flat_map(|(_, p)| &p.pins);
+        let all = self.pins.keys().chain(theirs);
+        all.map(|(target, adapter)| (target, adapter)).collect()
+    }
+
     /// Peers that this daemon heard from lately.
     fn heard(&self, now: u64) -> impl Iterator<Item = (&Name, &Peer)> {
         let limit = Fleet::alive_ms(self.peers.len());
--- a/crates/comfreyhall-node/src/keeper/copies/tests.rs
+++ b/crates/comfreyhall-node/src/keeper/copies/tests.rs
@@ -1,32 +1,23 @@
-use comfreyhall_domain::{AdapterRef, Held, Map, Name, Stage, Target};
+use comfreyhall_domain::{AdapterRef, Held, Map, Name, Target};
 use comfreyhall_routing::Standing;
 
 use super::due;
-use crate::node::View;
+use crate::{node::View, quiet::target};
 
-fn target(id: &str) -> Target {
+fn engine(id: &str) -> Target {
     Target {
-        id: id.into(),
-        name: id.into(),
-        born: 0,
-        service: "s".into(),
-        addr: "127.0.0.1:1".into(),
-        domain: "d".into(),
-        stage: Stage::Ready,
-        slots: 4,
         held: vec![Held {
             model: "m".into(),
             adapters: Vec::new(),
         }],
-        sequence: 0,
-        version: 1,
+        ..target(id)
     }
 }
 
 /// What a holder knows of six engines, the first of which has the adapter
 /// that was asked for `requests` times in the last second.
 fn view(requests: u32, adapter: &AdapterRef) -> View {
-    let targets = ["a", "b", "c", "d", "e", "f"].map(|id| (Name::from(id), target(id).into()));
+    let targets = ["a", "b", "c", "d", "e", "f"].map(|id| (Name::from(id), engine(id).into()));
     let mut view = View {
         targets: targets.into_iter().collect(),
         prompt_tokens: 2_000.0,
--- a/crates/comfreyhall-node/src/quiet.rs
+++ b/crates/comfreyhall-node/src/quiet.rs
@@ -16,25 +16,37 @@
 
 struct Quiet;
 
+/// A target that is ready and holds nothing.
+pub(crate) fn target(id: &str) -> Target {
+    Target {
+        id: id.into(),
+        name: id.into(),
+        born: 0,
+        service: "s".into(),
+        addr: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        stage: Stage::Ready,
+        slots: 4,
+        held: Vec::new(),
+        sequence: 0,
+        version: 1,
+    }
+}
+
 /// A target's row, in the form `BORN STAGE`.
-fn target(fact: &Fact) -> Option<Target> {
+fn decode(fact: &Fact) -> Option<Target> {
     let text = std::str::from_utf8(fact.value.as_ref()?).ok()?;
     let (born, stage) = text.split_once(' ')?;
     Some(Target {
         id: format!("{}@{born}", fact.key).into(),
         name: fact.key.clone(),
         born: born.parse().ok()?,
-        service: "s".into(),
-        addr: "127.0.0.1:1".into(),
-        domain: "d".into(),
         stage: match stage {
             "ready" => Stage::Ready,
             _ => Stage::Draining,
         },
-        slots: 1,
-        held: Vec::new(),
-        sequence: 0,
         version: fact.version,
+        ..target(&fact.key)
     })
 }
 
@@ -50,7 +62,7 @@
     fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String> {
         match topic {
             Topic::Settings => Ok(Decoded::Other),
-            Topic::Targets => target(fact)
+            Topic::Targets => decode(fact)
                 .map(Decoded::Target)
                 .ok_or_else(|| "no target's".to_string()),
         }
