An asker learns of engines that are gone also when nobody else can serve it

Cause: the list of engines that take no orders lived in the wish that keepers share, and was dropped with it when the last of them let go, so the asker went on asking. Test ensure_here_gone_engine_is_named failed first (left [], right [e]). Change: the list outlives the wish.

--- a/crates/comfreyhall-node/src/keeper/ticket.rs
+++ b/crates/comfreyhall-node/src/keeper/ticket.rs
@@ -5,7 +5,7 @@
 //! waits at the next one. With all places in use one falls free every 20 ms
 //! or so over nine engines, but only every 200 ms at one of them.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use comfreyhall_domain::Name;
 use tokio::sync::oneshot;
@@ -38,21 +38,38 @@
 /// Who waits for an adapter.
 pub(super) type Done = oneshot::Sender<Result<Placed, Unplaced>>;
 
+/// Engines that took no orders, as keepers noted. It outlives the ticket: when
+/// all keepers have let go of a wish, its asker still learns of them.
+#[derive(Clone, Default)]
+pub(super) struct Gone(Arc<Mutex<Vec<Name>>>);
+
+impl Gone {
+    fn all(&self) -> MutexGuard<'_, Vec<Name>> {
+        self.0.lock().expect("no holder of this lock panics")
+    }
+
+    /// What was noted so far.
+    pub(super) fn noted(&self) -> Vec<Name> {
+        self.all().clone()
+    }
+}
+
 /// A wish, shared by the keepers of all engines that may fulfil it.
 pub(super) struct Ticket {
     done: Mutex<Option<Done>>,
     /// Engines that may fulfil it.
     among: Vec<Name>,
-    gone: Mutex<Vec<Name>>,
+    gone: Gone,
 }
 
 impl Ticket {
-    /// A wish of `done` that the engines `among` may fulfil.
-    pub(super) fn new(done: Done, among: Vec<Name>) -> Self {
+    /// A wish of `done` that the engines `among` may fulfil; those that are
+    /// found to be gone are noted in `gone`.
+    pub(super) fn new(done: Done, among: Vec<Name>, gone: Gone) -> Self {
         Self {
             done: Mutex::new(Some(done)),
             among,
-            gone: Mutex::default(),
+            gone,
         }
     }
 
@@ -82,13 +99,6 @@
 
     /// Notes an engine that takes no orders.
     pub(super) fn note_gone(&self, target: &Name) {
-        let mut gone = self.gone.lock().expect("no holder of this lock panics");
-        gone.push(target.clone());
-    }
-
-    /// Engines that took no orders.
-    pub(super) fn gone(&self) -> Vec<Name> {
-        let gone = self.gone.lock().expect("no holder of this lock panics");
-        gone.clone()
+        self.gone.all().push(target.clone());
     }
 }
--- a/crates/comfreyhall-node/src/keeper/wish.rs
+++ b/crates/comfreyhall-node/src/keeper/wish.rs
@@ -7,7 +7,7 @@
 use comfreyhall_protocol::{self as protocol, EnsureReply, EnsureRequest};
 use tokio::sync::oneshot;
 
-use super::{Job, Placed, Ticket, Unplaced};
+use super::{Job, Placed, Ticket, Unplaced, ticket::Gone};
 use crate::node::Node;
 
 /// An engine that may take an adapter.
@@ -58,7 +58,8 @@
 async fn ensure_here(node: &Arc<Node>, wish: Wish) -> Result<Placed, Unplaced> {
     let (done, mut wait) = oneshot::channel();
     let among = wish.picks.iter().map(|p| p.target.clone()).collect();
-    let ticket = Arc::new(Ticket::new(done, among));
+    let gone = Gone::default();
+    let ticket = Arc::new(Ticket::new(done, among, gone.clone()));
     let now = node.now();
     let mut offered = false;
     for pick in &wish.picks {
@@ -85,12 +86,13 @@
     let told = Arc::downgrade(&ticket);
     drop(ticket);
     let begun = tokio::time::timeout(wish.begin, &mut wait).await;
-    let told = told.upgrade();
-    let gone = told.as_ref().map(|t| t.gone()).unwrap_or_default();
-    let ended = match (begun, told.and_then(|t| t.take())) {
+    let untaken = told.upgrade().and_then(|t| t.take());
+    let ended = match (begun, untaken) {
         (Ok(ended), _) => ended,
         // No engine began, and none may begin any more.
-        (Err(_), Some(_)) => return Err(unplaced("no place fell free in time", gone)),
+        (Err(_), Some(_)) => {
+            return Err(unplaced("no place fell free in time", &gone));
+        }
         // A load is on its way: left now, it would have been for nothing.
         (Err(_), None) => {
             let rest = wish.limit.saturating_sub(wish.begin);
@@ -98,13 +100,13 @@
             ended.map_err(|_| Unplaced::from("the load takes longer than the request may wait"))?
         }
     };
-    ended.unwrap_or_else(|_| Err(unplaced("no engine could take it", gone)))
+    ended.unwrap_or_else(|_| Err(unplaced("no engine could take it", &gone)))
 }
 
-fn unplaced(why: &str, gone: Vec<Name>) -> Unplaced {
+fn unplaced(why: &str, gone: &Gone) -> Unplaced {
     Unplaced {
         why: why.to_string(),
-        gone,
+        gone: gone.noted(),
     }
 }
 
@@ -170,3 +172,6 @@
         gone: reply.gone.iter().map(|t| t.as_str().into()).collect(),
     })
 }
+
+#[cfg(test)]
+mod tests;
