--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{AdapterRef, Ask, Engine, Kind, Name, Route, Target};
+use comfreyhall_domain::{AdapterRef, Ask, Engine, Kind, Name, Part, Route, Target, Tokens};
 use comfreyhall_routing::{
     pick,
     pick::{Choice, Spread},
 };
 
 use crate::{
+    flight::Seat,
     keeper::Pick,
     node::{Node, View},
 };
@@ -41,8 +42,40 @@
 /// for about a second, and several of them end in that time.
 const FULL_MS: f64 = 250.0;
 
+/// What a request asks of an engine.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Need {
+    /// The model and the adapter.
+    pub(crate) adapter: Option<AdapterRef>,
+    /// Size of the generation.
+    pub(crate) tokens: Option<Tokens>,
+    /// Parts of the prompt in order.
+    pub(crate) parts: Vec<Part>,
+}
+
+impl Need {
+    /// What `ask` asks of an engine.
+    pub(crate) fn of(ask: &Ask) -> Self {
+        Self {
+            adapter: ask.adapter.clone(),
+            tokens: ask.tokens,
+            parts: ask.parts.clone(),
+        }
+    }
+
+    fn prompt(&self) -> u64 {
+        self.tokens.map_or(0, |t| u64::from(t.prompt))
+    }
+
+    /// Prompt tokens that no other request shares.
+    fn own_tokens(&self) -> u64 {
+        let shared = self.parts.iter().rev().skip(1);
+        let shared: u64 = shared.map(|p| u64::from(p.tokens)).sum();
+        self.prompt().saturating_sub(shared).max(1)
+    }
+}
+
 /// Where a request goes.
-#[derive(Debug, Clone)]
 pub(crate) struct Plan {
     pub(crate) target: Arc<Target>,
     /// Prompt tokens to read there.
@@ -55,6 +88,8 @@
     pub(crate) wait_ms: f64,
     /// Engines that may load the adapter, the target first; none if it is there.
     pub(crate) picks: Vec<Pick>,
+    /// The run that a holder has bound to the target.
+    pub(crate) seat: Option<Seat>,
 }
 
 impl Plan {
@@ -66,9 +101,13 @@
 
 /// What a choice is made for.
 pub(crate) struct Wish<'a> {
-    pub(crate) ask: &'a Ask,
-    pub(crate) route: &'a Route,
+    pub(crate) need: &'a Need,
+    /// Latency objective of its route, in ms.
+    pub(crate) aim_ms: u64,
     pub(crate) service: &'a Name,
+    /// Group whose engines alone come into question: the caller holds its
+    /// lease and knows of every run there.
+    pub(crate) group: Option<&'a str>,
     pub(crate) engine: Option<&'a Engine>,
     /// Targets it was sent to.
     pub(crate) tried: &'a [Name],
@@ -81,7 +120,9 @@
 
 impl Wish<'_> {
     fn open(&self, target: &Target) -> bool {
-        !self.closed.contains(&target.id) && (!self.only_tried || self.tried.contains(&target.id))
+        self.group.is_none_or(|g| *target.domain == *g)
+            && !self.closed.contains(&target.id)
+            && (!self.only_tried || self.tried.contains(&target.id))
     }
 }
 
@@ -107,7 +148,7 @@
         tried: wish.tried.contains(&t.id),
     };
     let mut loaders = Vec::new();
-    let (choices, version) = match (&wish.ask.adapter, wish.engine) {
+    let (choices, version) = match (&wish.need.adapter, wish.engine) {
         (Some(adapter), Some(engine)) => {
             let version = least_version(node, &view, adapter, now);
             let wanted = Wanted {
@@ -127,8 +168,8 @@
             (targets.iter().map(plain).collect(), 0)
         }
     };
-    let again_ms = wish.route.target_ms as f64;
-    let spread = match node.fleet.large() {
+    let again_ms = wish.aim_ms as f64;
+    let spread = match node.fleet.large() && wish.group.is_none() {
         true => Spread::Stale(STALE_MS),
         false => Spread::Equal,
     };
@@ -141,8 +182,7 @@
         true => picks(best, &loaders, &targets, &target.domain, again_ms),
         false => Vec::new(),
     };
-    let adapter = wish.ask.adapter.as_ref();
-    let tokens = adapter.map_or(0, |a| unread(&view, wish.ask, a, &target.id));
+    let tokens = unread(&view, wish.need, &target.id);
     Some(Plan {
         tokens,
         version,
@@ -150,6 +190,7 @@
         wait_ms: best.wait_ms + best.load_ms,
         target,
         picks,
+        seat: None,
     })
 }
 
@@ -183,18 +224,12 @@
 }
 
 /// Prompt tokens that `target` has not read yet.
-pub(crate) fn unread(view: &View, ask: &Ask, adapter: &AdapterRef, target: &Name) -> u64 {
-    let prompt = ask.tokens.map_or(0, |t| u64::from(t.prompt));
-    let kept = view.prefixes.kept(adapter, &ask.parts, target);
-    prompt.saturating_sub(kept).max(1)
-}
-
-/// Prompt tokens that no other request shares.
-fn own_tokens(ask: &Ask) -> u64 {
-    let prompt = ask.tokens.map_or(0, |t| u64::from(t.prompt));
-    let shared = ask.parts.iter().rev().skip(1);
-    let shared: u64 = shared.map(|p| u64::from(p.tokens)).sum();
-    prompt.saturating_sub(shared).max(1)
+pub(crate) fn unread(view: &View, need: &Need, target: &Name) -> u64 {
+    let Some(adapter) = &need.adapter else {
+        return 0;
+    };
+    let kept = view.prefixes.kept(adapter, &need.parts, target);
+    need.prompt().saturating_sub(kept).max(1)
 }
 
 /// What an engine must have for a request.
@@ -236,16 +271,16 @@
     let holds = |t: &Target| resident(t).is_some_and(|v| v >= version);
     let holders = targets.iter().filter(|t| holds(t)).map(|t| &t.id);
     let reader = match policies.shared_prompts {
-        true => pick::reader(&key, &wish.ask.parts, holders),
+        true => pick::reader(&key, &wish.need.parts, holders),
         false => None,
     };
     let mut loaders: Vec<(bool, u64, Choice)> = Vec::new();
     let mut out = Vec::new();
     for t in targets.iter().filter(|t| t.holds(&adapter.model)) {
         let mut choice = base(t);
-        let mut tokens = unread(view, wish.ask, adapter, &t.id);
+        let mut tokens = unread(view, wish.need, &t.id);
         if reader == Some(&t.id) {
-            tokens = tokens.min(own_tokens(wish.ask));
+            tokens = tokens.min(wish.need.own_tokens());
         }
         choice.wait_ms = view.board.prefill_ms(&t.id, tokens, now);
         let resident = resident(t);
--- a/crates/comfreyhall-node/src/fleet/holding.rs
+++ b/crates/comfreyhall-node/src/fleet/holding.rs
@@ -10,17 +10,32 @@
 /// to thirty engines took 59 to 69 of them.
 const MUCH_CPU: u32 = 250;
 
+/// How long a holder that did not answer is not asked, in ms: a third of the
+/// shortest lease, so that one that is only slow is soon asked again.
+const MUTE_MS: u64 = 1_000;
+
 impl Fleet {
     /// Who holds the lease of `group`, other than this daemon.
     pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
         let state = self.state();
-        let held = state.heard(now).filter_map(|(addr, peer)| {
+        let answering = state.heard(now).filter(|(_, p)| now >= p.mute_until);
+        let held = answering.filter_map(|(addr, peer)| {
             let holding = peer.holdings.iter().find(|(g, _)| &**g == group)?;
             Some((holding.1, addr.clone()))
         });
         held.max().map(|(_, addr)| addr)
     }
 
+    /// The holder at `addr` did not answer in time: nobody asks it for a while.
+    ///
+    /// What goes wrong without it: a holder is frozen or cut off, and until it
+    /// counts as lost, some four periods later, each request waits for it.
+    pub(crate) fn mute(&self, addr: &str, now: u64) {
+        if let Some(peer) = self.state().peers.get_mut(addr) {
+            peer.mute_until = now + MUTE_MS;
+        }
+    }
+
     /// Who should go on with `group` when this daemon stops: a daemon that
     /// takes requests, in the group's domain if there is one.
     pub(crate) fn successor(&self, group: &str, now: u64) -> Option<Name> {
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -11,15 +11,23 @@
 mod holding;
 mod hub;
 mod news;
-mod release;
+mod progress;
+mod runs;
 mod swap;
 
+pub(crate) use self::{
+    progress::{Event, What},
+    runs::Run,
+    swap::{announce, spawn, tell_all},
+};
 pub use swap::serve_peers;
-pub(crate) use swap::{announce, spawn, tell_all};
 
 use std::{
     collections::VecDeque,
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -30,7 +38,7 @@
 use tokio::sync::mpsc;
 use tonic::transport::Channel;
 
-use self::release::Release;
+use self::runs::Runs;
 use crate::{clock, node::Node};
 
 /// Period of the news, in ms: the wait estimate is then at most a quarter of
@@ -72,7 +80,10 @@
     /// Adapters in use by others at targets of its groups, if it told.
     used: Map<Name, u32>,
     holdings: Vec<(Name, u64)>,
-    pins: Vec<(Name, AdapterRef)>,
+    /// Its runs at engines, as it told or as they were bound here.
+    runs: Runs,
+    /// Not asked for engines before this: it did not answer in time.
+    mute_until: u64,
     /// Newest settings row it knows.
     settings: u64,
     /// Version of the targets it knows.
@@ -88,8 +99,10 @@
 struct State {
     /// By peer address.
     peers: Map<Name, Peer>,
-    /// Requests in progress here, by target and adapter.
+    /// Requests that wait for an adapter at a target of ours.
     pins: Map<(Name, AdapterRef), u32>,
+    /// Runs of this daemon at engines.
+    runs: Runs,
     placed: VecDeque<(u64, Placed)>,
     next: u64,
     /// Groups this daemon handed on.
@@ -104,9 +117,11 @@
 pub(crate) struct Fleet {
     me: Daemon,
     state: Mutex<State>,
-    /// Where releases are put to be told to holders.
-    release: mpsc::Sender<Release>,
-    releases: Mutex<Option<mpsc::Receiver<Release>>>,
+    /// Number of the next run.
+    next_run: AtomicU64,
+    /// Where events of runs are put to be told to holders.
+    tell: mpsc::Sender<Event>,
+    events: Mutex<Option<mpsc::Receiver<Event>>>,
 }
 
 /// How news came.
@@ -147,12 +162,15 @@
             ready: false,
             millicores: (settings.cores * 1_000.0) as u32,
         };
-        let (release, releases) = mpsc::channel(release::QUEUE);
+        let (tell, events) = mpsc::channel(progress::QUEUE);
         let fleet = Self {
             me,
             state: Mutex::default(),
-            release,
-            releases: Mutex::new(Some(releases)),
+            // A daemon that starts again must not go on with numbers that it
+            // had before: holders still know some of those runs.
+            next_run: AtomicU64::new(rand::rng().random::<u64>() >> 1),
+            tell,
+            events: Mutex::new(Some(events)),
         };
         for seed in &settings.seeds {
             fleet.meet(&seed.to_string(), true);
@@ -189,7 +207,8 @@
             roster: hub::Roster::default(),
             used: Map::default(),
             holdings: Vec::new(),
-            pins: Vec::new(),
+            runs: Runs::default(),
+            mute_until: 0,
             settings: 0,
             targets: 0,
             cut_off: false,
@@ -227,7 +246,7 @@
         heard.max().unwrap_or(0)
     }
 
-    /// Counts a request in progress that uses an adapter.
+    /// Counts a request that waits for `adapter` at `target`.
     pub(crate) fn pin(&self, target: &Name, adapter: &AdapterRef) {
         let key = (target.clone(), adapter.clone());
         *self.state().pins.entry(key).or_default() += 1;
@@ -240,20 +259,59 @@
             *count -= 1;
             if *count == 0 {
                 state.pins.remove(&key);
-                let (target, adapter) = key;
-                // What does not fit is told by the next news.
-                let _ = self.release.try_send(Release { target, adapter });
             }
         }
     }
 
+    /// A number for a run of this daemon.
+    pub(crate) fn next_run(&self) -> u64 {
+        self.next_run.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A run of this daemon is sent to its engine.
+    pub(crate) fn begin(&self, id: u64, run: Run) {
+        self.state().runs.begin(id, run);
+    }
+
+    /// The engine has read the prompt of a run of this daemon.
+    pub(crate) fn read(&self, id: u64) {
+        self.state().runs.read(id);
+    }
+
+    /// A run of this daemon has ended.
+    pub(crate) fn end(&self, id: u64) {
+        self.state().runs.end(id);
+    }
+
+    /// Counts a run of the daemon at `peer`, which it is about to send.
+    pub(crate) fn bound(&self, node: &Node, peer: &str, id: u64, run: Run) {
+        let until = node.now() + self.alive_for();
+        let mut state = self.state();
+        let Some(known) = state.peers.get_mut(peer) else {
+            return;
+        };
+        let Some(name) = known.about.as_ref().map(|a| Name::from(a.id.as_str())) else {
+            return;
+        };
+        let (target, work) = (run.target.clone(), run.work());
+        known.runs.begin(id, run);
+        drop(state);
+        node.view().board.peer_more(&name, &target, work, until);
+    }
+
+    /// How long a daemon may be silent, in ms.
+    fn alive_for(&self) -> u64 {
+        Self::alive_ms(self.state().peers.len())
+    }
+
     /// Requests that use `adapter` at `target` now, on any daemon.
     pub(crate) fn pins(&self, target: &Name, adapter: &AdapterRef, now: u64) -> u32 {
         let state = self.state();
-        let own = state.pins.get(&(target.clone(), adapter.clone()));
-        let theirs = state.heard(now).map(|(_, p)| p);
-        let pinned = |p: &&Peer| p.pins.iter().any(|(t, a)| t == target && a == adapter);
-        own.copied().unwrap_or(0) + theirs.filter(pinned).count() as u32
+        let waiting = state.pins.get(&(target.clone(), adapter.clone()));
+        let theirs = state.heard(now).map(|(_, p)| &p.runs);
+        let all = theirs.chain([&state.runs]);
+        let used = all.filter(|runs| runs.use_there(target, adapter));
+        waiting.copied().unwrap_or(0) + used.count() as u32
     }
 
     /// Adapters in use at each target, on any daemon.
@@ -299,6 +357,11 @@
         }
     }
 
+    /// Where this daemon answers its peers.
+    pub(crate) fn peer(&self) -> &str {
+        &self.me.peer
+    }
+
     pub(crate) fn client(&self, peer: &str) -> Option<FleetClient<Channel>> {
         self.state().peers.get(peer).map(|p| p.client.clone())
     }
@@ -332,9 +395,9 @@
 
     /// Each adapter in use at a target by any daemon, once.
     fn pinned(&self, now: u64) -> Set<(&Name, &AdapterRef)> {
-        let theirs = self.heard(now).flat_map(|(_, p)| &p.pins);
-        let all = self.pins.keys().chain(theirs);
-        all.map(|(target, adapter)| (target, adapter)).collect()
+        let theirs = self.heard(now).flat_map(|(_, p)| p.runs.uses());
+        let waiting = self.pins.keys().map(|(target, adapter)| (target, adapter));
+        waiting.chain(self.runs.uses()).chain(theirs).collect()
     }
 
     /// Peers that this daemon heard from lately.
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -1,11 +1,11 @@
 //! What daemons tell each other, made and taken in.
 
-use comfreyhall_domain::Name;
-use comfreyhall_protocol::{Daemon, Demand, Holding, News, TargetWork};
+use comfreyhall_domain::{Map, Name, Set};
+use comfreyhall_protocol::{Daemon, Demand, EngineRun, Holding, News, TargetWork};
 use comfreyhall_routing::{Standing, Work};
 use rand::seq::IteratorRandom;
 
-use super::{Fleet, State, hub, key_of, parse_key};
+use super::{Fleet, Peer, State, hub, parse_key, runs::Runs};
 use crate::{
     facts, follow,
     node::Node,
@@ -42,19 +42,25 @@
         if hub::large(state.peers.len()) {
             news.holders = state.holders(now);
         }
+        news.runs = state.runs_for(addr, now);
         let State {
             peers,
-            pins,
+            runs,
             placed,
             next,
             cessions,
             ..
         } = &mut *state;
         news.cessions = cessions.clone();
+        let engines: Set<&str> = runs.iter().map(|(_, r)| &*r.target).collect();
         for work in &mut news.work {
-            let used = pins.keys().filter(|(t, _)| **t == *work.target);
-            work.adapters = used.map(|(_, a)| key_of(a).to_string()).collect();
+            if engines.contains(work.target.as_str()) {
+                // The runs tell it.
+                work.prefill = 0;
+                work.running = 0;
+            }
         }
+        news.work.retain(|w| w.waiting > 0 || w.running > 0);
         if let Some(peer) = peers.get_mut(addr) {
             let untold = placed.iter().filter(|(serial, _)| *serial >= peer.told);
             news.placed = untold.map(|(_, p)| p.clone()).collect();
@@ -78,7 +84,6 @@
             prefill: w.prefill,
             waiting: w.waiting,
             running: w.running,
-            adapters: Vec::new(),
         });
         let work = work.collect();
         let targets = view.book.shelf(Topic::Targets);
@@ -160,7 +165,7 @@
         for addr in &news.peers {
             self.meet(addr, false);
         }
-        self.learn_peer(node, &from, &news, now);
+        let mut works = self.learn_peer(node, &from, &news, now);
         self.learn_holders(&news.holders, now);
         if how == super::Origin::Answer {
             self.learn_totals(node, &from, &news, now);
@@ -171,16 +176,18 @@
             node.changed.notify_waiters();
         }
         let peer: Name = from.id.as_str().into();
+        let alive_for = self.alive_for();
         let mut view = node.view();
-        let works = news.work.iter().map(|work| {
+        for work in &news.work {
             let told = Work {
                 prefill: work.prefill,
                 waiting: work.waiting,
                 running: work.running,
             };
-            (Name::from(work.target.as_str()), told)
-        });
-        view.board.peer(&peer, &works.collect(), now);
+            let sum = works.entry(work.target.as_str().into()).or_default();
+            *sum = sum.plus(told);
+        }
+        view.board.peer(&peer, &works, now + alive_for);
         for placed in &news.placed {
             if let Some(adapter) = parse_key(&placed.adapter) {
                 let target: Name = placed.target.as_str().into();
@@ -220,21 +227,21 @@
         }
     }
 
-    pub(super) fn learn_peer(&self, node: &Node, from: &Daemon, news: &News, now: u64) {
+    /// Takes in what a peer tells of itself; returns its work at engines.
+    fn learn_peer(&self, node: &Node, from: &Daemon, news: &News, now: u64) -> Map<Name, Work> {
         for holding in &news.holdings {
             node.leases.beat(&holding.group, holding.token);
         }
         let mut state = self.state();
         let limit = Self::alive_ms(state.peers.len());
         let Some(peer) = state.peers.get_mut(from.peer.as_str()) else {
-            return;
+            return Map::default();
         };
         if !peer.seen(now, limit) {
             log::info!(target: "fleet", peer:% = from.id, addr:% = from.peer; "peer heard");
         }
         peer.heard = now;
         peer.hinted = false;
-        peer.about = Some(from.clone());
         peer.settings = news.settings_version;
         peer.targets = news.targets_version;
         peer.cut_off = news.cut_off;
@@ -246,16 +253,31 @@
         peer.holdings = holdings
             .map(|h| (h.group.as_str().into(), h.token))
             .collect();
-        peer.pins = news
-            .work
-            .iter()
-            .flat_map(|w| {
-                let target: Name = w.target.as_str().into();
-                w.adapters
-                    .iter()
-                    .filter_map(move |a| Some((target.clone(), parse_key(a)?)))
-            })
-            .collect();
+        if peer.about.as_ref().is_none_or(|a| a.boot != from.boot) {
+            // What an earlier process ran is gone.
+            peer.runs = Runs::default();
+        }
+        peer.about = Some(from.clone());
+        peer.runs.replace(&news.runs, now);
+        peer.runs.works()
+    }
+}
+
+impl State {
+    /// Own runs that the peer at `addr` has to know of: in a large fleet those
+    /// at engines of its groups, and those of groups without a known holder.
+    fn runs_for(&self, addr: &str, now: u64) -> Vec<EngineRun> {
+        let all = self.runs.iter();
+        if !hub::large(self.peers.len()) {
+            return all.map(|(id, run)| run.to_wire(id)).collect();
+        }
+        let holds = |p: &Peer, group: &Name| p.holdings.iter().any(|(g, _)| g == group);
+        let peer = self.peers.get(addr);
+        let told = |group: &Name| {
+            peer.is_some_and(|p| holds(p, group)) || !self.heard(now).any(|(_, p)| holds(p, group))
+        };
+        let concerned = all.filter(|(_, run)| told(&run.group));
+        concerned.map(|(id, run)| run.to_wire(id)).collect()
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -4,7 +4,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{
-    EnsureReply, EnsureRequest, News, ReleaseReply, ReleaseRequest,
+    BindReply, BindRequest, News, ProgressReply, ProgressReport,
     fleet_server::{self, FleetServer},
 };
 use rand::Rng;
@@ -15,7 +15,7 @@
     Fleet, Origin, PERIOD_MS, State, hub,
     news::{Lack, add_rows},
 };
-use crate::{keeper, node::Node};
+use crate::{bind, node::Node};
 
 /// Longest one swap may take.
 const SWAP_TIMEOUT: Duration = Duration::from_millis(400);
@@ -31,7 +31,7 @@
 
 /// Starts swapping news.
 pub(crate) fn spawn(node: &Arc<Node>) {
-    super::release::spawn(node);
+    super::progress::spawn(node);
     let node = node.clone();
     tokio::spawn(async move {
         loop {
@@ -150,18 +150,16 @@
         Ok(Response::new(news))
     }
 
-    async fn ensure(&self, req: Request<EnsureRequest>) -> Result<Response<EnsureReply>, Status> {
-        Ok(Response::new(
-            keeper::answer(&self.0, req.into_inner()).await,
-        ))
+    async fn bind(&self, req: Request<BindRequest>) -> Result<Response<BindReply>, Status> {
+        Ok(Response::new(bind::answer(&self.0, req.into_inner()).await))
     }
 
-    async fn release(
+    async fn progress(
         &self,
-        req: Request<ReleaseRequest>,
-    ) -> Result<Response<ReleaseReply>, Status> {
-        self.0.fleet.released(&req.into_inner());
-        Ok(Response::new(ReleaseReply::default()))
+        req: Request<ProgressReport>,
+    ) -> Result<Response<ProgressReply>, Status> {
+        self.0.fleet.progressed(&self.0, &req.into_inner());
+        Ok(Response::new(ProgressReply::default()))
     }
 }
 
--- a/crates/comfreyhall-node/src/flight.rs
+++ b/crates/comfreyhall-node/src/flight.rs
@@ -3,9 +3,12 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{AdapterRef, Name};
+use comfreyhall_domain::{AdapterRef, Name, Target};
 
-use crate::node::Node;
+use crate::{
+    fleet::{Event, Run, What},
+    node::Node,
+};
 
 /// One request that waits for a load; drops its work from the board when the
 /// wait ends.
@@ -47,11 +50,48 @@
     }
 }
 
+/// A run that has an engine; it ends when this is dropped.
+///
+/// What goes wrong without it: a holder binds a run, its daemon gives the
+/// request up before it sends it, and the holder counts a run that never was.
+pub(crate) struct Seat {
+    node: Arc<Node>,
+    run: u64,
+    target: Arc<Target>,
+}
+
+impl Seat {
+    /// The run `run` of this daemon is to go to `target`.
+    pub(crate) fn new(node: &Arc<Node>, run: u64, target: Arc<Target>) -> Self {
+        Self {
+            node: node.clone(),
+            run,
+            target,
+        }
+    }
+
+    fn tell(&self, what: What) {
+        self.node.fleet.tell(Event {
+            run: self.run,
+            target: self.target.id.clone(),
+            group: self.target.domain.clone(),
+            what,
+        });
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.tell(What::Ended);
+    }
+}
+
 /// One send in progress; drops its work from the board when it ends.
 pub(crate) struct Flight {
     node: Arc<Node>,
     pub(crate) target: Name,
-    adapter: Option<AdapterRef>,
+    /// What its holder is told under, if the target is an engine.
+    seat: Option<Seat>,
     /// Prompt tokens still counted as backlog.
     unread: u64,
     /// Backlog at the start, this request's own included.
@@ -60,25 +100,35 @@
 }
 
 impl Flight {
-    /// Counts a send of `tokens` of prompt to `target`.
+    /// Counts a send of `tokens` of prompt to `target`; `seat`: the run, if
+    /// the target is an engine.
     pub(crate) fn begin(
         node: &Arc<Node>,
-        target: &Name,
+        target: &Target,
         adapter: Option<AdapterRef>,
         tokens: u64,
+        seat: Option<Seat>,
     ) -> Self {
         let now = node.now();
         let mut view = node.view();
-        view.board.begin(target, tokens);
-        let ahead = view.board.work(target, now).prefill;
+        view.board.begin(&target.id, tokens);
+        let ahead = view.board.work(&target.id, now).prefill;
         drop(view);
-        if let Some(adapter) = &adapter {
-            node.fleet.pin(target, adapter);
+        if let Some(seat) = &seat {
+            let run = Run {
+                target: target.id.clone(),
+                group: target.domain.clone(),
+                adapter: adapter.filter(|a| a.adapter.is_some()),
+                unread: tokens,
+                ahead,
+                bound: 0,
+            };
+            node.fleet.begin(seat.run, run);
         }
         Self {
             node: node.clone(),
-            target: target.clone(),
-            adapter,
+            target: target.id.clone(),
+            seat,
             unread: tokens,
             ahead,
             began: now,
@@ -89,11 +139,16 @@
     pub(crate) fn first(&mut self) -> u64 {
         let waited = self.node.now().saturating_sub(self.began);
         let mut view = self.node.view();
-        if self.adapter.is_some() {
+        if self.seat.is_some() {
             view.board.learn_wait(&self.target, self.ahead, waited);
         }
         view.board.read(&self.target, self.unread);
+        drop(view);
         self.unread = 0;
+        if let Some(seat) = &self.seat {
+            self.node.fleet.read(seat.run);
+            seat.tell(What::First(waited));
+        }
         waited
     }
 
@@ -106,6 +161,13 @@
     pub(crate) fn note(&self, ok: bool, weight: f64) {
         let now = self.node.now();
         self.node.view().board.note(&self.target, ok, weight, now);
+        if let Some(seat) = &self.seat {
+            seat.tell(if ok {
+                What::Good(weight)
+            } else {
+                What::Bad(weight)
+            });
+        }
     }
 }
 
@@ -115,8 +177,8 @@
         view.board.read(&self.target, self.unread);
         view.board.end(&self.target);
         drop(view);
-        if let Some(adapter) = &self.adapter {
-            self.node.fleet.unpin(&self.target, adapter);
+        if let Some(seat) = &self.seat {
+            self.node.fleet.end(seat.run);
         }
     }
 }
--- a/crates/comfreyhall-node/src/keeper/mod.rs
+++ b/crates/comfreyhall-node/src/keeper/mod.rs
@@ -31,7 +31,7 @@
 use self::ticket::{Done, Ticket};
 pub(crate) use self::{
     ticket::{Placed, Unplaced},
-    wish::{Pick, Wish, answer, ensure},
+    wish::{Pick, Wish, ensure},
 };
 use crate::node::Node;
 
--- a/crates/comfreyhall-node/src/keeper/wish.rs
+++ b/crates/comfreyhall-node/src/keeper/wish.rs
@@ -1,10 +1,9 @@
-//! Wishing for an adapter: here, or through the holder of the lease.
+//! Wishing for an adapter on one of the engines kept here.
 
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_placement::Waiting;
-use comfreyhall_protocol::{self as protocol, EnsureReply, EnsureRequest};
 use tokio::sync::oneshot;
 
 use super::{Job, Placed, Ticket, Unplaced, ticket::Gone};
@@ -37,25 +36,8 @@
     pub(crate) limit: Duration,
 }
 
-/// Has one of the engines of `group` hold the adapter, here or through the
-/// holder of the lease.
-pub(crate) async fn ensure(node: &Arc<Node>, group: &str, wish: Wish) -> Result<Placed, Unplaced> {
-    if node.token(group).is_some() {
-        return ensure_here(node, wish).await;
-    }
-    let holder = node.fleet.holder(group, node.now());
-    let holder = holder.ok_or("nobody holds the lease")?;
-    let mut client = node.fleet.client(&holder).ok_or("the holder is gone")?;
-    let limit = wish.limit;
-    let answer = tokio::time::timeout(limit, client.ensure(to_wire(wish))).await;
-    let reply = answer
-        .map_err(|_| Unplaced::from("the holder does not answer"))?
-        .map_err(|s| Unplaced::from(&*format!("the holder failed: {}", s.message())))?
-        .into_inner();
-    from_wire(reply)
-}
-
-async fn ensure_here(node: &Arc<Node>, wish: Wish) -> Result<Placed, Unplaced> {
+/// Has one of the engines kept here hold the adapter.
+pub(crate) async fn ensure(node: &Arc<Node>, wish: Wish) -> Result<Placed, Unplaced> {
     let (done, mut wait) = oneshot::channel();
     let among = wish.picks.iter().map(|p| p.target.clone()).collect();
     let gone = Gone::default();
@@ -110,68 +92,5 @@
     }
 }
 
-/// Answers another daemon that wants an adapter on engines kept here.
-pub(crate) async fn answer(node: &Arc<Node>, ask: EnsureRequest) -> EnsureReply {
-    let picks = ask.picks.iter().map(|p| Pick {
-        target: p.target.as_str().into(),
-        extra_ms: p.extra_ms,
-    });
-    let wish = Wish {
-        adapter: AdapterRef {
-            model: ask.model.as_str().into(),
-            adapter: Some(ask.adapter.as_str().into()),
-        },
-        picks: picks.collect(),
-        version: ask.version,
-        priority: ask.priority,
-        aim_ms: ask.aim_ms,
-        begin: Duration::from_millis(ask.begin_ms),
-        limit: Duration::from_millis(ask.limit_ms),
-    };
-    match ensure_here(node, wish).await {
-        Ok(placed) => EnsureReply {
-            ready: true,
-            version: placed.version,
-            target: placed.target.to_string(),
-            ..EnsureReply::default()
-        },
-        Err(unplaced) => EnsureReply {
-            gone: unplaced.gone.iter().map(|t| t.to_string()).collect(),
-            error: unplaced.why,
-            ..EnsureReply::default()
-        },
-    }
-}
-
-fn to_wire(wish: Wish) -> EnsureRequest {
-    let picks = wish.picks.iter().map(|p| protocol::Pick {
-        target: p.target.to_string(),
-        extra_ms: p.extra_ms,
-    });
-    EnsureRequest {
-        picks: picks.collect(),
-        model: wish.adapter.model.to_string(),
-        adapter: wish.adapter.adapter.as_deref().unwrap_or("").to_string(),
-        version: wish.version,
-        limit_ms: wish.limit.as_millis() as u64,
-        begin_ms: wish.begin.as_millis() as u64,
-        priority: wish.priority,
-        aim_ms: wish.aim_ms,
-    }
-}
-
-fn from_wire(reply: EnsureReply) -> Result<Placed, Unplaced> {
-    if reply.ready {
-        return Ok(Placed {
-            target: reply.target.as_str().into(),
-            version: reply.version,
-        });
-    }
-    Err(Unplaced {
-        why: reply.error,
-        gone: reply.gone.iter().map(|t| t.as_str().into()).collect(),
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-node/src/keeper/wish/tests.rs
+++ b/crates/comfreyhall-node/src/keeper/wish/tests.rs
@@ -3,7 +3,7 @@
 use comfreyhall_domain::AdapterRef;
 use tokio::sync::mpsc;
 
-use super::{Pick, Wish, ensure_here};
+use super::{Pick, Wish, ensure};
 use crate::quiet::node;
 
 /// Symptom: an engine that was gone was asked again by every request. Events:
@@ -11,7 +11,7 @@
 /// engine could have it. Cause: what the keeper had noted went with the wish,
 /// so the asker did not learn which engine is gone.
 #[tokio::test]
-async fn ensure_here_gone_engine_is_named() {
+async fn ensure_gone_engine_is_named() {
     let node = node();
     let (send, mut jobs) = mpsc::channel(1);
     node.keepers.jobs().insert("e".into(), send);
@@ -36,6 +36,6 @@
         begin: Duration::from_secs(5),
         limit: Duration::from_secs(5),
     };
-    let unplaced = ensure_here(&node, wish).await.unwrap_err();
+    let unplaced = ensure(&node, wish).await.unwrap_err();
     assert_eq!(unplaced.gone, ["e".into()]);
 }
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -6,6 +6,7 @@
 //! what is known, hold leases, and give orders to engines. The world is met
 //! through the traits of [`ports`] only: a driver fills them for each wire.
 
+mod bind;
 mod choose;
 mod clock;
 mod events;
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -16,9 +16,9 @@
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
-use self::send::Next;
+use self::{place::Found, send::Next};
 use crate::{
-    choose::{self, Plan, Wish},
+    choose::{self, Need, Plan, Wish},
     fleet::key_of,
     node::{Node, Tracked},
     stop,
@@ -85,6 +85,7 @@
 pub(crate) struct Job {
     pub(crate) node: Arc<Node>,
     pub(crate) ask: Arc<Ask>,
+    need: Arc<Need>,
     pub(crate) route: Route,
     service: Name,
     engine: Option<Engine>,
@@ -176,6 +177,7 @@
         Some(Self {
             node: node.clone(),
             limit: began + left,
+            need: Arc::new(Need::of(&ask)),
             ask: Arc::new(ask),
             route,
             service,
@@ -206,6 +208,8 @@
 
     async fn run(mut self) -> Reply {
         self.count();
+        // Whether a holder said that the wait in its group would be too long.
+        let mut too_long = false;
         for round in 0..ROUNDS {
             if self.left() == 0 {
                 return self.give_up("time is up", 0.0);
@@ -219,31 +223,32 @@
                 self.closed.clear();
                 continue;
             };
-            if round == 0
-                && self.node.policies().admission
-                && admission::refuse(
-                    plan.wait_ms,
-                    self.left(),
-                    self.route.target_ms,
-                    self.route.priority,
-                )
-            {
+            let new = round == 0 || too_long;
+            if new && self.node.policies().admission && self.refuses(plan.wait_ms) {
                 return self.give_up("the wait is too long", plan.wait_ms / 2.0);
             }
-            if plan.loads() && !self.place(&mut plan).await {
-                if self.held_long() {
+            match self.bind(&mut plan).await {
+                Found::Engine => {}
+                Found::None if self.held_long() => {
                     return self.give_up("its adapter has no place", plan.wait_ms);
                 }
-                continue;
+                Found::None => continue,
+                Found::TooLong(ms) => {
+                    too_long = true;
+                    if self.choose().is_none() {
+                        return self.give_up("the wait is too long", ms as f64 / 2.0);
+                    }
+                    continue;
+                }
             }
-            if plan.loads() && !self.still_ready(&plan) {
+            if !self.still_ready(&plan) {
                 continue;
             }
             if self.arrivals > 0 && !self.repeat() {
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
             let last_event = self.ask.last_event;
-            match self.send(&plan, last_event).await {
+            match self.send(&mut plan, last_event).await {
                 Ok((response, flight)) => match self.answer(response, flight, plan).await {
                     Next::Reply(reply) => return reply,
                     Next::Again => self = self.next_draw(),
@@ -269,9 +274,24 @@
         self
     }
 
+    /// Whether a wait of `wait_ms` would be too long for it.
+    fn refuses(&self, wait_ms: f64) -> bool {
+        admission::refuse(
+            wait_ms,
+            self.left(),
+            self.route.target_ms,
+            self.route.priority,
+        )
+    }
+
+    /// Whether it may only go where it was sent before.
+    fn only_tried(&self) -> bool {
+        self.tried.len() as u32 >= self.route.attempts.max(1)
+    }
+
     /// Whether all targets it may be sent to have had it in doubt.
     fn exhausted(&self) -> bool {
-        self.verdict.doubt && self.tried.len() as u32 >= self.route.attempts.max(1)
+        self.verdict.doubt && self.only_tried()
     }
 
     /// Whether too much of its time went by without a send.
@@ -315,13 +335,14 @@
 
     fn choose(&self) -> Option<Plan> {
         let wish = Wish {
-            ask: &self.ask,
-            route: &self.route,
+            need: &self.need,
+            aim_ms: self.route.target_ms,
             service: &self.service,
+            group: None,
             engine: self.engine.as_ref(),
             tried: &self.tried,
             closed: &self.closed,
-            only_tried: self.tried.len() as u32 >= self.route.attempts.max(1),
+            only_tried: self.only_tried(),
             draw: self.draw,
         };
         choose::choose(&self.node, &wish)
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -1,23 +1,27 @@
-//! Having an adapter placed for a request before it is sent.
+//! Having an engine found for a request before it is sent.
 
 use std::time::Duration;
 
-use comfreyhall_domain::AdapterRef;
+use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_routing::Standing;
 
 use super::{Job, LOOK_MS, send::UNREACHED_MS};
 use crate::{
-    choose::{self, Plan},
+    bind::{self, Bind, Bound, Unbound},
+    choose::Plan,
     fleet::key_of,
-    flight::Stall,
-    keeper::{self, Placed, Unplaced},
+    flight::Seat,
 };
 
-/// How long a request waits for a place in one group of engines before it
-/// looks again, in ms: its holder may be gone, or another group freer. With
-/// 200 ms the mean worth was 0.607, with 400 0.605, with 800 0.598 (five heavy
-/// days, four seeds).
-const PLACE_MS: u64 = 250;
+/// What came of looking for an engine.
+pub(super) enum Found {
+    /// The plan has an engine that can take the request.
+    Engine,
+    /// None in that group can now; others may.
+    None,
+    /// Its wait there would be too long, in ms.
+    TooLong(u64),
+}
 
 impl Job {
     /// Whether the target still takes work.
@@ -32,65 +36,105 @@
         ready.iter().any(|t| t.id == plan.target.id)
     }
 
-    /// Has the adapter placed on one of the plan's engines, which becomes its
-    /// target; false if none has a place.
-    pub(super) async fn place(&mut self, plan: &mut Plan) -> bool {
-        let Some(adapter) = self.ask.adapter.clone() else {
-            return true;
+    /// Has the holder of the planned group choose the engine, which becomes
+    /// the plan's target.
+    pub(super) async fn bind(&mut self, plan: &mut Plan) -> Found {
+        let Some(adapter) = self.ask.adapter.clone().filter(|_| self.engine.is_some()) else {
+            return Found::Engine;
         };
+        if !self.node.policies().binding && !plan.loads() {
+            return Found::Engine;
+        }
         let began = self.node.now();
-        let spent = began - self.began;
-        // After the load the prompt is still to be read.
-        let after = plan.wait_ms as u64;
-        let limit = self.left().min(self.route.target_ms) + 1;
-        let wish = keeper::Wish {
-            adapter: adapter.clone(),
-            picks: plan.picks.clone(),
-            version: plan.version,
-            priority: u32::from(self.route.priority),
-            aim_ms: self.route.target_ms.saturating_sub(spent + after),
-            begin: Duration::from_millis(limit.min(PLACE_MS)),
-            limit: Duration::from_millis(limit),
-        };
-        // Others count on the place that this request is about to hold.
-        let waits = Stall::begin(&self.node, &plan.target.id, &adapter, plan.tokens);
-        let placed = keeper::ensure(&self.node, &plan.target.domain, wish).await;
-        drop(waits);
+        let run = self.node.fleet.next_run();
+        let mut found = bind::bind(&self.node, self.wanted(plan, run, plan.loads())).await;
+        if found == Err(Unbound::MustWait) {
+            found = bind::bind(&self.node, self.wanted(plan, run, true)).await;
+        }
         let stall = self.node.now() - began;
-        self.stall += stall;
-        self.node.metrics.stall(stall);
-        match placed {
-            Ok(placed) => self.placed(plan, &adapter, placed, stall),
+        if plan.loads() {
+            self.stall += stall;
+            self.node.metrics.stall(stall);
+        }
+        match found {
+            Ok(bound) => self.bound(plan, &adapter, run, bound, stall),
+            // The holder is left out now; what needs no load needs no holder.
+            Err(Unbound::Unanswered) if !plan.loads() => Found::Engine,
+            Err(Unbound::TooLong(ms)) => {
+                self.close_group(&plan.target.domain);
+                Found::TooLong(ms)
+            }
             Err(why) => {
-                self.unplaced(plan, &adapter, &why).await;
-                false
+                self.unplaced(plan, &adapter, why).await;
+                Found::None
             }
         }
     }
 
-    /// Goes on at the engine that has the adapter; false if it is unknown.
-    fn placed(&self, plan: &mut Plan, adapter: &AdapterRef, placed: Placed, ms: u64) -> bool {
-        log::debug!(target: "serve", id:% = self.ask.id, target_id:% = placed.target, version = placed.version, ms; "adapter placed");
+    fn wanted(&self, plan: &Plan, run: u64, may_wait: bool) -> Bind {
+        Bind {
+            run,
+            group: plan.target.domain.clone(),
+            service: self.service.clone(),
+            need: self.need.clone(),
+            version: plan.version,
+            priority: self.route.priority,
+            aim_ms: self.route.target_ms,
+            spent_ms: self.node.now() - self.began,
+            left_ms: self.left(),
+            tried: self.tried.clone(),
+            closed: self.closed.clone(),
+            only_tried: self.only_tried(),
+            may_wait,
+        }
+    }
+
+    /// Goes on at the engine that the holder chose, if it is known here.
+    fn bound(
+        &self,
+        plan: &mut Plan,
+        adapter: &AdapterRef,
+        run: u64,
+        bound: Bound,
+        ms: u64,
+    ) -> Found {
+        log::debug!(target: "serve", id:% = self.ask.id, target_id:% = bound.target, version = bound.version, wait = bound.wait_ms, ms; "engine found");
         let now = self.node.now();
         let mut view = self.node.view();
-        let standing = Standing::Held(placed.version);
-        view.residency.note(adapter, &placed.target, standing, now);
-        let Some(target) = view.targets.get(&placed.target).cloned() else {
-            return false;
+        if adapter.adapter.is_some() {
+            let standing = Standing::Held(bound.version);
+            view.residency.note(adapter, &bound.target, standing, now);
+        }
+        let Some(target) = view.targets.get(&bound.target).cloned() else {
+            log::info!(target: "serve", id:% = self.ask.id, target_id:% = bound.target; "the engine found is not known here yet");
+            return Found::None;
         };
-        plan.tokens = choose::unread(&view, &self.ask, adapter, &target.id);
+        drop(view);
+        plan.tokens = bound.unread;
+        plan.wait_ms = bound.wait_ms as f64;
+        plan.seat = Some(Seat::new(&self.node, run, target.clone()));
         plan.target = target;
-        true
+        Found::Engine
     }
 
-    async fn unplaced(&mut self, plan: &Plan, adapter: &AdapterRef, why: &Unplaced) {
-        log::info!(target: "serve", id:% = self.ask.id, target_id:% = plan.target.id, adapter:% = key_of(adapter), engines = plan.picks.len(), why:%; "adapter not placed");
-        let picked = plan.picks.iter().map(|p| p.target.clone());
-        self.closed.extend(picked);
-        let until = self.node.now() + UNREACHED_MS;
-        for target in &why.gone {
-            // Every other request would ask for a place there too.
-            self.node.view().dead.insert(target.clone(), until);
+    /// Takes no engine of `group` for this request.
+    fn close_group(&mut self, group: &str) {
+        let view = self.node.view();
+        let engines = view.targets.values().filter(|t| *t.domain == *group);
+        let engines: Vec<Name> = engines.map(|t| t.id.clone()).collect();
+        drop(view);
+        self.closed.extend(engines);
+    }
+
+    async fn unplaced(&mut self, plan: &Plan, adapter: &AdapterRef, why: Unbound) {
+        log::info!(target: "serve", id:% = self.ask.id, group:% = plan.target.domain, adapter:% = key_of(adapter), why:%; "no engine found");
+        self.close_group(&plan.target.domain);
+        if let Unbound::Unplaced { gone, .. } = why {
+            let until = self.node.now() + UNREACHED_MS;
+            for target in gone {
+                // Every other request would ask for a place there too.
+                self.node.view().dead.insert(target, until);
+            }
         }
         // All were closed: begin again rather than give up early.
         if self.choose().is_none() {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -8,10 +8,10 @@
 use futures::StreamExt;
 use http::{HeaderMap, StatusCode};
 
-use super::{Job, Reply, whole};
+use super::{Job, Reply, place::Found, whole};
 use crate::{
     choose::{self, Plan},
-    flight::Flight,
+    flight::{Flight, Seat},
     ports::{Body, Extra, Response, SendError},
     relay::Relay,
 };
@@ -54,7 +54,7 @@
     /// Sends it; an error has been taken into the verdict.
     pub(crate) async fn send(
         &mut self,
-        plan: &Plan,
+        plan: &mut Plan,
         last_event: Option<u64>,
     ) -> Result<(Response, Flight), ()> {
         let extra = Extra {
@@ -63,12 +63,9 @@
             priority: self.route.priority,
             last_event,
         };
-        let flight = Flight::begin(
-            &self.node,
-            &plan.target.id,
-            self.ask.adapter.clone().filter(|_| self.engine.is_some()),
-            plan.tokens,
-        );
+        let adapter = self.ask.adapter.clone().filter(|_| self.engine.is_some());
+        let seat = self.seat(plan);
+        let flight = Flight::begin(&self.node, &plan.target, adapter, plan.tokens, seat);
         let call = self
             .node
             .backend
@@ -99,6 +96,17 @@
         }
     }
 
+    /// What the run of this send is told under: the holder's, or one of its
+    /// own if it goes there unasked; none at a target that is no engine.
+    fn seat(&self, plan: &mut Plan) -> Option<Seat> {
+        let own = || {
+            let run = self.node.fleet.next_run();
+            Seat::new(&self.node, run, plan.target.clone())
+        };
+        self.engine.as_ref()?;
+        Some(plan.seat.take().unwrap_or_else(own))
+    }
+
     pub(super) fn arrive(&mut self, target: &Name) {
         self.arrivals += 1;
         if !self.tried.contains(target) {
@@ -222,6 +230,7 @@
         Job {
             node: self.node.clone(),
             ask: self.ask.clone(),
+            need: self.need.clone(),
             route: self.route.clone(),
             service: self.service.clone(),
             engine: self.engine.clone(),
@@ -284,10 +293,10 @@
             return Err(());
         }
         let mut plan = self.choose().ok_or(())?;
-        if plan.loads() && (!self.place(&mut plan).await || !self.still_ready(&plan)) {
+        if !matches!(self.bind(&mut plan).await, Found::Engine) || !self.still_ready(&plan) {
             return Err(());
         }
-        self.send(&plan, last_event).await
+        self.send(&mut plan, last_event).await
     }
 }
 
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -378,9 +378,6 @@
     pub prefill: u64,
     #[prost(uint32, tag = "3")]
     pub running: u32,
-    /// Adapters (model/adapter) its requests there use.
-    #[prost(string, repeated, tag = "4")]
-    pub adapters: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Prompt tokens of requests that wait for their adapter to be loaded there.
     #[prost(uint64, tag = "5")]
     pub waiting: u64,
@@ -467,6 +464,9 @@
     /// Whether the sender cannot read the settings in the store by itself.
     #[prost(bool, tag = "19")]
     pub cut_off: bool,
+    /// Runs of the sender at engines.
+    #[prost(message, repeated, tag = "20")]
+    pub runs: ::prost::alloc::vec::Vec<EngineRun>,
 }
 /// What several daemons together have at one target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -483,75 +483,139 @@
     #[prost(uint64, tag = "5")]
     pub waiting: u64,
 }
+/// A part of a prompt that other requests may share.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PromptPart {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+}
+/// One request that wants an engine of a group.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct EnsureRequest {
-    /// Targets that may take the adapter, the best one first.
-    #[prost(message, repeated, tag = "1")]
-    pub picks: ::prost::alloc::vec::Vec<Pick>,
-    #[prost(string, tag = "2")]
-    pub model: ::prost::alloc::string::String,
+pub struct BindRequest {
+    /// Peer address of the daemon that sends it there.
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    /// Number of the run, unique for that daemon.
+    #[prost(uint64, tag = "2")]
+    pub run: u64,
     #[prost(string, tag = "3")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub model: ::prost::alloc::string::String,
+    /// Empty for the base model itself.
+    #[prost(string, tag = "6")]
     pub adapter: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "4")]
+    /// Least version that will do; 0 for any.
+    #[prost(uint64, tag = "7")]
     pub version: u64,
-    /// How long the asker will wait, in ms.
-    #[prost(uint64, tag = "5")]
-    pub limit_ms: u64,
-    /// Rank of the request that waits; 0 is first.
-    #[prost(uint32, tag = "6")]
+    #[prost(uint32, tag = "8")]
+    pub prompt_tokens: u32,
+    #[prost(uint32, tag = "9")]
+    pub output_tokens: u32,
+    #[prost(message, repeated, tag = "10")]
+    pub parts: ::prost::alloc::vec::Vec<PromptPart>,
+    /// Rank of its route; 0 is first.
+    #[prost(uint32, tag = "11")]
     pub priority: u32,
-    /// Ms within which the load must begin to meet the latency objective.
-    #[prost(uint64, tag = "7")]
+    /// Latency objective of its route, in ms.
+    #[prost(uint64, tag = "12")]
     pub aim_ms: u64,
-    /// How long the asker waits for a load to begin, in ms.
-    #[prost(uint64, tag = "8")]
-    pub begin_ms: u64,
-}
-/// Adapters that a daemon's runs have just stopped using.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct ReleaseRequest {
-    /// Peer address of the daemon.
-    #[prost(string, tag = "1")]
-    pub from: ::prost::alloc::string::String,
-    #[prost(message, repeated, tag = "2")]
-    pub unused: ::prost::alloc::vec::Vec<Unused>,
+    /// Ms since it arrived.
+    #[prost(uint64, tag = "13")]
+    pub spent_ms: u64,
+    /// Ms that its caller still waits.
+    #[prost(uint64, tag = "14")]
+    pub left_ms: u64,
+    /// Engines it was sent to.
+    #[prost(string, repeated, tag = "15")]
+    pub tried: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Engines that cannot take it now.
+    #[prost(string, repeated, tag = "16")]
+    pub closed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Whether it may only go to engines it was sent to.
+    #[prost(bool, tag = "17")]
+    pub only_tried: bool,
+    /// Whether the asker waits for a load; else it wants an answer at once.
+    #[prost(bool, tag = "18")]
+    pub may_wait: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Unused {
-    #[prost(string, tag = "1")]
-    pub target: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub adapter: ::prost::alloc::string::String,
-}
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ReleaseReply {}
-/// A target that may take an adapter.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Pick {
+pub struct BindReply {
+    /// The engine to run on; empty if there is none.
     #[prost(string, tag = "1")]
     pub target: ::prost::alloc::string::String,
-    /// Ms more than at the best one until the request would be answered: it
-    /// takes the adapter only once that long went by without a place elsewhere.
-    #[prost(uint64, tag = "2")]
-    pub extra_ms: u64,
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct EnsureReply {
-    /// Whether a target holds the adapter now.
-    #[prost(bool, tag = "1")]
-    pub ready: bool,
+    /// The adapter's version there.
     #[prost(uint64, tag = "2")]
     pub version: u64,
-    /// Why not.
-    #[prost(string, tag = "3")]
+    /// Prompt tokens that it has to read there.
+    #[prost(uint64, tag = "3")]
+    pub unread: u64,
+    /// Ms to the first token that the holder expects.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+    /// Why there is no engine.
+    #[prost(string, tag = "5")]
     pub error: ::prost::alloc::string::String,
-    /// Targets that take no orders: they are gone, or another boot.
-    #[prost(string, repeated, tag = "4")]
+    /// Engines that take no orders: they are gone, or another boot.
+    #[prost(string, repeated, tag = "6")]
     pub gone: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// Which target holds it.
-    #[prost(string, tag = "5")]
+    /// Whether a load has to come first and the asker does not wait for one.
+    #[prost(bool, tag = "7")]
+    pub must_wait: bool,
+    /// Whether the wait would be too long for the request.
+    #[prost(bool, tag = "8")]
+    pub too_long: bool,
+}
+/// A run at an engine, as its daemon tells.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EngineRun {
+    /// Its number, unique for its daemon.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
     pub target: ::prost::alloc::string::String,
+    /// model/adapter that it uses.
+    #[prost(string, tag = "3")]
+    pub adapter: ::prost::alloc::string::String,
+    /// Prompt tokens that the engine has not read yet.
+    #[prost(uint64, tag = "4")]
+    pub unread: u64,
 }
+/// What became of a run, or of a part of it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunEvent {
+    #[prost(uint64, tag = "1")]
+    pub run: u64,
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+    /// Whether its first event came, and after how many ms.
+    #[prost(bool, tag = "3")]
+    pub first: bool,
+    #[prost(uint64, tag = "4")]
+    pub waited_ms: u64,
+    /// Whether it has ended.
+    #[prost(bool, tag = "5")]
+    pub ended: bool,
+    /// How much its answer says for and against the engine.
+    #[prost(double, tag = "6")]
+    pub good: f64,
+    #[prost(double, tag = "7")]
+    pub bad: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ProgressReport {
+    /// Peer address of the daemon.
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub events: ::prost::alloc::vec::Vec<RunEvent>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProgressReply {}
 /// A stopping daemon names who goes on with a group's orders, and under which
 /// fencing token.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -3071,11 +3135,11 @@
                 .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Exchange"));
             self.inner.unary(req, path, codec).await
         }
-        /// Asks the holder of a group's lease to have an adapter on a target.
-        pub async fn ensure(
+        /// Asks the holder of a group's lease for an engine of the group to run on.
+        pub async fn bind(
             &mut self,
-            request: impl tonic::IntoRequest<super::EnsureRequest>,
-        ) -> std::result::Result<tonic::Response<super::EnsureReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::BindRequest>,
+        ) -> std::result::Result<tonic::Response<super::BindReply>, tonic::Status> {
             self.inner
                 .ready()
                 .await
@@ -3086,18 +3150,17 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/comfreyhall.v1.Fleet/Ensure",
+                "/comfreyhall.v1.Fleet/Bind",
             );
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Ensure"));
+            req.extensions_mut().insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Bind"));
             self.inner.unary(req, path, codec).await
         }
-        /// Tells the holder that the caller's runs use adapters no more.
-        pub async fn release(
+        /// Tells the holder how the caller's runs go on at its engines.
+        pub async fn progress(
             &mut self,
-            request: impl tonic::IntoRequest<super::ReleaseRequest>,
-        ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::ProgressReport>,
+        ) -> std::result::Result<tonic::Response<super::ProgressReply>, tonic::Status> {
             self.inner
                 .ready()
                 .await
@@ -3108,11 +3171,11 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/comfreyhall.v1.Fleet/Release",
+                "/comfreyhall.v1.Fleet/Progress",
             );
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Release"));
+                .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Progress"));
             self.inner.unary(req, path, codec).await
         }
     }
@@ -3135,16 +3198,16 @@
             &self,
             request: tonic::Request<super::News>,
         ) -> std::result::Result<tonic::Response<super::News>, tonic::Status>;
-        /// Asks the holder of a group's lease to have an adapter on a target.
-        async fn ensure(
+        /// Asks the holder of a group's lease for an engine of the group to run on.
+        async fn bind(
             &self,
-            request: tonic::Request<super::EnsureRequest>,
-        ) -> std::result::Result<tonic::Response<super::EnsureReply>, tonic::Status>;
-        /// Tells the holder that the caller's runs use adapters no more.
-        async fn release(
+            request: tonic::Request<super::BindRequest>,
+        ) -> std::result::Result<tonic::Response<super::BindReply>, tonic::Status>;
+        /// Tells the holder how the caller's runs go on at its engines.
+        async fn progress(
             &self,
-            request: tonic::Request<super::ReleaseRequest>,
-        ) -> std::result::Result<tonic::Response<super::ReleaseReply>, tonic::Status>;
+            request: tonic::Request<super::ProgressReport>,
+        ) -> std::result::Result<tonic::Response<super::ProgressReply>, tonic::Status>;
     }
     /// Between daemons of one deployment: each tells the others what it knows.
     #[derive(Debug)]
@@ -3266,23 +3329,23 @@
                     };
                     Box::pin(fut)
                 }
-                "/comfreyhall.v1.Fleet/Ensure" => {
+                "/comfreyhall.v1.Fleet/Bind" => {
                     #[allow(non_camel_case_types)]
-                    struct EnsureSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::EnsureRequest>
-                    for EnsureSvc<T> {
-                        type Response = super::EnsureReply;
+                    struct BindSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::BindRequest>
+                    for BindSvc<T> {
+                        type Response = super::BindReply;
                         type Future = BoxFuture<
                             tonic::Response<Self::Response>,
                             tonic::Status,
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::EnsureRequest>,
+                            request: tonic::Request<super::BindRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Fleet>::ensure(&inner, request).await
+                                <T as Fleet>::bind(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -3293,7 +3356,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = EnsureSvc(inner);
+                        let method = BindSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
@@ -3309,23 +3372,23 @@
                     };
                     Box::pin(fut)
                 }
-                "/comfreyhall.v1.Fleet/Release" => {
+                "/comfreyhall.v1.Fleet/Progress" => {
                     #[allow(non_camel_case_types)]
-                    struct ReleaseSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::ReleaseRequest>
-                    for ReleaseSvc<T> {
-                        type Response = super::ReleaseReply;
+                    struct ProgressSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::ProgressReport>
+                    for ProgressSvc<T> {
+                        type Response = super::ProgressReply;
                         type Future = BoxFuture<
                             tonic::Response<Self::Response>,
                             tonic::Status,
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::ReleaseRequest>,
+                            request: tonic::Request<super::ProgressReport>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Fleet>::release(&inner, request).await
+                                <T as Fleet>::progress(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -3336,7 +3399,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = ReleaseSvc(inner);
+                        let method = ProgressSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
--- a/crates/comfreyhall-routing/src/board.rs
+++ b/crates/comfreyhall-routing/src/board.rs
@@ -17,10 +17,6 @@
 /// Weight of one sample in the learned time of a plain request.
 const GAIN: f64 = 0.1;
 
-/// What a peer told is worth nothing after this long, in ms: some four
-/// rounds of news in a small fleet, two in one of 89 daemons.
-const PEER_MS: u64 = 1_000;
-
 /// Time of a request at a plain service before any is measured, in ms.
 const FIRST_TOOK: f64 = 60.0;
 
@@ -36,18 +32,29 @@
 }
 
 impl Work {
-    fn plus(self, other: Work) -> Work {
+    /// Both together.
+    pub fn plus(self, other: Work) -> Work {
         Work {
             prefill: self.prefill + other.prefill,
             waiting: self.waiting + other.waiting,
             running: self.running + other.running,
         }
     }
+
+    /// What is left of it without `other`.
+    fn less(self, other: Work) -> Work {
+        Work {
+            prefill: self.prefill.saturating_sub(other.prefill),
+            waiting: self.waiting.saturating_sub(other.waiting),
+            running: self.running.saturating_sub(other.running),
+        }
+    }
 }
 
 #[derive(Debug, Default)]
 struct Entry {
     own: Work,
+    /// Work of each peer, and until when that holds.
     peers: Map<Name, (Work, u64)>,
     /// Work of all others as one peer sums it up, and until when that holds.
     total: Option<(Work, u64)>,
@@ -59,16 +66,11 @@
 impl Entry {
     /// Own work and that of peers heard from lately.
     fn sum(&self, now: u64) -> Work {
-        let told = self.peers.values().filter(|(_, at)| fresh(*at, now));
+        let told = self.peers.values().filter(|(_, until)| now <= *until);
         told.fold(self.own, |sum, (work, _)| sum.plus(*work))
     }
 }
 
-/// Whether what was told at `at` still counts.
-fn fresh(at: u64, now: u64) -> bool {
-    now.saturating_sub(at) <= PEER_MS
-}
-
 /// The work and the health of every target.
 #[derive(Debug)]
 pub struct Board {
@@ -156,11 +158,11 @@
         self.entry(target).health.note(ok, weight, now);
     }
 
-    /// Takes in what `peer` has, at all targets.
+    /// Takes in what `peer` has, at all targets; it counts until `until`.
     ///
     /// A peer names only targets where it has work. Without dropping what it
-    /// named before, a request that has ended counts for another second.
-    pub fn peer(&mut self, peer: &Name, works: &Map<Name, Work>, now: u64) {
+    /// named before, a request that has ended counts until then.
+    pub fn peer(&mut self, peer: &Name, works: &Map<Name, Work>, until: u64) {
         for (target, entry) in &mut self.entries {
             if !works.contains_key(target) {
                 entry.peers.remove(peer);
@@ -168,7 +170,22 @@
         }
         for (target, work) in works {
             let peers = &mut self.entry(target).peers;
-            peers.insert(peer.clone(), (*work, now));
+            peers.insert(peer.clone(), (*work, until));
+        }
+    }
+
+    /// `peer` has `work` more at `target`, which counts until `until`.
+    pub fn peer_more(&mut self, peer: &Name, target: &Name, work: Work, until: u64) {
+        let peers = &mut self.entry(target).peers;
+        let (known, end) = peers.entry(peer.clone()).or_default();
+        *known = known.plus(work);
+        *end = until.max(*end);
+    }
+
+    /// `peer` has `work` less at `target`.
+    pub fn peer_less(&mut self, peer: &Name, target: &Name, work: Work) {
+        if let Some((known, _)) = self.entry(target).peers.get_mut(peer) {
+            *known = known.less(work);
         }
     }
 
@@ -207,7 +224,7 @@
     /// Work at `target` that `peer` told of lately.
     pub fn told(&self, target: &Name, peer: &str, now: u64) -> Work {
         let told = self.entries.get(target).and_then(|e| e.peers.get(peer));
-        told.filter(|(_, at)| fresh(*at, now))
+        told.filter(|(_, until)| now <= *until)
             .map_or(Work::default(), |(work, _)| *work)
     }
 
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -211,11 +211,11 @@
         running: 1,
     };
     let works = |w: &[(Name, Work)]| w.iter().cloned().collect::<Map<Name, Work>>();
-    board.peer(&name("p"), &works(&[(t.clone(), told)]), 1_000);
+    board.peer(&name("p"), &works(&[(t.clone(), told)]), 2_000);
     assert_eq!(board.work(&t, 1_500).prefill, 150);
     assert_eq!(board.work(&t, 5_000).prefill, 100);
-    board.peer(&name("p"), &works(&[(t.clone(), told)]), 6_000);
-    board.peer(&name("p"), &works(&[]), 6_100);
+    board.peer(&name("p"), &works(&[(t.clone(), told)]), 7_000);
+    board.peer(&name("p"), &works(&[]), 7_100);
     assert_eq!(board.work(&t, 6_100).prefill, 100, "it ended there");
     board.total(&t, told, 7_000);
     assert_eq!(board.work(&t, 6_900).prefill, 150);
@@ -225,6 +225,27 @@
     assert_eq!(board.own().count(), 0);
 }
 
+#[test]
+fn peer_more_counts_until_less() {
+    let mut board = Board::default();
+    let (p, t) = (name("p"), name("t"));
+    let work = |prefill, running| Work {
+        prefill,
+        running,
+        waiting: 0,
+    };
+    board.peer_more(&p, &t, work(300, 1), 1_000);
+    board.peer_more(&p, &t, work(200, 1), 1_500);
+    assert_eq!(board.work(&t, 1_400), work(500, 2));
+    board.peer_less(&p, &t, work(300, 0));
+    board.peer_less(&p, &t, work(0, 1));
+    assert_eq!(board.work(&t, 1_400), work(200, 1));
+    // Work that was told of and ended meanwhile is not counted below none.
+    board.peer_less(&p, &t, work(900, 9));
+    assert_eq!(board.work(&t, 1_400), work(0, 0));
+    assert_eq!(board.work(&t, 1_501), work(0, 0));
+}
+
 #[test]
 fn kept_counts_unbroken_chain() {
     let mut p = Prefixes::default();
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -64,8 +64,9 @@
     /// A request that waits for a place takes the first one that falls free
     /// in its group of engines; off: at the engine it chose.
     pub shared_waits: bool,
-    /// Holders are told at once of places that fall free; off: by the news.
-    pub early_release: bool,
+    /// The holder of a group's lease chooses the engine for every run there;
+    /// off: each daemon chooses by the news.
+    pub binding: bool,
     /// Requests that share a prompt go to one copy of their adapter.
     pub shared_prompts: bool,
     /// Adapters are loaded where they are at hand, even if the queue there is
@@ -91,7 +92,7 @@
     fn default() -> Self {
         Self {
             shared_waits: true,
-            early_release: true,
+            binding: true,
             shared_prompts: true,
             spare_store: true,
             spare_places: true,
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -22,7 +22,7 @@
 
 POLICIES = [
     "shared_waits",
-    "early_release",
+    "binding",
     "shared_prompts",
     "spare_store",
     "spare_places",
