Reading a prompt beside streams is priced while places are short

Change: a holder adds to an engine's cost what the reading there takes from the places, in ms of a caller's wait: nothing below 60% of places in use, one objective for each mean hold when all are (comfreyhall-placement/place_time).

--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{AdapterRef, Ask, Engine, Kind, Name, Part, Route, Target, Tokens};
+use comfreyhall_domain::{AdapterRef, Ask, Engine, Kind, Map, Name, Part, Route, Target, Tokens};
+use comfreyhall_placement::PlaceTime;
 use comfreyhall_routing::{
     pick,
     pick::{Choice, Spread},
@@ -141,6 +142,7 @@
         load_ms: 0.0,
         stored: false,
         evicts: false,
+        beside_ms: 0.0,
         health: match policies.outliers {
             true => view.board.health(&t.id, now),
             false => 1.0,
@@ -267,6 +269,7 @@
     let used = node.fleet.used(now);
     let named = view.named.get(adapter).map_or(0, |n| n.version);
     let policies = node.policies();
+    let prices = prices(node, view, wish, engine, targets, &in_use);
     let resident = |t: &Target| view.residency.version(adapter, &t.id);
     let holds = |t: &Target| resident(t).is_some_and(|v| v >= version);
     let holders = targets.iter().filter(|t| holds(t)).map(|t| &t.id);
@@ -283,6 +286,11 @@
             tokens = tokens.min(wish.need.own_tokens());
         }
         choice.wait_ms = view.board.prefill_ms(&t.id, tokens, now);
+        if let Some(prices) = prices {
+            let streams = view.board.work(&t.id, now).running;
+            let reading = view.board.reading_ms(tokens as f64);
+            choice.beside_ms = prices.reading_ms(reading, streams);
+        }
         let resident = resident(t);
         let held = adapter.adapter.is_none() || resident.is_some_and(|v| v >= version);
         if held {
@@ -330,6 +338,24 @@
     Options { open: out, loaders }
 }
 
+/// The price of place-time where this daemon knows all runs.
+fn prices(
+    node: &Node,
+    view: &View,
+    wish: &Wish<'_>,
+    engine: &Engine,
+    targets: &[Arc<Target>],
+    in_use: &Map<Name, Vec<AdapterRef>>,
+) -> Option<PlaceTime> {
+    wish.group.filter(|_| node.policies().place_time)?;
+    let used = targets
+        .iter()
+        .map(|t| in_use.get(&t.id).map_or(0, Vec::len));
+    let used: usize = used.sum();
+    let all = engine.places * targets.len() as u32;
+    Some(PlaceTime::new(used as u32, all, view.hold, wish.aim_ms))
+}
+
 /// Whether a stalled send may be abandoned for another.
 pub(crate) fn repeatable(route: &Route) -> bool {
     route.repeatable() && route.attempts > 1 && route.kind != Kind::Unsafe
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -162,6 +162,9 @@
             }
             if let Some(run) = ended {
                 view.board.peer_less(&id, &target, run.work());
+                if run.bound > 0 && run.unread == 0 && run.adapter.is_some() {
+                    view.hold.learn(now.saturating_sub(run.bound));
+                }
             }
             if event.good > 0.0 {
                 view.board.note(&target, true, event.good, now);
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -10,7 +10,7 @@
 
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, Target};
 use comfreyhall_life::{Life, Stage};
-use comfreyhall_placement::Demand;
+use comfreyhall_placement::{Demand, Hold};
 use comfreyhall_routing::{Board, Budget, Prefixes, Residency};
 use comfreyhall_settings::{NodeSettings, Policies};
 use tokio::sync::Notify;
@@ -69,6 +69,8 @@
     pub(crate) rush: Demand,
     /// Mean prompt tokens of a request.
     pub(crate) prompt_tokens: f64,
+    /// How long runs hold their places.
+    pub(crate) hold: Hold,
     pub(crate) book: Book,
 }
 
@@ -87,6 +89,7 @@
             demand: Demand::new(DEMAND_HALF_LIFE_MS),
             rush: Demand::new(RUSH_HALF_LIFE_MS),
             prompt_tokens: FIRST_PROMPT,
+            hold: Hold::default(),
             book: Book::default(),
         }
     }
--- a/crates/comfreyhall-placement/src/tests.rs
+++ b/crates/comfreyhall-placement/src/tests.rs
@@ -433,3 +433,23 @@
     assert_eq!(begun(&mut ceiling, 5_000), 7);
     assert!(ceiling.begin(0.01, 0.1, 20_000));
 }
+
+/// Symptom: three quarters of all place-time went to one route, whose tokens
+/// came at less than half their pace. Events: long prompts are read beside its
+/// streams. Cause: an engine full of streams looked as good as an idle one.
+#[test]
+fn reading_ms_beside_streams_costs_when_places_are_short() {
+    let mut hold = Hold::default();
+    for _ in 0..500 {
+        hold.learn(2_000);
+    }
+    let short = PlaceTime::new(60, 60, hold, 1_000);
+    // 300 ms beside eight streams: 2.4 s of places, a little over one run.
+    let beside = short.reading_ms(300.0, 8);
+    assert!((1_150.0..1_250.0).contains(&beside), "{beside}");
+    assert_eq!(short.reading_ms(300.0, 0), 0.0);
+    let plenty = PlaceTime::new(30, 60, hold, 1_000);
+    assert_eq!(plenty.reading_ms(300.0, 8), 0.0);
+    let none = PlaceTime::new(0, 0, hold, 1_000);
+    assert_eq!(none.reading_ms(300.0, 8), 0.0);
+}
--- a/crates/comfreyhall-routing/src/pick.rs
+++ b/crates/comfreyhall-routing/src/pick.rs
@@ -50,6 +50,8 @@
     pub stored: bool,
     /// Whether the load pushes another adapter out.
     pub evicts: bool,
+    /// What its prompt costs the streams that run there, in ms.
+    pub beside_ms: f64,
     /// Share of good answers to expect.
     pub health: f64,
     /// Whether it was tried for this request already.
@@ -63,7 +65,7 @@
         let evict = if self.evicts { EVICT_MS } else { 0.0 };
         let store = if self.stored { STORE_MS } else { 0.0 };
         let fail = (1.0 - self.health) * again_ms;
-        self.wait_ms + self.load_ms + far + evict + store + fail
+        self.wait_ms + self.load_ms + self.beside_ms + far + evict + store + fail
     }
 }
 
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -17,6 +17,7 @@
         load_ms,
         stored: false,
         evicts: false,
+        beside_ms: 0.0,
         health: 1.0,
         tried: false,
     }
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -69,6 +69,8 @@
     pub binding: bool,
     /// Requests that share a prompt go to one copy of their adapter.
     pub shared_prompts: bool,
+    /// Reading a prompt beside streams costs more while places are short.
+    pub place_time: bool,
     /// Adapters are loaded where they are at hand, even if the queue there is
     /// somewhat longer; off: only time counts.
     pub spare_store: bool,
@@ -94,6 +96,7 @@
             shared_waits: true,
             binding: true,
             shared_prompts: true,
+            place_time: true,
             spare_store: true,
             spare_places: true,
             early_copies: true,
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -24,6 +24,7 @@
     "shared_waits",
     "binding",
     "shared_prompts",
+    "place_time",
     "spare_store",
     "spare_places",
     "early_copies",
