A store that is away is asked as by a few; settings go to those who lack them

At the start of a fleet each daemon also reads each lease by itself and lists all members. Ruled out: reading of targets (30 KB twice a second over all daemons). Change: pauses after failures grow, spread, and are as long as keeps the fleet at some 25 calls a second for each topic; daemons that are as well placed for a lease take turns; a peer that is cut off is sent what it lacks; former leases are looked up in one call, and not at a first start; whoever has met peers does not list them at once. Each has a test that failed before.

--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -33,6 +33,9 @@
 /// Owner of a row that holds no lease: no instance's id.
 const STRANGER: &str = "(unknown)";
 
+/// Where leases are kept in the table.
+const PREFIX: &str = "lease/";
+
 /// What a lease row holds.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 struct Record {
@@ -111,12 +114,23 @@
     })
 }
 
+/// Names of the leases in `table` whose last holder is `owner`, in one call.
+///
+/// Asked one by one, the starts of 195 instances cost the table 975 calls for
+/// five leases.
+pub async fn held_by<R: Rows>(table: &R, owner: &str) -> Result<Vec<String>, CatalogError> {
+    let rows = table.scan(PREFIX, "", 0).await?;
+    let held = rows.iter().filter(|r| *decode(&r.key, r).owner == *owner);
+    let names = held.filter_map(|r| r.key.strip_prefix(PREFIX));
+    Ok(names.map(str::to_string).collect())
+}
+
 impl<R: Rows> Lease<R> {
     /// The lease `name` in `table`, of length `term`, as `owner` sees it.
     pub fn new(table: R, name: &str, owner: Arc<str>, term: Duration) -> Self {
         Self {
             table,
-            key: format!("lease/{name}"),
+            key: format!("{PREFIX}{name}"),
             owner,
             boot: rand::random(),
             term,
--- a/crates/comfreyhall-lease/tests/release.rs
+++ b/crates/comfreyhall-lease/tests/release.rs
@@ -7,7 +7,7 @@
 
 use comfreyhall_catalog::{Rows, put};
 use comfreyhall_fakes::{FakeTable, Fate};
-use comfreyhall_lease::Lease;
+use comfreyhall_lease::{Lease, held_by};
 
 const TERM: Duration = Duration::from_millis(1_000);
 
@@ -81,3 +81,17 @@
     again.reclaim(Instant::now).await.unwrap();
     assert!(again.token(Instant::now()).unwrap() > token);
 }
+
+/// Symptom: the starts of 195 instances cost the table 975 calls for five
+/// leases. Events: each looks whether one of them was its own. Cause: it asked
+/// for them one by one.
+#[tokio::test]
+async fn held_by_names_own_leases() {
+    let table = FakeTable::default();
+    for (name, owner) in [("a", "old"), ("b", "other"), ("c", "old")] {
+        let lease = Lease::new(table.clone(), name, Arc::from(owner), TERM);
+        lease.step(Instant::now, true).await.unwrap();
+    }
+    assert_eq!(held_by(&table, "old").await.unwrap(), ["a", "c"]);
+    assert!(held_by(&table, "new").await.unwrap().is_empty());
+}
--- a/crates/comfreyhall-node/src/fleet/holding.rs
+++ b/crates/comfreyhall-node/src/fleet/holding.rs
@@ -2,6 +2,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{Cession, Daemon};
+use comfreyhall_routing::pick::home_rank;
 
 use super::{Fleet, hub};
 
@@ -10,6 +11,15 @@
 /// to thirty engines took 59 to 69 of them.
 const MUCH_CPU: u32 = 250;
 
+/// Who comes before a daemon for a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Ahead {
+    /// Whether somebody is better placed.
+    pub(crate) better: bool,
+    /// How many are as well placed and have an earlier turn.
+    pub(crate) equals: u64,
+}
+
 /// How long a holder that did not answer is not asked, in ms: a third of the
 /// shortest lease, so that one that is only slow is soon asked again.
 const MUTE_MS: u64 = 1_000;
@@ -65,19 +75,25 @@
         hub::large(self.state().peers.len()) && self.me.millicores < MUCH_CPU
     }
 
-    /// Whether another daemon is better placed to hold the lease of `group`.
+    /// Who comes before this daemon for the lease of `group`.
     ///
     /// In a large fleet a holder answers everybody's reports, so the daemons
     /// with clearly more processor come first: on 0.12 of a core holders
     /// left 2,221 wishes for a place unanswered in 34 s, three quarters of all
     /// that failed. Then those in the group's domain come first, beside its
     /// engines.
-    pub(crate) fn better(&self, group: &str, now: u64) -> bool {
+    pub(crate) fn ahead(&self, group: &str, now: u64) -> Ahead {
         let state = self.state();
         let large = hub::large(state.peers.len());
-        let rank = |d: &Daemon| (large && d.millicores >= MUCH_CPU, d.domain == group);
-        let mine = rank(&self.me);
+        let class = |d: &Daemon| (large && d.millicores >= MUCH_CPU, d.domain == group);
+        let turn = |d: &Daemon| home_rank(group, &d.peer);
         let about = state.alive(now).filter_map(|(_, p)| p.about.as_ref());
-        about.filter(|a| a.ready).any(|a| rank(a) > mine)
+        let ready: Vec<&Daemon> = about.filter(|a| a.ready).collect();
+        let mine = class(&self.me);
+        let equals = ready.iter().filter(|d| class(d) == mine);
+        Ahead {
+            better: ready.iter().any(|d| class(d) > mine),
+            equals: equals.filter(|d| turn(d) < turn(&self.me)).count() as u64,
+        }
     }
 }
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -138,7 +138,7 @@
     /// rows for peers called by chance, of whom nothing recent is known, came
     /// to two thirds of the bytes between 89 daemons.
     pub(super) fn push_rows(&self, node: &Node, addr: &str, news: &mut News) {
-        let (new, cut_off, known) = {
+        let (new, cut_off, settings, known) = {
             let state = self.state();
             let Some(peer) = state.peers.get(addr) else {
                 return;
@@ -146,11 +146,15 @@
             if hub::large(state.peers.len()) && !peer.holds() {
                 return;
             }
-            (peer.about.is_none(), peer.cut_off, peer.targets)
+            let new = peer.about.is_none();
+            (new, peer.cut_off, peer.settings, peer.targets)
         };
+        // A new peer may have just started. What goes wrong if one that is cut
+        // off is sent what it has already: in an outage of the store all are,
+        // and a configuration of 300 KB went to the holders with each report of
+        // 90 daemons, 0.45 GB between failure domains in six seconds.
         if new || cut_off {
-            // It may have just started.
-            news.settings = settings_for(node, 0, cut_off);
+            news.settings = settings_for(node, settings, cut_off);
         }
         news.targets = rows_since(node, Topic::Targets, known);
     }
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -152,3 +152,56 @@
     facts::apply(&node, Topic::Settings, Facts { rows, version: 9 });
     assert!(!cut_off(now + lag + 2));
 }
+
+/// Symptom: half a gigabyte went between failure domains in six seconds.
+/// Events: the store is away, so all 90 daemons count as cut off; a
+/// configuration of 300 KB is in force on all. Cause: each report to a holder
+/// that was cut off bore all settings, whether it had them or not.
+#[tokio::test]
+async fn push_rows_only_what_is_lacked() {
+    let node = node();
+    let rows = vec![Fact {
+        key: "config".into(),
+        value: Some(vec![b' '; 300_000].into()),
+        version: 9,
+    }];
+    facts::apply(&node, Topic::Settings, Facts { rows, version: 9 });
+    let told = |settings_version| {
+        let cut_off = News {
+            cut_off: true,
+            settings_version,
+            ..news(0, Vec::new())
+        };
+        node.fleet.learn(&node, cut_off, super::Origin::Call);
+        let mut call = News::default();
+        node.fleet.push_rows(&node, &daemon(100).peer, &mut call);
+        call.settings.len()
+    };
+    assert_eq!(told(9), 0);
+    assert_eq!(told(8), 1);
+}
+
+/// Symptom: an outage of the store cost 360 calls a second for leases. Events:
+/// holders cannot renew, and each of 90 daemons tries to take each lease. Cause:
+/// only those better placed came first, not one of those as well placed.
+#[tokio::test]
+async fn ahead_equals_take_turns() {
+    let node = node();
+    for port in 200..210 {
+        let heard = News {
+            from: Some(Daemon {
+                millicores: 100,
+                ..daemon(port)
+            }),
+            ..News::default()
+        };
+        node.fleet.learn(&node, heard, super::Origin::Call);
+    }
+    let now = node.now();
+    let own = node.fleet.ahead("d", now);
+    assert!(!own.better);
+    assert!(own.equals <= 10);
+    // In another group's eyes the turn is another.
+    let turns = ["d", "e", "f", "g"].map(|g| node.fleet.ahead(g, now).equals);
+    assert!(turns.iter().any(|t| *t != turns[0]), "{turns:?}");
+}
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -37,10 +37,22 @@
 /// Pause between looks at whether holders still tell of settings, in ms.
 const TOLD_LOOK_MS: u64 = 100;
 
-/// Pause after a failed call, in ms. The store allows two thousand reads a
-/// second over all daemons; settings must be in force 2 s after their
-/// acceptance, so trying five times a second spends a tenth of that bound.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a first failed call, in ms: a call that was lost by itself is
+/// soon made again.
+const RETRY_MS: u64 = 200;
+
+/// Longest pause of one of [`ASKERS`] daemons, in ms. In a larger fleet it is
+/// as much longer as there are more of them, so that a store that is away is
+/// asked as often as by these few, some 25 times a second, and its return is
+/// noticed as soon: whoever reads it first tells the others.
+const PAUSE_MS: u64 = 600;
+
+/// Daemons that may ask a store that is away without mercy.
+const ASKERS: usize = 16;
+
+/// Longest pause in any fleet, in ms: a daemon that is turned away while its
+/// peers are not gets rows from them, but those may be lost too.
+const LONGEST_PAUSE_MS: u64 = 3_000;
 
 /// Parts of the bound for targets that leave at which knowledge of them is
 /// due to be renewed: drawn between one and two parts, so that one daemon
@@ -90,7 +102,7 @@
                 settle(&node);
             }
             Err(SourceError::Forgotten) => after = None,
-            Err(SourceError::Unavailable(_)) => tokio::time::sleep(RETRY_PAUSE).await,
+            Err(SourceError::Unavailable(_)) => link.pause(&node).await,
         }
     }
 }
@@ -120,15 +132,46 @@
     }
 }
 
+/// Pause in ms after `failures` calls in a row have failed, in a fleet of
+/// `daemons`; `draw` spreads it over half to one and a half times its length.
+///
+/// What goes wrong with a fixed pause: the store turns away 90 daemons for
+/// some seconds, and each asks it five times a second for each topic: 3,400
+/// calls, all refused.
+fn pause_ms(failures: u32, daemons: usize, draw: u64) -> u64 {
+    let grown = RETRY_MS << failures.saturating_sub(1).min(5);
+    let most = PAUSE_MS * daemons.max(ASKERS) as u64 / ASKERS as u64;
+    let pause = grown.min(most).min(LONGEST_PAUSE_MS);
+    pause / 2 + draw % pause
+}
+
+/// Pause of this daemon after `failures` calls in a row have failed.
+pub(crate) fn pause(node: &Node, failures: u32) -> Duration {
+    let daemons = node.fleet.size(node.now());
+    let draw = rand::rng().random();
+    Duration::from_millis(pause_ms(failures, daemons, draw))
+}
+
 /// Whether the store answers for one topic; tells when that changes.
 struct Link {
     topic: &'static str,
     down: bool,
+    /// Calls in a row that have failed.
+    failures: u32,
 }
 
 impl Link {
     fn new(topic: &'static str) -> Self {
-        Self { topic, down: false }
+        Self {
+            topic,
+            down: false,
+            failures: 0,
+        }
+    }
+
+    /// Waits before the next call, as the last one failed.
+    async fn pause(&self, node: &Node) {
+        tokio::time::sleep(pause(node, self.failures)).await;
     }
 
     fn note(&mut self, node: &Node, answer: &Result<Facts, SourceError>) {
@@ -145,6 +188,10 @@
             Err(_) => {}
         }
         self.down = answer.is_err();
+        self.failures = match answer {
+            Ok(_) => 0,
+            Err(_) => self.failures.saturating_add(1),
+        };
     }
 }
 
@@ -175,7 +222,7 @@
         link.note(&node, &answer);
         match answer {
             Ok(listed) => take(&node, &mut away, listed, began, 2 * beat),
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            Err(_) => link.pause(&node).await,
         }
     }
 }
@@ -220,3 +267,6 @@
     node.backend.retain(&targets);
     settle(node);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/comfreyhall-node/src/follow/tests.rs
@@ -0,0 +1,36 @@
+use super::pause_ms;
+
+/// Calls of one daemon within `ms`, each of which fails at once.
+fn calls(daemons: usize, ms: u64) -> u64 {
+    let (mut at, mut count) = (0, 0);
+    while at < ms {
+        count += 1;
+        // The middle of the draws is the pause itself.
+        let pause = pause_ms(count, daemons, 0);
+        at += 2 * pause;
+    }
+    u64::from(count)
+}
+
+/// Symptom: an outage of the store cost 3,400 calls in six seconds. Events: it
+/// turns 90 daemons away, and each asks again five times a second. Cause: the
+/// pause after a failure grew neither with failures nor with the fleet.
+#[test]
+fn pause_ms_fleet_asks_as_few_would() {
+    let few = calls(7, 6_000) * 7;
+    let many = calls(90, 6_000) * 90;
+    let more = calls(195, 6_000) * 195;
+    assert!(few <= 80, "{few}");
+    assert!(many <= 540, "{many}");
+    assert!(more <= 1_170, "{more}");
+}
+
+#[test]
+fn pause_ms_spread_and_bounded() {
+    let all: Vec<u64> = (0..400).map(|draw| pause_ms(3, 7, draw * 7)).collect();
+    let (least, most) = (all.iter().min().unwrap(), all.iter().max().unwrap());
+    assert!(*least >= 300 && *most <= 900, "{least} {most}");
+    assert!(*most - *least > 400);
+    assert!(pause_ms(100, 10_000, u64::MAX) <= 4_500);
+    assert!(pause_ms(1, 10_000, 0) <= 300, "the first one soon");
+}
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -12,7 +12,7 @@
 };
 
 use comfreyhall_catalog::{CatalogError, Rows};
-use comfreyhall_domain::{Map, Name};
+use comfreyhall_domain::{Map, Name, Set};
 use comfreyhall_lease::Lease;
 use tokio::time::error::Elapsed;
 
@@ -179,6 +179,7 @@
             () = node.life.reached(comfreyhall_life::Stage::Serving) => {}
             () = node.life.reached(comfreyhall_life::Stage::Leaving) => {}
         }
+        let former = former(&node, &rows).await;
         loop {
             let term = Duration::from_millis(node.settings().bounds.lease_ms);
             if node.leaving() {
@@ -193,7 +194,10 @@
                         let id = node.settings().id.clone();
                         let lease = Arc::new(Lease::new(rows.clone(), &group, id, term));
                         node.leases.add(&group, lease.clone());
-                        first_step(&node, &group, &lease, term).await;
+                        if former.contains(&*group) {
+                            reclaim(&node, &group, &lease, term).await;
+                        }
+                        step(&node, &group, &lease, term).await;
                         leases.insert(group, lease);
                     }
                 }
@@ -213,12 +217,43 @@
     }
 }
 
-/// Takes the lease at once if it was this instance's before it started again;
-/// if not, does as in every step.
-async fn first_step<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
+/// Leases that this instance held before it started again.
+async fn former<R: Rows>(node: &Node, rows: &R) -> Set<String> {
+    let settings = node.settings();
+    if settings.first_start {
+        return Set::default();
+    }
+    let limit = Duration::from_millis(settings.bounds.lease_ms) / STEP_PART;
+    let why =
+        match tokio::time::timeout(limit, comfreyhall_lease::held_by(rows, &settings.id)).await {
+            Ok(Ok(names)) => return names.into_iter().collect(),
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "no answer in time".to_string(),
+        };
+    log::warn!(target: "leases", why; "former leases not looked up; they are taken after a term");
+    Set::default()
+}
+
+/// Takes the lease at once, as it was this instance's before it started again.
+async fn reclaim<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
     let call = tokio::time::timeout(term / STEP_PART, lease.reclaim(clock::instant));
     noted(node, group, None, lease, call.await);
-    step(node, group, lease, term).await;
+}
+
+/// How long this daemon leaves a lease without a holder to others, in ms.
+///
+/// Those better placed may not be known yet, or unable to reach the store.
+/// Those as well placed take turns, one more at each step: if all asked at
+/// once, an outage of the store in a fleet of 90 cost 360 calls a second for
+/// leases that nobody could take.
+fn patience_ms(node: &Node, group: &Name, term_ms: u64) -> u64 {
+    let ahead = node.fleet.ahead(group, node.now());
+    let class = match (ahead.better, node.fleet.weak()) {
+        (true, _) => VACANT_TERMS * term_ms,
+        (false, true) => term_ms,
+        (false, false) => 0,
+    };
+    class + ahead.equals * term_ms / u64::from(STEPS)
 }
 
 async fn step<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
@@ -226,13 +261,7 @@
     let now = node.now();
     let held = before.is_some() || node.fleet.holder(group, now).is_some();
     let vacant = node.leases.vacant_ms(group, held, now);
-    let term_ms = term.as_millis() as u64;
-    // Those better placed may not be known yet, or unable to reach the store.
-    let patience = match (node.fleet.better(group, now), node.fleet.weak()) {
-        (true, _) => VACANT_TERMS * term_ms,
-        (false, true) => term_ms,
-        (false, false) => 0,
-    };
+    let patience = patience_ms(node, group, term.as_millis() as u64);
     let want = node.ready() && vacant >= patience;
     // A holder that was heard from lately needs no look at the store, and
     // whoever leaves the lease to others has none to take.
--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -9,7 +9,7 @@
 
 use comfreyhall_catalog::{CatalogError, Rows, delete, put};
 
-use crate::node::Node;
+use crate::{follow, node::Node};
 
 const PREFIX: &str = "member/";
 
@@ -21,7 +21,8 @@
 /// Daemons for which one listing in a period will do.
 const LISTED_BY: usize = 16;
 
-/// Pause between looks at whether a listing is due, and after a failed one.
+/// Pause between looks at whether a listing is due, and at least after a
+/// failed call.
 const LOOK: Duration = Duration::from_millis(500);
 
 /// Starts the duty.
@@ -33,18 +34,42 @@
     let key = format!("{PREFIX}{}", node.settings().listen.peers);
     let mut written = false;
     let mut listed = None;
+    let began = node.now();
+    let mut failures = 0;
     while !node.leaving() {
-        let due = listed.is_none_or(|at| node.now().saturating_sub(at) >= period_ms(&node));
-        if due {
-            match round(&node, &rows, &key, &mut written).await {
-                Ok(()) => listed = Some(node.now()),
+        let now = node.now();
+        // Whoever has met the others need not look for them right away.
+        let met = now.saturating_sub(began) < period_ms(&node) && node.fleet.size(now) > 1;
+        let due = listed.is_none_or(|at| now.saturating_sub(at) >= period_ms(&node));
+        if !written {
+            match write(&node, &rows, &key).await {
+                Ok(()) => {
+                    written = true;
+                    failures = 0;
+                }
                 Err(e) => {
+                    failures += 1;
+                    log::warn!(target: "members", error:% = e; "own row not written");
+                }
+            }
+        } else if due && !met {
+            match round(&node, &rows, &key).await {
+                Ok(()) => {
+                    listed = Some(node.now());
+                    failures = 0;
+                }
+                Err(e) => {
+                    failures += 1;
                     log::warn!(target: "members", error:% = e; "members not listed");
                 }
             }
         }
+        let pause = match failures {
+            0 => LOOK,
+            _ => follow::pause(&node, failures).max(LOOK),
+        };
         tokio::select! {
-            () = tokio::time::sleep(LOOK) => {}
+            () = tokio::time::sleep(pause) => {}
             () = node.life.reached(comfreyhall_life::Stage::Leaving) => {}
         }
     }
@@ -59,16 +84,7 @@
 }
 
 /// Sees that the own row is there, meets the others, prunes lost ones.
-async fn round<R: Rows>(
-    node: &Node,
-    rows: &R,
-    key: &str,
-    written: &mut bool,
-) -> Result<(), CatalogError> {
-    if !*written {
-        write(node, rows, key).await?;
-        *written = true;
-    }
+async fn round<R: Rows>(node: &Node, rows: &R, key: &str) -> Result<(), CatalogError> {
     let found = rows.scan(PREFIX, "", 0).await?;
     if !found.iter().any(|row| row.key == key) {
         // Others took this daemon for lost while it was cut off.
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -119,6 +119,10 @@
     pub domain: Arc<str>,
     /// Where it listens.
     pub listen: Listen,
+    /// Whether the whole system starts for the first time, so that nothing of
+    /// before can be found.
+    #[serde(default)]
+    pub first_start: bool,
     /// Its part of a core: daemons that have more take leases first.
     pub cores: f64,
     /// Peer addresses to begin with; may be stale.
