Holders look through wishes once a pass; what a target holds is found by target

Each wish went to all 31 engines of a group, each engine looked for a victim anew for every wish, by a scan of all runs for each adapter, and choosing an engine counted what a target holds by a scan of all adapters of the fleet. Ruled out: links (15 Mbit/s of 200 in use) and the store. Change: what holds for one wish holds for the others of a pass; a wish goes to 12 engines at most; residency is kept by target, with counts.

--- a/crates/comfreyhall-node/src/bind/here.rs
+++ b/crates/comfreyhall-node/src/bind/here.rs
@@ -30,7 +30,7 @@
     if first && admission::refuse(plan.wait_ms, ask.left_ms, ask.aim_ms, ask.priority) {
         return Err(Unbound::TooLong(plan.wait_ms as u64));
     }
-    if !plan.loads() {
+    if !plan.loads {
         return Ok(bound(
             node,
             &ask,
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -36,6 +36,12 @@
 /// many it comes to engines that did not have it lately, from the weight store.
 const NEW_HOMES: usize = 2;
 
+/// Engines that share a wish for an adapter, at most. A dozen of them have a
+/// place every 30 ms with all in use; with every engine of a group of 31 in
+/// each wish, its holder spent its core on looking through wishes, and left
+/// half of them unseen until their time was up.
+const MOST_PICKS: usize = 12;
+
 /// What an engine of another failure domain costs for a hot adapter, in ms:
 /// each domain has engines of its own for it. Daemons hear of the queues
 /// elsewhere a second late, and without this the callers of all domains meet
@@ -90,19 +96,14 @@
     pub(crate) expect: Option<u64>,
     /// Estimated ms to the first token, the load included.
     pub(crate) wait_ms: f64,
-    /// Engines that may load the adapter, the target first; none if it is there.
+    /// Whether the adapter has to be loaded first.
+    pub(crate) loads: bool,
+    /// Engines that may load it, the target first, for the holder.
     pub(crate) picks: Vec<Pick>,
     /// The run that a holder has bound to the target.
     pub(crate) seat: Option<Seat>,
 }
 
-impl Plan {
-    /// Whether the adapter has to be loaded first.
-    pub(crate) fn loads(&self) -> bool {
-        !self.picks.is_empty()
-    }
-}
-
 /// What a choice is made for.
 pub(crate) struct Wish<'a> {
     pub(crate) need: &'a Need,
@@ -180,11 +181,10 @@
     };
     let best = pick::best(&choices, again_ms, spread, wish.draw)?;
     let target = targets.iter().find(|t| t.id == best.id)?.clone();
-    if !policies.shared_waits {
-        loaders.clear();
-    }
-    let picks = match best.load_ms > 0.0 {
-        true => picks(best, &loaders, &targets, &target.domain, again_ms),
+    let loads = best.load_ms > 0.0;
+    let picks = match loads && wish.group.is_some() {
+        true if policies.shared_waits => picks(best, &loaders, again_ms),
+        true => picks(best, &[], again_ms),
         false => Vec::new(),
     };
     let tokens = unread(&view, wish.need, &target.id);
@@ -194,21 +194,15 @@
         expect: (version > 0).then_some(version),
         wait_ms: best.wait_ms + best.load_ms,
         target,
+        loads,
         picks,
         seat: None,
     })
 }
 
-/// `best` and the other engines of its group that may load the adapter.
-fn picks(
-    best: &Choice,
-    loaders: &[Choice],
-    targets: &[Arc<Target>],
-    group: &str,
-    again_ms: f64,
-) -> Vec<Pick> {
-    let of_group = |c: &&Choice| targets.iter().any(|t| t.id == c.id && &*t.domain == group);
-    let others = loaders.iter().filter(|c| c.id != best.id).filter(of_group);
+/// `best` and other engines of its group that may load the adapter.
+fn picks(best: &Choice, loaders: &[Choice], again_ms: f64) -> Vec<Pick> {
+    let others = loaders.iter().filter(|c| c.id != best.id);
     let others = others.map(|c| Pick {
         target: c.id.clone(),
         extra_ms: (c.cost(again_ms) - best.cost(again_ms)).max(0.0) as u64,
@@ -217,7 +211,9 @@
         target: best.id.clone(),
         extra_ms: 0,
     };
-    std::iter::once(first).chain(others).collect()
+    std::iter::once(first)
+        .chain(others.take(MOST_PICKS - 1))
+        .collect()
 }
 
 /// The least version of `adapter` that may still serve.
@@ -325,7 +321,7 @@
         // A copy of a hot adapter serves many, not one request.
         choice.stored = !recent && !hot && policies.spare_store;
         choice.evicts =
-            policies.spare_places && !hot && view.residency.at(&t.id).len() as u32 >= engine.places;
+            policies.spare_places && !hot && view.residency.count(&t.id) >= engine.places;
         let known = in_use.get(&t.id).map_or(0, |u| u.len() as u32);
         let told = used.get(&t.id).copied().unwrap_or(0);
         let full = known.max(told) >= engine.places;
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -304,14 +304,11 @@
         Self::alive_ms(self.state().peers.len())
     }
 
-    /// Requests that use `adapter` at `target` now, on any daemon.
-    pub(crate) fn pins(&self, target: &Name, adapter: &AdapterRef, now: u64) -> u32 {
+    /// Adapters in use at `target`, on any daemon.
+    pub(crate) fn in_use_at(&self, target: &Name, now: u64) -> Set<AdapterRef> {
         let state = self.state();
-        let waiting = state.pins.get(&(target.clone(), adapter.clone()));
-        let theirs = state.heard(now).map(|(_, p)| &p.runs);
-        let all = theirs.chain([&state.runs]);
-        let used = all.filter(|runs| runs.use_there(target, adapter));
-        waiting.copied().unwrap_or(0) + used.count() as u32
+        let here = state.uses(now).filter(|(t, _)| *t == target);
+        here.map(|(_, adapter)| adapter.clone()).collect()
     }
 
     /// Adapters in use at each target, on any daemon.
@@ -395,9 +392,14 @@
 
     /// Each adapter in use at a target by any daemon, once.
     fn pinned(&self, now: u64) -> Set<(&Name, &AdapterRef)> {
+        self.uses(now).collect()
+    }
+
+    /// Adapters in use at targets, some of them more than once.
+    fn uses(&self, now: u64) -> impl Iterator<Item = (&Name, &AdapterRef)> {
         let theirs = self.heard(now).flat_map(|(_, p)| p.runs.uses());
         let waiting = self.pins.keys().map(|(target, adapter)| (target, adapter));
-        waiting.chain(self.runs.uses()).chain(theirs).collect()
+        waiting.chain(self.runs.uses()).chain(theirs)
     }
 
     /// Peers that this daemon heard from lately.
--- a/crates/comfreyhall-node/src/fleet/runs.rs
+++ b/crates/comfreyhall-node/src/fleet/runs.rs
@@ -107,12 +107,6 @@
         out
     }
 
-    /// Whether one of them uses `adapter` at `target`.
-    pub(super) fn use_there(&self, target: &Name, adapter: &AdapterRef) -> bool {
-        let mut runs = self.0.values();
-        runs.any(|r| r.target == *target && r.adapter.as_ref() == Some(adapter))
-    }
-
     /// Each adapter in use at an engine.
     pub(super) fn uses(&self) -> impl Iterator<Item = (&Name, &AdapterRef)> {
         let runs = self.0.values();
--- a/crates/comfreyhall-node/src/fleet/runs/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/runs/tests.rs
@@ -53,10 +53,13 @@
     runs.replace(&[told(1, "t", 0)], 5_000);
     let read = runs.read(1).unwrap();
     assert_eq!((read.unread, read.ahead), (0, 300));
-    assert!(runs.use_there(&Name::from("t"), &adapter()));
+    assert_eq!(
+        runs.uses().collect::<Vec<_>>(),
+        [(&Name::from("t"), &adapter())]
+    );
     assert!(runs.end(1).is_some());
     assert!(runs.end(1).is_none());
-    assert!(!runs.use_there(&Name::from("t"), &adapter()));
+    assert_eq!(runs.uses().count(), 0);
 }
 
 #[test]
--- a/crates/comfreyhall-node/src/keeper/load.rs
+++ b/crates/comfreyhall-node/src/keeper/load.rs
@@ -7,6 +7,7 @@
 use super::{Coming, Hold, Job, Keeper, LOOK_MS, Placed, STUCK_MS, finish};
 use crate::{
     fleet::key_of,
+    node::Named,
     ports::{Action, OrderReply},
 };
 
@@ -102,23 +103,21 @@
     /// order. So it waits until nobody uses it, or the bound comes near.
     pub(super) async fn renew_outdated(&mut self) {
         let now = self.node.now();
+        let newer = self.newer();
+        if newer.is_empty() {
+            return;
+        }
         let grace = self.node.settings().bounds.version_ms / RENEW_PART;
+        let in_use = self.node.fleet.in_use_at(&self.target.id, now);
+        let outdated = newer.into_iter().filter(|(adapter, named)| {
+            let due = now.saturating_sub(named.learned) >= grace;
+            due || !in_use.contains(adapter)
+        });
         let outdated: Vec<(AdapterRef, u64, f64)> = {
             let view = self.node.view();
-            let newer = |a: &AdapterRef, h: &Hold| {
-                let named = view.named.get(a)?;
-                (named.version > h.version).then_some(named.version)
-            };
-            self.held
-                .iter()
-                .filter_map(|(a, h)| {
-                    let version = newer(a, h)?;
-                    let learned = view.named.get(a).map_or(0, |n| n.learned);
-                    let due = now.saturating_sub(learned) >= grace;
-                    let used = self.node.fleet.pins(&self.target.id, a, now) > 0;
-                    (due || !used).then_some(())?;
-                    Some((a.clone(), version, view.demand.score(&key_of(a), now)))
-                })
+            let score = |a: &AdapterRef| view.demand.score(&key_of(a), now);
+            outdated
+                .map(|(a, named)| (a.clone(), named.version, score(&a)))
                 .collect()
         };
         for (adapter, version, score) in outdated {
@@ -132,6 +131,16 @@
         }
     }
 
+    /// Adapters here of which a newer version was named.
+    fn newer(&self) -> Vec<(AdapterRef, Named)> {
+        let view = self.node.view();
+        let newer = self.held.iter().filter_map(|(adapter, hold)| {
+            let named = view.named.get(adapter)?;
+            (named.version > hold.version).then(|| (adapter.clone(), *named))
+        });
+        newer.collect()
+    }
+
     /// Works on a job; gives it back if it has to wait.
     pub(super) async fn work(&mut self, job: Job) -> Option<Job> {
         if !job.open() {
@@ -151,7 +160,10 @@
         if let Some(blocked) = self.blocked(&job) {
             return Some(job.wait_for(blocked, &self.target.id));
         }
-        if !self.make_room().await {
+        // What holds for one job holds for the next: looking again for each of
+        // a hundred that wait took the holder's core on a heavy day.
+        if self.full || !self.make_room().await {
+            self.full = true;
             return Some(job.wait_for("place", &self.target.id));
         }
         // Another engine may have taken it while room was made.
@@ -274,14 +286,14 @@
 
     pub(super) fn choose_victim(&self) -> Option<AdapterRef> {
         let now = self.node.now();
+        let pinned = self.node.fleet.in_use_at(&self.target.id, now);
         let view = self.node.view();
-        let occupants: Vec<Occupant<AdapterRef>> = self
-            .held
-            .iter()
+        let unused = self.held.iter().filter(|(a, _)| !pinned.contains(*a));
+        let occupants: Vec<Occupant<AdapterRef>> = unused
             .map(|(adapter, hold)| Occupant {
                 score: view.demand.score(&key_of(adapter), now),
                 copies: view.residency.copies(adapter).saturating_sub(1),
-                pins: self.node.fleet.pins(&self.target.id, adapter, now),
+                pins: 0,
                 age_ms: now.saturating_sub(hold.since),
                 key: adapter.clone(),
             })
--- a/crates/comfreyhall-node/src/keeper/mod.rs
+++ b/crates/comfreyhall-node/src/keeper/mod.rs
@@ -279,6 +279,7 @@
         ready_at: 0,
         queue: Vec::new(),
         model_due: 0,
+        full: false,
     };
     tokio::spawn(keeper.run(receive));
 }
@@ -314,6 +315,8 @@
     queue: Vec<Job>,
     /// No order for a model before this.
     model_due: u64,
+    /// Whether all places were found to be in use in this pass.
+    full: bool,
 }
 
 /// Tells all who wait how it ended.
--- a/crates/comfreyhall-node/src/keeper/task.rs
+++ b/crates/comfreyhall-node/src/keeper/task.rs
@@ -55,6 +55,7 @@
         self.renew_outdated().await;
         let now = self.node.now();
         self.queue.sort_by_key(|j| j.waiting.rank(now));
+        self.full = false;
         let mut later = Vec::new();
         for job in std::mem::take(&mut self.queue) {
             if let Some(job) = self.work(job).await {
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -155,14 +155,19 @@
         })
     }
 
+    /// Whether `target` takes work of `service`.
+    pub(crate) fn takes(&self, target: &Target, service: &str, now: u64) -> bool {
+        *target.service == *service
+            && target.stage == comfreyhall_domain::Stage::Ready
+            && self.dead.get(&target.id).is_none_or(|until| now >= *until)
+    }
+
     /// Targets of `service` that take work, in a fixed order.
     pub(crate) fn ready(&self, service: &str, now: u64) -> Vec<Arc<Target>> {
         let mut out: Vec<Arc<Target>> = self
             .targets
             .values()
-            .filter(|t| &*t.service == service)
-            .filter(|t| t.stage == comfreyhall_domain::Stage::Ready)
-            .filter(|t| self.dead.get(&t.id).is_none_or(|until| now >= *until))
+            .filter(|t| self.takes(t, service, now))
             .cloned()
             .collect();
         out.sort_by(|a, b| a.id.cmp(&b.id));
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -32,8 +32,8 @@
     pub(super) fn still_ready(&self, plan: &Plan) -> bool {
         let now = self.node.now();
         let view = self.node.view();
-        let ready = view.ready(&self.service, now);
-        ready.iter().any(|t| t.id == plan.target.id)
+        let known = view.targets.get(&plan.target.id);
+        known.is_some_and(|t| view.takes(t, &self.service, now))
     }
 
     /// Has the holder of the planned group choose the engine, which becomes
@@ -42,24 +42,24 @@
         let Some(adapter) = self.ask.adapter.clone().filter(|_| self.engine.is_some()) else {
             return Found::Engine;
         };
-        if !self.node.policies().binding && !plan.loads() {
+        if !self.node.policies().binding && !plan.loads {
             return Found::Engine;
         }
         let began = self.node.now();
         let run = self.node.fleet.next_run();
-        let mut found = bind::bind(&self.node, self.wanted(plan, run, plan.loads())).await;
+        let mut found = bind::bind(&self.node, self.wanted(plan, run, plan.loads)).await;
         if found == Err(Unbound::MustWait) {
             found = bind::bind(&self.node, self.wanted(plan, run, true)).await;
         }
         let stall = self.node.now() - began;
-        if plan.loads() {
+        if plan.loads {
             self.stall += stall;
             self.node.metrics.stall(stall);
         }
         match found {
             Ok(bound) => self.bound(plan, &adapter, run, bound, stall),
             // The holder is left out now; what needs no load needs no holder.
-            Err(Unbound::Unanswered) if !plan.loads() => Found::Engine,
+            Err(Unbound::Unanswered) if !plan.loads => Found::Engine,
             Err(Unbound::TooLong(ms)) => {
                 self.close_group(&plan.target.domain);
                 Found::TooLong(ms)
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -189,7 +189,7 @@
                 Refusal::Other => "for a reason of its own",
             },
         );
-        log::debug!(target: "serve", id:% = self.ask.id, expect:? = plan.expect, load = plan.loads(); "refused send");
+        log::debug!(target: "serve", id:% = self.ask.id, expect:? = plan.expect, load = plan.loads; "refused send");
     }
 
     pub(super) async fn relay(&mut self, response: Response, flight: Flight, plan: Plan) -> Next {
--- a/crates/comfreyhall-routing/src/residency.rs
+++ b/crates/comfreyhall-routing/src/residency.rs
@@ -36,119 +36,146 @@
 /// load or two a second for each engine is about this long.
 const RECENT_MS: u64 = 30_000;
 
-type Key = (Name, Name);
-
-/// Adapters by model and name, and where they are.
+/// Adapters and where they are, by target: what is asked for each request is
+/// about one target, and a fleet knows some thousand adapters.
 #[derive(Debug, Default)]
 pub struct Residency {
-    places: Map<Key, Map<Name, Entry>>,
+    places: Map<Name, Map<AdapterRef, Entry>>,
+    /// Targets that hold each adapter.
+    copies: Map<AdapterRef, u32>,
+    /// Adapters that each target holds.
+    held: Map<Name, u32>,
 }
 
 impl Residency {
     /// Direct evidence at `now`.
     pub fn note(&mut self, adapter: &AdapterRef, target: &Name, standing: Standing, now: u64) {
-        let Some(name) = &adapter.adapter else { return };
-        let key = (adapter.model.clone(), name.clone());
-        let targets = self.places.entry(key).or_default();
-        let before = targets.get(target).map_or(0, |e| e.held);
+        if adapter.adapter.is_none() {
+            return;
+        }
+        let known = self.entry(adapter, target).map_or(0, |e| e.held);
         let held = match standing {
             Standing::Held(_) => now,
-            Standing::Absent => before,
+            Standing::Absent => known,
         };
         let entry = Entry {
             standing,
             at: now,
             held,
         };
-        targets.insert(target.clone(), entry);
+        self.put(adapter, target, Some(entry));
     }
 
     /// Takes over the list that `target` published.
     pub fn publish(&mut self, target: &Target, now: u64) {
-        for targets in self.places.values_mut() {
-            if let Some(entry) = targets.get_mut(&target.id)
-                && !fresh(entry, now)
-            {
-                entry.standing = Standing::Absent;
+        for (adapter, entry) in self.entries(&target.id) {
+            let mut next = entry;
+            if !fresh(&entry, now) {
+                next.standing = Standing::Absent;
             }
-            targets.retain(|_, e| {
-                e.standing != Standing::Absent || now.saturating_sub(e.held) < RECENT_MS
-            });
+            let absent = next.standing == Standing::Absent;
+            let forgotten = absent && now.saturating_sub(next.held) >= RECENT_MS;
+            self.put(&adapter, &target.id, (!forgotten).then_some(next));
         }
         for held in &target.held {
             for (name, version) in &held.adapters {
-                let key = (held.model.clone(), name.clone());
+                let adapter = AdapterRef {
+                    model: held.model.clone(),
+                    adapter: Some(name.clone()),
+                };
+                let known = self.entry(&adapter, &target.id);
+                if known.is_some_and(|e| fresh(e, now)) {
+                    continue;
+                }
                 let seen = Entry {
                     standing: Standing::Held(*version),
                     at: 0,
                     held: now,
                 };
-                let targets = self.places.entry(key).or_default();
-                let entry = targets.entry(target.id.clone()).or_insert(seen);
-                if !fresh(entry, now) {
-                    *entry = seen;
-                }
+                self.put(&adapter, &target.id, Some(seen));
             }
         }
-        self.places.retain(|_, targets| !targets.is_empty());
     }
 
     /// Whether `target` held `adapter` lately and so loads it quickly.
     pub fn recent(&self, adapter: &AdapterRef, target: &Name, now: u64) -> bool {
-        let Some(name) = &adapter.adapter else {
-            return false;
-        };
-        let key = (adapter.model.clone(), name.clone());
-        let entry = self.places.get(&key).and_then(|t| t.get(target));
+        let entry = self.entry(adapter, target);
         entry.is_some_and(|e| e.held > 0 && now.saturating_sub(e.held) < RECENT_MS)
     }
 
     /// Targets that hold `adapter`.
     pub fn copies(&self, adapter: &AdapterRef) -> u32 {
-        let Some(name) = &adapter.adapter else {
-            return 0;
-        };
-        let key = (adapter.model.clone(), name.clone());
-        let held = |e: &&Entry| matches!(e.standing, Standing::Held(_));
-        let targets = self.places.get(&key);
-        targets.map_or(0, |t| t.values().filter(held).count() as u32)
+        self.copies.get(adapter).copied().unwrap_or(0)
+    }
+
+    /// Adapters that `target` holds, counted.
+    pub fn count(&self, target: &Name) -> u32 {
+        self.held.get(target).copied().unwrap_or(0)
     }
 
     /// Forgets a target that is gone.
-    pub fn remove(&mut self, target: &str) {
-        for targets in self.places.values_mut() {
-            targets.retain(|id, _| &**id != target);
+    pub fn remove(&mut self, target: &Name) {
+        for (adapter, _) in self.entries(target) {
+            self.put(&adapter, target, None);
         }
-        self.places.retain(|_, targets| !targets.is_empty());
+        self.places.remove(target);
+        self.held.remove(target);
     }
 
     /// The version of `adapter` that `target` holds.
     pub fn version(&self, adapter: &AdapterRef, target: &Name) -> Option<u64> {
-        let name = adapter.adapter.as_ref()?;
-        let key = (adapter.model.clone(), name.clone());
-        match self.places.get(&key)?.get(target)?.standing {
+        match self.entry(adapter, target)?.standing {
             Standing::Held(version) => Some(version),
             Standing::Absent => None,
         }
     }
 
     /// Adapters that `target` holds, with their versions.
-    pub fn at(&self, target: &str) -> Vec<(AdapterRef, u64)> {
-        let mut out = Vec::new();
-        for ((model, name), targets) in &self.places {
-            if let Some(Entry {
-                standing: Standing::Held(version),
-                ..
-            }) = targets.get(target)
-            {
-                let adapter = AdapterRef {
-                    model: model.clone(),
-                    adapter: Some(name.clone()),
-                };
-                out.push((adapter, *version));
-            }
+    pub fn at(&self, target: &Name) -> Vec<(AdapterRef, u64)> {
+        let entries = self.entries(target).into_iter();
+        let held = entries.filter_map(|(adapter, entry)| match entry.standing {
+            Standing::Held(version) => Some((adapter, version)),
+            Standing::Absent => None,
+        });
+        held.collect()
+    }
+
+    fn entry(&self, adapter: &AdapterRef, target: &Name) -> Option<&Entry> {
+        self.places.get(target)?.get(adapter)
+    }
+
+    /// All that is known of `target`.
+    fn entries(&self, target: &Name) -> Vec<(AdapterRef, Entry)> {
+        let known = self.places.get(target);
+        let known = known.into_iter().flatten();
+        known.map(|(a, e)| (a.clone(), *e)).collect()
+    }
+
+    /// Sets what is known of `adapter` at `target`; keeps the counts.
+    fn put(&mut self, adapter: &AdapterRef, target: &Name, entry: Option<Entry>) {
+        let holds = |e: &Entry| matches!(e.standing, Standing::Held(_));
+        let after = entry.as_ref().is_some_and(holds);
+        let entries = self.places.entry(target.clone()).or_default();
+        let old = match entry {
+            Some(entry) => entries.insert(adapter.clone(), entry),
+            None => entries.remove(adapter),
+        };
+        let before = old.as_ref().is_some_and(holds);
+        if before == after {
+            return;
+        }
+        let copies = self.copies.entry(adapter.clone()).or_default();
+        let held = self.held.entry(target.clone()).or_default();
+        for count in [&mut *copies, held] {
+            *count = if after {
+                *count + 1
+            } else {
+                count.saturating_sub(1)
+            };
+        }
+        if *copies == 0 {
+            self.copies.remove(adapter);
         }
-        out
     }
 }
 
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -263,6 +263,22 @@
 /// Symptom: an adapter that had just been loaded was ordered again.
 /// Events: the load ends; the target's list from before it arrives. Cause:
 /// the older list replaced the newer evidence.
+#[test]
+fn count_and_copies_follow_what_is_held() {
+    let mut r = Residency::default();
+    let (a, b) = (name("a"), name("b"));
+    r.note(&adapter(), &a, Standing::Held(1), 1_000);
+    r.note(&adapter(), &a, Standing::Held(2), 1_100);
+    r.note(&adapter(), &b, Standing::Held(1), 1_200);
+    assert_eq!((r.copies(&adapter()), r.count(&a), r.count(&b)), (2, 1, 1));
+    r.note(&adapter(), &a, Standing::Absent, 1_300);
+    r.note(&adapter(), &a, Standing::Absent, 1_400);
+    assert_eq!((r.copies(&adapter()), r.count(&a)), (1, 0));
+    assert!(r.recent(&adapter(), &a, 1_500), "it is at hand there");
+    r.remove(&b);
+    assert_eq!((r.copies(&adapter()), r.count(&b)), (0, 0));
+}
+
 #[test]
 fn publish_old_list_keeps_fresh_evidence() {
     let mut r = Residency::default();
