Logs tell which failed sends were the same request

What on-call saw: engines ended one after the other, and no line said which of the requests at two of them were the same one, since each attempt has an id of its own. So one deadly request, overloaded engines and too many repeats of ours could not be told apart.

`explain` shows earlier attempts with the same one.

--- a/crates/comfreyhall-cli/src/explain.rs
+++ b/crates/comfreyhall-cli/src/explain.rs
@@ -1,8 +1,10 @@
 //! Tells the story of one request from the logs of several daemons.
 //!
-//! The story is every line about the
-//! request, and what the daemons came to believe about the targets it was
-//! sent to shortly before and while it lasted, in time order.
+//! The story is every line about the request, and what the daemons came to
+//! believe about the targets it was sent to shortly before and while it lasted,
+//! in time order. Attempts that were the same request (they share a
+//! fingerprint) and lost their target are part of it, however long ago: a
+//! request may be held back for what its earlier attempts did.
 
 use std::collections::BTreeSet;
 
@@ -26,6 +28,7 @@
 fn story(lines: Vec<Line>, id: &str) -> Vec<Line> {
     let own: Vec<&Line> = lines.iter().filter(|l| l.text("id") == id).collect();
     let targets: BTreeSet<&str> = own.iter().map(|l| l.text("target_id")).collect();
+    let prints: BTreeSet<&str> = own.iter().map(|l| l.text("print")).collect();
     let first = own.iter().map(|l| l.at).min().unwrap_or(0);
     let last = own.iter().map(|l| l.at).max().unwrap_or(0);
     let around = first.saturating_sub(BEFORE_MS)..=last;
@@ -33,9 +36,13 @@
         let id = l.text("id");
         !id.is_empty() && targets.contains(id) && around.contains(&l.at)
     };
+    let same_request = |l: &Line| {
+        let print = l.text("print");
+        !print.is_empty() && prints.contains(print) && l.at <= last
+    };
     let mut out: Vec<Line> = lines
         .iter()
-        .filter(|l| l.text("id") == id || about_target(l))
+        .filter(|l| l.text("id") == id || about_target(l) || same_request(l))
         .cloned()
         .collect();
     out.sort_by_key(|l| l.at);
--- a/crates/comfreyhall-cli/src/explain_tests.rs
+++ b/crates/comfreyhall-cli/src/explain_tests.rs
@@ -17,3 +17,17 @@
 fn story_unknown_is_empty() {
     assert!(story(parse(LOG, "log"), "r9").is_empty());
 }
+
+/// Symptom: a request was held back, and its story did not say why. Events: its
+/// attempts before ended two engines, minutes ago and through another daemon.
+/// Cause: each attempt has an id of its own.
+#[test]
+fn story_has_earlier_attempts() {
+    let log = r#"0 front-1 {"t":1000,"part":"serve","msg":"send","id":"r1","print":"ab","target_id":"i-1"}
+0 front-1 {"t":1100,"part":"serve","msg":"send","id":"r2","print":"cd","target_id":"i-1"}
+0 front-2 {"t":90000,"part":"serve","msg":"given up","id":"r3","print":"ab"}
+0 front-2 {"t":95000,"part":"serve","msg":"given up","id":"r4","print":"ab"}"#;
+    let story = story(parse(log, "log"), "r3");
+    let ids: Vec<&str> = story.iter().map(|l| l.text("id")).collect();
+    assert_eq!(ids, ["r1", "r3"]);
+}
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -5,12 +5,18 @@
 //! alone chooses the answer. A request given up on is answered at once.
 
 mod place;
+mod print;
 mod send;
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{
+    pin::Pin,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use comfreyhall_domain::{Answer, Ask, Config, Engine, Kind, Name, Route, Verdict, answer_for};
+use comfreyhall_quarantine::Fingerprint;
 use comfreyhall_routing::{Budget, admission};
 use futures::Stream;
 use http::{HeaderMap, StatusCode};
@@ -86,6 +92,8 @@
     pub(crate) node: Arc<Node>,
     pub(crate) ask: Arc<Ask>,
     need: Arc<Need>,
+    /// Its identity over all attempts, once it was needed.
+    print: OnceLock<Fingerprint>,
     pub(crate) route: Route,
     service: Name,
     engine: Option<Engine>,
@@ -178,6 +186,7 @@
             node: node.clone(),
             limit: began + left,
             need: Arc::new(Need::of(&ask)),
+            print: OnceLock::new(),
             ask: Arc::new(ask),
             route,
             service,
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -116,7 +116,8 @@
     pub(super) fn tell(&self, target: &Name, outcome: &'static str, why: &str) {
         self.node.metrics.send(outcome);
         let left = self.left();
-        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, target_id:% = target, outcome, why, left; "send");
+        let print = self.print();
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, print:%, target_id:% = target, outcome, why, left; "send");
     }
 
     /// Turns a target's answer into the caller's, or decides to go on.
@@ -230,6 +231,7 @@
             node: self.node.clone(),
             ask: self.ask.clone(),
             need: self.need.clone(),
+            print: self.print.clone(),
             route: self.route.clone(),
             service: self.service.clone(),
             engine: self.engine.clone(),
