Requests that end their targets are held back, by every daemon

What callers saw: streams of all callers broke off in groups, for seconds on end, and what came meanwhile found no place.

Cause: what a send teaches of a request ended with its attempt. A request that crashes its engine was resent to the next one within the attempt, repeated by its caller, and came again at other daemons, each time as a new request. Class: a failure that follows the work was handled as a failure of the place.

Change: a run whose connection its target closed is a doubt; if the target has ended (it refuses connections, another boot answers, or its entry goes), it is evidence against the request, told to the other daemons at once and with all news (findings are numbered, so lost news is told again, and a daemon that starts is told everything). Three targets that no stronger suspect explains hold a request back everywhere, also within an attempt and before a stream is resumed. A run to the end clears it; two trials, 30 s and 120 s later, let go what was held back wrongly. The crate comfreyhall-quarantine decides, without a network; the answer says whether the attempt may have run.

Why it holds: each send looks at what all daemons found, right before it is sent; evidence is kept by every daemon for an hour after the last.

--- a/crates/comfreyhall-domain/src/lib.rs
+++ b/crates/comfreyhall-domain/src/lib.rs
@@ -14,7 +14,7 @@
 pub use ask::{AdapterRef, Ask, Message, Part, Tokens};
 pub use comfreyhall_protocol::{Map, Set};
 pub use config::{Config, Engine, Kind, Limits, Model, Route, Service, Share};
-pub use outcome::{Answer, Outcome, Refusal, Verdict, answer_for};
+pub use outcome::{Answer, Outcome, Refusal, Verdict, answer_for, answer_held};
 pub use target::{Held, Stage, Target};
 
 /// A shared immutable name.
--- a/crates/comfreyhall-domain/src/outcome.rs
+++ b/crates/comfreyhall-domain/src/outcome.rs
@@ -3,8 +3,8 @@
 //!
 //! A caller repeats a request after an answer that says "not run", so that
 //! answer is a promise. [`Verdict`] collects every send of a request and
-//! [`answer_for`] alone chooses between the promise and an answer that
-//! promises nothing; no other code picks a status for a request that may
+//! [`answer_for`] (with [`answer_held`] for requests that are held back)
+//! alone chooses between the promise and an answer that promises nothing; no other code picks a status for a request that may
 //! have reached a target.
 
 /// Why a target, or we, did not run a request.
@@ -80,6 +80,34 @@
     TimedOut,
     /// It may have run.
     Unknown,
+    /// It is held back: targets ended under it, and it is not sent again for
+    /// now.
+    Quarantined {
+        /// Whether a send of this attempt may have run.
+        may_have_run: bool,
+        /// When to come back.
+        retry_ms: u64,
+    },
+}
+
+impl Answer {
+    /// Its name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::NotRun { .. } => "not_run",
+            Answer::TimedOut => "timed_out",
+            Answer::Unknown => "unknown",
+            Answer::Quarantined { .. } => "quarantined",
+        }
+    }
+}
+
+/// The answer to a request that is held back after `verdict`.
+pub fn answer_held(verdict: &Verdict, retry_ms: u64) -> Answer {
+    Answer::Quarantined {
+        may_have_run: verdict.doubt,
+        retry_ms,
+    }
 }
 
 /// The answer to a request after `verdict`.
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 pub(crate) use self::{
     progress::{Event, What},
     runs::Run,
-    swap::{announce, spawn, tell_all},
+    swap::{announce, spawn, tell_all, tell_found},
 };
 pub use swap::serve_peers;
 
@@ -33,6 +33,8 @@
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Set};
 use comfreyhall_protocol::{Cession, Daemon, Placed, fleet_client::FleetClient, link};
+use comfreyhall_quarantine::Heard;
+use comfreyhall_routing::pick;
 use comfreyhall_settings::NodeSettings;
 use rand::{Rng, seq::IteratorRandom};
 use tokio::sync::mpsc;
@@ -93,6 +95,10 @@
     demands: Map<Name, u32>,
     /// First placement it has not been told.
     told: u64,
+    /// Number of the last finding it has heard from this daemon.
+    findings: u64,
+    /// Its findings that this daemon has heard.
+    heard_of: Heard,
 }
 
 #[derive(Default)]
@@ -214,6 +220,8 @@
             cut_off: false,
             demands: Map::default(),
             told,
+            findings: 0,
+            heard_of: Heard::default(),
         });
     }
 
@@ -239,6 +247,15 @@
         1 + state.alive(now).count()
     }
 
+    /// How many daemons alive come before this one for `key`: each key has an
+    /// order of its own, the same at all daemons that know of each other.
+    pub(crate) fn rank(&self, key: &str, now: u64) -> usize {
+        let own = pick::home_rank(key, &self.me.peer);
+        let state = self.state();
+        let before = |addr: &Name| pick::home_rank(key, addr) < own;
+        state.alive(now).filter(|(addr, _)| before(addr)).count()
+    }
+
     /// Newest version of the settings that a peer heard of lately knows.
     pub(crate) fn settings_heard(&self, now: u64) -> u64 {
         let state = self.state();
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -1,7 +1,10 @@
 //! What daemons tell each other, made and taken in.
 
+use std::sync::Arc;
+
 use comfreyhall_domain::{Map, Name, Set};
 use comfreyhall_protocol::{Daemon, Demand, EngineRun, Holding, News, TargetWork};
+use comfreyhall_quarantine::Heard;
 use comfreyhall_routing::{Standing, Work};
 use rand::seq::IteratorRandom;
 
@@ -10,6 +13,7 @@
     facts, follow,
     node::Node,
     ports::{Fact, Facts, Topic},
+    quarantine::wire,
 };
 
 /// Peers named in one call of a large fleet.
@@ -43,6 +47,11 @@
             news.holders = state.holders(now);
         }
         news.runs = state.runs_for(addr, now);
+        if let Some(peer) = state.peers.get(addr) {
+            (news.evidence, news.told_serial) = wire::since(node, peer.findings);
+            news.heard_boot = peer.heard_of.boot;
+            news.heard_serial = peer.heard_of.serial;
+        }
         let State {
             peers,
             runs,
@@ -160,7 +169,7 @@
     }
 
     /// Takes in a peer's news.
-    pub(super) fn learn(&self, node: &Node, news: News, how: super::Origin) {
+    pub(super) fn learn(&self, node: &Arc<Node>, news: News, how: super::Origin) {
         let Some(from) = news.from.clone() else {
             return;
         };
@@ -169,6 +178,7 @@
         for addr in &news.peers {
             self.meet(addr, false);
         }
+        wire::hear(node, &news.evidence);
         let mut works = self.learn_peer(node, &from, &news, now);
         self.learn_holders(&news.holders, now);
         if how == super::Origin::Answer {
@@ -262,6 +272,14 @@
             peer.runs = Runs::default();
         }
         peer.about = Some(from.clone());
+        peer.findings = match news.heard_boot == self.me.boot {
+            true => news.heard_serial,
+            false => 0,
+        };
+        peer.heard_of = Heard {
+            boot: from.boot,
+            serial: news.told_serial,
+        };
         peer.runs.replace(&news.runs, now);
         peer.runs.works()
     }
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -116,6 +116,22 @@
     futures::future::join_all(calls).await;
 }
 
+/// Has those called who must hear at once of a request that ends targets:
+/// everyone in a small fleet, the holders of leases in a large one, who tell
+/// the others with their next answers.
+pub(crate) fn tell_found(node: &Arc<Node>) {
+    let now = node.now();
+    let addrs: Vec<Name> = {
+        let state = node.fleet.state();
+        let large = hub::large(state.peers.len());
+        let heard = state.alive(now).filter(|(_, p)| !large || p.holds());
+        heard.map(|(a, _)| a.clone()).collect()
+    };
+    for addr in addrs {
+        tokio::spawn(swap(node.clone(), addr));
+    }
+}
+
 /// Tells every peer of a lease just taken.
 ///
 /// What goes wrong without it: in a large fleet daemons report to holders
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod node;
 pub mod ports;
+mod quarantine;
 mod relay;
 mod serve;
 mod stop;
@@ -40,6 +41,7 @@
     members::spawn(node, rows.clone());
     leases::spawn(node, rows);
     keeper::spawn(node);
+    quarantine::spawn(node);
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -25,6 +25,7 @@
     orders: Counter<u64>,
     leases: Counter<u64>,
     store: Counter<u64>,
+    quarantine: Counter<u64>,
     first: Histogram<f64>,
     stall: Histogram<f64>,
 }
@@ -52,6 +53,10 @@
             loads: counter("adapter_loads", "adapters loaded, by where from"),
             orders: counter("orders", "orders to engines by answer"),
             leases: counter("lease_changes", "leases on orders gained or lost"),
+            quarantine: counter(
+                "quarantine",
+                "requests that became suspect of ending targets, were held back or let go",
+            ),
             store: counter("store_reads", "readings of settings and targets by outcome"),
             first: seconds(
                 "first_event",
@@ -102,6 +107,10 @@
         self.store.add(1, &labels);
     }
 
+    pub(crate) fn quarantine(&self, change: &'static str) {
+        self.quarantine.add(1, &[KeyValue::new("change", change)]);
+    }
+
     pub(crate) fn first(&self, ms: u64) {
         self.first.record(ms as f64 / 1_000.0, &[]);
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -23,6 +23,7 @@
     leases::Leases,
     metrics::Metrics,
     ports::{Backend, Source},
+    quarantine::Watch,
 };
 
 /// Half-life of the wish for an adapter, in ms: popularity in the
@@ -185,6 +186,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) keepers: Keepers,
     pub(crate) metrics: Metrics,
+    pub(crate) quarantine: Watch,
     /// Wakes duties that act on changed settings or targets.
     pub(crate) changed: Notify,
     view: Mutex<View>,
@@ -215,6 +217,7 @@
             leases: Leases::default(),
             keepers: Keepers::default(),
             metrics: Metrics::new(),
+            quarantine: Watch::default(),
             changed: Notify::new(),
             view: Mutex::default(),
             began: clock::now(),
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -83,8 +83,19 @@
     fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String>;
 }
 
+/// Why an answer's body broke off.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+#[error("{why}")]
+pub struct Broken {
+    /// What went wrong.
+    pub why: String,
+    /// Whether the target closed the connection; else it fell silent, or sent
+    /// what cannot be read.
+    pub closed: bool,
+}
+
 /// A piece of an answer's body, or the reason it broke off.
-pub type Piece = Result<Bytes, String>;
+pub type Piece = Result<Bytes, Broken>;
 
 /// The body of a target's answer as it arrives; dropping it cancels.
 pub type Body = Pin<Box<dyn Stream<Item = Piece> + Send>>;
@@ -124,6 +135,9 @@
     /// Nothing reached the target.
     #[error("nothing reached the target ({0})")]
     NotSent(String),
+    /// The target closed the connection before it answered; it may have run.
+    #[error("the target closed the connection and may have run it ({0})")]
+    Closed(String),
     /// It may have run.
     #[error("the target may have run it ({0})")]
     Doubt(String),
@@ -213,6 +227,17 @@
     OtherBoot,
 }
 
+/// Whether a target is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pulse {
+    /// It is there.
+    Alive,
+    /// Nothing listens there any more, or another boot.
+    Ended,
+    /// No answer.
+    Silent,
+}
+
 /// Calls to targets.
 pub trait Backend: Send + Sync + 'static {
     /// Sends a request; resolves when the answer's head is there. Dropping
@@ -230,6 +255,9 @@
     /// Asks for a report.
     fn report(&self, target: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>>;
 
+    /// Looks whether it is there.
+    fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, Pulse>;
+
     /// The targets that are left; connections to others may be closed.
     fn retain(&self, targets: &[Arc<Target>]);
 }
--- /dev/null
+++ b/crates/comfreyhall-node/src/quarantine/log.rs
@@ -0,0 +1,56 @@
+//! What is logged and counted of requests that end targets.
+
+use comfreyhall_quarantine::{Change, End, Evidence, Finding, Quarantine};
+
+use crate::node::Node;
+
+/// Which targets ended, how long ago, and who saw it.
+pub(super) fn ends(ends: &[End], now: u64) -> String {
+    let one = |e: &End| {
+        let age = now.saturating_sub(e.at);
+        format!("{} {age} ms ago, told by {}", e.target, e.witness)
+    };
+    let all: Vec<String> = ends.iter().map(one).collect();
+    all.join("; ")
+}
+
+/// One line for each change, with the evidence that decided it; `cause`: the
+/// finding that it came of, if it was one.
+pub(super) fn changes(
+    node: &Node,
+    known: &Quarantine,
+    changes: &[Change],
+    cause: Option<&Evidence>,
+    now: u64,
+) {
+    for change in changes {
+        match change {
+            Change::Suspect(print) => {
+                node.metrics.quarantine("suspect");
+                let evidence = ends(known.ends(print), now);
+                log::info!(target: "quarantine", print:%, evidence; "request suspect");
+            }
+            Change::Held(print) => {
+                node.metrics.quarantine("held_back");
+                let evidence = ends(known.ends(print), now);
+                log::warn!(target: "quarantine", print:%, evidence; "request held back");
+            }
+            Change::LetGo(print) => {
+                node.metrics.quarantine("let_go");
+                let why = cause.map_or("too old".to_string(), |e| reason(e, now));
+                let evidence = ends(known.ends(print), now);
+                log::info!(target: "quarantine", print:%, why, evidence; "request let go");
+            }
+        }
+    }
+}
+
+/// What a finding says, who made it, and how old it is.
+fn reason(evidence: &Evidence, now: u64) -> String {
+    let age = now.saturating_sub(evidence.at);
+    let what = match &evidence.finding {
+        Finding::RanWhole => "it ran whole",
+        Finding::Ended(_) => "another request explains what ended",
+    };
+    format!("{what}, {age} ms ago, told by {}", evidence.witness)
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -0,0 +1,199 @@
+//! Holding back requests that end the targets that run them.
+//!
+//! A run whose connection its target closed is a doubt about that target until
+//! it is known whether the target has ended ([`confirm`]); if it has, the run
+//! speaks against its request. What is found goes to the other daemons at once
+//! ([`spread`]) and with all news, and each holds back what the findings of all
+//! of them together weigh enough against.
+//!
+//! Only a connection that the target closed counts, and only of a target that
+//! has ended: callers that leave, time limits, resets on the way and engines
+//! that fall silent with their rack prove nothing about a request.
+
+mod confirm;
+mod log;
+mod spread;
+pub(crate) mod wire;
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use comfreyhall_domain::{Map, Name, Set};
+use comfreyhall_quarantine::{Change, Evidence, Finding, Fingerprint, Quarantine, Status};
+use tokio::sync::Notify;
+
+pub(crate) use self::spread::spawn;
+use crate::node::Node;
+
+/// How long a target that was found to have ended is remembered, in ms: the
+/// connections of all its runs break within some ms, and each daemon's core may
+/// be busy for some hundred.
+const ENDED_MS: u64 = 10_000;
+
+/// What this daemon knows of requests that end targets.
+#[derive(Default)]
+pub(crate) struct Watch {
+    state: Mutex<State>,
+    /// Wakes the duty that tells the other daemons.
+    found: Notify,
+    /// Wakes requests that wait to learn whether their target has ended.
+    settled: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    known: Quarantine,
+    /// Requests whose connections these targets closed.
+    doubts: Map<Name, Set<Fingerprint>>,
+    /// Targets that have ended, and when that was found.
+    ended: Map<Name, u64>,
+    /// Requests that are being tried here.
+    trials: Set<Fingerprint>,
+}
+
+/// Whether a request may be sent now.
+pub(crate) enum Admission {
+    /// Like any other.
+    Free,
+    /// Once, to see whether it is to blame.
+    Trial(Trial),
+    /// Not; its caller may come back after so many ms.
+    Held(u64),
+}
+
+/// A trial of a request that is held back; nobody else here makes one while
+/// this lives.
+pub(crate) struct Trial {
+    node: Arc<Node>,
+    print: Fingerprint,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let state = &self.node.quarantine;
+        state.state().trials.remove(&self.print);
+    }
+}
+
+impl Watch {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+
+    /// Whether nothing is known against any request: then no request needs a
+    /// fingerprint.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.state().known.is_empty()
+    }
+
+    /// Whether a target ended under `print`.
+    pub(crate) fn suspects(&self, print: &Fingerprint) -> bool {
+        self.state().known.suspects(print)
+    }
+
+    /// The targets that ended under `print`, for the log.
+    pub(crate) fn ends(&self, print: &Fingerprint, now: u64) -> String {
+        log::ends(self.state().known.ends(print), now)
+    }
+}
+
+/// Whether `print` may be sent by this daemon now.
+pub(crate) fn admit(node: &Arc<Node>, print: Fingerprint) -> Admission {
+    let now = node.now();
+    let rank = node.fleet.rank(&print.to_string(), now);
+    let mut state = node.quarantine.state();
+    match state.known.status(&print, rank, now) {
+        Status::Free => Admission::Free,
+        Status::Held { retry_ms } => Admission::Held(retry_ms),
+        Status::Trial if state.trials.insert(print) => {
+            drop(state);
+            let node = node.clone();
+            Admission::Trial(Trial { node, print })
+        }
+        Status::Trial => Admission::Held(spread::TOLD_MS),
+    }
+}
+
+/// The target closed the connection of a run of `print`.
+pub(crate) fn broke(node: &Arc<Node>, target: &Name, print: Fingerprint) {
+    let now = node.now();
+    let mut state = node.quarantine.state();
+    state
+        .ended
+        .retain(|_, at| now.saturating_sub(*at) < ENDED_MS);
+    if state.ended.contains_key(target) {
+        drop(state);
+        found(node, print, Finding::Ended(target.clone()));
+        return;
+    }
+    let first = !state.doubts.contains_key(target);
+    state
+        .doubts
+        .entry(target.clone())
+        .or_default()
+        .insert(print);
+    drop(state);
+    if first {
+        tokio::spawn(confirm::run(node.clone(), target.clone()));
+    }
+}
+
+/// A target ran `print` to its end.
+pub(crate) fn ran_whole(node: &Arc<Node>, print: Fingerprint) {
+    if node.quarantine.suspects(&print) {
+        found(node, print, Finding::RanWhole);
+    }
+}
+
+/// Whether it is still open if `target` has ended.
+fn doubted(node: &Node, target: &Name) -> bool {
+    node.quarantine.state().doubts.contains_key(target)
+}
+
+/// The doubts about `target` are settled.
+fn settle(node: &Arc<Node>, target: &Name, ended: bool) {
+    let now = node.now();
+    let mut state = node.quarantine.state();
+    let prints = state.doubts.remove(target).unwrap_or_default();
+    if ended {
+        state.ended.insert(target.clone(), now);
+    }
+    drop(state);
+    if ended {
+        for print in prints {
+            found(node, print, Finding::Ended(target.clone()));
+        }
+    }
+    node.quarantine.settled.notify_waiters();
+}
+
+/// Takes in a finding of this daemon.
+fn found(node: &Arc<Node>, print: Fingerprint, finding: Finding) {
+    let evidence = Evidence {
+        print,
+        finding,
+        at: node.now(),
+        witness: node.settings().id.as_ref().into(),
+    };
+    if learn(node, evidence) {
+        node.quarantine.found.notify_one();
+    }
+}
+
+/// Takes in a finding, whoever made it; whether it is new.
+fn learn(node: &Node, evidence: Evidence) -> bool {
+    let now = node.now();
+    let mut state = node.quarantine.state();
+    let before = state.known.serial();
+    let changes = state.known.learn(evidence.clone(), now);
+    let new = state.known.serial() > before;
+    log::changes(node, &state.known, &changes, Some(&evidence), now);
+    new
+}
+
+/// Forgets what is too old.
+fn forget(node: &Node) {
+    let now = node.now();
+    let mut state = node.quarantine.state();
+    let changes: Vec<Change> = state.known.forget(now);
+    log::changes(node, &state.known, &changes, None, now);
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/quarantine/spread.rs
@@ -0,0 +1,65 @@
+//! Telling the other daemons what was found, at once.
+//!
+//! What goes wrong if findings wait for the next news: three targets have ended
+//! under a request, and daemons that have not heard go on sending it.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Node, doubted, forget};
+use crate::fleet;
+use comfreyhall_domain::Name;
+
+/// Pause that gathers the findings of one crash into one call.
+const GATHER: Duration = Duration::from_millis(10);
+
+/// Least pause between two rounds of calls: under a series of crashes the cost
+/// of telling stays bounded.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after which all daemons have heard of a finding, in ms.
+pub(super) const TOLD_MS: u64 = 3_000;
+
+/// Pause between looks for what is too old.
+const FORGET_PAUSE: Duration = Duration::from_secs(10);
+
+/// Longest a suspect's next send waits to learn whether its last target has
+/// ended: a target that did is known within some ms.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Starts the duties.
+pub(crate) fn spawn(node: &Arc<Node>) {
+    tokio::spawn(tell(node.clone()));
+    let node = node.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(FORGET_PAUSE).await;
+            forget(&node);
+        }
+    });
+}
+
+async fn tell(node: Arc<Node>) {
+    loop {
+        node.quarantine.found.notified().await;
+        tokio::time::sleep(GATHER).await;
+        fleet::tell_found(&node);
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
+
+impl super::Watch {
+    /// Waits until it is known whether `target` has ended, for a while.
+    pub(crate) async fn settled(&self, node: &Node, target: &Name) {
+        let settled = async {
+            loop {
+                let notified = self.settled.notified();
+                if !doubted(node, target) {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        // In time or not: the request goes on with what is known then.
+        let _ = tokio::time::timeout(SETTLE_TIMEOUT, settled).await;
+    }
+}
--- a/crates/comfreyhall-node/src/quiet.rs
+++ b/crates/comfreyhall-node/src/quiet.rs
@@ -9,7 +9,7 @@
 use crate::{
     node::Node,
     ports::{
-        Backend, Decoded, Extra, Fact, Facts, NoReport, Order, OrderReply, Report, Response,
+        Backend, Decoded, Extra, Fact, Facts, NoReport, Order, OrderReply, Pulse, Report, Response,
         SendError, Source, SourceError, Topic,
     },
 };
@@ -87,6 +87,10 @@
         std::future::pending().boxed()
     }
 
+    fn probe(&self, _: Arc<Target>) -> BoxFuture<'static, Pulse> {
+        std::future::pending().boxed()
+    }
+
     fn retain(&self, _: &[Arc<Target>]) {}
 }
 
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -41,6 +41,8 @@
     passed_at: u64,
     /// Longest pause between events so far, in ms.
     pause: u64,
+    /// Whether the target closed the connection before the end.
+    pub(crate) closed: bool,
 }
 
 /// What came next from a target.
@@ -63,6 +65,7 @@
             resumes: 0,
             passed_at: 0,
             pause: 0,
+            closed: false,
         }
     }
 
@@ -92,8 +95,12 @@
             }
             match self.body.next().await {
                 Some(Ok(bytes)) => self.events.push(&bytes),
-                Some(Err(why)) => return Step::Broken(why),
+                Some(Err(broken)) => {
+                    self.closed = broken.closed;
+                    return Step::Broken(broken.why);
+                }
                 None if self.events.partial() => {
+                    self.closed = true;
                     return Step::Broken("it ended within an event".to_string());
                 }
                 None => return Step::End,
@@ -139,6 +146,7 @@
                 Ok(Step::Events) => continue,
                 Ok(Step::End) => {
                     self.flight.note(true, 1.0);
+                    job.ran_whole();
                     job.ended = true;
                     job.node.metrics.request(job.route.kind, "answered");
                     log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, target_id:% = self.flight.target, adapter:% = job.adapter(), events = self.passed, resumes = self.resumes, first = job.first, stall = job.stall, pause = self.pause, aim = job.route.target_ms, sends = job.verdict.sends, ms = self.flight.took(); "streamed");
@@ -183,6 +191,9 @@
     /// Goes on at another target after the last event passed on.
     async fn resume(&mut self, job: &mut Job, why: String) -> Result<(), String> {
         self.flight.note(false, 1.0);
+        if std::mem::take(&mut self.closed) {
+            job.broke(&self.flight.target);
+        }
         job.verdict.add(Outcome::Broken);
         let last = self.last;
         log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, print:% = job.print(), target_id:% = self.flight.target, events = self.passed, why, left = job.left(); "stream broke off");
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -27,6 +27,7 @@
     choose::{self, Need, Plan, Wish},
     fleet::key_of,
     node::{Node, Tracked},
+    quarantine::Trial,
     stop,
 };
 
@@ -115,6 +116,10 @@
     pub(crate) stall: u64,
     /// Ms from arrival to the first event.
     pub(crate) first: u64,
+    /// The target that closed the connection of its last run.
+    pub(crate) broke_at: Option<Name>,
+    /// Set while it is tried though it is held back.
+    trial: Option<Trial>,
     /// Whether its end is logged, or another job goes on with it.
     pub(crate) ended: bool,
 }
@@ -202,6 +207,8 @@
             tracked: None,
             stall: 0,
             first: 0,
+            broke_at: None,
+            trial: None,
             ended: false,
         })
     }
@@ -223,6 +230,9 @@
             if self.left() == 0 {
                 return self.give_up("time is up", 0.0);
             }
+            if let Some(retry_ms) = self.held_back().await {
+                return self.hold_back(retry_ms);
+            }
             let Some(mut plan) = self.choose() else {
                 if self.held_long() || self.full >= FULL_TIMES {
                     return self.give_up("no target can take it", FULL_MS as f64);
@@ -253,6 +263,9 @@
             if !self.still_ready(&plan) {
                 continue;
             }
+            if let Some(retry_ms) = self.held_back().await {
+                return self.hold_back(retry_ms);
+            }
             if self.arrivals > 0 && !self.repeat() {
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
@@ -370,12 +383,7 @@
         let retry = admission::retry_ms(excess_ms, left, draw);
         let answer = answer_for(&self.verdict, left == 0, retry);
         let held = self.node.now() - self.began;
-        let how = match answer {
-            Answer::NotRun { .. } => "not_run",
-            Answer::TimedOut => "timed_out",
-            Answer::Unknown => "unknown",
-        };
-        self.node.metrics.request(self.route.kind, how);
+        self.node.metrics.request(self.route.kind, answer.name());
         log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, why, answer:? = answer, sends = self.verdict.sends, held, left; "given up");
         Reply::Unanswered(answer)
     }
--- a/crates/comfreyhall-node/src/serve/print.rs
+++ b/crates/comfreyhall-node/src/serve/print.rs
@@ -1,10 +1,11 @@
-//! Which request an attempt is one of.
+//! Which request an attempt is one of, and whether that may be sent.
 
-use comfreyhall_domain::Ask;
+use comfreyhall_domain::{Ask, Name, answer_held};
 use comfreyhall_quarantine::Fingerprint;
 use http::header;
 
-use super::Job;
+use super::{Job, Reply};
+use crate::quarantine::{self, Admission};
 
 /// The identity of `ask` over all attempts: its caller (the host it calls and
 /// its credential), what it calls, and its body. Ids, time limits and hints
@@ -26,4 +27,61 @@
     pub(crate) fn print(&self) -> Fingerprint {
         *self.print.get_or_init(|| print_of(&self.ask))
     }
+
+    /// The target closed the connection of its run.
+    pub(crate) fn broke(&mut self, target: &Name) {
+        quarantine::broke(&self.node, target, self.print());
+        self.broke_at = Some(target.clone());
+    }
+
+    /// A target ran it to its end.
+    pub(crate) fn ran_whole(&self) {
+        if !self.node.quarantine.is_empty() {
+            quarantine::ran_whole(&self.node, self.print());
+        }
+    }
+
+    /// When its caller may come back, in ms, if it is held back.
+    ///
+    /// Looked at before each send: a request may wait for seconds in between,
+    /// and what the others find meanwhile counts.
+    pub(super) async fn held_back(&mut self) -> Option<u64> {
+        if self.node.quarantine.is_empty() && self.broke_at.is_none() {
+            return None;
+        }
+        let print = self.print();
+        if let Some(target) = self.broke_at.take()
+            && self.node.quarantine.suspects(&print)
+        {
+            // Its last run may have made it one target too many.
+            self.node.quarantine.settled(&self.node, &target).await;
+        }
+        if self.trial.is_some() && self.verdict.sends == 0 {
+            return None;
+        }
+        // A trial is one send.
+        self.trial = None;
+        match quarantine::admit(&self.node, print) {
+            Admission::Free => None,
+            Admission::Held(retry_ms) => Some(retry_ms),
+            Admission::Trial(trial) => {
+                log::info!(target: "quarantine", id:% = self.ask.id, print:%; "request tried again");
+                self.trial = Some(trial);
+                None
+            }
+        }
+    }
+
+    /// The final answer to a request that is held back, at once.
+    pub(super) fn hold_back(&mut self, retry_ms: u64) -> Reply {
+        self.ended = true;
+        let (now, left, print) = (self.node.now(), self.left(), self.print());
+        let (why, held) = ("targets ended under it", now - self.began);
+        let answer = answer_held(&self.verdict, retry_ms);
+        let evidence = self.node.quarantine.ends(&print, now);
+        self.node.metrics.refusal(why);
+        self.node.metrics.request(self.route.kind, answer.name());
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, print:%, why, answer:?, evidence, sends = self.verdict.sends, held, left; "given up");
+        Reply::Unanswered(answer)
+    }
 }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -12,7 +12,7 @@
 use crate::{
     choose::{self, Plan},
     flight::{Flight, Seat},
-    ports::{Body, Extra, Response, SendError},
+    ports::{Body, Broken, Extra, Response, SendError},
     relay::Relay,
 };
 
@@ -85,6 +85,14 @@
                 self.tell(&plan.target.id, "not sent", &why);
                 Err(())
             }
+            Err(SendError::Closed(why)) => {
+                self.arrive(&plan.target.id);
+                self.verdict.add(Outcome::Doubt);
+                flight.note(false, FAILED_WEIGHT);
+                self.broke(&plan.target.id);
+                self.tell(&plan.target.id, "in doubt", &why);
+                Err(())
+            }
             Err(SendError::Doubt(why)) => {
                 self.arrive(&plan.target.id);
                 self.verdict.add(Outcome::Doubt);
@@ -150,7 +158,12 @@
             }
             broken => {
                 let why = match broken {
-                    Ok(Err(why)) => why,
+                    Ok(Err(broken)) => {
+                        if broken.closed {
+                            self.broke(&flight.target);
+                        }
+                        broken.why
+                    }
                     _ => "its time is up".to_string(),
                 };
                 self.verdict.add(Outcome::Broken);
@@ -216,6 +229,9 @@
                 })
             }
             Err(why) => {
+                if relay.closed {
+                    self.broke(&plan.target.id);
+                }
                 self.verdict.add(Outcome::Broken);
                 relay.flight.note(false, FAILED_WEIGHT);
                 self.tell(&plan.target.id, "broken off before its first event", &why);
@@ -247,6 +263,8 @@
             tracked: self.tracked.take(),
             stall: self.stall,
             first: self.node.now() - self.began,
+            broke_at: None,
+            trial: self.trial.take(),
             ended: false,
         }
     }
@@ -267,6 +285,7 @@
             self.node.view().board.learn_took(&flight.target, took);
         }
         self.verdict.add(Outcome::Answered);
+        self.ran_whole();
         log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, target_id:% = flight.target, status = status.as_u16(), ms = now - self.began, aim = self.route.target_ms, sends = self.verdict.sends; "answered");
         self.node
             .metrics
@@ -290,19 +309,22 @@
     ) -> Result<(Response, Flight), ()> {
         let may = self.verdict.may_send(self.route.repeatable(), u32::MAX)
             && (self.tried.len() as u32) < self.route.attempts;
-        if !may || self.left() == 0 || !self.repeat() {
+        if !may || self.left() == 0 || self.held_back().await.is_some() || !self.repeat() {
             return Err(());
         }
         let mut plan = self.choose().ok_or(())?;
         if !matches!(self.bind(&mut plan).await, Found::Engine) || !self.still_ready(&plan) {
             return Err(());
         }
+        if self.held_back().await.is_some() {
+            return Err(());
+        }
         self.send(&mut plan, last_event).await
     }
 }
 
 /// A whole body, or why it broke off.
-async fn collect(mut body: Body) -> Result<Bytes, String> {
+async fn collect(mut body: Body) -> Result<Bytes, Broken> {
     let mut out = BytesMut::new();
     while let Some(piece) = body.next().await {
         out.extend_from_slice(&piece?);
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -25,6 +25,10 @@
     Mute,
     /// The answer is lost.
     Lost,
+    /// The target closes the connection and ends.
+    Ends,
+    /// The target closes the connection and lives on.
+    Closes,
     /// Proves that it did not run.
     Refuse(Refusal),
     /// A success without the mark of a target.
@@ -58,6 +62,8 @@
     pub loads: std::sync::atomic::AtomicBool,
     /// Orders that get no answer, from the first one on.
     pub unanswered: std::sync::atomic::AtomicUsize,
+    /// Targets that have ended.
+    pub ended: Mutex<Vec<Name>>,
     /// Reports asked for so far.
     pub reports: std::sync::atomic::AtomicUsize,
 }
@@ -99,6 +105,9 @@
             false => Some(acts.remove(0)),
         };
         let act = act.unwrap_or(Act::Answer(200, 0));
+        if matches!(act, Act::Ends) {
+            self.ended.lock().unwrap().push(target.id.clone());
+        }
         async move {
             match act {
                 Act::Answer(status, ms) => {
@@ -107,6 +116,7 @@
                 }
                 Act::Unreached => Err(SendError::NotSent("scripted".into())),
                 Act::Lost => Err(SendError::Doubt("scripted".into())),
+                Act::Ends | Act::Closes => Err(SendError::Closed("scripted".into())),
                 Act::Mute => std::future::pending().await,
                 Act::Refuse(refusal) => Ok(Response {
                     refusal: Some(refusal),
@@ -125,7 +135,10 @@
                     let mut pieces: Vec<Piece> = ids.into_iter().map(|i| Ok(event(i))).collect();
                     if !ends {
                         pieces.push(Ok(Bytes::from_static(b"id: 99\nda")));
-                        pieces.push(Err("scripted break".into()));
+                        pieces.push(Err(Broken {
+                            why: "scripted break".into(),
+                            closed: true,
+                        }));
                     }
                     Ok(Response {
                         events: true,
@@ -168,6 +181,14 @@
         .boxed()
     }
 
+    fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, Pulse> {
+        let pulse = match self.ended.lock().unwrap().contains(&target.id) {
+            true => Pulse::Ended,
+            false => Pulse::Alive,
+        };
+        async move { pulse }.boxed()
+    }
+
     fn retain(&self, _: &[Arc<Target>]) {}
 }
 
@@ -369,6 +390,8 @@
     NotRun,
     TimedOut,
     Unknown,
+    /// Held back; whether it may have run.
+    Quarantined(bool),
     /// The ids of the stream's events and whether it ended whole.
     Stream(Vec<u64>, bool),
     Other,
@@ -380,6 +403,9 @@
         Reply::NotReady { .. } | Reply::Unanswered(Answer::NotRun { .. }) => Got::NotRun,
         Reply::Unanswered(Answer::TimedOut) => Got::TimedOut,
         Reply::Unanswered(Answer::Unknown) => Got::Unknown,
+        Reply::Unanswered(Answer::Quarantined { may_have_run, .. }) => {
+            Got::Quarantined(may_have_run)
+        }
         Reply::NoRoute => Got::Other,
         Reply::Events { mut body, .. } => {
             let mut ids = Vec::new();
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -467,6 +467,34 @@
     /// Runs of the sender at engines.
     #[prost(message, repeated, tag = "20")]
     pub runs: ::prost::alloc::vec::Vec<EngineRun>,
+    /// What the receiver may not have heard of requests that end targets, and
+    /// the number of the sender's last finding among it.
+    #[prost(message, repeated, tag = "21")]
+    pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    #[prost(uint64, tag = "22")]
+    pub told_serial: u64,
+    /// Which process of the receiver the sender has heard, and up to which of
+    /// its findings.
+    #[prost(uint64, tag = "23")]
+    pub heard_boot: u64,
+    #[prost(uint64, tag = "24")]
+    pub heard_serial: u64,
+}
+/// Something that a daemon saw of a request that may end targets.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evidence {
+    /// The request's fingerprint.
+    #[prost(bytes = "vec", tag = "1")]
+    pub print: ::prost::alloc::vec::Vec<u8>,
+    /// The boot that ended under it; empty if a target ran it to its end.
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+    /// Ms since it was seen.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Id of the daemon that saw it.
+    #[prost(string, tag = "4")]
+    pub witness: ::prost::alloc::string::String,
 }
 /// What several daemons together have at one target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/comfreyhall-quarantine/src/tests.rs
+++ b/crates/comfreyhall-quarantine/src/tests.rs
@@ -1,4 +1,36 @@
-use crate::Fingerprint;
+use crate::{Change, Evidence, Finding, Fingerprint, Quarantine, Status};
+
+const SECOND: u64 = 1_000;
+const HOUR: u64 = 3_600 * SECOND;
+
+fn ended(print: Fingerprint, target: &str, at: u64) -> Evidence {
+    Evidence {
+        print,
+        finding: Finding::Ended(target.into()),
+        at,
+        witness: "n1".into(),
+    }
+}
+
+fn ran_whole(print: Fingerprint, at: u64) -> Evidence {
+    Evidence {
+        finding: Finding::RanWhole,
+        ..ended(print, "", at)
+    }
+}
+
+/// A quarantine that knows of `ends`, each a request and a target.
+fn knowing(ends: &[(Fingerprint, &str)]) -> Quarantine {
+    let mut known = Quarantine::default();
+    for (print, target) in ends {
+        known.learn(ended(*print, target, SECOND), SECOND);
+    }
+    known
+}
+
+fn is_held(known: &Quarantine, print: Fingerprint) -> bool {
+    matches!(known.status(&print, 0, SECOND), Status::Held { .. })
+}
 
 fn of(parts: &[&str]) -> Fingerprint {
     Fingerprint::of(parts.iter().map(|p| p.as_bytes()))
@@ -22,3 +54,160 @@
     assert_eq!(Fingerprint::from_bytes(print.as_bytes()), Some(print));
     assert_eq!(Fingerprint::from_bytes(b"short"), None);
 }
+
+#[test]
+fn learn_three_ends_hold() {
+    let print = of(&["deadly"]);
+    let mut known = Quarantine::default();
+    let suspect = [Change::Suspect(print)];
+    assert_eq!(known.learn(ended(print, "a", 1), 1), suspect);
+    assert_eq!(known.learn(ended(print, "b", 2), 2), suspect);
+    // The same end, told again by another.
+    assert!(known.learn(ended(print, "b", 3), 3).is_empty());
+    assert_eq!(known.status(&print, 0, 3), Status::Free);
+    let changes = known.learn(ended(print, "c", 4), 4);
+    assert_eq!(changes, [Change::Suspect(print), Change::Held(print)]);
+    assert!(is_held(&known, print));
+}
+
+/// Symptom: a request that harms nobody was held back. Events: it ran beside
+/// one that ends its engines, was sent on to the next engine with it, and came
+/// again. Cause: each end counted against all that were there.
+#[test]
+fn learn_bystander_stays_free() {
+    let (deadly, beside) = (of(&["deadly"]), of(&["beside"]));
+    let mut known = knowing(&[(deadly, "a"), (deadly, "b"), (deadly, "c"), (deadly, "d")]);
+    for target in ["a", "b", "c"] {
+        known.learn(ended(beside, target, SECOND), SECOND);
+    }
+    assert!(is_held(&known, deadly));
+    assert!(!is_held(&known, beside));
+}
+
+/// A bystander that was told of first is let go once the cause is known.
+#[test]
+fn learn_explanation_lets_go() {
+    let (deadly, beside) = (of(&["deadly"]), of(&["beside"]));
+    let mut known = knowing(&[(beside, "a"), (beside, "b"), (beside, "c")]);
+    assert!(is_held(&known, beside));
+    let told = ["a", "b", "c", "d"].map(|t| known.learn(ended(deadly, t, SECOND), SECOND));
+    assert!(told.concat().contains(&Change::LetGo(beside)));
+    assert!(is_held(&known, deadly));
+}
+
+/// What one request explains does not free it from what nothing explains.
+#[test]
+fn learn_two_deadly_requests_both_held() {
+    let (one, two) = (of(&["one"]), of(&["two"]));
+    let known = knowing(&[
+        (one, "a"),
+        (one, "b"),
+        (one, "c"),
+        (one, "d"),
+        (two, "c"),
+        (two, "e"),
+        (two, "f"),
+        (two, "g"),
+    ]);
+    assert!(is_held(&known, one));
+    assert!(is_held(&known, two));
+}
+
+#[test]
+fn learn_ran_whole_lets_go() {
+    let print = of(&["beside"]);
+    let mut known = knowing(&[(print, "a"), (print, "b"), (print, "c")]);
+    let changes = known.learn(ran_whole(print, 2 * SECOND), 2 * SECOND);
+    assert_eq!(changes, [Change::LetGo(print)]);
+    // Older evidence that comes late changes nothing.
+    assert!(
+        known
+            .learn(ended(print, "d", SECOND), 2 * SECOND)
+            .is_empty()
+    );
+    assert!(!known.suspects(&print));
+}
+
+/// Two daemons whose clocks round differently stop telling each other.
+#[test]
+fn learn_ran_whole_once() {
+    let print = of(&["beside"]);
+    let mut known = knowing(&[(print, "a")]);
+    known.learn(ran_whole(print, 2 * SECOND), 2 * SECOND);
+    let serial = known.serial();
+    known.learn(ran_whole(print, 2 * SECOND + 7), 2 * SECOND + 7);
+    assert_eq!(known.serial(), serial);
+}
+
+#[test]
+fn status_trials_are_few_and_in_turn() {
+    let print = of(&["deadly"]);
+    let mut known = knowing(&[(print, "a"), (print, "b"), (print, "c")]);
+    assert_eq!(known.status(&print, 0, 31 * SECOND), Status::Trial);
+    // The next daemon waits for the first.
+    assert_ne!(known.status(&print, 1, 31 * SECOND), Status::Trial);
+    assert_eq!(known.status(&print, 1, 36 * SECOND), Status::Trial);
+    known.learn(ended(print, "d", 31 * SECOND), 31 * SECOND);
+    assert_ne!(known.status(&print, 0, 62 * SECOND), Status::Trial);
+    assert_eq!(known.status(&print, 0, 151 * SECOND), Status::Trial);
+    known.learn(ended(print, "e", 151 * SECOND), 151 * SECOND);
+    // No trial any more until it is forgotten.
+    assert_ne!(known.status(&print, 0, 3_000 * SECOND), Status::Trial);
+    let changes = known.forget(151 * SECOND + HOUR);
+    assert_eq!(changes, [Change::LetGo(print)]);
+    assert!(known.is_empty());
+}
+
+#[test]
+fn status_held_caller_comes_back_late() {
+    let print = of(&["deadly"]);
+    let known = knowing(&[(print, "a"), (print, "b"), (print, "c")]);
+    let held = known.status(&print, 0, 2 * SECOND);
+    assert_eq!(
+        held,
+        Status::Held {
+            retry_ms: 29 * SECOND
+        }
+    );
+}
+
+#[test]
+fn since_tells_each_finding_once() {
+    let print = of(&["deadly"]);
+    let mut known = knowing(&[(print, "a"), (print, "b")]);
+    let (told, last) = known.since(0);
+    assert_eq!(told.len(), 2);
+    assert!(known.since(last).0.is_empty());
+    known.learn(ended(print, "c", SECOND), SECOND);
+    let (told, _) = known.since(last);
+    assert_eq!(told, [ended(print, "c", SECOND)]);
+}
+
+/// Symptom: a daemon grows until it is killed. Events: a caller sends a million
+/// bodies that each end a target. Cause: what is remembered had no bound. What
+/// is not held back falls out first, the oldest before the others.
+#[test]
+fn learn_million_bodies_bounded() {
+    let deadly = of(&["deadly"]);
+    let mut known = knowing(&[(deadly, "a"), (deadly, "b"), (deadly, "c")]);
+    let first = of(&["body", "0"]);
+    for i in 0..6_000_u64 {
+        let print = of(&["body", &i.to_string()]);
+        known.learn(
+            ended(print, &format!("t{}", i / 64), SECOND + i),
+            SECOND + i,
+        );
+    }
+    let (mut told, mut serial) = (0, 0);
+    loop {
+        let (some, last) = known.since(serial);
+        told += some.len();
+        if some.is_empty() {
+            break;
+        }
+        serial = last;
+    }
+    assert!(told <= 4_096, "{told} findings are kept");
+    assert!(!known.suspects(&first));
+    assert!(is_held(&known, deadly));
+}
