--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -84,8 +84,9 @@
             model: "m".into(),
             adapter: adapter.map(Name::from),
         }),
+        // Long enough that one prompt more is no equal choice.
         tokens: Some(Tokens {
-            prompt: 100,
+            prompt: 1_000,
             output: 20,
         }),
         ..ask(id)
