Quarantine: who had been answered for a while is less suspect, and who explains least

What callers would see: engines are killed in a row (a rack, a replacement), ordinary requests are sent on from one that ends to the next that does, come again, and are held back for half a minute though they harm nobody.

A target that is leaving, or is listed no more, closes connections as it should: that is no evidence. A trial is one send.

--- a/crates/comfreyhall-node/src/flight.rs
+++ b/crates/comfreyhall-node/src/flight.rs
@@ -10,6 +10,11 @@
     node::Node,
 };
 
+/// How long after its first event a run counts as having just begun, in ms: a
+/// request that ends its target does so within some steps, and the core may be
+/// busy for a tenth of a second between the event and the end.
+const EARLY_MS: u64 = 300;
+
 /// One request that waits for a load; drops its work from the board when the
 /// wait ends.
 ///
@@ -97,6 +102,8 @@
     /// Backlog at the start, this request's own included.
     ahead: u64,
     began: u64,
+    /// When its first event came.
+    answered: Option<u64>,
 }
 
 impl Flight {
@@ -132,12 +139,15 @@
             unread: tokens,
             ahead,
             began: now,
+            answered: None,
         }
     }
 
     /// The first event came: the prompt was read.
     pub(crate) fn first(&mut self) -> u64 {
-        let waited = self.node.now().saturating_sub(self.began);
+        let now = self.node.now();
+        self.answered = Some(now);
+        let waited = now.saturating_sub(self.began);
         let mut view = self.node.view();
         if self.seat.is_some() {
             view.board.learn_wait(&self.target, self.ahead, waited);
@@ -152,6 +162,13 @@
         waited
     }
 
+    /// Whether its target has just begun to run it, as far as is known.
+    pub(crate) fn early(&self) -> bool {
+        let now = self.node.now();
+        let answered = |at| now.saturating_sub(at) >= EARLY_MS;
+        !self.answered.is_some_and(answered)
+    }
+
     /// Ms since the send.
     pub(crate) fn took(&self) -> u64 {
         self.node.now().saturating_sub(self.began)
--- a/crates/comfreyhall-node/src/quarantine/log.rs
+++ b/crates/comfreyhall-node/src/quarantine/log.rs
@@ -50,7 +50,7 @@
     let age = now.saturating_sub(evidence.at);
     let what = match &evidence.finding {
         Finding::RanWhole => "it ran whole",
-        Finding::Ended(_) => "another request explains what ended",
+        Finding::Ended { .. } => "another request explains what ended",
     };
     format!("{what}, {age} ms ago, told by {}", evidence.witness)
 }
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -17,7 +17,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use comfreyhall_domain::{Map, Name, Set};
+use comfreyhall_domain::{Map, Name, Set, Stage};
 use comfreyhall_quarantine::{Change, Evidence, Finding, Fingerprint, Quarantine, Status};
 use tokio::sync::Notify;
 
@@ -42,14 +42,19 @@
 #[derive(Default)]
 struct State {
     known: Quarantine,
-    /// Requests whose connections these targets closed.
-    doubts: Map<Name, Set<Fingerprint>>,
+    /// Requests whose connections these targets closed, and whether they had
+    /// just begun.
+    doubts: Map<Name, Map<Fingerprint, bool>>,
     /// Targets that have ended, and when that was found.
     ended: Map<Name, u64>,
     /// Requests that are being tried here.
     trials: Set<Fingerprint>,
 }
 
+/// When the caller of a request that is being tried is told to come back, in
+/// ms: its fate is known to everyone by then.
+pub(crate) const TRIED_MS: u64 = 5_000;
+
 /// Whether a request may be sent now.
 pub(crate) enum Admission {
     /// Like any other.
@@ -98,6 +103,9 @@
 
 /// Whether `print` may be sent by this daemon now.
 pub(crate) fn admit(node: &Arc<Node>, print: Fingerprint) -> Admission {
+    if !node.quarantine.state().known.holds(&print) {
+        return Admission::Free;
+    }
     let now = node.now();
     let rank = node.fleet.rank(&print.to_string(), now);
     let mut state = node.quarantine.state();
@@ -109,12 +117,16 @@
             let node = node.clone();
             Admission::Trial(Trial { node, print })
         }
-        Status::Trial => Admission::Held(spread::TOLD_MS),
+        Status::Trial => Admission::Held(TRIED_MS),
     }
 }
 
-/// The target closed the connection of a run of `print`.
-pub(crate) fn broke(node: &Arc<Node>, target: &Name, print: Fingerprint) {
+/// The target closed the connection of a run of `print`; `early`: it had just
+/// begun to run it, as far as is known.
+pub(crate) fn broke(node: &Arc<Node>, target: &Name, print: Fingerprint, early: bool) {
+    if !stays(node, target) {
+        return;
+    }
     let now = node.now();
     let mut state = node.quarantine.state();
     state
@@ -122,7 +134,14 @@
         .retain(|_, at| now.saturating_sub(*at) < ENDED_MS);
     if state.ended.contains_key(target) {
         drop(state);
-        found(node, print, Finding::Ended(target.clone()));
+        found(
+            node,
+            print,
+            Finding::Ended {
+                target: target.clone(),
+                early,
+            },
+        );
         return;
     }
     let first = !state.doubts.contains_key(target);
@@ -130,13 +149,21 @@
         .doubts
         .entry(target.clone())
         .or_default()
-        .insert(print);
+        .insert(print, early);
     drop(state);
     if first {
         tokio::spawn(confirm::run(node.clone(), target.clone()));
     }
 }
 
+/// Whether `target` is to stay: one that leaves ends whatever it runs, and its
+/// entry may go before it does. One that crashes is listed for some seconds.
+fn stays(node: &Node, target: &Name) -> bool {
+    let view = node.view();
+    let known = view.targets.get(target);
+    known.is_some_and(|t| t.stage == Stage::Ready)
+}
+
 /// A target ran `print` to its end.
 pub(crate) fn ran_whole(node: &Arc<Node>, print: Fingerprint) {
     if node.quarantine.suspects(&print) {
@@ -159,8 +186,15 @@
     }
     drop(state);
     if ended {
-        for print in prints {
-            found(node, print, Finding::Ended(target.clone()));
+        for (print, early) in prints {
+            found(
+                node,
+                print,
+                Finding::Ended {
+                    target: target.clone(),
+                    early,
+                },
+            );
         }
     }
     node.quarantine.settled.notify_waiters();
--- a/crates/comfreyhall-node/src/quarantine/spread.rs
+++ b/crates/comfreyhall-node/src/quarantine/spread.rs
@@ -16,9 +16,6 @@
 /// of telling stays bounded.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time after which all daemons have heard of a finding, in ms.
-pub(super) const TOLD_MS: u64 = 3_000;
-
 /// Pause between looks for what is too old.
 const FORGET_PAUSE: Duration = Duration::from_secs(10);
 
--- a/crates/comfreyhall-node/src/quarantine/wire.rs
+++ b/crates/comfreyhall-node/src/quarantine/wire.rs
@@ -8,10 +8,12 @@
 use super::{Node, learn};
 
 fn to_wire(evidence: Evidence, now: u64) -> proto::Evidence {
+    let early = matches!(evidence.finding, Finding::Ended { early: true, .. });
     proto::Evidence {
+        early,
         print: evidence.print.as_bytes().to_vec(),
         target: match evidence.finding {
-            Finding::Ended(target) => target.to_string(),
+            Finding::Ended { target, .. } => target.to_string(),
             Finding::RanWhole => String::new(),
         },
         age_ms: now.saturating_sub(evidence.at),
@@ -24,7 +26,10 @@
         print: Fingerprint::from_bytes(&evidence.print)?,
         finding: match evidence.target.as_str() {
             "" => Finding::RanWhole,
-            target => Finding::Ended(target.into()),
+            target => Finding::Ended {
+                target: target.into(),
+                early: evidence.early,
+            },
         },
         at: now.saturating_sub(evidence.age_ms),
         witness: evidence.witness.as_str().into(),
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -192,7 +192,7 @@
     async fn resume(&mut self, job: &mut Job, why: String) -> Result<(), String> {
         self.flight.note(false, 1.0);
         if std::mem::take(&mut self.closed) {
-            job.broke(&self.flight.target);
+            job.broke(&self.flight);
         }
         job.verdict.add(Outcome::Broken);
         let last = self.last;
--- a/crates/comfreyhall-node/src/serve/print.rs
+++ b/crates/comfreyhall-node/src/serve/print.rs
@@ -1,11 +1,14 @@
 //! Which request an attempt is one of, and whether that may be sent.
 
-use comfreyhall_domain::{Ask, Name, answer_held};
+use comfreyhall_domain::{Ask, answer_held};
 use comfreyhall_quarantine::Fingerprint;
 use http::header;
 
 use super::{Job, Reply};
-use crate::quarantine::{self, Admission};
+use crate::{
+    flight::Flight,
+    quarantine::{self, Admission},
+};
 
 /// The identity of `ask` over all attempts: its caller (the host it calls and
 /// its credential), what it calls, and its body. Ids, time limits and hints
@@ -28,9 +31,10 @@
         *self.print.get_or_init(|| print_of(&self.ask))
     }
 
-    /// The target closed the connection of its run.
-    pub(crate) fn broke(&mut self, target: &Name) {
-        quarantine::broke(&self.node, target, self.print());
+    /// The target closed the connection of the run `flight`.
+    pub(crate) fn broke(&mut self, flight: &Flight) {
+        let target = &flight.target;
+        quarantine::broke(&self.node, target, self.print(), flight.early());
         self.broke_at = Some(target.clone());
     }
 
@@ -56,11 +60,11 @@
             // Its last run may have made it one target too many.
             self.node.quarantine.settled(&self.node, &target).await;
         }
-        if self.trial.is_some() && self.verdict.sends == 0 {
-            return None;
+        if self.trial.is_some() {
+            // A trial is one send.
+            let sent = self.verdict.sends > 0;
+            return sent.then_some(quarantine::TRIED_MS);
         }
-        // A trial is one send.
-        self.trial = None;
         match quarantine::admit(&self.node, print) {
             Admission::Free => None,
             Admission::Held(retry_ms) => Some(retry_ms),
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -89,7 +89,7 @@
                 self.arrive(&plan.target.id);
                 self.verdict.add(Outcome::Doubt);
                 flight.note(false, FAILED_WEIGHT);
-                self.broke(&plan.target.id);
+                self.broke(&flight);
                 self.tell(&plan.target.id, "in doubt", &why);
                 Err(())
             }
@@ -160,7 +160,7 @@
                 let why = match broken {
                     Ok(Err(broken)) => {
                         if broken.closed {
-                            self.broke(&flight.target);
+                            self.broke(&flight);
                         }
                         broken.why
                     }
@@ -230,7 +230,7 @@
             }
             Err(why) => {
                 if relay.closed {
-                    self.broke(&plan.target.id);
+                    self.broke(&relay.flight);
                 }
                 self.verdict.add(Outcome::Broken);
                 relay.flight.note(false, FAILED_WEIGHT);
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -495,6 +495,9 @@
     /// Id of the daemon that saw it.
     #[prost(string, tag = "4")]
     pub witness: ::prost::alloc::string::String,
+    /// Whether the request had just begun to run at the target that ended.
+    #[prost(bool, tag = "5")]
+    pub early: bool,
 }
 /// What several daemons together have at one target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/comfreyhall-quarantine/src/case.rs
+++ b/crates/comfreyhall-quarantine/src/case.rs
@@ -2,7 +2,7 @@
 
 use comfreyhall_domain::Name;
 
-use crate::Fingerprint;
+use crate::{Fingerprint, weigh};
 
 /// Targets kept for one request: more than are needed to hold it back for
 /// certain, so that what its bystanders lost can be put down to it.
@@ -32,7 +32,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Finding {
     /// This boot of a target ended while the request was there.
-    Ended(Name),
+    Ended {
+        /// The boot that ended.
+        target: Name,
+        /// Whether the request had just begun to run there, as far as is known.
+        early: bool,
+    },
     /// A target ran it to its end, so it is not what ends targets.
     RanWhole,
 }
@@ -46,10 +51,22 @@
     pub at: u64,
     /// Id of the daemon that saw it.
     pub witness: Name,
+    /// Whether the request had just begun to run there.
+    pub early: bool,
     /// Number of this finding here.
     pub(crate) serial: u64,
 }
 
+impl End {
+    /// How much it says against the request.
+    pub(crate) fn weight(&self) -> u32 {
+        match self.early {
+            true => weigh::EARLY,
+            false => weigh::LATE,
+        }
+    }
+}
+
 /// When a request was last seen to run whole.
 #[derive(Debug, Clone)]
 pub(crate) struct Cleared {
@@ -81,6 +98,11 @@
         self.ends.iter().map(|e| e.at).max().unwrap_or(0)
     }
 
+    /// How much all ends say against it.
+    pub(crate) fn weight(&self) -> u32 {
+        self.ends.iter().map(End::weight).sum()
+    }
+
     /// Whether `target` ended under it.
     pub(crate) fn has(&self, target: &Name) -> bool {
         self.ends.iter().any(|e| e.target == *target)
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -5,7 +5,7 @@
 use crate::{
     Fingerprint,
     case::{Case, Cleared, End, Evidence, Finding},
-    weigh::{self, ENOUGH},
+    weigh::{self, ENDS},
 };
 
 /// How long evidence is kept after the last that was seen of a request, in
@@ -97,6 +97,11 @@
         self.cases.get(print).is_some_and(|c| !c.ends.is_empty())
     }
 
+    /// Whether `print` is held back, but for trials.
+    pub fn holds(&self, print: &Fingerprint) -> bool {
+        self.held.contains(print)
+    }
+
     /// The targets that ended under `print`.
     pub fn ends(&self, print: &Fingerprint) -> &[End] {
         self.cases.get(print).map_or(&[], |c| &c.ends)
@@ -117,9 +122,10 @@
         let serial = self.serial + 1;
         let case = self.cases.entry(print).or_default();
         let (new, suspect) = match evidence.finding {
-            Finding::Ended(target) => {
+            Finding::Ended { target, early } => {
                 let new = case.end(End {
                     target,
+                    early,
                     at: evidence.at,
                     witness: evidence.witness,
                     serial,
@@ -162,7 +168,7 @@
     /// What may be done with `print` at a daemon that is the `rank`th to try
     /// it again; 0 is first.
     pub fn status(&self, print: &Fingerprint, rank: usize, now: u64) -> Status {
-        let Some(case) = self.cases.get(print).filter(|_| self.held.contains(print)) else {
+        let Some(case) = self.cases.get(print).filter(|_| self.holds(print)) else {
             return Status::Free;
         };
         let Some(due) = trial_at(case, rank) else {
@@ -235,7 +241,7 @@
 /// When the daemon that is the `rank`th to try it may do so; `None` if nobody
 /// may any more.
 fn trial_at(case: &Case, rank: usize) -> Option<u64> {
-    let failed = case.ends.len().saturating_sub(ENOUGH);
+    let failed = case.ends.len().saturating_sub(ENDS);
     if failed >= TRIALS {
         return None;
     }
@@ -252,7 +258,10 @@
         witness: witness.clone(),
     };
     let ends = case.ends.iter().map(move |e| {
-        let finding = Finding::Ended(e.target.clone());
+        let finding = Finding::Ended {
+            target: e.target.clone(),
+            early: e.early,
+        };
         (e.serial, evidence(finding, e.at, &e.witness))
     });
     let cleared = case.cleared.iter();
--- a/crates/comfreyhall-quarantine/src/tests.rs
+++ b/crates/comfreyhall-quarantine/src/tests.rs
@@ -6,7 +6,10 @@
 fn ended(print: Fingerprint, target: &str, at: u64) -> Evidence {
     Evidence {
         print,
-        finding: Finding::Ended(target.into()),
+        finding: Finding::Ended {
+            target: target.into(),
+            early: true,
+        },
         at,
         witness: "n1".into(),
     }
@@ -193,10 +196,8 @@
     let first = of(&["body", "0"]);
     for i in 0..6_000_u64 {
         let print = of(&["body", &i.to_string()]);
-        known.learn(
-            ended(print, &format!("t{}", i / 64), SECOND + i),
-            SECOND + i,
-        );
+        let at = 10 * SECOND + i;
+        known.learn(ended(print, &format!("t{}", i / 64), at), at);
     }
     let (mut told, mut serial) = (0, 0);
     loop {
