Quarantine: one trial, a model of the fleet, and what counts at each kind of route

So a request that is held back gets one trial, and none once more targets ended than were needed.

Tests of the request path: each kind of route, resumed streams, other callers with the same body, connections closed by targets that live, silent ones, targets that leave, and a run to the end.

--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -171,9 +171,14 @@
     }
 }
 
-/// Whether it is still open if `target` has ended.
-fn doubted(node: &Node, target: &Name) -> bool {
-    node.quarantine.state().doubts.contains_key(target)
+/// Whether it is still open if a target that closed a connection of `print`
+/// has ended.
+fn doubted(node: &Node, print: &Fingerprint) -> bool {
+    let state = node.quarantine.state();
+    state
+        .doubts
+        .values()
+        .any(|prints| prints.contains_key(print))
 }
 
 /// The doubts about `target` are settled.
@@ -221,6 +226,14 @@
     let changes = state.known.learn(evidence.clone(), now);
     let new = state.known.serial() > before;
     log::changes(node, &state.known, &changes, Some(&evidence), now);
+    drop(state);
+    if let Finding::Ended { target, .. } = evidence.finding
+        && new
+    {
+        // A boot that has ended takes nothing any more; without this every
+        // daemon finds out by itself until the entry goes.
+        node.view().dead.insert(target, now + ENDED_MS);
+    }
     new
 }
 
--- a/crates/comfreyhall-node/src/quarantine/spread.rs
+++ b/crates/comfreyhall-node/src/quarantine/spread.rs
@@ -7,7 +7,7 @@
 
 use super::{Node, doubted, forget};
 use crate::fleet;
-use comfreyhall_domain::Name;
+use comfreyhall_quarantine::Fingerprint;
 
 /// Pause that gathers the findings of one crash into one call.
 const GATHER: Duration = Duration::from_millis(10);
@@ -45,12 +45,14 @@
 }
 
 impl super::Watch {
-    /// Waits until it is known whether `target` has ended, for a while.
-    pub(crate) async fn settled(&self, node: &Node, target: &Name) {
+    /// Waits until it is known, for a while, whether targets that closed
+    /// connections of the suspect `print` have ended: one of them may make it
+    /// one too many.
+    pub(crate) async fn settled(&self, node: &Node, print: &Fingerprint) {
         let settled = async {
             loop {
                 let notified = self.settled.notified();
-                if !doubted(node, target) {
+                if !doubted(node, print) {
                     return;
                 }
                 notified.await;
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -116,8 +116,6 @@
     pub(crate) stall: u64,
     /// Ms from arrival to the first event.
     pub(crate) first: u64,
-    /// The target that closed the connection of its last run.
-    pub(crate) broke_at: Option<Name>,
     /// Set while it is tried though it is held back.
     trial: Option<Trial>,
     /// Whether its end is logged, or another job goes on with it.
@@ -207,7 +205,6 @@
             tracked: None,
             stall: 0,
             first: 0,
-            broke_at: None,
             trial: None,
             ended: false,
         })
--- a/crates/comfreyhall-node/src/serve/print.rs
+++ b/crates/comfreyhall-node/src/serve/print.rs
@@ -32,10 +32,9 @@
     }
 
     /// The target closed the connection of the run `flight`.
-    pub(crate) fn broke(&mut self, flight: &Flight) {
+    pub(crate) fn broke(&self, flight: &Flight) {
         let target = &flight.target;
         quarantine::broke(&self.node, target, self.print(), flight.early());
-        self.broke_at = Some(target.clone());
     }
 
     /// A target ran it to its end.
@@ -50,15 +49,12 @@
     /// Looked at before each send: a request may wait for seconds in between,
     /// and what the others find meanwhile counts.
     pub(super) async fn held_back(&mut self) -> Option<u64> {
-        if self.node.quarantine.is_empty() && self.broke_at.is_none() {
+        if self.node.quarantine.is_empty() {
             return None;
         }
         let print = self.print();
-        if let Some(target) = self.broke_at.take()
-            && self.node.quarantine.suspects(&print)
-        {
-            // Its last run may have made it one target too many.
-            self.node.quarantine.settled(&self.node, &target).await;
+        if self.node.quarantine.suspects(&print) {
+            self.node.quarantine.settled(&self.node, &print).await;
         }
         if self.trial.is_some() {
             // A trial is one send.
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -263,7 +263,6 @@
             tracked: self.tracked.take(),
             stall: self.stall,
             first: self.node.now() - self.began,
-            broke_at: None,
             trial: self.trial.take(),
             ended: false,
         }
--- /dev/null
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -0,0 +1,196 @@
+//! What speaks against a request, and what its caller is told.
+
+mod support;
+
+use std::sync::{Arc, atomic::Ordering};
+
+use bytes::Bytes;
+use comfreyhall_domain::{Ask, Kind};
+use comfreyhall_node::Node;
+use support::*;
+
+/// A daemon before five targets.
+async fn daemon(kind: Kind, attempts: u32) -> (Arc<Node>, Arc<Script>, Arc<World>) {
+    let mut world = scenery(route(kind, attempts, kind == Kind::Stream), None);
+    let targets = &mut Arc::get_mut(&mut world).unwrap().targets;
+    targets.extend(["c", "d", "e"].map(target));
+    let script = Arc::new(Script::default());
+    let node = Node::new(
+        settings_of("n", "127.0.0.1:1", &[], 0.25),
+        world.clone(),
+        script.clone(),
+    );
+    comfreyhall_node::spawn(&node, comfreyhall_fakes::FakeTable::default());
+    while !node.ready() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    (node, script, world)
+}
+
+fn always(script: &Script, act: Act) {
+    *script.always.lock().unwrap() = Some(act);
+}
+
+/// The same request with an id of its own.
+fn deadly(id: &str) -> Ask {
+    let mut ask = ask(id);
+    ask.message.body = Bytes::from_static(b"deadly");
+    ask
+}
+
+async fn serve(node: &Arc<Node>, ask: Ask) -> Got {
+    got(node.serve(ask).await).await
+}
+
+/// Sends the deadly request until it is held back; the sends it took.
+async fn until_held(node: &Arc<Node>, script: &Script) -> usize {
+    for i in 0..10 {
+        if serve(node, deadly(&format!("q{i}"))).await == Got::Quarantined(false) {
+            return script.seen.lock().unwrap().len();
+        }
+    }
+    panic!("it is never held back");
+}
+
+#[tokio::test]
+async fn serve_deadly_held_after_three_targets() {
+    for (kind, attempts) in [(Kind::Safe, 2), (Kind::Unsafe, 1), (Kind::Stream, 2)] {
+        let (node, script, _) = daemon(kind, attempts).await;
+        always(&script, Act::Ends);
+        assert_eq!(until_held(&node, &script).await, 3, "{kind:?}");
+        // At once, and whatever id it bears.
+        assert_eq!(serve(&node, deadly("again")).await, Got::Quarantined(false));
+        assert_eq!(script.seen.lock().unwrap().len(), 3);
+    }
+}
+
+/// An attempt that ended a target itself is not told that it has not run.
+#[tokio::test]
+async fn serve_deadly_attempt_may_have_run() {
+    let (node, script, _) = daemon(Kind::Safe, 4).await;
+    always(&script, Act::Ends);
+    assert_eq!(serve(&node, deadly("q")).await, Got::Quarantined(true));
+    assert_eq!(script.seen.lock().unwrap().len(), 3);
+}
+
+/// Symptom: two customers send the same text, and one cannot be served. Events:
+/// the text of the first ends its targets. Cause: the body alone told them
+/// apart.
+#[tokio::test]
+async fn serve_same_body_of_others_is_free() {
+    let (node, script, _) = daemon(Kind::Safe, 2).await;
+    always(&script, Act::Ends);
+    until_held(&node, &script).await;
+    always(&script, Act::Answer(200, 0));
+    let mut credential = deadly("q");
+    let headers = &mut credential.message.headers;
+    headers.insert(http::header::AUTHORIZATION, "Bearer other".parse().unwrap());
+    let mut path = deadly("q");
+    path.message.path = "/y".into();
+    let mut body = deadly("q");
+    body.message.body = Bytes::from_static(b"another");
+    for ask in [credential, path, body] {
+        assert_eq!(serve(&node, ask).await, Got::Whole(200));
+    }
+    assert_eq!(serve(&node, deadly("q")).await, Got::Quarantined(false));
+}
+
+/// Symptom: every request of a failure domain was held back. Events: a switch
+/// resets all connections again and again. Cause: a connection that closed was
+/// taken for a target that ended.
+#[tokio::test]
+async fn serve_closed_by_living_target_is_free() {
+    let (node, script, _) = daemon(Kind::Safe, 2).await;
+    always(&script, Act::Closes);
+    for i in 0..6 {
+        assert_eq!(serve(&node, deadly(&format!("q{i}"))).await, Got::Unknown);
+    }
+    always(&script, Act::Answer(200, 0));
+    assert_eq!(serve(&node, deadly("q")).await, Got::Whole(200));
+}
+
+/// A rack without power answers nothing; its targets are gone, but a request
+/// that waited there until its time was up did not end them.
+#[tokio::test]
+async fn serve_silent_targets_are_no_evidence() {
+    let (node, script, _) = daemon(Kind::Safe, 2).await;
+    always(&script, Act::Lost);
+    for i in 0..6 {
+        assert_eq!(serve(&node, deadly(&format!("q{i}"))).await, Got::Unknown);
+    }
+    always(&script, Act::Answer(200, 0));
+    assert_eq!(serve(&node, deadly("q")).await, Got::Whole(200));
+}
+
+/// Symptom: requests that ran while a service was replaced were held back.
+/// Events: a target says that it leaves, and ends with what it still runs.
+/// Cause: its end was put down to them.
+#[tokio::test]
+async fn serve_leaving_target_is_no_evidence() {
+    let (node, script, world) = daemon(Kind::Safe, 2).await;
+    always(&script, Act::Answer(200, 400));
+    let mut calls = Vec::new();
+    for i in 0..6 {
+        let node = node.clone();
+        let call = async move { serve(&node, deadly(&format!("q{i}"))).await };
+        calls.push(tokio::spawn(call));
+    }
+    while script.seen.lock().unwrap().len() < 6 {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    for call in calls {
+        assert_eq!(call.await.unwrap(), Got::Whole(200));
+    }
+    let all = world.targets.iter().map(|t| t.id.clone());
+    *world.leaving.lock().unwrap() = all.collect();
+    always(&script, Act::Ends);
+    tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+    // Nothing is sent to targets that leave; what they ran taught nothing.
+    assert_eq!(serve(&node, deadly("q")).await, Got::NotRun);
+}
+
+#[tokio::test]
+async fn serve_ran_whole_clears() {
+    let (node, script, _) = daemon(Kind::Safe, 1).await;
+    *script.acts.lock().unwrap() = vec![Act::Ends, Act::Ends, Act::Answer(200, 0)];
+    for want in [Got::Unknown, Got::Unknown, Got::Whole(200)] {
+        assert_eq!(serve(&node, deadly("q")).await, want);
+    }
+    always(&script, Act::Ends);
+    // Three more are needed; the two before it ran whole do not count.
+    assert_eq!(until_held(&node, &script).await, 6);
+}
+
+/// Symptom: a stream that ended its engines was resumed at the next one, and
+/// ended that too. Cause: only new attempts were looked at.
+#[tokio::test]
+async fn serve_deadly_stream_not_resumed() {
+    let (node, script, _) = daemon(Kind::Stream, 5).await;
+    always(&script, Act::Stream(vec![1, 2], false));
+    *script.ended.lock().unwrap() = ["a", "b", "c", "d", "e"].map(Into::into).to_vec();
+    let first = serve(&node, deadly("q")).await;
+    assert!(matches!(first, Got::Stream(_, false)), "{first:?}");
+    assert_eq!(script.seen.lock().unwrap().len(), 3);
+    assert_eq!(serve(&node, deadly("r")).await, Got::Quarantined(false));
+    assert_eq!(script.reports.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn serve_deadly_is_counted() {
+    let (node, script, _) = daemon(Kind::Safe, 1).await;
+    always(&script, Act::Ends);
+    until_held(&node, &script).await;
+    let text = node.metrics_text();
+    let counted = |series: &str| {
+        let line = text.lines().find(|l| l.starts_with(series));
+        let line = line.unwrap_or_else(|| panic!("no {series} in {text}"));
+        line.rsplit(' ').next().unwrap().to_string()
+    };
+    assert_eq!(counted(r#"quarantine_total{change="suspect""#), "3");
+    assert_eq!(counted(r#"quarantine_total{change="held_back""#), "1");
+    assert_eq!(
+        counted(r#"refusals_total{why="targets ended under it""#),
+        "1"
+    );
+    assert!(text.contains(r#"how="quarantined""#));
+}
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -17,18 +17,11 @@
 /// there, some dozens; this many take less than a megabyte.
 const MOST_ENDS: usize = 4_096;
 
-/// How long after the last end under it a request that is held back is first
-/// tried again, in ms: engines take seconds to come back, and one that is held
-/// back wrongly is not to wait for minutes.
+/// How long after the last end under it a request that is held back is tried
+/// again, in ms: engines take seconds to come back, and one that is held back
+/// wrongly is not to wait for minutes.
 const TRIAL_MS: u64 = 30_000;
 
-/// How many times longer each trial is put off than the one before.
-const TRIAL_GROWTH: u64 = 4;
-
-/// Trials of one request: a trial of the one that is to blame costs an engine
-/// and what runs there.
-const TRIALS: usize = 2;
-
 /// How much later each next daemon may make the trial, in ms.
 ///
 /// What goes wrong without it: all daemons let the request go at the same
@@ -239,14 +232,11 @@
 }
 
 /// When the daemon that is the `rank`th to try it may do so; `None` if nobody
-/// may any more.
+/// may: a trial of the one that is to blame costs an engine and what runs there,
+/// and whatever ended more targets than were needed has had its trial.
 fn trial_at(case: &Case, rank: usize) -> Option<u64> {
-    let failed = case.ends.len().saturating_sub(ENDS);
-    if failed >= TRIALS {
-        return None;
-    }
-    let pause = TRIAL_MS * TRIAL_GROWTH.pow(failed as u32);
-    Some(case.last_end() + pause + rank as u64 * STAGGER_MS)
+    let may = case.ends.len() <= ENDS;
+    may.then(|| case.last_end() + TRIAL_MS + rank as u64 * STAGGER_MS)
 }
 
 /// Everything that is known of a request, with the numbers of the findings.
