--- a/crates/comfreyhall-node/tests/fleet.rs
+++ b/crates/comfreyhall-node/tests/fleet.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    collections::HashSet,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -96,3 +97,51 @@
     let first = &orders[0].holder;
     assert!(orders.iter().all(|o| o.holder == *first), "{orders:?}");
 }
+
+/// Symptom: a request that ends its engines is held back by those daemons that
+/// saw it, and sent by the others. Events: in a large fleet daemons report to
+/// holders only, and one that is cut off from the store hears from nobody else.
+/// Cause: what was found stayed with those who found it.
+#[tokio::test]
+async fn deadly_request_known_through_holders() {
+    let mut world = scenery(route(Kind::Stream, 1, false), Some(engine()));
+    let targets = &mut Arc::get_mut(&mut world).unwrap().targets;
+    let more = ["c", "d", "e"].map(|id| comfreyhall_domain::Target {
+        held: vec![held("m")],
+        ..target(id)
+    });
+    targets.extend(more);
+    let script = Arc::new(Script::default());
+    *script.always.lock().unwrap() = Some(Act::Ends);
+    let nodes = fleet(&world, &script).await;
+    for node in &nodes {
+        until(|| node.ready()).await;
+        until(|| node.addresses().0.len() == DAEMONS).await;
+    }
+    let deadly = || {
+        let mut ask = ask("q");
+        ask.adapter = Some(AdapterRef {
+            model: "m".into(),
+            adapter: None,
+        });
+        ask.message.body = bytes::Bytes::from_static(b"deadly");
+        ask
+    };
+    // Each end is seen by another daemon.
+    for node in nodes[5..8].iter().cycle() {
+        let ended = script.ended.lock().unwrap().clone();
+        if ended.iter().collect::<HashSet<_>>().len() == 3 {
+            break;
+        }
+        assert_eq!(got(node.serve(deadly()).await).await, Got::Unknown);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // What is sent from now on proves nothing.
+    let full = Act::Refuse(comfreyhall_domain::Refusal::Full);
+    *script.always.lock().unwrap() = Some(full);
+    for node in &nodes {
+        while got(node.serve(deadly()).await).await != Got::Quarantined(false) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
