The own daemon holds back requests that end its engines; stand-ins learn the fault

Stand-ins: `deadly_prompt` in the settings' platform section is a text in a prompt that ends the engine that begins it: its runs are lost, and it is away for a second. The daemon looks whether an engine whose run broke off has ended (another boot answers, or nobody listens), swaps findings with all others at once and with one of them at each heartbeat, and answers `quarantined`. Plain services count once each: they do not say which boot they are.

--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -23,7 +23,8 @@
 use tonic::transport::Channel;
 
 use crate::{
-    demand::Demands, engines, member::Members, metrics::Metrics, stats::Counters, stuck::Stuck,
+    demand::Demands, engines, member::Members, metrics::Metrics, quarantine::Watch,
+    stats::Counters, stuck::Stuck,
 };
 
 /// Shared daemon state; cheap to clone.
@@ -54,6 +55,9 @@
     pub(crate) counters: Counters,
     pub(crate) metrics: Metrics,
     pub(crate) stuck: Stuck,
+    pub(crate) quarantine: Watch,
+    /// Which boot of each engine answered last.
+    pub(crate) boots: Vec<AtomicU64>,
     pub(crate) demand: Demands,
     /// Whether a background copy is in flight.
     pub(crate) copying: AtomicBool,
@@ -112,6 +116,8 @@
                 counters: Counters::default(),
                 metrics: Metrics::new(),
                 stuck: Stuck::default(),
+                quarantine: Watch::default(),
+                boots: settings.engines.iter().map(|_| AtomicU64::new(0)).collect(),
                 demand: Demands::default(),
                 copying: AtomicBool::new(false),
                 view: Mutex::new(view),
@@ -129,6 +135,11 @@
         self.inner.started.elapsed().as_millis() as u64
     }
 
+    /// The boot of an engine that answered last.
+    pub(crate) fn boot(&self, engine: usize) -> u64 {
+        self.inner.boots[engine].load(Ordering::Relaxed)
+    }
+
     pub(crate) fn view(&self) -> MutexGuard<'_, Vec<EngineView>> {
         self.inner
             .view
--- a/crates/comfreyhall-daemon/src/engines.rs
+++ b/crates/comfreyhall-daemon/src/engines.rs
@@ -1,6 +1,6 @@
 //! The status polls that keep the placement view fresh.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use comfreyhall_placement::{EngineView, SlotView};
 use comfreyhall_protocol::{EngineStatus, StatusQuery};
@@ -75,6 +75,7 @@
         }
         if let Some(s) = &status {
             app.inner.metrics.engine(&engine.id, s);
+            app.inner.boots[index].store(s.epoch, Ordering::Relaxed);
         }
         let mut view = app.view();
         match status {
--- a/crates/comfreyhall-daemon/src/error.rs
+++ b/crates/comfreyhall-daemon/src/error.rs
@@ -49,6 +49,14 @@
         "another attempt holds this idempotency key and its outcome is not known; ask with the same key later, or check before using a new key"
     )]
     Held,
+    #[error(
+        "engines that ran this request ended, so it is not sent for now; change the request, or ask the operators why it ends them"
+    )]
+    Quarantined(u64),
+    #[error(
+        "engines that ran this request ended, this attempt's among them; change the request, or ask the operators why it ends them"
+    )]
+    QuarantinedInDoubt,
     #[error("the request ran but its answer cannot be read now; ask again with the same key")]
     AnswerAway,
 }
@@ -101,6 +109,8 @@
             Cancelled => unknown("cancelled", StatusCode::CONFLICT, None),
             InDoubt(_) => unknown("in_doubt", StatusCode::BAD_GATEWAY, None),
             Held => unknown("held", StatusCode::CONFLICT, Some(1_000)),
+            Quarantined(ms) => not_run("quarantined", busy, Some(*ms)),
+            QuarantinedInDoubt => unknown("quarantined", StatusCode::BAD_GATEWAY, None),
             AnswerAway => unknown("answer_away", StatusCode::BAD_GATEWAY, Some(1_000)),
         }
     }
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -11,6 +11,7 @@
 use comfreyhall_protocol::{
     CallRequest, IDEMPOTENCY_HEADER, NON_IDEMPOTENT_HEADER, REQUEST_ID_HEADER, proves_not_run,
 };
+use comfreyhall_quarantine::Fingerprint;
 use rand::seq::SliceRandom;
 
 use super::{admit, header, request_id};
@@ -18,6 +19,7 @@
     app::App,
     claims::{self, Turn},
     error::RouteError,
+    quarantine::{self, Suspect},
 };
 
 /// Targets one call is tried at.
@@ -90,18 +92,24 @@
     turn.sort_by_key(|i| services[*i].domain != app.instance.domain);
     let default = Duration::from_millis(app.inner.settings.tuning.deadline_ms);
     let until = Instant::now() + default;
+    let print = Fingerprint::of([order.method.as_bytes(), &order.body]);
     let mut doubt = None;
     for index in turn.into_iter().take(TRIES) {
         let left = until.saturating_duration_since(Instant::now());
+        quarantine::admit(app, &print, doubt.is_some())?;
         let mut client = app.inner.plain[index].clone();
         let sent = client.call(order.clone());
         let why = match tokio::time::timeout(left.min(TRY_TIMEOUT), sent).await {
             Ok(Ok(reply)) if reply.get_ref().request_id == order.request_id => {
+                quarantine::ran_whole(app, print);
                 return Ok(reply.into_inner().body);
             }
             Ok(Ok(_)) => "the answer is another request's".to_string(),
             Ok(Err(s)) if proves_not_run(&s) => continue,
-            Ok(Err(s)) => s.message().to_string(),
+            Ok(Err(s)) => {
+                quarantine::broke(app, Suspect::Service(index), print, true);
+                s.message().to_string()
+            }
             Err(_) => "no answer in time".to_string(),
         };
         log::warn!(target: "call", "{} at {}: {why}", order.request_id, services[index].id);
--- a/crates/comfreyhall-daemon/src/http/complete.rs
+++ b/crates/comfreyhall-daemon/src/http/complete.rs
@@ -17,6 +17,7 @@
     STALL_HEADER,
     api::{ChatRequest, CompletionRequest},
 };
+use comfreyhall_quarantine::Fingerprint;
 use futures::{Stream, StreamExt};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -199,6 +200,13 @@
         },
         until: Instant::now() + deadline,
         repeatable: !ask.body.non_idempotent,
+        print: Fingerprint::of([
+            resolved.customer.as_bytes(),
+            adapter.as_bytes(),
+            version.as_bytes(),
+            ask.body.prompt.as_bytes(),
+            &ask.body.max_tokens.to_le_bytes(),
+        ]),
     }
 }
 
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod orders;
 mod peer;
+mod quarantine;
 mod relay;
 mod resolve;
 mod route;
@@ -42,6 +43,7 @@
     engines::spawn_polls(&app);
     member::spawn(&app);
     peer::spawn(&app);
+    quarantine::spawn(&app);
     orders::spawn(&app);
     orders::spawn_reports(&app);
     tokio::spawn(http::stop_task(app.clone()));
--- a/crates/comfreyhall-daemon/src/metrics.rs
+++ b/crates/comfreyhall-daemon/src/metrics.rs
@@ -25,6 +25,7 @@
     tokens: Counter<u64>,
     resumes: Counter<u64>,
     loads: Counter<u64>,
+    quarantine: Counter<u64>,
     efficiency: Gauge<f64>,
     /// Steps and used slots of each engine at the last report.
     engines: Mutex<Map<String, (u64, u64)>>,
@@ -61,6 +62,12 @@
                 .u64_counter("load_orders")
                 .with_description("load orders sent to engines")
                 .build(),
+            quarantine: meter
+                .u64_counter("quarantine")
+                .with_description(
+                    "requests that became suspect of ending targets, were held back or let go",
+                )
+                .build(),
             efficiency: meter
                 .f64_gauge("batch_efficiency")
                 .with_description("used share of an engine's batch steps, 0 to 1")
@@ -70,6 +77,10 @@
         }
     }
 
+    pub(crate) fn quarantine(&self, change: &'static str) {
+        self.quarantine.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Records how long a started request waited for a load, and whether
     /// that is longer than `promise_ms` (0: nothing was promised).
     pub(crate) fn stall(&self, waited: std::time::Duration, promise_ms: u64) {
--- a/crates/comfreyhall-daemon/src/peer.rs
+++ b/crates/comfreyhall-daemon/src/peer.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use comfreyhall_protocol::{
-    DemandReply, DemandReport, PlaceReply, PlaceRequest, SyncReply, SyncRequest, peer_server::Peer,
+    DemandReply, DemandReport, Findings, PlaceReply, PlaceRequest, SyncReply, SyncRequest,
+    peer_server::Peer,
 };
 use prost::Message;
 use rand::seq::IteratorRandom;
@@ -16,7 +17,7 @@
 
 use comfreyhall_life::Event;
 
-use crate::{app::App, orders};
+use crate::{app::App, orders, quarantine};
 
 /// Longest one poll of the table may take before peers are asked.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,6 +48,12 @@
         Ok(Response::new(reply))
     }
 
+    async fn swap(&self, req: Request<Findings>) -> Result<Response<Findings>, Status> {
+        let theirs = req.into_inner();
+        quarantine::hear(&self.app, &theirs);
+        Ok(Response::new(quarantine::findings(&self.app, &theirs.from)))
+    }
+
     async fn report(&self, req: Request<DemandReport>) -> Result<Response<DemandReply>, Status> {
         orders::learn(&self.app, req.into_inner());
         Ok(Response::new(DemandReply {}))
--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::{
     app::{App, Cancellable, Tracked},
     error::RouteError,
+    quarantine::{self, Suspect},
     route::{self, Job, Started},
 };
 
@@ -44,6 +45,8 @@
     resumes: u32,
     cancelled: CancellationToken,
     ended: bool,
+    /// When the engine's first token came.
+    answered: Option<Instant>,
     _guards: (Tracked, Cancellable),
 }
 
@@ -76,6 +79,7 @@
             resumes: 0,
             cancelled,
             ended: false,
+            answered: None,
             _guards: guards,
         }
     }
@@ -108,6 +112,10 @@
                 Some(Ok(c)) => match fit(&self.job, &c) {
                     Fit::Next => {
                         self.job.order.resume_from += 1;
+                        self.answered.get_or_insert_with(Instant::now);
+                        if c.done {
+                            quarantine::ran_whole(&self.app, self.job.print);
+                        }
                         self.app.inner.metrics.token();
                         return Ok(c);
                     }
@@ -130,6 +138,10 @@
     /// Goes on at an engine after the stream broke off because of `why`.
     async fn resume(&mut self, why: String) -> Result<(), RouteError> {
         let id = &self.job.order.request_id;
+        let at = Suspect::Engine(self.started.engine, self.started.boot);
+        let answered = self.answered.take();
+        let early = answered.is_none_or(|at| at.elapsed() < quarantine::EARLY);
+        quarantine::broke(&self.app, at, self.job.print, early);
         log::warn!(target: "relay", "{id} broke off at token {}: {why}", self.job.order.resume_from);
         if !self.job.repeatable || self.resumes >= RESUMES {
             return Err(RouteError::InDoubt(why));
@@ -157,6 +169,8 @@
                 Ok(started) => return Ok(started),
                 // The answer began, so "not run" would be wrong from here on.
                 Err(RouteError::Late) => return Err(RouteError::Deadline),
+                // Its runs have ended engines: it is not tried any more.
+                Err(RouteError::Quarantined(_)) => return Err(RouteError::QuarantinedInDoubt),
                 Err(e) if e.not_run() => tokio::time::sleep(RESUME_PAUSE).await,
                 Err(e) => return Err(e),
             }
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -6,12 +6,14 @@
 };
 
 use comfreyhall_protocol::{CancelOrder, GenerateChunk, GenerateRequest, proves_not_run};
+use comfreyhall_quarantine::Fingerprint;
 use tonic::{Code, Status, Streaming};
 
 use crate::{
     app::App,
     error::RouteError,
     orders::{self, Placed},
+    quarantine::{self, Suspect},
 };
 
 /// Placement tries per request before it is given up.
@@ -37,6 +39,8 @@
     pub(crate) until: Instant,
     /// Whether it may be sent to a second engine when in doubt.
     pub(crate) repeatable: bool,
+    /// Its identity over all attempts.
+    pub(crate) print: Fingerprint,
 }
 
 impl Job {
@@ -54,6 +58,8 @@
 pub(crate) struct Started {
     /// Index of the engine.
     pub(crate) engine: usize,
+    /// The boot of the engine that runs it.
+    pub(crate) boot: u64,
     /// Time spent waiting for an adapter load.
     pub(crate) stall: Duration,
     /// The engine's chunks.
@@ -67,7 +73,12 @@
     /// The request did not run there.
     NotRun(String),
     /// The request may run there.
-    Doubt(String),
+    Doubt {
+        why: String,
+        /// Whether no answer came in time: an engine that ends closes its
+        /// connections.
+        silent: bool,
+    },
 }
 
 /// Places and starts `job` on an engine.
@@ -105,10 +116,13 @@
         if job.left().is_zero() {
             return Err(end(&doubt, RouteError::Late));
         }
+        quarantine::admit(app, &job.print, doubt.is_some())?;
+        let boot = app.boot(engine);
         match accept(app, engine, job).await {
             Ok(stream) => {
                 return Ok(Started {
                     engine,
+                    boot,
                     stall,
                     stream,
                 });
@@ -120,7 +134,11 @@
                 log::warn!(target: "route", "engine {engine} did not run {}: {why}", job.order.request_id);
                 app.view()[engine].up = false;
             }
-            Err(Refusal::Doubt(why)) => {
+            Err(Refusal::Doubt { why, silent }) => {
+                if !silent {
+                    let at = Suspect::Engine(engine, boot);
+                    quarantine::broke(app, at, job.print, true);
+                }
                 log::warn!(target: "route", "engine {engine} may run {}: {why}", job.order.request_id);
                 app.view()[engine].up = false;
                 cancel(app, engine, &job.order.request_id);
@@ -158,7 +176,10 @@
     match tokio::time::timeout(limit, client.generate(job.order.clone())).await {
         Ok(Ok(reply)) => Ok(reply.into_inner()),
         Ok(Err(s)) => Err(refusal(&s)),
-        Err(_) => Err(Refusal::Doubt("no answer to the order".into())),
+        Err(_) => Err(Refusal::Doubt {
+            why: "no answer to the order".into(),
+            silent: true,
+        }),
     }
 }
 
@@ -167,7 +188,7 @@
     match (proves_not_run(status), status.code()) {
         (true, Code::FailedPrecondition) => Refusal::NotResident,
         (true, _) => Refusal::NotRun(why),
-        (false, _) => Refusal::Doubt(why),
+        (false, _) => Refusal::Doubt { why, silent: false },
     }
 }
 
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -171,6 +171,26 @@
     #[prost(message, repeated, tag = "2")]
     pub rows: ::prost::alloc::vec::Vec<Row>,
 }
+/// What a daemon may not have heard from the sender.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Findings {
+    /// Instance id and process of the sender.
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub evidence: ::prost::alloc::vec::Vec<Evidence>,
+    /// Number of the sender's last finding among it.
+    #[prost(uint64, tag = "4")]
+    pub told_serial: u64,
+    /// Which process of the receiver the sender has heard, and up to which of
+    /// its findings.
+    #[prost(uint64, tag = "5")]
+    pub heard_boot: u64,
+    #[prost(uint64, tag = "6")]
+    pub heard_serial: u64,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CancelOrder {
     #[prost(string, tag = "1")]
@@ -2778,6 +2798,25 @@
             req.extensions_mut().insert(GrpcMethod::new("comfreyhall.v1.Peer", "Sync"));
             self.inner.unary(req, path, codec).await
         }
+        /// Swaps what is known of requests that end targets.
+        pub async fn swap(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Findings>,
+        ) -> std::result::Result<tonic::Response<super::Findings>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/comfreyhall.v1.Peer/Swap");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("comfreyhall.v1.Peer", "Swap"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2808,6 +2847,11 @@
             &self,
             request: tonic::Request<super::SyncRequest>,
         ) -> std::result::Result<tonic::Response<super::SyncReply>, tonic::Status>;
+        /// Swaps what is known of requests that end targets.
+        async fn swap(
+            &self,
+            request: tonic::Request<super::Findings>,
+        ) -> std::result::Result<tonic::Response<super::Findings>, tonic::Status>;
     }
     /// Between daemons: spreads accepted configuration past a table outage, and
     /// brings load orders to the daemon that holds the lease on them.
@@ -3016,6 +3060,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/comfreyhall.v1.Peer/Swap" => {
+                    #[allow(non_camel_case_types)]
+                    struct SwapSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::Findings>
+                    for SwapSvc<T> {
+                        type Response = super::Findings;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Findings>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::swap(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = SwapSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/comfreyhall-quarantine/src/lib.rs
+++ b/crates/comfreyhall-quarantine/src/lib.rs
@@ -16,6 +16,7 @@
 mod fingerprint;
 mod quarantine;
 mod weigh;
+mod wire;
 
 pub use case::{End, Evidence, Finding};
 pub use fingerprint::Fingerprint;
--- /dev/null
+++ b/crates/comfreyhall-quarantine/src/wire.rs
@@ -0,0 +1,38 @@
+//! Findings as messages between daemons.
+
+use comfreyhall_protocol as proto;
+
+use crate::{Evidence, Finding, Fingerprint};
+
+impl Evidence {
+    /// The message; what it says of time counts from `now`.
+    pub fn to_wire(&self, now: u64) -> proto::Evidence {
+        let (target, early) = match &self.finding {
+            Finding::Ended { target, early } => (target.to_string(), *early),
+            Finding::RanWhole => (String::new(), false),
+        };
+        proto::Evidence {
+            print: self.print.as_bytes().to_vec(),
+            target,
+            age_ms: now.saturating_sub(self.at),
+            witness: self.witness.to_string(),
+            early,
+        }
+    }
+
+    /// What a message says; `None` if it names no request.
+    pub fn from_wire(wire: &proto::Evidence, now: u64) -> Option<Self> {
+        Some(Self {
+            print: Fingerprint::from_bytes(&wire.print)?,
+            finding: match wire.target.as_str() {
+                "" => Finding::RanWhole,
+                target => Finding::Ended {
+                    target: target.into(),
+                    early: wire.early,
+                },
+            },
+            at: now.saturating_sub(wire.age_ms),
+            witness: wire.witness.as_str().into(),
+        })
+    }
+}
--- a/crates/comfreyhall-settings/src/model.rs
+++ b/crates/comfreyhall-settings/src/model.rs
@@ -76,6 +76,10 @@
     pub instances: String,
     /// Adapter loads per second the weight store allows.
     pub loads_per_sec: f64,
+    /// Stand-ins only: a text in a prompt that ends the engine that begins to
+    /// run it; empty for none.
+    #[serde(default)]
+    pub deadly_prompt: Arc<str>,
 }
 
 /// Timing and policy knobs of the daemons.
--- a/crates/comfreyhall-standins/src/engine/mod.rs
+++ b/crates/comfreyhall-standins/src/engine/mod.rs
@@ -43,6 +43,9 @@
 /// Chunks buffered per stream before a slow reader holds its sequence back.
 const STREAM_BUFFER: usize = 64;
 
+/// How long an engine that crashed is away.
+const AWAY: Duration = Duration::from_secs(1);
+
 /// Longest prompt the stand-in takes, in bytes.
 const MAX_PROMPT: usize = 64 << 10;
 
@@ -56,6 +59,8 @@
     runs: Runs,
     weights: WeightsClient<Channel>,
     faults: Faults,
+    /// Text in a prompt that ends the engine; empty for none.
+    deadly: Arc<str>,
 }
 
 /// A model engine stand-in; clone it to share.
@@ -67,7 +72,16 @@
 impl EngineStandin {
     /// An engine with `capacity` slots and batch `width`, fetching weights
     /// from the store at `weights` (`ip:port`), and its step loop started.
-    pub fn start(id: &str, capacity: u32, width: u32, fencing: bool, weights: &str) -> Self {
+    ///
+    /// A prompt that contains `deadly` ends it, unless that is empty.
+    pub fn start(
+        id: &str,
+        capacity: u32,
+        width: u32,
+        fencing: bool,
+        weights: &str,
+        deadly: Arc<str>,
+    ) -> Self {
         let channel = tonic::transport::Endpoint::from_shared(format!("http://{weights}"))
             .expect("weights address was checked in settings")
             .connect_lazy();
@@ -82,6 +96,7 @@
                 runs: Runs::default(),
                 weights: WeightsClient::new(channel),
                 faults: Faults::default(),
+                deadly,
             }),
         };
         tokio::spawn(step_loop(engine.inner.clone()));
@@ -107,7 +122,10 @@
     loop {
         tick.tick().await;
         let mut state = inner.state.lock().unwrap();
-        step(&mut state, inner.width, &inner.runs);
+        if step(&mut state, inner.width, &inner.runs, &inner.deadly) {
+            inner.faults.crash(AWAY);
+            inner.loaded.notify_waiters();
+        }
     }
 }
 
--- a/crates/comfreyhall-standins/src/engine/state.rs
+++ b/crates/comfreyhall-standins/src/engine/state.rs
@@ -82,7 +82,9 @@
 }
 
 /// Runs one batch step: admit by priority, emit one token per sequence.
-pub(super) fn step(state: &mut State, width: usize, runs: &Runs) {
+///
+/// Whether the engine ends in it: it has begun a prompt that contains `deadly`.
+pub(super) fn step(state: &mut State, width: usize, runs: &Runs, deadly: &str) -> bool {
     while state.active.len() < width {
         let best = state
             .queue
@@ -91,12 +93,16 @@
             .max_by_key(|(i, s)| (s.priority, std::cmp::Reverse(*i)))
             .map(|(i, _)| i);
         match best.and_then(|i| state.queue.remove(i)) {
+            Some(seq) if !deadly.is_empty() && seq.prompt.contains(deadly) => {
+                state.restart();
+                return true;
+            }
             Some(seq) => state.active.push(seq),
             None => break,
         }
     }
     if state.active.is_empty() {
-        return;
+        return false;
     }
     state.steps += 1;
     state.used += state.active.len() as u64;
@@ -131,4 +137,5 @@
         let seq = state.active.swap_remove(i);
         state.unpin(&seq.adapter, &seq.version);
     }
+    false
 }
--- a/crates/comfreyhall-standins/src/faults.rs
+++ b/crates/comfreyhall-standins/src/faults.rs
@@ -2,13 +2,13 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use comfreyhall_protocol::FaultOrder;
+use comfreyhall_protocol::{FaultOrder, not_run};
 use tonic::Status;
 
 /// The fault switches of one stand-in, changed by its `Fault` call.
@@ -25,6 +25,8 @@
     lose_ppm: AtomicU64,
     /// Share of adapter loads that fail, in millionths.
     fail_ppm: AtomicU64,
+    /// Until when the process is away after a crash.
+    away: Mutex<Option<Instant>>,
 }
 
 impl Faults {
@@ -42,8 +44,23 @@
         s.fail_ppm.store(ppm(order.fail_share), Ordering::Relaxed);
     }
 
+    /// The process crashes and is back after `pause`.
+    pub fn crash(&self, pause: Duration) {
+        *self.inner.away.lock().unwrap() = Some(Instant::now() + pause);
+    }
+
+    /// Whether the process is away after a crash.
+    fn away(&self) -> bool {
+        let away = *self.inner.away.lock().unwrap();
+        away.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Waits out the set delay, then fails if the stand-in is down.
     pub async fn gate(&self) -> Result<(), Status> {
+        if self.away() {
+            // Nobody listens: no call gets as far as being run.
+            return Err(not_run(Status::unavailable("the process has crashed")));
+        }
         let delay = self.inner.delay_ms.load(Ordering::Relaxed);
         if delay > 0 {
             tokio::time::sleep(Duration::from_millis(delay)).await;
--- a/crates/comfreyhall-standins/src/lib.rs
+++ b/crates/comfreyhall-standins/src/lib.rs
@@ -105,7 +105,9 @@
     });
     for e in &s.engines {
         add(&e.id, &e.listen, &|| {
-            let engine = EngineStandin::start(&e.id, e.slots, e.width, e.fencing, &p.weights);
+            let deadly = p.deadly_prompt.clone();
+            let engine =
+                EngineStandin::start(&e.id, e.slots, e.width, e.fencing, &p.weights, deadly);
             Routes::new(EngineServer::new(engine))
         });
     }
--- a/crates/comfreyhall-standins/tests/engine.rs
+++ b/crates/comfreyhall-standins/tests/engine.rs
@@ -22,7 +22,7 @@
     let (weights, addr) = (free_addr(), free_addr());
     let store = Routes::new(WeightsServer::new(WeightsStandin::new(4.0)));
     tokio::spawn(serve(weights, store, std::future::pending()));
-    let engine = EngineStandin::start("e", slots, 4, true, &weights.to_string());
+    let engine = EngineStandin::start("e", slots, 4, true, &weights.to_string(), "".into());
     let engine = Routes::new(EngineServer::new(engine));
     tokio::spawn(serve(addr, engine, std::future::pending()));
     for _ in 0..200 {
--- a/crates/comfreyhall/tests/failures.rs
+++ b/crates/comfreyhall/tests/failures.rs
@@ -543,3 +543,51 @@
             == 200
     });
 }
+
+/// Sends a prompt that ends the engine that begins it; status and body.
+fn deadly(addr: &str, id: &str) -> (u16, Value) {
+    let body = r#"{"model":"narrator@v1","prompt":"a deadly text","max_tokens":20}"#;
+    let headers = [("x-request-id", id)];
+    let answer = http(addr, "POST", "/v1/completions", body, &headers);
+    let (status, text) = answer.unwrap_or_default();
+    (status, serde_json::from_str(&text).unwrap_or_default())
+}
+
+#[test]
+fn deadly_prompt_is_held_back() {
+    // Symptom: engine after engine ended, and answers of all callers with them.
+    // Sequence: a prompt crashes the engine that begins it; the daemon starts
+    // it at the next one, and its caller sends it again through other daemons.
+    // Cause: nobody remembered under which request engines had ended.
+    let d = Deployment::start("deadly", 3, 4, 2);
+    catalog(&d);
+    let held = |(_, v): &(u16, Value)| v["error"]["type"] == "quarantined";
+    for i in 0..60 {
+        if held(&deadly(&d.instances[i % 3], &format!("d{i}"))) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    // Every daemon knows, and tells the truth about an attempt that was not sent.
+    for addr in &d.instances {
+        wait_for("the request to be held back", || {
+            held(&deadly(addr, "later"))
+        });
+        let (status, v) = deadly(addr, "last");
+        assert_eq!(status, 503, "{v}");
+        assert_eq!(v["error"]["outcome"], "not_run", "{v}");
+        assert!(
+            v["error"]["retry_after_ms"].as_u64().unwrap() >= 5_000,
+            "{v}"
+        );
+    }
+    let starts = d.starts("d");
+    assert!(starts <= 6, "engines began it {starts} times");
+    assert_eq!(d.starts("last"), 0);
+    // Others go on.
+    wait_for("another prompt to be answered", || {
+        let body = body("narrator@v1", 20, "");
+        let answer = http(&d.instances[0], "POST", "/v1/completions", &body, &[]);
+        answer.is_ok_and(|a| a.0 == 200)
+    });
+}
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -103,7 +103,7 @@
         let text = format!(
             "// Written by the tests.\n{{ deployment: \"test\", instances: [\n{instance_rows}],\n\
              engines: [\n{engine_rows}],\nservices: [\n{service_rows}],\n\
-             platform: {{ table: \"{}\", weights: \"{}\", objects: \"{}\", instances: \"{}\", loads_per_sec: 20.0 }},\n\
+             platform: {{ table: \"{}\", weights: \"{}\", objects: \"{}\", instances: \"{}\", loads_per_sec: 20.0, deadly_prompt: \"deadly\" }},\n\
              tuning: {{ heartbeat_ms: 100, lease_ms: 400, poll_ms: 20, follow_ms: 50, address_ttl_ms: 500 }},\n\
              workload: {{ customers: 2, adapters: 20 }} }}\n",
             addr(),
