--- a/crates/comfreyhall-cli/src/bench/mod.rs
+++ b/crates/comfreyhall-cli/src/bench/mod.rs
@@ -12,6 +12,7 @@
 //! seeded.
 
 mod caller;
+mod deadly;
 mod faults;
 mod oracle;
 mod report;
@@ -111,15 +112,18 @@
     let (used0, offered0) = batch_totals(&s).await;
     let until = plan.start + plan.end;
     let injector = tokio::spawn(faults::inject(s.clone(), faults, cmd.seed, until));
+    let deadly = tokio::spawn(deadly::repeat(s.clone(), client, plan.order[0], until));
     let mut tally = Tally::new();
     for t in tasks {
         tally.merge(t.await?);
     }
     let injected = injector.await?;
+    let deadly = deadly.await?;
     let seconds = counted.elapsed().as_secs_f64();
     let (used1, offered1) = batch_totals(&s).await;
     let verdict = oracle::judge(&s, &tally).await;
     let batch = (used1 - used0, offered1 - offered0);
-    let report = Report::new(&cmd, seconds, &tally, batch, injected, &verdict);
+    let mut report = Report::new(&cmd, seconds, &tally, batch, injected, &verdict);
+    report.deadly = deadly;
     Ok(render(json, &report, || report::text(&report)))
 }
--- a/crates/comfreyhall-cli/src/bench/oracle.rs
+++ b/crates/comfreyhall-cli/src/bench/oracle.rs
@@ -54,6 +54,13 @@
     out
 }
 
+/// How often requests whose ids begin with `prefix` were begun.
+pub(super) async fn begun(s: &Settings, prefix: &str) -> u64 {
+    let starts = starts(s).await;
+    let ours = starts.iter().filter(|(id, _)| id.starts_with(prefix));
+    ours.map(|(_, n)| u64::from(*n)).sum()
+}
+
 /// Counts the promises that were broken.
 pub(super) async fn judge(s: &Settings, tally: &Tally) -> Verdict {
     tokio::time::sleep(SETTLE).await;
--- a/crates/comfreyhall-cli/src/bench/report.rs
+++ b/crates/comfreyhall-cli/src/bench/report.rs
@@ -1,5 +1,6 @@
 //! What a run counted, and how it is printed.
 
+use super::deadly::Deadly;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -135,6 +136,8 @@
     pub(crate) batch_efficiency: f64,
     /// Faults injected during the run.
     pub(crate) faults: u64,
+    /// What became of the request that ends engines, if there was one.
+    pub(crate) deadly: Option<Deadly>,
 }
 
 impl Report {
@@ -173,6 +176,7 @@
             stalled_share: share(t.stalled, answered),
             batch_efficiency: share(used, offered),
             faults,
+            deadly: None,
         }
     }
 }
@@ -186,11 +190,17 @@
 
 /// The report as people read it.
 pub(crate) fn text(r: &Report) -> String {
+    let deadly = r.deadly.as_ref().map_or(String::new(), |d| {
+        format!(
+            "deadly request: {} attempts, {} held back, begun by engines {} times\n",
+            d.attempts, d.held, d.begun
+        )
+    });
     format!(
         "bench {label} (seed {seed}, {secs} s, {faults} faults): {req} requests in {att} attempts, {ok} answered, {refused} refused, {unk} unknown\n\
          broken promises: {lost} lost, {doubled} doubled, {cut} cut off, {mis} misreported, {wrong} wrong\n\
          load stall ms: p50 {p50}  p95 {p95}  p99 {p99}  max {max}  total {tot} s, {stalled:.1}% of answers stalled\n\
-         batch efficiency: {eff:.1}% of engine step slots used\n",
+         batch efficiency: {eff:.1}% of engine step slots used\n{deadly}",
         label = r.label,
         seed = r.seed,
         secs = r.seconds,
--- a/crates/comfreyhall-cli/src/tests.rs
+++ b/crates/comfreyhall-cli/src/tests.rs
@@ -34,6 +34,7 @@
         stalled_share: 0.125,
         batch_efficiency: 0.61,
         faults: 12,
+        deadly: None,
     };
     insta::assert_snapshot!(bench::text(&r));
 }
