Soak plays a request that ends its engines; a kept failure is passed on

A request that is held back after a target answered it with a failure gets that failure, as any other that is given up.

--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -367,15 +367,21 @@
         choose::choose(&self.node, &wish)
     }
 
+    /// A target's failure that was kept in case nothing better came.
+    fn spare_reply(&mut self, why: &'static str) -> Option<Reply> {
+        let (status, headers, body) = self.spare.take()?;
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, why; "passed on a target's failure");
+        Some(whole(status, headers, body))
+    }
+
     /// The final answer, at once.
     fn give_up(&mut self, why: &'static str, excess_ms: f64) -> Reply {
         self.ended = true;
         self.node.metrics.refusal(why);
-        let left = self.left();
-        if let Some((status, headers, body)) = self.spare.take() {
-            log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, why; "passed on a target's failure");
-            return whole(status, headers, body);
+        if let Some(reply) = self.spare_reply(why) {
+            return reply;
         }
+        let left = self.left();
         let draw: u64 = rand::rng().random();
         let retry = admission::retry_ms(excess_ms, left, draw);
         let answer = answer_for(&self.verdict, left == 0, retry);
--- a/crates/comfreyhall-node/src/serve/print.rs
+++ b/crates/comfreyhall-node/src/serve/print.rs
@@ -74,12 +74,16 @@
 
     /// The final answer to a request that is held back, at once.
     pub(super) fn hold_back(&mut self, retry_ms: u64) -> Reply {
+        let why = "targets ended under it";
         self.ended = true;
+        self.node.metrics.refusal(why);
+        if let Some(reply) = self.spare_reply(why) {
+            return reply;
+        }
         let (now, left, print) = (self.node.now(), self.left(), self.print());
-        let (why, held) = ("targets ended under it", now - self.began);
+        let held = now - self.began;
         let answer = answer_held(&self.verdict, retry_ms);
         let evidence = self.node.quarantine.ends(&print, now);
-        self.node.metrics.refusal(why);
         self.node.metrics.request(self.route.kind, answer.name());
         log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, print:%, why, answer:?, evidence, sends = self.verdict.sends, held, left; "given up");
         Reply::Unanswered(answer)
--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -4,7 +4,7 @@
 //! platform: stops, kills, freezes and reloads by signals; their ways to the
 //! store and to targets delayed, cut, silenced or cut one way by loopback
 //! proxies; a store that is down or leaves commits unanswered; streams that
-//! break. Faults come in series and overlap. Callers go on all the while, on
+//! break; a request that ends the engine that begins it. Faults come in series and overlap. Callers go on all the while, on
 //! open connections until the process is gone, and what they were told is
 //! held against what the targets ran.
 //!
@@ -29,10 +29,13 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use emulator::{
-    Store, Worker,
+    DEADLY, Store,
     caller::{Caller, Kind, Told, ready},
-    config, entry, start_store, start_worker,
+    config,
+    host::{Host, Plan},
+    start_store,
 };
 use nix::{
     sys::signal::{Signal, kill},
@@ -79,6 +82,9 @@
 /// A request that was cut sooner than this may not have been read.
 const UNREAD: Duration = Duration::from_millis(200);
 
+/// Pause between two attempts of the caller of a deadly request.
+const DEADLY_PAUSE: Duration = Duration::from_millis(200);
+
 /// One attempt of a caller.
 struct Attempt {
     id: String,
@@ -169,7 +175,7 @@
     dir: PathBuf,
     store: Arc<Store>,
     /// Targets, each behind a wire that all daemons use.
-    targets: Vec<(Arc<Worker>, Wire)>,
+    targets: Vec<(Arc<Host>, Wire)>,
     daemons: Vec<Daemon>,
     breaks: Arc<Mutex<u32>>,
     rng: StdRng,
@@ -196,11 +202,17 @@
             ("s1", "app"),
             ("s2", "app"),
         ] {
-            let worker = Worker::new(id, breaks.clone());
-            worker.pace_ms.store(PACE_MS, Ordering::SeqCst);
-            let wire = Wire::to(&start_worker(worker.clone()).await);
-            store.put("servers", id, &entry(service, &wire.addr, "ready"));
-            targets.push((worker, wire));
+            let plan = Plan {
+                name: id.into(),
+                service,
+                breaks: breaks.clone(),
+                pace_ms: PACE_MS,
+            };
+            let mut wire = None;
+            let host = Host::start_behind(plan, store.clone(), |addr| {
+                wire.insert(Wire::to(addr)).addr.clone()
+            });
+            targets.push((host, wire.unwrap()));
         }
         store.put("op", "config", &config(1, "/g/"));
         let mut site = Self {
@@ -388,7 +400,8 @@
     /// Runs of each request over all targets.
     fn runs(&self) -> HashMap<String, usize> {
         let mut out = HashMap::new();
-        for (worker, _) in &self.targets {
+        let boots = self.targets.iter().flat_map(|(host, _)| host.boots());
+        for worker in boots {
             for head in worker.ran.lock().unwrap().iter() {
                 let id = head["x-request-id"].to_str().unwrap().to_string();
                 *out.entry(id).or_default() += 1;
@@ -480,6 +493,22 @@
     out
 }
 
+/// Sends a request that ends the engine that begins it, again and again through
+/// all daemons, until told to stop. It is one of many faults: what callers are
+/// told beside it is held against what ran, like all else.
+async fn call_deadly(fronts: Vec<String>, stop: Arc<AtomicBool>) {
+    for (i, front) in fronts.iter().cycle().enumerate() {
+        if stop.load(Ordering::SeqCst) {
+            return;
+        }
+        let (id, body) = (format!("d{i}"), Bytes::from_static(DEADLY));
+        let mut caller = Caller::default();
+        // Whatever it is told, it comes again.
+        caller.ask_with(front, Kind::Stream, &id, "a0", body).await;
+        tokio::time::sleep(DEADLY_PAUSE).await;
+    }
+}
+
 /// Plays `seed`; every third one has planned work only.
 async fn play(seed: u64, seconds: u64) {
     println!("seed {seed}");
@@ -495,12 +524,14 @@
             tokio::spawn(call(fronts.clone(), rng, next.clone(), stop.clone()))
         })
         .collect();
+    let planned_only = seed.is_multiple_of(3);
+    let deadly = (!planned_only).then(|| tokio::spawn(call_deadly(fronts, stop.clone())));
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(seconds) {
         let pause = site.any_ms(20..400);
         tokio::time::sleep(pause).await;
         site.end(false);
-        if seed.is_multiple_of(3) || site.rng.random_bool(0.3) {
+        if planned_only || site.rng.random_bool(0.3) {
             site.planned().await;
         } else {
             site.fault();
@@ -515,11 +546,18 @@
     for caller in callers {
         attempts.extend(caller.await.unwrap());
     }
+    if let Some(deadly) = deadly {
+        deadly.await.unwrap();
+    }
+    for (host, _) in &site.targets {
+        site.faults.extend(host.crashes());
+    }
+    let deadly: u64 = site.targets.iter().map(|(host, _)| host.deadly()).sum();
     // What was sent runs to its end, so that a late second run shows.
     tokio::time::sleep(Duration::from_millis(500)).await;
     let count = |told: &Told| attempts.iter().filter(|a| a.told == *told).count();
     println!(
-        "{} attempts, {} answered, {} not run, {} faults",
+        "{} attempts, {} answered, {} not run, {} faults, deadly request at engines {deadly} times",
         attempts.len(),
         count(&Told::Answered),
         count(&Told::NotRun),
