Quarantine: fingerprints by their name, one place that looks at targets

No behaviour changes: the field's word in code, logs, wire and pages, and what waits for a target to be looked at stands beside the looking.

--- a/crates/comfreyhall-cli/src/explain.rs
+++ b/crates/comfreyhall-cli/src/explain.rs
@@ -28,7 +28,7 @@
 fn story(lines: Vec<Line>, id: &str) -> Vec<Line> {
     let own: Vec<&Line> = lines.iter().filter(|l| l.text("id") == id).collect();
     let targets: BTreeSet<&str> = own.iter().map(|l| l.text("target_id")).collect();
-    let prints: BTreeSet<&str> = own.iter().map(|l| l.text("print")).collect();
+    let fingerprints: BTreeSet<&str> = own.iter().map(|l| l.text("fingerprint")).collect();
     let first = own.iter().map(|l| l.at).min().unwrap_or(0);
     let last = own.iter().map(|l| l.at).max().unwrap_or(0);
     let around = first.saturating_sub(BEFORE_MS)..=last;
@@ -37,8 +37,8 @@
         !id.is_empty() && targets.contains(id) && around.contains(&l.at)
     };
     let same_request = |l: &Line| {
-        let print = l.text("print");
-        !print.is_empty() && prints.contains(print) && l.at <= last
+        let fingerprint = l.text("fingerprint");
+        !fingerprint.is_empty() && fingerprints.contains(fingerprint) && l.at <= last
     };
     let mut out: Vec<Line> = lines
         .iter()
--- a/crates/comfreyhall-cli/src/explain_tests.rs
+++ b/crates/comfreyhall-cli/src/explain_tests.rs
@@ -23,10 +23,10 @@
 /// Cause: each attempt has an id of its own.
 #[test]
 fn story_has_earlier_attempts() {
-    let log = r#"0 front-1 {"t":1000,"part":"serve","msg":"send","id":"r1","print":"ab","target_id":"i-1"}
-0 front-1 {"t":1100,"part":"serve","msg":"send","id":"r2","print":"cd","target_id":"i-1"}
-0 front-2 {"t":90000,"part":"serve","msg":"given up","id":"r3","print":"ab"}
-0 front-2 {"t":95000,"part":"serve","msg":"given up","id":"r4","print":"ab"}"#;
+    let log = r#"0 front-1 {"t":1000,"part":"serve","msg":"send","id":"r1","fingerprint":"ab","target_id":"i-1"}
+0 front-1 {"t":1100,"part":"serve","msg":"send","id":"r2","fingerprint":"cd","target_id":"i-1"}
+0 front-2 {"t":90000,"part":"serve","msg":"given up","id":"r3","fingerprint":"ab"}
+0 front-2 {"t":95000,"part":"serve","msg":"given up","id":"r4","fingerprint":"ab"}"#;
     let story = story(parse(log, "log"), "r3");
     let ids: Vec<&str> = story.iter().map(|l| l.text("id")).collect();
     assert_eq!(ids, ["r1", "r3"]);
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -92,22 +92,22 @@
     turn.sort_by_key(|i| services[*i].domain != app.instance.domain);
     let default = Duration::from_millis(app.inner.settings.tuning.deadline_ms);
     let until = Instant::now() + default;
-    let print = Fingerprint::of([order.method.as_bytes(), &order.body]);
+    let fingerprint = Fingerprint::of([order.method.as_bytes(), &order.body]);
     let mut doubt = None;
     for index in turn.into_iter().take(TRIES) {
         let left = until.saturating_duration_since(Instant::now());
-        quarantine::admit(app, &print, doubt.is_some())?;
+        quarantine::admit(app, &fingerprint, doubt.is_some())?;
         let mut client = app.inner.plain[index].clone();
         let sent = client.call(order.clone());
         let why = match tokio::time::timeout(left.min(TRY_TIMEOUT), sent).await {
             Ok(Ok(reply)) if reply.get_ref().request_id == order.request_id => {
-                quarantine::ran_whole(app, print);
+                quarantine::ran_whole(app, fingerprint);
                 return Ok(reply.into_inner().body);
             }
             Ok(Ok(_)) => "the answer is another request's".to_string(),
             Ok(Err(s)) if proves_not_run(&s) => continue,
             Ok(Err(s)) => {
-                quarantine::broke(app, Suspect::Service(index), print, true);
+                quarantine::broke(app, Suspect::Service(index), fingerprint, true);
                 s.message().to_string()
             }
             Err(_) => "no answer in time".to_string(),
--- a/crates/comfreyhall-daemon/src/http/complete.rs
+++ b/crates/comfreyhall-daemon/src/http/complete.rs
@@ -200,7 +200,7 @@
         },
         until: Instant::now() + deadline,
         repeatable: !ask.body.non_idempotent,
-        print: Fingerprint::of([
+        fingerprint: Fingerprint::of([
             resolved.customer.as_bytes(),
             adapter.as_bytes(),
             version.as_bytes(),
--- a/crates/comfreyhall-daemon/src/quarantine.rs
+++ b/crates/comfreyhall-daemon/src/quarantine.rs
@@ -86,17 +86,17 @@
     }
 }
 
-/// Whether `print` may be sent now; `sent`: a send of this attempt may have run.
-pub(crate) fn admit(app: &App, print: &Fingerprint, sent: bool) -> Result<(), RouteError> {
-    let rank = rank(app, print);
+/// Whether `fingerprint` may be sent now; `sent`: a send of this attempt may have run.
+pub(crate) fn admit(app: &App, fingerprint: &Fingerprint, sent: bool) -> Result<(), RouteError> {
+    let rank = rank(app, fingerprint);
     let mut state = app.inner.quarantine.state();
-    let retry_ms = match state.known.status(print, rank, app.now_ms()) {
+    let retry_ms = match state.known.status(fingerprint, rank, app.now_ms()) {
         Status::Free => return Ok(()),
         Status::Held { retry_ms } => retry_ms,
         Status::Trial => {
-            let last = state.trials.get(print);
+            let last = state.trials.get(fingerprint);
             if last.is_none_or(|at| at.elapsed() > TRIAL) {
-                state.trials.insert(*print, Instant::now());
+                state.trials.insert(*fingerprint, Instant::now());
                 return Ok(());
             }
             TRIAL.as_millis() as u64
@@ -108,29 +108,29 @@
     }
 }
 
-/// Where this instance stands among all in trying `print` again.
-fn rank(app: &App, print: &Fingerprint) -> usize {
-    let place = |id: &str| Fingerprint::of([print.as_bytes(), id.as_bytes()]);
+/// Where this instance stands among all in trying `fingerprint` again.
+fn rank(app: &App, fingerprint: &Fingerprint) -> usize {
+    let place = |id: &str| Fingerprint::of([fingerprint.as_bytes(), id.as_bytes()]);
     let own = place(&app.instance.id);
     let others = app.inner.peers.keys();
     others.filter(|id| place(id) < own).count()
 }
 
-/// A run of `print` broke off at a target; `early`: it had just begun.
-pub(crate) fn broke(app: &App, at: Suspect, print: Fingerprint, early: bool) {
+/// A run of `fingerprint` broke off at a target; `early`: it had just begun.
+pub(crate) fn broke(app: &App, at: Suspect, fingerprint: Fingerprint, early: bool) {
     let app = app.clone();
     tokio::spawn(async move {
         let Some(target) = ended(&app, at).await else {
             return;
         };
-        found(&app, print, Finding::Ended { target, early });
+        found(&app, fingerprint, Finding::Ended { target, early });
     });
 }
 
-/// A target ran `print` to its end.
-pub(crate) fn ran_whole(app: &App, print: Fingerprint) {
-    if app.inner.quarantine.state().known.suspects(&print) {
-        found(app, print, Finding::RanWhole);
+/// A target ran `fingerprint` to its end.
+pub(crate) fn ran_whole(app: &App, fingerprint: Fingerprint) {
+    if app.inner.quarantine.state().known.suspects(&fingerprint) {
+        found(app, fingerprint, Finding::RanWhole);
     }
 }
 
@@ -180,9 +180,9 @@
 }
 
 /// Takes in a finding of this daemon and tells all others.
-fn found(app: &App, print: Fingerprint, finding: Finding) {
+fn found(app: &App, fingerprint: Fingerprint, finding: Finding) {
     let evidence = Evidence {
-        print,
+        fingerprint,
         finding,
         at: app.now_ms(),
         witness: app.instance.id.clone(),
@@ -207,12 +207,12 @@
 }
 
 fn note(app: &App, known: &Quarantine, change: Change, now: u64) {
-    let (print, what) = match change {
-        Change::Suspect(print) => (print, "is suspect"),
-        Change::Held(print) => (print, "is held back"),
-        Change::LetGo(print) => (print, "is let go"),
+    let (fingerprint, what) = match change {
+        Change::Suspect(fingerprint) => (fingerprint, "is suspect"),
+        Change::Held(fingerprint) => (fingerprint, "is held back"),
+        Change::LetGo(fingerprint) => (fingerprint, "is let go"),
     };
-    let ends = known.ends(&print).iter().map(|e| {
+    let ends = known.ends(&fingerprint).iter().map(|e| {
         let age = now.saturating_sub(e.at);
         format!("{} ended {age} ms ago, told by {}", e.target, e.witness)
     });
@@ -222,7 +222,7 @@
         Change::Held(_) => "held_back",
         Change::LetGo(_) => "let_go",
     });
-    log::warn!(target: "quarantine", "request {print} {what}: {}", ends.join("; "));
+    log::warn!(target: "quarantine", "request {fingerprint} {what}: {}", ends.join("; "));
 }
 
 /// Starts swapping with one other daemon now and then.
--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -114,7 +114,7 @@
                         self.job.order.resume_from += 1;
                         self.answered.get_or_insert_with(Instant::now);
                         if c.done {
-                            quarantine::ran_whole(&self.app, self.job.print);
+                            quarantine::ran_whole(&self.app, self.job.fingerprint);
                         }
                         self.app.inner.metrics.token();
                         return Ok(c);
@@ -141,7 +141,7 @@
         let at = Suspect::Engine(self.started.engine, self.started.boot);
         let answered = self.answered.take();
         let early = answered.is_none_or(|at| at.elapsed() < quarantine::EARLY);
-        quarantine::broke(&self.app, at, self.job.print, early);
+        quarantine::broke(&self.app, at, self.job.fingerprint, early);
         log::warn!(target: "relay", "{id} broke off at token {}: {why}", self.job.order.resume_from);
         if !self.job.repeatable || self.resumes >= RESUMES {
             return Err(RouteError::InDoubt(why));
--- a/crates/comfreyhall-daemon/src/relay_tests.rs
+++ b/crates/comfreyhall-daemon/src/relay_tests.rs
@@ -15,7 +15,7 @@
             ..GenerateRequest::default()
         },
         until: Instant::now() + Duration::from_secs(1),
-        print: comfreyhall_quarantine::Fingerprint::of([]),
+        fingerprint: comfreyhall_quarantine::Fingerprint::of([]),
         repeatable: true,
     }
 }
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -40,7 +40,7 @@
     /// Whether it may be sent to a second engine when in doubt.
     pub(crate) repeatable: bool,
     /// Its identity over all attempts.
-    pub(crate) print: Fingerprint,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl Job {
@@ -116,7 +116,7 @@
         if job.left().is_zero() {
             return Err(end(&doubt, RouteError::Late));
         }
-        quarantine::admit(app, &job.print, doubt.is_some())?;
+        quarantine::admit(app, &job.fingerprint, doubt.is_some())?;
         let boot = app.boot(engine);
         match accept(app, engine, job).await {
             Ok(stream) => {
@@ -137,7 +137,7 @@
             Err(Refusal::Doubt { why, silent }) => {
                 if !silent {
                     let at = Suspect::Engine(engine, boot);
-                    quarantine::broke(app, at, job.print, true);
+                    quarantine::broke(app, at, job.fingerprint, true);
                 }
                 log::warn!(target: "route", "engine {engine} may run {}: {why}", job.order.request_id);
                 app.view()[engine].up = false;
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -9,8 +9,9 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Name;
+use comfreyhall_quarantine::Fingerprint;
 
-use super::{Node, settle};
+use super::{Node, Watch, doubted, settle};
 use crate::ports::Pulse;
 
 /// Pauses before each look at the target, in ms: a process that ended refuses
@@ -24,6 +25,10 @@
 /// Pause between looks at the entry.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
+/// Longest a suspect's next send waits to learn whether its last target has
+/// ended: a target that did is known within some ms.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Settles the doubts about `target`.
 pub(super) async fn run(node: Arc<Node>, target: Name) {
     let ended = ended(&node, &target).await;
@@ -52,3 +57,22 @@
     }
     false
 }
+
+impl Watch {
+    /// Waits for a while until it is known whether targets that closed
+    /// connections of the suspect `fingerprint` have ended: it may be one too
+    /// many.
+    pub(crate) async fn settled(&self, node: &Node, fingerprint: &Fingerprint) {
+        let settled = async {
+            loop {
+                let notified = self.settled.notified();
+                if !doubted(node, fingerprint) {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        // In time or not: the request goes on with what is known then.
+        let _ = tokio::time::timeout(SETTLE_TIMEOUT, settled).await;
+    }
+}
--- a/crates/comfreyhall-node/src/quarantine/log.rs
+++ b/crates/comfreyhall-node/src/quarantine/log.rs
@@ -25,21 +25,21 @@
 ) {
     for change in changes {
         match change {
-            Change::Suspect(print) => {
+            Change::Suspect(fingerprint) => {
                 node.metrics.quarantine("suspect");
-                let evidence = ends(known.ends(print), now);
-                log::info!(target: "quarantine", print:%, evidence; "request suspect");
+                let evidence = ends(known.ends(fingerprint), now);
+                log::info!(target: "quarantine", fingerprint:%, evidence; "request suspect");
             }
-            Change::Held(print) => {
+            Change::Held(fingerprint) => {
                 node.metrics.quarantine("held_back");
-                let evidence = ends(known.ends(print), now);
-                log::warn!(target: "quarantine", print:%, evidence; "request held back");
+                let evidence = ends(known.ends(fingerprint), now);
+                log::warn!(target: "quarantine", fingerprint:%, evidence; "request held back");
             }
-            Change::LetGo(print) => {
+            Change::LetGo(fingerprint) => {
                 node.metrics.quarantine("let_go");
                 let why = cause.map_or("too old".to_string(), |e| reason(e, now));
-                let evidence = ends(known.ends(print), now);
-                log::info!(target: "quarantine", print:%, why, evidence; "request let go");
+                let evidence = ends(known.ends(fingerprint), now);
+                log::info!(target: "quarantine", fingerprint:%, why, evidence; "request let go");
             }
         }
     }
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -69,13 +69,13 @@
 /// this lives.
 pub(crate) struct Trial {
     node: Arc<Node>,
-    print: Fingerprint,
+    fingerprint: Fingerprint,
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
         let state = &self.node.quarantine;
-        state.state().trials.remove(&self.print);
+        state.state().trials.remove(&self.fingerprint);
     }
 }
 
@@ -90,40 +90,40 @@
         self.state().known.is_empty()
     }
 
-    /// Whether a target ended under `print`.
-    pub(crate) fn suspects(&self, print: &Fingerprint) -> bool {
-        self.state().known.suspects(print)
+    /// Whether a target ended under `fingerprint`.
+    pub(crate) fn suspects(&self, fingerprint: &Fingerprint) -> bool {
+        self.state().known.suspects(fingerprint)
     }
 
-    /// The targets that ended under `print`, for the log.
-    pub(crate) fn ends(&self, print: &Fingerprint, now: u64) -> String {
-        log::ends(self.state().known.ends(print), now)
+    /// The targets that ended under `fingerprint`, for the log.
+    pub(crate) fn ends(&self, fingerprint: &Fingerprint, now: u64) -> String {
+        log::ends(self.state().known.ends(fingerprint), now)
     }
 }
 
-/// Whether `print` may be sent by this daemon now.
-pub(crate) fn admit(node: &Arc<Node>, print: Fingerprint) -> Admission {
-    if !node.quarantine.state().known.holds(&print) {
+/// Whether `fingerprint` may be sent by this daemon now.
+pub(crate) fn admit(node: &Arc<Node>, fingerprint: Fingerprint) -> Admission {
+    if !node.quarantine.state().known.holds(&fingerprint) {
         return Admission::Free;
     }
     let now = node.now();
-    let rank = node.fleet.rank(&print.to_string(), now);
+    let rank = node.fleet.rank(&fingerprint.to_string(), now);
     let mut state = node.quarantine.state();
-    match state.known.status(&print, rank, now) {
+    match state.known.status(&fingerprint, rank, now) {
         Status::Free => Admission::Free,
         Status::Held { retry_ms } => Admission::Held(retry_ms),
-        Status::Trial if state.trials.insert(print) => {
+        Status::Trial if state.trials.insert(fingerprint) => {
             drop(state);
             let node = node.clone();
-            Admission::Trial(Trial { node, print })
+            Admission::Trial(Trial { node, fingerprint })
         }
         Status::Trial => Admission::Held(TRIED_MS),
     }
 }
 
-/// The target closed the connection of a run of `print`; `early`: it had just
-/// begun to run it, as far as is known.
-pub(crate) fn broke(node: &Arc<Node>, target: &Name, print: Fingerprint, early: bool) {
+/// The target closed the connection of a run of `fingerprint`; `early`: it had
+/// just begun to run it, as far as is known.
+pub(crate) fn broke(node: &Arc<Node>, target: &Name, fingerprint: Fingerprint, early: bool) {
     if !stays(node, target) {
         return;
     }
@@ -134,22 +134,12 @@
         .retain(|_, at| now.saturating_sub(*at) < ENDED_MS);
     if state.ended.contains_key(target) {
         drop(state);
-        found(
-            node,
-            print,
-            Finding::Ended {
-                target: target.clone(),
-                early,
-            },
-        );
+        found(node, fingerprint, ended(target, early));
         return;
     }
     let first = !state.doubts.contains_key(target);
-    state
-        .doubts
-        .entry(target.clone())
-        .or_default()
-        .insert(print, early);
+    let doubts = state.doubts.entry(target.clone()).or_default();
+    doubts.insert(fingerprint, early);
     drop(state);
     if first {
         tokio::spawn(confirm::run(node.clone(), target.clone()));
@@ -164,51 +154,49 @@
     known.is_some_and(|t| t.stage == Stage::Ready)
 }
 
-/// A target ran `print` to its end.
-pub(crate) fn ran_whole(node: &Arc<Node>, print: Fingerprint) {
-    if node.quarantine.suspects(&print) {
-        found(node, print, Finding::RanWhole);
+/// A target ran `fingerprint` to its end.
+pub(crate) fn ran_whole(node: &Arc<Node>, fingerprint: Fingerprint) {
+    if node.quarantine.suspects(&fingerprint) {
+        found(node, fingerprint, Finding::RanWhole);
     }
 }
 
-/// Whether it is still open if a target that closed a connection of `print`
-/// has ended.
-fn doubted(node: &Node, print: &Fingerprint) -> bool {
+/// Whether it is still open if a target that closed a connection of
+/// `fingerprint` has ended.
+fn doubted(node: &Node, fingerprint: &Fingerprint) -> bool {
     let state = node.quarantine.state();
-    state
-        .doubts
-        .values()
-        .any(|prints| prints.contains_key(print))
+    let mut doubts = state.doubts.values();
+    doubts.any(|of_target| of_target.contains_key(fingerprint))
 }
 
 /// The doubts about `target` are settled.
-fn settle(node: &Arc<Node>, target: &Name, ended: bool) {
+fn settle(node: &Arc<Node>, target: &Name, has_ended: bool) {
     let now = node.now();
     let mut state = node.quarantine.state();
-    let prints = state.doubts.remove(target).unwrap_or_default();
-    if ended {
+    let doubts = state.doubts.remove(target).unwrap_or_default();
+    if has_ended {
         state.ended.insert(target.clone(), now);
     }
     drop(state);
-    if ended {
-        for (print, early) in prints {
-            found(
-                node,
-                print,
-                Finding::Ended {
-                    target: target.clone(),
-                    early,
-                },
-            );
+    if has_ended {
+        for (fingerprint, early) in doubts {
+            found(node, fingerprint, ended(target, early));
         }
     }
     node.quarantine.settled.notify_waiters();
 }
 
+fn ended(target: &Name, early: bool) -> Finding {
+    Finding::Ended {
+        target: target.clone(),
+        early,
+    }
+}
+
 /// Takes in a finding of this daemon.
-fn found(node: &Arc<Node>, print: Fingerprint, finding: Finding) {
+fn found(node: &Arc<Node>, fingerprint: Fingerprint, finding: Finding) {
     let evidence = Evidence {
-        print,
+        fingerprint,
         finding,
         at: node.now(),
         witness: node.settings().id.as_ref().into(),
--- a/crates/comfreyhall-node/src/quarantine/spread.rs
+++ b/crates/comfreyhall-node/src/quarantine/spread.rs
@@ -5,9 +5,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Node, doubted, forget};
+use super::{Node, forget};
 use crate::fleet;
-use comfreyhall_quarantine::Fingerprint;
 
 /// Pause that gathers the findings of one crash into one call.
 const GATHER: Duration = Duration::from_millis(10);
@@ -19,10 +18,6 @@
 /// Pause between looks for what is too old.
 const FORGET_PAUSE: Duration = Duration::from_secs(10);
 
-/// Longest a suspect's next send waits to learn whether its last target has
-/// ended: a target that did is known within some ms.
-const SETTLE_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Starts the duties.
 pub(crate) fn spawn(node: &Arc<Node>) {
     tokio::spawn(tell(node.clone()));
@@ -43,22 +38,3 @@
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
-
-impl super::Watch {
-    /// Waits until it is known, for a while, whether targets that closed
-    /// connections of the suspect `print` have ended: one of them may make it
-    /// one too many.
-    pub(crate) async fn settled(&self, node: &Node, print: &Fingerprint) {
-        let settled = async {
-            loop {
-                let notified = self.settled.notified();
-                if !doubted(node, print) {
-                    return;
-                }
-                notified.await;
-            }
-        };
-        // In time or not: the request goes on with what is known then.
-        let _ = tokio::time::timeout(SETTLE_TIMEOUT, settled).await;
-    }
-}
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -196,7 +196,7 @@
         }
         job.verdict.add(Outcome::Broken);
         let last = self.last;
-        log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, print:% = job.print(), target_id:% = self.flight.target, events = self.passed, why, left = job.left(); "stream broke off");
+        log::info!(target: "serve", id:% = job.ask.id, route:% = job.route.name, fingerprint:% = job.fingerprint(), target_id:% = self.flight.target, events = self.passed, why, left = job.left(); "stream broke off");
         // The old run must be gone before the new one begins.
         self.body = Box::pin(futures::stream::empty());
         self.events = Events::default();
--- a/crates/comfreyhall-node/src/serve/print.rs
+++ b/crates/comfreyhall-node/src/serve/hold.rs
@@ -13,7 +13,7 @@
 /// The identity of `ask` over all attempts: its caller (the host it calls and
 /// its credential), what it calls, and its body. Ids, time limits and hints
 /// differ from attempt to attempt and are left out.
-fn print_of(ask: &Ask) -> Fingerprint {
+fn fingerprint_of(ask: &Ask) -> Fingerprint {
     let credential = ask.message.headers.get(header::AUTHORIZATION);
     Fingerprint::of([
         ask.host.as_bytes(),
@@ -27,20 +27,20 @@
 impl Job {
     /// Its identity over all attempts. Computed when first asked for: most
     /// requests are never compared with another.
-    pub(crate) fn print(&self) -> Fingerprint {
-        *self.print.get_or_init(|| print_of(&self.ask))
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| fingerprint_of(&self.ask))
     }
 
     /// The target closed the connection of the run `flight`.
     pub(crate) fn broke(&self, flight: &Flight) {
         let target = &flight.target;
-        quarantine::broke(&self.node, target, self.print(), flight.early());
+        quarantine::broke(&self.node, target, self.fingerprint(), flight.early());
     }
 
     /// A target ran it to its end.
     pub(crate) fn ran_whole(&self) {
         if !self.node.quarantine.is_empty() {
-            quarantine::ran_whole(&self.node, self.print());
+            quarantine::ran_whole(&self.node, self.fingerprint());
         }
     }
 
@@ -52,20 +52,20 @@
         if self.node.quarantine.is_empty() {
             return None;
         }
-        let print = self.print();
-        if self.node.quarantine.suspects(&print) {
-            self.node.quarantine.settled(&self.node, &print).await;
+        let fingerprint = self.fingerprint();
+        if self.node.quarantine.suspects(&fingerprint) {
+            self.node.quarantine.settled(&self.node, &fingerprint).await;
         }
         if self.trial.is_some() {
             // A trial is one send.
             let sent = self.verdict.sends > 0;
             return sent.then_some(quarantine::TRIED_MS);
         }
-        match quarantine::admit(&self.node, print) {
+        match quarantine::admit(&self.node, fingerprint) {
             Admission::Free => None,
             Admission::Held(retry_ms) => Some(retry_ms),
             Admission::Trial(trial) => {
-                log::info!(target: "quarantine", id:% = self.ask.id, print:%; "request tried again");
+                log::info!(target: "quarantine", id:% = self.ask.id, fingerprint:%; "request tried again");
                 self.trial = Some(trial);
                 None
             }
@@ -80,12 +80,12 @@
         if let Some(reply) = self.spare_reply(why) {
             return reply;
         }
-        let (now, left, print) = (self.node.now(), self.left(), self.print());
+        let (now, left, fingerprint) = (self.node.now(), self.left(), self.fingerprint());
         let held = now - self.began;
         let answer = answer_held(&self.verdict, retry_ms);
-        let evidence = self.node.quarantine.ends(&print, now);
+        let evidence = self.node.quarantine.ends(&fingerprint, now);
         self.node.metrics.request(self.route.kind, answer.name());
-        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, print:%, why, answer:?, evidence, sends = self.verdict.sends, held, left; "given up");
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, fingerprint:%, why, answer:?, evidence, sends = self.verdict.sends, held, left; "given up");
         Reply::Unanswered(answer)
     }
 }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -4,8 +4,8 @@
 //! time is up, or what is known forbids another send; then [`answer_for`]
 //! alone chooses the answer. A request given up on is answered at once.
 
+mod hold;
 mod place;
-mod print;
 mod send;
 
 use std::{
@@ -94,7 +94,7 @@
     pub(crate) ask: Arc<Ask>,
     need: Arc<Need>,
     /// Its identity over all attempts, once it was needed.
-    print: OnceLock<Fingerprint>,
+    fingerprint: OnceLock<Fingerprint>,
     pub(crate) route: Route,
     service: Name,
     engine: Option<Engine>,
@@ -189,7 +189,7 @@
             node: node.clone(),
             limit: began + left,
             need: Arc::new(Need::of(&ask)),
-            print: OnceLock::new(),
+            fingerprint: OnceLock::new(),
             ask: Arc::new(ask),
             route,
             service,
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -124,8 +124,8 @@
     pub(super) fn tell(&self, target: &Name, outcome: &'static str, why: &str) {
         self.node.metrics.send(outcome);
         let left = self.left();
-        let print = self.print();
-        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, print:%, target_id:% = target, outcome, why, left; "send");
+        let fingerprint = self.fingerprint();
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, fingerprint:%, target_id:% = target, outcome, why, left; "send");
     }
 
     /// Turns a target's answer into the caller's, or decides to go on.
@@ -247,7 +247,7 @@
             node: self.node.clone(),
             ask: self.ask.clone(),
             need: self.need.clone(),
-            print: self.print.clone(),
+            fingerprint: self.fingerprint.clone(),
             route: self.route.clone(),
             service: self.service.clone(),
             engine: self.engine.clone(),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -505,7 +505,7 @@
 pub struct Evidence {
     /// The request's fingerprint.
     #[prost(bytes = "vec", tag = "1")]
-    pub print: ::prost::alloc::vec::Vec<u8>,
+    pub fingerprint: ::prost::alloc::vec::Vec<u8>,
     /// The boot that ended under it; empty if a target ran it to its end.
     #[prost(string, tag = "2")]
     pub target: ::prost::alloc::string::String,
--- a/crates/comfreyhall-quarantine/src/case.rs
+++ b/crates/comfreyhall-quarantine/src/case.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Evidence {
     /// The request.
-    pub print: Fingerprint,
+    pub fingerprint: Fingerprint,
     /// What was seen.
     pub finding: Finding,
     /// When, in ms of the clock of the daemon that keeps it.
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -85,19 +85,21 @@
         self.cases.is_empty()
     }
 
-    /// Whether a target ended under `print`.
-    pub fn suspects(&self, print: &Fingerprint) -> bool {
-        self.cases.get(print).is_some_and(|c| !c.ends.is_empty())
+    /// Whether a target ended under `fingerprint`.
+    pub fn suspects(&self, fingerprint: &Fingerprint) -> bool {
+        self.cases
+            .get(fingerprint)
+            .is_some_and(|c| !c.ends.is_empty())
     }
 
-    /// Whether `print` is held back, but for trials.
-    pub fn holds(&self, print: &Fingerprint) -> bool {
-        self.held.contains(print)
+    /// Whether `fingerprint` is held back, but for trials.
+    pub fn holds(&self, fingerprint: &Fingerprint) -> bool {
+        self.held.contains(fingerprint)
     }
 
-    /// The targets that ended under `print`.
-    pub fn ends(&self, print: &Fingerprint) -> &[End] {
-        self.cases.get(print).map_or(&[], |c| &c.ends)
+    /// The targets that ended under `fingerprint`.
+    pub fn ends(&self, fingerprint: &Fingerprint) -> &[End] {
+        self.cases.get(fingerprint).map_or(&[], |c| &c.ends)
     }
 
     /// Number of the newest finding.
@@ -111,9 +113,9 @@
         if now.saturating_sub(evidence.at) >= FORGET_MS {
             return Vec::new();
         }
-        let print = evidence.print;
+        let fingerprint = evidence.fingerprint;
         let serial = self.serial + 1;
-        let case = self.cases.entry(print).or_default();
+        let case = self.cases.entry(fingerprint).or_default();
         let (new, suspect) = match evidence.finding {
             Finding::Ended { target, early } => {
                 let new = case.end(End {
@@ -140,7 +142,7 @@
         self.serial = serial;
         let mut changes = Vec::new();
         if suspect {
-            changes.push(Change::Suspect(print));
+            changes.push(Change::Suspect(fingerprint));
         }
         self.bound();
         changes.extend(self.weigh());
@@ -158,10 +160,14 @@
         }
     }
 
-    /// What may be done with `print` at a daemon that is the `rank`th to try
+    /// What may be done with `fingerprint` at a daemon that is the `rank`th to try
     /// it again; 0 is first.
-    pub fn status(&self, print: &Fingerprint, rank: usize, now: u64) -> Status {
-        let Some(case) = self.cases.get(print).filter(|_| self.holds(print)) else {
+    pub fn status(&self, fingerprint: &Fingerprint, rank: usize, now: u64) -> Status {
+        let Some(case) = self
+            .cases
+            .get(fingerprint)
+            .filter(|_| self.holds(fingerprint))
+        else {
             return Status::Free;
         };
         let Some(due) = trial_at(case, rank) else {
@@ -183,7 +189,7 @@
         let told = self
             .cases
             .iter()
-            .flat_map(|(print, case)| findings(*print, case));
+            .flat_map(|(fingerprint, case)| findings(*fingerprint, case));
         let mut told: Vec<(u64, Evidence)> = told.filter(|(s, _)| *s > serial).collect();
         told.sort_by_key(|(s, _)| *s);
         let last = match told.get(MOST_TOLD.saturating_sub(1)) {
@@ -203,10 +209,10 @@
                 .cases
                 .iter()
                 .min_by_key(|(p, c)| (self.held.contains(*p), c.last(), **p));
-            let Some(print) = oldest.map(|(p, _)| *p) else {
+            let Some(fingerprint) = oldest.map(|(p, _)| *p) else {
                 return;
             };
-            let gone = self.cases.remove(&print);
+            let gone = self.cases.remove(&fingerprint);
             ends -= gone.map_or(0, |c| c.ends.len());
         }
     }
@@ -240,9 +246,9 @@
 }
 
 /// Everything that is known of a request, with the numbers of the findings.
-fn findings(print: Fingerprint, case: &Case) -> impl Iterator<Item = (u64, Evidence)> + '_ {
+fn findings(fingerprint: Fingerprint, case: &Case) -> impl Iterator<Item = (u64, Evidence)> + '_ {
     let evidence = move |finding, at, witness: &Name| Evidence {
-        print,
+        fingerprint,
         finding,
         at,
         witness: witness.clone(),
--- a/crates/comfreyhall-quarantine/src/tests.rs
+++ b/crates/comfreyhall-quarantine/src/tests.rs
@@ -3,9 +3,9 @@
 const SECOND: u64 = 1_000;
 const HOUR: u64 = 3_600 * SECOND;
 
-fn ended(print: Fingerprint, target: &str, at: u64) -> Evidence {
+fn ended(fingerprint: Fingerprint, target: &str, at: u64) -> Evidence {
     Evidence {
-        print,
+        fingerprint,
         finding: Finding::Ended {
             target: target.into(),
             early: true,
@@ -15,24 +15,24 @@
     }
 }
 
-fn ran_whole(print: Fingerprint, at: u64) -> Evidence {
+fn ran_whole(fingerprint: Fingerprint, at: u64) -> Evidence {
     Evidence {
         finding: Finding::RanWhole,
-        ..ended(print, "", at)
+        ..ended(fingerprint, "", at)
     }
 }
 
 /// A quarantine that knows of `ends`, each a request and a target.
 fn knowing(ends: &[(Fingerprint, &str)]) -> Quarantine {
     let mut known = Quarantine::default();
-    for (print, target) in ends {
-        known.learn(ended(*print, target, SECOND), SECOND);
+    for (fingerprint, target) in ends {
+        known.learn(ended(*fingerprint, target, SECOND), SECOND);
     }
     known
 }
 
-fn is_held(known: &Quarantine, print: Fingerprint) -> bool {
-    matches!(known.status(&print, 0, SECOND), Status::Held { .. })
+fn is_held(known: &Quarantine, fingerprint: Fingerprint) -> bool {
+    matches!(known.status(&fingerprint, 0, SECOND), Status::Held { .. })
 }
 
 fn of(parts: &[&str]) -> Fingerprint {
@@ -53,24 +53,30 @@
 
 #[test]
 fn fingerprint_told_and_heard() {
-    let print = of(&["h"]);
-    assert_eq!(Fingerprint::from_bytes(print.as_bytes()), Some(print));
+    let fingerprint = of(&["h"]);
+    assert_eq!(
+        Fingerprint::from_bytes(fingerprint.as_bytes()),
+        Some(fingerprint)
+    );
     assert_eq!(Fingerprint::from_bytes(b"short"), None);
 }
 
 #[test]
 fn learn_three_ends_hold() {
-    let print = of(&["deadly"]);
+    let fingerprint = of(&["deadly"]);
     let mut known = Quarantine::default();
-    let suspect = [Change::Suspect(print)];
-    assert_eq!(known.learn(ended(print, "a", 1), 1), suspect);
-    assert_eq!(known.learn(ended(print, "b", 2), 2), suspect);
+    let suspect = [Change::Suspect(fingerprint)];
+    assert_eq!(known.learn(ended(fingerprint, "a", 1), 1), suspect);
+    assert_eq!(known.learn(ended(fingerprint, "b", 2), 2), suspect);
     // The same end, told again by another.
-    assert!(known.learn(ended(print, "b", 3), 3).is_empty());
-    assert_eq!(known.status(&print, 0, 3), Status::Free);
-    let changes = known.learn(ended(print, "c", 4), 4);
-    assert_eq!(changes, [Change::Suspect(print), Change::Held(print)]);
-    assert!(is_held(&known, print));
+    assert!(known.learn(ended(fingerprint, "b", 3), 3).is_empty());
+    assert_eq!(known.status(&fingerprint, 0, 3), Status::Free);
+    let changes = known.learn(ended(fingerprint, "c", 4), 4);
+    assert_eq!(
+        changes,
+        [Change::Suspect(fingerprint), Change::Held(fingerprint)]
+    );
+    assert!(is_held(&known, fingerprint));
 }
 
 /// Symptom: a request that harms nobody was held back. Events: it ran beside
@@ -118,52 +124,52 @@
 
 #[test]
 fn learn_ran_whole_lets_go() {
-    let print = of(&["beside"]);
-    let mut known = knowing(&[(print, "a"), (print, "b"), (print, "c")]);
-    let changes = known.learn(ran_whole(print, 2 * SECOND), 2 * SECOND);
-    assert_eq!(changes, [Change::LetGo(print)]);
+    let fingerprint = of(&["beside"]);
+    let mut known = knowing(&[(fingerprint, "a"), (fingerprint, "b"), (fingerprint, "c")]);
+    let changes = known.learn(ran_whole(fingerprint, 2 * SECOND), 2 * SECOND);
+    assert_eq!(changes, [Change::LetGo(fingerprint)]);
     // Older evidence that comes late changes nothing.
     assert!(
         known
-            .learn(ended(print, "d", SECOND), 2 * SECOND)
+            .learn(ended(fingerprint, "d", SECOND), 2 * SECOND)
             .is_empty()
     );
-    assert!(!known.suspects(&print));
+    assert!(!known.suspects(&fingerprint));
 }
 
 /// Two daemons whose clocks round differently stop telling each other.
 #[test]
 fn learn_ran_whole_once() {
-    let print = of(&["beside"]);
-    let mut known = knowing(&[(print, "a")]);
-    known.learn(ran_whole(print, 2 * SECOND), 2 * SECOND);
+    let fingerprint = of(&["beside"]);
+    let mut known = knowing(&[(fingerprint, "a")]);
+    known.learn(ran_whole(fingerprint, 2 * SECOND), 2 * SECOND);
     let serial = known.serial();
-    known.learn(ran_whole(print, 2 * SECOND + 7), 2 * SECOND + 7);
+    known.learn(ran_whole(fingerprint, 2 * SECOND + 7), 2 * SECOND + 7);
     assert_eq!(known.serial(), serial);
 }
 
 #[test]
 fn status_one_trial_in_turn() {
-    let print = of(&["deadly"]);
-    let mut known = knowing(&[(print, "a"), (print, "b"), (print, "c")]);
-    assert_eq!(known.status(&print, 0, 31 * SECOND), Status::Trial);
+    let fingerprint = of(&["deadly"]);
+    let mut known = knowing(&[(fingerprint, "a"), (fingerprint, "b"), (fingerprint, "c")]);
+    assert_eq!(known.status(&fingerprint, 0, 31 * SECOND), Status::Trial);
     // The next daemon waits for the first.
-    assert_ne!(known.status(&print, 1, 31 * SECOND), Status::Trial);
-    assert_eq!(known.status(&print, 1, 36 * SECOND), Status::Trial);
-    known.learn(ended(print, "d", 31 * SECOND), 31 * SECOND);
+    assert_ne!(known.status(&fingerprint, 1, 31 * SECOND), Status::Trial);
+    assert_eq!(known.status(&fingerprint, 1, 36 * SECOND), Status::Trial);
+    known.learn(ended(fingerprint, "d", 31 * SECOND), 31 * SECOND);
     // No trial any more until it is forgotten.
-    assert_ne!(known.status(&print, 0, 62 * SECOND), Status::Trial);
-    assert_ne!(known.status(&print, 0, 3_000 * SECOND), Status::Trial);
+    assert_ne!(known.status(&fingerprint, 0, 62 * SECOND), Status::Trial);
+    assert_ne!(known.status(&fingerprint, 0, 3_000 * SECOND), Status::Trial);
     let changes = known.forget(31 * SECOND + HOUR);
-    assert_eq!(changes, [Change::LetGo(print)]);
+    assert_eq!(changes, [Change::LetGo(fingerprint)]);
     assert!(known.is_empty());
 }
 
 #[test]
 fn status_held_caller_comes_back_late() {
-    let print = of(&["deadly"]);
-    let known = knowing(&[(print, "a"), (print, "b"), (print, "c")]);
-    let held = known.status(&print, 0, 2 * SECOND);
+    let fingerprint = of(&["deadly"]);
+    let known = knowing(&[(fingerprint, "a"), (fingerprint, "b"), (fingerprint, "c")]);
+    let held = known.status(&fingerprint, 0, 2 * SECOND);
     assert_eq!(
         held,
         Status::Held {
@@ -174,14 +180,14 @@
 
 #[test]
 fn since_tells_each_finding_once() {
-    let print = of(&["deadly"]);
-    let mut known = knowing(&[(print, "a"), (print, "b")]);
+    let fingerprint = of(&["deadly"]);
+    let mut known = knowing(&[(fingerprint, "a"), (fingerprint, "b")]);
     let (told, last) = known.since(0);
     assert_eq!(told.len(), 2);
     assert!(known.since(last).0.is_empty());
-    known.learn(ended(print, "c", SECOND), SECOND);
+    known.learn(ended(fingerprint, "c", SECOND), SECOND);
     let (told, _) = known.since(last);
-    assert_eq!(told, [ended(print, "c", SECOND)]);
+    assert_eq!(told, [ended(fingerprint, "c", SECOND)]);
 }
 
 /// Symptom: a daemon grows until it is killed. Events: a caller sends a million
@@ -193,9 +199,9 @@
     let mut known = knowing(&[(deadly, "a"), (deadly, "b"), (deadly, "c")]);
     let first = of(&["body", "0"]);
     for i in 0..6_000_u64 {
-        let print = of(&["body", &i.to_string()]);
+        let fingerprint = of(&["body", &i.to_string()]);
         let at = 10 * SECOND + i;
-        known.learn(ended(print, &format!("t{}", i / 64), at), at);
+        known.learn(ended(fingerprint, &format!("t{}", i / 64), at), at);
     }
     let (mut told, mut serial) = (0, 0);
     loop {
--- a/crates/comfreyhall-quarantine/src/weigh.rs
+++ b/crates/comfreyhall-quarantine/src/weigh.rs
@@ -45,23 +45,25 @@
     let enough = cases.iter().filter(|(_, c)| c.weight() >= ENOUGH);
     let mut suspects: Vec<(&Fingerprint, &Case)> = enough.collect();
     // Requests of the same weight do not explain each other, so their order
-    // decides nothing; the print makes it the same everywhere.
-    suspects.sort_by_key(|(print, case)| (std::cmp::Reverse(case.weight()), **print));
+    // decides nothing; the fingerprint makes it the same everywhere.
+    suspects.sort_by_key(|(fingerprint, case)| (std::cmp::Reverse(case.weight()), **fingerprint));
     let ended = match suspects.is_empty() {
         true => Map::default(),
         false => ended(cases),
     };
     let mut held: Vec<(&Fingerprint, &Case)> = Vec::new();
-    for (print, case) in suspects {
+    for (fingerprint, case) in suspects {
         let enough = match among_many(case, &held, &ended) {
             true => ENOUGH_AMONG_MANY,
             false => ENOUGH,
         };
         if unexplained(case, &held) >= enough || case.weight() >= CERTAIN {
-            held.push((print, case));
+            held.push((fingerprint, case));
         }
     }
-    held.into_iter().map(|(print, _)| *print).collect()
+    held.into_iter()
+        .map(|(fingerprint, _)| *fingerprint)
+        .collect()
 }
 
 /// When each target ended.
--- a/crates/comfreyhall-quarantine/src/wire.rs
+++ b/crates/comfreyhall-quarantine/src/wire.rs
@@ -12,7 +12,7 @@
             Finding::RanWhole => (String::new(), false),
         };
         proto::Evidence {
-            print: self.print.as_bytes().to_vec(),
+            fingerprint: self.fingerprint.as_bytes().to_vec(),
             target,
             age_ms: now.saturating_sub(self.at),
             witness: self.witness.to_string(),
@@ -23,7 +23,7 @@
     /// What a message says; `None` if it names no request.
     pub fn from_wire(wire: &proto::Evidence, now: u64) -> Option<Self> {
         Some(Self {
-            print: Fingerprint::from_bytes(&wire.print)?,
+            fingerprint: Fingerprint::from_bytes(&wire.fingerprint)?,
             finding: match wire.target.as_str() {
                 "" => Finding::RanWhole,
                 target => Finding::Ended {
--- a/crates/comfreyhall-quarantine/tests/model.rs
+++ b/crates/comfreyhall-quarantine/tests/model.rs
@@ -85,7 +85,7 @@
     late: usize,
 }
 
-fn print_of(number: u64) -> Fingerprint {
+fn fingerprint_of(number: u64) -> Fingerprint {
     Fingerprint::of([&number.to_le_bytes()[..]])
 }
 
@@ -117,10 +117,10 @@
         !d.cut && !d.behind && self.round >= d.since + WINDOW
     }
 
-    fn learn(&mut self, daemon: usize, print: Fingerprint, finding: Finding) {
+    fn learn(&mut self, daemon: usize, fingerprint: Fingerprint, finding: Finding) {
         let now = self.now();
         let evidence = Evidence {
-            print,
+            fingerprint,
             finding,
             at: now,
             witness: format!("n{daemon}").as_str().into(),
@@ -129,50 +129,50 @@
     }
 
     /// A target ends under these requests; each was sent by some daemon.
-    fn end_target(&mut self, first: usize, prints: &[Fingerprint]) {
+    fn end_target(&mut self, first: usize, fingerprints: &[Fingerprint]) {
         self.targets += 1;
         let target = format!("t{}", self.targets);
-        for (i, print) in prints.iter().enumerate() {
+        for (i, fingerprint) in fingerprints.iter().enumerate() {
             let finding = Finding::Ended {
                 target: target.as_str().into(),
                 early: true,
             };
-            self.learn((first + i) % DAEMONS, *print, finding);
+            self.learn((first + i) % DAEMONS, *fingerprint, finding);
         }
     }
 
-    fn free(&self, daemon: usize, print: Fingerprint) -> bool {
+    fn free(&self, daemon: usize, fingerprint: Fingerprint) -> bool {
         let status = self.daemons[daemon]
             .known
-            .status(&print, daemon, self.now());
+            .status(&fingerprint, daemon, self.now());
         !matches!(status, Status::Held { .. })
     }
 
     /// Those of `chosen` that their daemon does not hold back.
     fn beside(&self, daemon: usize, chosen: u8) -> Vec<Fingerprint> {
         let all = (1..=BYSTANDERS).filter(|b| chosen & (1 << (b - 1)) != 0);
-        let free = all.map(print_of).filter(|p| self.free(daemon, *p));
+        let free = all.map(fingerprint_of).filter(|p| self.free(daemon, *p));
         free.collect()
     }
 
     fn take(&mut self, step: Step) {
         match step {
-            Step::Deadly(daemon, beside) if self.free(daemon, print_of(0)) => {
+            Step::Deadly(daemon, beside) if self.free(daemon, fingerprint_of(0)) => {
                 let known = self.known.is_some_and(|r| self.round > r + WINDOW);
                 self.late += usize::from(known && self.in_touch(daemon));
-                let mut prints = vec![print_of(0)];
-                prints.extend(self.beside(daemon, beside));
-                self.end_target(daemon, &prints);
+                let mut fingerprints = vec![fingerprint_of(0)];
+                fingerprints.extend(self.beside(daemon, beside));
+                self.end_target(daemon, &fingerprints);
             }
             Step::Deadly(..) => {}
             Step::Crash(daemon, beside) => {
-                let prints = self.beside(daemon, beside);
-                self.end_target(daemon, &prints);
+                let fingerprints = self.beside(daemon, beside);
+                self.end_target(daemon, &fingerprints);
             }
             Step::Whole(daemon, bystander) => {
-                let print = print_of(1 + u64::from(bystander) % BYSTANDERS);
-                if self.daemons[daemon].known.suspects(&print) {
-                    self.learn(daemon, print, Finding::RanWhole);
+                let fingerprint = fingerprint_of(1 + u64::from(bystander) % BYSTANDERS);
+                if self.daemons[daemon].known.suspects(&fingerprint) {
+                    self.learn(daemon, fingerprint, Finding::RanWhole);
                 }
             }
             Step::Cut(daemon) => {
@@ -218,7 +218,7 @@
     /// on.
     fn note_known(&mut self) {
         let in_touch = (0..DAEMONS).filter(|d| self.in_touch(*d));
-        let ends = in_touch.flat_map(|d| self.daemons[d].known.ends(&print_of(0)));
+        let ends = in_touch.flat_map(|d| self.daemons[d].known.ends(&fingerprint_of(0)));
         let ends: BTreeSet<&str> = ends.map(|e| &*e.target).collect();
         if ends.len() >= 3 {
             self.known.get_or_insert(self.round);
@@ -290,7 +290,7 @@
         }
         fleet.swap(None);
         for bystander in 1..=BYSTANDERS {
-            prop_assert!((0..DAEMONS).all(|d| fleet.free(d, print_of(bystander))));
+            prop_assert!((0..DAEMONS).all(|d| fleet.free(d, fingerprint_of(bystander))));
         }
     }
 }
--- a/crates/comfreyhall-quarantine/tests/series.rs
+++ b/crates/comfreyhall-quarantine/tests/series.rs
@@ -43,7 +43,7 @@
 /// One request on its way.
 #[derive(Clone, Copy)]
 struct Run {
-    print: Fingerprint,
+    fingerprint: Fingerprint,
     deadly: bool,
     engine: usize,
     /// When its first event comes, and when it ends.
@@ -55,7 +55,7 @@
 impl Run {
     fn new(number: u64, deadly: bool) -> Self {
         Self {
-            print: Fingerprint::of([&number.to_le_bytes()[..]]),
+            fingerprint: Fingerprint::of([&number.to_le_bytes()[..]]),
             deadly,
             engine: 0,
             answers: 0,
@@ -122,15 +122,15 @@
 
     /// Sends a request to an engine that is there, unless it is held back.
     fn send(&mut self, mut run: Run) {
-        let status = self.known.status(&run.print, 0, self.now);
+        let status = self.known.status(&run.fingerprint, 0, self.now);
         if matches!(status, Status::Held { .. }) {
             if !run.deadly {
-                self.held.entry(run.print).or_insert(self.now);
+                self.held.entry(run.fingerprint).or_insert(self.now);
                 self.later(run, HELD_AGAIN_MS);
             }
             return;
         }
-        if let Some(since) = self.held.get(&run.print) {
+        if let Some(since) = self.held.get(&run.fingerprint) {
             self.tally.longest = self.tally.longest.max(self.now - since);
         }
         let Some(engine) = self.up() else {
@@ -159,9 +159,9 @@
         for run in lost {
             let early = self.now < run.answers + EARLY_MS;
             let target = boot.as_str().into();
-            self.learn(run.print, Finding::Ended { target, early });
+            self.learn(run.fingerprint, Finding::Ended { target, early });
             if !run.deadly {
-                self.hit.insert(run.print);
+                self.hit.insert(run.fingerprint);
             }
             if run.deadly || run.sends < SENDS {
                 self.later(run, AGAIN_MS);
@@ -169,9 +169,9 @@
         }
     }
 
-    fn learn(&mut self, print: Fingerprint, finding: Finding) {
+    fn learn(&mut self, fingerprint: Fingerprint, finding: Finding) {
         let evidence = Evidence {
-            print,
+            fingerprint,
             finding,
             at: self.now,
             witness: "n".into(),
@@ -189,8 +189,8 @@
                 continue;
             }
             self.runs.swap_remove(at);
-            if self.known.suspects(&run.print) {
-                self.learn(run.print, Finding::RanWhole);
+            if self.known.suspects(&run.fingerprint) {
+                self.learn(run.fingerprint, Finding::RanWhole);
             }
         }
     }
