--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -42,15 +42,23 @@
 #[derive(Default)]
 struct State {
     known: Quarantine,
-    /// Requests whose connections these targets closed, and whether they had
-    /// just begun.
-    doubts: Map<Name, Map<Fingerprint, bool>>,
+    /// Requests whose connections these targets closed.
+    doubts: Map<Name, Map<Fingerprint, Doubt>>,
     /// Targets that have ended, and when that was found.
     ended: Map<Name, u64>,
     /// Requests that are being tried here.
     trials: Set<Fingerprint>,
 }
 
+/// A run whose connection its target closed.
+#[derive(Clone, Copy)]
+struct Doubt {
+    /// When, in ms.
+    at: u64,
+    /// Whether the target had just begun it.
+    early: bool,
+}
+
 /// When the caller of a request that is being tried is told to come back, in
 /// ms: its fate is known to everyone by then.
 pub(crate) const TRIED_MS: u64 = 5_000;
@@ -134,12 +142,12 @@
         .retain(|_, at| now.saturating_sub(*at) < ENDED_MS);
     if state.ended.contains_key(target) {
         drop(state);
-        found(node, fingerprint, ended(target, early));
+        found(node, fingerprint, ended(target, early), now);
         return;
     }
     let first = !state.doubts.contains_key(target);
     let doubts = state.doubts.entry(target.clone()).or_default();
-    doubts.insert(fingerprint, early);
+    doubts.insert(fingerprint, Doubt { at: now, early });
     drop(state);
     if first {
         tokio::spawn(confirm::run(node.clone(), target.clone()));
@@ -157,7 +165,7 @@
 /// A target ran `fingerprint` to its end.
 pub(crate) fn ran_whole(node: &Arc<Node>, fingerprint: Fingerprint) {
     if node.quarantine.suspects(&fingerprint) {
-        found(node, fingerprint, Finding::RanWhole);
+        found(node, fingerprint, Finding::RanWhole, node.now());
     }
 }
 
@@ -179,8 +187,8 @@
     }
     drop(state);
     if has_ended {
-        for (fingerprint, early) in doubts {
-            found(node, fingerprint, ended(target, early));
+        for (fingerprint, doubt) in doubts {
+            found(node, fingerprint, ended(target, doubt.early), doubt.at);
         }
     }
     node.quarantine.settled.notify_waiters();
@@ -193,12 +201,15 @@
     }
 }
 
-/// Takes in a finding of this daemon.
-fn found(node: &Arc<Node>, fingerprint: Fingerprint, finding: Finding) {
+/// Takes in what this daemon saw at `at`.
+///
+/// What goes wrong if an end counts from when it was looked at: the request
+/// runs whole in between, and is a suspect again for what was before.
+fn found(node: &Arc<Node>, fingerprint: Fingerprint, finding: Finding, at: u64) {
     let evidence = Evidence {
         fingerprint,
         finding,
-        at: node.now(),
+        at,
         witness: node.settings().id.as_ref().into(),
     };
     if learn(node, evidence) {
