Workspaces, their keys and caps: a pure crate with two ways for caps

Nothing in the code knew who calls.

- Sharing: each daemon has a part of the cap that follows its part of the demand, as told by the home of the workspace (flow-proportional shares).
- Lending: every daemon has 1/N of each cap and gives it to one home at a time, for a term that the home counts from its own clock as the giver echoes it; the home lends what requests need.
Whatever is lost, late, frozen or torn apart, the parts that all homes lend add up to at most the whole.

--- /dev/null
+++ b/crates/comfreyhall-workspace/src/lending/tests.rs
@@ -0,0 +1,183 @@
+use comfreyhall_protocol::Map;
+
+use super::*;
+use crate::{Entry, Given, KeyHasher, Salt, read};
+
+const TOLERANCE: Tolerance = Tolerance {
+    window_ms: 8_000,
+    overshoot: 0.1,
+    slack: 1_000.0,
+};
+
+/// Units a second of the one workspace.
+const RATE: f64 = 10_000.0;
+
+fn home(at: usize) -> Home {
+    Home {
+        peer: format!("10.0.0.{at}:1").into(),
+        boot: 1,
+    }
+}
+
+fn workspaces(rate: f64) -> Workspaces {
+    let entry = Entry {
+        name: "w".to_string(),
+        rate: Given::Number(rate),
+        burst: Given::Number(rate),
+        ..Entry::default()
+    };
+    read(KeyHasher::new(Salt::new([0; 32])), vec![entry]).0
+}
+
+/// A request of `size` comes.
+fn take(lending: &mut Lending, size: u64, now: u64) -> Taken {
+    lending.ask("w", size, now);
+    lending.take("w", size, now)
+}
+
+/// Daemon `at` of a fleet of `members`, whose home is daemon `to`.
+fn daemon(at: usize, to: usize, members: usize) -> Lending {
+    let mut lending = Lending::new(home(at), TOLERANCE, 1);
+    lending.configure(&workspaces(RATE), &["g".into()], 1);
+    meet(&mut lending, to, members, 1);
+    lending
+}
+
+fn meet(lending: &mut Lending, to: usize, members: usize, now: u64) {
+    let homes: Map<Name, Home> = [("g".into(), home(to))].into_iter().collect();
+    let fleet = Fleet {
+        members,
+        certain: true,
+        stale: false,
+    };
+    lending.meet(&homes, fleet, now);
+}
+
+fn settle(borrower: &mut Lending, lender: &mut Lending, now: u64) -> Reply {
+    let group: Name = "g".into();
+    let to = lender.me.clone();
+    let call = borrower.call(&group, &to, now);
+    let reply = lender.answer(&call, 1, now);
+    borrower.heard(&group, &to, Some(&reply), now);
+    reply
+}
+
+/// Two daemons of two that have settled for as long as the burst takes.
+fn pair() -> (Lending, Lending, u64) {
+    let (mut borrower, mut lender) = (daemon(2, 1, 2), daemon(1, 1, 2));
+    let mut now = 1;
+    while now < 4_000 {
+        now += 400;
+        meet(&mut lender, 1, 2, now);
+        settle(&mut borrower, &mut lender, now);
+    }
+    (borrower, lender, now)
+}
+
+#[test]
+fn take_borrows_from_home() {
+    let (mut borrower, mut lender, now) = pair();
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Ask);
+    assert_eq!(borrower.due(now).len(), 1);
+    settle(&mut borrower, &mut lender, now);
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Granted);
+}
+
+/// Guards against a call for each request of a workspace that is over its cap.
+#[test]
+fn take_refused_is_not_asked_again() {
+    let (mut borrower, mut lender, now) = pair();
+    assert_eq!(take(&mut borrower, 90_000, now), Taken::Ask);
+    settle(&mut borrower, &mut lender, now);
+    let Taken::Over { retry_ms } = take(&mut borrower, 90_000, now) else {
+        panic!("it is over its cap");
+    };
+    assert!(retry_ms > 0);
+    assert!(borrower.due(now + 1).is_empty());
+}
+
+/// Guards against credit that is lent again when a call is read late.
+#[test]
+fn answer_earlier_call_lends_nothing() {
+    let (mut borrower, mut lender, now) = pair();
+    let (group, to): (Name, Home) = ("g".into(), home(1));
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Ask);
+    let late = borrower.call(&group, &to, now);
+    borrower.heard(&group, &to, None, now);
+    settle(&mut borrower, &mut lender, now + 400);
+    let reply = lender.answer(&late, 1, now + 450);
+    assert!(reply.lines.is_empty());
+}
+
+/// Guards against a part that two homes lend.
+#[test]
+fn call_new_home_gets_share_after_term() {
+    let (mut borrower, _, now) = pair();
+    let group: Name = "g".into();
+    let mut other = daemon(3, 3, 2);
+    meet(&mut borrower, 3, 2, now);
+    settle(&mut borrower, &mut other, now + 10);
+    let early = borrower.call(&group, &home(3), now + 20);
+    assert_eq!(early.share, 0.0);
+    let late = borrower.call(&group, &home(3), now + TERM_MS);
+    assert_eq!(late.share, 0.5);
+}
+
+/// Guards against waiting out the term of a home that is known to have ended.
+#[test]
+fn ended_frees_share_at_once() {
+    let (mut borrower, _, now) = pair();
+    let mut other = daemon(3, 3, 2);
+    meet(&mut borrower, 3, 2, now);
+    borrower.ended(&home(1));
+    settle(&mut borrower, &mut other, now + 10);
+    let call = borrower.call(&"g".into(), &home(3), now + 20);
+    assert_eq!(call.share, 0.5);
+}
+
+/// Guards against a part that counts longer at its home than its giver thinks,
+/// because the call that gave it was read late.
+#[test]
+fn answer_share_counts_from_home_s_own_clock() {
+    let (mut borrower, mut lender, now) = pair();
+    let call = borrower.call(&"g".into(), &home(1), now);
+    let reply = lender.answer(&call, 1, now + TERM_MS);
+    // Its own part alone.
+    assert_eq!(reply.part, 0.5);
+}
+
+/// Guards against 429 where only the home is out of reach.
+#[test]
+fn take_without_home_is_unsure() {
+    let mut alone = daemon(2, 2, 40);
+    meet(&mut alone, 2, 40, 3_000);
+    let taken = take(&mut alone, 2_000, 3_000);
+    assert!(matches!(taken, Taken::Unsure { .. }), "{taken:?}");
+}
+
+#[test]
+fn not_run_gives_credit_back() {
+    let (mut borrower, mut lender, now) = pair();
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Ask);
+    settle(&mut borrower, &mut lender, now);
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Granted);
+    borrower.sent("w", 2_000);
+    borrower.not_run("w", 2_000);
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Granted);
+    borrower.unsent("w", 2_000);
+    assert_eq!(take(&mut borrower, 2_000, now), Taken::Granted);
+}
+
+/// Guards against what was saved up under a higher cap.
+#[test]
+fn configure_lower_cap_drops_stock() {
+    let (mut borrower, mut lender, now) = pair();
+    let groups = ["g".into()];
+    for daemon in [&mut borrower, &mut lender] {
+        daemon.configure(&workspaces(1_000.0), &groups, now);
+    }
+    assert_eq!(take(&mut borrower, 9_000, now), Taken::Ask);
+    settle(&mut borrower, &mut lender, now);
+    let taken = take(&mut borrower, 9_000, now);
+    assert!(matches!(taken, Taken::Over { .. }), "{taken:?}");
+}
--- /dev/null
+++ b/crates/comfreyhall-workspace/src/meter.rs
@@ -0,0 +1,222 @@
+//! Keeping caps together with the other daemons: what both ways have in common.
+//!
+//! A daemon takes credit for a request before it sends it. Credit comes from
+//! the *home* of the request's workspace, one daemon that knows how much all of
+//! them use; daemons settle with homes every now and then, and whenever a
+//! request lacks credit. Workspaces are spread over groups, and each group has
+//! one home.
+
+use comfreyhall_protocol::Map;
+
+use crate::{Cap, Name, Workspaces};
+
+/// One process of a daemon that others can reach.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Home {
+    /// Where it answers its peers.
+    pub peer: Name,
+    /// Which process.
+    pub boot: u64,
+}
+
+/// The fleet as one daemon knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Fleet {
+    /// Daemons that may serve requests, this one and those out of hearing among
+    /// them.
+    pub members: usize,
+    /// Whether the platform's store, or somebody who had it from there, has told
+    /// this process who they are.
+    pub certain: bool,
+    /// Whether there may be members that this daemon has not heard of: nothing
+    /// was heard of the platform's store for long, not even through others.
+    pub stale: bool,
+}
+
+/// What became of taking credit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It is reserved.
+    Granted,
+    /// The home may lend it: settle, and take again.
+    Ask,
+    /// The workspace is over its cap.
+    Over {
+        /// Until so much is there again, in ms.
+        retry_ms: u64,
+    },
+    /// Nobody in hearing knows how much the others use.
+    Unsure {
+        /// Until that may be known, in ms.
+        retry_ms: u64,
+    },
+}
+
+/// What a daemon tells of one workspace when it settles.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Line {
+    /// The workspace.
+    pub workspace: String,
+    /// Credit that it has and no request holds.
+    pub held: f64,
+    /// Credit that requests hold which are not sent yet.
+    pub reserved: f64,
+    /// Credit that it gives back with this.
+    pub returned: f64,
+    /// Credit that waiting requests lack.
+    pub need: f64,
+    /// Credit that the first of them lacks.
+    pub least: f64,
+    /// Credit that it would like to have besides.
+    pub want: f64,
+    /// Units a second asked of it.
+    pub demand: f64,
+}
+
+/// What a daemon tells the home of a group.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Call {
+    /// Where the daemon answers its peers.
+    pub from: String,
+    /// Its process.
+    pub boot: u64,
+    /// Grows with each call of the process to this home.
+    pub serial: u64,
+    /// The group.
+    pub group: String,
+    /// Part of every cap that the home may lend on its behalf.
+    pub share: f64,
+    /// The home's clock, as it last told it: the share holds from then.
+    pub as_of: u64,
+    /// How long the share holds, in ms.
+    pub term_ms: u64,
+    /// Workspaces with something to tell.
+    pub lines: Vec<Line>,
+}
+
+/// What a home answers of one workspace.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Settled {
+    /// The workspace.
+    pub workspace: String,
+    /// Credit lent.
+    pub grant: f64,
+    /// When there is more for those that were refused, in ms; 0 if none was.
+    pub retry_ms: u64,
+    /// Units a second asked of all other daemons.
+    pub others: f64,
+    /// Units lent to all in the last window.
+    pub lent: f64,
+}
+
+/// What a home answers.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Reply {
+    /// The home's process.
+    pub boot: u64,
+    /// Its clock.
+    pub clock: u64,
+    /// Part of every cap that it lends for all who settle with it.
+    pub part: f64,
+    /// In the order of the call's lines; none if a later call came before.
+    pub lines: Vec<Settled>,
+}
+
+/// What a refusal rests on.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Basis {
+    /// Units a second that the cap allows.
+    pub rate: f64,
+    /// Who keeps the cap.
+    pub home: Option<Name>,
+    /// Part of the cap that it lends.
+    pub part: f64,
+    /// Units that it lent to all in the last window.
+    pub lent: f64,
+    /// Ms since it said so.
+    pub age_ms: u64,
+    /// Credit here that no request holds.
+    pub held: f64,
+    /// Units a second asked of this daemon.
+    pub demand: f64,
+}
+
+/// One daemon's part in keeping the caps.
+pub trait Meter: Send {
+    /// Takes over the workspaces of a new configuration, spread over `groups`.
+    fn configure(&mut self, workspaces: &Workspaces, groups: &[Name], now: u64);
+
+    /// Takes over who is the home of each group, this daemon among them, and
+    /// the fleet.
+    fn meet(&mut self, homes: &Map<Name, Home>, fleet: Fleet, now: u64);
+
+    /// A request of `size` units comes for `workspace`.
+    fn ask(&mut self, workspace: &str, size: u64, now: u64);
+
+    /// Reserves `size` units for a request that came.
+    fn take(&mut self, workspace: &str, size: u64, now: u64) -> Taken;
+
+    /// A request that holds credit is about to be sent.
+    fn sent(&mut self, workspace: &str, size: u64);
+
+    /// A request that holds credit will not be sent.
+    fn unsent(&mut self, workspace: &str, size: u64);
+
+    /// A request that was sent has surely not run, and will not be sent again.
+    fn not_run(&mut self, workspace: &str, size: u64);
+
+    /// Homes to settle with now.
+    fn due(&mut self, now: u64) -> Vec<(Name, Home)>;
+
+    /// What to tell `home` of `group`.
+    fn call(&mut self, group: &Name, home: &Home, now: u64) -> Call;
+
+    /// Answers a daemon, as a home; `met`: since when its address is known here.
+    fn answer(&mut self, call: &Call, met: u64, now: u64) -> Reply;
+
+    /// Takes in what `home` answered; `None` if it did not.
+    fn heard(&mut self, group: &Name, home: &Home, reply: Option<&Reply>, now: u64);
+
+    /// The process `home` has ended.
+    fn ended(&mut self, home: &Home);
+
+    /// What a refusal of `workspace` rests on.
+    fn basis(&self, workspace: &str, now: u64) -> Basis;
+
+    /// The group whose home keeps the cap of `workspace`.
+    fn group(&self, workspace: &str) -> Option<Name>;
+}
+
+/// The group of `groups` in which `workspace` has its home.
+///
+/// Rendezvous hashing: all daemons agree without talking, and a group more or
+/// less moves only the workspaces that it had or gets.
+pub fn home_group<'a>(workspace: &str, groups: &'a [Name]) -> Option<&'a Name> {
+    use std::hash::{Hash, Hasher};
+    groups.iter().max_by_key(|group| {
+        let mut hash = rustc_hash::FxHasher::default();
+        workspace.hash(&mut hash);
+        group.hash(&mut hash);
+        // The high bits are mixed best; ranks compare from the top.
+        hash.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    })
+}
+
+/// A capped workspace and where its cap is kept.
+#[derive(Debug, Clone)]
+pub(crate) struct Kept {
+    pub(crate) cap: Cap,
+    pub(crate) group: Name,
+}
+
+/// The capped workspaces of `workspaces`, spread over `groups`.
+pub(crate) fn kept(workspaces: &Workspaces, groups: &[Name]) -> Map<Name, Kept> {
+    let capped = workspaces.all().iter().filter_map(|w| match w.allowance {
+        crate::Allowance::Capped(cap) => {
+            let group = home_group(&w.name, groups)?.clone();
+            Some((w.name.clone(), Kept { cap, group }))
+        }
+        _ => None,
+    });
+    capped.collect()
+}
--- /dev/null
+++ b/crates/comfreyhall-workspace/src/sharing.rs
@@ -0,0 +1,279 @@
+//! Caps by sharing: each daemon has a part of every cap that follows its part
+//! of what is asked for.
+//!
+//! Daemons tell the home of a workspace what is asked of them, and hear what is
+//! asked of all others (flow-proportional shares). Nothing is asked when a
+//! request comes: a daemon spends its own part. Parts are as old as the last
+//! settlement, so they add up to the whole only while demand stands still.
+
+use comfreyhall_protocol::Map;
+
+use crate::{
+    Basis, Call, Fleet, Home, Line, Meter, Name, Reply, Settled, Taken, Tolerance, Workspaces,
+    meter::{Kept, kept},
+    pace::Pace,
+};
+
+/// Pause between two settlements with a home, in ms.
+const SETTLE_MS: u64 = 250;
+
+/// How long what a home or a daemon told counts, in ms.
+const TOLD_MS: u64 = 1_500;
+
+/// Least part of a cap, against an equal one: what the first request of a
+/// workspace finds.
+const LEAST_PART: f64 = 0.5;
+
+/// Part of the tolerance that may lie unused beyond the burst.
+const UNUSED_PART: f64 = 0.5;
+
+/// Ms of a cap's rate after which a refused caller should come back at least.
+const RETRY_MS: u64 = 50;
+
+#[derive(Debug, Clone, Default)]
+struct Part {
+    balance: f64,
+    credited: u64,
+    demand: Pace,
+    /// Units a second asked of the others, and when that was told.
+    others: f64,
+    told: u64,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    home: Option<Home>,
+    serial: u64,
+    called: u64,
+}
+
+/// Demand told by one daemon, and when.
+type Told = (f64, u64);
+
+/// Caps by sharing.
+pub struct Sharing {
+    me: Home,
+    tolerance: Tolerance,
+    fleet: Fleet,
+    kept: Map<Name, Kept>,
+    links: Map<Name, Link>,
+    parts: Map<Name, Part>,
+    /// What each daemon told of each workspace, at its home.
+    told: Map<Name, Map<Name, Told>>,
+}
+
+impl Sharing {
+    /// Nothing is known yet.
+    pub fn new(me: Home, tolerance: Tolerance) -> Self {
+        Self {
+            me,
+            tolerance,
+            fleet: Fleet::default(),
+            kept: Map::default(),
+            links: Map::default(),
+            parts: Map::default(),
+            told: Map::default(),
+        }
+    }
+
+    /// Part of the cap of a workspace that this daemon may use.
+    fn share(&self, part: &Part, now: u64) -> f64 {
+        let equal = 1.0 / self.fleet.members.max(1) as f64;
+        if now.saturating_sub(part.told) > TOLD_MS {
+            return equal;
+        }
+        let own = part.demand.rate(now);
+        let all = own + part.others;
+        let asked = if all > 0.0 { own / all } else { 0.0 };
+        asked.max(equal * LEAST_PART)
+    }
+
+    /// Credits what has come since.
+    fn credit(&mut self, workspace: &str, now: u64) -> f64 {
+        let Some(kept) = self.kept.get(workspace) else {
+            return 0.0;
+        };
+        let Some(part) = self.parts.get(workspace) else {
+            return 0.0;
+        };
+        let share = self.share(part, now);
+        let passed = now.saturating_sub(part.credited) as f64 / 1_000.0;
+        let most = (kept.cap.burst + UNUSED_PART * self.tolerance.of(&kept.cap)) * share;
+        let balance = (part.balance + kept.cap.rate * share * passed).min(most);
+        if let Some(part) = self.parts.get_mut(workspace) {
+            part.balance = balance;
+            part.credited = now;
+        }
+        kept.cap.rate * share
+    }
+
+    fn others(&self, workspace: &str, from: &str, now: u64) -> f64 {
+        let told = self.told.get(workspace).into_iter().flatten();
+        let recent =
+            told.filter(|(name, (_, at))| &***name != from && now.saturating_sub(*at) <= TOLD_MS);
+        recent.map(|(_, (demand, _))| demand).sum()
+    }
+
+    fn note(&mut self, workspace: &str, from: &str, demand: f64, now: u64) {
+        let told = self.told.entry(workspace.into()).or_default();
+        told.insert(from.into(), (demand, now));
+    }
+
+    /// Settles with itself where this daemon is the home.
+    fn settle_own(&mut self, workspace: &str, now: u64) {
+        let group = self.kept.get(workspace).map(|k| k.group.clone());
+        let home = group.and_then(|g| self.links.get(&g)?.home.clone());
+        if home.as_ref() != Some(&self.me) {
+            return;
+        }
+        let own = self
+            .parts
+            .get(workspace)
+            .map_or(0.0, |p| p.demand.rate(now));
+        let me = self.me.peer.clone();
+        self.note(workspace, &me, own, now);
+        let others = self.others(workspace, &me, now);
+        if let Some(part) = self.parts.get_mut(workspace) {
+            part.others = others;
+            part.told = now;
+        }
+    }
+}
+
+impl Meter for Sharing {
+    fn configure(&mut self, workspaces: &Workspaces, groups: &[Name], _now: u64) {
+        self.kept = kept(workspaces, groups);
+        let kept = &self.kept;
+        self.parts.retain(|w, _| kept.contains_key(w));
+        self.told.retain(|w, _| kept.contains_key(w));
+        self.links.retain(|g, _| groups.contains(g));
+        for group in groups {
+            self.links.entry(group.clone()).or_default();
+        }
+    }
+
+    fn meet(&mut self, homes: &Map<Name, Home>, fleet: Fleet, _now: u64) {
+        self.fleet = fleet;
+        for (group, link) in &mut self.links {
+            link.home = Some(homes.get(group).unwrap_or(&self.me).clone());
+        }
+    }
+
+    fn ask(&mut self, workspace: &str, size: u64, now: u64) {
+        if let Some((name, _)) = self.kept.get_key_value(workspace) {
+            let part = self.parts.entry(name.clone()).or_default();
+            part.demand.bump(size as f64, now);
+        }
+    }
+
+    fn take(&mut self, workspace: &str, size: u64, now: u64) -> Taken {
+        let size = size as f64;
+        self.settle_own(workspace, now);
+        let rate = self.credit(workspace, now);
+        let Some(part) = self.parts.get_mut(workspace) else {
+            return Taken::Unsure {
+                retry_ms: SETTLE_MS,
+            };
+        };
+        if part.balance >= size {
+            part.balance -= size;
+            return Taken::Granted;
+        }
+        let missing = (size - part.balance) / rate.max(f64::MIN_POSITIVE) * 1_000.0;
+        Taken::Over {
+            retry_ms: (missing as u64).max(RETRY_MS),
+        }
+    }
+
+    fn sent(&mut self, _workspace: &str, _size: u64) {}
+
+    fn unsent(&mut self, workspace: &str, size: u64) {
+        if let Some(part) = self.parts.get_mut(workspace) {
+            part.balance += size as f64;
+        }
+    }
+
+    fn not_run(&mut self, workspace: &str, size: u64) {
+        self.unsent(workspace, size);
+    }
+
+    fn due(&mut self, now: u64) -> Vec<(Name, Home)> {
+        let due = self.links.iter().filter_map(|(group, link)| {
+            let home = link.home.as_ref().filter(|h| **h != self.me)?;
+            let rested = now.saturating_sub(link.called) >= SETTLE_MS;
+            rested.then(|| (group.clone(), home.clone()))
+        });
+        due.collect()
+    }
+
+    fn call(&mut self, group: &Name, _home: &Home, now: u64) -> Call {
+        let here = self.parts.iter().filter(|(w, _)| {
+            let kept = self.kept.get(*w);
+            kept.is_some_and(|k| k.group == *group)
+        });
+        let lines = here.map(|(workspace, part)| Line {
+            workspace: workspace.to_string(),
+            demand: part.demand.rate(now),
+            ..Line::default()
+        });
+        let lines = lines.collect();
+        let link = self.links.entry(group.clone()).or_default();
+        link.serial += 1;
+        link.called = now;
+        Call {
+            from: self.me.peer.to_string(),
+            boot: self.me.boot,
+            serial: link.serial,
+            group: group.to_string(),
+            lines,
+            ..Call::default()
+        }
+    }
+
+    fn answer(&mut self, call: &Call, _met: u64, now: u64) -> Reply {
+        for line in &call.lines {
+            self.note(&line.workspace, &call.from, line.demand, now);
+        }
+        let lines = call.lines.iter().map(|line| Settled {
+            workspace: line.workspace.clone(),
+            others: self.others(&line.workspace, &call.from, now),
+            ..Settled::default()
+        });
+        Reply {
+            boot: self.me.boot,
+            clock: now,
+            part: 1.0,
+            lines: lines.collect(),
+        }
+    }
+
+    fn heard(&mut self, _group: &Name, _home: &Home, reply: Option<&Reply>, now: u64) {
+        for settled in reply.into_iter().flat_map(|r| &r.lines) {
+            if let Some(part) = self.parts.get_mut(settled.workspace.as_str()) {
+                part.others = settled.others;
+                part.told = now;
+            }
+        }
+    }
+
+    fn ended(&mut self, _home: &Home) {}
+
+    fn basis(&self, workspace: &str, now: u64) -> Basis {
+        let kept = self.kept.get(workspace);
+        let part = self.parts.get(workspace);
+        let link = kept.and_then(|k| self.links.get(&k.group));
+        Basis {
+            rate: kept.map_or(0.0, |k| k.cap.rate),
+            home: link.and_then(|l| Some(l.home.as_ref()?.peer.clone())),
+            part: part.map_or(0.0, |p| self.share(p, now)),
+            lent: 0.0,
+            age_ms: part.map_or(0, |p| now.saturating_sub(p.told)),
+            held: part.map_or(0.0, |p| p.balance),
+            demand: part.map_or(0.0, |p| p.demand.rate(now)),
+        }
+    }
+
+    fn group(&self, workspace: &str) -> Option<Name> {
+        self.kept.get(workspace).map(|k| k.group.clone())
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-workspace/src/workspace.rs
@@ -0,0 +1,68 @@
+//! The workspaces of one configuration.
+
+use std::sync::Arc;
+
+use comfreyhall_protocol::Map;
+
+use crate::{Cap, KeyHash, KeyHasher, Name, PresentedKey};
+
+/// How much a workspace may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Allowance {
+    /// As much as it likes.
+    Unlimited,
+    /// Up to its cap.
+    Capped(Cap),
+    /// Nothing: its cap cannot be read.
+    Closed,
+}
+
+/// A customer's own part of the deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Workspace {
+    /// Its name, as targets are told it.
+    pub name: Name,
+    /// Its rank, 0 first; `None` for that of the route.
+    pub rank: Option<u8>,
+    /// How much it may use.
+    pub allowance: Allowance,
+}
+
+/// All workspaces, and whose each key is.
+#[derive(Debug, Clone)]
+pub struct Workspaces {
+    hasher: KeyHasher,
+    by_key: Map<KeyHash, Arc<Workspace>>,
+    all: Vec<Arc<Workspace>>,
+}
+
+impl Workspaces {
+    pub(crate) fn new(
+        hasher: KeyHasher,
+        by_key: Map<KeyHash, Arc<Workspace>>,
+        all: Vec<Arc<Workspace>>,
+    ) -> Self {
+        Self {
+            hasher,
+            by_key,
+            all,
+        }
+    }
+
+    /// The workspace that `key` belongs to.
+    pub fn of(&self, key: &PresentedKey) -> Option<&Arc<Workspace>> {
+        self.by_key.get(&self.hasher.hash(key.bytes()))
+    }
+
+    /// All of them.
+    pub fn all(&self) -> &[Arc<Workspace>] {
+        &self.all
+    }
+}
+
+impl PartialEq for Workspaces {
+    fn eq(&self, other: &Self) -> bool {
+        let same_salt = self.hasher.salt() == other.hasher.salt();
+        same_salt && self.by_key == other.by_key && self.all == other.all
+    }
+}
