--- a/crates/comfreyhall-domain/src/ask.rs
+++ b/crates/comfreyhall-domain/src/ask.rs
@@ -1,6 +1,7 @@
 //! The facts of one request that decisions need.
 
 use bytes::Bytes;
+use comfreyhall_workspace::PresentedKey;
 use http::{HeaderMap, Method};
 
 use crate::Name;
@@ -50,6 +51,8 @@
 pub struct Ask {
     /// The caller's id of this attempt.
     pub id: Name,
+    /// Key that the caller sent; what is forwarded does not bear it.
+    pub key: Option<PresentedKey>,
     /// Host it was sent to.
     pub host: Name,
     /// How long the caller waits, in ms, counted from its arrival.
--- a/crates/comfreyhall-domain/src/config.rs
+++ b/crates/comfreyhall-domain/src/config.rs
@@ -1,6 +1,9 @@
 //! Routes, services and limits as the operator configured them.
 
+use std::sync::Arc;
+
 use comfreyhall_protocol::Map;
+use comfreyhall_workspace::{PresentedKey, Workspace, Workspaces};
 
 use crate::Name;
 
@@ -47,6 +50,8 @@
     pub attempts: u32,
     /// Whether a broken stream may go on at another target.
     pub resumable: bool,
+    /// Whether anybody may call it, without a key.
+    pub public: bool,
 }
 
 impl Route {
@@ -155,9 +160,39 @@
     pub services: Map<Name, Service>,
     /// What callers may send.
     pub limits: Limits,
+    /// Who may call; `None` if anybody may.
+    pub workspaces: Option<Workspaces>,
+}
+
+/// Who calls.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Caller {
+    /// Anybody: no key is asked for.
+    Anyone,
+    /// The workspace that the key belongs to.
+    Workspace(Arc<Workspace>),
+}
+
+impl Caller {
+    /// The workspace, if one is known.
+    pub fn workspace(&self) -> Option<&Arc<Workspace>> {
+        match self {
+            Caller::Anyone => None,
+            Caller::Workspace(workspace) => Some(workspace),
+        }
+    }
 }
 
 impl Config {
+    /// Who calls `route` with `key`; `None` if the key belongs to nobody.
+    pub fn caller(&self, route: &Route, key: Option<&PresentedKey>) -> Option<Caller> {
+        let Some(workspaces) = self.workspaces.as_ref().filter(|_| !route.public) else {
+            return Some(Caller::Anyone);
+        };
+        let workspace = workspaces.of(key?)?;
+        Some(Caller::Workspace(workspace.clone()))
+    }
+
     /// The route of `host` with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/crates/comfreyhall-domain/src/lib.rs
+++ b/crates/comfreyhall-domain/src/lib.rs
@@ -9,12 +9,18 @@
 mod ask;
 mod config;
 mod outcome;
+mod ranks;
 mod target;
 
 pub use ask::{AdapterRef, Ask, Message, Part, Tokens};
 pub use comfreyhall_protocol::{Map, Set};
-pub use config::{Config, Engine, Kind, Limits, Model, Route, Service, Share};
+pub use comfreyhall_workspace::{
+    Allowance, Cap, Entry, Given, GivenUnit, KeyHash, KeyHasher, PresentedKey, Salt, Unit,
+    Workspace, Workspaces, read,
+};
+pub use config::{Caller, Config, Engine, Kind, Limits, Model, Route, Service, Share};
 pub use outcome::{Answer, Outcome, Refusal, Verdict, answer_for, answer_held};
+pub use ranks::Ranks;
 pub use target::{Held, Stage, Target};
 
 /// A shared immutable name.
--- a/crates/comfreyhall-domain/src/outcome.rs
+++ b/crates/comfreyhall-domain/src/outcome.rs
@@ -80,6 +80,11 @@
     TimedOut,
     /// It may have run.
     Unknown,
+    /// Its workspace is over its cap: it has not run and never will.
+    OverCap {
+        /// When there will be room for it again.
+        retry_ms: u64,
+    },
     /// It is held back: targets ended under it, and it is not sent again for
     /// now.
     Quarantined {
@@ -97,6 +102,7 @@
             Answer::NotRun { .. } => "not_run",
             Answer::TimedOut => "timed_out",
             Answer::Unknown => "unknown",
+            Answer::OverCap { .. } => "over_cap",
             Answer::Quarantined { .. } => "quarantined",
         }
     }
--- a/crates/comfreyhall-domain/src/tests.rs
+++ b/crates/comfreyhall-domain/src/tests.rs
@@ -21,6 +21,7 @@
         ],
         attempts: 2,
         resumable: false,
+        public: false,
     }
 }
 
@@ -35,6 +36,7 @@
             header_ms: 1,
             idle_ms: 1,
         },
+        workspaces: None,
     }
 }
 
@@ -78,3 +80,32 @@
     assert_eq!(v.sends, 1);
     assert_eq!(answer_for(&v, true, 7), Answer::NotRun { retry_ms: 7 });
 }
+
+fn workspaces() -> comfreyhall_workspace::Workspaces {
+    use comfreyhall_workspace::{Entry, KeyHasher, Salt, read};
+    let hasher = KeyHasher::new(Salt::new([1; 32]));
+    let entry = Entry {
+        name: "w".to_string(),
+        keys: vec![hasher.hash(b"k1")],
+        ..Entry::default()
+    };
+    read(hasher, vec![entry]).0
+}
+
+#[test]
+fn caller_is_the_key_s_workspace() {
+    let key = |text: &str| comfreyhall_workspace::PresentedKey::new(text.as_bytes());
+    let mut c = config(vec![route("/a/", Kind::Safe)]);
+    let closed = c.routes[0].clone();
+    assert_eq!(c.caller(&closed, None), Some(Caller::Anyone));
+    c.workspaces = Some(workspaces());
+    let known = c.caller(&closed, Some(&key("k1"))).unwrap();
+    assert_eq!(&*known.workspace().unwrap().name, "w");
+    assert_eq!(c.caller(&closed, Some(&key("k2"))), None);
+    assert_eq!(c.caller(&closed, None), None);
+    let public = Route {
+        public: true,
+        ..closed
+    };
+    assert_eq!(c.caller(&public, Some(&key("k1"))), Some(Caller::Anyone));
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/caps/settle.rs
@@ -0,0 +1,145 @@
+//! Settling with the homes of workspaces.
+
+use std::{sync::Arc, time::Duration};
+
+use comfreyhall_domain::{Map, Name};
+use comfreyhall_workspace::{Call, Fleet, Home};
+
+use super::{refresh, wire};
+use crate::node::Node;
+
+/// Pause between looks at which homes are due.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Longest one call may take: requests wait for it.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Silence of the store, also through others, after which there may be daemons
+/// that nobody in hearing has heard of, in ms.
+const STALE_MS: u64 = 10_000;
+
+/// Starts the duty.
+pub(crate) fn spawn(node: &Arc<Node>) {
+    let node = node.clone();
+    tokio::spawn(async move {
+        loop {
+            refresh(&node);
+            if node.caps.in_use() {
+                meet(&node);
+                settle_due(&node);
+            }
+            tokio::select! {
+                () = node.changed.notified() => {}
+                () = tokio::time::sleep(LOOK) => {}
+            }
+        }
+    });
+}
+
+/// Who is there, as the meter is told.
+pub(super) struct Met {
+    pub(super) homes: Map<Name, Home>,
+    pub(super) fleet: Fleet,
+}
+
+fn meet(node: &Node) {
+    let groups = node.caps.state().groups.clone();
+    let met = homes(node, &groups);
+    let now = node.now();
+    if let Some(meter) = &mut node.caps.state().meter {
+        meter.meet(&met.homes, met.fleet, now);
+    }
+}
+
+/// The homes of `groups`: the holder of a group's lease, and while none is
+/// known, the daemon that comes first for the group.
+pub(super) fn homes(node: &Node, groups: &[Name]) -> Met {
+    let now = node.now();
+    let me = || Home {
+        peer: node.fleet.peer().into(),
+        boot: node.fleet.boot(),
+    };
+    let home = |group: &Name| match node.token(group) {
+        Some(_) => Some(me()),
+        None => {
+            let peer = node.fleet.holder(group, now);
+            let peer = peer.or_else(|| node.fleet.first_for(group, now))?;
+            let boot = node.fleet.boot_of(&peer)?;
+            Some(Home { peer, boot })
+        }
+    };
+    let homes = groups.iter().filter_map(|g| Some((g.clone(), home(g)?)));
+    let homes = homes.collect();
+    let members = node.fleet.members(now);
+    let stale = node.view().book.settings.age(now) > STALE_MS;
+    Met {
+        homes,
+        fleet: Fleet {
+            members: members.unwrap_or(0),
+            certain: members.is_some(),
+            stale,
+        },
+    }
+}
+
+/// Calls the homes that are due.
+pub(super) fn settle_due(node: &Arc<Node>) {
+    let now = node.now();
+    let calls: Vec<(Name, Home, Call)> = {
+        let mut state = node.caps.state();
+        let Some(meter) = &mut state.meter else {
+            return;
+        };
+        let due = meter.due(now).into_iter();
+        let calls = due.map(|(group, home)| {
+            let call = meter.call(&group, &home, now);
+            (group, home, call)
+        });
+        calls.collect()
+    };
+    for (group, home, call) in calls {
+        tokio::spawn(settle(node.clone(), group, home, call));
+    }
+}
+
+async fn settle(node: Arc<Node>, group: Name, home: Home, call: Call) {
+    let reply = match node.fleet.client(&home.peer) {
+        Some(mut client) => {
+            let answer = client.settle(wire::call(&call));
+            tokio::time::timeout(CALL_TIMEOUT, answer).await
+        }
+        None => Ok(Err(tonic::Status::unavailable("the home is not known"))),
+    };
+    let (reply, ended) = match reply {
+        Ok(Ok(reply)) => (Some(wire::from_reply(reply.into_inner())), false),
+        Ok(Err(status)) => {
+            log::debug!(target: "caps", peer:% = home.peer, group:%, error:% = status.message(); "home not reached");
+            (None, refused(&status))
+        }
+        Err(_) => {
+            log::debug!(target: "caps", peer:% = home.peer, group:%; "home silent");
+            (None, false)
+        }
+    };
+    let now = node.now();
+    if let Some(meter) = &mut node.caps.state().meter {
+        meter.heard(&group, &home, reply.as_ref(), now);
+        if ended {
+            meter.ended(&home);
+        }
+    }
+    node.caps.settled.notify_waiters();
+}
+
+/// Whether nothing listens there any more: the process has ended.
+fn refused(status: &tonic::Status) -> bool {
+    let mut cause = std::error::Error::source(status);
+    while let Some(e) = cause {
+        let io = e.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = e.source();
+    }
+    false
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/caps/wire.rs
@@ -0,0 +1,108 @@
+//! Settling, as messages between daemons.
+
+use std::sync::Arc;
+
+use comfreyhall_protocol::{CapCall, CapLine, CapReply, CapSettled};
+use comfreyhall_workspace::{Call, Line, Reply, Settled};
+
+use crate::node::Node;
+
+pub(super) fn call(call: &Call) -> CapCall {
+    let lines = call.lines.iter().map(|l| CapLine {
+        workspace: l.workspace.clone(),
+        held: l.held,
+        reserved: l.reserved,
+        returned: l.returned,
+        need: l.need,
+        least: l.least,
+        want: l.want,
+        demand: l.demand,
+    });
+    CapCall {
+        from: call.from.clone(),
+        boot: call.boot,
+        serial: call.serial,
+        group: call.group.clone(),
+        share: call.share,
+        as_of: call.as_of,
+        term_ms: call.term_ms,
+        lines: lines.collect(),
+    }
+}
+
+fn from_call(call: CapCall) -> Call {
+    let lines = call.lines.into_iter().map(|l| Line {
+        workspace: l.workspace,
+        held: units(l.held),
+        reserved: units(l.reserved),
+        returned: units(l.returned),
+        need: units(l.need),
+        least: units(l.least),
+        want: units(l.want),
+        demand: units(l.demand),
+    });
+    Call {
+        from: call.from,
+        boot: call.boot,
+        serial: call.serial,
+        group: call.group,
+        share: units(call.share),
+        as_of: call.as_of,
+        term_ms: call.term_ms,
+        lines: lines.collect(),
+    }
+}
+
+/// A number of units as another daemon told it; nonsense is none.
+fn units(told: f64) -> f64 {
+    if told.is_finite() { told.max(0.0) } else { 0.0 }
+}
+
+fn reply(reply: Reply) -> CapReply {
+    let lines = reply.lines.into_iter().map(|l| CapSettled {
+        workspace: l.workspace,
+        grant: l.grant,
+        retry_ms: l.retry_ms,
+        others: l.others,
+        lent: l.lent,
+    });
+    CapReply {
+        boot: reply.boot,
+        clock: reply.clock,
+        part: reply.part,
+        lines: lines.collect(),
+    }
+}
+
+pub(super) fn from_reply(reply: CapReply) -> Reply {
+    let lines = reply.lines.into_iter().map(|l| Settled {
+        workspace: l.workspace,
+        grant: units(l.grant),
+        retry_ms: l.retry_ms,
+        others: units(l.others),
+        lent: units(l.lent),
+    });
+    Reply {
+        boot: reply.boot,
+        clock: reply.clock,
+        part: units(reply.part),
+        lines: lines.collect(),
+    }
+}
+
+/// Answers another daemon that settles here.
+pub(crate) fn answer(node: &Arc<Node>, message: CapCall) -> CapReply {
+    super::refresh(node);
+    let call = from_call(message);
+    let now = node.now();
+    let met = node.fleet.met(&call.from).unwrap_or(now);
+    let answered = match &mut node.caps.state().meter {
+        Some(meter) => meter.answer(&call, met, now),
+        None => Reply {
+            boot: node.fleet.boot(),
+            clock: now,
+            ..Reply::default()
+        },
+    };
+    reply(answered)
+}
--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{Map, Name, Stage, Target};
+use comfreyhall_domain::{Map, Name, Ranks, Stage, Target};
 
 use crate::{
     node::{Named, Node, View},
@@ -132,7 +132,7 @@
         return true;
     }
     match node.source.decode(topic, fact) {
-        Ok(Decoded::Config(config)) => {
+        Ok(Decoded::Config { config, odd }) => {
             if view
                 .config
                 .as_ref()
@@ -140,8 +140,12 @@
             {
                 return false;
             }
+            for problem in odd {
+                log::warn!(target: "follow", version = config.version, problem; "odd setting read on the safe side");
+            }
             log::info!(target: "follow", version = config.version, routes = config.routes.len(), row = fact.version; "configuration in force");
-            view.config = Some(Arc::new(config));
+            view.ranks = Ranks::of(&config);
+            view.config = Some(Arc::from(config));
         }
         Ok(Decoded::Version(adapter, version)) => {
             let known = view.named.get(&adapter);
--- a/crates/comfreyhall-node/src/fleet/holding.rs
+++ b/crates/comfreyhall-node/src/fleet/holding.rs
@@ -9,7 +9,7 @@
 /// Processor with which a daemon is well placed to hold leases in a large
 /// fleet, in thousandths of a core: reports of 88 daemons and the orders
 /// to thirty engines took 59 to 69 of them.
-const MUCH_CPU: u32 = 250;
+pub(super) const MUCH_CPU: u32 = 250;
 
 /// Who comes before a daemon for a lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 mod holding;
 mod hub;
+mod members;
 mod news;
 mod progress;
 mod runs;
@@ -92,6 +93,8 @@
     targets: u64,
     /// Whether it cannot read the settings in the store by itself.
     cut_off: bool,
+    /// Daemons that may serve requests, as it told; 0 if it does not know.
+    members: usize,
     demands: Map<Name, u32>,
     /// First placement it has not been told.
     told: u64,
@@ -115,6 +118,8 @@
     cessions: Vec<Cession>,
     /// What daemons that report here are told.
     summary: hub::Summary,
+    /// Whether the store has told this process who there is.
+    listed: bool,
     /// When a peer was last called by chance, in a large fleet.
     strayed: u64,
 }
@@ -218,6 +223,7 @@
             settings: 0,
             targets: 0,
             cut_off: false,
+            members: 0,
             demands: Map::default(),
             told,
             findings: 0,
@@ -371,6 +377,17 @@
         }
     }
 
+    /// Which process this is.
+    pub(crate) fn boot(&self) -> u64 {
+        self.me.boot
+    }
+
+    /// The process that answers at `peer`, as it told.
+    pub(crate) fn boot_of(&self, peer: &str) -> Option<u64> {
+        let state = self.state();
+        Some(state.peers.get(peer)?.about.as_ref()?.boot)
+    }
+
     /// Where this daemon answers its peers.
     pub(crate) fn peer(&self) -> &str {
         &self.me.peer
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -129,6 +129,7 @@
             targets_age,
             settings_age,
             cut_off: node.cut_off() || behind_ms > lag_ms,
+            members: self.known_members(),
             ..News::default()
         }
     }
@@ -259,6 +260,7 @@
         peer.settings = news.settings_version;
         peer.targets = news.targets_version;
         peer.cut_off = news.cut_off;
+        peer.members = news.members as usize;
         if news.holdings.is_empty() {
             // It sums up for nobody any more.
             peer.used.clear();
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -4,7 +4,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{
-    BindReply, BindRequest, News, ProgressReply, ProgressReport,
+    BindReply, BindRequest, CapCall, CapReply, News, ProgressReply, ProgressReport,
     fleet_server::{self, FleetServer},
 };
 use rand::Rng;
@@ -15,7 +15,7 @@
     Fleet, Origin, PERIOD_MS, State, hub,
     news::{Lack, add_rows},
 };
-use crate::{bind, node::Node};
+use crate::{bind, caps, node::Node};
 
 /// Longest one swap may take.
 const SWAP_TIMEOUT: Duration = Duration::from_millis(400);
@@ -170,6 +170,10 @@
         Ok(Response::new(bind::answer(&self.0, req.into_inner()).await))
     }
 
+    async fn settle(&self, req: Request<CapCall>) -> Result<Response<CapReply>, Status> {
+        Ok(Response::new(caps::answer(&self.0, req.into_inner())))
+    }
+
     async fn progress(
         &self,
         req: Request<ProgressReport>,
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -7,12 +7,14 @@
 //! through the traits of [`ports`] only: a driver fills them for each wire.
 
 mod bind;
+mod caps;
 mod choose;
 mod clock;
 mod events;
 mod facts;
 mod fleet;
 mod flight;
+mod flood;
 mod follow;
 mod keeper;
 mod leases;
@@ -42,6 +44,7 @@
     leases::spawn(node, rows);
     keeper::spawn(node);
     quarantine::spawn(node);
+    caps::spawn(node);
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -8,6 +8,7 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_catalog::{CatalogError, Rows, delete, put};
+use rand::Rng;
 
 use crate::{follow, node::Node};
 
@@ -18,6 +19,9 @@
 /// each other, and it comes to one call in 20 s for each 16 daemons.
 const PERIOD_MS: u64 = 20_000;
 
+/// Daemons that ask the store at once who there is, of many that do not know.
+const ASKERS: usize = 4;
+
 /// Daemons for which one listing in a period will do.
 const LISTED_BY: usize = 16;
 
@@ -40,6 +44,7 @@
         let now = node.now();
         // Whoever has met the others need not look for them right away.
         let met = now.saturating_sub(began) < period_ms(&node) && node.fleet.size(now) > 1;
+        let unsure = unsure(&node, now);
         let due = listed.is_none_or(|at| now.saturating_sub(at) >= period_ms(&node));
         if !written {
             match write(&node, &rows, &key).await {
@@ -52,7 +57,7 @@
                     log::warn!(target: "members", error:% = e; "own row not written");
                 }
             }
-        } else if due && !met {
+        } else if unsure || (due && !met) {
             match round(&node, &rows, &key).await {
                 Ok(()) => {
                     listed = Some(node.now());
@@ -78,6 +83,15 @@
     }
 }
 
+/// Whether this daemon should ask who there is, for the caps of workspaces. Some
+/// of those that start together ask, and the others hear it from them.
+fn unsure(node: &Node, now: u64) -> bool {
+    let size = node.fleet.size(now);
+    node.caps.in_use()
+        && node.fleet.members(now).is_none()
+        && rand::rng().random_range(0..size) < ASKERS
+}
+
 fn period_ms(node: &Node) -> u64 {
     let size = node.fleet.size(node.now()).max(LISTED_BY);
     PERIOD_MS * size as u64 / LISTED_BY as u64
@@ -100,6 +114,7 @@
             node.fleet.meet(addr, false);
         }
     }
+    node.fleet.listed();
     Ok(())
 }
 
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -3,7 +3,9 @@
 //! No label grows with adapters, customers or requests: the number of series
 //! is bounded by the routes' kinds and the ways things end.
 
-use comfreyhall_domain::Kind;
+use std::sync::Mutex;
+
+use comfreyhall_domain::{Kind, Set};
 use comfreyhall_telemetry::Exposition;
 use opentelemetry::{
     KeyValue,
@@ -14,6 +16,9 @@
 /// objectives of the deployments served are 0.15 to 1 s.
 const BOUNDS: [f64; 11] = [0.0, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0];
 
+/// Workspaces with a series of their own; the rest have one together.
+const MOST_WORKSPACES: usize = 64;
+
 /// The instruments.
 pub(crate) struct Metrics {
     exposition: Exposition,
@@ -21,6 +26,9 @@
     sends: Counter<u64>,
     repeats: Counter<u64>,
     refusals: Counter<u64>,
+    workspaces: Counter<u64>,
+    /// Workspaces that have a label of their own.
+    named: Mutex<Set<String>>,
     loads: Counter<u64>,
     orders: Counter<u64>,
     leases: Counter<u64>,
@@ -50,6 +58,11 @@
                 "sends beyond a request's first, by whether the budget allowed them",
             ),
             refusals: counter("refusals", "requests given up on, by reason"),
+            workspaces: counter(
+                "workspace_refusals",
+                "requests refused by the cap of their workspace",
+            ),
+            named: Mutex::default(),
             loads: counter("adapter_loads", "adapters loaded, by where from"),
             orders: counter("orders", "orders to engines by answer"),
             leases: counter("lease_changes", "leases on orders gained or lost"),
@@ -77,6 +90,21 @@
         self.requests.add(1, &labels);
     }
 
+    /// A request of `workspace` was refused by its cap.
+    pub(crate) fn workspace(&self, workspace: &str, why: &'static str) {
+        let mut named = self.named.lock().expect("no holder of this lock panics");
+        let known = named.contains(workspace);
+        if !known && named.len() < MOST_WORKSPACES {
+            named.insert(workspace.to_string());
+        }
+        let label = match named.contains(workspace) {
+            true => workspace.to_string(),
+            false => "others".to_string(),
+        };
+        let labels = [KeyValue::new("workspace", label), KeyValue::new("why", why)];
+        self.workspaces.add(1, &labels);
+    }
+
     pub(crate) fn send(&self, how: &'static str) {
         self.sends.add(1, &[KeyValue::new("how", how)]);
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use comfreyhall_domain::{AdapterRef, Config, Map, Name, Target};
+use comfreyhall_domain::{AdapterRef, Config, Map, Name, Ranks, Target};
 use comfreyhall_life::{Life, Stage};
 use comfreyhall_placement::{Demand, Hold, engines_for};
 use comfreyhall_routing::{Board, Budget, Prefixes, Residency};
@@ -16,9 +16,11 @@
 use tokio::sync::Notify;
 
 use crate::{
+    caps::Caps,
     clock,
     facts::Book,
     fleet::Fleet,
+    flood::Flood,
     keeper::Keepers,
     leases::Leases,
     metrics::Metrics,
@@ -58,6 +60,8 @@
 #[derive(Debug)]
 pub(crate) struct View {
     pub(crate) config: Option<Arc<Config>>,
+    /// Order of requests by workspace and route.
+    pub(crate) ranks: Ranks,
     pub(crate) named: Map<AdapterRef, Named>,
     /// Targets by the id of their boot.
     pub(crate) targets: Map<Name, Arc<Target>>,
@@ -88,6 +92,7 @@
     fn default() -> Self {
         Self {
             config: None,
+            ranks: Ranks::default(),
             named: Map::default(),
             targets: Map::default(),
             unread: Map::default(),
@@ -187,6 +192,8 @@
     pub(crate) keepers: Keepers,
     pub(crate) metrics: Metrics,
     pub(crate) quarantine: Watch,
+    pub(crate) caps: Caps,
+    pub(crate) flood: Flood,
     /// Wakes duties that act on changed settings or targets.
     pub(crate) changed: Notify,
     view: Mutex<View>,
@@ -218,6 +225,8 @@
             keepers: Keepers::default(),
             metrics: Metrics::new(),
             quarantine: Watch::default(),
+            caps: Caps::default(),
+            flood: Flood::default(),
             changed: Notify::new(),
             view: Mutex::default(),
             began: clock::now(),
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -4,7 +4,7 @@
 //! failure is typed by what it proves, because the answer to a caller rests
 //! on it.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{fmt, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use comfreyhall_domain::{AdapterRef, Ask, Config, Name, Refusal, Target};
@@ -23,7 +23,7 @@
 
 /// One row of a topic, still in the platform's own bytes, so that daemons
 /// can hand it to each other whatever platform it came from.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Fact {
     /// Its key.
     pub key: Name,
@@ -33,6 +33,17 @@
     pub version: u64,
 }
 
+/// What a row says may be secret, so only its length is shown.
+impl fmt::Debug for Fact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Fact")
+            .field("key", &self.key)
+            .field("bytes", &self.value.as_ref().map(Bytes::len))
+            .field("version", &self.version)
+            .finish()
+    }
+}
+
 /// Rows of a topic as of one version.
 #[derive(Debug, Clone, Default)]
 pub struct Facts {
@@ -46,7 +57,12 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decoded {
     /// The configuration.
-    Config(Config),
+    Config {
+        /// What is in force with it.
+        config: Box<Config>,
+        /// What in it was read on the safe side.
+        odd: Vec<String>,
+    },
     /// A version of an adapter was named.
     Version(AdapterRef, u64),
     /// A target.
@@ -101,14 +117,16 @@
 pub type Body = Pin<Box<dyn Stream<Item = Piece> + Send>>;
 
 /// What we add to a request for its target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Extra {
     /// How long the target may take, in ms.
     pub left_ms: u64,
     /// Only this version of the adapter will do.
     pub expect: Option<u64>,
-    /// Rank of the route; 0 is most urgent.
+    /// Rank; 0 is most urgent.
     pub priority: u8,
+    /// The caller's workspace, if one is known.
+    pub workspace: Option<Name>,
     /// Last event the caller has.
     pub last_event: Option<u64>,
 }
--- /dev/null
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -0,0 +1,184 @@
+//! Who calls, whether that still holds, and whether it may use more.
+
+use comfreyhall_domain::{Allowance, Answer, Ask, Caller, Config, Route, answer_for};
+
+use super::{Job, NOT_READY_MS, Reply};
+use crate::{
+    caps::{self, Refused},
+    node::Node,
+};
+
+/// When a caller whose workspace may use nothing should come back, in ms: its
+/// cap has to be written anew first.
+const CLOSED_MS: u64 = 3_000;
+
+/// Why a request is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Turned {
+    /// No route covers it.
+    NoRoute,
+    /// Its key belongs to nobody.
+    NoKey,
+    /// Its key may belong to somebody: newer settings may be in force.
+    Unsure,
+}
+
+/// The route of `ask` and who calls, by `config`.
+pub(super) fn admit(node: &Node, config: &Config, ask: &Ask) -> Result<(Route, Caller), Turned> {
+    let path = ask.message.path.split('?').next().unwrap_or("");
+    let route = config.route(&ask.host, path).ok_or(Turned::NoRoute)?;
+    if config.workspaces.is_some() && !route.public && node.keys_lapsed() {
+        return Err(Turned::Unsure);
+    }
+    match config.caller(route, ask.key.as_ref()) {
+        Some(caller) => Ok((route.clone(), caller)),
+        // A caller does not come back after the final answer, and the key may
+        // have been given out a moment ago.
+        None if ask.key.is_some() && node.settings_may_lag() => Err(Turned::Unsure),
+        None => Err(Turned::NoKey),
+    }
+}
+
+impl Node {
+    /// Whether settings newer than those in force here may have been accepted
+    /// for longer than their bound.
+    fn settings_may_lag(&self) -> bool {
+        let now = self.now();
+        let heard = self.fleet.settings_heard(now);
+        let bound = self.settings().bounds.apply_ms;
+        let view = self.view();
+        heard > view.book.settings.newest() || view.book.settings.age(now) > bound
+    }
+
+    /// Whether no key counts any more, since it may have been taken back.
+    fn keys_lapsed(&self) -> bool {
+        let Some(most) = self.settings().bounds.revoke_ms else {
+            return false;
+        };
+        let now = self.now();
+        self.view().book.settings.age(now) > most
+    }
+
+    /// The answer to a request that is not taken; one line for each, but for a
+    /// flood of them.
+    pub(super) fn turn_away(&self, ask: &Ask, config: u64, why: Turned) -> Reply {
+        let (reply, refusal) = match why {
+            Turned::NoRoute => (Reply::NoRoute, "no route"),
+            Turned::NoKey => (Reply::NoKey, "unknown key"),
+            Turned::Unsure => {
+                let retry_ms = NOT_READY_MS;
+                (Reply::NotReady { retry_ms }, "the key may be newer")
+            }
+        };
+        self.metrics.refusal(refusal);
+        if let Some(left_out) = self.flood.turned.take(self.now()) {
+            log::info!(target: "serve", id:% = ask.id, config, left_out, why = refusal; "turned away");
+        }
+        reply
+    }
+}
+
+impl Job {
+    /// Takes credit for the request, if its workspace has a cap.
+    pub(super) async fn take_credit(&mut self, config: &Config) -> Option<Reply> {
+        let workspace = self.caller.workspace()?.clone();
+        let cap = match workspace.allowance {
+            Allowance::Unlimited => return None,
+            Allowance::Closed => {
+                return Some(self.refuse_credit(
+                    0,
+                    Refused::Over {
+                        retry_ms: CLOSED_MS,
+                    },
+                ));
+            }
+            Allowance::Capped(cap) => cap,
+        };
+        let tokens = self.ask.tokens;
+        let tokens = tokens.map(|t| u64::from(t.prompt) + u64::from(t.output));
+        let size = cap.size(tokens);
+        match caps::reserve(&self.node, config, &workspace, size).await {
+            Ok(credit) => {
+                self.credit = Some(credit);
+                None
+            }
+            Err(why) => Some(self.refuse_credit(size, why)),
+        }
+    }
+
+    /// The final answer to a request without credit, at once.
+    fn refuse_credit(&mut self, size: u64, why: Refused) -> Reply {
+        self.ended = true;
+        let now = self.node.now();
+        let workspace = self.caller.workspace().map_or("", |w| &*w.name).to_string();
+        let (reason, over, retry_ms) = match why {
+            Refused::Over { retry_ms } => ("over its cap", true, retry_ms),
+            Refused::Unsure { retry_ms } => ("its use is not known", false, retry_ms),
+        };
+        let retry_ms = self.retry_ms(retry_ms as f64);
+        let answer = match over {
+            true => Answer::OverCap { retry_ms },
+            false => Answer::NotRun { retry_ms },
+        };
+        self.node.metrics.refusal(reason);
+        self.node.metrics.workspace(&workspace, reason);
+        self.node.metrics.request(self.route.kind, answer.name());
+        if let Some(left_out) = self.node.flood.capped.take(now) {
+            let basis = self.node.caps.basis(&workspace, now);
+            let home = basis.home.as_deref().unwrap_or("");
+            // Whole units a second, and per cent.
+            let (cap, lent, demand) = (basis.rate as u64, basis.lent as u64, basis.demand as u64);
+            let (held, lends) = (basis.held as u64, (basis.part * 100.0) as u64);
+            log::info!(target: "caps", id:% = self.ask.id, route:% = self.route.name, workspace, size, why = reason, cap, lent, lends, home, age = basis.age_ms, held, demand, retry_ms, left_out; "refused");
+        }
+        Reply::Unanswered(answer)
+    }
+
+    /// Whether its key still belongs to its workspace.
+    ///
+    /// What goes wrong without it: a request waits for a place while its key is
+    /// taken back, and is sent seconds after everybody has been told.
+    pub(super) fn still_welcome(&self) -> bool {
+        let Some(config) = self.node.config() else {
+            return false;
+        };
+        let Some(known) = self.caller.workspace() else {
+            return true;
+        };
+        if self.node.keys_lapsed() {
+            return false;
+        }
+        if config.version == self.config {
+            return true;
+        }
+        let found = config.caller(&self.route, self.ask.key.as_ref());
+        let found = found.as_ref().and_then(Caller::workspace);
+        found.is_some_and(|w| w.name == known.name)
+    }
+
+    /// The final answer to a request whose key was taken back meanwhile.
+    pub(super) fn unwelcome(&mut self) -> Reply {
+        let why = "its key was taken back";
+        self.ended = true;
+        self.give_credit_back();
+        self.node.metrics.refusal(why);
+        if let Some(reply) = self.spare_reply(why) {
+            return reply;
+        }
+        let held = self.node.now() - self.began;
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, why, sends = self.verdict.sends, held; "given up");
+        match self.verdict.doubt {
+            true => Reply::Unanswered(answer_for(&self.verdict, false, 0)),
+            false => Reply::NoKey,
+        }
+    }
+
+    /// Its credit goes back if it has surely not run.
+    pub(super) fn give_credit_back(&mut self) {
+        if let Some(credit) = self.credit.take()
+            && !self.verdict.doubt
+        {
+            credit.give_back();
+        }
+    }
+}
--- a/crates/comfreyhall-node/src/serve/hold.rs
+++ b/crates/comfreyhall-node/src/serve/hold.rs
@@ -1,8 +1,7 @@
 //! Which request an attempt is one of, and whether that may be sent.
 
-use comfreyhall_domain::{Ask, answer_held};
+use comfreyhall_domain::{Ask, Caller, answer_held};
 use comfreyhall_quarantine::Fingerprint;
-use http::header;
 
 use super::{Job, Reply};
 use crate::{
@@ -10,14 +9,14 @@
     quarantine::{self, Admission},
 };
 
-/// The identity of `ask` over all attempts: its caller (the host it calls and
-/// its credential), what it calls, and its body. Ids, time limits and hints
-/// differ from attempt to attempt and are left out.
-fn fingerprint_of(ask: &Ask) -> Fingerprint {
-    let credential = ask.message.headers.get(header::AUTHORIZATION);
+/// The identity of `ask` of `caller` over all attempts: its workspace and the
+/// host it calls, what it calls, and its body. Ids, time limits and hints differ
+/// from attempt to attempt, and other headers are the caller's own to change, so
+/// all are left out.
+fn fingerprint_of(ask: &Ask, caller: &Caller) -> Fingerprint {
     Fingerprint::of([
         ask.host.as_bytes(),
-        credential.map_or(&[][..], |c| c.as_bytes()),
+        caller.workspace().map_or("", |w| &*w.name).as_bytes(),
         ask.message.method.as_str().as_bytes(),
         ask.message.path.as_bytes(),
         &ask.message.body,
@@ -28,7 +27,9 @@
     /// Its identity over all attempts. Computed when first asked for: most
     /// requests are never compared with another.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| fingerprint_of(&self.ask))
+        *self
+            .fingerprint
+            .get_or_init(|| fingerprint_of(&self.ask, &self.caller))
     }
 
     /// The target closed the connection of the run `flight`.
@@ -76,6 +77,7 @@
     pub(super) fn hold_back(&mut self, retry_ms: u64) -> Reply {
         let why = "targets ended under it";
         self.ended = true;
+        self.give_credit_back();
         self.node.metrics.refusal(why);
         if let Some(reply) = self.spare_reply(why) {
             return reply;
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -4,6 +4,7 @@
 //! time is up, or what is known forbids another send; then [`answer_for`]
 //! alone chooses the answer. A request given up on is answered at once.
 
+mod caller;
 mod hold;
 mod place;
 mod send;
@@ -15,7 +16,9 @@
 };
 
 use bytes::Bytes;
-use comfreyhall_domain::{Answer, Ask, Config, Engine, Kind, Name, Route, Verdict, answer_for};
+use comfreyhall_domain::{
+    Answer, Ask, Caller, Config, Engine, Kind, Name, Route, Verdict, answer_for,
+};
 use comfreyhall_quarantine::Fingerprint;
 use comfreyhall_routing::{Budget, admission};
 use futures::Stream;
@@ -24,6 +27,7 @@
 
 use self::{place::Found, send::Next};
 use crate::{
+    caps::Credit,
     choose::{self, Need, Plan, Wish},
     fleet::key_of,
     node::{Node, Tracked},
@@ -63,6 +67,9 @@
     },
     /// No route covers the request.
     NoRoute,
+    /// The caller's key belongs to nobody: the request has not run and never
+    /// will.
+    NoKey,
     /// No target answered.
     Unanswered(Answer),
     /// A target's whole answer.
@@ -96,6 +103,13 @@
     /// Its identity over all attempts, once it was needed.
     fingerprint: OnceLock<Fingerprint>,
     pub(crate) route: Route,
+    caller: Caller,
+    /// Order among requests; 0 is first.
+    rank: u8,
+    /// Version of the configuration that let it in.
+    config: u64,
+    /// Credit under its workspace's cap.
+    credit: Option<Credit>,
     service: Name,
     engine: Option<Engine>,
     began: u64,
@@ -146,9 +160,11 @@
                 retry_ms: NOT_READY_MS,
             };
         };
-        let id = ask.id.clone();
-        let Some(mut job) = Job::new(self, &config, ask) else {
-            log::info!(target: "serve", id:% = id, config = config.version; "no route");
+        let (route, caller) = match caller::admit(self, &config, &ask) {
+            Ok(found) => found,
+            Err(why) => return self.turn_away(&ask, config.version, why),
+        };
+        let Some(mut job) = Job::new(self, &config, ask, route, caller) else {
             return Reply::NoRoute;
         };
         if !stop::takes(self, job.limit) {
@@ -159,6 +175,9 @@
             };
         }
         job.tracked = Some(tracked);
+        if let Some(reply) = job.take_credit(&config).await {
+            return reply;
+        }
         match job.route.kind {
             Kind::Unsafe => match tokio::spawn(job.run()).await {
                 Ok(reply) => reply,
@@ -174,9 +193,13 @@
 }
 
 impl Job {
-    fn new(node: &Arc<Node>, config: &Config, ask: Ask) -> Option<Self> {
-        let path = ask.message.path.split('?').next().unwrap_or("");
-        let route = config.route(&ask.host, path)?.clone();
+    fn new(
+        node: &Arc<Node>,
+        config: &Config,
+        ask: Ask,
+        route: Route,
+        caller: Caller,
+    ) -> Option<Self> {
         let draw: u64 = rand::rng().random();
         let service = route.service(draw)?.clone();
         let engine = config.services.get(&service).and_then(|s| s.engine.clone());
@@ -191,7 +214,11 @@
             need: Arc::new(Need::of(&ask)),
             fingerprint: OnceLock::new(),
             ask: Arc::new(ask),
+            rank: node.view().ranks.of_call(&caller, &route),
             route,
+            caller,
+            config: config.version,
+            credit: None,
             service,
             engine,
             began,
@@ -230,6 +257,9 @@
             if let Some(retry_ms) = self.held_back().await {
                 return self.hold_back(retry_ms);
             }
+            if !self.still_welcome() {
+                return self.unwelcome();
+            }
             let Some(mut plan) = self.choose() else {
                 if self.held_long() || self.full >= FULL_TIMES {
                     return self.give_up("no target can take it", FULL_MS as f64);
@@ -263,6 +293,9 @@
             if let Some(retry_ms) = self.held_back().await {
                 return self.hold_back(retry_ms);
             }
+            if !self.still_welcome() {
+                return self.unwelcome();
+            }
             if self.arrivals > 0 && !self.repeat() {
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
@@ -295,12 +328,7 @@
 
     /// Whether a wait of `wait_ms` would be too long for it.
     fn refuses(&self, wait_ms: f64) -> bool {
-        admission::refuse(
-            wait_ms,
-            self.left(),
-            self.route.target_ms,
-            self.route.priority,
-        )
+        admission::refuse(wait_ms, self.left(), self.route.target_ms, self.rank)
     }
 
     /// Whether it may only go where it was sent before.
@@ -374,16 +402,23 @@
         Some(whole(status, headers, body))
     }
 
+    /// When its caller should come back, in ms, if there is room for it after
+    /// `excess_ms`.
+    fn retry_ms(&self, excess_ms: f64) -> u64 {
+        let draw: u64 = rand::rng().random();
+        admission::retry_ms(excess_ms, self.left(), draw)
+    }
+
     /// The final answer, at once.
     fn give_up(&mut self, why: &'static str, excess_ms: f64) -> Reply {
         self.ended = true;
+        self.give_credit_back();
         self.node.metrics.refusal(why);
         if let Some(reply) = self.spare_reply(why) {
             return reply;
         }
         let left = self.left();
-        let draw: u64 = rand::rng().random();
-        let retry = admission::retry_ms(excess_ms, left, draw);
+        let retry = self.retry_ms(excess_ms);
         let answer = answer_for(&self.verdict, left == 0, retry);
         let held = self.node.now() - self.began;
         self.node.metrics.request(self.route.kind, answer.name());
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -78,7 +78,7 @@
             service: self.service.clone(),
             need: self.need.clone(),
             version: plan.version,
-            priority: self.route.priority,
+            priority: self.rank,
             aim_ms: self.route.target_ms,
             spent_ms: self.node.now() - self.began,
             left_ms: self.left(),
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -59,9 +59,13 @@
         let extra = Extra {
             left_ms: self.left(),
             expect: plan.expect,
-            priority: self.route.priority,
+            priority: self.rank,
+            workspace: self.caller.workspace().map(|w| w.name.clone()),
             last_event,
         };
+        if let Some(credit) = &mut self.credit {
+            credit.sent();
+        }
         let adapter = self.ask.adapter.clone().filter(|_| self.engine.is_some());
         let seat = self.seat(plan);
         let flight = Flight::begin(&self.node, &plan.target, adapter, plan.tokens, seat);
@@ -249,6 +253,10 @@
             need: self.need.clone(),
             fingerprint: self.fingerprint.clone(),
             route: self.route.clone(),
+            caller: self.caller.clone(),
+            rank: self.rank,
+            config: self.config,
+            credit: self.credit.take(),
             service: self.service.clone(),
             engine: self.engine.clone(),
             began: self.began,
@@ -315,7 +323,7 @@
         if !matches!(self.bind(&mut plan).await, Found::Engine) || !self.still_ready(&plan) {
             return Err(());
         }
-        if self.held_back().await.is_some() {
+        if self.held_back().await.is_some() || !self.still_welcome() {
             return Err(());
         }
         self.send(&mut plan, last_event).await
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -12,7 +12,8 @@
 use comfreyhall_lease::Lease;
 use comfreyhall_node::Node;
 use comfreyhall_protocol::{
-    BindReply, BindRequest, Daemon, Holding, Map, News, ProgressReply, ProgressReport,
+    BindReply, BindRequest, CapCall, CapReply, Daemon, Holding, Map, News, ProgressReply,
+    ProgressReport,
     fleet_server::{Fleet, FleetServer},
 };
 use support::*;
@@ -41,6 +42,10 @@
         std::future::pending().await
     }
 
+    async fn settle(&self, _: Request<CapCall>) -> Result<Response<CapReply>, Status> {
+        std::future::pending().await
+    }
+
     async fn progress(
         &self,
         _: Request<ProgressReport>,
--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -21,8 +21,9 @@
     let mut route = route(kind, attempts, kind == Kind::Stream);
     route.timeout_ms = PATIENT_MS;
     let mut world = scenery(route, None);
-    let targets = &mut Arc::get_mut(&mut world).unwrap().targets;
-    targets.extend(["c", "d", "e"].map(target));
+    let plain = Arc::get_mut(&mut world).unwrap();
+    plain.targets.extend(["c", "d", "e"].map(target));
+    plain.config.workspaces = Some(workspaces(&["a", "b"]));
     let script = Arc::new(Script::default());
     let node = Node::new(
         settings_of("n", "127.0.0.1:1", &[], 0.25),
@@ -42,7 +43,7 @@
 
 /// The same request with an id of its own.
 fn deadly(id: &str) -> Ask {
-    let mut ask = ask(id);
+    let mut ask = keyed(id, "key of a");
     ask.left_ms = Some(PATIENT_MS);
     ask.message.body = Bytes::from_static(b"deadly");
     ask
@@ -108,26 +109,29 @@
     assert_eq!(script.seen.lock().unwrap().len(), 3);
 }
 
-/// Symptom: two customers send the same text, and one cannot be served. Events:
-/// the text of the first ends its targets. Cause: the body alone told them
-/// apart.
+/// Guards against one workspace that cannot be served because another's request
+/// with the same body ends its targets, and against a caller that passes for
+/// another by a header of its own.
 #[tokio::test]
 async fn serve_same_body_of_others_is_free() {
     let (node, script, _) = daemon(Kind::Safe, 2).await;
     always(&script, Act::Ends);
     until_held(&node, &script).await;
     always(&script, Act::Answer(200, 0));
-    let mut credential = deadly("q");
-    let headers = &mut credential.message.headers;
-    headers.insert(http::header::AUTHORIZATION, "Bearer other".parse().unwrap());
+    let mut other = deadly("q");
+    other.key = keyed("q", "key of b").key;
     let mut path = deadly("q");
     path.message.path = "/y".into();
     let mut body = deadly("q");
     body.message.body = Bytes::from_static(b"another");
-    for ask in [credential, path, body] {
+    for ask in [other, path, body] {
         assert_eq!(serve(&node, ask).await, Got::Whole(200));
     }
     assert_eq!(serve(&node, deadly("q")).await, Got::Quarantined(false));
+    let mut header = deadly("q");
+    let headers = &mut header.message.headers;
+    headers.insert(http::header::AUTHORIZATION, "Bearer other".parse().unwrap());
+    assert_eq!(serve(&node, header).await, Got::Quarantined(false));
 }
 
 /// Symptom: every request of a failure domain was held back. Events: a switch
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -3,7 +3,10 @@
 #![allow(dead_code)]
 
 use std::{
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,6 +16,7 @@
 use comfreyhall_settings::NodeSettings;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
 use http::{HeaderMap, Method, StatusCode};
+use tokio::sync::Notify;
 
 /// What a target does with one send.
 #[derive(Debug, Clone)]
@@ -212,9 +216,14 @@
     }
 }
 
-/// A configuration that never changes, and targets that may leave.
+/// A configuration, and targets that may leave.
 pub struct World {
     pub config: Config,
+    /// A newer configuration, and whoever waits for one.
+    pub newer: Mutex<Option<Config>>,
+    pub published: Notify,
+    /// Whether changes of the settings are read at all.
+    pub deaf: AtomicBool,
     pub targets: Vec<Target>,
     /// Targets that say that they leave.
     pub leaving: Mutex<Vec<Name>>,
@@ -235,13 +244,37 @@
         async { Ok(Facts { rows, version: 1 }) }.boxed()
     }
 
-    fn changes(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Facts, SourceError>> {
-        std::future::pending().boxed()
+    fn changes(
+        &self,
+        _: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Facts, SourceError>> {
+        async move {
+            let changed = self.changed(after);
+            match tokio::time::timeout(wait, changed).await {
+                Ok(facts) => Ok(facts),
+                Err(_) if self.deaf.load(Ordering::SeqCst) => {
+                    Err(SourceError::Unavailable("scripted".into()))
+                }
+                Err(_) => Ok(Facts {
+                    rows: Vec::new(),
+                    version: after,
+                }),
+            }
+        }
+        .boxed()
     }
 
     fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String> {
         Ok(match topic {
-            Topic::Settings => Decoded::Config(self.config.clone()),
+            Topic::Settings => Decoded::Config {
+                config: Box::new(match fact.version {
+                    1 => self.config.clone(),
+                    _ => self.newer.lock().unwrap().clone().unwrap(),
+                }),
+                odd: Vec::new(),
+            },
             Topic::Targets => {
                 let target = self.targets.iter().find(|t| t.id == fact.key);
                 let mut target = target.unwrap().clone();
@@ -254,6 +287,34 @@
     }
 }
 
+impl World {
+    /// Writes `config` as an operator would.
+    pub fn publish(&self, config: Config) {
+        *self.newer.lock().unwrap() = Some(config);
+        self.published.notify_waiters();
+    }
+
+    /// The configuration written after `after`, once there is one.
+    async fn changed(&self, after: u64) -> Facts {
+        loop {
+            let published = self.published.notified();
+            let version = self.newer.lock().unwrap().as_ref().map_or(0, |c| c.version);
+            if version > after && !self.deaf.load(Ordering::SeqCst) {
+                let row = Fact {
+                    key: "config".into(),
+                    value: Some(Bytes::new()),
+                    version,
+                };
+                return Facts {
+                    rows: vec![row],
+                    version,
+                };
+            }
+            published.await;
+        }
+    }
+}
+
 pub fn route(kind: Kind, attempts: u32, resumable: bool) -> Route {
     Route {
         name: "r".into(),
@@ -269,6 +330,7 @@
         }],
         attempts,
         resumable,
+        public: false,
     }
 }
 
@@ -354,7 +416,11 @@
                 header_ms: 1,
                 idle_ms: 1,
             },
+            workspaces: None,
         },
+        newer: Mutex::default(),
+        published: Notify::new(),
+        deaf: AtomicBool::new(false),
         targets,
         leaving: Mutex::default(),
     })
@@ -380,6 +446,7 @@
 pub fn ask(id: &str) -> Ask {
     Ask {
         id: id.into(),
+        key: None,
         host: "h".into(),
         left_ms: Some(2_000),
         adapter: None,
@@ -402,6 +469,10 @@
     NotRun,
     TimedOut,
     Unknown,
+    /// The key belongs to nobody.
+    NoKey,
+    /// The workspace is over its cap.
+    OverCap,
     /// Held back; whether it may have run.
     Quarantined(bool),
     /// The ids of the stream's events and whether it ended whole.
@@ -419,6 +490,8 @@
             Got::Quarantined(may_have_run)
         }
         Reply::NoRoute => Got::Other,
+        Reply::NoKey => Got::NoKey,
+        Reply::Unanswered(Answer::OverCap { .. }) => Got::OverCap,
         Reply::Events { mut body, .. } => {
             let mut ids = Vec::new();
             while let Some(piece) = body.next().await {
@@ -433,3 +506,29 @@
         }
     }
 }
+
+/// What the tests hash keys with.
+pub fn hasher() -> KeyHasher {
+    KeyHasher::new(Salt::new([9; 32]))
+}
+
+/// The workspace `name`, without a cap, whose key is `key of NAME`.
+pub fn entry(name: &str) -> Entry {
+    Entry {
+        name: name.to_string(),
+        keys: vec![hasher().hash(format!("key of {name}").as_bytes())],
+        ..Entry::default()
+    }
+}
+
+/// Workspaces without caps.
+pub fn workspaces(names: &[&str]) -> Workspaces {
+    read(hasher(), names.iter().map(|n| entry(n)).collect()).0
+}
+
+pub fn keyed(id: &str, key: &str) -> Ask {
+    Ask {
+        key: Some(PresentedKey::new(key.as_bytes())),
+        ..ask(id)
+    }
+}
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -499,6 +499,10 @@
     pub heard_boot: u64,
     #[prost(uint64, tag = "24")]
     pub heard_serial: u64,
+    /// Daemons that may serve requests, as the sender knows from the store or
+    /// from others who do; 0 if it does not.
+    #[prost(uint32, tag = "25")]
+    pub members: u32,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -683,6 +687,87 @@
     #[prost(string, tag = "3")]
     pub to: ::prost::alloc::string::String,
 }
+/// What a daemon tells the home of a group of workspaces.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CapCall {
+    /// Peer address and process of the daemon.
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    /// Grows with each call of the process.
+    #[prost(uint64, tag = "3")]
+    pub serial: u64,
+    #[prost(string, tag = "4")]
+    pub group: ::prost::alloc::string::String,
+    /// Part of every cap that the home may lend on its behalf.
+    #[prost(double, tag = "5")]
+    pub share: f64,
+    /// The home's clock as it last told it, from which the share holds, and for
+    /// how long, in ms.
+    #[prost(uint64, tag = "6")]
+    pub as_of: u64,
+    #[prost(uint64, tag = "7")]
+    pub term_ms: u64,
+    #[prost(message, repeated, tag = "8")]
+    pub lines: ::prost::alloc::vec::Vec<CapLine>,
+}
+/// One workspace at the daemon that calls, in the cap's units.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CapLine {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Credit that no request holds, and credit of requests not sent yet.
+    #[prost(double, tag = "2")]
+    pub held: f64,
+    #[prost(double, tag = "3")]
+    pub reserved: f64,
+    /// Credit given back with this call.
+    #[prost(double, tag = "4")]
+    pub returned: f64,
+    /// Credit that waiting requests lack together, and the first of them.
+    #[prost(double, tag = "5")]
+    pub need: f64,
+    #[prost(double, tag = "6")]
+    pub least: f64,
+    /// Credit that it would like to have besides.
+    #[prost(double, tag = "7")]
+    pub want: f64,
+    /// Units a second asked of it.
+    #[prost(double, tag = "8")]
+    pub demand: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CapReply {
+    /// The home's process and clock.
+    #[prost(uint64, tag = "1")]
+    pub boot: u64,
+    #[prost(uint64, tag = "2")]
+    pub clock: u64,
+    /// Part of every cap that it lends.
+    #[prost(double, tag = "3")]
+    pub part: f64,
+    /// In the order of the call's lines; none if a later call came before.
+    #[prost(message, repeated, tag = "4")]
+    pub lines: ::prost::alloc::vec::Vec<CapSettled>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CapSettled {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Credit lent.
+    #[prost(double, tag = "2")]
+    pub grant: f64,
+    /// When there is more, in ms; 0 if nobody was refused.
+    #[prost(uint64, tag = "3")]
+    pub retry_ms: u64,
+    /// Units a second asked of all other daemons.
+    #[prost(double, tag = "4")]
+    pub others: f64,
+    /// Units lent to all in the last window.
+    #[prost(double, tag = "5")]
+    pub lent: f64,
+}
 /// Generated client implementations.
 pub mod engine_client {
     #![allow(
@@ -3300,6 +3385,28 @@
                 .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Progress"));
             self.inner.unary(req, path, codec).await
         }
+        /// Settles caps of workspaces with the daemon that keeps them for a group.
+        pub async fn settle(
+            &mut self,
+            request: impl tonic::IntoRequest<super::CapCall>,
+        ) -> std::result::Result<tonic::Response<super::CapReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/comfreyhall.v1.Fleet/Settle",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Settle"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -3330,6 +3437,11 @@
             &self,
             request: tonic::Request<super::ProgressReport>,
         ) -> std::result::Result<tonic::Response<super::ProgressReply>, tonic::Status>;
+        /// Settles caps of workspaces with the daemon that keeps them for a group.
+        async fn settle(
+            &self,
+            request: tonic::Request<super::CapCall>,
+        ) -> std::result::Result<tonic::Response<super::CapReply>, tonic::Status>;
     }
     /// Between daemons of one deployment: each tells the others what it knows.
     #[derive(Debug)]
@@ -3537,6 +3649,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/comfreyhall.v1.Fleet/Settle" => {
+                    #[allow(non_camel_case_types)]
+                    struct SettleSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::CapCall>
+                    for SettleSvc<T> {
+                        type Response = super::CapReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::CapCall>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::settle(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = SettleSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -53,6 +53,47 @@
     pub fencing: bool,
     /// Time for an entry to come back after the store was away, in s.
     pub return_s: f64,
+    /// Ms after the last word of the store, also through others, from which on
+    /// no key counts any more: it may have been taken back. `None` if keys
+    /// count for as long as the store is silent.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+}
+
+/// How the daemons keep the caps of workspaces together.
+#[derive(Debug, Clone, Copy, Deserialize, PartialEq, Eq, Default)]
+#[serde(rename_all = "snake_case")]
+pub enum CapWay {
+    /// The home of a workspace lends credit to those whose requests need it.
+    #[default]
+    Lending,
+    /// Each daemon has a part that follows what is asked of it.
+    Sharing,
+}
+
+/// Caps of workspaces.
+#[derive(Debug, Clone, Copy, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Caps {
+    /// How they are kept.
+    pub way: CapWay,
+    /// Window in which the use of a workspace is compared with its cap, in s.
+    pub window_s: f64,
+    /// How far the use may lie above what the cap allows there, as a part of it.
+    pub overshoot: f64,
+    /// And by how many units besides.
+    pub slack: f64,
+}
+
+impl Default for Caps {
+    fn default() -> Self {
+        Self {
+            way: CapWay::default(),
+            window_s: 8.0,
+            overshoot: 0.1,
+            slack: 0.0,
+        }
+    }
 }
 
 /// Mechanisms that decide, each with a switch: to see what it is worth, or to
@@ -134,6 +175,9 @@
     pub store: SocketAddr,
     /// Promised bounds.
     pub bounds: Bounds,
+    /// Caps of workspaces.
+    #[serde(default)]
+    pub caps: Caps,
     /// Mechanisms that decide.
     #[serde(default)]
     pub policies: Policies,
@@ -166,6 +210,7 @@
             ("bounds.version_ms", b.version_ms as f64),
             ("bounds.address_s", b.address_s),
             ("bounds.retry_s", b.retry_s),
+            ("caps.window_s", self.caps.window_s),
         ];
         for (field, value) in positive {
             if value <= 0.0 {
