Sight: what targets say of a limit is read, logged and counted

Callers and operators saw two engines that named a limit and got what they got before; no line of ours named the word, so the hypotheses of docs/incidents/limit.md could not be told apart from our logs alone.

The word is decoded once in platform/ (odd values on the safe side, each with a test), into a Notice that comes with every answer: of requests whatever their status, of orders, reports and probes. A new pure crate, comfreyhall-backpressure, keeps what each start of a target last said, in whatever order answers come. One line when a target begins, changes and ends to be limited, a counter (target_notices), one bounded line for an odd value. All calls to targets go through crates/comfreyhall-node/src/outbound now; a test greps for others. No decision has changed.

--- a/crates/comfreyhall-node/src/flood.rs
+++ b/crates/comfreyhall-node/src/flood.rs
@@ -47,6 +47,8 @@
     pub(crate) turned: Lines,
     /// Requests over a cap.
     pub(crate) capped: Lines,
+    /// Answers in which a target says something odd of itself.
+    pub(crate) odd: Lines,
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/keeper/order.rs
+++ b/crates/comfreyhall-node/src/keeper/order.rs
@@ -8,7 +8,7 @@
 use super::{IDLE_MS, Keeper, SETTLE};
 use crate::{
     fleet::key_of,
-    leases,
+    leases, outbound,
     ports::{Action, Order, OrderReply},
 };
 
@@ -85,9 +85,8 @@
             if self.node.token(&self.target.domain) != Some(order.token) {
                 break;
             }
-            let call = self.node.backend.order(self.target.clone(), order.clone());
-            let answer = tokio::time::timeout(ORDER_TIMEOUT, call).await;
-            reply = answer.unwrap_or_else(|_| OrderReply::Silent("no answer in time".into()));
+            let target = &self.target;
+            reply = outbound::order(&self.node, target, order.clone(), ORDER_TIMEOUT).await;
             if !matches!(reply, OrderReply::Silent(_)) {
                 break;
             }
--- a/crates/comfreyhall-node/src/keeper/report.rs
+++ b/crates/comfreyhall-node/src/keeper/report.rs
@@ -9,7 +9,10 @@
 use comfreyhall_routing::Standing;
 
 use super::{Coming, Hold, IDLE_MS, Keeper, LOOK_MS, SETTLE, finish};
-use crate::ports::{NoReport, Report};
+use crate::{
+    outbound,
+    ports::{NoReport, Report},
+};
 
 /// Longest a report is waited for.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -21,10 +24,7 @@
         if now < self.ready_at {
             return false;
         }
-        let call = self.node.backend.report(self.target.clone());
-        let report = tokio::time::timeout(REPORT_TIMEOUT, call).await;
-        let report = report.unwrap_or_else(|_| Err(NoReport::Silent("no answer in time".into())));
-        match report {
+        match outbound::report(&self.node, &self.target, REPORT_TIMEOUT).await {
             Ok(report) => {
                 self.adopt(report);
                 true
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod members;
 mod metrics;
 mod node;
+mod outbound;
 pub mod ports;
 mod quarantine;
 mod relay;
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -34,6 +34,7 @@
     leases: Counter<u64>,
     store: Counter<u64>,
     quarantine: Counter<u64>,
+    gates: Counter<u64>,
     first: Histogram<f64>,
     stall: Histogram<f64>,
 }
@@ -70,6 +71,10 @@
                 "quarantine",
                 "requests that became suspect of ending targets, were held back or let go",
             ),
+            gates: counter(
+                "target_notices",
+                "targets that began or ceased to say something of themselves, by what",
+            ),
             store: counter("store_reads", "readings of settings and targets by outcome"),
             first: seconds(
                 "first_event",
@@ -139,6 +144,10 @@
         self.quarantine.add(1, &[KeyValue::new("change", change)]);
     }
 
+    pub(crate) fn gate(&self, change: &'static str) {
+        self.gates.add(1, &[KeyValue::new("change", change)]);
+    }
+
     pub(crate) fn first(&self, ms: u64) {
         self.first.record(ms as f64 / 1_000.0, &[]);
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -24,6 +24,7 @@
     keeper::Keepers,
     leases::Leases,
     metrics::Metrics,
+    outbound::Outbound,
     ports::{Backend, Source},
     quarantine::Watch,
 };
@@ -194,6 +195,7 @@
     pub(crate) quarantine: Watch,
     pub(crate) caps: Caps,
     pub(crate) flood: Flood,
+    pub(crate) outbound: Outbound,
     /// Wakes duties that act on changed settings or targets.
     pub(crate) changed: Notify,
     view: Mutex<View>,
@@ -227,6 +229,7 @@
             quarantine: Watch::default(),
             caps: Caps::default(),
             flood: Flood::default(),
+            outbound: Outbound::default(),
             changed: Notify::new(),
             view: Mutex::default(),
             began: clock::now(),
--- /dev/null
+++ b/crates/comfreyhall-node/src/outbound/log.rs
@@ -0,0 +1,32 @@
+//! What is logged and counted of what targets say.
+
+use comfreyhall_backpressure::{Change, Notice};
+use comfreyhall_domain::{Name, Target};
+
+use crate::node::Node;
+
+/// One line for each odd notice, but for a flood of them.
+pub(super) fn odd(node: &Node, target: &Target, notice: &Notice, now: u64) {
+    for problem in &notice.odd {
+        if let Some(left_out) = node.flood.odd.take(now) {
+            log::warn!(target: "outbound", target_id:% = target.id, problem:%, left_out; "target says something odd");
+        }
+    }
+}
+
+/// One line for each change; `age`: ms since the request was sent whose answer
+/// told of it.
+pub(super) fn changed(node: &Node, target: &Name, change: Change, age: u64) {
+    let by = node.settings().id.clone();
+    match change {
+        Change::Limited { limit, before } => {
+            let (limit, before) = (limit.per_s(), before.map_or(0.0, |b| b.per_s()));
+            log::info!(target: "outbound", target_id:% = target, limit, before, by:%, age; "target limited");
+            node.metrics.gate("limited");
+        }
+        Change::Unlimited { after_ms } => {
+            log::info!(target: "outbound", target_id:% = target, after = after_ms, by:%, age; "target no longer limited");
+            node.metrics.gate("unlimited");
+        }
+    }
+}
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -7,6 +7,7 @@
 use std::{fmt, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use comfreyhall_backpressure::Notice;
 use comfreyhall_domain::{AdapterRef, Ask, Config, Name, Refusal, Target};
 use futures::{Stream, future::BoxFuture};
 use http::{HeaderMap, StatusCode};
@@ -137,6 +138,8 @@
     pub status: StatusCode,
     /// End-to-end headers.
     pub headers: HeaderMap,
+    /// What the target says of itself.
+    pub notice: Notice,
     /// Set if it proves that the request was not run.
     pub refusal: Option<Refusal>,
     /// Whether the answer bears the mark of a real answer of a target.
@@ -256,6 +259,33 @@
     Silent,
 }
 
+/// An answer with what its target says of itself in its head.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Heard<T> {
+    /// The answer.
+    pub answer: T,
+    /// What the target says.
+    pub notice: Notice,
+}
+
+impl<T> Heard<T> {
+    /// An answer in which no target says anything of itself.
+    pub fn plain(answer: T) -> Self {
+        Self {
+            answer,
+            notice: Notice::default(),
+        }
+    }
+
+    /// The same notice with what `read` makes of the answer.
+    pub fn map<U>(self, read: impl FnOnce(T) -> U) -> Heard<U> {
+        Heard {
+            answer: read(self.answer),
+            notice: self.notice,
+        }
+    }
+}
+
 /// Calls to targets.
 pub trait Backend: Send + Sync + 'static {
     /// Sends a request; resolves when the answer's head is there. Dropping
@@ -268,13 +298,13 @@
     ) -> BoxFuture<'static, Result<Response, SendError>>;
 
     /// Gives an order.
-    fn order(&self, target: Arc<Target>, order: Order) -> BoxFuture<'static, OrderReply>;
+    fn order(&self, target: Arc<Target>, order: Order) -> BoxFuture<'static, Heard<OrderReply>>;
 
     /// Asks for a report.
-    fn report(&self, target: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>>;
+    fn report(&self, target: Arc<Target>) -> BoxFuture<'static, Heard<Result<Report, NoReport>>>;
 
     /// Looks whether it is there.
-    fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, Pulse>;
+    fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, Heard<Pulse>>;
 
     /// The targets that are left; connections to others may be closed.
     fn retain(&self, targets: &[Arc<Target>]);
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -12,7 +12,7 @@
 use comfreyhall_quarantine::Fingerprint;
 
 use super::{Node, Watch, doubted, settle};
-use crate::ports::Pulse;
+use crate::{outbound, ports::Pulse};
 
 /// Pauses before each look at the target, in ms: a process that ended refuses
 /// connections at once; a listener may outlive its process by some ms.
@@ -42,7 +42,7 @@
         let Some(known) = node.view().targets.get(target).cloned() else {
             return true;
         };
-        match node.backend.probe(known).await {
+        match outbound::probe(node, &known).await {
             Pulse::Alive => return false,
             Pulse::Ended => return true,
             Pulse::Silent => {}
--- a/crates/comfreyhall-node/src/quiet.rs
+++ b/crates/comfreyhall-node/src/quiet.rs
@@ -9,8 +9,8 @@
 use crate::{
     node::Node,
     ports::{
-        Backend, Decoded, Extra, Fact, Facts, NoReport, Order, OrderReply, Pulse, Report, Response,
-        SendError, Source, SourceError, Topic,
+        Backend, Decoded, Extra, Fact, Facts, Heard, NoReport, Order, OrderReply, Pulse, Report,
+        Response, SendError, Source, SourceError, Topic,
     },
 };
 
@@ -79,15 +79,15 @@
         std::future::pending().boxed()
     }
 
-    fn order(&self, _: Arc<Target>, _: Order) -> BoxFuture<'static, OrderReply> {
+    fn order(&self, _: Arc<Target>, _: Order) -> BoxFuture<'static, Heard<OrderReply>> {
         std::future::pending().boxed()
     }
 
-    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>> {
+    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Heard<Result<Report, NoReport>>> {
         std::future::pending().boxed()
     }
 
-    fn probe(&self, _: Arc<Target>) -> BoxFuture<'static, Pulse> {
+    fn probe(&self, _: Arc<Target>) -> BoxFuture<'static, Heard<Pulse>> {
         std::future::pending().boxed()
     }
 
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -12,6 +12,7 @@
 use crate::{
     choose::{self, Plan},
     flight::{Flight, Seat},
+    outbound,
     ports::{Body, Broken, Extra, Response, SendError},
     relay::Relay,
 };
@@ -69,14 +70,9 @@
         let adapter = self.ask.adapter.clone().filter(|_| self.engine.is_some());
         let seat = self.seat(plan);
         let flight = Flight::begin(&self.node, &plan.target, adapter, plan.tokens, seat);
-        let call = self
-            .node
-            .backend
-            .send(plan.target.clone(), self.ask.clone(), extra);
         let patience = Duration::from_millis(self.patience(plan));
-        let result = tokio::time::timeout(patience, call).await;
-        let result = result.unwrap_or_else(|_| Err(SendError::Doubt("no answer in time".into())));
-        match result {
+        let ask = self.ask.clone();
+        match outbound::send(&self.node, &plan.target, ask, extra, patience).await {
             Ok(response) => {
                 self.arrive(&plan.target.id);
                 Ok((response, flight))
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use comfreyhall_backpressure::Notice;
 use comfreyhall_domain::*;
 use comfreyhall_node::{Node, Reply, ports::*};
 use comfreyhall_settings::NodeSettings;
@@ -83,6 +84,7 @@
     Response {
         status: StatusCode::from_u16(status).unwrap(),
         headers: HeaderMap::new(),
+        notice: Notice::default(),
         refusal: None,
         genuine: true,
         events: false,
@@ -166,7 +168,7 @@
         .boxed()
     }
 
-    fn order(&self, target: Arc<Target>, order: Order) -> BoxFuture<'static, OrderReply> {
+    fn order(&self, target: Arc<Target>, order: Order) -> BoxFuture<'static, Heard<OrderReply>> {
         self.ordered.lock().unwrap().push(target.id.clone());
         let mut orders = self.orders.lock().unwrap();
         let answered = orders.len() >= self.unanswered.load(Ordering::SeqCst);
@@ -178,31 +180,31 @@
             if !answered {
                 std::future::pending::<()>().await;
             }
-            match ended {
+            Heard::plain(match ended {
                 true => OrderReply::Holds,
                 false => OrderReply::Accepted,
-            }
+            })
         }
         .boxed()
     }
 
-    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Result<Report, NoReport>> {
+    fn report(&self, _: Arc<Target>) -> BoxFuture<'static, Heard<Result<Report, NoReport>>> {
         self.reports.fetch_add(1, Ordering::SeqCst);
         async {
-            Ok(Report {
+            Heard::plain(Ok(Report {
                 held: vec![held("m")],
                 ..Report::default()
-            })
+            }))
         }
         .boxed()
     }
 
-    fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, Pulse> {
+    fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, Heard<Pulse>> {
         let pulse = match self.ended.lock().unwrap().contains(&target.id) {
             true => Pulse::Ended,
             false => Pulse::Alive,
         };
-        async move { pulse }.boxed()
+        async move { Heard::plain(pulse) }.boxed()
     }
 
     fn retain(&self, _: &[Arc<Target>]) {}
--- a/crates/comfreyhall/tests/boundary.rs
+++ b/crates/comfreyhall/tests/boundary.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Words that only the platform's wire has.
-const WIRE: [&str; 24] = [
+const WIRE: [&str; 25] = [
     "x-response-seal",
     "x-expect-instance",
     "x-not-executed",
@@ -16,6 +16,7 @@
     "x-key-value-backup",
     "x-pin-milliseconds",
     "last-event-id",
+    "server-limit",
     "kv-from",
     "kv-move",
     "kv-fetch",
@@ -57,3 +58,22 @@
     }
     assert!(found.is_empty(), "translate these in platform/: {found:#?}");
 }
+
+/// Guards against sends to targets that pass by what the targets have said.
+#[test]
+fn backend_called_in_outbound_only() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../comfreyhall-node/src");
+    let mut files = Vec::new();
+    sources(&root, &mut files);
+    let calls = ["send(", "order(", "report(", "probe("];
+    let mut found = Vec::new();
+    for path in files.iter().filter(|p| !p.ends_with("outbound/mod.rs")) {
+        let text = std::fs::read_to_string(path).expect("a source can be read");
+        let text: String = text.split_whitespace().collect();
+        let called = calls
+            .iter()
+            .filter(|c| text.contains(&format!("backend.{c}")));
+        found.extend(called.map(|c| format!("{}: {c}", path.display())));
+    }
+    assert!(found.is_empty(), "go through outbound: {found:#?}");
+}
