--- a/crates/comfreyhall-backpressure/src/gate.rs
+++ b/crates/comfreyhall-backpressure/src/gate.rs
@@ -16,6 +16,8 @@
     pub limit: Option<Rate>,
     /// When it was heard, in ms of this daemon's clock.
     pub heard: u64,
+    /// Whether the target told this daemon itself.
+    pub own: bool,
 }
 
 /// What has changed for a target.
@@ -71,7 +73,23 @@
             },
             (_, said) => said,
         };
-        self.put(target, Word { limit, heard: now }, now)
+        let word = Word {
+            limit,
+            heard: now,
+            own: true,
+        };
+        self.put(target, word, now)
+    }
+
+    /// Takes in what `target` told another daemon, if it is newer than what is
+    /// known here.
+    pub fn told(&mut self, target: &Name, word: Word, now: u64) -> Option<Change> {
+        let known = self.gates.get(target);
+        let newer = known.is_none_or(|g| word.heard > g.word.heard);
+        let old = now.saturating_sub(word.heard) >= FORGET_MS;
+        // The end of a limit that was not known says nothing.
+        let says = word.limit.is_some() || known.is_some();
+        (newer && says && !old).then(|| self.put(target, word, now))?
     }
 
     /// Puts `word` in the place of what was known of `target`.
@@ -107,6 +125,14 @@
         gate.word.limit.filter(|_| recent)
     }
 
+    /// What all targets have said.
+    pub fn words(&self, now: u64) -> impl Iterator<Item = (&Name, Word)> {
+        let recent = move |g: &&Gate| now.saturating_sub(g.word.heard) < FORGET_MS;
+        let all = self.gates.iter();
+        all.filter(move |(_, g)| recent(g))
+            .map(|(target, g)| (target, g.word))
+    }
+
     /// Targets with a limit.
     pub fn limited(&self, now: u64) -> impl Iterator<Item = (&Name, Rate)> {
         let all = self.gates.keys();
--- a/crates/comfreyhall-node/src/bind/here.rs
+++ b/crates/comfreyhall-node/src/bind/here.rs
@@ -13,6 +13,7 @@
     keeper::{self, Placed},
     leases,
     node::Node,
+    outbound,
 };
 
 /// How long a request waits for a place in one group of engines before it
@@ -31,20 +32,15 @@
         return Err(Unbound::TooLong(plan.wait_ms as u64));
     }
     if !plan.loads {
-        return Ok(bound(
-            node,
-            &ask,
-            &plan.target.id,
-            plan.version,
-            plan.wait_ms,
-        ));
+        let target = &plan.target.id;
+        return bound(node, &ask, target, plan.version, plan.wait_ms);
     }
     if !ask.may_wait {
         return Err(Unbound::MustWait);
     }
     let placed = place(node, &ask, &plan).await?;
     // The load is done; the prompt is still to be read.
-    Ok(bound(node, &ask, &placed.target, placed.version, 0.0))
+    bound(node, &ask, &placed.target, placed.version, 0.0)
 }
 
 fn engine_of(node: &Node, service: &Name) -> Option<Engine> {
@@ -82,7 +78,15 @@
 
 /// The answer, with the prompt noted as read there: whoever shares a part of
 /// it and comes next is queued behind it.
-fn bound(node: &Node, ask: &Bind, target: &Name, version: u64, wait_ms: f64) -> Bound {
+fn bound(
+    node: &Node,
+    ask: &Bind,
+    target: &Name,
+    version: u64,
+    wait_ms: f64,
+) -> Result<Bound, Unbound> {
+    let granted = outbound::grant(node, target);
+    let granted = granted.ok_or_else(|| Unbound::unplaced("the engine's limit is used up"))?;
     let now = node.now();
     let mut view = node.view();
     let unread = choose::unread(&view, &ask.need, target);
@@ -91,13 +95,14 @@
     }
     let hot = ask.need.adapter.as_ref();
     let hot = hot.is_some_and(|a| view.is_hot(a, now));
-    Bound {
+    Ok(Bound {
         target: target.clone(),
         version,
         unread,
         wait_ms: wait_ms as u64,
         hot,
-    }
+        granted,
+    })
 }
 
 /// Has the adapter placed on one of the plan's engines.
--- a/crates/comfreyhall-node/src/bind/mod.rs
+++ b/crates/comfreyhall-node/src/bind/mod.rs
@@ -78,6 +78,8 @@
     /// Whether the adapter is asked for so often that each failure domain is
     /// to have engines of its own for it.
     pub(crate) hot: bool,
+    /// Whether the holder has granted it a part of the engine's limit.
+    pub(crate) granted: bool,
 }
 
 /// Why a run has no engine.
--- a/crates/comfreyhall-node/src/bind/wire.rs
+++ b/crates/comfreyhall-node/src/bind/wire.rs
@@ -101,6 +101,7 @@
                 unread: bound.unread,
                 wait_ms: bound.wait_ms,
                 hot: bound.hot,
+                granted: bound.granted,
                 ..BindReply::default()
             }
         }
@@ -137,6 +138,7 @@
             unread: reply.unread,
             wait_ms: reply.wait_ms,
             hot: reply.hot,
+            granted: reply.granted,
         });
     }
     if reply.must_wait {
--- a/crates/comfreyhall-node/src/caps/mod.rs
+++ b/crates/comfreyhall-node/src/caps/mod.rs
@@ -1,10 +1,11 @@
-//! Caps of workspaces, kept together with the other daemons.
+//! Caps of workspaces and limits of targets, kept together with the other
+//! daemons.
 //!
-//! A request takes credit before it waits for anything, so that one over the
-//! cap is refused at once and costs the others nothing; the credit counts as
-//! used when the request is sent ([`Credit`]). The meter decides
-//! (`comfreyhall-workspace`); this duty tells it who is there, and carries its
-//! calls to the homes of workspaces.
+//! A request takes credit of its workspace before it waits for anything, so that
+//! one over the cap is refused at once and costs the others nothing; each of its
+//! sends takes credit of a limited target right before it ([`Credit`]). A meter
+//! decides (`comfreyhall-workspace`), one for workspaces and one for targets;
+//! this duty tells it who is there, and carries its calls to the homes.
 
 mod settle;
 mod wire;
@@ -14,17 +15,18 @@
     time::Duration,
 };
 
-use comfreyhall_domain::{Config, Name, Workspace};
+use comfreyhall_domain::{Config, Map, Name};
 use comfreyhall_settings::CapWay;
-use comfreyhall_workspace::{Basis, Home, Lending, Meter, Sharing, Taken, Tolerance};
+use comfreyhall_workspace::{
+    Basis, Granting, Home, Kept, Lending, Meter, Sharing, Taken, Tolerance,
+};
 use tokio::sync::Notify;
 
-pub(crate) use self::{settle::spawn, wire::answer};
-use crate::{clock, leases, node::Node};
-
-/// Longest that a request waits for the answer of a home, in ms: it takes some
-/// ms, and some tens on a busy core.
-const ANSWER_MS: u64 = 250;
+pub(crate) use self::{
+    settle::{spawn, tell_home},
+    wire::answer,
+};
+use crate::{clock, leases, node::Node, outbound};
 
 /// Pause before a request that nobody could be asked for looks again, in ms.
 const LOOK_MS: u64 = 40;
@@ -32,9 +34,30 @@
 /// The group of workspaces where no group of engines is known.
 const ONLY_GROUP: &str = "fleet";
 
-/// The caps as this daemon keeps them.
-#[derive(Default)]
+/// What caps bound the use of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Of {
+    /// Workspaces, as configured.
+    Workspaces,
+    /// Targets, as they say themselves.
+    Targets,
+}
+
+impl Of {
+    /// Longest that a request waits for the answer of a home, in ms: it takes
+    /// some ms, and some tens on a busy core. A request that gets no credit of
+    /// one target has others to go to.
+    fn answer_ms(self) -> u64 {
+        match self {
+            Of::Workspaces => 250,
+            Of::Targets => 100,
+        }
+    }
+}
+
+/// Caps of one kind as this daemon keeps them.
 pub(crate) struct Caps {
+    of: Of,
     state: Mutex<State>,
     /// Told when a home has answered.
     settled: Notify,
@@ -46,6 +69,8 @@
     /// The configuration that the meter has, and over which groups it is spread.
     version: u64,
     groups: Vec<Name>,
+    /// Limits that the meter of targets has.
+    limits: Map<Name, Kept>,
 }
 
 /// Why a request gets no credit.
@@ -64,32 +89,105 @@
 }
 
 impl Caps {
+    pub(crate) fn new(of: Of) -> Self {
+        Self {
+            of,
+            state: Mutex::default(),
+            settled: Notify::new(),
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of this lock panics")
     }
 
-    /// Whether any workspace has a cap.
+    /// Whether there is any cap.
     pub(crate) fn in_use(&self) -> bool {
-        self.state().meter.is_some()
+        let state = self.state();
+        match self.of {
+            Of::Workspaces => state.meter.is_some(),
+            Of::Targets => !state.limits.is_empty(),
+        }
     }
 
-    /// What a refusal of `workspace` rests on.
-    pub(crate) fn basis(&self, workspace: &str, now: u64) -> Basis {
+    /// Sees that the meter has the caps of `config`.
+    pub(crate) fn catch_up(&self, node: &Node, config: &Config) {
+        if self.state().version != config.version {
+            refresh(node, self.of);
+        }
+    }
+
+    /// Ms until asking for a unit of `name` is of use.
+    pub(crate) fn closed_ms(&self, name: &str, now: u64) -> u64 {
+        let state = self.state();
+        let meter = state.meter.as_ref();
+        meter.map_or(0, |m| m.closed_ms(name, 1, now))
+    }
+
+    /// Whether more of `name` could be used than is, as far as is known here.
+    pub(crate) fn spare(&self, name: &str, now: u64) -> bool {
+        let state = self.state();
+        state.meter.as_ref().is_some_and(|m| m.spare(name, now))
+    }
+
+    /// Takes a unit of `name` if it is to be had here and now.
+    pub(crate) fn take_here(&self, name: &str, now: u64) -> bool {
+        let mut state = self.state();
+        let taken = state.meter.as_mut().map(|m| m.take(name, 1, now));
+        taken == Some(Taken::Granted)
+    }
+
+    /// What a refusal by the cap of `name` rests on.
+    pub(crate) fn basis(&self, name: &str, now: u64) -> Basis {
         let state = self.state();
         let meter = state.meter.as_ref();
-        meter.map_or_else(Basis::default, |m| m.basis(workspace, now))
+        meter.map_or_else(Basis::default, |m| m.basis(name, now))
     }
 }
 
-/// Gives the meter the configuration in force, if it has another.
-fn refresh(node: &Node) {
-    let Some(config) = node.config() else {
-        return;
-    };
+/// The groups that caps are spread over.
+pub(crate) fn groups(node: &Node) -> Vec<Name> {
     let mut groups = leases::groups(node);
     if groups.is_empty() {
         groups.push(ONLY_GROUP.into());
     }
+    groups
+}
+
+/// Gives the meter the caps in force, if it has others.
+pub(crate) fn refresh(node: &Node, of: Of) {
+    match of {
+        Of::Workspaces => refresh_workspaces(node),
+        Of::Targets => refresh_targets(node),
+    }
+}
+
+fn refresh_targets(node: &Node) {
+    let now = node.now();
+    let limits = outbound::limits(node, now);
+    if limits.is_empty() && !node.limits.in_use() {
+        return;
+    }
+    let groups = groups(node);
+    let mut state = node.limits.state();
+    if state.limits == limits && state.groups == groups {
+        return;
+    }
+    let meter = state.meter.get_or_insert_with(|| {
+        let me = me(node);
+        Box::new(Granting::new(me))
+    });
+    meter.keep(limits.clone(), &groups, now);
+    state.limits = limits;
+    state.groups = groups;
+    meet(node, Of::Targets, &mut state);
+}
+
+fn refresh_workspaces(node: &Node) {
+    let Some(config) = node.config() else {
+        return;
+    };
+    let groups = groups(node);
     let now = node.now();
     let mut state = node.caps.state();
     if state.version == config.version && state.groups == groups {
@@ -103,9 +201,22 @@
     meter.configure(workspaces, &groups, now);
     state.version = config.version;
     state.groups = groups;
-    let met = settle::homes(node, &state.groups);
+    meet(node, Of::Workspaces, &mut state);
+}
+
+/// Tells the meter who is there.
+fn meet(node: &Node, of: Of, state: &mut State) {
+    let met = settle::homes(node, of, &state.groups);
     if let Some(meter) = &mut state.meter {
-        meter.meet(&met.homes, met.fleet, now);
+        meter.meet(&met.homes, met.fleet, node.now());
+    }
+}
+
+/// This process, as a home.
+fn me(node: &Node) -> Home {
+    Home {
+        peer: node.fleet.peer().into(),
+        boot: node.fleet.boot(),
     }
 }
 
@@ -116,55 +227,73 @@
         overshoot: settings.caps.overshoot,
         slack: settings.caps.slack,
     };
-    let me = Home {
-        peer: node.fleet.peer().into(),
-        boot: node.fleet.boot(),
-    };
+    let me = me(node);
     match settings.caps.way {
         CapWay::Lending => Box::new(Lending::new(me, tolerance, clock::now())),
         CapWay::Sharing => Box::new(Sharing::new(me, tolerance)),
     }
 }
 
-/// Takes credit of `size` units for a request of `workspace`, which has a cap
-/// in `config`.
+/// Takes credit of `size` units of `name` for a request.
 pub(crate) async fn reserve(
     node: &Arc<Node>,
-    config: &Config,
-    workspace: &Workspace,
+    of: Of,
+    name: &Name,
     size: u64,
 ) -> Result<Credit, Refused> {
-    if node.caps.state().version != config.version {
-        refresh(node);
-    }
+    let caps = node.caps_of(of);
     let began = node.now();
-    if let Some(meter) = &mut node.caps.state().meter {
-        meter.ask(&workspace.name, size, began);
+    if let Some(meter) = &mut caps.state().meter {
+        meter.ask(name, size, began);
     }
+    let until = began + of.answer_ms();
     loop {
-        let settled = node.caps.settled.notified();
-        tokio::pin!(settled);
-        settled.as_mut().enable();
         let now = node.now();
-        let left = ANSWER_MS.saturating_sub(now.saturating_sub(began));
-        let taken = match &mut node.caps.state().meter {
-            Some(meter) => meter.take(&workspace.name, size, now),
-            None => Taken::Unsure { retry_ms: left },
+        let taken = match &mut caps.state().meter {
+            Some(meter) => meter.take(name, size, now),
+            None => Taken::Unsure {
+                retry_ms: of.answer_ms(),
+            },
         };
         match taken {
-            Taken::Granted => return Ok(Credit::new(node, &workspace.name, size)),
+            Taken::Granted => return Ok(Credit::new(node, of, name, size)),
             Taken::Over { retry_ms } => return Err(Refused::Over { retry_ms }),
-            Taken::Ask if left > 0 => {
-                settle::settle_due(node);
-                // Late or not, the meter is asked again.
-                let _ = tokio::time::timeout(Duration::from_millis(left), settled).await;
+            Taken::Ask(call) => {
+                if !answered(node, of, name, call, until).await {
+                    return Err(Refused::Unsure { retry_ms: LOOK_MS });
+                }
             }
-            Taken::Unsure { retry_ms } if retry_ms <= left && left > 0 => {
-                let pause = Duration::from_millis(LOOK_MS.min(left));
-                let _ = tokio::time::timeout(pause, settled).await;
+            Taken::Unsure { retry_ms } if now + retry_ms <= until && now < until => {
+                let pause = LOOK_MS.min(until - now);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
             }
             Taken::Unsure { retry_ms } => return Err(Refused::Unsure { retry_ms }),
-            Taken::Ask => return Err(Refused::Unsure { retry_ms: LOOK_MS }),
+        }
+    }
+}
+
+/// Waits until the home of `name` has answered `call`, at most until `until`;
+/// false if it has not.
+async fn answered(node: &Arc<Node>, of: Of, name: &str, call: u64, until: u64) -> bool {
+    let caps = node.caps_of(of);
+    loop {
+        let settled = caps.settled.notified();
+        tokio::pin!(settled);
+        settled.as_mut().enable();
+        let done = match &caps.state().meter {
+            Some(meter) => {
+                let group = meter.group(name);
+                group.is_none_or(|g| meter.answered(&g) >= call)
+            }
+            None => true,
+        };
+        if done {
+            return true;
+        }
+        settle::settle_due(node, of);
+        let left = Duration::from_millis(until.saturating_sub(node.now()));
+        if tokio::time::timeout(left, settled).await.is_err() {
+            return false;
         }
     }
 }
@@ -172,16 +301,23 @@
 /// Credit of one request; what was not sent goes back when it is dropped.
 pub(crate) struct Credit {
     node: Arc<Node>,
-    workspace: Name,
+    of: Of,
+    name: Name,
     size: u64,
     sent: bool,
 }
 
 impl Credit {
-    fn new(node: &Arc<Node>, workspace: &Name, size: u64) -> Self {
+    /// Credit that was granted elsewhere for this request.
+    pub(crate) fn granted(node: &Arc<Node>, target: &Name) -> Self {
+        Self::new(node, Of::Targets, target, 1)
+    }
+
+    fn new(node: &Arc<Node>, of: Of, name: &Name, size: u64) -> Self {
         Self {
             node: node.clone(),
-            workspace: workspace.clone(),
+            of,
+            name: name.clone(),
             size,
             sent: false,
         }
@@ -203,8 +339,8 @@
     }
 
     fn with(&self, act: impl FnOnce(&mut dyn Meter, &str, u64)) {
-        if let Some(meter) = &mut self.node.caps.state().meter {
-            act(meter.as_mut(), &self.workspace, self.size);
+        if let Some(meter) = &mut self.node.caps_of(self.of).state().meter {
+            act(meter.as_mut(), &self.name, self.size);
         }
     }
 }
--- a/crates/comfreyhall-node/src/caps/settle.rs
+++ b/crates/comfreyhall-node/src/caps/settle.rs
@@ -5,8 +5,8 @@
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_workspace::{Call, Fleet, Home};
 
-use super::{refresh, wire};
-use crate::node::Node;
+use super::{Caps, Of, me, refresh, wire};
+use crate::{leases, node::Node};
 
 /// Pause between looks at which homes are due.
 const LOOK: Duration = Duration::from_millis(100);
@@ -23,10 +23,13 @@
     let node = node.clone();
     tokio::spawn(async move {
         loop {
-            refresh(&node);
-            if node.caps.in_use() {
-                meet(&node);
-                settle_due(&node);
+            for of in [Of::Workspaces, Of::Targets] {
+                refresh(&node, of);
+                let caps = node.caps_of(of);
+                if caps.in_use() {
+                    meet(&node, caps);
+                    settle_due(&node, of);
+                }
             }
             tokio::select! {
                 () = node.changed.notified() => {}
@@ -42,28 +45,35 @@
     pub(super) fleet: Fleet,
 }
 
-fn meet(node: &Node) {
-    let groups = node.caps.state().groups.clone();
-    let met = homes(node, &groups);
+fn meet(node: &Node, caps: &Caps) {
+    let groups = caps.state().groups.clone();
+    let met = homes(node, caps.of, &groups);
     let now = node.now();
-    if let Some(meter) = &mut node.caps.state().meter {
+    if let Some(meter) = &mut caps.state().meter {
         meter.meet(&met.homes, met.fleet, now);
     }
 }
 
 /// The homes of `groups`: the holder of a group's lease, and while none is
 /// known, the daemon that comes first for the group.
-pub(super) fn homes(node: &Node, groups: &[Name]) -> Met {
+///
+/// Limits of targets rest on there being one home at a time, so where there are
+/// leases nobody stands in for their holders.
+pub(super) fn homes(node: &Node, of: Of, groups: &[Name]) -> Met {
     let now = node.now();
-    let me = || Home {
-        peer: node.fleet.peer().into(),
-        boot: node.fleet.boot(),
+    let stands_in = of == Of::Workspaces || leases::groups(node).is_empty();
+    let first = |group: &Name| match node.fleet.first_for(group, now) {
+        Some(peer) => Some(peer),
+        None => (of == Of::Targets).then(|| node.fleet.peer().into()),
     };
     let home = |group: &Name| match node.token(group) {
-        Some(_) => Some(me()),
+        Some(_) => Some(me(node)),
         None => {
             let peer = node.fleet.holder(group, now);
-            let peer = peer.or_else(|| node.fleet.first_for(group, now))?;
+            let peer = peer.or_else(|| first(group).filter(|_| stands_in))?;
+            if *peer == *node.fleet.peer() {
+                return Some(me(node));
+            }
             let boot = node.fleet.boot_of(&peer)?;
             Some(Home { peer, boot })
         }
@@ -83,10 +93,10 @@
 }
 
 /// Calls the homes that are due.
-pub(super) fn settle_due(node: &Arc<Node>) {
+pub(super) fn settle_due(node: &Arc<Node>, of: Of) {
     let now = node.now();
     let calls: Vec<(Name, Home, Call)> = {
-        let mut state = node.caps.state();
+        let mut state = node.caps_of(of).state();
         let Some(meter) = &mut state.meter else {
             return;
         };
@@ -98,20 +108,37 @@
         calls.collect()
     };
     for (group, home, call) in calls {
-        tokio::spawn(settle(node.clone(), group, home, call));
+        tokio::spawn(settle(node.clone(), of, group, home, call));
     }
 }
 
-async fn settle(node: Arc<Node>, group: Name, home: Home, call: Call) {
+/// Calls the home of `group`, whether or not it is due.
+pub(crate) fn tell_home(node: &Arc<Node>, of: Of, group: Name) {
+    let now = node.now();
+    let mut met = homes(node, of, std::slice::from_ref(&group));
+    let Some(home) = met.homes.remove(&group).filter(|h| *h != me(node)) else {
+        return;
+    };
+    let call = {
+        let mut state = node.caps_of(of).state();
+        let Some(meter) = &mut state.meter else {
+            return;
+        };
+        meter.call(&group, &home, now)
+    };
+    tokio::spawn(settle(node.clone(), of, group, home, call));
+}
+
+async fn settle(node: Arc<Node>, of: Of, group: Name, home: Home, call: Call) {
     let reply = match node.fleet.client(&home.peer) {
         Some(mut client) => {
-            let answer = client.settle(wire::call(&call));
+            let answer = client.settle(wire::call(&node, of, &call));
             tokio::time::timeout(CALL_TIMEOUT, answer).await
         }
         None => Ok(Err(tonic::Status::unavailable("the home is not known"))),
     };
     let (reply, ended) = match reply {
-        Ok(Ok(reply)) => (Some(wire::from_reply(reply.into_inner())), false),
+        Ok(Ok(reply)) => (Some(wire::from_reply(&node, reply.into_inner())), false),
         Ok(Err(status)) => {
             log::debug!(target: "caps", peer:% = home.peer, group:%, error:% = status.message(); "home not reached");
             (None, refused(&status))
@@ -122,13 +149,14 @@
         }
     };
     let now = node.now();
-    if let Some(meter) = &mut node.caps.state().meter {
+    let caps = node.caps_of(of);
+    if let Some(meter) = &mut caps.state().meter {
         meter.heard(&group, &home, reply.as_ref(), now);
         if ended {
             meter.ended(&home);
         }
     }
-    node.caps.settled.notify_waiters();
+    caps.settled.notify_waiters();
 }
 
 /// Whether nothing listens there any more: the process has ended.
--- a/crates/comfreyhall-node/src/caps/wire.rs
+++ b/crates/comfreyhall-node/src/caps/wire.rs
@@ -2,12 +2,22 @@
 
 use std::sync::Arc;
 
-use comfreyhall_protocol::{CapCall, CapLine, CapReply, CapSettled};
+use comfreyhall_protocol::{CapCall, CapLine, CapReply, CapSettled, CapsOf};
 use comfreyhall_workspace::{Call, Line, Reply, Settled};
 
-use crate::node::Node;
+use super::Of;
+use crate::{node::Node, outbound};
 
-pub(super) fn call(call: &Call) -> CapCall {
+fn of_wire(of: CapsOf) -> Of {
+    match of {
+        CapsOf::Workspaces => Of::Workspaces,
+        CapsOf::Targets => Of::Targets,
+    }
+}
+
+/// A call about caps `of` workspaces or targets. One about targets bears what
+/// they told this daemon.
+pub(super) fn call(node: &Node, of: Of, call: &Call) -> CapCall {
     let lines = call.lines.iter().map(|l| CapLine {
         workspace: l.workspace.clone(),
         held: l.held,
@@ -27,6 +37,15 @@
         as_of: call.as_of,
         term_ms: call.term_ms,
         lines: lines.collect(),
+        of: match of {
+            Of::Workspaces => CapsOf::Workspaces,
+            Of::Targets => CapsOf::Targets,
+        }
+        .into(),
+        words: match of {
+            Of::Workspaces => Vec::new(),
+            Of::Targets => outbound::own_words(node, &call.group),
+        },
     }
 }
 
@@ -58,7 +77,7 @@
     if told.is_finite() { told.max(0.0) } else { 0.0 }
 }
 
-fn reply(reply: Reply) -> CapReply {
+fn reply(node: &Node, of: Of, group: &str, reply: Reply) -> CapReply {
     let lines = reply.lines.into_iter().map(|l| CapSettled {
         workspace: l.workspace,
         grant: l.grant,
@@ -71,10 +90,15 @@
         clock: reply.clock,
         part: reply.part,
         lines: lines.collect(),
+        words: match of {
+            Of::Workspaces => Vec::new(),
+            Of::Targets => outbound::words(node, group),
+        },
     }
 }
 
-pub(super) fn from_reply(reply: CapReply) -> Reply {
+pub(super) fn from_reply(node: &Node, reply: CapReply) -> Reply {
+    outbound::learn(node, &reply.words, "home");
     let lines = reply.lines.into_iter().map(|l| Settled {
         workspace: l.workspace,
         grant: units(l.grant),
@@ -92,11 +116,13 @@
 
 /// Answers another daemon that settles here.
 pub(crate) fn answer(node: &Arc<Node>, message: CapCall) -> CapReply {
-    super::refresh(node);
+    let of = of_wire(message.of());
+    outbound::learn(node, &message.words, &message.from);
+    super::refresh(node, of);
     let call = from_call(message);
     let now = node.now();
     let met = node.fleet.met(&call.from).unwrap_or(now);
-    let answered = match &mut node.caps.state().meter {
+    let answered = match &mut node.caps_of(of).state().meter {
         Some(meter) => meter.answer(&call, met, now),
         None => Reply {
             boot: node.fleet.boot(),
@@ -104,5 +130,5 @@
             ..Reply::default()
         },
     };
-    reply(answered)
+    reply(node, of, &call.group, answered)
 }
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -13,6 +13,7 @@
     flight::Seat,
     keeper::Pick,
     node::{Node, View},
+    outbound::{self, Shut},
 };
 
 /// How long after a version of an adapter was named the one before still
@@ -102,6 +103,8 @@
     pub(crate) picks: Vec<Pick>,
     /// The run that a holder has bound to the target.
     pub(crate) seat: Option<Seat>,
+    /// Whether the holder has granted it a part of the target's limit.
+    pub(crate) granted: bool,
 }
 
 /// What a choice is made for.
@@ -136,9 +139,13 @@
     let now = node.now();
     let settings = node.settings();
     let policies = settings.policies;
+    let shut = outbound::Shut::now(node, now);
     let view = node.view();
     let targets = view.ready(wish.service, now);
-    let targets: Vec<Arc<Target>> = targets.into_iter().filter(|t| wish.open(t)).collect();
+    let targets: Vec<Arc<Target>> = targets
+        .into_iter()
+        .filter(|t| wish.open(t) && !shut.sends(&t.id))
+        .collect();
     let base = |t: &Target| Choice {
         id: t.id.clone(),
         near: t.domain == settings.domain || !policies.near_first,
@@ -162,7 +169,7 @@
                 engine,
                 version,
             };
-            let options = engine_choices(node, &view, wish, wanted, &targets, &base);
+            let options = engine_choices(node, &view, wish, wanted, &targets, &shut, &base);
             loaders = options.loaders;
             (options.open, version)
         }
@@ -197,6 +204,7 @@
         loads,
         picks,
         seat: None,
+        granted: false,
     })
 }
 
@@ -255,6 +263,7 @@
     wish: &Wish<'_>,
     wanted: Wanted<'_>,
     targets: &[Arc<Target>],
+    shut: &Shut,
     base: &impl Fn(&Target) -> Choice,
 ) -> Options {
     let Wanted {
@@ -309,7 +318,7 @@
         if resident.is_some() && in_use.get(&t.id).is_some_and(|u| u.contains(adapter)) {
             continue;
         }
-        if away {
+        if away || shut.loads(&t.id) {
             continue;
         }
         let held_lease = node.token(&t.domain).is_some();
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -12,6 +12,7 @@
 use crate::{
     facts, follow,
     node::Node,
+    outbound,
     ports::{Fact, Facts, Topic},
     quarantine::wire,
 };
@@ -87,6 +88,7 @@
     }
 
     pub(super) fn own_news(&self, node: &Node, now: u64) -> News {
+        let words = outbound::words_of_holder(node);
         let mut view = node.view();
         let work = view.board.own().map(|(target, w)| TargetWork {
             target: target.to_string(),
@@ -130,6 +132,7 @@
             settings_age,
             cut_off: node.cut_off() || behind_ms > lag_ms,
             members: self.known_members(),
+            words,
             ..News::default()
         }
     }
@@ -180,6 +183,7 @@
             self.meet(addr, false);
         }
         wire::hear(node, &news.evidence);
+        outbound::learn(node, &news.words, &from.id);
         let mut works = self.learn_peer(node, &from, &news, now);
         self.learn_holders(&news.holders, now);
         if how == super::Origin::Answer {
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    caps::Caps,
+    caps::{Caps, Of},
     clock,
     facts::Book,
     fleet::Fleet,
@@ -194,6 +194,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) quarantine: Watch,
     pub(crate) caps: Caps,
+    /// Limits of targets.
+    pub(crate) limits: Caps,
     pub(crate) flood: Flood,
     pub(crate) outbound: Outbound,
     /// Wakes duties that act on changed settings or targets.
@@ -227,7 +229,8 @@
             keepers: Keepers::default(),
             metrics: Metrics::new(),
             quarantine: Watch::default(),
-            caps: Caps::default(),
+            caps: Caps::new(Of::Workspaces),
+            limits: Caps::new(Of::Targets),
             flood: Flood::default(),
             outbound: Outbound::default(),
             changed: Notify::new(),
@@ -256,6 +259,14 @@
         *held = Arc::new(settings);
     }
 
+    /// The caps of one kind.
+    pub(crate) fn caps_of(&self, of: Of) -> &Caps {
+        match of {
+            Of::Workspaces => &self.caps,
+            Of::Targets => &self.limits,
+        }
+    }
+
     /// Which mechanisms decide.
     pub(crate) fn policies(&self) -> Policies {
         self.settings().policies
--- a/crates/comfreyhall-node/src/outbound/log.rs
+++ b/crates/comfreyhall-node/src/outbound/log.rs
@@ -14,18 +14,17 @@
     }
 }
 
-/// One line for each change; `age`: ms since the request was sent whose answer
-/// told of it.
-pub(super) fn changed(node: &Node, target: &Name, change: Change, age: u64) {
-    let by = node.settings().id.clone();
+/// One line for each change; `by`: whom the target told, `age`: ms since it did
+/// at most.
+pub(super) fn changed(node: &Node, target: &Name, change: Change, by: &str, age: u64) {
     match change {
         Change::Limited { limit, before } => {
             let (limit, before) = (limit.per_s(), before.map_or(0.0, |b| b.per_s()));
-            log::info!(target: "outbound", target_id:% = target, limit, before, by:%, age; "target limited");
+            log::info!(target: "outbound", target_id:% = target, limit, before, by, age; "target limited");
             node.metrics.gate("limited");
         }
         Change::Unlimited { after_ms } => {
-            log::info!(target: "outbound", target_id:% = target, after = after_ms, by:%, age; "target no longer limited");
+            log::info!(target: "outbound", target_id:% = target, after = after_ms, by, age; "target no longer limited");
             node.metrics.gate("unlimited");
         }
     }
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -5,6 +5,7 @@
 //! of themselves is taken in here from the head of each answer, whatever its
 //! status and whoever still waits for it.
 
+mod limits;
 mod log;
 
 use std::{
@@ -16,7 +17,9 @@
 use comfreyhall_domain::{Ask, Target};
 use tokio::time::timeout;
 
+pub(crate) use self::limits::{Shut, grant, learn, limits, own_words, words, words_of_holder};
 use crate::{
+    caps::{self, Credit, Of, Refused},
     node::Node,
     ports::{Extra, Heard, NoReport, Order, OrderReply, Pulse, Report, Response, SendError},
 };
@@ -34,34 +37,89 @@
 }
 
 /// Takes in what `target` says in the answer to what was sent at `sent`.
-fn hear(node: &Node, target: &Target, notice: &Notice, sent: u64) {
+fn hear(node: &Arc<Node>, target: &Target, notice: &Notice, sent: u64) {
     let now = node.now();
     log::odd(node, target, notice, now);
     let change = node.outbound.gates().hear(&target.id, notice, sent, now);
     if let Some(change) = change {
-        log::changed(node, &target.id, change, now - sent);
+        let by = node.settings().id.clone();
+        log::changed(node, &target.id, change, &by, now - sent);
+        caps::refresh(node, Of::Targets);
+        limits::announce(node, &target.id);
     }
 }
 
+/// That a request may be sent to one target now. Every send wants one, taken
+/// after whatever the request had to wait for.
+pub(crate) struct Permit {
+    /// The part of the target's limit that it takes; given back if it is dropped.
+    credit: Option<Credit>,
+}
+
+impl Permit {
+    /// The holder of the target's group has granted it.
+    pub(crate) fn granted(node: &Arc<Node>, target: &Target) -> Self {
+        let credit = Credit::granted(node, &target.id);
+        Self {
+            credit: Some(credit),
+        }
+    }
+
+    /// Nothing reached the target after all.
+    fn give_back(self) {
+        if let Some(credit) = self.credit {
+            credit.give_back();
+        }
+    }
+}
+
+/// Why nothing may be sent to a target now, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Closed {
+    /// What it said.
+    pub(crate) why: &'static str,
+    /// Until it may take something, in ms.
+    pub(crate) retry_ms: u64,
+}
+
+/// Whether a request may be sent to `target` now.
+pub(crate) async fn permit(node: &Arc<Node>, target: &Target) -> Result<Permit, Closed> {
+    let credit = limits::reserve(node, target).await.map_err(|refused| {
+        let (Refused::Over { retry_ms } | Refused::Unsure { retry_ms }) = refused;
+        let why = "its limit is used up";
+        Closed { why, retry_ms }
+    })?;
+    Ok(Permit { credit })
+}
+
 /// Sends a request; an answer that stays away for `patience` is a doubt.
 pub(crate) async fn send(
     node: &Arc<Node>,
     target: &Arc<Target>,
+    mut permit: Permit,
     ask: Arc<Ask>,
     extra: Extra,
     patience: Duration,
 ) -> Result<Response, SendError> {
+    // From here on it may arrive, also if nobody waits for it any more.
+    if let Some(credit) = &mut permit.credit {
+        credit.sent();
+    }
     let sent = node.now();
     let call = node.backend.send(target.clone(), ask, extra);
     let answer = timeout(patience, call).await;
-    let response = answer.unwrap_or_else(|_| Err(SendError::Doubt("no answer in time".into())))?;
-    hear(node, target, &response.notice, sent);
-    Ok(response)
+    let answer = answer.unwrap_or_else(|_| Err(SendError::Doubt("no answer in time".into())));
+    match &answer {
+        Ok(response) => hear(node, target, &response.notice, sent),
+        Err(SendError::NotSent(_)) => permit.give_back(),
+        Err(_) => {}
+    }
+    answer
 }
 
 /// Gives an order; waits for the answer for `patience`.
 pub(crate) async fn order(
-    node: &Node,
+    node: &Arc<Node>,
     target: &Arc<Target>,
     order: Order,
     patience: Duration,
@@ -76,7 +134,7 @@
 
 /// Asks for a report; waits for it for `patience`.
 pub(crate) async fn report(
-    node: &Node,
+    node: &Arc<Node>,
     target: &Arc<Target>,
     patience: Duration,
 ) -> Result<Report, NoReport> {
@@ -89,13 +147,13 @@
 }
 
 /// Looks whether `target` is there.
-pub(crate) async fn probe(node: &Node, target: &Arc<Target>) -> Pulse {
+pub(crate) async fn probe(node: &Arc<Node>, target: &Arc<Target>) -> Pulse {
     let sent = node.now();
     let heard = node.backend.probe(target.clone()).await;
     take(node, target, heard, sent)
 }
 
-fn take<T>(node: &Node, target: &Target, heard: Heard<T>, sent: u64) -> T {
+fn take<T>(node: &Arc<Node>, target: &Target, heard: Heard<T>, sent: u64) -> T {
     hear(node, target, &heard.notice, sent);
     heard.answer
 }
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -36,7 +36,7 @@
     settle(&node, &target, ended);
 }
 
-async fn ended(node: &Node, target: &Name) -> bool {
+async fn ended(node: &Arc<Node>, target: &Name) -> bool {
     for pause in LOOKS_MS {
         tokio::time::sleep(Duration::from_millis(pause)).await;
         let Some(known) = node.view().targets.get(target).cloned() else {
--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -4,7 +4,7 @@
 
 use super::{Job, NOT_READY_MS, Reply};
 use crate::{
-    caps::{self, Refused},
+    caps::{self, Of, Refused},
     node::Node,
 };
 
@@ -97,7 +97,8 @@
         let tokens = self.ask.tokens;
         let tokens = tokens.map(|t| u64::from(t.prompt) + u64::from(t.output));
         let size = cap.size(tokens);
-        match caps::reserve(&self.node, config, &workspace, size).await {
+        self.node.caps.catch_up(&self.node, config);
+        match caps::reserve(&self.node, Of::Workspaces, &workspace.name, size).await {
             Ok(credit) => {
                 self.credit = Some(credit);
                 None
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -261,6 +261,9 @@
                 return self.unwelcome();
             }
             let Some(mut plan) = self.choose() else {
+                if let Some(ms) = self.shut_ms().filter(|ms| *ms > self.hold_left()) {
+                    return self.give_up("its targets take no more now", ms as f64);
+                }
                 if self.held_long() || self.full >= FULL_TIMES {
                     return self.give_up("no target can take it", FULL_MS as f64);
                 }
@@ -287,6 +290,9 @@
                     continue;
                 }
             }
+            let Some(permit) = self.permit(&plan).await else {
+                continue;
+            };
             if !self.still_ready(&plan) {
                 continue;
             }
@@ -300,7 +306,7 @@
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
             let last_event = self.ask.last_event;
-            match self.send(&mut plan, last_event).await {
+            match self.send(&mut plan, permit, last_event).await {
                 Ok((response, flight)) => match self.answer(response, flight, plan).await {
                     Next::Reply(reply) => return reply,
                     Next::Again => self = self.next_draw(),
@@ -343,8 +349,17 @@
 
     /// Whether too much of its time went by without a send.
     fn held_long(&self) -> bool {
+        self.node.now() > self.hold_end()
+    }
+
+    /// Ms for which it may still be held without a send.
+    fn hold_left(&self) -> u64 {
+        self.hold_end().saturating_sub(self.node.now())
+    }
+
+    fn hold_end(&self) -> u64 {
         let most = admission::hold_ms(self.limit - self.began, self.route.target_ms);
-        self.node.now().saturating_sub(self.began) > most
+        self.began + most
     }
 
     /// Counts the request for budgets and demand.
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -115,6 +115,7 @@
         drop(view);
         plan.tokens = bound.unread;
         plan.wait_ms = bound.wait_ms as f64;
+        plan.granted = bound.granted;
         plan.seat = Some(Seat::new(&self.node, run, target.clone()));
         plan.target = target;
         Found::Engine
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -12,7 +12,7 @@
 use crate::{
     choose::{self, Plan},
     flight::{Flight, Seat},
-    outbound,
+    outbound::{self, Permit, Shut},
     ports::{Body, Broken, Extra, Response, SendError},
     relay::Relay,
 };
@@ -33,6 +33,10 @@
 
 const UNREACHED_WEIGHT: f64 = 2.0;
 
+/// Targets that are looked at for the rest of a stream, at most: its caller's
+/// pause grows with each.
+const CHOICES: u32 = 3;
+
 /// What the next step is after a send.
 pub(super) enum Next {
     Reply(Reply),
@@ -51,10 +55,35 @@
         patience.min(self.left())
     }
 
+    /// That it may be sent to the plan's target now; a target that takes nothing
+    /// is left out for a while.
+    pub(super) async fn permit(&mut self, plan: &Plan) -> Option<Permit> {
+        if plan.granted {
+            return Some(Permit::granted(&self.node, &plan.target));
+        }
+        match outbound::permit(&self.node, &plan.target).await {
+            Ok(permit) => Some(permit),
+            Err(closed) => {
+                log::debug!(target: "serve", id:% = self.ask.id, target_id:% = plan.target.id, why = closed.why, retry_ms = closed.retry_ms; "not sent");
+                self.closed.push(plan.target.id.clone());
+                None
+            }
+        }
+    }
+
+    /// Ms until one of its targets may take something, if none does now.
+    pub(super) fn shut_ms(&self) -> Option<u64> {
+        let now = self.node.now();
+        let shut = Shut::now(&self.node, now);
+        let ready = self.node.view().ready(&self.service, now);
+        shut.all_ms(ready.iter().map(|t| &t.id))
+    }
+
     /// Sends it; an error has been taken into the verdict.
     pub(crate) async fn send(
         &mut self,
         plan: &mut Plan,
+        permit: Permit,
         last_event: Option<u64>,
     ) -> Result<(Response, Flight), ()> {
         let extra = Extra {
@@ -72,7 +101,7 @@
         let flight = Flight::begin(&self.node, &plan.target, adapter, plan.tokens, seat);
         let patience = Duration::from_millis(self.patience(plan));
         let ask = self.ask.clone();
-        match outbound::send(&self.node, &plan.target, ask, extra, patience).await {
+        match outbound::send(&self.node, &plan.target, permit, ask, extra, patience).await {
             Ok(response) => {
                 self.arrive(&plan.target.id);
                 Ok((response, flight))
@@ -315,14 +344,21 @@
         if !may || self.left() == 0 || self.held_back().await.is_some() || !self.repeat() {
             return Err(());
         }
-        let mut plan = self.choose().ok_or(())?;
-        if !matches!(self.bind(&mut plan).await, Found::Engine) || !self.still_ready(&plan) {
-            return Err(());
-        }
-        if self.held_back().await.is_some() || !self.still_welcome() {
-            return Err(());
+        for _ in 0..CHOICES {
+            let mut plan = self.choose().ok_or(())?;
+            if !matches!(self.bind(&mut plan).await, Found::Engine) {
+                return Err(());
+            }
+            let Some(permit) = self.permit(&plan).await else {
+                continue;
+            };
+            let held_back = self.held_back().await.is_some();
+            if held_back || !self.still_ready(&plan) || !self.still_welcome() {
+                return Err(());
+            }
+            return self.send(&mut plan, permit, last_event).await;
         }
-        self.send(&mut plan, last_event).await
+        Err(())
     }
 }
 
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -503,6 +503,9 @@
     /// from others who do; 0 if it does not.
     #[prost(uint32, tag = "25")]
     pub members: u32,
+    /// From a holder: what the targets of its groups say of their limits.
+    #[prost(message, repeated, tag = "26")]
+    pub words: ::prost::alloc::vec::Vec<TargetWord>,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -628,6 +631,9 @@
     /// have engines of its own for it.
     #[prost(bool, tag = "9")]
     pub hot: bool,
+    /// Whether the target is limited and this run is granted a part of its limit.
+    #[prost(bool, tag = "10")]
+    pub granted: bool,
 }
 /// A run at an engine, as its daemon tells.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -711,6 +717,25 @@
     pub term_ms: u64,
     #[prost(message, repeated, tag = "8")]
     pub lines: ::prost::alloc::vec::Vec<CapLine>,
+    /// What the caps are of.
+    #[prost(enumeration = "CapsOf", tag = "9")]
+    pub of: i32,
+    /// What targets of the group told the daemon itself of their limits.
+    #[prost(message, repeated, tag = "10")]
+    pub words: ::prost::alloc::vec::Vec<TargetWord>,
+}
+/// What a target says of its limit.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TargetWord {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// Requests a second that it takes from all daemons; 0 if it has no limit any
+    /// more.
+    #[prost(double, tag = "2")]
+    pub limit: f64,
+    /// Ms since it was heard.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 /// One workspace at the daemon that calls, in the cap's units.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -750,6 +775,9 @@
     /// In the order of the call's lines; none if a later call came before.
     #[prost(message, repeated, tag = "4")]
     pub lines: ::prost::alloc::vec::Vec<CapSettled>,
+    /// What targets of the group say of their limits, as the home knows it.
+    #[prost(message, repeated, tag = "5")]
+    pub words: ::prost::alloc::vec::Vec<TargetWord>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CapSettled {
@@ -768,6 +796,33 @@
     #[prost(double, tag = "5")]
     pub lent: f64,
 }
+/// What caps bound the use of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum CapsOf {
+    Workspaces = 0,
+    Targets = 1,
+}
+impl CapsOf {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Workspaces => "CAPS_OF_WORKSPACES",
+            Self::Targets => "CAPS_OF_TARGETS",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "CAPS_OF_WORKSPACES" => Some(Self::Workspaces),
+            "CAPS_OF_TARGETS" => Some(Self::Targets),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod engine_client {
     #![allow(
@@ -3385,7 +3440,8 @@
                 .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Progress"));
             self.inner.unary(req, path, codec).await
         }
-        /// Settles caps of workspaces with the daemon that keeps them for a group.
+        /// Settles caps of workspaces, or limits of targets, with the daemon that
+        /// keeps them for a group.
         pub async fn settle(
             &mut self,
             request: impl tonic::IntoRequest<super::CapCall>,
@@ -3437,7 +3493,8 @@
             &self,
             request: tonic::Request<super::ProgressReport>,
         ) -> std::result::Result<tonic::Response<super::ProgressReply>, tonic::Status>;
-        /// Settles caps of workspaces with the daemon that keeps them for a group.
+        /// Settles caps of workspaces, or limits of targets, with the daemon that
+        /// keeps them for a group.
         async fn settle(
             &self,
             request: tonic::Request<super::CapCall>,
--- a/crates/comfreyhall-workspace/src/lending/mod.rs
+++ b/crates/comfreyhall-workspace/src/lending/mod.rs
@@ -16,10 +16,7 @@
     ledger::{KNOWING_PART, Ledger, World},
     purse::Purse,
 };
-use crate::{
-    Basis, Call, Fleet, Home, Line, Meter, Name, Reply, Taken, Tolerance, Workspaces,
-    meter::{Kept, kept},
-};
+use crate::{Basis, Call, Fleet, Home, Line, Meter, Name, Reply, Taken, Tolerance, meter::Kept};
 
 /// How long a part given to a home stays there, in ms. Within it two renewals
 /// may be lost; after it another home may have the part.
@@ -52,6 +49,8 @@
     /// The home's clock as it last told it.
     echo: Option<(Home, u64)>,
     serial: u64,
+    /// The last call that was answered or given up.
+    answered: u64,
     /// When it was last called; 0 for never.
     called: u64,
     calling: bool,
@@ -213,8 +212,8 @@
 }
 
 impl Meter for Lending {
-    fn configure(&mut self, workspaces: &Workspaces, groups: &[Name], now: u64) {
-        self.kept = kept(workspaces, groups);
+    fn keep(&mut self, kept: Map<Name, Kept>, groups: &[Name], now: u64) {
+        self.kept = kept;
         let kept = &self.kept;
         self.purses.retain(|w, _| kept.contains_key(w));
         for (group, ledger) in &mut self.ledgers {
@@ -285,7 +284,17 @@
         }
         purse.lack(size);
         link.urgent = true;
-        Taken::Ask
+        Taken::Ask(link.serial + 1)
+    }
+
+    fn closed_ms(&self, name: &str, size: u64, now: u64) -> u64 {
+        let purse = self.purses.get(name);
+        let refused = purse.filter(|p| p.held() < size as f64);
+        refused.and_then(|p| p.refused(now)).unwrap_or(0)
+    }
+
+    fn spare(&self, _name: &str, _now: u64) -> bool {
+        false
     }
 
     fn sent(&mut self, workspace: &str, size: u64) {
@@ -373,6 +382,7 @@
             return;
         };
         link.calling = false;
+        link.answered = link.serial;
         let Some(reply) = reply else {
             link.silent_until = now + SILENT_MS;
             return;
@@ -393,6 +403,10 @@
         self.take_in(group, reply, now);
     }
 
+    fn answered(&self, group: &Name) -> u64 {
+        self.links.get(group).map_or(u64::MAX, |l| l.answered)
+    }
+
     fn ended(&mut self, home: &Home) {
         for link in self.links.values_mut() {
             if link.given.as_ref().is_some_and(|g| g.home == *home) {
--- a/crates/comfreyhall-workspace/src/lending/tests.rs
+++ b/crates/comfreyhall-workspace/src/lending/tests.rs
@@ -1,6 +1,7 @@
 use comfreyhall_protocol::Map;
 
 use super::*;
+use crate::Workspaces;
 use crate::{Entry, Given, KeyHasher, Salt, read};
 
 const TOLERANCE: Tolerance = Tolerance {
@@ -77,7 +78,7 @@
 #[test]
 fn take_borrows_from_home() {
     let (mut borrower, mut lender, now) = pair();
-    assert_eq!(take(&mut borrower, 2_000, now), Taken::Ask);
+    assert!(matches!(take(&mut borrower, 2_000, now), Taken::Ask(_)));
     assert_eq!(borrower.due(now).len(), 1);
     settle(&mut borrower, &mut lender, now);
     assert_eq!(take(&mut borrower, 2_000, now), Taken::Granted);
@@ -87,7 +88,7 @@
 #[test]
 fn take_refused_is_not_asked_again() {
     let (mut borrower, mut lender, now) = pair();
-    assert_eq!(take(&mut borrower, 90_000, now), Taken::Ask);
+    assert!(matches!(take(&mut borrower, 90_000, now), Taken::Ask(_)));
     settle(&mut borrower, &mut lender, now);
     let Taken::Over { retry_ms } = take(&mut borrower, 90_000, now) else {
         panic!("it is over its cap");
@@ -101,7 +102,7 @@
 fn answer_earlier_call_lends_nothing() {
     let (mut borrower, mut lender, now) = pair();
     let (group, to): (Name, Home) = ("g".into(), home(1));
-    assert_eq!(take(&mut borrower, 2_000, now), Taken::Ask);
+    assert!(matches!(take(&mut borrower, 2_000, now), Taken::Ask(_)));
     let late = borrower.call(&group, &to, now);
     borrower.heard(&group, &to, None, now);
     settle(&mut borrower, &mut lender, now + 400);
@@ -158,7 +159,7 @@
 #[test]
 fn not_run_gives_credit_back() {
     let (mut borrower, mut lender, now) = pair();
-    assert_eq!(take(&mut borrower, 2_000, now), Taken::Ask);
+    assert!(matches!(take(&mut borrower, 2_000, now), Taken::Ask(_)));
     settle(&mut borrower, &mut lender, now);
     assert_eq!(take(&mut borrower, 2_000, now), Taken::Granted);
     borrower.sent("w", 2_000);
@@ -176,7 +177,7 @@
     for daemon in [&mut borrower, &mut lender] {
         daemon.configure(&workspaces(1_000.0), &groups, now);
     }
-    assert_eq!(take(&mut borrower, 9_000, now), Taken::Ask);
+    assert!(matches!(take(&mut borrower, 9_000, now), Taken::Ask(_)));
     settle(&mut borrower, &mut lender, now);
     let taken = take(&mut borrower, 9_000, now);
     assert!(matches!(taken, Taken::Over { .. }), "{taken:?}");
--- a/crates/comfreyhall-workspace/src/lib.rs
+++ b/crates/comfreyhall-workspace/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod cap;
 mod entry;
+mod granting;
 pub mod key;
 mod lending;
 mod meter;
@@ -20,9 +21,10 @@
 
 pub use cap::{Cap, Tolerance, Unit};
 pub use entry::{Entry, Given, GivenUnit, Problem, read};
+pub use granting::Granting;
 pub use key::{KeyHash, KeyHasher, PresentedKey, Salt};
 pub use lending::Lending;
-pub use meter::{Basis, Call, Fleet, Home, Line, Meter, Reply, Settled, Taken, home_group};
+pub use meter::{Basis, Call, Fleet, Home, Kept, Line, Meter, Reply, Settled, Taken, home_group};
 pub use sharing::Sharing;
 pub use workspace::{Allowance, Workspace, Workspaces};
 
--- a/crates/comfreyhall-workspace/src/meter.rs
+++ b/crates/comfreyhall-workspace/src/meter.rs
@@ -38,8 +38,9 @@
 pub enum Taken {
     /// It is reserved.
     Granted,
-    /// The home may lend it: settle, and take again.
-    Ask,
+    /// The home may lend it: take again once it has answered this call, the
+    /// number of which counts for the group of the cap.
+    Ask(u64),
     /// The workspace is over its cap.
     Over {
         /// Until so much is there again, in ms.
@@ -144,7 +145,12 @@
 /// One daemon's part in keeping the caps.
 pub trait Meter: Send {
     /// Takes over the workspaces of a new configuration, spread over `groups`.
-    fn configure(&mut self, workspaces: &Workspaces, groups: &[Name], now: u64);
+    fn configure(&mut self, workspaces: &Workspaces, groups: &[Name], now: u64) {
+        self.keep(kept(workspaces, groups), groups, now);
+    }
+
+    /// Takes over the caps to keep, by name, and all groups.
+    fn keep(&mut self, kept: Map<Name, Kept>, groups: &[Name], now: u64);
 
     /// Takes over who is the home of each group, this daemon among them, and
     /// the fleet.
@@ -156,6 +162,12 @@
     /// Reserves `size` units for a request that came.
     fn take(&mut self, workspace: &str, size: u64, now: u64) -> Taken;
 
+    /// Ms until asking for `size` units is of use; 0 if it may be now.
+    fn closed_ms(&self, name: &str, size: u64, now: u64) -> u64;
+
+    /// Whether this daemon knows that more could be used than is.
+    fn spare(&self, name: &str, now: u64) -> bool;
+
     /// A request that holds credit is about to be sent.
     fn sent(&mut self, workspace: &str, size: u64);
 
@@ -177,6 +189,9 @@
     /// Takes in what `home` answered; `None` if it did not.
     fn heard(&mut self, group: &Name, home: &Home, reply: Option<&Reply>, now: u64);
 
+    /// The last call to a home of `group` that was answered or given up.
+    fn answered(&self, group: &Name) -> u64;
+
     /// The process `home` has ended.
     fn ended(&mut self, home: &Home);
 
@@ -202,11 +217,13 @@
     })
 }
 
-/// A capped workspace and where its cap is kept.
-#[derive(Debug, Clone)]
-pub(crate) struct Kept {
-    pub(crate) cap: Cap,
-    pub(crate) group: Name,
+/// A cap and where it is kept.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kept {
+    /// The cap.
+    pub cap: Cap,
+    /// The group whose home keeps it.
+    pub group: Name,
 }
 
 /// The capped workspaces of `workspaces`, spread over `groups`.
--- a/crates/comfreyhall-workspace/src/sharing.rs
+++ b/crates/comfreyhall-workspace/src/sharing.rs
@@ -9,8 +9,7 @@
 use comfreyhall_protocol::Map;
 
 use crate::{
-    Basis, Call, Fleet, Home, Line, Meter, Name, Reply, Settled, Taken, Tolerance, Workspaces,
-    meter::{Kept, kept},
+    Basis, Call, Fleet, Home, Line, Meter, Name, Reply, Settled, Taken, Tolerance, meter::Kept,
     pace::Pace,
 };
 
@@ -141,8 +140,8 @@
 }
 
 impl Meter for Sharing {
-    fn configure(&mut self, workspaces: &Workspaces, groups: &[Name], _now: u64) {
-        self.kept = kept(workspaces, groups);
+    fn keep(&mut self, kept: Map<Name, Kept>, groups: &[Name], _now: u64) {
+        self.kept = kept;
         let kept = &self.kept;
         self.parts.retain(|w, _| kept.contains_key(w));
         self.told.retain(|w, _| kept.contains_key(w));
@@ -185,6 +184,14 @@
         }
     }
 
+    fn closed_ms(&self, _name: &str, _size: u64, _now: u64) -> u64 {
+        0
+    }
+
+    fn spare(&self, _name: &str, _now: u64) -> bool {
+        false
+    }
+
     fn sent(&mut self, _workspace: &str, _size: u64) {}
 
     fn unsent(&mut self, workspace: &str, size: u64) {
@@ -256,6 +263,10 @@
         }
     }
 
+    fn answered(&self, _group: &Name) -> u64 {
+        u64::MAX
+    }
+
     fn ended(&mut self, _home: &Home) {}
 
     fn basis(&self, workspace: &str, now: u64) -> Basis {
--- a/crates/comfreyhall-workspace/tests/fleet/mod.rs
+++ b/crates/comfreyhall-workspace/tests/fleet/mod.rs
@@ -6,12 +6,12 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, ops::Range};
 
 use comfreyhall_protocol::Map;
 use comfreyhall_workspace::{
-    Call, Cap, Entry, Fleet, Given, GivenUnit, Home, KeyHasher, Lending, Meter, Name, Salt,
-    Sharing, Taken, Tolerance, Unit, Workspaces, read,
+    Call, Cap, Entry, Fleet, Given, GivenUnit, Granting, Home, KeyHasher, Lending, Meter, Name,
+    Salt, Sharing, Taken, Tolerance, Unit, Workspaces, read,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -38,11 +38,19 @@
     slack: 17_000.0,
 };
 
+/// How far the requests at a limited target may lie above its limit.
+pub const LIMIT_TOLERANCE: Tolerance = Tolerance {
+    window_ms: 4_000,
+    overshoot: 0.5,
+    slack: 5.0,
+};
+
 /// Which way is played.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
     Lending,
     Sharing,
+    Granting,
 }
 
 /// A request on its way to a target.
@@ -102,6 +110,12 @@
 pub struct World {
     pub now: u64,
     way: Way,
+    tolerance: Tolerance,
+    /// Sizes of requests, in units.
+    sizes: Range<u64>,
+    /// Calls to homes, and lines in them.
+    pub calls: u64,
+    pub lines: u64,
     rng: SmallRng,
     daemons: Vec<Daemon>,
     holders: [usize; 2],
@@ -123,10 +137,11 @@
     pub focus: Vec<usize>,
 }
 
-fn meter(way: Way, home: Home, now: u64) -> Box<dyn Meter> {
+fn meter(way: Way, tolerance: Tolerance, home: Home, now: u64) -> Box<dyn Meter> {
     match way {
-        Way::Lending => Box::new(Lending::new(home, TOLERANCE, now)),
-        Way::Sharing => Box::new(Sharing::new(home, TOLERANCE)),
+        Way::Lending => Box::new(Lending::new(home, tolerance, now)),
+        Way::Sharing => Box::new(Sharing::new(home, tolerance)),
+        Way::Granting => Box::new(Granting::new(home)),
     }
 }
 
@@ -157,12 +172,42 @@
     }
 }
 
+/// A target's limit, in requests a second.
+pub fn limit(rate: f64) -> Cap {
+    Cap {
+        unit: Unit::Requests,
+        rate,
+        burst: 0.0,
+    }
+}
+
 impl World {
+    /// A fleet that keeps the caps of workspaces, counted in tokens.
     pub fn new(way: Way, daemons: usize, caps: Vec<Cap>, seed: u64) -> Self {
+        Self::with(way, TOLERANCE, 400..4_800, daemons, caps, seed)
+    }
+
+    /// A fleet that keeps the limits of targets, counted in requests.
+    pub fn limits(way: Way, daemons: usize, caps: Vec<Cap>, seed: u64) -> Self {
+        Self::with(way, LIMIT_TOLERANCE, 1..2, daemons, caps, seed)
+    }
+
+    fn with(
+        way: Way,
+        tolerance: Tolerance,
+        sizes: Range<u64>,
+        daemons: usize,
+        caps: Vec<Cap>,
+        seed: u64,
+    ) -> Self {
         let count = caps.len();
         let mut world = Self {
             now: 1,
             way,
+            tolerance,
+            sizes,
+            calls: 0,
+            lines: 0,
             rng: SmallRng::seed_from_u64(seed),
             daemons: Vec::new(),
             holders: [0, 1],
@@ -203,7 +248,7 @@
             boot,
         };
         let version = self.configs.len() - 1;
-        let mut meter = meter(self.way, home, self.now);
+        let mut meter = meter(self.way, self.tolerance, home, self.now);
         let groups = GROUPS.map(Name::from);
         meter.configure(&workspaces(&self.configs[version].1), &groups, self.now);
         Daemon {
@@ -388,6 +433,8 @@
     fn settle(&mut self, at: usize, group: &Name, home: &Home) {
         let now = self.now;
         let call = self.daemons[at].meter.call(group, home, now);
+        self.calls += 1;
+        self.lines += call.lines.len() as u64;
         let to = self.daemons.iter().position(|d| d.peer == home.peer);
         let to = to.expect("homes are daemons");
         let lost = self.rng.random_bool(self.loss);
@@ -429,7 +476,7 @@
         let cap = self.configs.last().expect("there is a configuration").1[workspace];
         let mut due = cap.rate * self.demand[workspace] * STEP_MS as f64 / 1_000.0;
         while due > 0.0 {
-            let size = self.rng.random_range(400..4_800u64);
+            let size = self.rng.random_range(self.sizes.clone());
             if due < size as f64 && !self.rng.random_bool(due / size as f64) {
                 return;
             }
@@ -450,7 +497,7 @@
         let now = self.now;
         self.daemons[at].meter.ask(&name, size, now);
         let mut taken = self.daemons[at].meter.take(&name, size, now);
-        if taken == Taken::Ask {
+        if matches!(taken, Taken::Ask(_)) {
             for (group, home) in self.daemons[at].meter.due(now) {
                 self.settle(at, &group, &home);
             }
@@ -468,7 +515,7 @@
                 });
             }
             Taken::Over { .. } => self.refused[workspace] += size,
-            Taken::Ask | Taken::Unsure { .. } => self.unsure[workspace] += size,
+            Taken::Ask(_) | Taken::Unsure { .. } => self.unsure[workspace] += size,
         }
     }
 
@@ -506,7 +553,7 @@
         let (mut first, mut sum) = (0, 0);
         for last in 0..runs.len() {
             sum += runs[last].size;
-            while runs[last].at - runs[first].at >= TOLERANCE.window_ms {
+            while runs[last].at - runs[first].at >= self.tolerance.window_ms {
                 sum -= runs[first].size;
                 first += 1;
             }
@@ -521,17 +568,17 @@
     /// What the rule allows in the window that ends at `end`: a lower cap binds
     /// one window after all daemons have it.
     fn allowed(&self, workspace: usize, end: u64) -> f64 {
-        let start = end.saturating_sub(TOLERANCE.window_ms);
+        let start = end.saturating_sub(self.tolerance.window_ms);
         let mut most: f64 = 0.0;
         for (version, (from, caps)) in self.configs.iter().enumerate() {
             let next = self.settled.get(version + 1).copied();
             let until = match next {
                 None => u64::MAX,
-                Some(settled) => settled.map_or(u64::MAX, |at| at + TOLERANCE.window_ms),
+                Some(settled) => settled.map_or(u64::MAX, |at| at + self.tolerance.window_ms),
             };
             if *from <= end && until >= start {
                 let cap = &caps[workspace];
-                most = most.max(TOLERANCE.allowed(cap) + TOLERANCE.of(cap));
+                most = most.max(self.tolerance.allowed(cap) + self.tolerance.of(cap));
             }
         }
         most
--- a/crates/comfreyhall-workspace/tests/model.rs
+++ b/crates/comfreyhall-workspace/tests/model.rs
@@ -4,7 +4,8 @@
 
 mod fleet;
 
-use fleet::{Way, World, cap};
+use comfreyhall_workspace::{Cap, Unit};
+use fleet::{Way, World, cap, limit};
 use proptest::prelude::*;
 
 /// Daemons at the start.
@@ -52,9 +53,21 @@
     ]
 }
 
+/// Caps of two workspaces.
 fn play(way: Way, steps: &[Step], seed: u64) -> World {
-    let mut caps = vec![cap(60_000.0), cap(8_000.0)];
-    let mut world = World::new(way, DAEMONS, caps.clone(), seed);
+    let caps = vec![cap(60_000.0), cap(8_000.0)];
+    let world = World::new(way, DAEMONS, caps.clone(), seed);
+    run(world, caps, steps)
+}
+
+/// Limits of two targets.
+fn play_limits(way: Way, steps: &[Step], seed: u64) -> World {
+    let caps = vec![limit(10.0), limit(1.0)];
+    let world = World::limits(way, DAEMONS, caps.clone(), seed);
+    run(world, caps, steps)
+}
+
+fn run(mut world: World, mut caps: Vec<Cap>, steps: &[Step]) -> World {
     world.run(14_000);
     world.demand = vec![6.0, 6.0];
     for step in steps {
@@ -76,8 +89,13 @@
             Step::Lose(part) => world.lose(*part),
             Step::Hold(group, d) => world.hold(*group, *d),
             Step::Caps(a, b, burst) => {
-                caps = vec![cap(caps[0].rate * a), cap(caps[1].rate * b)];
-                caps.iter_mut().for_each(|c| c.burst = c.rate * burst);
+                // A target's limit has no burst.
+                let bursts = caps[0].burst > 0.0 || caps[0].unit != Unit::Requests;
+                caps[0].rate *= a;
+                caps[1].rate *= b;
+                if bursts {
+                    caps.iter_mut().for_each(|c| c.burst = c.rate * burst);
+                }
                 world.configure(caps.clone());
             }
             // As many again at most, as long as none has left.
@@ -119,4 +137,15 @@
             prop_assert!(most <= allowed, "workspace {workspace}: {most} of {allowed}");
         }
     }
+
+    /// Guards against more requests at a target than its limit allows, whatever
+    /// fails meanwhile.
+    #[test]
+    fn granting_sum_holds(steps in prop::collection::vec(step(), 5..40), seed in any::<u64>()) {
+        let world = play_limits(Way::Granting, &steps, seed);
+        for target in 0..2 {
+            let (most, allowed) = world.worst(target);
+            prop_assert!(most <= allowed, "target {target}: {most} of {allowed}");
+        }
+    }
 }
