Sight: targets that leave or ask for rest, and how long a feed call waited

Notices bear rest and leaving now (odd values on the safe side, each with a test), with a line when either begins and ends and a count in target_notices. The lines 'settings not read' and 'store answers again' bear how long the call waited and how old the settings known are. No decision has changed.

--- a/crates/comfreyhall-backpressure/src/gate.rs
+++ b/crates/comfreyhall-backpressure/src/gate.rs
@@ -20,6 +20,10 @@
     pub own: bool,
 }
 
+/// How long a target that leaves is remembered, in ms: it may go on for as long
+/// as the store, which has to take note of it, is away.
+const LEAVING_MS: u64 = 3_600_000;
+
 /// What has changed for a target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
@@ -35,14 +39,50 @@
         /// How long it had one, in ms.
         after_ms: u64,
     },
+    /// It wants nothing from this daemon for a while.
+    Resting {
+        /// For how long, in ms.
+        rest_ms: u64,
+    },
+    /// Its rest is over.
+    Rested,
+    /// It leaves.
+    Leaving,
 }
 
 /// One start of a target.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Gate {
-    word: Word,
+    /// What it last said of its limit.
+    word: Option<Word>,
     /// Since when it has a limit.
     since: u64,
+    /// Until when it wants nothing from this daemon; 0 if it may be sent to.
+    rest_until: u64,
+    /// Since when it is known to leave.
+    leaving: Option<u64>,
+}
+
+impl Gate {
+    fn limit(&self, now: u64) -> Option<Rate> {
+        self.recent(now)?.limit
+    }
+
+    /// What it said of its limit, if that counts still.
+    fn recent(&self, now: u64) -> Option<Word> {
+        let recent = |w: &Word| now.saturating_sub(w.heard) < FORGET_MS;
+        self.word.filter(recent)
+    }
+
+    fn leaves(&self, now: u64) -> bool {
+        let recent = |since| now.saturating_sub(since) < LEAVING_MS;
+        self.leaving.is_some_and(recent)
+    }
+
+    /// Whether it says nothing any more.
+    fn silent(&self, now: u64) -> bool {
+        self.recent(now).is_none() && self.rest_until == 0 && !self.leaves(now)
+    }
 }
 
 /// What targets have said, by the id of their start.
@@ -59,13 +99,28 @@
 
     /// Takes in `notice` of `target`, read at `now` in the answer to a request
     /// that was sent at `sent`.
-    ///
+    pub fn hear(&mut self, target: &Name, notice: &Notice, sent: u64, now: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        changes.extend(self.hear_limit(target, notice.limit, sent, now));
+        changes.extend(notice.rest_ms.and_then(|ms| self.rest(target, ms, now)));
+        if notice.leaving {
+            changes.extend(self.leave(target, now));
+        }
+        changes
+    }
+
     /// Answers come in any order. One whose request was sent after the last word
     /// came is newer than it; of others it is not known, and the lower limit
     /// counts.
-    pub fn hear(&mut self, target: &Name, notice: &Notice, sent: u64, now: u64) -> Option<Change> {
-        let known = self.gates.get(target).map(|g| g.word);
-        let limit = match (known.and_then(|w| w.limit), notice.limit) {
+    fn hear_limit(
+        &mut self,
+        target: &Name,
+        said: Option<Rate>,
+        sent: u64,
+        now: u64,
+    ) -> Option<Change> {
+        let known = self.gates.get(target).and_then(|g| g.word);
+        let limit = match (known.and_then(|w| w.limit), said) {
             (None, None) => return None,
             (Some(before), said) if known.is_some_and(|w| sent < w.heard) => match said {
                 Some(limit) if limit < before => Some(limit),
@@ -81,11 +136,27 @@
         self.put(target, word, now)
     }
 
+    /// A rest that was asked for earlier and lasts longer stands.
+    fn rest(&mut self, target: &Name, rest_ms: u64, now: u64) -> Option<Change> {
+        let gate = self.gates.entry(target.clone()).or_default();
+        let began = gate.rest_until == 0;
+        gate.rest_until = gate.rest_until.max(now + rest_ms);
+        began.then_some(Change::Resting { rest_ms })
+    }
+
+    /// A start of a target that leaves does not come back.
+    fn leave(&mut self, target: &Name, now: u64) -> Option<Change> {
+        let gate = self.gates.entry(target.clone()).or_default();
+        let began = gate.leaving.is_none();
+        gate.leaving.get_or_insert(now);
+        began.then_some(Change::Leaving)
+    }
+
     /// Takes in what `target` told another daemon, if it is newer than what is
     /// known here.
     pub fn told(&mut self, target: &Name, word: Word, now: u64) -> Option<Change> {
-        let known = self.gates.get(target);
-        let newer = known.is_none_or(|g| word.heard > g.word.heard);
+        let known = self.gates.get(target).and_then(|g| g.word);
+        let newer = known.is_none_or(|w| word.heard > w.heard);
         let old = now.saturating_sub(word.heard) >= FORGET_MS;
         // The end of a limit that was not known says nothing.
         let says = word.limit.is_some() || known.is_some();
@@ -94,48 +165,79 @@
 
     /// Puts `word` in the place of what was known of `target`.
     fn put(&mut self, target: &Name, word: Word, now: u64) -> Option<Change> {
-        self.forget(now);
-        let known = self.gates.get(target).copied();
-        let before = known.and_then(|g| g.word.limit);
-        let since = match (before, known) {
-            (Some(_), Some(gate)) => gate.since,
-            _ => now,
-        };
-        self.gates.insert(target.clone(), Gate { word, since });
+        let gate = self.gates.entry(target.clone()).or_default();
+        let before = gate.limit(now);
+        if before.is_none() {
+            gate.since = now;
+        }
+        gate.word = Some(word);
+        let after_ms = now.saturating_sub(gate.since);
         match (before, word.limit) {
             (before, Some(limit)) if before != Some(limit) => {
                 Some(Change::Limited { limit, before })
             }
-            (Some(_), None) => Some(Change::Unlimited {
-                after_ms: now.saturating_sub(since),
-            }),
+            (Some(_), None) => Some(Change::Unlimited { after_ms }),
             _ => None,
         }
     }
 
-    fn forget(&mut self, now: u64) {
-        let recent = |g: &Gate| now.saturating_sub(g.word.heard) < FORGET_MS;
-        self.gates.retain(|_, g| recent(g));
+    /// Forgets what counts no more, and names what has ended with it.
+    pub fn sweep(&mut self, now: u64) -> Vec<(Name, Change)> {
+        let mut ended = Vec::new();
+        for (target, gate) in &mut self.gates {
+            if gate.rest_until > 0 && now >= gate.rest_until {
+                gate.rest_until = 0;
+                ended.push((target.clone(), Change::Rested));
+            }
+            let lapsed = gate.word.filter(|_| gate.recent(now).is_none());
+            if lapsed.is_some_and(|w| w.limit.is_some()) {
+                let after_ms = now.saturating_sub(gate.since);
+                ended.push((target.clone(), Change::Unlimited { after_ms }));
+            }
+            gate.word = gate.recent(now);
+        }
+        self.gates.retain(|_, g| !g.silent(now));
+        ended
     }
 
     /// The limit of `target`.
     pub fn limit(&self, target: &str, now: u64) -> Option<Rate> {
-        let gate = self.gates.get(target)?;
-        let recent = now.saturating_sub(gate.word.heard) < FORGET_MS;
-        gate.word.limit.filter(|_| recent)
+        self.gates.get(target)?.limit(now)
+    }
+
+    /// Whether `target` is known to leave.
+    pub fn leaves(&self, target: &str, now: u64) -> bool {
+        self.gates.get(target).is_some_and(|g| g.leaves(now))
     }
 
-    /// What all targets have said.
+    /// Ms for which `target` wants nothing from this daemon.
+    pub fn rest_ms(&self, target: &str, now: u64) -> u64 {
+        let gate = self.gates.get(target);
+        gate.map_or(0, |g| g.rest_until.saturating_sub(now))
+    }
+
+    /// What all targets have said of their limits.
     pub fn words(&self, now: u64) -> impl Iterator<Item = (&Name, Word)> {
-        let recent = move |g: &&Gate| now.saturating_sub(g.word.heard) < FORGET_MS;
         let all = self.gates.iter();
-        all.filter(move |(_, g)| recent(g))
-            .map(|(target, g)| (target, g.word))
+        all.filter_map(move |(target, g)| Some((target, g.recent(now)?)))
     }
 
     /// Targets with a limit.
     pub fn limited(&self, now: u64) -> impl Iterator<Item = (&Name, Rate)> {
-        let all = self.gates.keys();
-        all.filter_map(move |t| Some((t, self.limit(t, now)?)))
+        let all = self.gates.iter();
+        all.filter_map(move |(target, g)| Some((target, g.limit(now)?)))
+    }
+
+    /// Targets that are at rest, and for how many ms more.
+    pub fn resting(&self, now: u64) -> impl Iterator<Item = (&Name, u64)> {
+        let all = self.gates.iter();
+        let rest = all.map(move |(target, g)| (target, g.rest_until.saturating_sub(now)));
+        rest.filter(|(_, ms)| *ms > 0)
+    }
+
+    /// Targets that are known to leave.
+    pub fn leaving(&self, now: u64) -> impl Iterator<Item = &Name> {
+        let leaving = self.gates.iter().filter(move |(_, g)| g.leaves(now));
+        leaving.map(|(target, _)| target)
     }
 }
--- a/crates/comfreyhall-backpressure/src/lib.rs
+++ b/crates/comfreyhall-backpressure/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use gate::{Change, Gates, Word};
 pub use notice::{Notice, Odd, Rate};
-pub use read::read_limit;
+pub use read::{read_leaving, read_limit, read_rest};
 
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-backpressure/src/notice.rs
+++ b/crates/comfreyhall-backpressure/src/notice.rs
@@ -50,6 +50,21 @@
     /// Its limit is so high that it says nothing.
     #[error("the limit is over any rate, so it counts as none; leave it out")]
     LimitHigh,
+    /// Its rest is no number of seconds.
+    #[error("the rest is no number of seconds, so 3 s are kept; give seconds, not a date")]
+    RestUnread,
+    /// Its rest is below nothing.
+    #[error("the rest is below 0 s, so none is kept; give more, or leave it out")]
+    RestLow,
+    /// Its rest is longer than any that is kept.
+    #[error("the rest is over 300 s, so 300 s are kept; ask again then, or leave")]
+    RestLong,
+    /// It asks for several rests.
+    #[error("several rests are asked for, so the longest is kept; ask for one")]
+    RestTwice,
+    /// Whether it leaves is neither yes nor no.
+    #[error("whether it leaves is neither 0 nor 1, so it gets 3 s of rest; write 1 to leave")]
+    LeavingUnread,
     /// It names several limits.
     #[error("several limits are named, so the lowest counts; name one")]
     LimitTwice,
@@ -60,6 +75,10 @@
 pub struct Notice {
     /// Requests a second that it takes from all daemons together.
     pub limit: Option<Rate>,
+    /// How long it wants nothing from this daemon, in ms.
+    pub rest_ms: Option<u64>,
+    /// Whether this start of it leaves.
+    pub leaving: bool,
     /// What in it was not read as written.
     pub odd: Vec<Odd>,
 }
--- a/crates/comfreyhall-backpressure/src/read.rs
+++ b/crates/comfreyhall-backpressure/src/read.rs
@@ -5,6 +5,13 @@
 
 use crate::{Odd, Rate};
 
+/// Longest rest that is kept, in ms: a target that wants more is asked again
+/// then, since one header must not shut it out for ever.
+const LONGEST_REST_MS: f64 = 300_000.0;
+
+/// Rest of a target that cannot say for how long, in ms.
+const UNREAD_REST_MS: f64 = 3_000.0;
+
 /// The text of a header, if it is one.
 fn text(value: &[u8]) -> Option<&str> {
     std::str::from_utf8(value).ok().map(str::trim)
@@ -43,3 +50,60 @@
     let number = text(value).and_then(|t| t.parse::<f64>().ok());
     number.filter(|n| !n.is_nan()).ok_or(Odd::LimitUnread)
 }
+
+/// The rest that `values`, all of one answer, ask for, in ms; also what is odd
+/// there.
+pub fn read_rest<'a>(
+    values: impl IntoIterator<Item = &'a [u8]>,
+    odd: &mut Vec<Odd>,
+) -> Option<u64> {
+    let mut longest: Option<f64> = None;
+    for (at, value) in values.into_iter().enumerate() {
+        if at == 1 {
+            odd.push(Odd::RestTwice);
+        }
+        let ms = rest_ms(value, odd);
+        longest = Some(longest.map_or(ms, |l| l.max(ms)));
+    }
+    longest.map(|ms| ms as u64).filter(|ms| *ms > 0)
+}
+
+fn rest_ms(value: &[u8], odd: &mut Vec<Odd>) -> f64 {
+    let number = text(value).and_then(|t| t.parse::<f64>().ok());
+    match number.filter(|n| !n.is_nan()).map(|s| s * 1_000.0) {
+        None => {
+            odd.push(Odd::RestUnread);
+            UNREAD_REST_MS
+        }
+        Some(ms) if ms < 0.0 => {
+            odd.push(Odd::RestLow);
+            0.0
+        }
+        Some(ms) if ms > LONGEST_REST_MS => {
+            odd.push(Odd::RestLong);
+            LONGEST_REST_MS
+        }
+        Some(ms) => ms,
+    }
+}
+
+/// Whether `values`, all of one answer, say that the target leaves. What is
+/// neither yes nor no asks for a rest, put into `rest_ms`.
+pub fn read_leaving<'a>(
+    values: impl IntoIterator<Item = &'a [u8]>,
+    rest_ms: &mut Option<u64>,
+    odd: &mut Vec<Odd>,
+) -> bool {
+    let mut leaving = false;
+    for value in values {
+        match text(value) {
+            Some("1") => leaving = true,
+            Some("0") => {}
+            _ => {
+                odd.push(Odd::LeavingUnread);
+                *rest_ms = (*rest_ms).max(Some(UNREAD_REST_MS as u64));
+            }
+        }
+    }
+    leaving
+}
--- a/crates/comfreyhall-backpressure/src/tests.rs
+++ b/crates/comfreyhall-backpressure/src/tests.rs
@@ -45,11 +45,11 @@
     let began = gates.hear(&t, &notice(Some(2.0)), 90, 100);
     let limit = Rate::of(2.0).unwrap();
     let before = None;
-    assert_eq!(began, Some(Change::Limited { limit, before }));
+    assert_eq!(began, [Change::Limited { limit, before }]);
     assert_eq!(gates.limit("t", 100), Some(limit));
-    assert_eq!(gates.hear(&t, &notice(Some(2.0)), 101, 110), None);
+    assert_eq!(gates.hear(&t, &notice(Some(2.0)), 101, 110), []);
     let ended = gates.hear(&t, &notice(None), 120, 130);
-    assert_eq!(ended, Some(Change::Unlimited { after_ms: 30 }));
+    assert_eq!(ended, [Change::Unlimited { after_ms: 30 }]);
     assert_eq!(gates.limit("t", 130), None);
 }
 
@@ -59,8 +59,8 @@
     let mut gates = Gates::default();
     let t = "t".into();
     gates.hear(&t, &notice(Some(2.0)), 90, 100);
-    assert_eq!(gates.hear(&t, &notice(None), 95, 140), None);
-    assert_eq!(gates.hear(&t, &notice(Some(9.0)), 95, 140), None);
+    assert_eq!(gates.hear(&t, &notice(None), 95, 140), []);
+    assert_eq!(gates.hear(&t, &notice(Some(9.0)), 95, 140), []);
     assert_eq!(gates.limit("t", 140), Rate::of(2.0));
     gates.hear(&t, &notice(Some(1.0)), 95, 140);
     assert_eq!(gates.limit("t", 140), Rate::of(1.0));
@@ -82,3 +82,100 @@
     assert!(gates.limit("t", 59_000).is_some());
     assert!(gates.limit("t", 61_000).is_none());
 }
+
+#[test]
+fn told_newer_word_counts() {
+    let mut gates = Gates::default();
+    let t = "t".into();
+    let word = |per_s: Option<f64>, heard| Word {
+        limit: per_s.and_then(Rate::of),
+        heard,
+        own: false,
+    };
+    assert_eq!(gates.told(&t, word(None, 90), 100), None);
+    assert!(gates.told(&t, word(Some(2.0), 90), 100).is_some());
+    // An older one, which comes late.
+    assert_eq!(gates.told(&t, word(Some(9.0), 80), 110), None);
+    assert_eq!(gates.limit("t", 110), Rate::of(2.0));
+    assert!(gates.told(&t, word(None, 95), 120).is_some());
+    assert_eq!(gates.limit("t", 120), None);
+}
+
+fn rest(values: &[&str]) -> (Option<u64>, Vec<Odd>) {
+    let mut odd = Vec::new();
+    let ms = read_rest(values.iter().map(|v| v.as_bytes()), &mut odd);
+    (ms, odd)
+}
+
+/// Guards against odd rests that are passed over, panic, or shut a target out.
+#[test]
+fn read_rest_odd_values_are_safe() {
+    use Odd::*;
+    assert_eq!(rest(&[]), (None, vec![]));
+    assert_eq!(rest(&["3"]), (Some(3_000), vec![]));
+    assert_eq!(rest(&["0.5"]), (Some(500), vec![]));
+    assert_eq!(rest(&["0"]), (None, vec![]));
+    assert_eq!(rest(&["-7"]), (None, vec![RestLow]));
+    for text in ["", "soon", "NaN", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+        assert_eq!(rest(&[text]), (Some(3_000), vec![RestUnread]), "{text}");
+    }
+    for text in ["86400", "1e300", "inf"] {
+        assert_eq!(rest(&[text]), (Some(300_000), vec![RestLong]), "{text}");
+    }
+    assert_eq!(rest(&["1", "2"]), (Some(2_000), vec![RestTwice]));
+}
+
+/// Guards against a leaving that is passed over, or read where there is none.
+#[test]
+fn read_leaving_odd_values_are_safe() {
+    let read = |values: &[&str]| {
+        let (mut rest_ms, mut odd) = (None, Vec::new());
+        let values = values.iter().map(|v| v.as_bytes());
+        let leaving = read_leaving(values, &mut rest_ms, &mut odd);
+        (leaving, rest_ms, odd)
+    };
+    assert_eq!(read(&[]), (false, None, vec![]));
+    assert_eq!(read(&["1"]), (true, None, vec![]));
+    assert_eq!(read(&["0"]), (false, None, vec![]));
+    assert_eq!(read(&["0", "1"]), (true, None, vec![]));
+    let odd = vec![Odd::LeavingUnread];
+    assert_eq!(read(&["perhaps"]), (false, Some(3_000), odd));
+}
+
+#[test]
+fn hear_rest_ends_by_itself() {
+    let mut gates = Gates::default();
+    let t = "t".into();
+    let asks = |ms| Notice {
+        rest_ms: Some(ms),
+        ..Notice::default()
+    };
+    let began = gates.hear(&t, &asks(300), 90, 100);
+    assert_eq!(began, [Change::Resting { rest_ms: 300 }]);
+    // A shorter one, and answers that say nothing, do not end it.
+    assert_eq!(gates.hear(&t, &asks(50), 90, 110), []);
+    assert_eq!(gates.hear(&t, &Notice::default(), 120, 130), []);
+    assert_eq!(gates.rest_ms("t", 130), 270);
+    assert_eq!(gates.sweep(399), []);
+    assert_eq!(gates.sweep(400), [("t".into(), Change::Rested)]);
+    assert_eq!(gates.rest_ms("t", 400), 0);
+    assert!(gates.is_empty());
+}
+
+/// Guards against a target that leaves and is sent to again since another of
+/// its answers, read late, does not say so.
+#[test]
+fn hear_leaving_is_final() {
+    let mut gates = Gates::default();
+    let t = "t@1".into();
+    let leaves = Notice {
+        leaving: true,
+        ..Notice::default()
+    };
+    assert_eq!(gates.hear(&t, &leaves, 90, 100), [Change::Leaving]);
+    assert_eq!(gates.hear(&t, &leaves, 91, 101), []);
+    assert_eq!(gates.hear(&t, &Notice::default(), 120, 130), []);
+    assert_eq!(gates.sweep(100_000), []);
+    assert!(gates.leaves("t@1", 100_000));
+    assert!(!gates.leaves("t@2", 100_000));
+}
--- a/crates/comfreyhall-node/src/caps/settle.rs
+++ b/crates/comfreyhall-node/src/caps/settle.rs
@@ -6,7 +6,7 @@
 use comfreyhall_workspace::{Call, Fleet, Home};
 
 use super::{Caps, Of, me, refresh, wire};
-use crate::{leases, node::Node};
+use crate::{leases, node::Node, outbound};
 
 /// Pause between looks at which homes are due.
 const LOOK: Duration = Duration::from_millis(100);
@@ -23,6 +23,7 @@
     let node = node.clone();
     tokio::spawn(async move {
         loop {
+            outbound::sweep(&node);
             for of in [Of::Workspaces, Of::Targets] {
                 refresh(&node, of);
                 let caps = node.caps_of(of);
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -82,6 +82,7 @@
     let mut after: Option<u64> = None;
     let mut link = Link::new("settings");
     loop {
+        let began = node.now();
         let answer = match after {
             None => node.source.read(Topic::Settings).await,
             Some(version) => {
@@ -91,7 +92,7 @@
                 feed.await
             }
         };
-        link.note(&node, &answer);
+        link.note(&node, &answer, began);
         node.set_cut_off(matches!(answer, Err(SourceError::Unavailable(_))));
         match answer {
             Ok(facts) => {
@@ -179,16 +180,19 @@
         tokio::time::sleep(pause(node, self.failures)).await;
     }
 
-    fn note(&mut self, node: &Node, answer: &Result<Facts, SourceError>) {
+    /// Takes in the answer to a call that began at `began`.
+    fn note(&mut self, node: &Node, answer: &Result<Facts, SourceError>, began: u64) {
         let topic = self.topic;
+        let now = node.now();
+        let (waited, age) = (now - began, node.view().book.settings.age(now));
         node.metrics.store(topic, answer.is_ok());
         match answer {
             Ok(facts) if self.down => {
-                log::info!(target: "follow", version = facts.version; "store answers again for {topic}");
+                log::info!(target: "follow", version = facts.version, waited, settings_age = age; "store answers again for {topic}");
             }
             Ok(_) => {}
             Err(e) if !self.down || *e == SourceError::Forgotten => {
-                log::warn!(target: "follow", error:% = e; "{topic} not read");
+                log::warn!(target: "follow", error:% = e, waited, settings_age = age; "{topic} not read");
             }
             Err(_) => {}
         }
@@ -219,7 +223,7 @@
         await_age(&node, due_ms(&node, beat)).await;
         let began = node.now();
         let answer = node.source.read(Topic::Targets).await;
-        link.note(&node, &answer);
+        link.note(&node, &answer, began);
         match answer {
             Ok(listed) => take(&node, &mut away, listed, began, 2 * beat),
             Err(_) => link.pause(&node).await,
--- a/crates/comfreyhall-node/src/outbound/log.rs
+++ b/crates/comfreyhall-node/src/outbound/log.rs
@@ -9,7 +9,7 @@
 pub(super) fn odd(node: &Node, target: &Target, notice: &Notice, now: u64) {
     for problem in &notice.odd {
         if let Some(left_out) = node.flood.odd.take(now) {
-            log::warn!(target: "outbound", target_id:% = target.id, problem:%, left_out; "target says something odd");
+            log::warn!(target: "outbound", id:% = target.id, problem:%, left_out; "target says something odd");
         }
     }
 }
@@ -20,12 +20,24 @@
     match change {
         Change::Limited { limit, before } => {
             let (limit, before) = (limit.per_s(), before.map_or(0.0, |b| b.per_s()));
-            log::info!(target: "outbound", target_id:% = target, limit, before, by, age; "target limited");
+            log::info!(target: "outbound", id:% = target, limit, before, by, age; "target limited");
             node.metrics.gate("limited");
         }
         Change::Unlimited { after_ms } => {
-            log::info!(target: "outbound", target_id:% = target, after = after_ms, by, age; "target no longer limited");
+            log::info!(target: "outbound", id:% = target, after = after_ms, by, age; "target no longer limited");
             node.metrics.gate("unlimited");
         }
+        Change::Resting { rest_ms } => {
+            log::info!(target: "outbound", id:% = target, rest = rest_ms, by, age; "target at rest");
+            node.metrics.gate("resting");
+        }
+        Change::Rested => {
+            log::info!(target: "outbound", id:% = target; "target no longer at rest");
+            node.metrics.gate("rested");
+        }
+        Change::Leaving => {
+            log::info!(target: "outbound", id:% = target, by, age; "target leaves");
+            node.metrics.gate("leaving");
+        }
     }
 }
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use comfreyhall_backpressure::{Gates, Notice};
+use comfreyhall_backpressure::{Change, Gates, Notice};
 use comfreyhall_domain::{Ask, Target};
 use tokio::time::timeout;
 
@@ -40,12 +40,23 @@
 fn hear(node: &Arc<Node>, target: &Target, notice: &Notice, sent: u64) {
     let now = node.now();
     log::odd(node, target, notice, now);
-    let change = node.outbound.gates().hear(&target.id, notice, sent, now);
-    if let Some(change) = change {
-        let by = node.settings().id.clone();
+    let changes = node.outbound.gates().hear(&target.id, notice, sent, now);
+    let by = node.settings().id.clone();
+    for change in changes {
         log::changed(node, &target.id, change, &by, now - sent);
-        caps::refresh(node, Of::Targets);
-        limits::announce(node, &target.id);
+        if matches!(change, Change::Limited { .. } | Change::Unlimited { .. }) {
+            caps::refresh(node, Of::Targets);
+            limits::announce(node, &target.id);
+        }
+    }
+}
+
+/// Forgets what targets said that counts no more.
+pub(crate) fn sweep(node: &Node) {
+    let now = node.now();
+    let ended = node.outbound.gates().sweep(now);
+    for (target, change) in ended {
+        log::changed(node, &target, change, "time", 0);
     }
 }
 
--- a/crates/comfreyhall/tests/boundary.rs
+++ b/crates/comfreyhall/tests/boundary.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Words that only the platform's wire has.
-const WIRE: [&str; 25] = [
+const WIRE: [&str; 26] = [
     "x-response-seal",
     "x-expect-instance",
     "x-not-executed",
@@ -17,6 +17,7 @@
     "x-pin-milliseconds",
     "last-event-id",
     "server-limit",
+    "server-leaving",
     "kv-from",
     "kv-move",
     "kv-fetch",
