Settings: a feed call that hears nothing is looked behind

What users saw: for two seconds after a store had been silent for 13 s and was back, routes that had been added were denied and requests were handled by a version four changes old, at every instance.

Cause: the settings were followed by one call that may wait 10 s for a change, and its silence counted as 'nothing has changed'. A store that falls silent and comes back leaves such a call without an answer; after it had failed once, the next one was begun in the middle of the outage, and waited out its 10.9 s though targets were read again 4 s earlier. Class: a wait for an event taken for proof that there was none.

Change: when nobody in the fleet has had an answer about settings for a drawn part of their bound (0.4 to 0.6), one daemon looks without waiting and the others hear of it with the news; a look that fails ends the feed call, and from then on the store is looked at without waits until it answers. So a daemon catches up within one look of the store's return, whatever the length of the outage and however many changes came together: the look reads all that came after what is known here.

Ruled out: a shorter wait of every feed call (each daemon would pay for it, 0.5 calls a second and daemon); taking up the feed when targets are read again (an outage shorter than the pause between readings of targets is seen by nobody, and kills the feed as well: the second test).

--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -1,7 +1,10 @@
 //! Following the settings in force and the targets in the platform's store.
 //!
 //! Settings are followed by a feed that answers at the first change, which
-//! costs next to nothing while nothing changes. Targets publish themselves
+//! costs next to nothing while nothing changes. A feed that says nothing proves
+//! nothing, though: the store may have fallen silent and come back without it. So
+//! when nobody in the fleet has had an answer about settings for a part of their
+//! bound, one daemon looks, and a failed look ends the feed. Targets publish themselves
 //! about every second, so a feed of them would answer all the time; they are
 //! read on a beat that leaves room in the bound for targets that leave. One
 //! reading serves the fleet: whoever's knowledge is oldest reads, and the
@@ -34,6 +37,12 @@
 /// holder has confirmed it for two parts, and have the third for that.
 pub(crate) const PARTS_PER_APPLY: u64 = 3;
 
+/// Parts of the bound for settings without an answer about them, from anybody,
+/// after which a daemon looks: the one that draws least, and the others hear it
+/// from that one. The rest of the bound is left for the look, for the news and
+/// for those whose own look was lost.
+const LOOK_PARTS: std::ops::Range<f64> = 0.4..0.6;
+
 /// Pause between looks at whether holders still tell of settings, in ms.
 const TOLD_LOOK_MS: u64 = 100;
 
@@ -85,11 +94,11 @@
         let began = node.now();
         let answer = match after {
             None => node.source.read(Topic::Settings).await,
+            // A call that waits would not tell a silent store from a quiet one.
+            Some(version) if link.down => look(&node, version).await,
             Some(version) => {
                 await_untold(&node).await;
-                let wait = feed_wait(&node);
-                let feed = node.source.changes(Topic::Settings, version, wait);
-                feed.await
+                feed(&node, version).await
             }
         };
         link.note(&node, &answer, began);
@@ -108,6 +117,52 @@
     }
 }
 
+/// What changed after `version`, as the store has it now.
+async fn look(node: &Node, version: u64) -> Result<Facts, SourceError> {
+    let source = &node.source;
+    source
+        .changes(Topic::Settings, version, Duration::ZERO)
+        .await
+}
+
+/// Waits for what changes after `version`; looks in between whether the store
+/// still answers.
+///
+/// What goes wrong without the looks: the store falls silent within a feed call
+/// and comes back, three changes are made, and no daemon hears of them before
+/// the call has waited out its time, 4 s later.
+async fn feed(node: &Node, version: u64) -> Result<Facts, SourceError> {
+    let wait = feed_wait(node);
+    let feed = node.source.changes(Topic::Settings, version, wait);
+    tokio::pin!(feed);
+    loop {
+        tokio::select! {
+            answer = &mut feed => return answer,
+            () = await_unconfirmed(node) => {}
+        }
+        let found = look(node, version).await?;
+        if !found.rows.is_empty() {
+            return Ok(found);
+        }
+        let now = node.now();
+        node.view().book.settings.confirm(now);
+    }
+}
+
+/// Waits until nobody has had an answer about settings for a drawn part of their
+/// bound.
+async fn await_unconfirmed(node: &Node) {
+    let bound = node.settings().bounds.apply_ms as f64;
+    let due = (bound * rand::rng().random_range(LOOK_PARTS)) as u64;
+    loop {
+        let age = node.view().book.settings.age(node.now());
+        if age >= due {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(due - age)).await;
+    }
+}
+
 /// Whether this daemon holds a lease.
 fn holding(node: &Node) -> bool {
     node.leases.any(node.settings().bounds.fencing)
