Targets that say that they leave get nothing more

What users and operators saw: with the store away, an engine that had said in its answers that it leaves went on getting requests, 3.1 and 3.8 s after the instance that sent them had passed on such an answer (2 s are allowed), and 48 orders in 13 s. A request that runs there when it goes is lost.

Cause: that a target leaves was known from its entry in the store alone. Class: state of a neighbour learned from a third party while the neighbour says it itself.

Change: the word is final for that start of the target. It is asked for with the permit of every send, after all waiting, where the holder binds runs, and before every order; such a target is no choice, its keeper lets go of what waits for it, and where all leave the caller is told at once when to come back. The others hear of it with the news for ten seconds. A request whose target ends after it said so is not suspected of ending it.

Ruled out: ending the word when a later answer lacks it (an answer read late lacks it as well; the target says it in all); keeping it by address (another start there is free).

--- a/crates/comfreyhall-backpressure/src/gate.rs
+++ b/crates/comfreyhall-backpressure/src/gate.rs
@@ -145,10 +145,10 @@
     }
 
     /// A start of a target that leaves does not come back.
-    fn leave(&mut self, target: &Name, now: u64) -> Option<Change> {
+    fn leave(&mut self, target: &Name, since: u64) -> Option<Change> {
         let gate = self.gates.entry(target.clone()).or_default();
         let began = gate.leaving.is_none();
-        gate.leaving.get_or_insert(now);
+        gate.leaving.get_or_insert(since);
         began.then_some(Change::Leaving)
     }
 
@@ -163,6 +163,12 @@
         (newer && says && !old).then(|| self.put(target, word, now))?
     }
 
+    /// Takes in that `target` told another daemon `age_ms` ago that it leaves.
+    pub fn told_leaving(&mut self, target: &Name, age_ms: u64, now: u64) -> Option<Change> {
+        let since = now.saturating_sub(age_ms);
+        (age_ms < LEAVING_MS).then(|| self.leave(target, since))?
+    }
+
     /// Puts `word` in the place of what was known of `target`.
     fn put(&mut self, target: &Name, word: Word, now: u64) -> Option<Change> {
         let gate = self.gates.entry(target.clone()).or_default();
@@ -235,9 +241,9 @@
         rest.filter(|(_, ms)| *ms > 0)
     }
 
-    /// Targets that are known to leave.
-    pub fn leaving(&self, now: u64) -> impl Iterator<Item = &Name> {
+    /// Targets that are known to leave, and for how many ms.
+    pub fn leaving(&self, now: u64) -> impl Iterator<Item = (&Name, u64)> {
         let leaving = self.gates.iter().filter(move |(_, g)| g.leaves(now));
-        leaving.map(|(target, _)| target)
+        leaving.filter_map(move |(target, g)| Some((target, now.saturating_sub(g.leaving?))))
     }
 }
--- a/crates/comfreyhall-node/src/keeper/load.rs
+++ b/crates/comfreyhall-node/src/keeper/load.rs
@@ -41,7 +41,7 @@
             match self.order(Action::Load, &adapter, version).await {
                 OrderReply::Holds => self.loaded(&adapter),
                 OrderReply::Accepted => self.still_coming(&adapter),
-                OrderReply::Conflict | OrderReply::Silent(_) => {}
+                OrderReply::Conflict | OrderReply::Silent(_) | OrderReply::Unsent => {}
                 OrderReply::Fenced | OrderReply::Gone | OrderReply::Invalid => {
                     if let Some(coming) = self.take_coming(&adapter) {
                         finish(coming.done, Err("the engine no longer loads it".into()));
@@ -252,7 +252,10 @@
                 Some(job)
             }
             // Another engine may answer sooner than this one is understood.
-            OrderReply::Silent(_) | OrderReply::Fenced | OrderReply::Invalid => {
+            OrderReply::Silent(_)
+            | OrderReply::Fenced
+            | OrderReply::Invalid
+            | OrderReply::Unsent => {
                 job.yield_to_others(done);
                 None
             }
--- a/crates/comfreyhall-node/src/keeper/order.rs
+++ b/crates/comfreyhall-node/src/keeper/order.rs
@@ -65,6 +65,8 @@
                 log::warn!(target: "keeper", id:% = self.target.id, token; "engine has seen a higher token; giving it no more orders under this one");
                 self.node.leases.beat(&self.target.domain, token);
             }
+            // It is not given orders again before it has reported.
+            OrderReply::Unsent => self.synced = false,
             OrderReply::Gone => {
                 let until = self.node.now() + IDLE_MS;
                 let mut view = self.node.view();
--- a/crates/comfreyhall-node/src/keeper/task.rs
+++ b/crates/comfreyhall-node/src/keeper/task.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc;
 
 use super::{IDLE_MS, Job, Keeper, LOOK_MS, SETTLE};
+use crate::outbound;
 
 impl Keeper {
     pub(super) async fn run(mut self, mut jobs: mpsc::Receiver<Job>) {
@@ -46,6 +47,10 @@
     /// Does what can be done now; returns when to look again.
     pub(super) async fn advance(&mut self) -> u64 {
         let now = self.node.now();
+        if let Some(closed) = outbound::closed(&self.node, &self.target.id) {
+            self.set_aside();
+            return now + closed.retry_ms;
+        }
         self.drop_late(now);
         if !self.synced && !self.sync().await {
             return self.node.now() + SETTLE.as_millis() as u64;
@@ -69,6 +74,13 @@
         look.into_iter().chain(blocked).min().unwrap_or(idle)
     }
 
+    /// Lets go of all that waits for this engine: others may do it.
+    fn set_aside(&mut self) {
+        self.queue.clear();
+        self.forget_coming();
+        self.synced = false;
+    }
+
     /// Forgets jobs whose callers no longer wait.
     pub(super) fn drop_late(&mut self, now: u64) {
         self.queue.retain(|j| now < j.until && j.open());
--- a/crates/comfreyhall-node/src/outbound/limits.rs
+++ b/crates/comfreyhall-node/src/outbound/limits.rs
@@ -8,16 +8,20 @@
 use std::sync::Arc;
 
 use comfreyhall_backpressure::{Rate, Word};
-use comfreyhall_domain::{Cap, Map, Name, Set, Target, Unit};
+use comfreyhall_domain::{Cap, Map, Name, Target, Unit};
 use comfreyhall_protocol::TargetWord;
 use comfreyhall_workspace::{Kept, home_group};
 
-use super::log;
+use super::{log, shut::closed};
 use crate::{
     caps::{self, Credit, Of, Refused},
     node::Node,
 };
 
+/// How long others are told that a target leaves, in ms: news reaches everybody
+/// within some seconds, and a thousand targets may leave within minutes.
+const TELL_MS: u64 = 10_000;
+
 /// The limits in force, and which group's home keeps each.
 pub(crate) fn limits(node: &Node, now: u64) -> Map<Name, Kept> {
     let gates = node.outbound.gates();
@@ -47,54 +51,6 @@
     domain.or_else(|| home_group(target, groups)).cloned()
 }
 
-/// Targets that take nothing now, or nothing more to hold.
-#[derive(Debug, Default)]
-pub(crate) struct Shut {
-    /// Those to which nothing may be sent, and for how many ms.
-    sends: Map<Name, u64>,
-    /// Those that are to load nothing more.
-    loads: Set<Name>,
-}
-
-impl Shut {
-    /// As far as is known here.
-    pub(crate) fn now(node: &Node, now: u64) -> Self {
-        let mut shut = Self::default();
-        let gates = node.outbound.gates();
-        for (target, _) in gates.limited(now) {
-            let ms = node.limits.closed_ms(target, now);
-            if ms > 0 {
-                shut.sends.insert(target.clone(), ms);
-            }
-            if !node.limits.spare(target, now) {
-                shut.loads.insert(target.clone());
-            }
-        }
-        shut
-    }
-
-    /// Whether nothing may be sent to `target`.
-    pub(crate) fn sends(&self, target: &Name) -> bool {
-        self.sends.contains_key(target)
-    }
-
-    /// Whether `target` is to load nothing more: it takes less than it is asked
-    /// for already.
-    pub(crate) fn loads(&self, target: &Name) -> bool {
-        self.loads.contains(target)
-    }
-
-    /// Ms until one of `targets` may take something, if none does now.
-    pub(crate) fn all_ms<'a>(&self, targets: impl Iterator<Item = &'a Name>) -> Option<u64> {
-        let mut least = None;
-        for target in targets {
-            let ms = *self.sends.get(target)?;
-            least = Some(least.map_or(ms, |l: u64| l.min(ms)));
-        }
-        least
-    }
-}
-
 /// Takes a part of the limit of `target`, if it has one.
 pub(super) async fn reserve(node: &Arc<Node>, target: &Target) -> Result<Option<Credit>, Refused> {
     if node
@@ -110,9 +66,12 @@
 }
 
 /// Takes a part of the limit of `target` for a run that is bound here; whether
-/// the target is limited, or `None` if there is nothing left.
+/// the target is limited, or `None` if it takes nothing now.
 pub(crate) fn grant(node: &Node, target: &Name) -> Option<bool> {
     let now = node.now();
+    if closed(node, target).is_some() {
+        return None;
+    }
     match node.outbound.gates().limit(target, now) {
         None => Some(false),
         Some(_) => node.limits.take_here(target, now).then_some(true),
@@ -132,6 +91,7 @@
         target: target.to_string(),
         limit: word.limit.map_or(0.0, Rate::per_s),
         age_ms: now.saturating_sub(word.heard),
+        leaving: false,
     }
 }
 
@@ -160,15 +120,30 @@
         let gates = node.outbound.gates();
         gates.words(now).map(|(t, w)| (t.clone(), w)).collect()
     };
-    if known.is_empty() {
+    let leaving = just_leaving(node, now);
+    if known.is_empty() && leaving.is_empty() {
         return Vec::new();
     }
     let groups = caps::groups(node);
     let told = known.iter().filter(|(target, word)| {
         group_of(node, target, &groups).is_some_and(|group| wanted(word, &group))
     });
-    told.map(|(target, word)| to_wire(target, *word, now))
-        .collect()
+    let told = told.map(|(target, word)| to_wire(target, *word, now));
+    told.chain(leaving).collect()
+}
+
+/// Targets that are known to leave for a short while. It is final: everybody may
+/// tell it of everybody.
+fn just_leaving(node: &Node, now: u64) -> Vec<TargetWord> {
+    let gates = node.outbound.gates();
+    let new = gates.leaving(now).filter(|(_, age)| *age < TELL_MS);
+    let words = new.map(|(target, age_ms)| TargetWord {
+        target: target.to_string(),
+        age_ms,
+        leaving: true,
+        ..TargetWord::default()
+    });
+    words.collect()
 }
 
 /// Takes in what `from` was told by targets.
@@ -177,6 +152,16 @@
     let mut changed = false;
     for told in words {
         let target: Name = told.target.as_str().into();
+        if told.leaving {
+            let change = node
+                .outbound
+                .gates()
+                .told_leaving(&target, told.age_ms, now);
+            if let Some(change) = change {
+                log::changed(node, &target, change, from, told.age_ms);
+            }
+            continue;
+        }
         let word = Word {
             limit: (told.limit > 0.0).then(|| Rate::of(told.limit)).flatten(),
             heard: now.saturating_sub(told.age_ms),
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -7,6 +7,7 @@
 
 mod limits;
 mod log;
+mod shut;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -17,7 +18,10 @@
 use comfreyhall_domain::{Ask, Target};
 use tokio::time::timeout;
 
-pub(crate) use self::limits::{Shut, grant, learn, limits, own_words, words, words_of_holder};
+pub(crate) use self::{
+    limits::{grant, learn, limits, own_words, words, words_of_holder},
+    shut::{Closed, Shut, closed, leaves},
+};
 use crate::{
     caps::{self, Credit, Of, Refused},
     node::Node,
@@ -84,15 +88,6 @@
     }
 }
 
-/// Why nothing may be sent to a target now, and for how long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Closed {
-    /// What it said.
-    pub(crate) why: &'static str,
-    /// Until it may take something, in ms.
-    pub(crate) retry_ms: u64,
-}
-
 /// Whether a request may be sent to `target` now.
 pub(crate) async fn permit(node: &Arc<Node>, target: &Target) -> Result<Permit, Closed> {
     let credit = limits::reserve(node, target).await.map_err(|refused| {
@@ -100,7 +95,11 @@
         let why = "its limit is used up";
         Closed { why, retry_ms }
     })?;
-    Ok(Permit { credit })
+    // It may have said so while its limit was asked for.
+    match closed(node, &target.id) {
+        Some(closed) => Err(closed),
+        None => Ok(Permit { credit }),
+    }
 }
 
 /// Sends a request; an answer that stays away for `patience` is a doubt.
@@ -135,6 +134,9 @@
     order: Order,
     patience: Duration,
 ) -> OrderReply {
+    if closed(node, &target.id).is_some() {
+        return OrderReply::Unsent;
+    }
     let sent = node.now();
     let call = node.backend.order(target.clone(), order);
     match timeout(patience, call).await {
--- /dev/null
+++ b/crates/comfreyhall-node/src/outbound/shut.rs
@@ -0,0 +1,85 @@
+//! Which targets are no choice now, and until when.
+
+use comfreyhall_domain::{Map, Name, Set};
+
+use crate::node::Node;
+
+/// When to look for another target where all leave, in ms: others come in some
+/// seconds, and are listed within one.
+const LEAVING_MS: u64 = 1_000;
+
+/// Why nothing may be sent to a target now, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Closed {
+    /// What it said.
+    pub(crate) why: &'static str,
+    /// Until it may take something, in ms.
+    pub(crate) retry_ms: u64,
+}
+
+/// Why `target` takes neither requests nor orders now, whatever its limit.
+pub(crate) fn closed(node: &Node, target: &Name) -> Option<Closed> {
+    let gates = node.outbound.gates();
+    gates.leaves(target, node.now()).then_some(Closed {
+        why: "it leaves",
+        retry_ms: LEAVING_MS,
+    })
+}
+
+/// Whether `target` has said that it leaves.
+pub(crate) fn leaves(node: &Node, target: &Name) -> bool {
+    node.outbound.gates().leaves(target, node.now())
+}
+
+/// Targets that take nothing now, or nothing more to hold.
+#[derive(Debug, Default)]
+pub(crate) struct Shut {
+    /// Those to which nothing may be sent, and for how many ms.
+    sends: Map<Name, u64>,
+    /// Those that are to load nothing more.
+    loads: Set<Name>,
+}
+
+impl Shut {
+    /// As far as is known here.
+    pub(crate) fn now(node: &Node, now: u64) -> Self {
+        let mut shut = Self::default();
+        let gates = node.outbound.gates();
+        for (target, _) in gates.leaving(now) {
+            shut.sends.insert(target.clone(), LEAVING_MS);
+            shut.loads.insert(target.clone());
+        }
+        for (target, _) in gates.limited(now) {
+            let ms = node.limits.closed_ms(target, now);
+            if ms > 0 {
+                let known = shut.sends.entry(target.clone()).or_default();
+                *known = ms.max(*known);
+            }
+            if !node.limits.spare(target, now) {
+                shut.loads.insert(target.clone());
+            }
+        }
+        shut
+    }
+
+    /// Whether nothing may be sent to `target`.
+    pub(crate) fn sends(&self, target: &Name) -> bool {
+        self.sends.contains_key(target)
+    }
+
+    /// Whether `target` is to load nothing more: it takes less than it is asked
+    /// for already.
+    pub(crate) fn loads(&self, target: &Name) -> bool {
+        self.loads.contains(target)
+    }
+
+    /// Ms until one of `targets` may take something, if none does now.
+    pub(crate) fn all_ms<'a>(&self, targets: impl Iterator<Item = &'a Name>) -> Option<u64> {
+        let mut least = None;
+        for target in targets {
+            let ms = *self.sends.get(target)?;
+            least = Some(least.map_or(ms, |l: u64| l.min(ms)));
+        }
+        least
+    }
+}
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -205,6 +205,8 @@
     Gone,
     /// It cannot be carried out.
     Invalid,
+    /// The order was not given: the engine wants none.
+    Unsent,
     /// No answer: it may be carried out, now or later.
     Silent(String),
 }
@@ -219,6 +221,7 @@
             OrderReply::Fenced => "fenced",
             OrderReply::Gone => "gone",
             OrderReply::Invalid => "invalid",
+            OrderReply::Unsent => "unsent",
             OrderReply::Silent(_) => "silent",
         }
     }
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -22,7 +22,7 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::spread::spawn;
-use crate::node::Node;
+use crate::{node::Node, outbound};
 
 /// How long a target that was found to have ended is remembered, in ms: the
 /// connections of all its runs break within some ms, and each daemon's core may
@@ -157,6 +157,9 @@
 /// Whether `target` is to stay: one that leaves ends whatever it runs, and its
 /// entry may go before it does. One that crashes is listed for some seconds.
 fn stays(node: &Node, target: &Name) -> bool {
+    if outbound::leaves(node, target) {
+        return false;
+    }
     let view = node.view();
     let known = view.targets.get(target);
     known.is_some_and(|t| t.stage == Stage::Ready)
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -503,7 +503,8 @@
     /// from others who do; 0 if it does not.
     #[prost(uint32, tag = "25")]
     pub members: u32,
-    /// From a holder: what the targets of its groups say of their limits.
+    /// From a holder: what the targets of its groups say. From anybody: which
+    /// leave.
     #[prost(message, repeated, tag = "26")]
     pub words: ::prost::alloc::vec::Vec<TargetWord>,
 }
@@ -720,11 +721,11 @@
     /// What the caps are of.
     #[prost(enumeration = "CapsOf", tag = "9")]
     pub of: i32,
-    /// What targets of the group told the daemon itself of their limits.
+    /// What targets of the group told the daemon itself, and which leave.
     #[prost(message, repeated, tag = "10")]
     pub words: ::prost::alloc::vec::Vec<TargetWord>,
 }
-/// What a target says of its limit.
+/// What a target says of itself.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TargetWord {
     #[prost(string, tag = "1")]
@@ -736,6 +737,9 @@
     /// Ms since it was heard.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Whether it leaves; then this says nothing of its limit.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
 /// One workspace at the daemon that calls, in the cap's units.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -775,7 +779,7 @@
     /// In the order of the call's lines; none if a later call came before.
     #[prost(message, repeated, tag = "4")]
     pub lines: ::prost::alloc::vec::Vec<CapSettled>,
-    /// What targets of the group say of their limits, as the home knows it.
+    /// What targets of the group say, as the home knows it, and which leave.
     #[prost(message, repeated, tag = "5")]
     pub words: ::prost::alloc::vec::Vec<TargetWord>,
 }
