A target that asks a daemon for rest gets it from that daemon

What callers and operators saw: an engine that turned an instance's requests away with 503 and Retry-After: 3 got six more from it within that time (two are allowed after half a second): one request went to it and another resting one by turns every 110 ms, and other requests of the instance went there as first sends. Their callers were refused in the end.

Cause: a refusal was remembered within its request, for 100 ms, and the rest that it asked for was read by nobody. Class: backoff that belongs to the attempt and not to the one who asked for it.

Change: the rest belongs to the start of the target at the daemon that was asked. It is asked for with the permit of every send, after all waiting, where the holder binds runs, and before orders, reports and probes; the target is no choice for any request meanwhile and its keeper lets go of what waits for it, so the work goes elsewhere at once; where all rest, the caller is told at once when to come back.

Ruled out: telling the others, who were not asked for rest (the target may want less of one daemon only).

--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -10,12 +10,14 @@
 mod shut;
 
 use std::{
+    borrow::Cow,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use comfreyhall_backpressure::{Change, Gates, Notice};
 use comfreyhall_domain::{Ask, Target};
+use rand::Rng;
 use tokio::time::timeout;
 
 pub(crate) use self::{
@@ -28,6 +30,9 @@
     ports::{Extra, Heard, NoReport, Order, OrderReply, Pulse, Report, Response, SendError},
 };
 
+/// Part of a rest, as its divisor, by which it is lengthened at most.
+const REST_SPREAD: u64 = 8;
+
 /// What this daemon knows of what targets say.
 #[derive(Default)]
 pub(crate) struct Outbound {
@@ -40,11 +45,25 @@
     }
 }
 
+/// The same with a rest that is somewhat longer. Daemons that were told together
+/// would come back together, and give the target no rest after its rest.
+fn spread(notice: &Notice) -> Cow<'_, Notice> {
+    let Some(rest_ms) = notice.rest_ms else {
+        return Cow::Borrowed(notice);
+    };
+    let more = rand::rng().random_range(0..=rest_ms / REST_SPREAD);
+    Cow::Owned(Notice {
+        rest_ms: Some(rest_ms + more),
+        ..notice.clone()
+    })
+}
+
 /// Takes in what `target` says in the answer to what was sent at `sent`.
 fn hear(node: &Arc<Node>, target: &Target, notice: &Notice, sent: u64) {
     let now = node.now();
     log::odd(node, target, notice, now);
-    let changes = node.outbound.gates().hear(&target.id, notice, sent, now);
+    let notice = spread(notice);
+    let changes = node.outbound.gates().hear(&target.id, &notice, sent, now);
     let by = node.settings().id.clone();
     for change in changes {
         log::changed(node, &target.id, change, &by, now - sent);
@@ -90,6 +109,9 @@
 
 /// Whether a request may be sent to `target` now.
 pub(crate) async fn permit(node: &Arc<Node>, target: &Target) -> Result<Permit, Closed> {
+    if let Some(closed) = closed(node, &target.id) {
+        return Err(closed);
+    }
     let credit = limits::reserve(node, target).await.map_err(|refused| {
         let (Refused::Over { retry_ms } | Refused::Unsure { retry_ms }) = refused;
         let why = "its limit is used up";
@@ -151,6 +173,9 @@
     target: &Arc<Target>,
     patience: Duration,
 ) -> Result<Report, NoReport> {
+    if let Some(closed) = closed(node, &target.id) {
+        return Err(NoReport::Silent(closed.why.into()));
+    }
     let sent = node.now();
     let call = node.backend.report(target.clone());
     match timeout(patience, call).await {
@@ -159,8 +184,12 @@
     }
 }
 
-/// Looks whether `target` is there.
+/// Looks whether `target` is there; not while it rests, but one that leaves is
+/// looked at to see whether it has ended.
 pub(crate) async fn probe(node: &Arc<Node>, target: &Arc<Target>) -> Pulse {
+    if node.outbound.gates().rest_ms(&target.id, node.now()) > 0 {
+        return Pulse::Silent;
+    }
     let sent = node.now();
     let heard = node.backend.probe(target.clone()).await;
     take(node, target, heard, sent)
--- a/crates/comfreyhall-node/src/outbound/shut.rs
+++ b/crates/comfreyhall-node/src/outbound/shut.rs
@@ -19,11 +19,17 @@
 
 /// Why `target` takes neither requests nor orders now, whatever its limit.
 pub(crate) fn closed(node: &Node, target: &Name) -> Option<Closed> {
+    let now = node.now();
     let gates = node.outbound.gates();
-    gates.leaves(target, node.now()).then_some(Closed {
-        why: "it leaves",
-        retry_ms: LEAVING_MS,
-    })
+    if gates.leaves(target, now) {
+        return Some(Closed {
+            why: "it leaves",
+            retry_ms: LEAVING_MS,
+        });
+    }
+    let retry_ms = gates.rest_ms(target, now);
+    let why = "it asked for rest";
+    (retry_ms > 0).then_some(Closed { why, retry_ms })
 }
 
 /// Whether `target` has said that it leaves.
@@ -49,6 +55,11 @@
             shut.sends.insert(target.clone(), LEAVING_MS);
             shut.loads.insert(target.clone());
         }
+        for (target, ms) in gates.resting(now) {
+            let known = shut.sends.entry(target.clone()).or_default();
+            *known = ms.max(*known);
+            shut.loads.insert(target.clone());
+        }
         for (target, _) in gates.limited(now) {
             let ms = node.limits.closed_ms(target, now);
             if ms > 0 {
