--- a/crates/comfreyhall-node/src/flood.rs
+++ b/crates/comfreyhall-node/src/flood.rs
@@ -47,6 +47,8 @@
     pub(crate) turned: Lines,
     /// Requests over a cap.
     pub(crate) capped: Lines,
+    /// Requests none of whose targets takes anything.
+    pub(crate) shut: Lines,
     /// Answers in which a target says something odd of itself.
     pub(crate) odd: Lines,
 }
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -22,7 +22,7 @@
 
 pub(crate) use self::{
     limits::{grant, learn, limits, own_words, words, words_of_holder},
-    shut::{Closed, Shut, closed, leaves},
+    shut::{Closed, Shut, closed, leaves, why_shut},
 };
 use crate::{
     caps::{self, Credit, Of, Refused},
--- a/crates/comfreyhall-node/src/outbound/shut.rs
+++ b/crates/comfreyhall-node/src/outbound/shut.rs
@@ -1,6 +1,8 @@
 //! Which targets are no choice now, and until when.
 
-use comfreyhall_domain::{Map, Name, Set};
+use std::sync::Arc;
+
+use comfreyhall_domain::{Map, Name, Set, Target};
 
 use crate::node::Node;
 
@@ -8,6 +10,9 @@
 /// seconds, and are listed within one.
 const LEAVING_MS: u64 = 1_000;
 
+/// Targets named in one line of the log.
+const NAMED: usize = 8;
+
 /// Why nothing may be sent to a target now, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Closed {
@@ -37,6 +42,29 @@
     node.outbound.gates().leaves(target, node.now())
 }
 
+/// What the first few of `targets` said, for the log: a fleet of hundreds must
+/// not fill it with one line.
+pub(crate) fn why_shut(node: &Node, targets: &[Arc<Target>], now: u64) -> String {
+    let gates = node.outbound.gates();
+    let said = targets.iter().take(NAMED).map(|t| {
+        let id = &t.id;
+        if gates.leaves(id, now) {
+            return format!("{id} leaves");
+        }
+        match (gates.rest_ms(id, now), gates.limit(id, now)) {
+            (0, Some(limit)) => format!("{id} takes {} a second", limit.per_s()),
+            (0, None) => format!("{id} said nothing"),
+            (ms, _) => format!("{id} rests for {ms} ms"),
+        }
+    });
+    let said: Vec<String> = said.collect();
+    let more = targets.len().saturating_sub(NAMED);
+    match more {
+        0 => said.join(", "),
+        _ => format!("{} and {more} more", said.join(", ")),
+    }
+}
+
 /// Targets that take nothing now, or nothing more to hold.
 #[derive(Debug, Default)]
 pub(crate) struct Shut {
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -262,6 +262,7 @@
             }
             let Some(mut plan) = self.choose() else {
                 if let Some(ms) = self.shut_ms().filter(|ms| *ms > self.hold_left()) {
+                    self.tell_shut();
                     return self.give_up("its targets take no more now", ms as f64);
                 }
                 if self.held_long() || self.full >= FULL_TIMES {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -79,6 +79,17 @@
         shut.all_ms(ready.iter().map(|t| &t.id))
     }
 
+    /// One line on why none of its targets takes anything, but for a flood of them.
+    pub(super) fn tell_shut(&self) {
+        let now = self.node.now();
+        let Some(left_out) = self.node.flood.shut.take(now) else {
+            return;
+        };
+        let ready = self.node.view().ready(&self.service, now);
+        let targets = outbound::why_shut(&self.node, &ready, now);
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, targets, left_out; "targets take nothing");
+    }
+
     /// Sends it; an error has been taken into the verdict.
     pub(crate) async fn send(
         &mut self,
