Limits: an order's answer that does not bear the limit does not end it

Seen while the own daemon's stand-ins learned to name limits: an engine that names its limit in the answers to requests alone had it for some ms at a time, since the answer to the next order or status poll, asked for later and without the word, counted as its end. The same would happen on any platform whose targets do not repeat the word in control answers.

The test hear_order_does_not_end_limit fails on the code before (it had no way to say which kind of answer it was).

--- a/crates/comfreyhall-backpressure/src/gate.rs
+++ b/crates/comfreyhall-backpressure/src/gate.rs
@@ -98,8 +98,15 @@
     }
 
     /// Takes in `notice` of `target`, read at `now` in the answer to a request
-    /// that was sent at `sent`.
-    pub fn hear(&mut self, target: &Name, notice: &Notice, sent: u64, now: u64) -> Vec<Change> {
+    /// that was sent at `sent`; `None` for answers to orders, reports and probes,
+    /// which need not bear all that a target says.
+    pub fn hear(
+        &mut self,
+        target: &Name,
+        notice: &Notice,
+        sent: Option<u64>,
+        now: u64,
+    ) -> Vec<Change> {
         let mut changes = Vec::new();
         changes.extend(self.hear_limit(target, notice.limit, sent, now));
         changes.extend(notice.rest_ms.and_then(|ms| self.rest(target, ms, now)));
@@ -116,13 +123,13 @@
         &mut self,
         target: &Name,
         said: Option<Rate>,
-        sent: u64,
+        sent: Option<u64>,
         now: u64,
     ) -> Option<Change> {
         let known = self.gates.get(target).and_then(|g| g.word);
         let limit = match (known.and_then(|w| w.limit), said) {
             (None, None) => return None,
-            (Some(before), said) if known.is_some_and(|w| sent < w.heard) => match said {
+            (Some(before), said) if known.is_some_and(|w| sent < Some(w.heard)) => match said {
                 Some(limit) if limit < before => Some(limit),
                 _ => return None,
             },
--- a/crates/comfreyhall-backpressure/src/tests.rs
+++ b/crates/comfreyhall-backpressure/src/tests.rs
@@ -42,13 +42,13 @@
 fn hear_limit_and_its_end() {
     let mut gates = Gates::default();
     let t = "t".into();
-    let began = gates.hear(&t, &notice(Some(2.0)), 90, 100);
+    let began = gates.hear(&t, &notice(Some(2.0)), Some(90), 100);
     let limit = Rate::of(2.0).unwrap();
     let before = None;
     assert_eq!(began, [Change::Limited { limit, before }]);
     assert_eq!(gates.limit("t", 100), Some(limit));
-    assert_eq!(gates.hear(&t, &notice(Some(2.0)), 101, 110), []);
-    let ended = gates.hear(&t, &notice(None), 120, 130);
+    assert_eq!(gates.hear(&t, &notice(Some(2.0)), Some(101), 110), []);
+    let ended = gates.hear(&t, &notice(None), Some(120), 130);
     assert_eq!(ended, [Change::Unlimited { after_ms: 30 }]);
     assert_eq!(gates.limit("t", 130), None);
 }
@@ -58,19 +58,30 @@
 fn hear_late_answer_does_not_end_limit() {
     let mut gates = Gates::default();
     let t = "t".into();
-    gates.hear(&t, &notice(Some(2.0)), 90, 100);
-    assert_eq!(gates.hear(&t, &notice(None), 95, 140), []);
-    assert_eq!(gates.hear(&t, &notice(Some(9.0)), 95, 140), []);
+    gates.hear(&t, &notice(Some(2.0)), Some(90), 100);
+    assert_eq!(gates.hear(&t, &notice(None), Some(95), 140), []);
+    assert_eq!(gates.hear(&t, &notice(Some(9.0)), Some(95), 140), []);
     assert_eq!(gates.limit("t", 140), Rate::of(2.0));
-    gates.hear(&t, &notice(Some(1.0)), 95, 140);
+    gates.hear(&t, &notice(Some(1.0)), Some(95), 140);
     assert_eq!(gates.limit("t", 140), Rate::of(1.0));
 }
 
+/// Guards against an order's answer that does not bear the limit and ends it.
+#[test]
+fn hear_order_does_not_end_limit() {
+    let mut gates = Gates::default();
+    let t = "t".into();
+    gates.hear(&t, &notice(Some(2.0)), Some(90), 100);
+    assert_eq!(gates.hear(&t, &notice(None), None, 140), []);
+    gates.hear(&t, &notice(Some(1.0)), None, 150);
+    assert_eq!(gates.limit("t", 150), Rate::of(1.0));
+}
+
 /// Guards against a word that binds another start at the same address.
 #[test]
 fn hear_binds_one_start() {
     let mut gates = Gates::default();
-    gates.hear(&"t@1".into(), &notice(Some(2.0)), 90, 100);
+    gates.hear(&"t@1".into(), &notice(Some(2.0)), Some(90), 100);
     assert_eq!(gates.limit("t@2", 100), None);
 }
 
@@ -78,7 +89,7 @@
 #[test]
 fn limit_is_forgotten_after_a_while() {
     let mut gates = Gates::default();
-    gates.hear(&"t".into(), &notice(Some(0.1)), 90, 100);
+    gates.hear(&"t".into(), &notice(Some(0.1)), Some(90), 100);
     assert!(gates.limit("t", 59_000).is_some());
     assert!(gates.limit("t", 61_000).is_none());
 }
@@ -150,11 +161,11 @@
         rest_ms: Some(ms),
         ..Notice::default()
     };
-    let began = gates.hear(&t, &asks(300), 90, 100);
+    let began = gates.hear(&t, &asks(300), Some(90), 100);
     assert_eq!(began, [Change::Resting { rest_ms: 300 }]);
     // A shorter one, and answers that say nothing, do not end it.
-    assert_eq!(gates.hear(&t, &asks(50), 90, 110), []);
-    assert_eq!(gates.hear(&t, &Notice::default(), 120, 130), []);
+    assert_eq!(gates.hear(&t, &asks(50), Some(90), 110), []);
+    assert_eq!(gates.hear(&t, &Notice::default(), Some(120), 130), []);
     assert_eq!(gates.rest_ms("t", 130), 270);
     assert_eq!(gates.sweep(399), []);
     assert_eq!(gates.sweep(400), [("t".into(), Change::Rested)]);
@@ -172,9 +183,9 @@
         leaving: true,
         ..Notice::default()
     };
-    assert_eq!(gates.hear(&t, &leaves, 90, 100), [Change::Leaving]);
-    assert_eq!(gates.hear(&t, &leaves, 91, 101), []);
-    assert_eq!(gates.hear(&t, &Notice::default(), 120, 130), []);
+    assert_eq!(gates.hear(&t, &leaves, Some(90), 100), [Change::Leaving]);
+    assert_eq!(gates.hear(&t, &leaves, Some(91), 101), []);
+    assert_eq!(gates.hear(&t, &Notice::default(), Some(120), 130), []);
     assert_eq!(gates.sweep(100_000), []);
     assert!(gates.leaves("t@1", 100_000));
     assert!(!gates.leaves("t@2", 100_000));
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -58,15 +58,17 @@
     })
 }
 
-/// Takes in what `target` says in the answer to what was sent at `sent`.
-fn hear(node: &Arc<Node>, target: &Target, notice: &Notice, sent: u64) {
+/// Takes in what `target` says in the answer to a request that was sent at `sent`,
+/// or to something else.
+fn hear(node: &Arc<Node>, target: &Target, notice: &Notice, sent: Option<u64>) {
     let now = node.now();
     log::odd(node, target, notice, now);
     let notice = spread(notice);
     let changes = node.outbound.gates().hear(&target.id, &notice, sent, now);
     let by = node.settings().id.clone();
     for change in changes {
-        log::changed(node, &target.id, change, &by, now - sent);
+        let age = sent.map_or(0, |s| now - s);
+        log::changed(node, &target.id, change, &by, age);
         if matches!(change, Change::Limited { .. } | Change::Unlimited { .. }) {
             caps::refresh(node, Of::Targets);
             limits::announce(node, &target.id);
@@ -142,7 +144,7 @@
     let answer = timeout(patience, call).await;
     let answer = answer.unwrap_or_else(|_| Err(SendError::Doubt("no answer in time".into())));
     match &answer {
-        Ok(response) => hear(node, target, &response.notice, sent),
+        Ok(response) => hear(node, target, &response.notice, Some(sent)),
         Err(SendError::NotSent(_)) => permit.give_back(),
         Err(_) => {}
     }
@@ -159,10 +161,9 @@
     if closed(node, &target.id).is_some() {
         return OrderReply::Unsent;
     }
-    let sent = node.now();
     let call = node.backend.order(target.clone(), order);
     match timeout(patience, call).await {
-        Ok(heard) => take(node, target, heard, sent),
+        Ok(heard) => take(node, target, heard),
         Err(_) => OrderReply::Silent("no answer in time".into()),
     }
 }
@@ -176,10 +177,9 @@
     if let Some(closed) = closed(node, &target.id) {
         return Err(NoReport::Silent(closed.why.into()));
     }
-    let sent = node.now();
     let call = node.backend.report(target.clone());
     match timeout(patience, call).await {
-        Ok(heard) => take(node, target, heard, sent),
+        Ok(heard) => take(node, target, heard),
         Err(_) => Err(NoReport::Silent("no answer in time".into())),
     }
 }
@@ -190,12 +190,11 @@
     if node.outbound.gates().rest_ms(&target.id, node.now()) > 0 {
         return Pulse::Silent;
     }
-    let sent = node.now();
     let heard = node.backend.probe(target.clone()).await;
-    take(node, target, heard, sent)
+    take(node, target, heard)
 }
 
-fn take<T>(node: &Arc<Node>, target: &Target, heard: Heard<T>, sent: u64) -> T {
-    hear(node, target, &heard.notice, sent);
+fn take<T>(node: &Arc<Node>, target: &Target, heard: Heard<T>) -> T {
+    hear(node, target, &heard.notice, None);
     heard.answer
 }
