Load tool: a caller does not come back beyond its patience

Traced by its logs: three engines were restarted one after the other under the same requests, which are then held back, as they should be, and whose callers are told to come back when the evidence has grown old, up to an hour later; the load tool's callers slept for that hour, since their patience of 60 s was looked at before the wait only. A wait beyond it ends the request now, told not run.

--- a/crates/comfreyhall-cli/src/bench/caller.rs
+++ b/crates/comfreyhall-cli/src/bench/caller.rs
@@ -167,6 +167,9 @@
             if matches!(told, Told::Answered | Told::Wrong) || journal.hopeless(DOUBTS) {
                 break;
             }
+            if !comes_back(wait, began.elapsed()) {
+                break;
+            }
             tokio::time::sleep(wait).await;
             avoid = Some(addr);
         }
@@ -293,6 +296,12 @@
     }
 }
 
+/// Whether a caller that has waited for `elapsed` comes back after `wait`: not
+/// beyond its patience.
+fn comes_back(wait: Duration, elapsed: Duration) -> bool {
+    elapsed + wait < PATIENCE
+}
+
 /// What an error answer says, and when to come back.
 fn refused(body: &[u8]) -> (Told, Duration) {
     match serde_json::from_slice::<ErrorBody>(body) {
@@ -337,3 +346,7 @@
     whole["choices"][0]["text"] = text.into();
     Ok(whole)
 }
+
+#[cfg(test)]
+#[path = "caller_tests.rs"]
+mod tests;
