The own daemon and its stand-ins: limits of engines and plain services

Engines without credit are hidden from placement, plain services are passed over, and where all are shut the caller is told so with when to come back ('shut', not run).

--- a/crates/comfreyhall-backpressure/src/lib.rs
+++ b/crates/comfreyhall-backpressure/src/lib.rs
@@ -12,10 +12,12 @@
 
 mod gate;
 mod notice;
+mod part;
 mod read;
 
 pub use gate::{Change, Gates, Word};
 pub use notice::{Notice, Odd, Rate};
+pub use part::Parts;
 pub use read::{read_leaving, read_limit, read_rest};
 
 #[cfg(test)]
--- a/crates/comfreyhall-cli/src/args.rs
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -272,6 +272,9 @@
     /// cold restart of an engine: drop every slot and run
     #[argh(switch)]
     pub(crate) restart: bool,
+    /// requests a second that an engine or service names as its limit
+    #[argh(option, default = "0.0")]
+    pub(crate) limit: f64,
 }
 
 /// Tell the story of one request from the logs of several daemons.
--- a/crates/comfreyhall-cli/src/bench/faults.rs
+++ b/crates/comfreyhall-cli/src/bench/faults.rs
@@ -124,6 +124,13 @@
     }
 }
 
+fn limited(limit: f64) -> FaultOrder {
+    FaultOrder {
+        limit,
+        ..FaultOrder::default()
+    }
+}
+
 fn restart() -> FaultOrder {
     FaultOrder {
         restart: true,
@@ -145,12 +152,13 @@
 fn target_fault(s: &Settings, rng: &mut StdRng) -> (Target, FaultOrder) {
     let engine = s.engines.choose(rng).expect("settings name an engine");
     let engine = Target::Engine(engine.listen.clone());
-    match rng.random_range(0..6) {
+    match rng.random_range(0..7) {
         0 => (engine, restart()),
         1 => (engine, lossy(0.5)),
         2 => (engine, down()),
         3 => (engine, slow(200)),
         4 => (engine, failing(0.5)),
+        5 => (engine, limited(rng.random_range(0.5..20.0))),
         _ => match s.services.choose(rng) {
             Some(v) => (Target::Plain(v.listen.clone()), lossy(0.5)),
             None => (engine, restart()),
--- a/crates/comfreyhall-cli/src/instance.rs
+++ b/crates/comfreyhall-cli/src/instance.rs
@@ -169,6 +169,7 @@
         lose_share: cmd.lose,
         fail_share: cmd.fail,
         restart: cmd.restart,
+        limit: cmd.limit,
     };
     target.order(&s, order).await?;
     let done = serde_json::json!({ "target": cmd.target });
--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -23,8 +23,8 @@
 use tonic::transport::Channel;
 
 use crate::{
-    demand::Demands, engines, member::Members, metrics::Metrics, quarantine::Watch,
-    stats::Counters, stuck::Stuck,
+    demand::Demands, engines, member::Members, metrics::Metrics, outbound::Outbound,
+    quarantine::Watch, stats::Counters, stuck::Stuck,
 };
 
 /// Shared daemon state; cheap to clone.
@@ -56,6 +56,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) stuck: Stuck,
     pub(crate) quarantine: Watch,
+    /// What targets say of themselves.
+    pub(crate) outbound: Outbound,
     /// Which boot of each engine answered last.
     pub(crate) boots: Vec<AtomicU64>,
     pub(crate) demand: Demands,
@@ -117,6 +119,7 @@
                 metrics: Metrics::new(),
                 stuck: Stuck::default(),
                 quarantine: Watch::default(),
+                outbound: Outbound::default(),
                 boots: settings.engines.iter().map(|_| AtomicU64::new(0)).collect(),
                 demand: Demands::default(),
                 copying: AtomicBool::new(false),
--- a/crates/comfreyhall-daemon/src/engines.rs
+++ b/crates/comfreyhall-daemon/src/engines.rs
@@ -7,7 +7,10 @@
 use comfreyhall_settings::Engine;
 use prost::Message;
 
-use crate::app::App;
+use crate::{
+    app::App,
+    outbound::{self, Target},
+};
 
 /// Longest a status poll may take before the engine counts as down.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -61,7 +64,9 @@
     let mut was_up = true;
     loop {
         tick.tick().await;
+        let target = Target::Engine(index);
         let answer = tokio::time::timeout(POLL_TIMEOUT, client.status(StatusQuery {})).await;
+        let answer = answer.map(|a| outbound::hear(&app, target, None, a));
         let status = match answer {
             Ok(Ok(reply)) => Some(reply.into_inner()),
             _ => None,
--- a/crates/comfreyhall-daemon/src/error.rs
+++ b/crates/comfreyhall-daemon/src/error.rs
@@ -27,6 +27,8 @@
     Starting,
     #[error("every engine slot is in use; send again after the delay")]
     Busy,
+    #[error("every target takes no more now; send again after the delay")]
+    Shut(u64),
     #[error("this instance is leaving; ask /v1/addresses for another and send there")]
     Leaving,
     #[error("the catalog could not be read ({0}); send again after the delay")]
@@ -100,6 +102,7 @@
             Withdrawn => not_run("withdrawn", StatusCode::FORBIDDEN, None),
             Starting => not_run("starting", busy, Some(250)),
             Busy => not_run("busy", busy, Some(250)),
+            Shut(ms) => not_run("shut", busy, Some(*ms)),
             Leaving => not_run("leaving", busy, Some(0)),
             CatalogDown(_) => not_run("catalog_down", busy, Some(1_000)),
             ClaimDown(_) => not_run("claim_down", busy, Some(1_000)),
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -19,6 +19,7 @@
     app::App,
     claims::{self, Turn},
     error::RouteError,
+    outbound::{self, Target},
     quarantine::{self, Suspect},
 };
 
@@ -94,12 +95,24 @@
     let until = Instant::now() + default;
     let fingerprint = Fingerprint::of([order.method.as_bytes(), &order.body]);
     let mut doubt = None;
-    for index in turn.into_iter().take(TRIES) {
+    let mut shut = Vec::new();
+    let mut tries = 0;
+    for index in turn {
+        if tries == TRIES {
+            break;
+        }
+        if let Err(why) = outbound::admit(app, Target::Service(index)) {
+            shut.push(why);
+            continue;
+        }
+        tries += 1;
         let left = until.saturating_duration_since(Instant::now());
         quarantine::admit(app, &fingerprint, doubt.is_some())?;
         let mut client = app.inner.plain[index].clone();
-        let sent = client.call(order.clone());
-        let why = match tokio::time::timeout(left.min(TRY_TIMEOUT), sent).await {
+        let sent = app.now_ms();
+        let call = client.call(order.clone());
+        let answer = tokio::time::timeout(left.min(TRY_TIMEOUT), call).await;
+        let why = match answer.map(|a| outbound::hear(app, Target::Service(index), Some(sent), a)) {
             Ok(Ok(reply)) if reply.get_ref().request_id == order.request_id => {
                 quarantine::ran_whole(app, fingerprint);
                 return Ok(reply.into_inner().body);
@@ -118,8 +131,10 @@
         }
         doubt = Some(why);
     }
-    match doubt {
-        Some(why) => Err(RouteError::InDoubt(why)),
-        None => Err(RouteError::Exhausted(TRIES as u32)),
+    let all = (0..services.len()).map(Target::Service);
+    match (doubt, outbound::all_ms(app, all)) {
+        (Some(why), _) => Err(RouteError::InDoubt(why)),
+        (None, Some(ms)) if !shut.is_empty() => Err(RouteError::Shut(ms)),
+        (None, _) => Err(RouteError::Exhausted(TRIES as u32)),
     }
 }
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod member;
 mod metrics;
 mod orders;
+mod outbound;
 mod peer;
 mod quarantine;
 mod relay;
--- a/crates/comfreyhall-daemon/src/orders.rs
+++ b/crates/comfreyhall-daemon/src/orders.rs
@@ -30,7 +30,10 @@
 
 use comfreyhall_life::Stage;
 
-use crate::app::App;
+use crate::{
+    app::App,
+    outbound::{self, Target},
+};
 
 /// Time a load may take beyond twice its turn at the weight store.
 const LOAD_SLACK: Duration = Duration::from_secs(3);
@@ -196,6 +199,7 @@
 fn decide(app: &App, key: &Arc<str>) -> Decision {
     let mut view = app.view().clone();
     app.inner.stuck.hide(key, &mut view);
+    outbound::hide(app, &mut view);
     let now = app.now_ms();
     app.policy().route(key, &view, now)
 }
@@ -316,6 +320,7 @@
     token: u64,
 ) -> bool {
     let key = wanted.key;
+    let target = Target::Engine(engine);
     let (adapter, version) = wanted.parts();
     let order = LoadOrder {
         adapter: adapter.to_string(),
@@ -329,6 +334,7 @@
     let mut client = app.inner.clients[engine].clone();
     let patience = patience(app);
     let answer = tokio::time::timeout(wanted.limit.min(patience), client.load(order)).await;
+    let answer = answer.map(|a| outbound::hear(app, target, None, a));
     let why = match answer {
         Ok(Ok(reply)) => {
             let reply = reply.into_inner();
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -13,6 +13,7 @@
     app::App,
     error::RouteError,
     orders::{self, Placed},
+    outbound::{self, Target},
     quarantine::{self, Suspect},
 };
 
@@ -92,6 +93,8 @@
     let key = job.key();
     let mut stall = Duration::ZERO;
     let mut doubt: Option<String> = None;
+    // Why the last engine that was chosen took nothing.
+    let mut shut: Option<RouteError> = None;
     let end = |doubt: &Option<String>, otherwise| match doubt {
         Some(why) => RouteError::InDoubt(why.clone()),
         None => otherwise,
@@ -111,12 +114,19 @@
                 stall += began.elapsed();
                 continue;
             }
-            Placed::Busy => return Err(end(&doubt, RouteError::Busy)),
+            Placed::Busy => {
+                let why = all_shut(app).unwrap_or(RouteError::Busy);
+                return Err(end(&doubt, why));
+            }
         };
         if job.left().is_zero() {
             return Err(end(&doubt, RouteError::Late));
         }
         quarantine::admit(app, &job.fingerprint, doubt.is_some())?;
+        if let Err(why) = outbound::admit(app, Target::Engine(engine)) {
+            shut = Some(why);
+            continue;
+        }
         let boot = app.boot(engine);
         match accept(app, engine, job).await {
             Ok(stream) => {
@@ -149,7 +159,14 @@
             }
         }
     }
-    Err(end(&doubt, RouteError::Exhausted(TRIES)))
+    let why = shut.unwrap_or(RouteError::Exhausted(TRIES));
+    Err(end(&doubt, why))
+}
+
+/// That no engine takes anything now, if that is so.
+fn all_shut(app: &App) -> Option<RouteError> {
+    let engines = (0..app.inner.clients.len()).map(Target::Engine);
+    outbound::all_ms(app, engines).map(RouteError::Shut)
 }
 
 /// Has the adapter placed, waiting a moment for a slot to be free.
@@ -162,7 +179,7 @@
     loop {
         let placed = orders::place(app, key, job.left()).await;
         let wait = began.elapsed() < BUSY_LIMIT && !job.left().is_zero();
-        if placed != Placed::Busy || !wait {
+        if placed != Placed::Busy || !wait || all_shut(app).is_some() {
             return placed;
         }
         tokio::time::sleep(BUSY_PAUSE).await;
@@ -173,7 +190,9 @@
 async fn accept(app: &App, engine: usize, job: &Job) -> Result<Streaming<GenerateChunk>, Refusal> {
     let mut client = app.inner.clients[engine].clone();
     let limit = job.left().min(ACCEPT_TIMEOUT);
-    match tokio::time::timeout(limit, client.generate(job.order.clone())).await {
+    let sent = app.now_ms();
+    let answer = tokio::time::timeout(limit, client.generate(job.order.clone())).await;
+    match answer.map(|a| outbound::hear(app, Target::Engine(engine), Some(sent), a)) {
         Ok(Ok(reply)) => Ok(reply.into_inner()),
         Ok(Err(s)) => Err(refusal(&s)),
         Err(_) => Err(Refusal::Doubt {
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -278,6 +278,9 @@
     /// Share of answers lost while lose_answers is set, 0 to 1; 0 means all.
     #[prost(double, tag = "6")]
     pub lose_share: f64,
+    /// Requests a second that it names as its limit in all answers; 0 for none.
+    #[prost(double, tag = "7")]
+    pub limit: f64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FaultReply {}
--- a/crates/comfreyhall-protocol/src/lib.rs
+++ b/crates/comfreyhall-protocol/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod api;
 pub mod link;
+pub mod notice;
 mod outcome;
 
 pub use generated::*;
--- a/crates/comfreyhall-standins/src/engine/mod.rs
+++ b/crates/comfreyhall-standins/src/engine/mod.rs
@@ -186,14 +186,16 @@
         let req = req.into_inner();
         let resumed = req.resume_from > 0;
         let id = req.request_id.clone();
-        let mut rx = self.accept(req)?;
+        let accepted = self.accept(req).map(Response::new);
+        let mut rx = self.inner.faults.say(accepted)?.into_inner();
         self.inner.runs.start(&id, resumed);
         if self.inner.faults.loses_answer() {
             // The run goes on to its end; only its answer is lost.
             tokio::spawn(async move { while rx.recv().await.is_some() {} });
             return Err(Status::unavailable("answer lost by fault order"));
         }
-        Ok(Response::new(ReceiverStream::new(rx)))
+        let reply = Response::new(ReceiverStream::new(rx));
+        self.inner.faults.say(Ok(reply))
     }
 
     async fn cancel(&self, req: Request<CancelOrder>) -> Result<Response<CancelReply>, Status> {
--- a/crates/comfreyhall-standins/src/faults.rs
+++ b/crates/comfreyhall-standins/src/faults.rs
@@ -8,8 +8,8 @@
     time::{Duration, Instant},
 };
 
-use comfreyhall_protocol::{FaultOrder, not_run};
-use tonic::Status;
+use comfreyhall_protocol::{FaultOrder, not_run, notice};
+use tonic::{Response, Status, metadata::MetadataMap};
 
 /// The fault switches of one stand-in, changed by its `Fault` call.
 #[derive(Clone, Default)]
@@ -27,6 +27,26 @@
     fail_ppm: AtomicU64,
     /// Until when the process is away after a crash.
     away: Mutex<Option<Instant>>,
+    says: Mutex<Says>,
+}
+
+/// What the stand-in says of itself.
+#[derive(Clone, Copy, Default)]
+struct Says {
+    /// Requests a second; 0 for no limit.
+    limit: f64,
+}
+
+impl Says {
+    fn add(self, metadata: &mut MetadataMap) {
+        let mut put = |name: &'static str, value: String| {
+            let value = value.parse().expect("numbers are metadata");
+            metadata.insert(name, value);
+        };
+        if self.limit > 0.0 {
+            put(notice::LIMIT, self.limit.to_string());
+        }
+    }
 }
 
 impl Faults {
@@ -42,6 +62,7 @@
         };
         s.lose_ppm.store(ppm(lose), Ordering::Relaxed);
         s.fail_ppm.store(ppm(order.fail_share), Ordering::Relaxed);
+        *s.says.lock().unwrap() = Says { limit: order.limit };
     }
 
     /// The process crashes and is back after `pause`.
@@ -71,6 +92,16 @@
         Ok(())
     }
 
+    /// The answer with what the stand-in says of itself.
+    pub fn say<T>(&self, mut answer: Result<Response<T>, Status>) -> Result<Response<T>, Status> {
+        let says = *self.inner.says.lock().unwrap();
+        match &mut answer {
+            Ok(reply) => says.add(reply.metadata_mut()),
+            Err(status) => says.add(status.metadata_mut()),
+        }
+        answer
+    }
+
     /// Whether a write that took effect should lose its answer.
     pub fn loses_answer(&self) -> bool {
         chance(self.inner.lose_ppm.load(Ordering::Relaxed))
--- a/crates/comfreyhall-standins/src/plain.rs
+++ b/crates/comfreyhall-standins/src/plain.rs
@@ -30,10 +30,11 @@
         if self.faults.loses_answer() {
             return Err(Status::unavailable("answer lost by fault order"));
         }
-        Ok(Response::new(CallReply {
+        let reply = Response::new(CallReply {
             request_id: req.request_id,
             body: req.body,
-        }))
+        });
+        self.faults.say(Ok(reply))
     }
 
     async fn runs(&self, _: Request<RunsQuery>) -> Result<Response<RunsReply>, Status> {
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -273,6 +273,17 @@
         })
     }
 
+    /// Requests that the engine `at` began.
+    pub fn reached(&self, at: usize) -> u32 {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let addr = format!("http://{}", self.engines[at]);
+            let mut engine = EngineClient::connect(addr).await.unwrap();
+            let reply = engine.runs(RunsQuery {}).await.unwrap().into_inner();
+            reply.runs.iter().map(|r| r.starts).sum()
+        })
+    }
+
     /// Tells the platform's instance list that `id` is leaving.
     pub fn mark_leaving(&self, id: &str) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
