The own daemon and its stand-ins: engines and plain services that leave or rest

The same piece, asked before each send, order, poll and cancel: what asked this daemon for rest or leaves is hidden from placement, gets no status polls meanwhile, and its calls are passed over; where all are shut the caller is told at once when to come back.

Evidence: resting_engines_are_left_alone, resting_engines_all_is_told, leaving_engines_get_nothing.

--- a/crates/comfreyhall-cli/src/args.rs
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -275,6 +275,12 @@
     /// requests a second that an engine or service names as its limit
     #[argh(option, default = "0.0")]
     pub(crate) limit: f64,
+    /// seconds of rest that an engine or service asks of all, turning them away
+    #[argh(option, default = "0.0")]
+    pub(crate) rest_s: f64,
+    /// an engine or service says that it leaves
+    #[argh(switch)]
+    pub(crate) leaving: bool,
 }
 
 /// Tell the story of one request from the logs of several daemons.
--- a/crates/comfreyhall-cli/src/bench/faults.rs
+++ b/crates/comfreyhall-cli/src/bench/faults.rs
@@ -131,6 +131,13 @@
     }
 }
 
+fn resting(rest_s: f64) -> FaultOrder {
+    FaultOrder {
+        rest_s,
+        ..FaultOrder::default()
+    }
+}
+
 fn restart() -> FaultOrder {
     FaultOrder {
         restart: true,
@@ -152,13 +159,14 @@
 fn target_fault(s: &Settings, rng: &mut StdRng) -> (Target, FaultOrder) {
     let engine = s.engines.choose(rng).expect("settings name an engine");
     let engine = Target::Engine(engine.listen.clone());
-    match rng.random_range(0..7) {
+    match rng.random_range(0..8) {
         0 => (engine, restart()),
         1 => (engine, lossy(0.5)),
         2 => (engine, down()),
         3 => (engine, slow(200)),
         4 => (engine, failing(0.5)),
         5 => (engine, limited(rng.random_range(0.5..20.0))),
+        6 => (engine, resting(rng.random_range(0.5..3.0))),
         _ => match s.services.choose(rng) {
             Some(v) => (Target::Plain(v.listen.clone()), lossy(0.5)),
             None => (engine, restart()),
--- a/crates/comfreyhall-cli/src/instance.rs
+++ b/crates/comfreyhall-cli/src/instance.rs
@@ -170,6 +170,8 @@
         fail_share: cmd.fail,
         restart: cmd.restart,
         limit: cmd.limit,
+        rest_s: cmd.rest_s,
+        leaving: cmd.leaving,
     };
     target.order(&s, order).await?;
     let done = serde_json::json!({ "target": cmd.target });
--- a/crates/comfreyhall-daemon/src/engines.rs
+++ b/crates/comfreyhall-daemon/src/engines.rs
@@ -65,6 +65,9 @@
     loop {
         tick.tick().await;
         let target = Target::Engine(index);
+        if outbound::closed_ms(&app, target) > 0 {
+            continue;
+        }
         let answer = tokio::time::timeout(POLL_TIMEOUT, client.status(StatusQuery {})).await;
         let answer = answer.map(|a| outbound::hear(&app, target, None, a));
         let status = match answer {
--- a/crates/comfreyhall-daemon/src/orders.rs
+++ b/crates/comfreyhall-daemon/src/orders.rs
@@ -321,6 +321,9 @@
 ) -> bool {
     let key = wanted.key;
     let target = Target::Engine(engine);
+    if outbound::closed_ms(app, target) > 0 {
+        return false;
+    }
     let (adapter, version) = wanted.parts();
     let order = LoadOrder {
         adapter: adapter.to_string(),
--- a/crates/comfreyhall-daemon/src/outbound.rs
+++ b/crates/comfreyhall-daemon/src/outbound.rs
@@ -7,13 +7,16 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use comfreyhall_backpressure::{Change, Gates, Notice, Parts, read_limit};
+use comfreyhall_backpressure::{Change, Gates, Notice, Parts, read_leaving, read_limit, read_rest};
 use comfreyhall_placement::EngineView;
-use comfreyhall_protocol::notice::{LIMIT, values};
+use comfreyhall_protocol::notice::{LEAVING, LIMIT, REST, values};
 use tonic::{Response, Status, metadata::MetadataMap};
 
 use crate::{app::App, error::RouteError};
 
+/// When to come back where all targets leave, in ms: others come in some seconds.
+const LEAVING_MS: u64 = 1_000;
+
 /// A target of this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Target {
@@ -51,17 +54,36 @@
     }
 }
 
+/// Ms for which `target` takes neither calls nor orders, whatever its limit.
+pub(crate) fn closed_ms(app: &App, target: Target) -> u64 {
+    let state = app.inner.outbound.state();
+    if state.gates.is_empty() {
+        return 0;
+    }
+    let (name, now) = (name(app, target), app.now_ms());
+    match state.gates.leaves(&name, now) {
+        true => LEAVING_MS,
+        false => state.gates.rest_ms(&name, now),
+    }
+}
+
 /// Ms until a request may be worth sending to `target`.
 fn wait_ms(app: &App, target: Target) -> u64 {
+    let closed = closed_ms(app, target);
     let state = app.inner.outbound.state();
     let (name, now) = (name(app, target), app.now_ms());
     let limit = state.gates.limit(&name, now);
     let daemons = app.inner.settings.instances.len();
-    limit.map_or(0, |l| state.parts.wait_ms(&name, l, daemons, now))
+    let limited = limit.map_or(0, |l| state.parts.wait_ms(&name, l, daemons, now));
+    closed.max(limited)
 }
 
 /// Whether a request may be sent to `target` now; asked right before each send.
 pub(crate) fn admit(app: &App, target: Target) -> Result<(), RouteError> {
+    let closed = closed_ms(app, target);
+    if closed > 0 {
+        return Err(RouteError::Shut(closed));
+    }
     let mut state = app.inner.outbound.state();
     if state.gates.is_empty() {
         return Ok(());
@@ -103,19 +125,25 @@
     answer: Result<Response<T>, Status>,
 ) -> Result<Response<T>, Status> {
     match &answer {
-        Ok(reply) => take(app, target, sent, reply.metadata()),
-        Err(status) => take(app, target, sent, status.metadata()),
+        Ok(reply) => take(app, target, sent, reply.metadata(), false),
+        Err(status) => take(app, target, sent, status.metadata(), true),
     }
     answer
 }
 
-fn take(app: &App, target: Target, sent: Option<u64>, metadata: &MetadataMap) {
+fn take(app: &App, target: Target, sent: Option<u64>, metadata: &MetadataMap, turned: bool) {
     let mut odd = Vec::new();
     let limit = read_limit(values(metadata, LIMIT), &mut odd);
+    let mut rest_ms = match turned {
+        true => read_rest(values(metadata, REST), &mut odd),
+        false => None,
+    };
+    let leaving = read_leaving(values(metadata, LEAVING), &mut rest_ms, &mut odd);
     let notice = Notice {
         limit,
+        rest_ms,
+        leaving,
         odd,
-        ..Notice::default()
     };
     let (name, now) = (name(app, target), app.now_ms());
     let mut state = app.inner.outbound.state();
@@ -146,6 +174,10 @@
         Change::Unlimited { after_ms } => {
             log::info!(target: "outbound", "{name} is no longer limited, after {after_ms} ms");
         }
-        _ => {}
+        Change::Resting { rest_ms } => {
+            log::info!(target: "outbound", "{name} wants {rest_ms} ms of rest");
+        }
+        Change::Rested => log::info!(target: "outbound", "{name} has had its rest"),
+        Change::Leaving => log::info!(target: "outbound", "{name} leaves"),
     }
 }
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -213,6 +213,9 @@
 
 /// Tells `engine` in the background that nobody waits for `id` any more.
 pub(crate) fn cancel(app: &App, engine: usize, id: &str) {
+    if outbound::closed_ms(app, Target::Engine(engine)) > 0 {
+        return;
+    }
     let mut client = app.inner.clients[engine].clone();
     let order = CancelOrder {
         request_id: id.to_string(),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -58,6 +58,9 @@
 pub struct RunsReply {
     #[prost(message, repeated, tag = "1")]
     pub runs: ::prost::alloc::vec::Vec<Run>,
+    /// Calls that were turned away with a rest.
+    #[prost(uint64, tag = "2")]
+    pub turned: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CallRequest {
@@ -281,6 +284,12 @@
     /// Requests a second that it names as its limit in all answers; 0 for none.
     #[prost(double, tag = "7")]
     pub limit: f64,
+    /// Seconds of rest that it asks of all whom it turns away; 0 to turn nobody away.
+    #[prost(double, tag = "8")]
+    pub rest_s: f64,
+    /// Whether it says in all answers that it leaves.
+    #[prost(bool, tag = "9")]
+    pub leaving: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FaultReply {}
--- a/crates/comfreyhall-standins/src/engine/mod.rs
+++ b/crates/comfreyhall-standins/src/engine/mod.rs
@@ -183,6 +183,7 @@
         req: Request<GenerateRequest>,
     ) -> Result<Response<Self::GenerateStream>, Status> {
         self.inner.faults.gate().await?;
+        self.inner.faults.turn_away()?;
         let req = req.into_inner();
         let resumed = req.resume_from > 0;
         let id = req.request_id.clone();
@@ -219,6 +220,7 @@
 
     async fn load(&self, req: Request<LoadOrder>) -> Result<Response<LoadReply>, Status> {
         self.inner.faults.gate().await?;
+        self.inner.faults.turn_away()?;
         let order = req.into_inner();
         let start = Instant::now();
         let key = format!("{}@{}", order.adapter, order.version);
@@ -262,7 +264,8 @@
     }
 
     async fn runs(&self, _: Request<RunsQuery>) -> Result<Response<RunsReply>, Status> {
-        Ok(Response::new(self.inner.runs.list()))
+        let turned = self.inner.faults.turned();
+        Ok(Response::new(self.inner.runs.list(turned)))
     }
 
     async fn fault(&self, req: Request<FaultOrder>) -> Result<Response<FaultReply>, Status> {
--- a/crates/comfreyhall-standins/src/faults.rs
+++ b/crates/comfreyhall-standins/src/faults.rs
@@ -28,6 +28,8 @@
     /// Until when the process is away after a crash.
     away: Mutex<Option<Instant>>,
     says: Mutex<Says>,
+    /// Calls turned away with a rest.
+    turned: AtomicU64,
 }
 
 /// What the stand-in says of itself.
@@ -35,6 +37,9 @@
 struct Says {
     /// Requests a second; 0 for no limit.
     limit: f64,
+    /// Seconds of rest asked of those whom it turns away; 0 for none.
+    rest_s: f64,
+    leaving: bool,
 }
 
 impl Says {
@@ -46,6 +51,9 @@
         if self.limit > 0.0 {
             put(notice::LIMIT, self.limit.to_string());
         }
+        if self.leaving {
+            put(notice::LEAVING, "1".to_string());
+        }
     }
 }
 
@@ -62,7 +70,11 @@
         };
         s.lose_ppm.store(ppm(lose), Ordering::Relaxed);
         s.fail_ppm.store(ppm(order.fail_share), Ordering::Relaxed);
-        *s.says.lock().unwrap() = Says { limit: order.limit };
+        *s.says.lock().unwrap() = Says {
+            limit: order.limit,
+            rest_s: order.rest_s,
+            leaving: order.leaving,
+        };
     }
 
     /// The process crashes and is back after `pause`.
@@ -92,6 +104,26 @@
         Ok(())
     }
 
+    /// Turns a call away if it asks for rest.
+    pub fn turn_away(&self) -> Result<(), Status> {
+        let says = *self.inner.says.lock().unwrap();
+        if says.rest_s <= 0.0 {
+            return Ok(());
+        }
+        self.inner.turned.fetch_add(1, Ordering::Relaxed);
+        let mut status = not_run(Status::unavailable("turned away by fault order"));
+        says.add(status.metadata_mut());
+        let rest = says.rest_s.to_string();
+        let rest = rest.parse().expect("numbers are metadata");
+        status.metadata_mut().insert(notice::REST, rest);
+        Err(status)
+    }
+
+    /// Calls turned away so far.
+    pub fn turned(&self) -> u64 {
+        self.inner.turned.load(Ordering::Relaxed)
+    }
+
     /// The answer with what the stand-in says of itself.
     pub fn say<T>(&self, mut answer: Result<Response<T>, Status>) -> Result<Response<T>, Status> {
         let says = *self.inner.says.lock().unwrap();
--- a/crates/comfreyhall-standins/src/plain.rs
+++ b/crates/comfreyhall-standins/src/plain.rs
@@ -23,6 +23,7 @@
 impl Plain for PlainStandin {
     async fn call(&self, req: Request<CallRequest>) -> Result<Response<CallReply>, Status> {
         self.faults.gate().await?;
+        self.faults.turn_away()?;
         let req = req.into_inner();
         self.runs.start(&req.request_id, false);
         tokio::time::sleep(WORK).await;
@@ -38,7 +39,7 @@
     }
 
     async fn runs(&self, _: Request<RunsQuery>) -> Result<Response<RunsReply>, Status> {
-        Ok(Response::new(self.runs.list()))
+        Ok(Response::new(self.runs.list(self.faults.turned())))
     }
 
     async fn fault(&self, req: Request<FaultOrder>) -> Result<Response<FaultReply>, Status> {
--- a/crates/comfreyhall-standins/src/runs.rs
+++ b/crates/comfreyhall-standins/src/runs.rs
@@ -36,11 +36,12 @@
         self.with(id, |r| r.ends += 1);
     }
 
-    /// Everything counted so far.
-    pub(crate) fn list(&self) -> RunsReply {
+    /// Everything counted so far, and how many calls were turned away.
+    pub(crate) fn list(&self, turned: u64) -> RunsReply {
         let runs = self.inner.lock().unwrap();
         RunsReply {
             runs: runs.values().cloned().collect(),
+            turned,
         }
     }
 }
--- a/crates/comfreyhall/tests/backpressure.rs
+++ b/crates/comfreyhall/tests/backpressure.rs
@@ -1,4 +1,4 @@
-//! Engines of the own protocol that name a limit.
+//! Engines of the own protocol that name a limit, ask for rest, or leave.
 
 mod support;
 
@@ -60,6 +60,50 @@
     why && error["outcome"] == "not_run" && error["retry_after_ms"].is_u64()
 }
 
+/// Guards against repeats and first sends to engines that asked for rest.
+#[test]
+fn resting_engines_are_left_alone() {
+    let d = deployment("resting");
+    for engine in ["e0", "e1"] {
+        d.cli_ok(&["fault", engine, "--rest-s", "60"]);
+    }
+    let (answered, others) = many(&d, 40);
+    assert!(answered >= 36, "{answered} answered: {others:?}");
+    for engine in 0..2 {
+        let (_, turned) = d.reached(engine);
+        assert!(turned <= 2 * DAEMONS as u64, "engine {engine}: {turned}");
+    }
+}
+
+/// Guards against callers that wait in vain where every engine is at rest.
+#[test]
+fn resting_engines_all_is_told() {
+    let d = deployment("resting-all");
+    for engine in ["e0", "e1", "e2"] {
+        d.cli_ok(&["fault", engine, "--rest-s", "60"]);
+    }
+    let (answered, others) = many(&d, 40);
+    assert_eq!(answered, 0);
+    let told = others.iter().filter(|b| told(b)).count();
+    assert!(told >= 28, "{told} of 40 told: {others:?}");
+}
+
+/// Guards against engines that leave and are sent to.
+#[test]
+fn leaving_engines_get_nothing() {
+    let d = deployment("leaving");
+    for engine in ["e0", "e1"] {
+        d.cli_ok(&["fault", engine, "--leaving"]);
+    }
+    // Every daemon has polled them, or had an answer.
+    many(&d, 20);
+    let before: u32 = (0..2).map(|e| d.reached(e).0).sum();
+    let (answered, others) = many(&d, 20);
+    assert_eq!(answered, 20, "{others:?}");
+    let after: u32 = (0..2).map(|e| d.reached(e).0).sum();
+    assert_eq!(after, before);
+}
+
 /// Guards against engines that name a limit and get more.
 #[test]
 fn limited_engines_get_their_limit() {
@@ -68,9 +112,9 @@
         d.cli_ok(&["fault", engine, "--limit", "0.2"]);
     }
     many(&d, 20);
-    let before: u32 = (0..ENGINES).map(|e| d.reached(e)).sum();
+    let before: u32 = (0..ENGINES).map(|e| d.reached(e).0).sum();
     let (_, others) = many(&d, 40);
-    let after: u32 = (0..ENGINES).map(|e| d.reached(e)).sum();
+    let after: u32 = (0..ENGINES).map(|e| d.reached(e).0).sum();
     // One request of each daemon may have gathered at each engine.
     let most = (ENGINES * DAEMONS) as u32 + 2;
     assert!(after - before <= most, "{} got through", after - before);
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -273,14 +273,15 @@
         })
     }
 
-    /// Requests that the engine `at` began.
-    pub fn reached(&self, at: usize) -> u32 {
+    /// Requests that reached the engine `at`: those that it began, and those that
+    /// it turned away with a rest.
+    pub fn reached(&self, at: usize) -> (u32, u64) {
         let runtime = tokio::runtime::Runtime::new().unwrap();
         runtime.block_on(async {
             let addr = format!("http://{}", self.engines[at]);
             let mut engine = EngineClient::connect(addr).await.unwrap();
             let reply = engine.runs(RunsQuery {}).await.unwrap().into_inner();
-            reply.runs.iter().map(|r| r.starts).sum()
+            (reply.runs.iter().map(|r| r.starts).sum(), reply.turned)
         })
     }
 
