--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -17,6 +17,9 @@
 #[path = "../../../platform/tests/emulator/mod.rs"]
 mod emulator;
 
+#[path = "soak/words.rs"]
+mod words;
+
 use std::{
     collections::HashMap,
     ops::Range,
@@ -49,7 +52,13 @@
 /// that failed. 202: a kill was seen by callers before the soak had noted it.
 /// 223: a way cut in one direction lost bytes within a connection and went on,
 /// which no link does; streams came with their last event only.
-const SEEDS: [u64; 5] = [3, 4, 5, 202, 223];
+/// From [`WORDS_FROM`] on, targets say things of themselves too.
+const SEEDS: [u64; 7] = [3, 4, 5, 202, 223, 400, 401];
+
+/// Seeds from this one on also have targets that name limits, ask for rest or
+/// leave, and changes in quick succession when the store is back; those before it
+/// play what they always did.
+const WORDS_FROM: u64 = 400;
 
 /// Seconds of faults in one run.
 const SECONDS: u64 = 8;
@@ -184,6 +193,8 @@
     active: Vec<Active>,
     /// Version of the configuration.
     version: u64,
+    /// Whether changes come in quick succession when the store is back.
+    series: bool,
 }
 
 impl Site {
@@ -225,6 +236,7 @@
             faults: Vec::new(),
             active: Vec::new(),
             version: 1,
+            series: seed >= WORDS_FROM,
         };
         let peers: Vec<String> = (0..DAEMONS).map(|_| addr()).collect();
         for i in 0..DAEMONS {
@@ -371,7 +383,10 @@
                 End::Stopped(_) => continue,
                 End::Thaw(i) => self.daemons[i].signal(Signal::SIGCONT),
                 End::Restart(i) => self.daemons[i].start(),
-                End::StoreUp => self.store.down.store(false, Ordering::SeqCst),
+                End::StoreUp => {
+                    self.store.down.store(false, Ordering::SeqCst);
+                    self.change_in_series();
+                }
                 End::StoreAnswers => self.store.mute.store(false, Ordering::SeqCst),
                 End::Mend(way) => {
                     let wire = self.wire(way);
@@ -384,6 +399,14 @@
         }
     }
 
+    /// Makes three changes at once, if this seed has such.
+    fn change_in_series(&mut self) {
+        for _ in 0..if self.series { 3 } else { 0 } {
+            self.version += 3;
+            self.store.put("op", "config", &config(self.version, "/g/"));
+        }
+    }
+
     /// Whether daemon `i` has ended as it was told to; it starts again then.
     fn stopped(&mut self, i: usize, late: bool) -> bool {
         let ended = self.daemons[i].ended();
@@ -526,6 +549,11 @@
         .collect();
     let planned_only = seed.is_multiple_of(3);
     let deadly = (!planned_only).then(|| tokio::spawn(call_deadly(fronts, stop.clone())));
+    let words = (seed >= WORDS_FROM).then(|| {
+        let hosts = site.targets.iter().map(|(host, _)| host.clone()).collect();
+        let rng = StdRng::seed_from_u64(seed);
+        tokio::spawn(words::say(hosts, rng, stop.clone()))
+    });
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(seconds) {
         let pause = site.any_ms(20..400);
@@ -546,8 +574,8 @@
     for caller in callers {
         attempts.extend(caller.await.unwrap());
     }
-    if let Some(deadly) = deadly {
-        deadly.await.unwrap();
+    for fault in deadly.into_iter().chain(words) {
+        fault.await.unwrap();
     }
     for (host, _) in &site.targets {
         site.faults.extend(host.crashes());
