Rest and leaving: asked for again where the holder has granted the run, and at the send

Found in the read of the change: a run that the holder of a limited engine's group had granted was sent without a look at what the engine had asked of this daemon. With a limit and a rest at once, and callers at daemons other than the holder, 7 requests reached an engine within its rest (2 allowed). The permit looks at both now, and the send itself looks once more, since a request may wait between the two.

serve_resting_limited_engines_get_rest fails without it (7) and passes.

--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -93,14 +93,6 @@
 }
 
 impl Permit {
-    /// The holder of the target's group has granted it.
-    pub(crate) fn granted(node: &Arc<Node>, target: &Target) -> Self {
-        let credit = Credit::granted(node, &target.id);
-        Self {
-            credit: Some(credit),
-        }
-    }
-
     /// Nothing reached the target after all.
     fn give_back(self) {
         if let Some(credit) = self.credit {
@@ -109,21 +101,26 @@
     }
 }
 
-/// Whether a request may be sent to `target` now.
-pub(crate) async fn permit(node: &Arc<Node>, target: &Target) -> Result<Permit, Closed> {
+/// Whether a request may be sent to `target` now; `granted`: the holder of its
+/// group has granted it a part of the target's limit.
+pub(crate) async fn permit(
+    node: &Arc<Node>,
+    target: &Target,
+    granted: bool,
+) -> Result<Permit, Closed> {
     if let Some(closed) = closed(node, &target.id) {
         return Err(closed);
     }
+    if granted {
+        let credit = Some(Credit::granted(node, &target.id));
+        return Ok(Permit { credit });
+    }
     let credit = limits::reserve(node, target).await.map_err(|refused| {
         let (Refused::Over { retry_ms } | Refused::Unsure { retry_ms }) = refused;
         let why = "its limit is used up";
         Closed { why, retry_ms }
     })?;
-    // It may have said so while its limit was asked for.
-    match closed(node, &target.id) {
-        Some(closed) => Err(closed),
-        None => Ok(Permit { credit }),
-    }
+    Ok(Permit { credit })
 }
 
 /// Sends a request; an answer that stays away for `patience` is a doubt.
@@ -135,6 +132,10 @@
     extra: Extra,
     patience: Duration,
 ) -> Result<Response, SendError> {
+    // It may have said so since the permit was taken.
+    if let Some(closed) = closed(node, &target.id) {
+        return Err(SendError::NotSent(closed.why.into()));
+    }
     // From here on it may arrive, also if nobody waits for it any more.
     if let Some(credit) = &mut permit.credit {
         credit.sent();
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -58,10 +58,7 @@
     /// That it may be sent to the plan's target now; a target that takes nothing
     /// is left out for a while.
     pub(super) async fn permit(&mut self, plan: &Plan) -> Option<Permit> {
-        if plan.granted {
-            return Some(Permit::granted(&self.node, &plan.target));
-        }
-        match outbound::permit(&self.node, &plan.target).await {
+        match outbound::permit(&self.node, &plan.target, plan.granted).await {
             Ok(permit) => Some(permit),
             Err(closed) => {
                 log::debug!(target: "serve", id:% = self.ask.id, target_id:% = plan.target.id, why = closed.why, retry_ms = closed.retry_ms; "not sent");
