--- a/crates/comfreyhall-node/src/bind/here.rs
+++ b/crates/comfreyhall-node/src/bind/here.rs
@@ -86,7 +86,7 @@
     wait_ms: f64,
 ) -> Result<Bound, Unbound> {
     let granted = outbound::grant(node, target);
-    let granted = granted.ok_or_else(|| Unbound::unplaced("the engine's limit is used up"))?;
+    let granted = granted.ok_or_else(|| Unbound::unplaced("the engine takes nothing now"))?;
     let now = node.now();
     let mut view = node.view();
     let unread = choose::unread(&view, &ask.need, target);
