Closing read: the settings lock is not taken for answers that say nothing new

hear() cloned the instance's id behind the settings lock for every answer of a target, also when nothing had changed, which is nearly always; it returns first now. A figure left a comment of the settings feed.

--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -129,8 +129,8 @@
 /// still answers.
 ///
 /// What goes wrong without the looks: the store falls silent within a feed call
-/// and comes back, three changes are made, and no daemon hears of them before
-/// the call has waited out its time, 4 s later.
+/// and comes back, changes are made, and no daemon hears of them before the call
+/// has waited out its time.
 async fn feed(node: &Node, version: u64) -> Result<Facts, SourceError> {
     let wait = feed_wait(node);
     let feed = node.source.changes(Topic::Settings, version, wait);
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -65,6 +65,10 @@
     log::odd(node, target, notice, now);
     let notice = spread(notice);
     let changes = node.outbound.gates().hear(&target.id, &notice, sent, now);
+    // Most answers say nothing new.
+    if changes.is_empty() {
+        return;
+    }
     let by = node.settings().id.clone();
     for change in changes {
         let age = sent.map_or(0, |s| now - s);
