Sight: which settings a daemon went by, since when, from whom, and what newer ones it had heard of

Lines: 'configuration in force' says who told, how long it took, how large it was; 'newer settings heard of' who has them and since when the store has been away; refused and denied requests say by which settings they were judged. Metrics: settings_wait (histogram) and settings_bytes, by way. No secret is in them: versions, ages and ids of daemons only.

--- /dev/null
+++ b/crates/comfreyhall-inforce/src/in_force.rs
@@ -0,0 +1,210 @@
+//! The state, what changes it, and what is asked of it.
+
+use std::fmt;
+
+use comfreyhall_domain::Name;
+
+/// How settings came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Way {
+    /// Read in the store.
+    Store,
+    /// Told by the daemon of this id.
+    Peer(Name),
+}
+
+impl Way {
+    /// A word for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Way::Store => "store",
+            Way::Peer(_) => "peer",
+        }
+    }
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Way::Store => f.write_str("store"),
+            Way::Peer(id) => f.write_str(id),
+        }
+    }
+}
+
+/// A newer version that somebody has, and that is not known here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// The version.
+    pub version: u64,
+    /// Who told of it first.
+    pub from: Name,
+    /// Since when a newer version than the one here has been known of.
+    pub since: u64,
+}
+
+/// How the newest settings came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Taken {
+    /// The version of the newest row.
+    pub version: u64,
+    /// The one before it, in this start of the daemon; 0 for none.
+    pub previous: u64,
+    /// How it came.
+    pub way: Way,
+    /// When.
+    pub at: u64,
+    /// Ms since it was first heard of, or since it was asked for.
+    pub waited: u64,
+}
+
+/// What a request may be judged by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Every version accepted longer ago than the bound is known.
+    Current,
+    /// A newer version may have been accepted longer ago than the bound.
+    Stale,
+}
+
+/// What is known of the settings.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// Version of the newest row.
+    newest: u64,
+    /// Every row up to this version is known.
+    covers: u64,
+    /// The store said at this moment, or later, that there was nothing beyond.
+    as_of: Option<u64>,
+    heard: Option<Heard>,
+    taken: Option<Taken>,
+    /// Since when the store has not answered this daemon.
+    away: Option<u64>,
+}
+
+impl InForce {
+    /// Version of the newest row: what other daemons are told.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// How the newest settings came.
+    pub fn taken(&self) -> Option<&Taken> {
+        self.taken.as_ref()
+    }
+
+    /// The newest version heard of, if it is not known here.
+    pub fn heard(&self) -> Option<&Heard> {
+        self.heard.as_ref()
+    }
+
+    /// Since when the store has not answered this daemon.
+    pub fn away(&self) -> Option<u64> {
+        self.away
+    }
+
+    /// Ms since the store said what is known here; the most there is if it never
+    /// did.
+    pub fn age(&self, now: u64) -> u64 {
+        self.as_of.map_or(u64::MAX, |at| now.saturating_sub(at))
+    }
+
+    /// For how long a newer version has been known of, in ms.
+    pub fn behind_ms(&self, now: u64) -> u64 {
+        let since = self.heard.as_ref().map(|h| h.since);
+        since.map_or(0, |since| now.saturating_sub(since))
+    }
+
+    /// The store answered that every row up to `covers` is known now, and that at
+    /// `as_of` there were no others.
+    pub fn store_said(&mut self, covers: u64, as_of: u64) {
+        self.away = None;
+        self.reach(covers);
+        self.confirm(as_of);
+    }
+
+    /// The store did not answer.
+    pub fn store_failed(&mut self, now: u64) {
+        self.away.get_or_insert(now);
+    }
+
+    /// Another daemon has `newest` as its newest row, and the store said at
+    /// `as_of`, if it is known, that there was nothing beyond.
+    pub fn peer_said(&mut self, from: &Name, newest: u64, as_of: Option<u64>, now: u64) {
+        if newest > self.covers {
+            self.hear(from, newest, now);
+            return;
+        }
+        // One that holds less than this daemon confirms nothing of what it lacks.
+        if newest >= self.newest
+            && let Some(as_of) = as_of
+        {
+            self.confirm(as_of);
+        }
+    }
+
+    /// Whether rows that make up all changes after `since` fit what is known: with
+    /// a gap before them they would pass for everything up to their newest.
+    pub fn fits(&self, since: u64) -> bool {
+        since <= self.covers
+    }
+
+    /// A row of this version is in force now. `asked`: when it was asked for.
+    pub fn take(&mut self, version: u64, way: &Way, asked: u64, now: u64) {
+        if version <= self.newest {
+            return;
+        }
+        let heard = self.heard.as_ref().filter(|h| h.version >= version);
+        let begun = heard.map_or(asked, |h| h.since.min(asked));
+        self.taken = Some(Taken {
+            version,
+            previous: self.newest,
+            way: way.clone(),
+            at: now,
+            waited: now.saturating_sub(begun),
+        });
+        self.newest = version;
+        self.reach(version);
+    }
+
+    /// What a request may be judged by; `bound`: Ms in which an accepted version
+    /// has to be in force.
+    pub fn verdict(&self, now: u64, bound: u64) -> Verdict {
+        match self.heard.is_some() || self.age(now) > bound {
+            true => Verdict::Stale,
+            false => Verdict::Current,
+        }
+    }
+
+    fn hear(&mut self, from: &Name, version: u64, now: u64) {
+        match &mut self.heard {
+            Some(heard) if heard.version >= version => {}
+            Some(heard) => {
+                heard.version = version;
+                heard.from = from.clone();
+            }
+            None => {
+                self.heard = Some(Heard {
+                    version,
+                    from: from.clone(),
+                    since: now,
+                });
+            }
+        }
+    }
+
+    fn reach(&mut self, covers: u64) {
+        self.covers = self.covers.max(covers);
+        if self
+            .heard
+            .as_ref()
+            .is_some_and(|h| h.version <= self.covers)
+        {
+            self.heard = None;
+        }
+    }
+
+    fn confirm(&mut self, as_of: u64) {
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+}
--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -6,7 +6,8 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{Map, Name, Ranks, Stage, Target};
+use comfreyhall_domain::{Config, Map, Name, Ranks, Stage, Target};
+use comfreyhall_inforce::{InForce, Way};
 
 use crate::{
     node::{Named, Node, View},
@@ -21,29 +22,12 @@
     pub(crate) news: Map<Name, u64>,
     /// Newest version covered.
     pub(crate) version: u64,
-    /// Version of the newest row.
-    newest: u64,
-    /// When the store said what is known here, to us or to a peer.
+    /// When the store said what is known here, to us or to a peer; of the settings
+    /// [`InForce`] knows it.
     pub(crate) as_of: u64,
-    /// Since when a peer is known to have a newer row; 0 if none has.
-    behind: u64,
 }
 
 impl Shelf {
-    /// Version of the newest row.
-    ///
-    /// Kept and not searched: it is asked for in each news and ten times a
-    /// second, and there is a row for each version named of an adapter.
-    pub(crate) fn newest(&self) -> u64 {
-        self.newest
-    }
-
-    /// Takes a row in place of the one known under its key.
-    fn put(&mut self, fact: Fact) {
-        self.newest = self.newest.max(fact.version);
-        self.rows.insert(fact.key.clone(), fact);
-    }
-
     /// Ms since the store said what is known here; the most there is if it
     /// never did.
     pub(crate) fn age(&self, now: u64) -> u64 {
@@ -53,20 +37,6 @@
         }
     }
 
-    /// For how long a peer has had a newer row, in ms; `heard`: the newest that
-    /// any has.
-    pub(crate) fn behind_ms(&mut self, heard: u64, now: u64) -> u64 {
-        self.behind = match (heard > self.newest(), self.behind) {
-            (false, _) => 0,
-            (true, 0) => now,
-            (true, since) => since,
-        };
-        match self.behind {
-            0 => 0,
-            since => now.saturating_sub(since),
-        }
-    }
-
     /// The store said at `at` that this is all.
     pub(crate) fn confirm(&mut self, at: u64) {
         self.as_of = self.as_of.max(at);
@@ -78,6 +48,8 @@
 pub(crate) struct Book {
     pub(crate) settings: Shelf,
     pub(crate) targets: Shelf,
+    /// How far the settings reach.
+    pub(crate) in_force: InForce,
 }
 
 impl Book {
@@ -89,8 +61,23 @@
     }
 }
 
+/// Where rows came from, and when they were asked for.
+#[derive(Debug)]
+pub(crate) struct Origin {
+    pub(crate) way: Way,
+    pub(crate) asked: u64,
+}
+
+impl Origin {
+    /// The store's answer to a call that began at `asked`.
+    pub(crate) fn store(asked: u64) -> Self {
+        let way = Way::Store;
+        Self { way, asked }
+    }
+}
+
 /// Applies rows of `topic` that are newer than those known.
-pub(crate) fn apply(node: &Node, topic: Topic, facts: Facts) {
+pub(crate) fn apply(node: &Node, topic: Topic, facts: Facts, origin: &Origin) {
     let now = node.now();
     let mut view = node.view();
     let shelf = view.book.shelf(topic);
@@ -101,12 +88,16 @@
         if known.is_some_and(|k| k.version >= fact.version) {
             continue;
         }
+        if topic == Topic::Settings {
+            let Origin { way, asked } = origin;
+            view.book.in_force.take(fact.version, way, *asked, now);
+        }
         let news = take(node, &mut view, topic, &fact, now);
         let shelf = view.book.shelf(topic);
         if news {
             shelf.news.insert(fact.key.clone(), fact.version);
         }
-        shelf.put(fact);
+        shelf.rows.insert(fact.key.clone(), fact);
         changed |= news;
     }
     drop(view);
@@ -143,7 +134,7 @@
             for problem in odd {
                 log::warn!(target: "follow", version = config.version, problem; "odd setting read on the safe side");
             }
-            log::info!(target: "follow", version = config.version, routes = config.routes.len(), row = fact.version; "configuration in force");
+            tell_in_force(node, view, &config, fact);
             view.ranks = Ranks::of(&config);
             view.config = Some(Arc::from(config));
         }
@@ -195,6 +186,18 @@
     true
 }
 
+/// Notes that `config`, which stands in `fact`, is in force from now on.
+fn tell_in_force(node: &Node, view: &View, config: &Config, fact: &Fact) {
+    let Some(taken) = view.book.in_force.taken() else {
+        return;
+    };
+    let bytes = fact.value.as_ref().map_or(0, |v| v.len());
+    node.metrics.settings(taken.way.kind(), bytes, taken.waited);
+    let before = view.config.as_ref().map_or(0, |c| c.version);
+    let age = view.book.in_force.age(taken.at);
+    log::info!(target: "follow", version = config.version, before, routes = config.routes.len(), row = fact.version, from:% = taken.way, waited = taken.waited, age, bytes; "configuration in force");
+}
+
 /// Sends nothing new to the target listed under `name`, whose entry cannot be
 /// read.
 ///
@@ -250,6 +253,7 @@
                 rows: gone,
                 version: listed.version,
             },
+            &Origin::store(node.now()),
         );
     }
 }
--- a/crates/comfreyhall-node/src/facts/tests.rs
+++ b/crates/comfreyhall-node/src/facts/tests.rs
@@ -16,7 +16,8 @@
         version,
     };
     let rows = vec![fact];
-    apply(node, Topic::Targets, Facts { rows, version });
+    let origin = super::Origin::store(node.now());
+    apply(node, Topic::Targets, Facts { rows, version }, &origin);
 }
 
 fn ready(node: &Node) -> Vec<Name> {
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -262,13 +262,6 @@
         state.alive(now).filter(|(addr, _)| before(addr)).count()
     }
 
-    /// Newest version of the settings that a peer heard of lately knows.
-    pub(crate) fn settings_heard(&self, now: u64) -> u64 {
-        let state = self.state();
-        let heard = state.heard(now).map(|(_, p)| p.settings);
-        heard.max().unwrap_or(0)
-    }
-
     /// Counts a request that waits for `adapter` at `target`.
     pub(crate) fn pin(&self, target: &Name, adapter: &AdapterRef) {
         let key = (target.clone(), adapter.clone());
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use comfreyhall_domain::{Map, Name, Set};
+use comfreyhall_inforce::{InForce, Way};
 use comfreyhall_protocol::{Daemon, Demand, EngineRun, Holding, News, TargetWork};
 use comfreyhall_quarantine::Heard;
 use comfreyhall_routing::{Standing, Work};
@@ -10,7 +11,8 @@
 
 use super::{Fleet, Peer, State, hub, parse_key, runs::Runs};
 use crate::{
-    facts, follow,
+    facts::{self, Origin},
+    follow,
     node::Node,
     outbound,
     ports::{Fact, Facts, Topic},
@@ -100,8 +102,8 @@
         let targets = view.book.shelf(Topic::Targets);
         let targets_version = targets.version;
         let targets_age = targets.age(now);
-        let settings_age = view.book.settings.age(now);
-        let settings_version = view.book.settings.newest();
+        let settings_age = view.book.in_force.age(now);
+        let settings_version = view.book.in_force.newest();
         // Who has heard of newer settings for one part of their bound and does
         // not have them counts as cut off; the other parts are left for a peer
         // to hear of it and to send them. What goes wrong without it: the store
@@ -109,8 +111,7 @@
         // fail, and until then the daemon does not know that it is cut off:
         // routes denied 3 s after they were added, 17 times in a heavy day of
         // 90 daemons.
-        let heard = self.settings_heard(now);
-        let behind_ms = view.book.settings.behind_ms(heard, now);
+        let behind_ms = view.book.in_force.behind_ms(now);
         let lag_ms = node.settings().bounds.apply_ms / follow::PARTS_PER_APPLY;
         let mut from = self.me.clone();
         from.ready = node.ready();
@@ -223,8 +224,13 @@
         drop(view);
         let age = news.targets_age;
         let covers = news.targets_version >= node.view().book.targets.version;
-        let settings_age = news.settings_age;
+        let known = (news.settings_age != u64::MAX).then_some(news.settings_age);
+        let settings_as_of = known.map(|age| now.saturating_sub(age));
         let settings_version = news.settings_version;
+        let origin = Origin {
+            way: Way::Peer(peer.clone()),
+            asked: now,
+        };
         for (topic, rows) in [
             (Topic::Settings, news.settings),
             (Topic::Targets, news.targets),
@@ -234,16 +240,17 @@
             }
             let rows: Vec<Fact> = rows.into_iter().map(from_wire).collect();
             let version = rows.iter().map(|f| f.version).max().unwrap_or(0);
-            facts::apply(node, topic, Facts { rows, version });
+            facts::apply(node, topic, Facts { rows, version }, &origin);
             follow::settle(node);
         }
         let mut view = node.view();
         if age != u64::MAX && covers {
             view.book.targets.confirm(now.saturating_sub(age));
         }
-        if settings_age != u64::MAX && settings_version == view.book.settings.newest() {
-            view.book.settings.confirm(now.saturating_sub(settings_age));
-        }
+        let in_force = &mut view.book.in_force;
+        let before = in_force.heard().map(|h| h.version);
+        in_force.peer_said(&peer, settings_version, settings_as_of, now);
+        tell_heard(in_force, before, now);
     }
 
     /// Takes in what a peer tells of itself; returns its work at engines.
@@ -291,6 +298,17 @@
     }
 }
 
+/// Notes a newer version of the settings that was just heard of, and why it may
+/// take time to come.
+fn tell_heard(in_force: &InForce, before: Option<u64>, now: u64) {
+    let Some(heard) = in_force.heard().filter(|h| Some(h.version) != before) else {
+        return;
+    };
+    let (row, age) = (in_force.newest(), in_force.age(now));
+    let away = in_force.away().map_or(0, |since| now.saturating_sub(since));
+    log::info!(target: "follow", newer = heard.version, peer:% = heard.from, row, age, away, behind = in_force.behind_ms(now); "newer settings heard of");
+}
+
 impl State {
     /// Own runs that the peer at `addr` has to know of: in a large fleet those
     /// at engines of its groups, and those of groups without a known holder.
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -4,7 +4,7 @@
 
 use super::news::{Lack, add_rows};
 use crate::{
-    facts,
+    facts::{self, Origin},
     node::Node,
     ports::{Fact, Facts, Topic},
     quiet::node,
@@ -100,7 +100,8 @@
     let put = |fact: Fact| {
         let version = fact.version;
         let rows = vec![fact];
-        facts::apply(&node, Topic::Settings, Facts { rows, version });
+        let origin = Origin::store(node.now());
+        facts::apply(&node, Topic::Settings, Facts { rows, version }, &origin);
     };
     let told = |settings_version, cut_off| {
         let ask = News {
@@ -149,7 +150,8 @@
         value: Some(Vec::new().into()),
         version: 9,
     }];
-    facts::apply(&node, Topic::Settings, Facts { rows, version: 9 });
+    let origin = Origin::store(node.now());
+    facts::apply(&node, Topic::Settings, Facts { rows, version: 9 }, &origin);
     assert!(!cut_off(now + lag + 2));
 }
 
@@ -165,7 +167,8 @@
         value: Some(vec![b' '; 300_000].into()),
         version: 9,
     }];
-    facts::apply(&node, Topic::Settings, Facts { rows, version: 9 });
+    let origin = Origin::store(node.now());
+    facts::apply(&node, Topic::Settings, Facts { rows, version: 9 }, &origin);
     let told = |settings_version| {
         let cut_off = News {
             cut_off: true,
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -21,7 +21,7 @@
 use rand::Rng;
 
 use crate::{
-    facts,
+    facts::{self, Origin},
     node::Node,
     ports::{Facts, SourceError, Topic},
 };
@@ -106,13 +106,17 @@
         match answer {
             Ok(facts) => {
                 after = Some(facts.version);
-                facts::apply(&node, Topic::Settings, facts);
+                let covers = facts.version;
+                facts::apply(&node, Topic::Settings, facts, &Origin::store(began));
                 let now = node.now();
-                node.view().book.settings.confirm(now);
+                node.view().book.in_force.store_said(covers, now);
                 settle(&node);
             }
             Err(SourceError::Forgotten) => after = None,
-            Err(SourceError::Unavailable(_)) => link.pause(&node).await,
+            Err(SourceError::Unavailable(_)) => {
+                node.view().book.in_force.store_failed(began);
+                link.pause(&node).await;
+            }
         }
     }
 }
@@ -145,7 +149,7 @@
             return Ok(found);
         }
         let now = node.now();
-        node.view().book.settings.confirm(now);
+        node.view().book.in_force.store_said(found.version, now);
     }
 }
 
@@ -155,7 +159,7 @@
     let bound = node.settings().bounds.apply_ms as f64;
     let due = (bound * rand::rng().random_range(LOOK_PARTS)) as u64;
     loop {
-        let age = node.view().book.settings.age(node.now());
+        let age = node.view().book.in_force.age(node.now());
         if age >= due {
             return;
         }
@@ -180,12 +184,11 @@
 /// young enough, and nobody tells of anything newer.
 async fn await_untold(node: &Node) {
     loop {
-        let newest = node.view().book.settings.newest();
-        if node.fleet.settings_heard(node.now()) > newest {
+        if node.view().book.in_force.heard().is_some() {
             return;
         }
         let most = 2 * node.settings().bounds.apply_ms / PARTS_PER_APPLY;
-        let age = node.view().book.settings.age(node.now());
+        let age = node.view().book.in_force.age(node.now());
         if !node.fleet.large() || holding(node) || age > most {
             return;
         }
@@ -239,7 +242,7 @@
     fn note(&mut self, node: &Node, answer: &Result<Facts, SourceError>, began: u64) {
         let topic = self.topic;
         let now = node.now();
-        let (waited, age) = (now - began, node.view().book.settings.age(now));
+        let (waited, age) = (now - began, node.view().book.in_force.age(now));
         node.metrics.store(topic, answer.is_ok());
         match answer {
             Ok(facts) if self.down => {
@@ -331,7 +334,8 @@
     if last > 0 && now.saturating_sub(last) > OUTAGE_BEATS * beat {
         away.over = now;
     }
-    facts::apply(node, Topic::Targets, listed.clone());
+    let origin = Origin::store(began);
+    facts::apply(node, Topic::Targets, listed.clone(), &origin);
     let back = (node.settings().bounds.return_s * 1_000.0) as u64;
     if away.over == 0 || now.saturating_sub(away.over) >= back {
         facts::sweep(node, &listed);
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -35,6 +35,8 @@
     store: Counter<u64>,
     quarantine: Counter<u64>,
     gates: Counter<u64>,
+    settings_bytes: Counter<u64>,
+    settings: Histogram<f64>,
     first: Histogram<f64>,
     stall: Histogram<f64>,
 }
@@ -76,6 +78,14 @@
                 "targets that began or ceased to say something of themselves, by what",
             ),
             store: counter("store_reads", "readings of settings and targets by outcome"),
+            settings_bytes: counter(
+                "settings_bytes",
+                "bytes of configurations taken in, by who told of them",
+            ),
+            settings: seconds(
+                "settings_wait",
+                "time from the first word of a configuration, or the call that brought it, until it was in force",
+            ),
             first: seconds(
                 "first_event",
                 "time from a request's arrival to its first event",
@@ -148,6 +158,13 @@
         self.gates.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// A configuration of `bytes` is in force, `ms` after the first word of it.
+    pub(crate) fn settings(&self, way: &'static str, bytes: usize, ms: u64) {
+        let labels = [KeyValue::new("way", way)];
+        self.settings_bytes.add(bytes as u64, &labels);
+        self.settings.record(ms as f64 / 1_000.0, &labels);
+    }
+
     pub(crate) fn first(&self, ms: u64) {
         self.first.record(ms as f64 / 1_000.0, &[]);
     }
--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -1,6 +1,7 @@
 //! Who calls, whether that still holds, and whether it may use more.
 
 use comfreyhall_domain::{Allowance, Answer, Ask, Caller, Config, Route, answer_for};
+use comfreyhall_inforce::{InForce, Taken, Verdict};
 
 use super::{Job, NOT_READY_MS, Reply};
 use crate::{
@@ -39,15 +40,44 @@
     }
 }
 
+/// What a request was judged by, for the log; times in ms.
+pub(super) struct Basis {
+    /// Version of the newest row of the settings.
+    pub(super) row: u64,
+    /// Who told of it: the store or a daemon's id.
+    pub(super) from: String,
+    /// Since when it is known.
+    pub(super) held: u64,
+    /// Since when the store has said so.
+    pub(super) age: u64,
+    /// A newer version that was heard of; 0 for none.
+    pub(super) newer: u64,
+    /// Since when the store has not answered; 0 if it answers.
+    pub(super) away: u64,
+}
+
+impl Basis {
+    pub(super) fn of(known: &InForce, now: u64) -> Self {
+        let since = |at: u64| now.saturating_sub(at);
+        let from = |taken: &Taken| taken.way.to_string();
+        Self {
+            row: known.newest(),
+            from: known.taken().map_or_else(String::new, from),
+            held: known.taken().map_or(0, |t| since(t.at)),
+            age: known.age(now),
+            newer: known.heard().map_or(0, |h| h.version),
+            away: known.away().map_or(0, since),
+        }
+    }
+}
+
 impl Node {
     /// Whether settings newer than those in force here may have been accepted
     /// for longer than their bound.
     fn settings_may_lag(&self) -> bool {
-        let now = self.now();
-        let heard = self.fleet.settings_heard(now);
         let bound = self.settings().bounds.apply_ms;
-        let view = self.view();
-        heard > view.book.settings.newest() || view.book.settings.age(now) > bound
+        let verdict = self.view().book.in_force.verdict(self.now(), bound);
+        verdict == Verdict::Stale
     }
 
     /// Whether no key counts any more, since it may have been taken back.
@@ -56,7 +86,7 @@
             return false;
         };
         let now = self.now();
-        self.view().book.settings.age(now) > most
+        self.view().book.in_force.age(now) > most
     }
 
     /// The answer to a request that is not taken; one line for each, but for a
@@ -72,7 +102,8 @@
         };
         self.metrics.refusal(refusal);
         if let Some(left_out) = self.flood.turned.take(self.now()) {
-            log::info!(target: "serve", id:% = ask.id, config, left_out, why = refusal; "turned away");
+            let basis = Basis::of(&self.view().book.in_force, self.now());
+            log::info!(target: "serve", id:% = ask.id, config, left_out, why = refusal, row = basis.row, from = basis.from, held = basis.held, age = basis.age, newer = basis.newer, away = basis.away; "turned away");
         }
         reply
     }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -25,7 +25,7 @@
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
-use self::{place::Found, send::Next};
+use self::{caller::Basis, place::Found, send::Next};
 use crate::{
     caps::Credit,
     choose::{self, Need, Plan, Wish},
@@ -155,7 +155,8 @@
     pub async fn serve(self: &Arc<Self>, ask: Ask) -> Reply {
         let tracked = self.track();
         let Some(config) = self.config().filter(|_| self.life_known()) else {
-            log::info!(target: "serve", id:% = ask.id; "refused: nothing is known yet");
+            let basis = Basis::of(&self.view().book.in_force, self.now());
+            log::info!(target: "serve", id:% = ask.id, row = basis.row, newer = basis.newer, away = basis.away, up = self.age(); "refused: nothing is known yet");
             return Reply::NotReady {
                 retry_ms: NOT_READY_MS,
             };
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -162,7 +162,7 @@
         self.node.metrics.send(outcome);
         let left = self.left();
         let fingerprint = self.fingerprint();
-        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, fingerprint:%, target_id:% = target, outcome, why, left; "send");
+        log::info!(target: "serve", id:% = self.ask.id, route:% = self.route.name, fingerprint:%, target_id:% = target, outcome, why, left, config = self.config; "send");
     }
 
     /// Turns a target's answer into the caller's, or decides to go on.
--- a/crates/comfreyhall/tests/settings_soak/fleet.rs
+++ b/crates/comfreyhall/tests/settings_soak/fleet.rs
@@ -207,7 +207,10 @@
     pub fn traffic(&self) -> String {
         let bytes: u64 = self.daemons.iter().map(|d| d.link.bytes()).sum();
         let calls = self.store.calls.lock().unwrap().len();
-        format!("{calls} reads and commits, {} KB from and to the store", bytes >> 10)
+        format!(
+            "{calls} reads and commits, {} KB from and to the store",
+            bytes >> 10
+        )
     }
 
     /// The next version is accepted.
@@ -351,9 +354,15 @@
         let Some(told) = daemon.stopping else { return };
         let late = told.elapsed() > 2 * GRACE;
         let status = daemon.child.as_mut().unwrap().try_wait().unwrap();
-        assert!(!late || status.is_some(), "daemon {i} did not end by itself");
+        assert!(
+            !late || status.is_some(),
+            "daemon {i} did not end by itself"
+        );
         let Some(status) = status else { return };
-        assert!(status.success(), "daemon {i} failed as it stopped: {status}");
+        assert!(
+            status.success(),
+            "daemon {i} failed as it stopped: {status}"
+        );
         daemon.stopping = None;
         self.launch(i);
         let span = told..Instant::now();
--- a/crates/comfreyhall/tests/settings_soak/oracle.rs
+++ b/crates/comfreyhall/tests/settings_soak/oracle.rs
@@ -98,7 +98,13 @@
 impl std::fmt::Display for Broken {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let Self {
-            fault, answer: a, at, by, due, late, up,
+            fault,
+            answer: a,
+            at,
+            by,
+            due,
+            late,
+            up,
         } = self;
         write!(
             f,
@@ -128,9 +134,10 @@
     fn in_touch(&self, daemon: usize, at: Instant) -> bool {
         let from = at - TOUCH;
         let concerns = |w: Whom| w == Whom::All || w == Whom::Daemon(daemon);
-        let disturbed = self.disturbances.iter().any(|d| {
-            concerns(d.whom) && d.span.start <= at && d.span.end >= from
-        });
+        let disturbed = self
+            .disturbances
+            .iter()
+            .any(|d| concerns(d.whom) && d.span.start <= at && d.span.end >= from);
         !disturbed && self.start(daemon, at).is_some_and(|s| s < from)
     }
 
--- a/crates/comfreyhall/tests/settings_soak/probe.rs
+++ b/crates/comfreyhall/tests/settings_soak/probe.rs
@@ -46,7 +46,9 @@
         let path = history::draw(newest.load(Ordering::SeqCst), rng.random());
         let id = format!("d{daemon}r{}", out.len());
         let sent = Instant::now();
-        let ran = caller.ask_path(&front, &format!("{}x", path.text()), &id).await;
+        let ran = caller
+            .ask_path(&front, &format!("{}x", path.text()), &id)
+            .await;
         out.push(Answer {
             daemon,
             path,
