A request without a route is denied only by settings that are young enough

Cause: 'no route' was answered by whatever was in force; only an unknown key asked how old it is. Such a request has not run: it gets 503 with when to come back, if newer settings were heard of or the store's word is older than the bound. settings_old_deny_nothing failed before (left 404, right 503) and passes.

--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -20,14 +20,20 @@
     NoRoute,
     /// Its key belongs to nobody.
     NoKey,
-    /// Its key may belong to somebody: newer settings may be in force.
+    /// Newer settings may be in force that have its route, or its key.
     Unsure,
 }
 
 /// The route of `ask` and who calls, by `config`.
 pub(super) fn admit(node: &Node, config: &Config, ask: &Ask) -> Result<(Route, Caller), Turned> {
     let path = ask.message.path.split('?').next().unwrap_or("");
-    let route = config.route(&ask.host, path).ok_or(Turned::NoRoute)?;
+    let Some(route) = config.route(&ask.host, path) else {
+        // The route may have been added where this daemon could not hear of it.
+        return Err(match node.settings_may_lag() {
+            true => Turned::Unsure,
+            false => Turned::NoRoute,
+        });
+    };
     if config.workspaces.is_some() && !route.public && node.keys_lapsed() {
         return Err(Turned::Unsure);
     }
@@ -97,7 +103,7 @@
             Turned::NoKey => (Reply::NoKey, "unknown key"),
             Turned::Unsure => {
                 let retry_ms = NOT_READY_MS;
-                (Reply::NotReady { retry_ms }, "the key may be newer")
+                (Reply::NotReady { retry_ms }, "newer settings may allow it")
             }
         };
         self.metrics.refusal(refusal);
