Settings: an answer that has begun may take as long as the link needs

Cause: a call to the store had 0.9 s in all, body included; one that failed began again from nothing, so settings that need longer never came, and the repeats filled the link. Class: a limit on the whole where only silence shows that the other end is dead.

--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -124,9 +124,8 @@
 /// What changed after `version`, as the store has it now.
 async fn look(node: &Node, version: u64) -> Result<Facts, SourceError> {
     let source = &node.source;
-    source
-        .changes(Topic::Settings, version, Duration::ZERO)
-        .await
+    let answer = source.changes(Topic::Settings, version, Duration::ZERO);
+    answer.await?.await
 }
 
 /// Waits for what changes after `version`; looks in between whether the store
@@ -141,7 +140,9 @@
     tokio::pin!(feed);
     loop {
         tokio::select! {
-            answer = &mut feed => return answer,
+            // Once the answer has begun it is a matter of the link's speed: a look
+            // would fetch the same again beside it.
+            answer = &mut feed => return answer?.await,
             () = await_unconfirmed(node) => {}
         }
         let found = look(node, version).await?;
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -83,18 +83,22 @@
     Forgotten,
 }
 
+/// Facts whose first bytes have come; resolves once the last have.
+pub type Arriving = BoxFuture<'static, Result<Facts, SourceError>>;
+
 /// Where settings in force and targets are read.
 pub trait Source: Send + Sync + 'static {
     /// All rows of a topic.
     fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Facts, SourceError>>;
 
-    /// Rows changed after `after`; waits up to `wait` for the first.
+    /// Rows changed after `after`; waits up to `wait` for the first. The answer
+    /// may be long on its way once it has begun.
     fn changes(
         &self,
         topic: Topic,
         after: u64,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Facts, SourceError>>;
+    ) -> BoxFuture<'_, Result<Arriving, SourceError>>;
 
     /// Decodes a row; an error says what is wrong with it.
     fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String>;
--- a/crates/comfreyhall-node/src/quiet.rs
+++ b/crates/comfreyhall-node/src/quiet.rs
@@ -9,8 +9,8 @@
 use crate::{
     node::Node,
     ports::{
-        Backend, Decoded, Extra, Fact, Facts, Heard, NoReport, Order, OrderReply, Pulse, Report,
-        Response, SendError, Source, SourceError, Topic,
+        Arriving, Backend, Decoded, Extra, Fact, Facts, Heard, NoReport, Order, OrderReply, Pulse,
+        Report, Response, SendError, Source, SourceError, Topic,
     },
 };
 
@@ -55,7 +55,12 @@
         std::future::pending().boxed()
     }
 
-    fn changes(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Facts, SourceError>> {
+    fn changes(
+        &self,
+        _: Topic,
+        _: u64,
+        _: Duration,
+    ) -> BoxFuture<'_, Result<Arriving, SourceError>> {
         std::future::pending().boxed()
     }
 
--- a/crates/comfreyhall-node/tests/fleet.rs
+++ b/crates/comfreyhall-node/tests/fleet.rs
@@ -11,7 +11,7 @@
 use comfreyhall_domain::{AdapterRef, Kind};
 use comfreyhall_node::{
     Node,
-    ports::{Decoded, Fact, Facts, Source, SourceError, Topic},
+    ports::{Arriving, Decoded, Fact, Facts, Source, SourceError, Topic},
 };
 use futures::{FutureExt, future::BoxFuture};
 use support::*;
@@ -28,8 +28,13 @@
         async { Err(SourceError::Unavailable("scripted".into())) }.boxed()
     }
 
-    fn changes(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Facts, SourceError>> {
-        self.read(Topic::Settings)
+    fn changes(
+        &self,
+        _: Topic,
+        _: u64,
+        _: Duration,
+    ) -> BoxFuture<'_, Result<Arriving, SourceError>> {
+        async { Err(SourceError::Unavailable("scripted".into())) }.boxed()
     }
 
     fn decode(&self, topic: Topic, fact: &Fact) -> Result<Decoded, String> {
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -251,19 +251,20 @@
         _: Topic,
         after: u64,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Facts, SourceError>> {
+    ) -> BoxFuture<'_, Result<Arriving, SourceError>> {
         async move {
             let changed = self.changed(after);
-            match tokio::time::timeout(wait, changed).await {
-                Ok(facts) => Ok(facts),
+            let facts = match tokio::time::timeout(wait, changed).await {
+                Ok(facts) => facts,
                 Err(_) if self.deaf.load(Ordering::SeqCst) => {
-                    Err(SourceError::Unavailable("scripted".into()))
+                    return Err(SourceError::Unavailable("scripted".into()));
                 }
-                Err(_) => Ok(Facts {
+                Err(_) => Facts {
                     rows: Vec::new(),
                     version: after,
-                }),
-            }
+                },
+            };
+            Ok(async { Ok(facts) }.boxed())
         }
         .boxed()
     }
