The age of settings counts from when the store said them, not from when it was heard

Cause: an answer counted as of its last byte, though it may be seconds on a slow link and says what was so when it was made; and the age in a peer's news as of when it was read, though news may lie before a daemon that was frozen or busy. Class: age of a message taken at its reader.

--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -102,6 +102,8 @@
     findings: u64,
     /// Its findings that this daemon has heard.
     heard_of: Heard,
+    /// Its clock in its last news.
+    clock: u64,
 }
 
 #[derive(Default)]
@@ -228,6 +230,7 @@
             told,
             findings: 0,
             heard_of: Heard::default(),
+            clock: 0,
         });
     }
 
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -54,6 +54,7 @@
             (news.evidence, news.told_serial) = wire::since(node, peer.findings);
             news.heard_boot = peer.heard_of.boot;
             news.heard_serial = peer.heard_of.serial;
+            news.echoed_at = peer.clock;
         }
         let State {
             peers,
@@ -134,6 +135,7 @@
             cut_off: node.cut_off() || behind_ms > lag_ms,
             members: self.known_members(),
             words,
+            sent_at: now,
             ..News::default()
         }
     }
@@ -224,8 +226,7 @@
         drop(view);
         let age = news.targets_age;
         let covers = news.targets_version >= node.view().book.targets.version;
-        let known = (news.settings_age != u64::MAX).then_some(news.settings_age);
-        let settings_as_of = known.map(|age| now.saturating_sub(age));
+        let settings_as_of = self.settings_as_of(&news);
         let settings_version = news.settings_version;
         let origin = Origin {
             way: Way::Peer(peer.clone()),
@@ -253,6 +254,19 @@
         tell_heard(in_force, before, now);
     }
 
+    /// When, by this daemon's clock, the store said what the sender knows of the
+    /// settings, or later.
+    ///
+    /// The age in news is as of when it was made, and news may lie for seconds
+    /// before a daemon that was frozen or busy: counted from when it is read, an
+    /// old version would pass for confirmed.
+    fn settings_as_of(&self, news: &News) -> Option<u64> {
+        let known = news.settings_age != u64::MAX && news.echoed_at > 0;
+        let made_after = (known && news.heard_boot == self.me.boot).then_some(news.echoed_at)?;
+        // A moment before this start is as good as none: its clock began then.
+        made_after.checked_sub(news.settings_age)
+    }
+
     /// Takes in what a peer tells of itself; returns its work at engines.
     fn learn_peer(&self, node: &Node, from: &Daemon, news: &News, now: u64) -> Map<Name, Work> {
         for holding in &news.holdings {
@@ -293,6 +307,7 @@
             boot: from.boot,
             serial: news.told_serial,
         };
+        peer.clock = news.sent_at;
         peer.runs.replace(&news.runs, now);
         peer.runs.works()
     }
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -268,3 +268,26 @@
     }
     assert!(node.fleet.better("e", "127.0.0.1:200"), "both are weak");
 }
+
+/// Guards against an old version that counts as confirmed by news that lay unread.
+#[tokio::test]
+async fn learn_age_counts_from_when_news_was_made() {
+    let node = node();
+    let told = |echoed_at, heard_boot| News {
+        settings_age: 10,
+        echoed_at,
+        heard_boot,
+        ..news(0, Vec::new())
+    };
+    let age = || node.view().book.in_force.age(5_000);
+    let boot = node.fleet.boot();
+    // The last one says that the store told it before this start.
+    for (echoed_at, heard_boot) in [(0, boot), (4_990, boot + 1), (9, boot)] {
+        let odd = told(echoed_at, heard_boot);
+        node.fleet.learn(&node, odd, super::Origin::Call);
+        assert_eq!(age(), u64::MAX);
+    }
+    let late = told(1_000, boot);
+    node.fleet.learn(&node, late, super::Origin::Call);
+    assert_eq!(age(), 4_010);
+}
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -23,7 +23,7 @@
 use crate::{
     facts::{self, Origin},
     node::Node,
-    ports::{Facts, SourceError, Topic},
+    ports::{Arriving, Facts, SourceError, Topic},
 };
 
 /// Longest wait of one feed call. Shorter than the store's longest by far,
@@ -92,8 +92,8 @@
     let mut link = Link::new("settings");
     loop {
         let began = node.now();
-        let answer = match after {
-            None => node.source.read(Topic::Settings).await,
+        let told = match after {
+            None => read(&node).await,
             // A call that waits would not tell a silent store from a quiet one.
             Some(version) if link.down => look(&node, version).await,
             Some(version) => {
@@ -101,15 +101,19 @@
                 feed(&node, version).await
             }
         };
+        let (answer, times) = match told {
+            Ok(Told { facts, times }) => (Ok(facts), times),
+            Err(e) => (Err(e), Times::now(&node)),
+        };
         link.note(&node, &answer, began);
         node.set_cut_off(matches!(answer, Err(SourceError::Unavailable(_))));
         match answer {
             Ok(facts) => {
                 after = Some(facts.version);
                 let covers = facts.version;
-                facts::apply(&node, Topic::Settings, facts, &Origin::store(began));
-                let now = node.now();
-                node.view().book.in_force.store_said(covers, now);
+                let origin = Origin::store(times.asked);
+                facts::apply(&node, Topic::Settings, facts, &origin);
+                node.view().book.in_force.store_said(covers, times.as_of);
                 settle(&node);
             }
             Err(SourceError::Forgotten) => after = None,
@@ -121,11 +125,61 @@
     }
 }
 
+/// An answer about settings with its times.
+struct Told {
+    facts: Facts,
+    times: Times,
+}
+
+/// Moments of an answer, by this daemon's clock.
+struct Times {
+    /// When what it brings was asked for, or began to come.
+    asked: u64,
+    /// The store said it then, or later. When the answer has come whole says
+    /// nothing of that: it may have been seconds on a slow link.
+    as_of: u64,
+}
+
+impl Times {
+    fn now(node: &Node) -> Self {
+        let (asked, as_of) = (node.now(), node.now());
+        Self { asked, as_of }
+    }
+}
+
+/// All settings.
+async fn read(node: &Node) -> Result<Told, SourceError> {
+    let times = Times::now(node);
+    let facts = node.source.read(Topic::Settings).await?;
+    Ok(Told { facts, times })
+}
+
 /// What changed after `version`, as the store has it now.
-async fn look(node: &Node, version: u64) -> Result<Facts, SourceError> {
+async fn look(node: &Node, version: u64) -> Result<Told, SourceError> {
+    let times = Times::now(node);
     let source = &node.source;
     let answer = source.changes(Topic::Settings, version, Duration::ZERO);
-    answer.await?.await
+    let facts = answer.await?.await?;
+    Ok(Told { facts, times })
+}
+
+/// The rest of a feed call that began at `began` and waited up to `wait`.
+async fn arrive(
+    node: &Node,
+    began: u64,
+    wait: Duration,
+    rest: Arriving,
+) -> Result<Told, SourceError> {
+    let asked = node.now();
+    let facts = rest.await?;
+    let waited = began + wait.as_millis() as u64;
+    // Without changes it is made at the end of its wait.
+    let as_of = match facts.rows.is_empty() && asked >= waited {
+        true => waited,
+        false => began,
+    };
+    let times = Times { asked, as_of };
+    Ok(Told { facts, times })
 }
 
 /// Waits for what changes after `version`; looks in between whether the store
@@ -134,23 +188,23 @@
 /// What goes wrong without the looks: the store falls silent within a feed call
 /// and comes back, changes are made, and no daemon hears of them before the call
 /// has waited out its time.
-async fn feed(node: &Node, version: u64) -> Result<Facts, SourceError> {
-    let wait = feed_wait(node);
+async fn feed(node: &Node, version: u64) -> Result<Told, SourceError> {
+    let (wait, began) = (feed_wait(node), node.now());
     let feed = node.source.changes(Topic::Settings, version, wait);
     tokio::pin!(feed);
     loop {
         tokio::select! {
             // Once the answer has begun it is a matter of the link's speed: a look
             // would fetch the same again beside it.
-            answer = &mut feed => return answer?.await,
+            answer = &mut feed => return arrive(node, began, wait, answer?).await,
             () = await_unconfirmed(node) => {}
         }
         let found = look(node, version).await?;
-        if !found.rows.is_empty() {
+        if !found.facts.rows.is_empty() {
             return Ok(found);
         }
-        let now = node.now();
-        node.view().book.in_force.store_said(found.version, now);
+        let (covers, as_of) = (found.facts.version, found.times.as_of);
+        node.view().book.in_force.store_said(covers, as_of);
     }
 }
 
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -519,6 +519,13 @@
     /// leave.
     #[prost(message, repeated, tag = "26")]
     pub words: ::prost::alloc::vec::Vec<TargetWord>,
+    /// The sender's clock, in ms, when this was made, and the newest such reading
+    /// that it had from the receiver's process `heard_boot`: what is told here is
+    /// not older than that moment of the receiver's clock.
+    #[prost(uint64, tag = "27")]
+    pub sent_at: u64,
+    #[prost(uint64, tag = "28")]
+    pub echoed_at: u64,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
