A configuration that cannot be read leaves the one in force unconfirmed

Events: versions are made while a daemon is cut off, then one that nobody can read; the daemon comes back, takes the unreadable row for the newest, keeps the configuration from before the outage and counts as current. Cause: the version of the newest row stood for what was in force.

--- a/crates/comfreyhall-inforce/src/in_force.rs
+++ b/crates/comfreyhall-inforce/src/in_force.rs
@@ -80,6 +80,9 @@
     taken: Option<Taken>,
     /// Since when the store has not answered this daemon.
     away: Option<u64>,
+    /// Whether the newest configuration could not be read: those between it and the
+    /// one in force are lost to this daemon.
+    unread: bool,
 }
 
 impl InForce {
@@ -167,10 +170,15 @@
         self.reach(version);
     }
 
+    /// Whether the newest configuration can be read.
+    pub fn set_readable(&mut self, readable: bool) {
+        self.unread = !readable;
+    }
+
     /// What a request may be judged by; `bound`: Ms in which an accepted version
     /// has to be in force.
     pub fn verdict(&self, now: u64, bound: u64) -> Verdict {
-        match self.heard.is_some() || self.age(now) > bound {
+        match self.unread || self.heard.is_some() || self.age(now) > bound {
             true => Verdict::Stale,
             false => Verdict::Current,
         }
--- a/crates/comfreyhall-inforce/src/tests.rs
+++ b/crates/comfreyhall-inforce/src/tests.rs
@@ -73,3 +73,16 @@
     known.store_said(1, 30);
     assert_eq!(known.away(), None);
 }
+
+/// Guards against an old configuration that counts as current behind an unreadable
+/// one.
+#[test]
+fn verdict_unreadable_configuration_is_stale() {
+    let mut known = InForce::default();
+    known.take(7, &Way::Store, 90, 100);
+    known.store_said(9, 90);
+    known.set_readable(false);
+    assert_eq!(known.verdict(100, BOUND), Verdict::Stale);
+    known.set_readable(true);
+    assert_eq!(known.verdict(100, BOUND), Verdict::Current);
+}
--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -135,6 +135,8 @@
                 log::warn!(target: "follow", version = config.version, problem; "odd setting read on the safe side");
             }
             tell_in_force(node, view, &config, fact);
+            view.book.in_force.set_readable(true);
+            view.config_key = Some(fact.key.clone());
             view.ranks = Ranks::of(&config);
             view.config = Some(Arc::from(config));
         }
@@ -180,6 +182,10 @@
         Ok(Decoded::Other) => {}
         Err(problem) if topic == Topic::Targets => shun(view, &fact.key, problem),
         Err(problem) => {
+            let key = view.config_key.as_ref();
+            if key.is_none_or(|k| *k == fact.key) {
+                view.book.in_force.set_readable(false);
+            }
             log::warn!(target: "follow", key:% = fact.key, problem:%; "row refused; the last good one stays in force");
         }
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -61,6 +61,8 @@
 #[derive(Debug)]
 pub(crate) struct View {
     pub(crate) config: Option<Arc<Config>>,
+    /// Key of the row that it stands in.
+    pub(crate) config_key: Option<Name>,
     /// Order of requests by workspace and route.
     pub(crate) ranks: Ranks,
     pub(crate) named: Map<AdapterRef, Named>,
@@ -93,6 +95,7 @@
     fn default() -> Self {
         Self {
             config: None,
+            config_key: None,
             ranks: Ranks::default(),
             named: Map::default(),
             targets: Map::default(),
