Settings in news say after which version they begin, and are taken without a gap only

What it does to callers: a daemon that starts again while the store turns it away holds a new row and an old configuration, or none, counts as having the newest, and is sent nothing more: 503 for everything, or 404 and old routes, until the store answers it. Cause: what a peer holds is kept by its address, so after a restart it was sent what its earlier start lacked, and the version of the newest row stood for everything before it. Change: settings in news bear the version they begin after; a daemon that lacks anything before it leaves them. learn_settings_after_gap_not_taken fails without the check (left 12, right 0). Class: knowledge of a neighbour that outlives its start.

--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -170,7 +170,7 @@
         // and a configuration of 300 KB went to the holders with each report of
         // 90 daemons, 0.45 GB between failure domains in six seconds.
         if new || cut_off {
-            news.settings = settings_for(node, settings, cut_off);
+            add_settings(node, settings, cut_off, news);
         }
         news.targets = rows_since(node, Topic::Targets, known);
     }
@@ -228,14 +228,16 @@
         let covers = news.targets_version >= node.view().book.targets.version;
         let settings_as_of = self.settings_as_of(&news);
         let settings_version = news.settings_version;
+        // What it takes this daemon to have may be what an earlier start had.
+        let settings = match node.view().book.in_force.fits(news.settings_since) {
+            true => news.settings,
+            false => Vec::new(),
+        };
         let origin = Origin {
             way: Way::Peer(peer.clone()),
             asked: now,
         };
-        for (topic, rows) in [
-            (Topic::Settings, news.settings),
-            (Topic::Targets, news.targets),
-        ] {
+        for (topic, rows) in [(Topic::Settings, settings), (Topic::Targets, news.targets)] {
             if rows.is_empty() {
                 continue;
             }
@@ -392,21 +394,21 @@
     }
 }
 
-/// Settings newer than `version` for a peer, all of them or none: one that
-/// has the newest row counts as having those before it. A peer that is not
-/// given them reads them in the store once it hears of a newer version.
-fn settings_for(node: &Node, version: u64, cut_off: bool) -> Vec<comfreyhall_protocol::Fact> {
+/// Adds the settings newer than `version` to news for a peer, all of them or none:
+/// one that has the newest row counts as having those before it. A peer that is
+/// not given them reads them in the store once it hears of a newer version.
+fn add_settings(node: &Node, version: u64, cut_off: bool, news: &mut News) {
     let rows = rows_since(node, Topic::Settings, version);
     let bytes: usize = rows.iter().map(|r| r.value.len()).sum();
-    match cut_off || bytes <= CARRIED_BYTES {
-        true => rows,
-        false => Vec::new(),
+    if cut_off || bytes <= CARRIED_BYTES {
+        news.settings = rows;
+        news.settings_since = version;
     }
 }
 
 /// Adds the rows that a peer lacks to the news for it.
 pub(super) fn add_rows(node: &Node, asked: Lack, news: &mut News) {
-    news.settings = settings_for(node, asked.settings_version, asked.cut_off);
+    add_settings(node, asked.settings_version, asked.cut_off, news);
     if news.targets_age < asked.targets_age {
         news.targets = rows_since(node, Topic::Targets, asked.targets_version);
     }
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -291,3 +291,26 @@
     node.fleet.learn(&node, late, super::Origin::Call);
     assert_eq!(age(), 4_010);
 }
+
+/// Guards against a part of newer settings, sent to an earlier start of this daemon,
+/// that passes for all of them.
+#[tokio::test]
+async fn learn_settings_after_gap_not_taken() {
+    let node = node();
+    let told = |settings_since| News {
+        settings_version: 12,
+        settings_since,
+        settings: vec![comfreyhall_protocol::Fact {
+            key: "version/m.a1".into(),
+            value: b"x".to_vec(),
+            version: 12,
+            deleted: false,
+        }],
+        ..news(0, Vec::new())
+    };
+    let newest = || node.view().book.in_force.newest();
+    node.fleet.learn(&node, told(9), super::Origin::Call);
+    assert_eq!(newest(), 0);
+    node.fleet.learn(&node, told(0), super::Origin::Answer);
+    assert_eq!(newest(), 12);
+}
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -526,6 +526,10 @@
     pub sent_at: u64,
     #[prost(uint64, tag = "28")]
     pub echoed_at: u64,
+    /// `settings` holds all that changed after this version: they are of no use to
+    /// a receiver that lacks anything before it.
+    #[prost(uint64, tag = "29")]
+    pub settings_since: u64,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
