Settings that the store does not give are fetched from one daemon, once

What it does to callers: in an outage a daemon that starts again, or was cut off while others read a change, gets large settings late or never. Cause: they rode on the reports, four a second with 0.4 s each: every holder answered each report of everyone who was cut off with the whole configuration, again until it had been taken in; over 10 Mbit/s 90 daemons ask for 27 MB a round of a holder's link, so no answer comes in time, and beyond 4 MB a message is refused and the peer counts as silent. Change: reports bear some named versions at most; who has heard of a newer version that the store does not give asks one daemon that has it, in a call of its own in pieces, which may take as long as the links need.

--- a/crates/comfreyhall-inforce/src/in_force.rs
+++ b/crates/comfreyhall-inforce/src/in_force.rs
@@ -67,6 +67,17 @@
     Stale,
 }
 
+/// What to do about a newer version that was heard of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// None was heard of.
+    Rest,
+    /// The store is about to give it; look again after so many ms.
+    Wait(u64),
+    /// The store does not give it: a daemon that has it is asked.
+    Ask,
+}
+
 /// What is known of the settings.
 #[derive(Debug, Default)]
 pub struct InForce {
@@ -80,6 +91,8 @@
     taken: Option<Taken>,
     /// Since when the store has not answered this daemon.
     away: Option<u64>,
+    /// Whether an answer of the store is on its way.
+    arriving: bool,
     /// Whether the newest configuration could not be read: those between it and the
     /// one in force are lost to this daemon.
     unread: bool,
@@ -91,6 +104,11 @@
         self.newest
     }
 
+    /// Every row up to this version is known.
+    pub fn covers(&self) -> u64 {
+        self.covers
+    }
+
     /// How the newest settings came.
     pub fn taken(&self) -> Option<&Taken> {
         self.taken.as_ref()
@@ -118,16 +136,23 @@
         since.map_or(0, |since| now.saturating_sub(since))
     }
 
+    /// An answer of the store has begun to come.
+    pub fn store_began(&mut self) {
+        self.arriving = true;
+    }
+
     /// The store answered that every row up to `covers` is known now, and that at
     /// `as_of` there were no others.
     pub fn store_said(&mut self, covers: u64, as_of: u64) {
         self.away = None;
+        self.arriving = false;
         self.reach(covers);
         self.confirm(as_of);
     }
 
     /// The store did not answer.
     pub fn store_failed(&mut self, now: u64) {
+        self.arriving = false;
         self.away.get_or_insert(now);
     }
 
@@ -170,6 +195,23 @@
         self.reach(version);
     }
 
+    /// Every row up to `newest` is known: another daemon gave them all.
+    pub fn peer_gave(&mut self, newest: u64) {
+        self.reach(newest);
+    }
+
+    /// What to do about a newer version; the store has `patience` ms for it.
+    pub fn step(&self, now: u64, patience: u64) -> Step {
+        let left = patience.saturating_sub(self.behind_ms(now));
+        match (&self.heard, self.away) {
+            (None, _) => Step::Rest,
+            // A second transfer beside it would slow both down.
+            (Some(_), _) if self.arriving => Step::Wait(patience),
+            (Some(_), None) if left > 0 => Step::Wait(left),
+            (Some(_), _) => Step::Ask,
+        }
+    }
+
     /// Whether the newest configuration can be read.
     pub fn set_readable(&mut self, readable: bool) {
         self.unread = !readable;
--- a/crates/comfreyhall-inforce/src/lib.rs
+++ b/crates/comfreyhall-inforce/src/lib.rs
@@ -13,7 +13,7 @@
 
 mod in_force;
 
-pub use in_force::{Heard, InForce, Taken, Verdict, Way};
+pub use in_force::{Heard, InForce, Step, Taken, Verdict, Way};
 
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-inforce/src/tests.rs
+++ b/crates/comfreyhall-inforce/src/tests.rs
@@ -1,4 +1,4 @@
-use super::{InForce, Verdict, Way};
+use super::{InForce, Step, Verdict, Way};
 
 const BOUND: u64 = 3_000;
 
@@ -86,3 +86,27 @@
     known.set_readable(true);
     assert_eq!(known.verdict(100, BOUND), Verdict::Current);
 }
+
+#[test]
+fn step_store_first() {
+    let mut known = InForce::default();
+    assert_eq!(known.step(0, 500), Step::Rest);
+    known.peer_said(&name("a"), 7, None, 100);
+    assert_eq!(known.step(200, 500), Step::Wait(400));
+    assert_eq!(known.step(600, 500), Step::Ask);
+    known.store_began();
+    assert_eq!(known.step(600, 500), Step::Wait(500));
+    known.store_failed(700);
+    assert_eq!(known.step(700, 500), Step::Ask);
+    known.peer_gave(7);
+    assert_eq!(known.step(700, 500), Step::Rest);
+}
+
+/// A daemon that the store turns away need not wait for it.
+#[test]
+fn step_cut_off_asks_at_once() {
+    let mut known = InForce::default();
+    known.store_failed(100);
+    known.peer_said(&name("a"), 7, None, 101);
+    assert_eq!(known.step(101, 500), Step::Ask);
+}
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! not handed out to callers. In a large fleet ([`hub`]) news goes through
 //! the holders of leases.
 
+mod fetch;
 mod holding;
 mod hub;
 mod members;
@@ -38,7 +39,7 @@
 use comfreyhall_routing::pick;
 use comfreyhall_settings::NodeSettings;
 use rand::{Rng, seq::IteratorRandom};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tonic::transport::Channel;
 
 use self::runs::Runs;
@@ -132,6 +133,10 @@
     state: Mutex<State>,
     /// Number of the next run.
     next_run: AtomicU64,
+    /// Settings handed to other daemons.
+    giving: fetch::Giving,
+    /// Wakes the duty that fetches settings.
+    fetch: Notify,
     /// Where events of runs are put to be told to holders.
     tell: mpsc::Sender<Event>,
     events: Mutex<Option<mpsc::Receiver<Event>>>,
@@ -182,6 +187,8 @@
             // A daemon that starts again must not go on with numbers that it
             // had before: holders still know some of those runs.
             next_run: AtomicU64::new(rand::rng().random::<u64>() >> 1),
+            giving: fetch::Giving::default(),
+            fetch: Notify::new(),
             tell,
             events: Mutex::new(Some(events)),
         };
@@ -265,6 +272,11 @@
         state.alive(now).filter(|(addr, _)| before(addr)).count()
     }
 
+    /// Has the duty that fetches settings look whether there is something to do.
+    pub(crate) fn wake_fetch(&self) {
+        self.fetch.notify_one();
+    }
+
     /// Counts a request that waits for `adapter` at `target`.
     pub(crate) fn pin(&self, target: &Name, adapter: &AdapterRef) {
         let key = (target.clone(), adapter.clone());
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -22,14 +22,12 @@
 /// Peers named in one call of a large fleet.
 const NAMED: usize = 3;
 
-/// Most bytes of settings that news bears to a peer that can read them in the
-/// store: some named versions, or a configuration of some dozen routes.
+/// Most bytes of settings that news bears: some named versions, or a configuration
+/// of some dozen routes.
 ///
-/// What goes wrong without a bound: 1,560 routes are added, holders with a
-/// link of 10 Mbit/s answer each of 89 daemons with the whole configuration of
-/// 300 KB until it has taken it in, and daemons deny the new routes for 3 s
-/// and more: 1.0 GB between failure domains in a day, and 71 to 93 false
-/// denials. The store has 400 times the link.
+/// What goes wrong without a bound: holders answer each report of a large fleet
+/// with the whole configuration until it has been taken in, and over small links
+/// no answer comes in time. Larger ones are read in the store or fetched once.
 const CARRIED_BYTES: usize = 8 * 1_024;
 
 impl Fleet {
@@ -170,7 +168,7 @@
         // and a configuration of 300 KB went to the holders with each report of
         // 90 daemons, 0.45 GB between failure domains in six seconds.
         if new || cut_off {
-            add_settings(node, settings, cut_off, news);
+            add_settings(node, settings, news);
         }
         news.targets = rows_since(node, Topic::Targets, known);
     }
@@ -254,6 +252,11 @@
         let before = in_force.heard().map(|h| h.version);
         in_force.peer_said(&peer, settings_version, settings_as_of, now);
         tell_heard(in_force, before, now);
+        let lacking = in_force.heard().is_some();
+        drop(view);
+        if lacking {
+            self.wake_fetch();
+        }
     }
 
     /// When, by this daemon's clock, the store said what the sender knows of the
@@ -344,7 +347,7 @@
     }
 }
 
-fn to_wire(fact: &Fact) -> comfreyhall_protocol::Fact {
+pub(super) fn to_wire(fact: &Fact) -> comfreyhall_protocol::Fact {
     comfreyhall_protocol::Fact {
         key: fact.key.to_string(),
         value: fact.value.as_ref().map(|v| v.to_vec()).unwrap_or_default(),
@@ -353,7 +356,7 @@
     }
 }
 
-fn from_wire(fact: comfreyhall_protocol::Fact) -> Fact {
+pub(super) fn from_wire(fact: comfreyhall_protocol::Fact) -> Fact {
     Fact {
         key: fact.key.into(),
         value: (!fact.deleted).then(|| fact.value.into()),
@@ -369,9 +372,12 @@
 ) -> Vec<comfreyhall_protocol::Fact> {
     let mut view = node.view();
     let shelf = view.book.shelf(topic);
-    let newer = shelf.news.iter().filter(|(_, v)| **v > version);
-    let rows = newer.filter_map(|(key, _)| shelf.rows.get(key));
-    rows.map(to_wire).collect()
+    // All settings, so that nobody lacks the newest row; of targets, what matters.
+    let newer = |fact: &&Fact| match topic {
+        Topic::Settings => fact.version > version,
+        Topic::Targets => shelf.news.get(&fact.key).is_some_and(|v| *v > version),
+    };
+    shelf.rows.values().filter(newer).map(to_wire).collect()
 }
 
 /// What the sender of news lacks.
@@ -380,7 +386,6 @@
     settings_version: u64,
     targets_version: u64,
     targets_age: u64,
-    cut_off: bool,
 }
 
 impl From<&News> for Lack {
@@ -389,18 +394,17 @@
             settings_version: news.settings_version,
             targets_version: news.targets_version,
             targets_age: news.targets_age,
-            cut_off: news.cut_off,
         }
     }
 }
 
 /// Adds the settings newer than `version` to news for a peer, all of them or none:
 /// one that has the newest row counts as having those before it. A peer that is
-/// not given them reads them in the store once it hears of a newer version.
-fn add_settings(node: &Node, version: u64, cut_off: bool, news: &mut News) {
+/// not given them hears of a newer version, and reads or fetches it.
+fn add_settings(node: &Node, version: u64, news: &mut News) {
     let rows = rows_since(node, Topic::Settings, version);
     let bytes: usize = rows.iter().map(|r| r.value.len()).sum();
-    if cut_off || bytes <= CARRIED_BYTES {
+    if bytes <= CARRIED_BYTES {
         news.settings = rows;
         news.settings_since = version;
     }
@@ -408,7 +412,7 @@
 
 /// Adds the rows that a peer lacks to the news for it.
 pub(super) fn add_rows(node: &Node, asked: Lack, news: &mut News) {
-    add_settings(node, asked.settings_version, asked.cut_off, news);
+    add_settings(node, asked.settings_version, news);
     if news.targets_age < asked.targets_age {
         news.targets = rows_since(node, Topic::Targets, asked.targets_version);
     }
--- a/crates/comfreyhall-node/src/fleet/swap.rs
+++ b/crates/comfreyhall-node/src/fleet/swap.rs
@@ -4,7 +4,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{
-    BindReply, BindRequest, CapCall, CapReply, News, ProgressReply, ProgressReport,
+    BindReply, BindRequest, CapCall, CapReply, News, ProgressReply, ProgressReport, SettingsAsk,
     fleet_server::{self, FleetServer},
 };
 use rand::Rng;
@@ -12,7 +12,9 @@
 use tonic::{Request, Response, Status};
 
 use super::{
-    Fleet, Origin, PERIOD_MS, State, hub,
+    Fleet, Origin, PERIOD_MS, State,
+    fetch::{self, Pieces},
+    hub,
     news::{Lack, add_rows},
 };
 use crate::{bind, caps, node::Node};
@@ -32,6 +34,7 @@
 /// Starts swapping news.
 pub(crate) fn spawn(node: &Arc<Node>) {
     super::progress::spawn(node);
+    super::fetch::spawn(node);
     let node = node.clone();
     tokio::spawn(async move {
         loop {
@@ -170,6 +173,12 @@
         Ok(Response::new(bind::answer(&self.0, req.into_inner()).await))
     }
 
+    type FetchStream = Pieces;
+
+    async fn fetch(&self, req: Request<SettingsAsk>) -> Result<Response<Pieces>, Status> {
+        fetch::give(&self.0, &req.into_inner()).map(Response::new)
+    }
+
     async fn settle(&self, req: Request<CapCall>) -> Result<Response<CapReply>, Status> {
         Ok(Response::new(caps::answer(&self.0, req.into_inner())))
     }
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -119,6 +119,7 @@
             Err(SourceError::Forgotten) => after = None,
             Err(SourceError::Unavailable(_)) => {
                 node.view().book.in_force.store_failed(began);
+                node.fleet.wake_fetch();
                 link.pause(&node).await;
             }
         }
@@ -150,7 +151,8 @@
 /// All settings.
 async fn read(node: &Node) -> Result<Told, SourceError> {
     let times = Times::now(node);
-    let facts = node.source.read(Topic::Settings).await?;
+    let rest = node.source.read(Topic::Settings).await?;
+    let facts = arrival(node, rest).await?;
     Ok(Told { facts, times })
 }
 
@@ -159,10 +161,16 @@
     let times = Times::now(node);
     let source = &node.source;
     let answer = source.changes(Topic::Settings, version, Duration::ZERO);
-    let facts = answer.await?.await?;
+    let facts = arrival(node, answer.await?).await?;
     Ok(Told { facts, times })
 }
 
+/// The rest of an answer that has begun to come.
+async fn arrival(node: &Node, rest: Arriving) -> Result<Facts, SourceError> {
+    node.view().book.in_force.store_began();
+    rest.await
+}
+
 /// The rest of a feed call that began at `began` and waited up to `wait`.
 async fn arrive(
     node: &Node,
@@ -171,7 +179,7 @@
     rest: Arriving,
 ) -> Result<Told, SourceError> {
     let asked = node.now();
-    let facts = rest.await?;
+    let facts = arrival(node, rest).await?;
     let waited = began + wait.as_millis() as u64;
     // Without changes it is made at the end of its wait.
     let as_of = match facts.rows.is_empty() && asked >= waited {
@@ -335,7 +343,10 @@
         let beat = node.settings().bounds.drain_ms / PARTS_PER_DRAIN;
         await_age(&node, due_ms(&node, beat)).await;
         let began = node.now();
-        let answer = node.source.read(Topic::Targets).await;
+        let answer = match node.source.read(Topic::Targets).await {
+            Ok(rest) => rest.await,
+            Err(e) => Err(e),
+        };
         link.note(&node, &answer, began);
         match answer {
             Ok(listed) => take(&node, &mut away, listed, began, 2 * beat),
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -89,7 +89,7 @@
 /// Where settings in force and targets are read.
 pub trait Source: Send + Sync + 'static {
     /// All rows of a topic.
-    fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Facts, SourceError>>;
+    fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Arriving, SourceError>>;
 
     /// Rows changed after `after`; waits up to `wait` for the first. The answer
     /// may be long on its way once it has begun.
--- a/crates/comfreyhall-node/src/quiet.rs
+++ b/crates/comfreyhall-node/src/quiet.rs
@@ -9,8 +9,8 @@
 use crate::{
     node::Node,
     ports::{
-        Arriving, Backend, Decoded, Extra, Fact, Facts, Heard, NoReport, Order, OrderReply, Pulse,
-        Report, Response, SendError, Source, SourceError, Topic,
+        Arriving, Backend, Decoded, Extra, Fact, Heard, NoReport, Order, OrderReply, Pulse, Report,
+        Response, SendError, Source, SourceError, Topic,
     },
 };
 
@@ -51,7 +51,7 @@
 }
 
 impl Source for Quiet {
-    fn read(&self, _: Topic) -> BoxFuture<'_, Result<Facts, SourceError>> {
+    fn read(&self, _: Topic) -> BoxFuture<'_, Result<Arriving, SourceError>> {
         std::future::pending().boxed()
     }
 
