The own daemon: rules may take as long to arrive as the link needs

What operators saw: rules of 650 KB over a slow link are never in force, however long one waits. Change: 0.5 s for the word whether anything changed; what changed may take 10 s, and a connection that falls silent is noticed by its keepalives. Peers are asked at once and a mute one holds the next poll up for 0.5 s at most after another's answer. rules_large_over_slow_link failed before ('waited 20s in vain') and passes. The other causes are not there: an adapter or version that is not in the cache is read in the table before it is denied, news is taken by its epoch, and a daemon serves only once it has read the table itself.

--- a/crates/comfreyhall-catalog/src/follow.rs
+++ b/crates/comfreyhall-catalog/src/follow.rs
@@ -91,6 +91,12 @@
     }
 }
 
+/// Something changed in the catalog, up to this epoch.
+#[derive(Debug, Clone, Copy)]
+pub struct Moved {
+    epoch: u64,
+}
+
 /// A cache of catalog records and the configuration in force.
 pub struct Follower<R: Rows = Table> {
     catalog: Catalog<R>,
@@ -139,16 +145,31 @@
     /// Reads what changed since the last poll; true if a new configuration
     /// came into force.
     pub async fn poll(&self) -> Result<bool, CatalogError> {
+        match self.moved().await? {
+            Some(moved) => self.catch_up(moved).await,
+            None => Ok(false),
+        }
+    }
+
+    /// Asks whether anything changed since the last poll: one small answer, which
+    /// tells at once whether the table answers.
+    pub async fn moved(&self) -> Result<Option<Moved>, CatalogError> {
+        let row = self.catalog.rows().get(EPOCH_KEY).await?;
+        let epoch: u64 = row.as_ref().map_or(Ok(0), decode)?;
+        let mut state = self.state();
+        state.heard = Some(Instant::now());
+        let moved = !state.synced || epoch > state.epoch;
+        Ok(moved.then_some(Moved { epoch }))
+    }
+
+    /// Reads what changed, which may be large; true if a new configuration came into
+    /// force.
+    pub async fn catch_up(&self, moved: Moved) -> Result<bool, CatalogError> {
+        let Moved { epoch } = moved;
         let (known, synced) = {
             let state = self.state();
             (state.epoch, state.synced)
         };
-        let row = self.catalog.rows().get(EPOCH_KEY).await?;
-        let epoch: u64 = row.as_ref().map_or(Ok(0), decode)?;
-        self.state().heard = Some(Instant::now());
-        if synced && epoch <= known {
-            return Ok(false);
-        }
         let changes = if synced {
             self.catalog.changes(known).await?
         } else {
--- a/crates/comfreyhall-catalog/src/lib.rs
+++ b/crates/comfreyhall-catalog/src/lib.rs
@@ -15,7 +15,7 @@
 mod store;
 mod table;
 
-pub use follow::Follower;
+pub use follow::{Follower, Moved};
 pub use records::{Adapter, Audit, Customer, EVERY_KEY, Labels, Terms, Version};
 pub use rules::{Config, Effects, Rule, Rules, Select, Subject};
 pub use store::{Catalog, now_ms};
--- a/crates/comfreyhall-daemon/src/peer.rs
+++ b/crates/comfreyhall-daemon/src/peer.rs
@@ -11,6 +11,7 @@
     DemandReply, DemandReport, Findings, PlaceReply, PlaceRequest, SyncReply, SyncRequest,
     peer_server::Peer,
 };
+use futures::{StreamExt, stream::FuturesUnordered};
 use prost::Message;
 use rand::seq::IteratorRandom;
 use tonic::{Request, Response, Status};
@@ -19,11 +20,13 @@
 
 use crate::{app::App, orders, quarantine};
 
-/// Longest one poll of the table may take before peers are asked.
+/// Longest the table may take to say whether anything changed, before peers are
+/// asked.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest a peer may take to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest what changed may take to arrive, from the table or a peer. A connection
+/// that falls silent is noticed by its keepalives.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Peers asked per poll that failed.
 const PEERS_ASKED: usize = 2;
@@ -90,8 +93,19 @@
 /// Polls the table once; false if it did not answer.
 async fn follow(app: &App) -> bool {
     let follower = &app.inner.follower;
-    let Ok(Ok(fresh)) = tokio::time::timeout(POLL_TIMEOUT, follower.poll()).await else {
-        return false;
+    let moved = match tokio::time::timeout(POLL_TIMEOUT, follower.moved()).await {
+        Ok(Ok(moved)) => moved,
+        Ok(Err(_)) | Err(_) => return false,
+    };
+    let fresh = match moved {
+        None => false,
+        Some(moved) => {
+            let caught_up = follower.catch_up(moved);
+            match tokio::time::timeout(ARRIVAL_TIMEOUT, caught_up).await {
+                Ok(Ok(fresh)) => fresh,
+                Ok(Err(_)) | Err(_) => return false,
+            }
+        }
     };
     app.inner.life.handle(Event::Synced);
     if fresh {
@@ -114,23 +128,36 @@
         let all = app.inner.peers.values().cloned();
         all.choose_multiple(&mut rng, PEERS_ASKED)
     };
-    for mut peer in peers {
-        let ask = SyncRequest {
-            epoch: follower.epoch(),
-        };
-        let answer = tokio::time::timeout(PEER_TIMEOUT, peer.sync(ask)).await;
-        let Ok(Ok(news)) = answer else { continue };
-        let news = news.into_inner();
-        app.inner
-            .counters
-            .control(ask.encoded_len(), news.encoded_len());
-        match follower.learn(&news) {
-            Ok(true) => {
-                let version = follower.config().version;
-                log::info!(target: "follow", "configuration {version} is in force, from a peer");
-            }
-            Ok(false) => {}
-            Err(e) => log::warn!(target: "follow", "a peer sent a bad record: {e}"),
+    let ask = SyncRequest {
+        epoch: follower.epoch(),
+    };
+    let asked = peers.into_iter().map(async |mut peer| {
+        let answer = tokio::time::timeout(ARRIVAL_TIMEOUT, peer.sync(ask)).await;
+        answer.ok()?.ok()
+    });
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    let mut patience = ARRIVAL_TIMEOUT;
+    while let Ok(Some(answer)) = tokio::time::timeout(patience, answers.next()).await {
+        if let Some(news) = answer {
+            take_over(app, ask, &news.into_inner());
+            // One that is mute must not hold the next poll up.
+            patience = POLL_TIMEOUT;
+        }
+    }
+}
+
+/// Takes over what is newer in a peer's news.
+fn take_over(app: &App, ask: SyncRequest, news: &SyncReply) {
+    let follower = &app.inner.follower;
+    app.inner
+        .counters
+        .control(ask.encoded_len(), news.encoded_len());
+    match follower.learn(news) {
+        Ok(true) => {
+            let version = follower.config().version;
+            log::info!(target: "follow", "configuration {version} is in force, from a peer");
         }
+        Ok(false) => {}
+        Err(e) => log::warn!(target: "follow", "a peer sent a bad record: {e}"),
     }
 }
--- a/crates/comfreyhall/tests/failures.rs
+++ b/crates/comfreyhall/tests/failures.rs
@@ -522,6 +522,35 @@
     assert_eq!(version_at(&d.instances[0]), version_at(&d.instances[1]));
 }
 
+/// Bytes of the name of each rule.
+const LONG_NAME: usize = 300;
+
+/// Guards against rules that take longer to arrive than a poll may take.
+#[test]
+fn rules_large_over_slow_link() {
+    let mut wire = None;
+    let d = Deployment::start_behind("slow-link", 1, 1, 1, |_, text| {
+        let settings = comfreyhall::settings::Settings::parse(&text, "test").unwrap();
+        let table = &settings.platform.table;
+        let made = Wire::to(table);
+        let changed = text.replace(table.as_str(), &made.addr);
+        wire = Some(made);
+        changed
+    });
+    let rule = |i: usize| {
+        let name = format!("{i:0>LONG_NAME$}");
+        serde_json::json!({"name": name, "select": {"adapter": {"tier": "none"}}, "set": {"priority": 1}})
+    };
+    let rules: Vec<_> = (0..2_000).map(rule).collect();
+    let file = d.dir.join("large.jsonc");
+    std::fs::write(&file, serde_json::json!({"rules": rules}).to_string()).unwrap();
+    wire.unwrap().delay(60);
+    d.cli_ok(&["rules", "apply", file.to_str().unwrap()]);
+    wait_for("the rules to be in force", || {
+        version_at(&d.instances[0]) > 0
+    });
+}
+
 #[test]
 fn cancel_ends_run() {
     let d = Deployment::start("cancel", 2, 1, 1);
