explain: by which settings a request was judged, and how a configuration came into force

A request's story has the configuration its daemon went by, since when and from whom, and what the daemon learned of newer ones in the ten seconds before.

--- a/crates/comfreyhall-cli/src/args.rs
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -283,13 +283,17 @@
     pub(crate) leaving: bool,
 }
 
-/// Tell the story of one request from the logs of several daemons.
+/// Tell the story of one request, or of one configuration, from the logs of several
+/// daemons.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "explain")]
 pub(crate) struct ExplainCmd {
-    /// the request's id
+    /// the request's id, or the configuration's version
     #[argh(positional)]
     pub(crate) id: String,
+    /// tell of the configuration of this version
+    #[argh(switch)]
+    pub(crate) change: bool,
     /// log files, of every daemon that may have seen it
     #[argh(positional)]
     pub(crate) logs: Vec<String>,
--- a/crates/comfreyhall-cli/src/explain_tests.rs
+++ b/crates/comfreyhall-cli/src/explain_tests.rs
@@ -31,3 +31,27 @@
     let ids: Vec<&str> = story.iter().map(|l| l.text("id")).collect();
     assert_eq!(ids, ["r1", "r3"]);
 }
+
+/// Two daemons and two configurations; one hears late of the second.
+const CHANGES: &str = r#"0 n1 {"t":1000,"part":"follow","msg":"configuration in force","version":4,"before":0,"row":10,"from":"store","waited":20}
+0 n2 {"t":1010,"part":"follow","msg":"configuration in force","version":4,"before":0,"row":10,"from":"store","waited":30}
+0 n1 {"t":30000,"part":"follow","msg":"configuration in force","version":7,"before":4,"row":15,"from":"store","waited":40}
+0 n2 {"t":30100,"part":"follow","msg":"settings not read","error":"no answer in time"}
+0 n2 {"t":30400,"part":"follow","msg":"newer settings heard of","newer":15,"peer":"n1","row":10}
+0 n2 {"t":30500,"part":"serve","msg":"turned away","id":"r1","config":4,"newer":15}
+0 n2 {"t":30900,"part":"follow","msg":"configuration in force","version":7,"before":4,"row":15,"from":"n1","waited":500}"#;
+
+#[test]
+fn story_has_settings_it_was_judged_by() {
+    let story = story(parse(CHANGES, "log"), "r1");
+    let times: Vec<u64> = story.iter().map(|l| l.at).collect();
+    assert_eq!(times, [1_010, 30_100, 30_400, 30_500]);
+}
+
+#[test]
+fn change_tells_who_had_it_when() {
+    let story = change(parse(CHANGES, "log"), "7");
+    let times: Vec<u64> = story.iter().map(|l| l.at).collect();
+    assert_eq!(times, [30_000, 30_100, 30_400, 30_900]);
+    assert!(change(parse(CHANGES, "log"), "5").is_empty());
+}
