Soak of settings: each run holds its loopback net

The test processes 32410 and 32538 had taken the same net, the process id modulo 128. Each run now holds a listener on its net and takes another one if it is taken. A fault of the soak itself, traced by its logs.

--- a/crates/comfreyhall/tests/settings_soak/fleet.rs
+++ b/crates/comfreyhall/tests/settings_soak/fleet.rs
@@ -2,6 +2,7 @@
 //! to them.
 
 use std::{
+    net::TcpListener,
     path::PathBuf,
     process::{Child, Command},
     sync::{
@@ -99,6 +100,7 @@
     active: Vec<Active>,
     /// The next daemon that is told to stop.
     turn: usize,
+    net: Net,
 }
 
 impl Fleet {
@@ -121,6 +123,7 @@
             over: Vec::new(),
             active: Vec::new(),
             turn: 0,
+            net: Net::take(),
         };
         fleet.change();
         for i in 0..size.daemons {
@@ -143,8 +146,10 @@
 
     async fn add(&mut self, i: usize, store: &str) {
         let link = Link::to(store, self.size.link_kb << 10).await;
-        let at = |port: u16| format!("{}:{port}", ip(i));
-        let seeds: Vec<String> = (0..KNOWN).map(|s| format!("{}:{PEERS}", ip(s))).collect();
+        let at = |port: u16| format!("{}:{port}", self.net.ip(i));
+        let seeds: Vec<String> = (0..KNOWN)
+            .map(|s| format!("{}:{PEERS}", self.net.ip(s)))
+            .collect();
         let settings = json!({"id": format!("n{i}"), "domain": domain(i),
             "listen": {"front": at(FRONT), "ready": at(READY), "directory": at(DIRECTORY),
                 "peers": at(PEERS), "metrics": at(METRICS)},
@@ -159,7 +164,7 @@
             child: None,
             began: Instant::now(),
             stopping: None,
-            ip: ip(i),
+            ip: self.net.ip(i),
             settings: path,
             link,
         });
@@ -410,12 +415,36 @@
     format!("z{}", i % DOMAINS)
 }
 
-/// An address of its own for each daemon, and for each test process.
-fn ip(i: usize) -> String {
-    let run = 64 + std::process::id() % 128;
-    format!("127.{run}.{}.{}", i / 200, i % 200 + 1)
+/// Loopback addresses that no other run has, while this is held.
+struct Net {
+    number: u32,
+    _held: TcpListener,
 }
 
+impl Net {
+    fn take() -> Self {
+        let begin = std::process::id();
+        let all = (0..NETS).map(|at| FIRST_NET + (begin + at) % NETS);
+        let mut free = all.filter_map(|number| {
+            let held = TcpListener::bind(format!("127.{number}.255.254:{FRONT}")).ok()?;
+            Some(Self {
+                number,
+                _held: held,
+            })
+        });
+        free.next().expect("fewer runs at once than nets")
+    }
+
+    /// The address of daemon `i`.
+    fn ip(&self, i: usize) -> String {
+        format!("127.{}.{}.{}", self.number, i / 200, i % 200 + 1)
+    }
+}
+
+/// Loopback nets that runs may take.
+const FIRST_NET: u32 = 64;
+const NETS: u32 = 128;
+
 async fn start_targets(store: &Store) {
     for (service, count) in [("llm", 3), ("app", 3), ("alt", 3)] {
         for at in 0..count {
