--- a/crates/comfreyhall-node/src/facts.rs
+++ b/crates/comfreyhall-node/src/facts.rs
@@ -63,12 +63,12 @@
 
 /// Where rows came from, and when they were asked for.
 #[derive(Debug)]
-pub(crate) struct Origin {
+pub(crate) struct Provenance {
     pub(crate) way: Way,
     pub(crate) asked: u64,
 }
 
-impl Origin {
+impl Provenance {
     /// The store's answer to a call that began at `asked`.
     pub(crate) fn store(asked: u64) -> Self {
         let way = Way::Store;
@@ -77,7 +77,7 @@
 }
 
 /// Applies rows of `topic` that are newer than those known.
-pub(crate) fn apply(node: &Node, topic: Topic, facts: Facts, origin: &Origin) {
+pub(crate) fn apply(node: &Node, topic: Topic, facts: Facts, origin: &Provenance) {
     let now = node.now();
     let mut view = node.view();
     let shelf = view.book.shelf(topic);
@@ -89,7 +89,7 @@
             continue;
         }
         if topic == Topic::Settings {
-            let Origin { way, asked } = origin;
+            let Provenance { way, asked } = origin;
             view.book.in_force.take(fact.version, way, *asked, now);
         }
         let news = take(node, &mut view, topic, &fact, now);
@@ -259,7 +259,7 @@
                 rows: gone,
                 version: listed.version,
             },
-            &Origin::store(node.now()),
+            &Provenance::store(node.now()),
         );
     }
 }
--- a/crates/comfreyhall-node/src/facts/tests.rs
+++ b/crates/comfreyhall-node/src/facts/tests.rs
@@ -16,7 +16,7 @@
         version,
     };
     let rows = vec![fact];
-    let origin = super::Origin::store(node.now());
+    let origin = super::Provenance::store(node.now());
     apply(node, Topic::Targets, Facts { rows, version }, &origin);
 }
 
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -30,7 +30,7 @@
 
 use super::{Fleet, news};
 use crate::{
-    facts::{self, Origin},
+    facts::{self, Provenance},
     follow,
     node::Node,
     ports::{Fact, Facts, Topic},
@@ -217,7 +217,7 @@
     }
     let newest = rows.newest;
     let rows: Vec<Fact> = rows.rows.into_iter().map(news::from_wire).collect();
-    let origin = Origin {
+    let origin = Provenance {
         way: Way::Peer(node.fleet.id_of(addr)),
         asked,
     };
--- a/crates/comfreyhall-node/src/fleet/fetch/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch/tests.rs
@@ -3,7 +3,7 @@
 
 use super::{GIVEN_AT_ONCE, give};
 use crate::{
-    facts::{self, Origin},
+    facts::{self, Provenance},
     node::Node,
     ports::{Fact, Facts, Topic},
     quiet::node,
@@ -22,7 +22,7 @@
         value: Some(vec![b' '; bytes].into()),
         version: 9,
     }];
-    let origin = Origin::store(node.now());
+    let origin = Provenance::store(node.now());
     facts::apply(node, Topic::Settings, Facts { rows, version: 9 }, &origin);
 }
 
--- a/crates/comfreyhall-node/src/fleet/news.rs
+++ b/crates/comfreyhall-node/src/fleet/news.rs
@@ -11,7 +11,7 @@
 
 use super::{Fleet, Peer, State, hub, parse_key, runs::Runs};
 use crate::{
-    facts::{self, Origin},
+    facts::{self, Provenance},
     follow,
     node::Node,
     outbound,
@@ -231,7 +231,7 @@
             true => news.settings,
             false => Vec::new(),
         };
-        let origin = Origin {
+        let origin = Provenance {
             way: Way::Peer(peer.clone()),
             asked: now,
         };
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -4,7 +4,7 @@
 
 use super::news::{Lack, add_rows};
 use crate::{
-    facts::{self, Origin},
+    facts::{self, Provenance},
     node::Node,
     ports::{Fact, Facts, Topic},
     quiet::node,
@@ -98,7 +98,7 @@
     let put = |fact: Fact| {
         let version = fact.version;
         let rows = vec![fact];
-        let origin = Origin::store(node.now());
+        let origin = Provenance::store(node.now());
         facts::apply(&node, Topic::Settings, Facts { rows, version }, &origin);
     };
     let told = |settings_version, cut_off| {
@@ -148,7 +148,7 @@
         value: Some(Vec::new().into()),
         version: 9,
     }];
-    let origin = Origin::store(node.now());
+    let origin = Provenance::store(node.now());
     facts::apply(&node, Topic::Settings, Facts { rows, version: 9 }, &origin);
     assert!(!cut_off(now + lag + 2));
 }
@@ -165,7 +165,7 @@
         value: Some(vec![b' '; 3_000].into()),
         version: 9,
     }];
-    let origin = Origin::store(node.now());
+    let origin = Provenance::store(node.now());
     facts::apply(&node, Topic::Settings, Facts { rows, version: 9 }, &origin);
     let told = |settings_version| {
         let cut_off = News {
