Test: a daemon refuses plain requests for good after slow answers (fails)

Cause, from its log: the time of a plain request at a target is a mean of its answers, the first one taken whole; with each target's above the route's bound nothing is sent any more, and nothing else corrects it.

--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -359,3 +359,16 @@
     let new = board.prefill_ms(&name("new"), 4_000, 0);
     assert!((new - known).abs() < 0.1 * known, "{new} {known}");
 }
+
+/// Guards against a daemon that refuses plain requests for good after one slow answer
+/// of each target.
+#[test]
+fn plain_ms_slow_answer_is_forgotten() {
+    let mut board = Board::default();
+    let target = "t".into();
+    board.learn_took(&target, 2_000);
+    let aim_ms = 300;
+    let minute = 60_000;
+    let wait_ms = board.plain_ms(&target, 8, minute);
+    assert!(!admission::refuse(wait_ms, 2_000, aim_ms, 0), "{wait_ms}");
+}
--- a/crates/comfreyhall/tests/settings_soak/history.rs
+++ b/crates/comfreyhall/tests/settings_soak/history.rs
@@ -98,8 +98,7 @@
 }
 
 fn route(name: &str, prefix: &str, service: Service) -> Value {
-    json!({"name": name, "host": "h", "prefix": prefix, "kind": "safe", "timeout-ms": 2000,
-        "target-latency-ms": 300, "priority": 2, "service": service.name(), "attempts": 2})
+    emulator::safe_route(name, prefix, service.name())
 }
 
 /// The first version that has all idle routes; those before have a few.
