Let the estimate of a plain request's duration expire

Cause: only answers tell how long a request takes at a plain service.

Change: the average, of a target and over all, moves halfway back to the initial one in 2 s without a sample, and a sample counts the more the longer it is since the last one. A duration belongs to the outcome recorded last for its target, which has the time.

--- a/crates/comfreyhall-routing/src/lib.rs
+++ b/crates/comfreyhall-routing/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 mod budget;
+mod duration;
 mod health;
 mod latency;
 mod prefix;
--- a/crates/comfreyhall-routing/src/target_stats.rs
+++ b/crates/comfreyhall-routing/src/target_stats.rs
@@ -10,16 +10,11 @@
 use comfreyhall_domain::{Map, Name};
 
 use crate::{
+    duration::PlainDuration,
     health::Health,
     latency::{LatencyModel, SpeedFactor},
 };
 
-/// Weight of one sample in the moving average of a plain request's duration.
-const EWMA_WEIGHT: f64 = 0.1;
-
-/// Assumed duration of a request at a plain service before the first sample.
-const INITIAL_DURATION_MS: f64 = 60.0;
-
 /// Outstanding work of one daemon at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Work {
@@ -61,7 +56,9 @@
     others: Option<(Work, u64)>,
     health: Health,
     speed: SpeedFactor,
-    duration_ms: Option<f64>,
+    duration: Option<PlainDuration>,
+    /// When its last outcome was recorded.
+    outcome_ms: u64,
 }
 
 impl Entry {
@@ -76,23 +73,13 @@
 }
 
 /// The outstanding work and the health of every target.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct TargetStats {
     entries: Map<Name, Entry>,
     /// Latency model shared by all engines.
     model: LatencyModel,
     /// Average duration of a plain request at any target.
-    duration_ms: f64,
-}
-
-impl Default for TargetStats {
-    fn default() -> Self {
-        Self {
-            entries: Map::default(),
-            model: LatencyModel::default(),
-            duration_ms: INITIAL_DURATION_MS,
-        }
-    }
+    duration: PlainDuration,
 }
 
 impl TargetStats {
@@ -150,19 +137,25 @@
         self.model.record(tokens, waited);
     }
 
-    /// Updates the average duration of plain requests.
+    /// Updates the average duration of plain requests with the one whose outcome
+    /// was recorded last for `target`.
     pub fn record_duration(&mut self, target: &Name, duration_ms: u64) {
         let duration_ms = duration_ms as f64;
-        self.duration_ms += EWMA_WEIGHT * (duration_ms - self.duration_ms);
-        let own = &mut self.entry(target).duration_ms;
-        let before = own.unwrap_or(duration_ms);
-        *own = Some(before + EWMA_WEIGHT * (duration_ms - before));
+        let entry = self.entry(target);
+        let at_ms = entry.outcome_ms;
+        match &mut entry.duration {
+            Some(known) => known.record(duration_ms, at_ms),
+            None => entry.duration = Some(PlainDuration::first(duration_ms, at_ms)),
+        }
+        self.duration.record(duration_ms, at_ms);
     }
 
     /// Records whether an answer was good; `weight` is how strong this evidence
     /// is.
     pub fn record_outcome(&mut self, target: &Name, ok: bool, weight: f64, now: u64) {
-        self.entry(target).health.record(ok, weight, now);
+        let entry = self.entry(target);
+        entry.health.record(ok, weight, now);
+        entry.outcome_ms = now;
     }
 
     /// Replaces what `peer` has at all targets; it counts until `expires_at`.
@@ -262,9 +255,8 @@
     /// Estimated time until a target with `slots` answers a plain request.
     pub fn plain_ms(&self, target: &Name, slots: u32, now: u64) -> f64 {
         let entry = self.entries.get(target);
-        let duration_ms = entry
-            .and_then(|e| e.duration_ms)
-            .unwrap_or(self.duration_ms);
+        let known = entry.and_then(|e| e.duration).unwrap_or(self.duration);
+        let duration_ms = known.at(now);
         let running = f64::from(self.total_work(target, now).requests);
         duration_ms * (1.0 + running / f64::from(slots.max(1)))
     }
