Interfaces of the parts for scarce slots, uneven engines and weights

What the lease holder of a group decides on, agreed before the parts are built:

- comfreyhall-slots: SlotShare, SlotWaiter and SlotLedger; a bind request names its share, route, expected output and identity; a holder may answer that no slot becomes free in time, and when to return (BindError::NoSlot).
- comfreyhall-routing::pace: Pace, PaceTable, StreamSample; a run reports how its stream went (events, duration, longest gap) when it ends.
- node::slots and node::weights hold the adapters between the view and the pure decisions: slots::decide, weights::estimate; selection::weighted_rank.
- Gossip: SlotUse, EnginePace; EngineRun names its share and age.
- Domain: Route::gap_objective_ms, EngineConfig::event_tokens, ClientRequest::expected_output, decoded in platform/.
- Switches: fair_slots, engine_pace, weight_affinity, quota_handover, bounded_suspects.

--- a/crates/comfreyhall-domain/src/config.rs
+++ b/crates/comfreyhall-domain/src/config.rs
@@ -43,6 +43,9 @@
     pub timeout_ms: u64,
     /// Latency objective, in ms; for streams, until the first event.
     pub objective_ms: u64,
+    /// Longest gap between two events of a stream that is answered in time, in
+    /// ms; `None` if any gap is.
+    pub gap_objective_ms: Option<u64>,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Services that receive its requests.
@@ -108,6 +111,8 @@
     pub adapter_slots: u32,
     /// Loads per second that the weight store permits across all engines.
     pub load_rate: f64,
+    /// Output tokens in one event of a stream.
+    pub event_tokens: u32,
     /// Models that the engines can load.
     pub models: Vec<Model>,
 }
--- a/crates/comfreyhall-domain/src/request.rs
+++ b/crates/comfreyhall-domain/src/request.rs
@@ -63,6 +63,8 @@
     pub adapter: Option<AdapterRef>,
     /// Token counts; only for engines.
     pub tokens: Option<TokenCounts>,
+    /// The client's estimate of the number of output tokens; only for engines.
+    pub expected_output: Option<u32>,
     /// Segments of the prompt, in order; only for engines.
     pub prompt_segments: Vec<PromptSegment>,
     /// Id of the last event that the client received, if it resumes a stream.
--- a/crates/comfreyhall-domain/src/tests.rs
+++ b/crates/comfreyhall-domain/src/tests.rs
@@ -8,6 +8,7 @@
         kind,
         timeout_ms: 1_000,
         objective_ms: 300,
+        gap_objective_ms: None,
         priority: 1,
         shares: vec![
             TrafficShare {
--- a/crates/comfreyhall-node/src/active_send.rs
+++ b/crates/comfreyhall-node/src/active_send.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use comfreyhall_domain::{AdapterRef, Name, Target};
+use comfreyhall_routing::StreamSample;
+use comfreyhall_slots::SlotShare;
 
 use crate::{
     fleet::{Run, RunChange, RunUpdate},
@@ -66,15 +68,18 @@
     node: Arc<Node>,
     run: u64,
     target: Arc<Target>,
+    share: SlotShare,
 }
 
 impl RunHandle {
-    /// A handle for this daemon's run `run` at `target`.
-    pub(crate) fn new(node: &Arc<Node>, run: u64, target: Arc<Target>) -> Self {
+    /// A handle for this daemon's run `run` at `target`, which uses the slots of
+    /// `share`.
+    pub(crate) fn new(node: &Arc<Node>, run: u64, target: Arc<Target>, share: SlotShare) -> Self {
         Self {
             node: node.clone(),
             run,
             target,
+            share,
         }
     }
 
@@ -128,10 +133,12 @@
             let run = Run {
                 target: target.id.clone(),
                 group: target.failure_domain.clone(),
+                share: run_handle.share.clone(),
                 adapter: adapter.filter(|a| a.adapter.is_some()),
                 unread_tokens: tokens,
                 queued_tokens: ahead,
                 bound_at_ms: 0,
+                began_at_ms: now,
             };
             node.fleet.start_run(run_handle.run, run);
         }
@@ -166,6 +173,17 @@
         wait_ms
     }
 
+    /// Records the pace of its stream, which has ended.
+    pub(crate) fn record_stream(&self, sample: StreamSample) {
+        let now = self.node.now();
+        let mut view = self.node.view();
+        view.paces.record_stream(&self.target, sample, now);
+        drop(view);
+        if let Some(run_handle) = &self.run_handle {
+            run_handle.report(RunChange::Streamed(sample));
+        }
+    }
+
     /// Whether its target has only just begun to run it, as far as is known.
     pub(crate) fn ran_briefly(&self) -> bool {
         let now = self.node.now();
--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -14,6 +14,7 @@
     leases,
     node::Node,
     outbound,
+    slots::{self, SlotDecision},
 };
 
 /// How long a request waits for a slot in one group of engines before it
@@ -45,6 +46,9 @@
     if !params.may_wait {
         return Err(BindError::LoadRequired);
     }
+    if let SlotDecision::Reject { return_ms } = slots::decide(node, &params) {
+        return Err(BindError::NoSlot { return_ms });
+    }
     let placed = load_adapter(node, &params, &plan).await?;
     // The load is done; the prompt is still to be prefilled.
     binding(node, &params, &placed.target, placed.version, 0.0)
--- a/crates/comfreyhall-node/src/bind/mod.rs
+++ b/crates/comfreyhall-node/src/bind/mod.rs
@@ -18,6 +18,7 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Name;
+use comfreyhall_slots::SlotShare;
 
 pub(crate) use self::wire::answer;
 use crate::{choose::Requirements, node::Node};
@@ -37,6 +38,12 @@
     pub(crate) run: u64,
     pub(crate) group: Name,
     pub(crate) service: Name,
+    /// Name of its route.
+    pub(crate) route: Name,
+    /// Whose share of the slots it uses.
+    pub(crate) share: SlotShare,
+    /// Identity over all attempts of its caller; 0 if unknown.
+    pub(crate) identity: u64,
     pub(crate) requirements: Arc<Requirements>,
     /// Minimum version of the adapter; 0 for any.
     pub(crate) min_version: u64,
@@ -95,6 +102,12 @@
     /// Its wait would be too long, in ms.
     #[error("the wait would be {0} ms")]
     TooLong(u64),
+    /// No slot becomes free for it in time.
+    #[error("no slot in time; one is expected in {return_ms} ms")]
+    NoSlot {
+        /// Ms after which the holder expects a slot for it.
+        return_ms: u64,
+    },
     /// No engine of the group can take it now.
     #[error("{reason}")]
     NoEngine {
--- a/crates/comfreyhall-node/src/bind/wire.rs
+++ b/crates/comfreyhall-node/src/bind/wire.rs
@@ -4,6 +4,7 @@
 
 use comfreyhall_domain::{AdapterRef, Name, PromptSegment, TokenCounts};
 use comfreyhall_protocol::{BindReply, BindRequest, PromptPart};
+use comfreyhall_slots::SlotShare;
 
 use super::{BindError, BindParams, Binding, local};
 use crate::{choose::Requirements, fleet::Run, node::Node};
@@ -37,6 +38,10 @@
         closed: names(&params.unavailable),
         only_tried: params.only_tried,
         may_wait: params.may_wait,
+        share: params.share.as_str().to_string(),
+        route: params.route.to_string(),
+        expected_output: requirements.expected_output.unwrap_or(0),
+        identity: params.identity,
     }
 }
 
@@ -55,12 +60,16 @@
             prompt: message.prompt_tokens,
             max_output: message.output_tokens,
         }),
+        expected_output: (message.expected_output > 0).then_some(message.expected_output),
         prompt_segments: parts.collect(),
     };
     BindParams {
         run: message.run,
         group: message.group.as_str().into(),
         service: message.service.as_str().into(),
+        route: message.route.as_str().into(),
+        share: SlotShare::from_wire(&message.share),
+        identity: message.identity,
         requirements: Arc::new(requirements),
         min_version: message.version,
         priority: u8::try_from(message.priority).unwrap_or(u8::MAX),
@@ -82,7 +91,7 @@
         .adapter
         .clone()
         .filter(|a| a.adapter.is_some());
-    let (run, group) = (params.run, params.group.clone());
+    let (run, group, share) = (params.run, params.group.clone(), params.share.clone());
     if node.token(&group).is_none() {
         return refusal(BindError::no_engine("this daemon does not hold the lease"));
     }
@@ -98,10 +107,12 @@
             let counted = Run {
                 target: binding.target.clone(),
                 group,
+                share,
                 adapter,
                 unread_tokens: binding.unread_tokens,
                 queued_tokens: ahead,
                 bound_at_ms: now,
+                began_at_ms: now,
             };
             node.fleet.add_bound_run(node, &message.from, run, counted);
             BindReply {
@@ -133,6 +144,7 @@
         BindError::NoEngine { gone, .. } => {
             reply.gone = gone.iter().map(|t| t.to_string()).collect();
         }
+        BindError::NoSlot { return_ms } => reply.return_ms = return_ms.max(1),
         BindError::NoAnswer => {}
     }
     reply
@@ -156,6 +168,11 @@
     if reply.too_long {
         return Err(BindError::TooLong(reply.wait_ms));
     }
+    if reply.return_ms > 0 {
+        return Err(BindError::NoSlot {
+            return_ms: reply.return_ms,
+        });
+    }
     Err(BindError::NoEngine {
         reason: reply.error,
         gone: reply.gone.into_iter().map(Name::from).collect(),
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -17,6 +17,7 @@
     engine_control::EngineCandidate,
     node::{Node, View},
     outbound::{self, UnavailableTargets},
+    weights,
 };
 
 /// Divisor of the version bound: how long after a new version of an adapter was
@@ -64,6 +65,8 @@
     pub(crate) adapter: Option<AdapterRef>,
     /// Prompt and output tokens.
     pub(crate) tokens: Option<TokenCounts>,
+    /// Output tokens that the caller expects.
+    pub(crate) expected_output: Option<u32>,
     /// Parts of the prompt in order.
     pub(crate) prompt_segments: Vec<PromptSegment>,
 }
@@ -74,6 +77,7 @@
         Self {
             adapter: request.adapter.clone(),
             tokens: request.tokens,
+            expected_output: request.expected_output,
             prompt_segments: request.prompt_segments.clone(),
         }
     }
@@ -341,8 +345,9 @@
         if !held_lease && node.fleet.holder(&t.failure_domain, now).is_none() {
             continue;
         }
-        let cached = view.residency.likely_cached(adapter, &t.id, now);
-        choice.load_ms = node.controllers.expected_load_ms(cached);
+        let estimate = weights::estimate(node, view, adapter, &t.id, now);
+        let cached = estimate.cached;
+        choice.load_ms = estimate.load_ms;
         // A copy of a hot adapter serves many requests, not one.
         choice.from_store = !cached && !hot && policies.prefer_cached;
         choice.evicts = policies.avoid_evictions
@@ -359,7 +364,7 @@
         let rank = if cached {
             0
         } else {
-            selection::rendezvous_rank(&key, &t.id)
+            selection::weighted_rank(&key, &t.id, view.paces.home_weight(&t.id))
         };
         loaders.push((full && !cached, rank, choice));
     }
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -359,7 +359,7 @@
     fn runs_for(&self, addr: &str, now: u64) -> Vec<EngineRun> {
         let all = self.runs.iter();
         if !hub::is_large(self.peers.len()) {
-            return all.map(|(id, run)| run.to_wire(id)).collect();
+            return all.map(|(id, run)| run.to_wire(id, now)).collect();
         }
         let holds = |p: &Peer, group: &Name| p.holdings.iter().any(|(g, _)| g == group);
         let peer = self.peers.get(addr);
@@ -368,7 +368,7 @@
                 || !self.heard_recently(now).any(|(_, p)| holds(p, group))
         };
         let concerned = all.filter(|(_, run)| is_recipient(&run.group));
-        concerned.map(|(id, run)| run.to_wire(id)).collect()
+        concerned.map(|(id, run)| run.to_wire(id, now)).collect()
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -10,7 +10,7 @@
 
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_protocol::{ProgressReport, RunEvent};
-use comfreyhall_routing::Work;
+use comfreyhall_routing::{StreamSample, Work};
 use tokio::sync::mpsc;
 
 use super::Fleet;
@@ -44,6 +44,8 @@
     FirstEvent(u64),
     /// It has ended, or was never sent.
     Ended,
+    /// Its stream has ended.
+    Streamed(StreamSample),
     /// Its answer counts for the engine, with this weight.
     Success(f64),
     /// Its answer counts against the engine, with this weight.
@@ -103,11 +105,27 @@
             merged.waited_ms = ms;
         }
         RunChange::Ended => merged.ended = true,
+        RunChange::Streamed(sample) => {
+            merged.stream_events = sample.events;
+            merged.stream_ms = sample.stream_ms;
+            merged.longest_gap_ms = sample.longest_gap_ms;
+            merged.gap_objective_ms = sample.gap_objective_ms.unwrap_or(0);
+        }
         RunChange::Success(weight) => merged.good += weight,
         RunChange::Failure(weight) => merged.bad += weight,
     }
 }
 
+/// What `event` says of a stream that has ended.
+fn stream_sample(event: &RunEvent) -> Option<StreamSample> {
+    (event.stream_events > 0).then_some(StreamSample {
+        events: event.stream_events,
+        stream_ms: event.stream_ms,
+        longest_gap_ms: event.longest_gap_ms,
+        gap_objective_ms: (event.gap_objective_ms > 0).then_some(event.gap_objective_ms),
+    })
+}
+
 async fn send_report(node: Arc<Node>, holder: Name, events: Vec<RunEvent>) {
     let Some(mut client) = node.fleet.client(&holder) else {
         return;
@@ -170,11 +188,15 @@
                     .record_first_token(&target, run.queued_tokens, event.waited_ms);
             }
             if let Some(run) = ended {
+                node.slots.record_end(&run, now);
                 view.board.subtract_peer_work(&id, &target, run.work());
                 if run.bound_at_ms > 0 && run.unread_tokens == 0 && run.adapter.is_some() {
                     view.hold.record(now.saturating_sub(run.bound_at_ms));
                 }
             }
+            if let Some(sample) = stream_sample(event) {
+                view.paces.record_stream(&target, sample, now);
+            }
             if event.good > 0.0 {
                 view.board.record_outcome(&target, true, event.good, now);
             }
--- a/crates/comfreyhall-node/src/fleet/runs.rs
+++ b/crates/comfreyhall-node/src/fleet/runs.rs
@@ -8,6 +8,7 @@
 use comfreyhall_domain::{AdapterRef, Map, Name};
 use comfreyhall_protocol::EngineRun;
 use comfreyhall_routing::Work;
+use comfreyhall_slots::SlotShare;
 
 use super::{adapter_key, parse_adapter_key};
 
@@ -23,6 +24,8 @@
     pub(crate) target: Name,
     /// Failure domain of the engine, whose lease holder gets the reports.
     pub(crate) group: Name,
+    /// Whose share of the slots it uses.
+    pub(crate) share: SlotShare,
     /// The adapter in use; `None` for the base model.
     pub(crate) adapter: Option<AdapterRef>,
     /// Prompt tokens not read yet.
@@ -31,6 +34,8 @@
     pub(crate) queued_tokens: u64,
     /// When the holder bound it; 0 if it is known only from its daemon.
     pub(crate) bound_at_ms: u64,
+    /// When it began, as far as is known here.
+    pub(crate) began_at_ms: u64,
 }
 
 impl Run {
@@ -44,7 +49,7 @@
     }
 
     /// Encodes the run for the wire.
-    pub(super) fn to_wire(&self, id: u64) -> EngineRun {
+    pub(super) fn to_wire(&self, id: u64, now: u64) -> EngineRun {
         EngineRun {
             id,
             target: self.target.to_string(),
@@ -56,6 +61,8 @@
                 .unwrap_or("")
                 .into(),
             unread: self.unread_tokens,
+            share: self.share.as_str().to_string(),
+            age_ms: now.saturating_sub(self.began_at_ms),
         }
     }
 }
@@ -92,7 +99,7 @@
         let mut known = std::mem::take(&mut self.0);
         for run in reported {
             let before = known.remove(&run.id);
-            self.0.insert(run.id, from_wire(run, before.as_ref()));
+            self.0.insert(run.id, from_wire(run, before.as_ref(), now));
         }
         known.retain(|_, r| r.bound_at_ms > 0 && now.saturating_sub(r.bound_at_ms) < UNREPORTED_MS);
         self.0.extend(known);
@@ -115,15 +122,17 @@
     }
 }
 
-fn from_wire(run: &EngineRun, before: Option<&Run>) -> Run {
+fn from_wire(run: &EngineRun, before: Option<&Run>, now: u64) -> Run {
     let adapter = parse_adapter_key(&run.adapter).filter(|a| a.adapter.is_some());
     Run {
         target: run.target.as_str().into(),
         group: before.map_or("".into(), |b| b.group.clone()),
+        share: SlotShare::from_wire(&run.share),
         adapter,
         unread_tokens: run.unread,
         queued_tokens: before.map_or(0, |b| b.queued_tokens),
         bound_at_ms: before.map_or(0, |b| b.bound_at_ms),
+        began_at_ms: before.map_or(now.saturating_sub(run.age_ms), |b| b.began_at_ms),
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/runs/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/runs/tests.rs
@@ -1,3 +1,5 @@
+use comfreyhall_slots::SlotShare;
+
 use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_protocol::EngineRun;
 
@@ -17,6 +19,8 @@
         adapter: Some(adapter()),
         unread_tokens: 100,
         queued_tokens: 300,
+        share: SlotShare::priority(0),
+        began_at_ms: 0,
         bound_at_ms: bound,
     }
 }
@@ -27,6 +31,7 @@
         target: target.into(),
         adapter: "m/a".into(),
         unread,
+        ..EngineRun::default()
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -237,6 +237,7 @@
         target: "t".into(),
         adapter: "m/a".into(),
         unread: 500,
+        ..EngineRun::default()
     };
     let reported = News {
         runs: vec![run],
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -28,7 +28,9 @@
 mod records;
 mod relay;
 mod serve;
+mod slots;
 mod stop;
+mod weights;
 
 pub use fleet::serve_peers;
 pub use node::Node;
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -11,7 +11,7 @@
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, PriorityTable, Target};
 use comfreyhall_life::{Lifecycle, Stage};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
-use comfreyhall_routing::{PrefixIndex, Residency, RetryBudget, TargetStats};
+use comfreyhall_routing::{PaceTable, PrefixIndex, Residency, RetryBudget, TargetStats};
 use comfreyhall_settings::{NodeSettings, Policies};
 use tokio::sync::Notify;
 
@@ -27,6 +27,7 @@
     quarantine::QuarantineTracker,
     quotas::{QuotaKind, Quotas},
     records::RecordStore,
+    slots::SlotLedgers,
 };
 
 /// Half-life of the demand for an adapter, in ms: popularity in the deployments
@@ -75,6 +76,8 @@
     pub(crate) board: TargetStats,
     pub(crate) residency: Residency,
     pub(crate) prefixes: PrefixIndex,
+    /// How fast each engine is.
+    pub(crate) paces: PaceTable,
     pub(crate) budgets: Map<Name, RetryBudget>,
     pub(crate) demand: Demand,
     /// The same over about a second.
@@ -103,6 +106,7 @@
             board: TargetStats::default(),
             residency: Residency::default(),
             prefixes: PrefixIndex::default(),
+            paces: PaceTable::default(),
             budgets: Map::default(),
             demand: Demand::new(DEMAND_HALF_LIFE_MS),
             fast_demand: Demand::new(FAST_DEMAND_HALF_LIFE_MS),
@@ -199,6 +203,7 @@
     pub(crate) leases: Leases,
     pub(crate) fleet: Fleet,
     pub(crate) controllers: EngineControllers,
+    pub(crate) slots: SlotLedgers,
     pub(crate) metrics: Metrics,
     pub(crate) quarantine: QuarantineTracker,
     pub(crate) quotas: Quotas,
@@ -235,6 +240,7 @@
             life: Lifecycle::new(),
             leases: Leases::default(),
             controllers: EngineControllers::default(),
+            slots: SlotLedgers::default(),
             metrics: Metrics::new(),
             quarantine: QuarantineTracker::default(),
             quotas: Quotas::new(QuotaKind::Workspaces),
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -248,6 +248,7 @@
     view.residency.remove(target);
     let targets = &view.targets;
     view.board.retain(|id| targets.contains_key(id));
+    view.paces.retain(|id| targets.contains_key(id));
 }
 
 /// Removes targets that a full read as of `version` no longer lists.
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyhall_domain::Outcome;
+use comfreyhall_routing::StreamSample;
 use futures::StreamExt;
 
 use crate::{
@@ -38,6 +39,8 @@
     pub(crate) send: ActiveSend,
     events_sent: u64,
     resumes: u32,
+    /// Time when events were first sent to the caller; 0 for never.
+    first_sent_ms: u64,
     /// Time when events were last sent to the caller; 0 for never.
     last_sent_ms: u64,
     /// Longest gap between events so far, in ms.
@@ -64,6 +67,7 @@
             send,
             events_sent: 0,
             resumes: 0,
+            first_sent_ms: 0,
             last_sent_ms: 0,
             max_pause_ms: 0,
             connection_closed: false,
@@ -147,6 +151,7 @@
                 Ok(Step::Events) => continue,
                 Ok(Step::End) => {
                     self.send.record_outcome(true, 1.0);
+                    self.report_pace(request);
                     request.report_completed();
                     request.finished = true;
                     request.node.metrics.request(request.route.kind, "answered");
@@ -164,8 +169,24 @@
         }
     }
 
+    /// Reports how fast the target streamed; a resumed stream had two targets.
+    fn report_pace(&self, request: &ActiveRequest) {
+        if self.resumes > 0 || self.events_sent == 0 {
+            return;
+        }
+        self.send.record_stream(StreamSample {
+            events: self.events_sent as u32,
+            stream_ms: self.last_sent_ms.saturating_sub(self.first_sent_ms),
+            longest_gap_ms: self.max_pause_ms,
+            gap_objective_ms: request.route.gap_objective_ms,
+        });
+    }
+
     /// Records the gap before the events sent at `now`.
     fn record_pause(&mut self, now: u64) {
+        if self.first_sent_ms == 0 {
+            self.first_sent_ms = now;
+        }
         if self.last_sent_ms > 0 {
             self.max_pause_ms = self.max_pause_ms.max(now.saturating_sub(self.last_sent_ms));
         }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -23,6 +23,7 @@
 };
 use comfreyhall_quarantine::Fingerprint;
 use comfreyhall_routing::{RetryBudget, admission};
+use comfreyhall_slots::SlotShare;
 use futures::Stream;
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
@@ -253,6 +254,24 @@
         self.deadline_ms.saturating_sub(self.node.now())
     }
 
+    /// Whose share of the adapter slots it uses.
+    pub(crate) fn slot_share(&self) -> SlotShare {
+        match self.caller.workspace() {
+            Some(workspace) => SlotShare::workspace(&workspace.name),
+            None => SlotShare::priority(self.route.priority),
+        }
+    }
+
+    /// Its identity over all attempts, as a number.
+    fn identity(&self) -> u64 {
+        let bytes = *self
+            .fingerprint()
+            .as_bytes()
+            .first_chunk()
+            .unwrap_or(&[0; 8]);
+        u64::from_le_bytes(bytes)
+    }
+
     async fn run(mut self) -> Reply {
         self.record_request();
         // Whether a lease holder has said that the wait in its group is too long.
@@ -297,6 +316,12 @@
                     return self.give_up("its adapter has no place", plan.wait_ms);
                 }
                 BindOutcome::None => continue,
+                BindOutcome::NoSlot { return_ms } => {
+                    if self.choose().is_none() {
+                        return self.give_up("no slot in time", return_ms as f64);
+                    }
+                    continue;
+                }
                 BindOutcome::TooLong(ms) => {
                     too_long = true;
                     if self.choose().is_none() {
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -21,6 +21,11 @@
     None,
     /// Its wait there would be too long, in ms.
     TooLong(u64),
+    /// No slot becomes free there in time.
+    NoSlot {
+        /// Ms after which one is expected for it.
+        return_ms: u64,
+    },
 }
 
 impl ActiveRequest {
@@ -66,6 +71,10 @@
             // The holder is skipped from now on; a send that needs no load can do
             // without it.
             Err(BindError::NoAnswer) if !plan.needs_load => BindOutcome::Engine,
+            Err(BindError::NoSlot { return_ms }) => {
+                self.exclude_group(&plan.target.failure_domain);
+                BindOutcome::NoSlot { return_ms }
+            }
             Err(BindError::TooLong(ms)) => {
                 self.exclude_group(&plan.target.failure_domain);
                 BindOutcome::TooLong(ms)
@@ -82,6 +91,9 @@
             run,
             group: plan.target.failure_domain.clone(),
             service: self.service.clone(),
+            route: self.route.name.clone(),
+            share: self.slot_share(),
+            identity: if may_wait { self.identity() } else { 0 },
             requirements: self.requirements.clone(),
             min_version: plan.min_version,
             priority: self.rank,
@@ -123,7 +135,12 @@
         plan.unread_tokens = binding.unread_tokens;
         plan.wait_ms = binding.wait_ms as f64;
         plan.granted = binding.granted;
-        plan.run_handle = Some(RunHandle::new(&self.node, run, target.clone()));
+        plan.run_handle = Some(RunHandle::new(
+            &self.node,
+            run,
+            target.clone(),
+            self.slot_share(),
+        ));
         plan.target = target;
         BindOutcome::Engine
     }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -168,7 +168,7 @@
     fn run_handle(&self, plan: &mut Plan) -> Option<RunHandle> {
         let new_handle = || {
             let run = self.node.fleet.next_run_id();
-            RunHandle::new(&self.node, run, plan.target.clone())
+            RunHandle::new(&self.node, run, plan.target.clone(), self.slot_share())
         };
         self.engine.as_ref()?;
         Some(plan.run_handle.take().unwrap_or_else(new_handle))
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -342,6 +342,7 @@
         kind,
         timeout_ms: 3_000,
         objective_ms: 300,
+        gap_objective_ms: None,
         priority: 0,
         shares: vec![TrafficShare {
             service: "s".into(),
@@ -407,6 +408,7 @@
         weights_mb: 100.0,
         adapter_slots: 1,
         load_rate: 1.0,
+        event_tokens: 1,
         models: vec![Model {
             name: "m".into(),
             weights_mb: 50.0,
@@ -474,6 +476,7 @@
         remaining_ms: Some(2_000),
         adapter: None,
         tokens: None,
+        expected_output: None,
         prompt_segments: Vec::new(),
         last_event_id: None,
         forwarded: ForwardedRequest {
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -560,6 +560,38 @@
     /// a receiver that lacks anything before it.
     #[prost(uint64, tag = "29")]
     pub settings_since: u64,
+    /// Slot time that the sender's runs have used lately in each group, by share.
+    #[prost(message, repeated, tag = "30")]
+    pub slot_use: ::prost::alloc::vec::Vec<SlotUse>,
+    /// From a holder: the pace of the engines of its groups.
+    #[prost(message, repeated, tag = "31")]
+    pub paces: ::prost::alloc::vec::Vec<EnginePace>,
+}
+/// Decayed slot time of one share of a group's adapter slots.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SlotUse {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub share: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub slot_ms: u64,
+}
+/// How fast an engine is, relative to the mean of its service; 1 is the mean and
+/// 2 takes twice as long.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EnginePace {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// Time to read a prompt.
+    #[prost(double, tag = "2")]
+    pub read: f64,
+    /// Time between two events of a stream.
+    #[prost(double, tag = "3")]
+    pub gap: f64,
+    /// Share of its streams that had a gap over the objective of their route.
+    #[prost(double, tag = "4")]
+    pub late_gaps: f64,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -654,6 +686,18 @@
     /// Whether the asker waits for a load; else it wants an answer at once.
     #[prost(bool, tag = "18")]
     pub may_wait: bool,
+    /// Whose share of the adapter slots it uses: a workspace, or a route priority.
+    #[prost(string, tag = "19")]
+    pub share: ::prost::alloc::string::String,
+    /// Name of its route.
+    #[prost(string, tag = "20")]
+    pub route: ::prost::alloc::string::String,
+    /// Output tokens that its caller expects; 0 for no estimate.
+    #[prost(uint32, tag = "21")]
+    pub expected_output: u32,
+    /// Identity of the request over all attempts of its caller; 0 if unknown.
+    #[prost(uint64, tag = "22")]
+    pub identity: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BindReply {
@@ -688,6 +732,10 @@
     /// Whether the target is limited and this run is granted a part of its limit.
     #[prost(bool, tag = "10")]
     pub granted: bool,
+    /// Ms after which the holder expects a slot for the request, if it has
+    /// rejected it for want of one; 0 otherwise.
+    #[prost(uint64, tag = "11")]
+    pub return_ms: u64,
 }
 /// A run at an engine, as its daemon tells.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -703,6 +751,12 @@
     /// Prompt tokens that the engine has not read yet.
     #[prost(uint64, tag = "4")]
     pub unread: u64,
+    /// Whose share of the adapter slots it uses.
+    #[prost(string, tag = "5")]
+    pub share: ::prost::alloc::string::String,
+    /// Ms since it was bound to the engine.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
 }
 /// What became of a run, or of a part of it.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -724,6 +778,17 @@
     pub good: f64,
     #[prost(double, tag = "7")]
     pub bad: f64,
+    /// Of a stream that has ended: the events received, the ms from the first to
+    /// the last of them, and the longest gap between two.
+    #[prost(uint32, tag = "8")]
+    pub stream_events: u32,
+    #[prost(uint64, tag = "9")]
+    pub stream_ms: u64,
+    #[prost(uint64, tag = "10")]
+    pub longest_gap_ms: u64,
+    /// Longest gap of a stream of its route that is in time; 0 if any is.
+    #[prost(uint64, tag = "11")]
+    pub gap_objective_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgressReport {
--- a/crates/comfreyhall-routing/src/lib.rs
+++ b/crates/comfreyhall-routing/src/lib.rs
@@ -3,7 +3,7 @@
 //! Everything here takes the time as an argument, in milliseconds of a
 //! monotonic clock, and does no I/O: [`TargetStats`] estimates how long a
 //! request would wait at each target, [`Residency`] tracks which target holds
-//! which adapter, [`PrefixIndex`] which prompt prefixes a target has cached,
+//! which adapter, [`PaceTable`] how fast each engine is, [`PrefixIndex`] which prompt prefixes a target has cached,
 //! [`selection`] compares targets, [`RetryBudget`] bounds retries across the
 //! fleet, and [`admission`] decides when to reject a request and when its
 //! caller should retry.
@@ -13,6 +13,7 @@
 mod duration;
 mod health;
 mod latency;
+mod pace;
 mod prefix;
 mod residency;
 pub mod selection;
@@ -21,6 +22,7 @@
 pub use budget::RetryBudget;
 pub use health::Health;
 pub use latency::{LatencyModel, SpeedFactor};
+pub use pace::{Pace, PaceTable, StreamSample};
 pub use prefix::PrefixIndex;
 pub use residency::{Presence, Residency};
 pub use target_stats::{TargetStats, Work};
--- a/crates/comfreyhall-routing/src/selection.rs
+++ b/crates/comfreyhall-routing/src/selection.rs
@@ -151,6 +151,20 @@
     holders.min_by_key(|t| rendezvous_rank(&key, t))
 }
 
+/// Rank of `target` for `key` where it has `weight` times the mean share of all
+/// keys; the lowest rank is preferred.
+pub fn weighted_rank(key: &str, target: &str, weight: f64) -> u64 {
+    let rank = rendezvous_rank(key, target);
+    if weight == 1.0 {
+        return rank;
+    }
+    // With an exponential distribution of rate `weight`, the minimum falls on
+    // each target with a probability in proportion to its weight.
+    let uniform = (rank as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    let drawn = -(1.0 - uniform).ln() / weight.max(f64::MIN_POSITIVE);
+    ((1.0 - (-drawn).exp()) * u64::MAX as f64) as u64
+}
+
 /// Rank of `target` for `key` by rendezvous hashing; the lowest rank is
 /// preferred.
 ///
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -144,6 +144,22 @@
     /// target.
     #[serde(rename = "patience")]
     pub abandon_silent: bool,
+    /// Scarce adapter slots are shared among workspaces, or among route
+    /// priorities where there are none, by max-min fairness; off: by priority and
+    /// arrival.
+    pub fair_slots: bool,
+    /// Engines get work in proportion to how fast they read prompts and stream;
+    /// off: all count as equally fast between events.
+    pub engine_pace: bool,
+    /// Loads go where the weights already are, whichever group that is; off: each
+    /// group loads its own copy.
+    pub weight_affinity: bool,
+    /// A quota coordinator that takes over continues from the usage that daemons
+    /// report; off: it lends nothing until its share of the quotas is confirmed.
+    pub quota_handover: bool,
+    /// The requests that one lost target makes suspect are bounded in number; off:
+    /// all of its runs are.
+    pub bounded_suspects: bool,
 }
 
 impl Default for Policies {
@@ -162,6 +178,11 @@
             prefer_local: true,
             load_window: true,
             abandon_silent: true,
+            fair_slots: true,
+            engine_pace: true,
+            weight_affinity: true,
+            quota_handover: true,
+            bounded_suspects: true,
         }
     }
 }
--- /dev/null
+++ b/crates/comfreyhall-slots/src/share.rs
@@ -0,0 +1,37 @@
+//! Whose share of the slots a request uses.
+
+use std::{fmt, sync::Arc};
+
+/// A share of the adapter slots: a workspace, or a route priority where callers
+/// need no key.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SlotShare(Arc<str>);
+
+impl SlotShare {
+    /// The share of `workspace`.
+    pub fn workspace(workspace: &str) -> Self {
+        Self(workspace.into())
+    }
+
+    /// The share of all routes with `priority`. It cannot be mistaken for a
+    /// workspace, as no workspace has an empty name.
+    pub fn priority(priority: u8) -> Self {
+        Self(format!("/{priority}").into())
+    }
+
+    /// The share with the text `name`, as received from another daemon.
+    pub fn from_wire(name: &str) -> Self {
+        Self(name.into())
+    }
+
+    /// Its text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SlotShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
