Bounded suspects: ends that many targets share hold no request back

Cause: when a quarter of the engines end at once, each of their runs became a suspect at every daemon, and a request that ran on three of them was held back.

Change: an end counts in full only if fewer than eight other targets ended within a second without the request, or fewer than under it; shared ends weigh half an early end, once per moment. Of the requests with a single such end 32 and one per target go to other daemons. Lines 'request suspect' are written by the observer, 20 a second. policies.bounded_suspects off: as before.

--- a/crates/comfreyhall-daemon/src/quarantine.rs
+++ b/crates/comfreyhall-daemon/src/quarantine.rs
@@ -224,14 +224,16 @@
     let now = app.now_ms();
     let mut state = app.inner.quarantine.state();
     let serial_before = state.quarantine.serial();
+    let own = evidence.observer == app.instance.id;
     let changes = state.quarantine.record(evidence, now);
     for change in &changes {
-        report_change(app, &state.quarantine, *change, now);
+        report_change(app, &state.quarantine, *change, own, now);
     }
     state.quarantine.serial() > serial_before
 }
 
-fn report_change(app: &App, quarantine: &Quarantine, change: Change, now: u64) {
+/// Logs and counts a change; `own`: by an observation of this daemon.
+fn report_change(app: &App, quarantine: &Quarantine, change: Change, own: bool, now: u64) {
     let (fingerprint, what) = match change {
         Change::Suspected(fingerprint) => (fingerprint, "is suspect"),
         Change::Quarantined(fingerprint) => (fingerprint, "is held back"),
@@ -250,7 +252,13 @@
         Change::Quarantined(_) => "held_back",
         Change::Released(_) => "let_go",
     });
-    log::warn!(target: "quarantine", "request {fingerprint} {what}: {}", target_ends.join("; "));
+    // The daemon that made the observation writes the line: when many engines end at
+    // once, every daemon hears of all their requests.
+    let level = match change {
+        Change::Suspected(_) if !own => log::Level::Debug,
+        _ => log::Level::Warn,
+    };
+    log::log!(target: "quarantine", level, "request {fingerprint} {what}: {}", target_ends.join("; "));
 }
 
 /// Starts the periodic exchange of evidence with one random peer.
@@ -265,7 +273,13 @@
             let now = app.now_ms();
             let changes = app.inner.quarantine.state().quarantine.expire(now);
             for change in changes {
-                report_change(&app, &app.inner.quarantine.state().quarantine, change, now);
+                report_change(
+                    &app,
+                    &app.inner.quarantine.state().quarantine,
+                    change,
+                    false,
+                    now,
+                );
             }
             let peer = app.inner.peers.keys().choose(&mut rand::rng()).cloned();
             if let Some(peer) = peer {
--- a/crates/comfreyhall-node/src/log_limit.rs
+++ b/crates/comfreyhall-node/src/log_limit.rs
@@ -38,6 +38,12 @@
         window.written += 1;
         Some(std::mem::take(&mut window.left_out))
     }
+
+    /// How many lines were left out since the last one.
+    pub(crate) fn take_left_out(&self) -> u64 {
+        let mut window = self.0.lock().expect("no holder of this lock panics");
+        std::mem::take(&mut window.left_out)
+    }
 }
 
 /// One limiter for each kind of frequent line.
@@ -51,6 +57,8 @@
     pub(crate) unavailable: LineLimiter,
     /// Responses in which a target announces something invalid.
     pub(crate) bad_notice: LineLimiter,
+    /// Requests under which a target ended.
+    pub(crate) suspect: LineLimiter,
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -34,6 +34,7 @@
     lease_changes: Counter<u64>,
     store_reads: Counter<u64>,
     quarantine: Counter<u64>,
+    suspects_left_out: Counter<u64>,
     target_notices: Counter<u64>,
     settings_bytes: Counter<u64>,
     settings_wait: Histogram<f64>,
@@ -73,6 +74,10 @@
                 "quarantine",
                 "requests that became suspect of ending targets, were held back or let go",
             ),
+            suspects_left_out: counter(
+                "suspects_left_out",
+                "requests that ended with many targets and that other daemons do not hear of",
+            ),
             target_notices: counter(
                 "target_notices",
                 "targets that began or ceased to say something of themselves, by what",
@@ -155,6 +160,10 @@
         self.quarantine.add(1, &[KeyValue::new("change", change)]);
     }
 
+    pub(crate) fn suspects_left_out(&self, requests: u64) {
+        self.suspects_left_out.add(requests, &[]);
+    }
+
     pub(crate) fn target_notice(&self, change: &'static str) {
         self.target_notices
             .add(1, &[KeyValue::new("change", change)]);
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -234,6 +234,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             fleet: Fleet::new(&settings),
+            quarantine: QuarantineTracker::new(settings.policies.bounded_suspects),
             settings: Mutex::new(Arc::new(settings)),
             source,
             backend,
@@ -242,7 +243,6 @@
             controllers: EngineControllers::default(),
             slots: SlotLedgers::default(),
             metrics: Metrics::new(),
-            quarantine: QuarantineTracker::default(),
             quotas: Quotas::new(QuotaKind::Workspaces),
             target_limits: Quotas::new(QuotaKind::Targets),
             log_limits: LogLimits::default(),
--- a/crates/comfreyhall-node/src/quarantine/log.rs
+++ b/crates/comfreyhall-node/src/quarantine/log.rs
@@ -27,8 +27,10 @@
         match change {
             Change::Suspected(fingerprint) => {
                 node.metrics.quarantine("suspect");
-                let evidence = ends(known.target_ends(fingerprint), now);
-                log::info!(target: "quarantine", fingerprint:%, evidence; "request suspect");
+                if let Some(left_out) = suspect_line(node, cause, now) {
+                    let evidence = ends(known.target_ends(fingerprint), now);
+                    log::info!(target: "quarantine", fingerprint:%, evidence, left_out; "request suspect");
+                }
             }
             Change::Quarantined(fingerprint) => {
                 node.metrics.quarantine("held_back");
@@ -45,6 +47,27 @@
     }
 }
 
+/// Whether to write a line about a suspect, and how many were left out before it.
+///
+/// When many targets end at once, each daemon hears of all their requests within
+/// a second: the daemon that made the finding writes the line.
+fn suspect_line(node: &Node, cause: Option<&Evidence>, now: u64) -> Option<u64> {
+    let settings = node.settings();
+    if !settings.policies.bounded_suspects {
+        return Some(0);
+    }
+    let own = cause.is_some_and(|e| e.observer == settings.id);
+    own.then(|| node.log_limits.suspect.take(now)).flatten()
+}
+
+/// Logs how many lines about suspects were left out since the last line.
+pub(super) fn left_out(node: &Node) {
+    let left_out = node.log_limits.suspect.take_left_out();
+    if left_out > 0 {
+        log::info!(target: "quarantine", left_out; "requests suspect, lines left out");
+    }
+}
+
 /// Describes a finding, its observer and its age.
 fn reason(evidence: &Evidence, now: u64) -> String {
     let age = now.saturating_sub(evidence.at_ms);
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -30,7 +30,6 @@
 const ENDED_TTL_MS: u64 = 10_000;
 
 /// Evidence on this daemon about requests that end targets.
-#[derive(Default)]
 pub(crate) struct QuarantineTracker {
     state: Mutex<State>,
     /// Wakes the task that notifies the other daemons.
@@ -88,6 +87,23 @@
 }
 
 impl QuarantineTracker {
+    /// One without evidence. `bounded`: ends that many targets share count less.
+    pub(crate) fn new(bounded: bool) -> Self {
+        let known = match bounded {
+            true => Quarantine::default(),
+            false => Quarantine::unbounded(),
+        };
+        let state = State {
+            known,
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+            found: Notify::new(),
+            resolved: Notify::new(),
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of this lock panics")
     }
@@ -231,9 +247,11 @@
 fn learn(node: &Node, evidence: Evidence) -> bool {
     let now = node.now();
     let mut state = node.quarantine.state();
-    let before = state.known.serial();
+    let (before, left_out) = (state.known.serial(), state.known.left_out());
     let changes = state.known.record(evidence.clone(), now);
     let new = state.known.serial() > before;
+    node.metrics
+        .suspects_left_out(state.known.left_out() - left_out);
     log::changes(node, &state.known, &changes, Some(&evidence), now);
     drop(state);
     if let Observation::TargetEnded { target, .. } = evidence.observation
@@ -251,6 +269,7 @@
 /// Removes outdated evidence.
 fn forget(node: &Node) {
     let now = node.now();
+    log::left_out(node);
     let mut state = node.quarantine.state();
     let changes: Vec<Change> = state.known.expire(now);
     log::changes(node, &state.known, &changes, None, now);
--- a/crates/comfreyhall-quarantine/src/attribution.rs
+++ b/crates/comfreyhall-quarantine/src/attribution.rs
@@ -12,10 +12,17 @@
 //! - The cause explains most ends in its time span. When targets are killed in
 //!   a row, an ordinary request that is retried again and again loses some of
 //!   them, while others end without it.
+//!
+//! Ends that many targets share count less ([`moment`](crate::moment)); without
+//! [`EndTimes`] all count in full.
 
 use comfreyhall_domain::{Map, Name, Set};
 
-use crate::{Fingerprint, case::Case};
+use crate::{
+    Fingerprint,
+    case::{Case, TargetEnd},
+    moment::EndTimes,
+};
 
 /// Targets that must have ended as they started a request for it to be
 /// quarantined. Each more than needed costs an engine and all that runs there.
@@ -43,65 +50,98 @@
 /// its time span: the pause between two crashes of a series.
 const TIME_MARGIN_MS: u64 = 1_000;
 
-/// The requests to be quarantined.
-pub(crate) fn quarantined(cases: &Map<Fingerprint, Case>) -> Set<Fingerprint> {
+/// The requests to be quarantined; `times` tells which ends are shared.
+pub(crate) fn quarantined(
+    cases: &Map<Fingerprint, Case>,
+    times: Option<&EndTimes>,
+) -> Set<Fingerprint> {
     let candidates = cases
         .iter()
-        .filter(|(_, c)| c.weight() >= QUARANTINE_WEIGHT);
-    let mut suspects: Vec<(&Fingerprint, &Case)> = candidates.collect();
+        .filter(|(_, c)| c.weight() >= QUARANTINE_WEIGHT)
+        .map(|(fingerprint, case)| Suspect {
+            fingerprint: *fingerprint,
+            case,
+            weight: weight(case, times, |_| true),
+        })
+        .filter(|s| s.weight >= QUARANTINE_WEIGHT);
+    let mut suspects: Vec<Suspect<'_>> = candidates.collect();
     // Requests of the same weight do not explain each other, so their order
     // decides nothing; the fingerprint makes it the same at every daemon.
-    suspects.sort_by_key(|(fingerprint, case)| (std::cmp::Reverse(case.weight()), **fingerprint));
+    suspects.sort_by_key(|s| (std::cmp::Reverse(s.weight), s.fingerprint));
     let end_times = match suspects.is_empty() {
         true => Map::default(),
-        false => end_times(cases),
+        false => end_times(cases, times),
     };
-    let mut quarantined: Vec<(&Fingerprint, &Case)> = Vec::new();
-    for (fingerprint, case) in suspects {
-        let needed_weight = match others_unexplained(case, &quarantined, &end_times) {
+    let mut quarantined: Vec<Suspect<'_>> = Vec::new();
+    for suspect in suspects {
+        let needed_weight = match others_unexplained(suspect.case, &quarantined, &end_times) {
             true => AMID_OTHERS_WEIGHT,
             false => QUARANTINE_WEIGHT,
         };
-        if unexplained(case, &quarantined) >= needed_weight || case.weight() >= CERTAIN_WEIGHT {
-            quarantined.push((fingerprint, case));
+        let unexplained = unexplained(&suspect, &quarantined, times);
+        if unexplained >= needed_weight || suspect.weight >= CERTAIN_WEIGHT {
+            quarantined.push(suspect);
         }
     }
-    quarantined
-        .into_iter()
-        .map(|(fingerprint, _)| *fingerprint)
-        .collect()
+    quarantined.into_iter().map(|s| s.fingerprint).collect()
+}
+
+/// A request with enough evidence to be examined.
+struct Suspect<'a> {
+    fingerprint: Fingerprint,
+    case: &'a Case,
+    weight: u32,
 }
 
-/// When each target ended.
-fn end_times(cases: &Map<Fingerprint, Case>) -> Map<&Name, u64> {
+/// Weight of those of the ends of `case` that `counted` selects.
+fn weight(case: &Case, times: Option<&EndTimes>, counted: impl Fn(&TargetEnd) -> bool) -> u32 {
+    match times {
+        Some(times) => times.weight(case, counted),
+        None => {
+            let counted = case.ends.iter().filter(|e| counted(e));
+            counted.map(TargetEnd::weight).sum()
+        }
+    }
+}
+
+/// When each target ended; not of those that ended with many others, which no
+/// request explains.
+fn end_times<'a>(
+    cases: &'a Map<Fingerprint, Case>,
+    times: Option<&EndTimes>,
+) -> Map<&'a Name, u64> {
     let all = cases.values().flat_map(|c| &c.ends);
-    all.map(|e| (&e.target, e.at_ms)).collect()
+    let all = all.map(|e| (&e.target, e.at_ms));
+    let mut all: Map<&Name, u64> = all.collect();
+    if let Some(times) = times {
+        all.retain(|target, at| !times.is_mass(times.of(target).unwrap_or(*at)));
+    }
+    all
 }
 
-/// Weight of the ends of `case` that no stronger one of `quarantined` explains.
-fn unexplained(case: &Case, quarantined: &[(&Fingerprint, &Case)]) -> u32 {
-    let stronger = || {
-        quarantined
-            .iter()
-            .filter(|(_, q)| q.weight() > case.weight())
-    };
-    let explained = |target| stronger().any(|(_, q)| q.ended_target(target));
-    let unexplained_ends = case.ends.iter().filter(|e| !explained(&e.target));
-    unexplained_ends.map(|e| e.weight()).sum()
+/// Weight of the ends of `suspect` that no stronger one of `quarantined` explains.
+fn unexplained(
+    suspect: &Suspect<'_>,
+    quarantined: &[Suspect<'_>],
+    times: Option<&EndTimes>,
+) -> u32 {
+    let stronger = || quarantined.iter().filter(|q| q.weight > suspect.weight);
+    let explained = |target: &Name| stronger().any(|q| q.case.ended_target(target));
+    weight(suspect.case, times, |e| !explained(&e.target))
 }
 
 /// Whether other targets ended in the time span of `case`, and nothing explains
 /// them.
 fn others_unexplained(
     case: &Case,
-    quarantined: &[(&Fingerprint, &Case)],
+    quarantined: &[Suspect<'_>],
     end_times: &Map<&Name, u64>,
 ) -> bool {
     let times = || case.ends.iter().map(|e| e.at_ms);
     let first = times().min().unwrap_or(0).saturating_sub(TIME_MARGIN_MS);
     let last = times().max().unwrap_or(0) + TIME_MARGIN_MS;
     let others = end_times.iter().filter(|(target, at)| {
-        let explained = || quarantined.iter().any(|(_, q)| q.ended_target(target));
+        let explained = || quarantined.iter().any(|q| q.case.ended_target(target));
         (first..=last).contains(*at) && !case.ended_target(target) && !explained()
     });
     others.count() > 0
--- a/crates/comfreyhall-quarantine/src/case.rs
+++ b/crates/comfreyhall-quarantine/src/case.rs
@@ -55,7 +55,8 @@
     pub observer: Name,
     /// Whether the request had just started to run there.
     pub early: bool,
-    /// Local sequence number of this observation.
+    /// Local sequence number of this observation; 0 if other daemons do not hear
+    /// of it.
     pub(crate) serial: u64,
 }
 
@@ -100,6 +101,22 @@
         self.ends.iter().map(|e| e.at_ms).max().unwrap_or(0)
     }
 
+    /// The ends that other daemons hear of.
+    pub(crate) fn told(&self) -> impl Iterator<Item = &TargetEnd> {
+        self.ends.iter().filter(|e| e.serial > 0)
+    }
+
+    /// Makes other daemons hear of all ends, once there are several; returns the
+    /// last sequence number used, from `serial` on.
+    pub(crate) fn tell_all(&mut self, mut serial: u64) -> u64 {
+        let several = self.ends.len() > 1;
+        for end in self.ends.iter_mut().filter(|e| several && e.serial == 0) {
+            serial += 1;
+            end.serial = serial;
+        }
+        serial
+    }
+
     /// Sum of the weights of all ends.
     pub(crate) fn weight(&self) -> u32 {
         self.ends.iter().map(TargetEnd::weight).sum()
@@ -110,19 +127,35 @@
         self.ends.iter().any(|e| e.target == *target)
     }
 
-    /// Adds a target that ended under it; returns whether that is new.
-    pub(crate) fn add_end(&mut self, end: TargetEnd) -> bool {
+    /// Adds a target that ended under it; returns whether that is new. `replace`
+    /// tells whether a case that is full drops its oldest end for a later one.
+    pub(crate) fn add_end(&mut self, end: TargetEnd, replace: bool) -> bool {
         let completed_since = self
             .completion
             .as_ref()
             .is_some_and(|c| c.at_ms >= end.at_ms);
-        if completed_since || self.ended_target(&end.target) || self.ends.len() >= MAX_CASE_ENDS {
+        if completed_since || self.ended_target(&end.target) {
+            return false;
+        }
+        if self.ends.len() >= MAX_CASE_ENDS && !(replace && self.drop_older(end.at_ms)) {
             return false;
         }
         self.ends.push(end);
         true
     }
 
+    /// Drops the oldest end if it is older than `at_ms`, whichever daemon tells
+    /// of it; returns whether it is.
+    fn drop_older(&mut self, at_ms: u64) -> bool {
+        let oldest = self.ends.iter().enumerate().min_by_key(|(_, e)| e.at_ms);
+        let oldest = oldest.map(|(i, e)| (i, e.at_ms + TIME_TOLERANCE_MS));
+        let Some((i, _)) = oldest.filter(|(_, until)| *until < at_ms) else {
+            return false;
+        };
+        self.ends.remove(i);
+        true
+    }
+
     /// Records that it completed; returns whether that is new.
     pub(crate) fn record_completion(&mut self, completion: Completion) -> bool {
         let before = self.ends.len();
--- a/crates/comfreyhall-quarantine/src/lib.rs
+++ b/crates/comfreyhall-quarantine/src/lib.rs
@@ -15,6 +15,7 @@
 mod attribution;
 mod case;
 mod fingerprint;
+mod moment;
 mod quarantine;
 mod wire;
 
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -6,6 +6,7 @@
     Fingerprint,
     attribution::{self, REQUIRED_ENDS},
     case::{Case, Completion, Evidence, Observation, TargetEnd},
+    moment::EndTimes,
 };
 
 /// How long evidence is kept after the last observation of a request. Such a
@@ -71,15 +72,45 @@
 }
 
 /// One daemon's evidence and the requests quarantined by it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
     cases: Map<Fingerprint, Case>,
     quarantined: Set<Fingerprint>,
     /// Sequence number of the newest observation.
     serial: u64,
+    /// `None` if ends that many targets share count in full.
+    times: Option<EndTimes>,
+    left_out: u64,
+}
+
+impl Default for Quarantine {
+    /// One in which ends that many targets share count less.
+    fn default() -> Self {
+        Self {
+            times: Some(EndTimes::default()),
+            ..Self::unbounded()
+        }
+    }
 }
 
 impl Quarantine {
+    /// One in which each end counts in full, however many targets ended with it.
+    pub fn unbounded() -> Self {
+        Self {
+            cases: Map::default(),
+            quarantined: Set::default(),
+            serial: 0,
+            times: None,
+            left_out: 0,
+        }
+    }
+
+    /// Observations that other daemons do not hear of, as many targets ended with
+    /// theirs.
+    pub fn left_out(&self) -> u64 {
+        self.left_out
+    }
+
     /// Whether nothing is known against any request.
     pub fn is_empty(&self) -> bool {
         self.cases.is_empty()
@@ -89,7 +120,7 @@
     pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
         self.cases
             .get(fingerprint)
-            .is_some_and(|c| !c.ends.is_empty())
+            .is_some_and(|c| c.told().next().is_some())
     }
 
     /// Whether `fingerprint` is quarantined, except for trials.
@@ -115,16 +146,26 @@
         }
         let fingerprint = evidence.fingerprint;
         let serial = self.serial + 1;
+        let ended_target = match &evidence.observation {
+            Observation::TargetEnded { target, .. } => Some(target.clone()),
+            Observation::Completed => None,
+        };
+        let earlier = match (&mut self.times, &ended_target) {
+            (Some(times), Some(target)) => times.record(target, evidence.at_ms),
+            _ => false,
+        };
+        let replace = self.times.is_some();
         let case = self.cases.entry(fingerprint).or_default();
         let (new, suspect) = match evidence.observation {
             Observation::TargetEnded { target, early } => {
-                let new = case.add_end(TargetEnd {
+                let end = TargetEnd {
                     target,
                     early,
                     at_ms: evidence.at_ms,
                     observer: evidence.observer,
                     serial,
-                });
+                };
+                let new = case.add_end(end, replace);
                 (new, new)
             }
             Observation::Completed => {
@@ -137,11 +178,18 @@
             }
         };
         if !new {
-            return Vec::new();
+            return match earlier {
+                true => self.reevaluate(),
+                false => Vec::new(),
+            };
         }
-        self.serial = serial;
+        let serial = case.tell_all(serial);
+        let left_out = ended_target.is_some_and(|t| self.leave_out(&t, fingerprint));
         let mut changes = Vec::new();
-        if suspect {
+        if !left_out {
+            self.serial = serial;
+        }
+        if suspect && !left_out {
             changes.push(Change::Suspected(fingerprint));
         }
         self.drop_excess();
@@ -154,6 +202,9 @@
         let before = self.cases.len();
         self.cases
             .retain(|_, c| now.saturating_sub(c.last_ms()) < EVIDENCE_TTL_MS);
+        if let Some(times) = &mut self.times {
+            times.expire(now.saturating_sub(EVIDENCE_TTL_MS));
+        }
         match self.cases.len() == before {
             true => Vec::new(),
             false => self.reevaluate(),
@@ -170,7 +221,7 @@
         else {
             return Status::Allowed;
         };
-        let Some(due) = trial_time_ms(case, rank) else {
+        let Some(due) = trial_time_ms(case, self.times.as_ref(), rank) else {
             let expires_at = case.last_end_ms() + EVIDENCE_TTL_MS;
             return quarantined_for(expires_at.saturating_sub(now));
         };
@@ -201,6 +252,20 @@
         (evidence_list.map(|(_, e)| e).collect(), last)
     }
 
+    /// Keeps to itself what is beyond the bound for requests that `target` and many
+    /// others ended with; returns whether `fingerprint` is one of them.
+    fn leave_out(&mut self, target: &Name, fingerprint: Fingerprint) -> bool {
+        let times = self.times.as_ref();
+        let excess = times.map_or(Vec::new(), |t| t.excess(&self.cases, target));
+        self.left_out += excess.len() as u64;
+        for left_out in &excess {
+            if let Some(case) = self.cases.get_mut(left_out) {
+                case.ends.iter_mut().for_each(|e| e.serial = 0);
+            }
+        }
+        excess.contains(&fingerprint)
+    }
+
     /// Drops the oldest cases beyond the bound, starting with those that are
     /// not quarantined.
     fn drop_excess(&mut self) {
@@ -220,7 +285,7 @@
 
     /// Reevaluates which requests are quarantined.
     fn reevaluate(&mut self) -> Vec<Change> {
-        let quarantined = attribution::quarantined(&self.cases);
+        let quarantined = attribution::quarantined(&self.cases, self.times.as_ref());
         let started = quarantined
             .difference(&self.quarantined)
             .map(|f| Change::Quarantined(*f));
@@ -247,8 +312,10 @@
 /// daemon may: a trial of the request that is the cause costs an engine and
 /// what runs there, and one that ended more targets than were needed has had
 /// its trial.
-fn trial_time_ms(case: &Case, rank: usize) -> Option<u64> {
-    let allowed = case.ends.len() <= REQUIRED_ENDS;
+fn trial_time_ms(case: &Case, times: Option<&EndTimes>, rank: usize) -> Option<u64> {
+    let is_shared = |end: &TargetEnd| times.is_some_and(|t| t.is_shared(case, end));
+    let alone = case.ends.iter().filter(|e| !is_shared(e)).count();
+    let allowed = alone <= REQUIRED_ENDS;
     allowed.then(|| case.last_end_ms() + TRIAL_DELAY_MS + rank as u64 * STAGGER_MS)
 }
 
@@ -263,7 +330,7 @@
         at_ms,
         observer: observer.clone(),
     };
-    let ends = case.ends.iter().map(move |e| {
+    let ends = case.told().map(move |e| {
         let observation = Observation::TargetEnded {
             target: e.target.clone(),
             early: e.early,
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -157,8 +157,8 @@
     /// A quota coordinator that takes over continues from the usage that daemons
     /// report; off: it lends nothing until its share of the quotas is confirmed.
     pub quota_handover: bool,
-    /// The requests that one lost target makes suspect are bounded in number; off:
-    /// all of its runs are.
+    /// When many targets end at once, a bounded number of requests becomes suspect
+    /// and none is held back for it; off: each end counts in full.
     pub bounded_suspects: bool,
 }
 
