--- a/crates/comfreyhall-workspace/src/granting.rs
+++ b/crates/comfreyhall-workspace/src/granting.rs
@@ -442,7 +442,7 @@
         self.links.get(group).map_or(u64::MAX, |l| l.last_answered)
     }
 
-    fn process_ended(&mut self, coordinator: &PeerProcess) {
+    fn process_ended(&mut self, coordinator: &PeerProcess, _now: u64) {
         for link in self.links.values_mut() {
             if link.coordinator.as_ref() == Some(coordinator) {
                 link.coordinator = None;
--- a/crates/comfreyhall-workspace/src/lending/account.rs
+++ b/crates/comfreyhall-workspace/src/lending/account.rs
@@ -24,6 +24,13 @@
 /// coordinator that takes over does not know what its predecessor has lent.
 const BONUS_FRACTION: f64 = 0.9;
 
+/// Fraction of the tolerance that an even flow uses; the rest covers credit
+/// that daemons hold and a coordinator that takes over does not know of.
+const EVEN_FRACTION: f64 = 0.85;
+
+/// Longest time for which credit accrues to a share that nobody lends, in s.
+pub(super) const MAX_UNLENT_S: f64 = 1.0;
+
 /// How long a refusal counts in the estimate of the retry delay, in ms.
 const UNMET_TTL_MS: u64 = 1_000;
 
@@ -33,6 +40,16 @@
 /// Number of intervals in which a window is counted.
 const WINDOW_INTERVALS: u64 = 80;
 
+/// How credit accrues at a coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Flow {
+    /// At one rate, into a bucket that starts empty.
+    Even,
+    /// The rate at once and the burst later, with a count of what was lent in
+    /// the last window.
+    Counted,
+}
+
 /// What a coordinator may lend of one quota.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LendingTerms {
@@ -40,6 +57,8 @@
     rate: f64,
     /// Bonus from the burst, in units per second in addition to the rate.
     bonus: f64,
+    /// Units per second that accrue to a share while nobody lends it.
+    unlent: f64,
     /// Maximum number of units that may be held unused.
     max_unused: f64,
     /// Maximum number of those units at daemons that no request needs.
@@ -51,12 +70,37 @@
 
 impl LendingTerms {
     /// The terms for a coordinator that lends `share` of `quota`.
-    pub(super) fn of(quota: &Quota, tolerance: &Tolerance, share: f64) -> Self {
+    pub(super) fn of(quota: &Quota, tolerance: &Tolerance, share: f64, flow: Flow) -> Self {
+        match flow {
+            Flow::Even => Self::even(quota, tolerance, share),
+            Flow::Counted => Self::counted(quota, tolerance, share),
+        }
+    }
+
+    fn even(quota: &Quota, tolerance: &Tolerance, share: f64) -> Self {
+        let tolerated = tolerance.tolerated_excess(quota);
+        let window_s = tolerance.window_ms as f64 / 1_000.0;
+        let excess = EVEN_FRACTION * tolerated;
+        let depth = quota.burst.max(excess);
+        let rate = (tolerance.allowed(quota) + excess - depth) / window_s;
+        Self {
+            rate,
+            bonus: 0.0,
+            unlent: rate.min(depth / MAX_UNLENT_S),
+            max_unused: depth * share,
+            max_prefetch: PREFETCH_FRACTION * tolerated * share,
+            window_limit: f64::INFINITY,
+            window_ms: tolerance.window_ms,
+        }
+    }
+
+    fn counted(quota: &Quota, tolerance: &Tolerance, share: f64) -> Self {
         let tolerated = tolerance.tolerated_excess(quota);
         let window_s = tolerance.window_ms as f64 / 1_000.0;
         Self {
             rate: quota.rate,
             bonus: quota.burst.min(BONUS_FRACTION * tolerated) / window_s,
+            unlent: 0.0,
             max_unused: (quota.burst + UNUSED_FRACTION * tolerated) * share,
             max_prefetch: PREFETCH_FRACTION * tolerated * share,
             window_limit: tolerance.allowed(quota) * share,
@@ -71,6 +115,8 @@
 pub(super) struct AccruedTime {
     pub(super) rate_s: f64,
     pub(super) bonus_s: f64,
+    /// The same for shares that nobody could lend for a while.
+    pub(super) unlent_s: f64,
 }
 
 /// What the coordinator has lent to one daemon, as far as it knows.
@@ -119,12 +165,13 @@
     fn accrue(&mut self, terms: &LendingTerms, accrued: AccruedTime) {
         let rate = (accrued.rate_s - self.credited_to.rate_s).max(0.0) * terms.rate;
         let bonus = (accrued.bonus_s - self.credited_to.bonus_s).max(0.0) * terms.bonus;
+        let unlent = (accrued.unlent_s - self.credited_to.unlent_s).max(0.0) * terms.unlent;
         self.credited_to = accrued;
         let unused = self.unused();
         if unused > terms.max_unused {
             self.balance = (self.balance - (unused - terms.max_unused)).max(0.0);
         } else {
-            self.balance += (rate + bonus).min(terms.max_unused - unused);
+            self.balance += (rate + bonus + unlent).min(terms.max_unused - unused);
         }
     }
 
--- a/crates/comfreyhall-workspace/src/lending/ledger.rs
+++ b/crates/comfreyhall-workspace/src/lending/ledger.rs
@@ -9,7 +9,7 @@
 
 use comfreyhall_protocol::Map;
 
-use super::account::{Account, AccruedTime, LendingTerms};
+use super::account::{Account, AccruedTime, Flow, LendingTerms, MAX_UNLENT_S};
 use crate::{
     FleetView, GrantLine, Name, PeerProcess, Quota, SettleReply, SettleRequest, Tolerance,
 };
@@ -45,6 +45,26 @@
     known_since_ms: u64,
 }
 
+impl DelegatedShare {
+    /// Whether the daemon is known for long enough; to a coordinator that has
+    /// just started, all are new.
+    fn counts(&self, uptime_ms: u64, now: u64) -> bool {
+        uptime_ms < MIN_KNOWN_MS || now.saturating_sub(self.known_since_ms) >= MIN_KNOWN_MS
+    }
+}
+
+/// Factor on the shares of `active_count` daemons.
+fn side_factor(fleet: FleetView, active_count: usize) -> f64 {
+    let members = fleet.members.max(1);
+    let partitioned = active_count * 2 < members || (fleet.stale && active_count < members);
+    match partitioned {
+        // The size of a share is not known yet.
+        _ if !fleet.confirmed => 0.0,
+        true => MINORITY_FACTOR,
+        false => 1.0,
+    }
+}
+
 /// All accounts of one group.
 #[derive(Debug, Default)]
 pub(super) struct Ledger {
@@ -107,20 +127,22 @@
 
     fn compute_lendable_share(&self, fleet: FleetView, uptime_ms: u64, now: u64) -> f64 {
         let active = self.shares.values().filter(|s| now < s.expires_at_ms);
-        let members = fleet.members.max(1);
         let active_count = active.clone().count();
-        // To a coordinator that has just started, all known daemons are new.
-        let known = |s: &&DelegatedShare| {
-            uptime_ms < MIN_KNOWN_MS || now.saturating_sub(s.known_since_ms) >= MIN_KNOWN_MS
-        };
-        let total: f64 = active.filter(known).map(|s| s.fraction).sum();
-        let partitioned = active_count * 2 < members || (fleet.stale && active_count < members);
-        match partitioned {
-            // The size of a share is not known yet.
-            _ if !fleet.confirmed => 0.0,
-            true => total.min(1.0) * MINORITY_FACTOR,
-            false => total.min(1.0),
-        }
+        let counted = active.filter(|s| s.counts(uptime_ms, now));
+        let total: f64 = counted.map(|s| s.fraction).sum();
+        total.min(1.0) * side_factor(fleet, active_count)
+    }
+
+    /// Credits the time for which nobody could lend the share of `request`.
+    fn credit_unlent(&mut self, request: &SettleRequest, context: &LedgerContext<'_>) {
+        let now = context.now;
+        let active = self.shares.values().filter(|s| now < s.expires_at_ms);
+        let active_count = active.count();
+        let share = self.shares.get(request.from.as_str());
+        let share = share.filter(|s| now < s.expires_at_ms && s.counts(context.uptime_ms, now));
+        let fraction = share.map_or(0.0, |s| s.fraction) * side_factor(context.fleet, active_count);
+        let unlent_s = (request.unlent_ms as f64 / 1_000.0).min(MAX_UNLENT_S);
+        self.accrued.unlent_s += fraction * unlent_s;
     }
 
     /// Accepts the share that a daemon assigns; false if a later request was
@@ -163,6 +185,9 @@
         let now = context.now;
         let in_order = self.accept_share(request, context.known_since_ms, now);
         self.advance(context.fleet, context.uptime_ms, now);
+        if in_order && request.unlent_ms > 0 {
+            self.credit_unlent(request, context);
+        }
         let from: Name = request.from.as_str().into();
         let lines = request.lines.iter().filter(|_| in_order).map(|line| {
             let Some(quota) = quota_of(&line.workspace) else {
@@ -171,7 +196,8 @@
                     ..GrantLine::default()
                 };
             };
-            let terms = LendingTerms::of(quota, context.tolerance, self.lendable_share);
+            let terms =
+                LendingTerms::of(quota, context.tolerance, self.lendable_share, context.flow);
             let name = line.workspace.as_str().into();
             let account = self.accounts.entry(name).or_default();
             account.settle(&from, line, &terms, self.accrued, now)
@@ -190,6 +216,7 @@
 pub(super) struct LedgerContext<'a> {
     pub(super) fleet: FleetView,
     pub(super) tolerance: &'a Tolerance,
+    pub(super) flow: Flow,
     /// Time since this daemon started, in ms.
     pub(super) uptime_ms: u64,
     /// Since when the calling daemon has been known.
--- a/crates/comfreyhall-workspace/src/lending/mod.rs
+++ b/crates/comfreyhall-workspace/src/lending/mod.rs
@@ -10,12 +10,15 @@
 mod account;
 mod credit;
 mod ledger;
+mod link;
 
 use comfreyhall_protocol::Map;
 
 use self::{
+    account::Flow,
     credit::CreditBalance,
     ledger::{Ledger, LedgerContext, QUORUM_SHARE},
+    link::{ClockReading, CoordinatorLink},
 };
 use crate::{
     FleetView, Name, PeerProcess, QuotaSnapshot, RateLimiter, ReserveOutcome, SettleReply,
@@ -33,63 +36,15 @@
 /// Minimum interval between calls that only borrow ahead, in ms.
 const PREFETCH_INTERVAL_MS: u64 = 120;
 
-/// Timeout of a call, in ms.
-const CALL_TIMEOUT_MS: u64 = 400;
-
 /// How long requests do not call a coordinator that did not answer, in ms.
 const BACKOFF_MS: u64 = 300;
 
-/// The coordinator that this daemon's share is assigned to.
-#[derive(Debug, Clone)]
-struct ShareAssignment {
-    coordinator: PeerProcess,
-    expires_at_ms: u64,
-}
-
-/// State of one group, as seen by a borrower.
-#[derive(Debug, Default)]
-struct CoordinatorLink {
-    coordinator: Option<PeerProcess>,
-    assigned: Option<ShareAssignment>,
-    /// The coordinator's clock as it last reported it.
-    last_clock: Option<(PeerProcess, u64)>,
-    serial: u64,
-    /// The last call that was answered or has failed.
-    last_answered: u64,
-    /// When the coordinator was last called; 0 for never.
-    called_at_ms: u64,
-    in_flight: bool,
-    /// Whether requests wait for an answer.
-    urgent: bool,
-    backoff_until_ms: u64,
-    /// Share of the quotas that the coordinator lends, and when it reported it.
-    lendable_share: f64,
-    updated_at_ms: u64,
-}
-
-impl CoordinatorLink {
-    /// Whether this daemon's share may be assigned to `coordinator`.
-    fn may_assign_to(&self, coordinator: &PeerProcess, now: u64) -> bool {
-        let assigned = self.assigned.as_ref();
-        assigned.is_none_or(|a| a.coordinator == *coordinator || now >= a.expires_at_ms)
-    }
-
-    fn assign_to(&mut self, coordinator: &PeerProcess, now: u64) {
-        self.assigned = Some(ShareAssignment {
-            coordinator: coordinator.clone(),
-            expires_at_ms: now + SHARE_TERM_MS,
-        });
-    }
-
-    fn is_busy(&self, now: u64) -> bool {
-        self.in_flight && now.saturating_sub(self.called_at_ms) < CALL_TIMEOUT_MS
-    }
-}
-
 /// Rate limiter that lends credit through a coordinator.
 pub struct LendingLimiter {
     local: PeerProcess,
     tolerance: Tolerance,
+    /// Whether a new coordinator goes on where the earlier one stopped.
+    handover: bool,
     started_at_ms: u64,
     fleet: FleetView,
     quotas: Map<Name, PlacedQuota>,
@@ -104,6 +59,7 @@
         Self {
             local,
             tolerance,
+            handover: true,
             started_at_ms: now,
             fleet: FleetView::default(),
             quotas: Map::default(),
@@ -113,6 +69,14 @@
         }
     }
 
+    /// Lets a new coordinator start with nothing but the rate, and counts what
+    /// was lent in each window.
+    #[must_use]
+    pub fn without_handover(mut self) -> Self {
+        self.handover = false;
+        self
+    }
+
     /// This daemon's share of every quota; 0 while the number of daemons is not
     /// known.
     fn share(&self) -> f64 {
@@ -132,10 +96,12 @@
         if link.coordinator.as_ref() != Some(&self.local) {
             return;
         }
-        let assigns = link.may_assign_to(&self.local, now);
-        if assigns {
-            link.assign_to(&self.local, now);
-        }
+        let nothing = self.handover && share <= 0.0;
+        let assigns = !nothing && link.may_assign_to(&self.local, now);
+        let unlent_ms = match assigns {
+            true => link.assign_to(&self.local, now, now),
+            false => 0,
+        };
         link.serial += 1;
         let request = SettleRequest {
             from: self.local.peer_addr.to_string(),
@@ -145,6 +111,7 @@
             share: if assigns { share } else { 0.0 },
             as_of: now,
             term_ms: SHARE_TERM_MS,
+            unlent_ms: known_unlent_ms(unlent_ms, self.started_at_ms, now),
             lines,
         };
         let reply = self.settle_with_ledger(&request, self.started_at_ms, now);
@@ -164,6 +131,10 @@
         let context = LedgerContext {
             fleet: self.fleet,
             tolerance: &self.tolerance,
+            flow: match self.handover {
+                true => Flow::Even,
+                false => Flow::Counted,
+            },
             uptime_ms: now.saturating_sub(self.started_at_ms),
             known_since_ms,
             now,
@@ -226,6 +197,13 @@
     }
 }
 
+/// Time in ms for which nobody could lend a share, as far as this process knows:
+/// until a term after its start, another may lend what its predecessor assigned.
+fn known_unlent_ms(unlent_ms: u64, started_at_ms: u64, now: u64) -> u64 {
+    let known_ms = now.saturating_sub(started_at_ms + SHARE_TERM_MS);
+    unlent_ms.min(known_ms)
+}
+
 /// Refusal of a request that finds no credit when there is nobody to ask.
 fn refuse(link: &CoordinatorLink, credit: &CreditBalance, now: u64) -> ReserveOutcome {
     let retry_ms = credit.retry_after_ms(now).unwrap_or(0);
@@ -265,20 +243,26 @@
                 link.coordinator = Some(coordinator.clone());
                 link.backoff_until_ms = 0;
                 link.lendable_share = 0.0;
-                let was_local = link
-                    .assigned
-                    .as_ref()
-                    .is_some_and(|a| a.coordinator == self.local);
-                if was_local && coordinator != self.local {
+                if self.handover {
+                    // A call to the earlier coordinator may take its timeout.
+                    link.in_flight = false;
+                    link.called_at_ms = 0;
+                }
+                if link.is_assigned_to(&self.local) && coordinator != self.local {
                     // The local ledger drops the share at once, so another
                     // coordinator may have it.
-                    link.assigned = None;
+                    link.free_share(&self.local, now);
                     if let Some(ledger) = self.ledgers.get_mut(&group) {
                         ledger.revoke_share(&self.local.peer_addr);
                     }
                 }
             }
-            self.settle_locally(&group, Vec::new(), now);
+            // The coordinator returns what it does not need, as all others do.
+            let lines = match self.handover && coordinator == self.local {
+                true => self.usage_lines(&group, now),
+                false => Vec::new(),
+            };
+            self.settle_locally(&group, lines, now);
         }
     }
 
@@ -312,6 +296,10 @@
         else {
             return usage_unknown;
         };
+        if self.handover && now < link.backoff_until_ms {
+            let retry_ms = link.backoff_until_ms - now;
+            return ReserveOutcome::UsageUnknown { retry_ms };
+        }
         if credit.retry_after_ms(now).is_some() || now < link.backoff_until_ms {
             return refuse(link, credit, now);
         }
@@ -351,17 +339,17 @@
     fn due_settlements(&mut self, now: u64) -> Vec<(Name, PeerProcess)> {
         let mut due = Vec::new();
         for (group, link) in &self.links {
+            // The share is revoked from an earlier coordinator, which may still
+            // be running.
+            let earlier = link.to_revoke(&self.local, now);
+            if let Some(earlier) = earlier.filter(|e| self.handover && !link.is_revoking(e, now)) {
+                due.push((group.clone(), earlier.clone()));
+            }
             if link.is_busy(now) {
                 continue;
             }
-            // The share is revoked from an earlier coordinator, which may still
-            // be running.
-            if let Some(assigned) = link.assigned.as_ref().filter(|a| {
-                now < a.expires_at_ms
-                    && a.coordinator != self.local
-                    && link.coordinator.as_ref() != Some(&a.coordinator)
-            }) {
-                due.push((group.clone(), assigned.coordinator.clone()));
+            if let Some(earlier) = earlier.filter(|_| !self.handover) {
+                due.push((group.clone(), earlier.clone()));
                 continue;
             }
             let Some(coordinator) = link.coordinator.as_ref().filter(|c| **c != self.local) else {
@@ -375,7 +363,12 @@
                     .any(|(w, c)| c.is_low(now) && in_group(w))
             };
             let needs_credit = link.urgent && now >= link.backoff_until_ms;
+            let assigns = self.handover
+                && self.share() > 0.0
+                && link.can_assign(now)
+                && now >= link.backoff_until_ms;
             if needs_credit
+                || assigns
                 || elapsed_ms >= RENEW_INTERVAL_MS
                 || (elapsed_ms >= PREFETCH_INTERVAL_MS && low())
             {
@@ -393,34 +386,42 @@
     ) -> SettleRequest {
         let share = self.share();
         let current = self.links.get(group).and_then(|l| l.coordinator.clone());
-        let lines = match current.as_ref() == Some(coordinator) {
+        let is_current = current.as_ref() == Some(coordinator);
+        let lines = match is_current {
             true => self.usage_lines(group, now),
             false => Vec::new(),
         };
         let link = self.links.entry(group.clone()).or_default();
         link.serial += 1;
-        link.called_at_ms = now;
-        link.in_flight = true;
-        link.urgent = false;
-        let last_clock = link
-            .last_clock
-            .as_ref()
-            .filter(|(from, _)| from == coordinator);
-        let last_clock = last_clock.map(|(_, clock)| *clock);
-        let assigns = current.as_ref() == Some(coordinator)
-            && last_clock.is_some()
-            && link.may_assign_to(coordinator, now);
-        if assigns {
-            link.assign_to(coordinator, now);
+        let last_clock = link.last_clock.clone();
+        let last_clock = last_clock.filter(|c| c.coordinator == *coordinator);
+        let nothing = self.handover && share <= 0.0;
+        let assigns =
+            is_current && !nothing && last_clock.is_some() && link.may_assign_to(coordinator, now);
+        if is_current || !self.handover {
+            link.called_at_ms = now;
+            link.in_flight = true;
+            link.urgent = false;
+        } else {
+            link.revoked = Some((coordinator.clone(), now));
         }
+        let from_ms = match &last_clock {
+            Some(clock) if self.handover => clock.heard_at_ms,
+            _ => now,
+        };
+        let unlent_ms = match assigns {
+            true => link.assign_to(coordinator, from_ms, now),
+            false => 0,
+        };
         SettleRequest {
             from: self.local.peer_addr.to_string(),
             boot: self.local.boot,
             serial: link.serial,
             group: group.to_string(),
             share: if assigns { share } else { 0.0 },
-            as_of: last_clock.unwrap_or(0),
+            as_of: last_clock.map_or(0, |c| c.clock_ms),
             term_ms: SHARE_TERM_MS,
+            unlent_ms: known_unlent_ms(unlent_ms, self.started_at_ms, now),
             lines,
         }
     }
@@ -445,6 +446,15 @@
         let Some(link) = self.links.get_mut(group) else {
             return;
         };
+        let is_current = link.coordinator.as_ref() == Some(coordinator);
+        if self.handover && !is_current {
+            // Only the answer to a revocation says that the share is free.
+            let revoked = link.is_revoking(coordinator, now);
+            if revoked && reply.is_some_and(|r| r.boot == coordinator.boot) {
+                link.free_share(coordinator, now);
+            }
+            return;
+        }
         link.in_flight = false;
         link.last_answered = link.serial;
         let Some(reply) = reply else {
@@ -455,16 +465,20 @@
             // Another process answers at this address: the one that was called
             // has ended.
             let coordinator = coordinator.clone();
-            self.process_ended(&coordinator);
+            self.process_ended(&coordinator, now);
             return;
         }
         link.backoff_until_ms = 0;
-        if link.coordinator.as_ref() != Some(coordinator) {
+        if !is_current {
             // The coordinator no longer lends on this daemon's behalf.
             link.assigned = None;
             return;
         }
-        link.last_clock = Some((coordinator.clone(), reply.clock_ms));
+        link.last_clock = Some(ClockReading {
+            coordinator: coordinator.clone(),
+            clock_ms: reply.clock_ms,
+            heard_at_ms: now,
+        });
         self.apply_reply(group, reply, now);
     }
 
@@ -472,15 +486,9 @@
         self.links.get(group).map_or(u64::MAX, |l| l.last_answered)
     }
 
-    fn process_ended(&mut self, coordinator: &PeerProcess) {
+    fn process_ended(&mut self, coordinator: &PeerProcess, now: u64) {
         for link in self.links.values_mut() {
-            if link
-                .assigned
-                .as_ref()
-                .is_some_and(|a| a.coordinator == *coordinator)
-            {
-                link.assigned = None;
-            }
+            link.free_share(coordinator, now);
         }
     }
 
--- a/crates/comfreyhall-workspace/src/lending/tests.rs
+++ b/crates/comfreyhall-workspace/src/lending/tests.rs
@@ -147,7 +147,7 @@
     let (mut borrower, _, now) = settled_pair();
     let mut other = daemon(3, 3, 2);
     update_fleet(&mut borrower, 3, 2, now);
-    borrower.process_ended(&process(1));
+    borrower.process_ended(&process(1), now);
     settle(&mut borrower, &mut other, now + 10);
     let request = borrower.settle_request(&"g".into(), &process(3), now + 20);
     assert_eq!(request.share, 0.5);
--- a/crates/comfreyhall-workspace/src/limiter.rs
+++ b/crates/comfreyhall-workspace/src/limiter.rs
@@ -94,6 +94,8 @@
     pub as_of: u64,
     /// Term of the share, in ms.
     pub term_ms: u64,
+    /// For how long nobody could lend the share before, in ms.
+    pub unlent_ms: u64,
     /// Workspaces with something to report.
     pub lines: Vec<UsageLine>,
 }
@@ -220,7 +222,7 @@
     fn last_answered(&self, group: &Name) -> u64;
 
     /// The process `coordinator` has ended.
-    fn process_ended(&mut self, coordinator: &PeerProcess);
+    fn process_ended(&mut self, coordinator: &PeerProcess, now: u64);
 
     /// What is known about the quota of `workspace`; for logs.
     fn snapshot(&self, workspace: &str, now: u64) -> QuotaSnapshot;
--- a/crates/comfreyhall-workspace/src/sharing.rs
+++ b/crates/comfreyhall-workspace/src/sharing.rs
@@ -290,7 +290,7 @@
         u64::MAX
     }
 
-    fn process_ended(&mut self, _coordinator: &PeerProcess) {}
+    fn process_ended(&mut self, _coordinator: &PeerProcess, _now: u64) {}
 
     fn snapshot(&self, workspace: &str, now: u64) -> QuotaSnapshot {
         let placed = self.quotas.get(workspace);
--- a/crates/comfreyhall-workspace/tests/fleet/mod.rs
+++ b/crates/comfreyhall-workspace/tests/fleet/mod.rs
@@ -52,6 +52,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
     Lending,
+    /// Lending without handover.
+    Counted,
     Sharing,
     Granting,
 }
@@ -150,6 +152,9 @@
 ) -> Box<dyn RateLimiter> {
     match policy {
         Policy::Lending => Box::new(LendingLimiter::new(local, tolerance, now)),
+        Policy::Counted => {
+            Box::new(LendingLimiter::new(local, tolerance, now).without_handover())
+        }
         Policy::Sharing => Box::new(SharingLimiter::new(local, tolerance)),
         Policy::Granting => Box::new(GrantingLimiter::new(local)),
     }
