--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -9,7 +9,7 @@
 use comfreyhall_telemetry::Exposition;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 
 /// Histogram boundaries for times to a first event and for load stalls, in
@@ -27,6 +27,9 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     workspace_refusals: Counter<u64>,
+    quota_starts: Counter<u64>,
+    quota_lent: Counter<f64>,
+    quota_held: Gauge<f64>,
     /// Workspaces that have a label of their own.
     labelled: Mutex<Set<String>>,
     adapter_loads: Counter<u64>,
@@ -65,6 +68,18 @@
                 "workspace_refusals",
                 "requests refused by the cap of their workspace",
             ),
+            quota_starts: counter(
+                "quota_starts",
+                "times that this daemon began to lend for most others, by what it knew",
+            ),
+            quota_lent: meter
+                .f64_counter("quota_lent")
+                .with_description("units lent to daemons as a quota coordinator")
+                .build(),
+            quota_held: meter
+                .f64_gauge("quota_held")
+                .with_description("units lent that daemons hold unused")
+                .build(),
             labelled: Mutex::default(),
             adapter_loads: counter("adapter_loads", "adapters loaded, by where from"),
             commands: counter("orders", "orders to engines by answer"),
@@ -120,6 +135,15 @@
         self.workspace_refusals.add(1, &labels);
     }
 
+    pub(crate) fn quota_start(&self, how: &'static str) {
+        self.quota_starts.add(1, &[KeyValue::new("how", how)]);
+    }
+
+    pub(crate) fn quota_credit(&self, lent: f64, held: f64) {
+        self.quota_lent.add(lent, &[]);
+        self.quota_held.record(held, &[]);
+    }
+
     pub(crate) fn send(&self, outcome: &'static str) {
         self.sends.add(1, &[KeyValue::new("how", outcome)]);
     }
--- a/crates/comfreyhall-node/src/outbound/limits.rs
+++ b/crates/comfreyhall-node/src/outbound/limits.rs
@@ -68,7 +68,14 @@
     {
         return Ok(None);
     }
-    let credit = quotas::reserve(node, QuotaKind::Targets, &target.id, 1).await;
+    let credit = quotas::reserve(
+        node,
+        QuotaKind::Targets,
+        &target.id,
+        1,
+        QuotaKind::Targets.answer_ms(),
+    )
+    .await;
     credit.map(Some)
 }
 
--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -50,7 +50,7 @@
     /// Longest wait of a request for a coordinator's answer, in ms: it takes a
     /// few ms, and some tens on a busy core. A request that gets no credit of
     /// one target can use others.
-    fn answer_ms(self) -> u64 {
+    pub(crate) fn answer_ms(self) -> u64 {
         match self {
             QuotaKind::Workspaces => 250,
             QuotaKind::Targets => 100,
@@ -236,31 +236,54 @@
     };
     let me = own_home(node);
     match settings.quotas.mode {
-        QuotaMode::Lending => Box::new(LendingLimiter::new(me, tolerance, clock::now())),
+        QuotaMode::Lending => {
+            let limiter = LendingLimiter::new(me, tolerance, clock::now());
+            match settings.policies.quota_handover {
+                true => Box::new(limiter),
+                false => Box::new(limiter.without_handover()),
+            }
+        }
         QuotaMode::Sharing => Box::new(SharingLimiter::new(me, tolerance)),
     }
 }
 
-/// Reserves credit of `size` units of `name` for a request.
+/// Longest wait of a request while the use of its workspace is not known, in ms:
+/// a new coordinator learns it in about a second.
+const MAX_UNKNOWN_WAIT_MS: u64 = 1_500;
+
+/// Part of a request's remaining time that it may wait for that.
+const UNKNOWN_WAIT_PART: u64 = 4;
+
+/// How long a request with `left_ms` to its deadline may wait until the use of
+/// its workspace is known, in ms.
+pub(crate) fn unknown_wait_ms(node: &Node, left_ms: u64) -> u64 {
+    let shortest = QuotaKind::Workspaces.answer_ms();
+    match node.settings().policies.quota_handover {
+        true => (left_ms / UNKNOWN_WAIT_PART).clamp(shortest, MAX_UNKNOWN_WAIT_MS),
+        false => shortest,
+    }
+}
+
+/// Reserves credit of `size` units of `name` for a request, which may wait for
+/// `wait_ms` for a coordinator.
 pub(crate) async fn reserve(
     node: &Arc<Node>,
     kind: QuotaKind,
     name: &Name,
     size: u64,
+    wait_ms: u64,
 ) -> Result<Credit, QuotaError> {
     let quotas = node.quotas_of(kind);
     let began = node.now();
     if let Some(limiter) = &mut quotas.state().limiter {
         limiter.record_demand(name, size, began);
     }
-    let until = began + kind.answer_ms();
+    let until = began + wait_ms;
     loop {
         let now = node.now();
         let outcome = match &mut quotas.state().limiter {
             Some(limiter) => limiter.try_reserve(name, size, now),
-            None => ReserveOutcome::UsageUnknown {
-                retry_ms: kind.answer_ms(),
-            },
+            None => ReserveOutcome::UsageUnknown { retry_ms: wait_ms },
         };
         match outcome {
             ReserveOutcome::Granted => return Ok(Credit::new(node, kind, name, size)),
--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -29,6 +29,7 @@
                 let quotas = node.quotas_of(kind);
                 if quotas.in_use() {
                     refresh_members(&node, quotas);
+                    report(&node, quotas);
                     settle_due(&node, kind);
                 }
             }
@@ -40,6 +41,29 @@
     });
 }
 
+/// Logs and counts what this daemon does as a coordinator.
+fn report(node: &Node, quotas: &Quotas) {
+    let Some(report) = quotas.state().limiter.as_mut().map(|l| l.take_report()) else {
+        return;
+    };
+    for (group, start) in report.starts {
+        // Whether it lends what nobody lent before, or starts with nothing.
+        let how = match start.unlent_s > 0.0 {
+            true => "known",
+            false => "bounded",
+        };
+        node.metrics.quota_start(how);
+        let (lends, unlent_ms) = (
+            (start.share * 100.0) as u64,
+            (start.unlent_s * 1_000.0) as u64,
+        );
+        log::info!(target: "caps", group:%, how, lends, unlent_ms; "lending");
+    }
+    if quotas.kind == QuotaKind::Workspaces {
+        node.metrics.quota_credit(report.granted, report.held);
+    }
+}
+
 /// Coordinators and fleet size, as passed to the limiter.
 pub(super) struct Coordinators {
     pub(super) by_group: Map<Name, PeerProcess>,
@@ -169,7 +193,7 @@
     if let Some(limiter) = &mut quotas.state().limiter {
         limiter.handle_reply(&group, &coordinator, reply.as_ref(), now);
         if ended {
-            limiter.process_ended(&coordinator);
+            limiter.process_ended(&coordinator, now);
         }
     }
     quotas.answered.notify_waiters();
--- a/crates/comfreyhall-node/src/quotas/wire.rs
+++ b/crates/comfreyhall-node/src/quotas/wire.rs
@@ -36,6 +36,7 @@
         share: call.share,
         as_of: call.as_of,
         term_ms: call.term_ms,
+        unlent_ms: call.unlent_ms,
         lines: lines.collect(),
         of: match kind {
             QuotaKind::Workspaces => CapsOf::Workspaces,
@@ -68,6 +69,7 @@
         share: valid_units(call.share),
         as_of: call.as_of,
         term_ms: call.term_ms,
+        unlent_ms: call.unlent_ms,
         lines: lines.collect(),
     }
 }
--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -142,7 +142,9 @@
         let tokens = tokens.map(|t| u64::from(t.prompt) + u64::from(t.max_output));
         let size = quota.cost(tokens);
         self.node.quotas.sync_config(&self.node, config);
-        match quotas::reserve(&self.node, QuotaKind::Workspaces, &workspace.name, size).await {
+        let kind = QuotaKind::Workspaces;
+        let wait_ms = quotas::unknown_wait_ms(&self.node, self.remaining_ms());
+        match quotas::reserve(&self.node, kind, &workspace.name, size, wait_ms).await {
             Ok(credit) => {
                 self.credit = Some(credit);
                 None
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -842,6 +842,9 @@
     /// What targets of the group told the daemon itself, and which leave.
     #[prost(message, repeated, tag = "10")]
     pub words: ::prost::alloc::vec::Vec<TargetWord>,
+    /// For how long nobody could lend the share before this call, in ms.
+    #[prost(uint64, tag = "11")]
+    pub unlent_ms: u64,
 }
 /// What a target says of itself.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/comfreyhall-workspace/src/lending/account.rs
+++ b/crates/comfreyhall-workspace/src/lending/account.rs
@@ -147,7 +147,8 @@
         self.loans.retain(|from, _| keep(from));
     }
 
-    fn held(&self) -> f64 {
+    /// Units that daemons hold unused and that no request has reserved.
+    pub(super) fn held(&self) -> f64 {
         self.loans.values().map(|l| l.held).sum()
     }
 
--- a/crates/comfreyhall-workspace/src/lending/ledger.rs
+++ b/crates/comfreyhall-workspace/src/lending/ledger.rs
@@ -11,7 +11,8 @@
 
 use super::account::{Account, AccruedTime, Flow, LendingTerms, MAX_UNLENT_S};
 use crate::{
-    FleetView, GrantLine, Name, PeerProcess, Quota, SettleReply, SettleRequest, Tolerance,
+    FleetView, GrantLine, LendingStart, Name, PeerProcess, Quota, SettleReply, SettleRequest,
+    Tolerance,
 };
 
 /// How long a daemon must have been known before its share counts, in ms: until
@@ -74,6 +75,10 @@
     lendable_share: f64,
     /// Since when it has lent enough to know total use; 0 if it does not.
     quorum_since_ms: u64,
+    /// How it started to know total use, if that was not reported yet.
+    start: Option<LendingStart>,
+    /// Units granted since the last report.
+    granted: f64,
     advanced_at_ms: u64,
 }
 
@@ -83,6 +88,19 @@
         self.accounts.retain(|name, _| keep(name));
     }
 
+    /// Units that daemons hold unused.
+    pub(super) fn units_held(&self) -> f64 {
+        self.accounts.values().map(Account::held).sum()
+    }
+
+    pub(super) fn take_granted(&mut self) -> f64 {
+        std::mem::take(&mut self.granted)
+    }
+
+    pub(super) fn take_start(&mut self) -> Option<LendingStart> {
+        self.start.take()
+    }
+
     /// Advances to `now` with the shares that are still valid.
     pub(super) fn advance(&mut self, fleet: FleetView, uptime_ms: u64, now: u64) {
         let elapsed_s = now.saturating_sub(self.advanced_at_ms) as f64 / 1_000.0;
@@ -91,7 +109,13 @@
         self.forget(now);
         self.quorum_since_ms = match (self.lendable_share >= QUORUM_SHARE, self.quorum_since_ms) {
             (false, _) => 0,
-            (true, 0) => now,
+            (true, 0) => {
+                self.start = Some(LendingStart {
+                    share: self.lendable_share,
+                    unlent_s: self.accrued.unlent_s,
+                });
+                now
+            }
             (true, since_ms) => since_ms,
         };
         if self.advanced_at_ms > 0 {
@@ -200,7 +224,9 @@
                 LendingTerms::of(quota, context.tolerance, self.lendable_share, context.flow);
             let name = line.workspace.as_str().into();
             let account = self.accounts.entry(name).or_default();
-            account.settle(&from, line, &terms, self.accrued, now)
+            let settled = account.settle(&from, line, &terms, self.accrued, now);
+            self.granted += settled.grant;
+            settled
         });
         let lines = lines.collect();
         SettleReply {
--- a/crates/comfreyhall-workspace/src/lending/link.rs
+++ b/crates/comfreyhall-workspace/src/lending/link.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub(super) struct CoordinatorLink {
     pub(super) coordinator: Option<PeerProcess>,
+    /// When it became the coordinator.
+    pub(super) changed_at_ms: u64,
     pub(super) assigned: Option<ShareAssignment>,
     pub(super) last_clock: Option<ClockReading>,
     /// The earlier coordinator that was told that its share ends, and when.
@@ -119,6 +121,12 @@
         coordinator.is_some_and(|c| !self.is_assigned_to(c) && self.may_assign_to(c, now))
     }
 
+    /// Whether the daemons may still be assigning their shares to a new
+    /// coordinator.
+    pub(super) fn is_settling(&self, now: u64) -> bool {
+        now.saturating_sub(self.changed_at_ms) < 2 * SHARE_TERM_MS
+    }
+
     pub(super) fn is_busy(&self, now: u64) -> bool {
         self.in_flight && now.saturating_sub(self.called_at_ms) < CALL_TIMEOUT_MS
     }
--- a/crates/comfreyhall-workspace/src/lending/mod.rs
+++ b/crates/comfreyhall-workspace/src/lending/mod.rs
@@ -21,8 +21,8 @@
     link::{ClockReading, CoordinatorLink},
 };
 use crate::{
-    FleetView, Name, PeerProcess, QuotaSnapshot, RateLimiter, ReserveOutcome, SettleReply,
-    SettleRequest, Tolerance, UsageLine, limiter::PlacedQuota,
+    FleetView, LendingReport, Name, PeerProcess, QuotaSnapshot, RateLimiter, ReserveOutcome,
+    SettleReply, SettleRequest, Tolerance, UsageLine, limiter::PlacedQuota,
 };
 
 /// How long a share assigned to a coordinator stays there, in ms. Two renewals
@@ -77,6 +77,11 @@
         self
     }
 
+    fn units_held(&self) -> f64 {
+        let held = |l: &Ledger| l.units_held();
+        self.ledgers.values().map(held).sum()
+    }
+
     /// This daemon's share of every quota; 0 while the number of daemons is not
     /// known.
     fn share(&self) -> f64 {
@@ -178,7 +183,7 @@
         };
         match credit.reserve(size) {
             true => ReserveOutcome::Granted,
-            false => refuse(link, credit, now),
+            false => refuse(link, credit, self.handover, now),
         }
     }
 
@@ -205,11 +210,20 @@
 }
 
 /// Refusal of a request that finds no credit when there is nobody to ask.
-fn refuse(link: &CoordinatorLink, credit: &CreditBalance, now: u64) -> ReserveOutcome {
+fn refuse(
+    link: &CoordinatorLink,
+    credit: &CreditBalance,
+    handover: bool,
+    now: u64,
+) -> ReserveOutcome {
     let retry_ms = credit.retry_after_ms(now).unwrap_or(0);
     if link.lendable_share >= QUORUM_SHARE {
         return ReserveOutcome::OverQuota { retry_ms };
     }
+    if handover && link.is_settling(now) {
+        let retry_ms = retry_ms.max(RENEW_INTERVAL_MS);
+        return ReserveOutcome::UsageUnknown { retry_ms };
+    }
     let expires_at_ms = link.assigned.as_ref().map_or(0, |a| a.expires_at_ms);
     ReserveOutcome::UsageUnknown {
         retry_ms: retry_ms.max(expires_at_ms.saturating_sub(now)),
@@ -247,6 +261,7 @@
                     // A call to the earlier coordinator may take its timeout.
                     link.in_flight = false;
                     link.called_at_ms = 0;
+                    link.changed_at_ms = now;
                 }
                 if link.is_assigned_to(&self.local) && coordinator != self.local {
                     // The local ledger drops the share at once, so another
@@ -301,7 +316,7 @@
             return ReserveOutcome::UsageUnknown { retry_ms };
         }
         if credit.retry_after_ms(now).is_some() || now < link.backoff_until_ms {
-            return refuse(link, credit, now);
+            return refuse(link, credit, self.handover, now);
         }
         credit.add_need(size);
         link.urgent = true;
@@ -486,6 +501,20 @@
         self.links.get(group).map_or(u64::MAX, |l| l.last_answered)
     }
 
+    fn take_report(&mut self) -> LendingReport {
+        let held = self.units_held();
+        let mut report = LendingReport {
+            held,
+            ..LendingReport::default()
+        };
+        for (group, ledger) in &mut self.ledgers {
+            report.granted += ledger.take_granted();
+            let start = ledger.take_start();
+            report.starts.extend(start.map(|s| (group.clone(), s)));
+        }
+        report
+    }
+
     fn process_ended(&mut self, coordinator: &PeerProcess, now: u64) {
         for link in self.links.values_mut() {
             link.free_share(coordinator, now);
--- a/crates/comfreyhall-workspace/src/lib.rs
+++ b/crates/comfreyhall-workspace/src/lib.rs
@@ -25,8 +25,8 @@
 pub use key::{KeyHash, KeyHasher, PresentedKey, Salt};
 pub use lending::LendingLimiter;
 pub use limiter::{
-    FleetView, GrantLine, PeerProcess, PlacedQuota, QuotaSnapshot, RateLimiter, ReserveOutcome,
-    SettleReply, SettleRequest, UsageLine, coordinator_group,
+    FleetView, GrantLine, LendingReport, LendingStart, PeerProcess, PlacedQuota, QuotaSnapshot,
+    RateLimiter, ReserveOutcome, SettleReply, SettleRequest, UsageLine, coordinator_group,
 };
 pub use quota::{Quota, QuotaUnit, Tolerance};
 pub use sharing::SharingLimiter;
--- a/crates/comfreyhall-workspace/src/limiter.rs
+++ b/crates/comfreyhall-workspace/src/limiter.rs
@@ -150,6 +150,28 @@
     pub demand: f64,
 }
 
+/// How a coordinator started to lend.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LendingStart {
+    /// Share of the quotas that it lends.
+    pub share: f64,
+    /// Time for which nobody had lent before, weighted by share, in s: it lends
+    /// what accrued then, and nothing if it is 0.
+    pub unlent_s: f64,
+}
+
+/// What this daemon lent as a coordinator since the last report; for metrics and
+/// logs.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct LendingReport {
+    /// Groups in which it began to know total use.
+    pub starts: Vec<(Name, LendingStart)>,
+    /// Units granted.
+    pub granted: f64,
+    /// Units that daemons hold unused now.
+    pub held: f64,
+}
+
 /// Enforces quotas on one daemon, in cooperation with its peers.
 pub trait RateLimiter: Send {
     /// Applies the workspaces of a new configuration, distributed over
@@ -224,6 +246,11 @@
     /// The process `coordinator` has ended.
     fn process_ended(&mut self, coordinator: &PeerProcess, now: u64);
 
+    /// What was lent as a coordinator since the last call.
+    fn take_report(&mut self) -> LendingReport {
+        LendingReport::default()
+    }
+
     /// What is known about the quota of `workspace`; for logs.
     fn snapshot(&self, workspace: &str, now: u64) -> QuotaSnapshot;
 
--- a/crates/comfreyhall-workspace/tests/fleet/mod.rs
+++ b/crates/comfreyhall-workspace/tests/fleet/mod.rs
@@ -152,9 +152,7 @@
 ) -> Box<dyn RateLimiter> {
     match policy {
         Policy::Lending => Box::new(LendingLimiter::new(local, tolerance, now)),
-        Policy::Counted => {
-            Box::new(LendingLimiter::new(local, tolerance, now).without_handover())
-        }
+        Policy::Counted => Box::new(LendingLimiter::new(local, tolerance, now).without_handover()),
         Policy::Sharing => Box::new(SharingLimiter::new(local, tolerance)),
         Policy::Granting => Box::new(GrantingLimiter::new(local)),
     }
--- a/crates/comfreyhall-workspace/tests/rush.rs
+++ b/crates/comfreyhall-workspace/tests/rush.rs
@@ -40,9 +40,25 @@
         world.demand = vec![3.3, 0.55];
         let spans = run_spans(&mut world, 0, 8);
         let mean = spans.iter().sum::<f64>() / spans.len() as f64;
-        println!("{:?}", spans.iter().map(|s| (s / mean * 100.0) as i64).collect::<Vec<_>>());
-        println!("of cap {:?}", spans.iter().map(|s| (s / (LARGE * 2.25) * 100.0) as i64).collect::<Vec<_>>());
-        println!("refused small {} of {}", world.refused[1] + world.unknown[1], world.requested[1]);
+        println!(
+            "{:?}",
+            spans
+                .iter()
+                .map(|s| (s / mean * 100.0) as i64)
+                .collect::<Vec<_>>()
+        );
+        println!(
+            "of cap {:?}",
+            spans
+                .iter()
+                .map(|s| (s / (LARGE * 2.25) * 100.0) as i64)
+                .collect::<Vec<_>>()
+        );
+        println!(
+            "refused small {} of {}",
+            world.refused[1] + world.unknown[1],
+            world.requested[1]
+        );
     }
 }
 
@@ -51,17 +67,33 @@
 fn cut_keeps_quota() {
     for seed in 0..2 {
         for away in [13, 20] {
-        let mut world = usual(seed);
-        world.demand = vec![3.3, 0.55];
-        world.run(8_000);
-        let cut = 40 - away;
-        world.partition(0, |d| d >= cut);
-        let spans = run_spans(&mut world, 0, 8);
-        println!("cut {away}: of cap {:?}", spans.iter().map(|s| (s / (LARGE * 2.25) * 100.0) as i64).collect::<Vec<_>>());
-        world.partition(0, |_| false);
-        let spans = run_spans(&mut world, 0, 4);
-        println!("healed: of cap {:?}", spans.iter().map(|s| (s / (LARGE * 2.25) * 100.0) as i64).collect::<Vec<_>>());
-        println!("refused small {} of {}", world.refused[1] + world.unknown[1], world.requested[1]);
+            let mut world = usual(seed);
+            world.demand = vec![3.3, 0.55];
+            world.run(8_000);
+            let cut = 40 - away;
+            world.partition(0, |d| d >= cut);
+            let spans = run_spans(&mut world, 0, 8);
+            println!(
+                "cut {away}: of cap {:?}",
+                spans
+                    .iter()
+                    .map(|s| (s / (LARGE * 2.25) * 100.0) as i64)
+                    .collect::<Vec<_>>()
+            );
+            world.partition(0, |_| false);
+            let spans = run_spans(&mut world, 0, 4);
+            println!(
+                "healed: of cap {:?}",
+                spans
+                    .iter()
+                    .map(|s| (s / (LARGE * 2.25) * 100.0) as i64)
+                    .collect::<Vec<_>>()
+            );
+            println!(
+                "refused small {} of {}",
+                world.refused[1] + world.unknown[1],
+                world.requested[1]
+            );
         }
     }
 }
@@ -71,12 +103,19 @@
 fn restart_of_all_keeps_lending() {
     for seed in 0..2 {
         let mut world = usual(seed);
-        for d in 0..40 { world.restart(d); }
+        for d in 0..40 {
+            world.restart(d);
+        }
         let unknown = world.unknown.clone();
         for _ in 0..8 {
             let (a, b, c) = (world.unknown[0], world.refused[0], world.requested[0]);
             world.run(500);
-            println!("restart: unknown {} refused {} of {}", world.unknown[0] - a, world.refused[0] - b, world.requested[0] - c);
+            println!(
+                "restart: unknown {} refused {} of {}",
+                world.unknown[0] - a,
+                world.refused[0] - b,
+                world.requested[0] - c
+            );
         }
         println!("small unknown {}", world.unknown[1] - unknown[1]);
     }
