Lend credit evenly, and let a new quota coordinator go on

A rush found burst, half of the tolerance and bonus at once, more than a window allows: the window was full after 6 to 7 s and opened in the same rhythm. After a cut, what was lent to all filled the window of the remaining shares. After the loss of a coordinator every unanswered call prolonged the term of the share, and only the lost one was called until it ended.

--- a/crates/comfreyhall-workspace/src/lending/tests.rs
+++ b/crates/comfreyhall-workspace/src/lending/tests.rs
@@ -220,3 +220,85 @@
         "{outcome:?}"
     );
 }
+
+/// Guards against waiting for terms that calls to a lost coordinator prolong.
+#[test]
+fn settle_request_unanswered_call_does_not_prolong_term() {
+    let (mut borrower, _, now) = settled_pair();
+    let group: Name = "g".into();
+    for later in [400, 800, 1_200] {
+        borrower.settle_request(&group, &process(1), now + later);
+        borrower.handle_reply(&group, &process(1), None, now + later + 300);
+    }
+    let mut other = daemon(3, 3, 2);
+    update_fleet(&mut borrower, 3, 2, now + 1_490);
+    settle(&mut borrower, &mut other, now + 1_490);
+    let request = borrower.settle_request(&group, &process(3), now + SHARE_TERM_MS);
+    assert_eq!(request.share, 0.5);
+}
+
+/// Guards against a share that two coordinators lend, because a call that
+/// assigned it to the first was answered after the second was known.
+#[test]
+fn handle_reply_late_answer_frees_no_share() {
+    let (mut borrower, mut lender, now) = settled_pair();
+    let group: Name = "g".into();
+    let assigning = borrower.settle_request(&group, &process(1), now);
+    let mut other = daemon(3, 3, 2);
+    update_fleet(&mut borrower, 3, 2, now);
+    let reply = lender.handle_settle(&assigning, 1, now + 10);
+    borrower.handle_reply(&group, &process(1), Some(&reply), now + 10);
+    settle(&mut borrower, &mut other, now + 20);
+    let request = borrower.settle_request(&group, &process(3), now + 30);
+    assert_eq!(request.share, 0.0);
+}
+
+/// Guards against a new coordinator that starts with nothing, although nobody
+/// lent for a while.
+#[test]
+fn handle_settle_credits_time_without_coordinator() {
+    let (mut borrower, _, now) = settled_pair();
+    let later = now + SHARE_TERM_MS + 1_000;
+    let mut other = daemon(3, 3, 2);
+    update_fleet(&mut borrower, 3, 2, later);
+    update_fleet(&mut other, 3, 2, later);
+    settle(&mut borrower, &mut other, later);
+    // The second call assigns the share and its unlent second.
+    settle(&mut borrower, &mut other, later + 10);
+    assert!(matches!(
+        try_reserve(&mut borrower, 4_000, later + 20),
+        ReserveOutcome::Pending(_)
+    ));
+    settle(&mut borrower, &mut other, later + 20);
+    assert_eq!(
+        try_reserve(&mut borrower, 4_000, later + 20),
+        ReserveOutcome::Granted
+    );
+}
+
+/// Guards against credit for time in which a restarted daemon's predecessor may
+/// have lent.
+#[test]
+fn settle_request_restarted_daemon_claims_no_time_within_term() {
+    let (mut restarted, mut lender) = (daemon(2, 1, 2), daemon(1, 1, 2));
+    settle(&mut restarted, &mut lender, 1_000);
+    let request = restarted.settle_request(&"g".into(), &process(1), 1_400);
+    assert_eq!((request.share, request.unlent_ms), (0.5, 0));
+}
+
+/// Guards against an answer that says "over its quota" when the coordinator has
+/// only just taken over.
+#[test]
+fn try_reserve_new_coordinator_is_not_over_quota() {
+    let (mut borrower, _, now) = settled_pair();
+    let mut other = daemon(3, 3, 2);
+    update_fleet(&mut borrower, 3, 2, now);
+    settle(&mut borrower, &mut other, now + 10);
+    try_reserve(&mut borrower, 8_000, now + 20);
+    settle(&mut borrower, &mut other, now + 20);
+    let outcome = try_reserve(&mut borrower, 8_000, now + 20);
+    assert!(
+        matches!(outcome, ReserveOutcome::UsageUnknown { .. }),
+        "{outcome:?}"
+    );
+}
