Refuse as over the quota once a new coordinator has its shares

While shares are being assigned, requests wait and then count as not run; with all shares there, what is over the quota is refused as that at once (serve_over_quota_is_refused saw a refusal without that word).

--- a/crates/comfreyhall-workspace/src/lending/link.rs
+++ b/crates/comfreyhall-workspace/src/lending/link.rs
@@ -11,6 +11,10 @@
 /// Timeout of a call, in ms.
 const CALL_TIMEOUT_MS: u64 = 400;
 
+/// Lendable share from which a new coordinator has what it will get; a few
+/// daemons may be lost.
+const SETTLED_SHARE: f64 = 0.9;
+
 /// The coordinator that this daemon's share is assigned to.
 #[derive(Debug, Clone)]
 pub(super) struct ShareAssignment {
@@ -121,10 +125,10 @@
         coordinator.is_some_and(|c| !self.is_assigned_to(c) && self.may_assign_to(c, now))
     }
 
-    /// Whether the daemons may still be assigning their shares to a new
-    /// coordinator.
+    /// Whether the daemons are still assigning their shares to a new coordinator.
     pub(super) fn is_settling(&self, now: u64) -> bool {
-        now.saturating_sub(self.changed_at_ms) < 2 * SHARE_TERM_MS
+        self.lendable_share < SETTLED_SHARE
+            && now.saturating_sub(self.changed_at_ms) < 2 * SHARE_TERM_MS
     }
 
     pub(super) fn is_busy(&self, now: u64) -> bool {
