--- a/crates/comfreyhall-workspace/src/lending/limits.rs
+++ b/crates/comfreyhall-workspace/src/lending/limits.rs
@@ -244,9 +244,10 @@
         };
         let is_current = link.coordinator.as_ref() == Some(coordinator);
         if self.handover && !is_current {
-            // Only the answer to a revocation says that the share is free.
+            // The share is free if this answers a revocation, or if the process that
+            // had it has ended.
             let revoked = link.is_revoking(coordinator, now);
-            if revoked && reply.is_some_and(|r| r.boot == coordinator.boot) {
+            if reply.is_some_and(|r| revoked || r.boot != coordinator.boot) {
                 link.free_share(coordinator, now);
             }
             return;
