--- a/crates/comfreyhall-workspace/src/lending/account.rs
+++ b/crates/comfreyhall-workspace/src/lending/account.rs
@@ -1,28 +1,14 @@
 //! One workspace's account at its coordinator.
 //!
-//! A quota allows `rate` x window + `burst` in any window. A token bucket alone
-//! would give a busy workspace the burst only once in addition to the rate, so
-//! the burst is paid out as a bonus on the rate, spread over the window. In
-//! addition, what was lent in the last window is counted and bounded.
+//! Credit accrues with time and with the shares that the coordinator lends, as
+//! the terms of the quota say.
 
 use std::collections::VecDeque;
 
 use comfreyhall_protocol::Map;
 
-use crate::{GrantLine, Name, Quota, Tolerance, UsageLine};
-
-/// Fraction of the tolerance that daemons may hold beyond what their requests
-/// wait for: a coordinator that takes over does not know of this credit at
-/// first.
-const PREFETCH_FRACTION: f64 = 0.25;
-
-/// Fraction of the tolerance that may be held unused beyond the burst: credit
-/// on its way to its users, which would otherwise be lost to the rate.
-const UNUSED_FRACTION: f64 = 0.5;
-
-/// Fraction of the tolerance that the bonus may reach in a window: a
-/// coordinator that takes over does not know what its predecessor has lent.
-const BONUS_FRACTION: f64 = 0.9;
+use super::terms::LendingTerms;
+use crate::{GrantLine, Name, UsageLine};
 
 /// How long a refusal counts in the estimate of the retry delay, in ms.
 const UNMET_TTL_MS: u64 = 1_000;
@@ -33,44 +19,14 @@
 /// Number of intervals in which a window is counted.
 const WINDOW_INTERVALS: u64 = 80;
 
-/// What a coordinator may lend of one quota.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct LendingTerms {
-    /// Units per second.
-    rate: f64,
-    /// Bonus from the burst, in units per second in addition to the rate.
-    bonus: f64,
-    /// Maximum number of units that may be held unused.
-    max_unused: f64,
-    /// Maximum number of those units at daemons that no request needs.
-    max_prefetch: f64,
-    /// Maximum number of units lent in a window.
-    window_limit: f64,
-    window_ms: u64,
-}
-
-impl LendingTerms {
-    /// The terms for a coordinator that lends `share` of `quota`.
-    pub(super) fn of(quota: &Quota, tolerance: &Tolerance, share: f64) -> Self {
-        let tolerated = tolerance.tolerated_excess(quota);
-        let window_s = tolerance.window_ms as f64 / 1_000.0;
-        Self {
-            rate: quota.rate,
-            bonus: quota.burst.min(BONUS_FRACTION * tolerated) / window_s,
-            max_unused: (quota.burst + UNUSED_FRACTION * tolerated) * share,
-            max_prefetch: PREFETCH_FRACTION * tolerated * share,
-            window_limit: tolerance.allowed(quota) * share,
-            window_ms: tolerance.window_ms,
-        }
-    }
-}
-
 /// Time, weighted by the lendable share, for which a coordinator accrued the
 /// rate and the bonus, in s.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct AccruedTime {
     pub(super) rate_s: f64,
     pub(super) bonus_s: f64,
+    /// The same for shares that nobody could lend for a while.
+    pub(super) unlent_s: f64,
 }
 
 /// What the coordinator has lent to one daemon, as far as it knows.
@@ -101,7 +57,8 @@
         self.loans.retain(|from, _| keep(from));
     }
 
-    fn held(&self) -> f64 {
+    /// Units that daemons hold unused and that no request has reserved.
+    pub(super) fn held(&self) -> f64 {
         self.loans.values().map(|l| l.held).sum()
     }
 
@@ -119,12 +76,13 @@
     fn accrue(&mut self, terms: &LendingTerms, accrued: AccruedTime) {
         let rate = (accrued.rate_s - self.credited_to.rate_s).max(0.0) * terms.rate;
         let bonus = (accrued.bonus_s - self.credited_to.bonus_s).max(0.0) * terms.bonus;
+        let unlent = (accrued.unlent_s - self.credited_to.unlent_s).max(0.0) * terms.unlent;
         self.credited_to = accrued;
         let unused = self.unused();
         if unused > terms.max_unused {
             self.balance = (self.balance - (unused - terms.max_unused)).max(0.0);
         } else {
-            self.balance += (rate + bonus).min(terms.max_unused - unused);
+            self.balance += (rate + bonus + unlent).min(terms.max_unused - unused);
         }
     }
 
--- a/crates/comfreyhall-workspace/src/lending/mod.rs
+++ b/crates/comfreyhall-workspace/src/lending/mod.rs
@@ -10,16 +10,21 @@
 mod account;
 mod credit;
 mod ledger;
+mod limits;
+mod link;
+mod terms;
 
 use comfreyhall_protocol::Map;
 
 use self::{
     credit::CreditBalance,
     ledger::{Ledger, LedgerContext, QUORUM_SHARE},
+    link::CoordinatorLink,
+    terms::Flow,
 };
 use crate::{
-    FleetView, Name, PeerProcess, QuotaSnapshot, RateLimiter, ReserveOutcome, SettleReply,
-    SettleRequest, Tolerance, UsageLine, limiter::PlacedQuota,
+    FleetView, Name, PeerProcess, ReserveOutcome, SettleReply, SettleRequest, Tolerance, UsageLine,
+    limiter::PlacedQuota,
 };
 
 /// How long a share assigned to a coordinator stays there, in ms. Two renewals
@@ -33,63 +38,15 @@
 /// Minimum interval between calls that only borrow ahead, in ms.
 const PREFETCH_INTERVAL_MS: u64 = 120;
 
-/// Timeout of a call, in ms.
-const CALL_TIMEOUT_MS: u64 = 400;
-
 /// How long requests do not call a coordinator that did not answer, in ms.
 const BACKOFF_MS: u64 = 300;
 
-/// The coordinator that this daemon's share is assigned to.
-#[derive(Debug, Clone)]
-struct ShareAssignment {
-    coordinator: PeerProcess,
-    expires_at_ms: u64,
-}
-
-/// State of one group, as seen by a borrower.
-#[derive(Debug, Default)]
-struct CoordinatorLink {
-    coordinator: Option<PeerProcess>,
-    assigned: Option<ShareAssignment>,
-    /// The coordinator's clock as it last reported it.
-    last_clock: Option<(PeerProcess, u64)>,
-    serial: u64,
-    /// The last call that was answered or has failed.
-    last_answered: u64,
-    /// When the coordinator was last called; 0 for never.
-    called_at_ms: u64,
-    in_flight: bool,
-    /// Whether requests wait for an answer.
-    urgent: bool,
-    backoff_until_ms: u64,
-    /// Share of the quotas that the coordinator lends, and when it reported it.
-    lendable_share: f64,
-    updated_at_ms: u64,
-}
-
-impl CoordinatorLink {
-    /// Whether this daemon's share may be assigned to `coordinator`.
-    fn may_assign_to(&self, coordinator: &PeerProcess, now: u64) -> bool {
-        let assigned = self.assigned.as_ref();
-        assigned.is_none_or(|a| a.coordinator == *coordinator || now >= a.expires_at_ms)
-    }
-
-    fn assign_to(&mut self, coordinator: &PeerProcess, now: u64) {
-        self.assigned = Some(ShareAssignment {
-            coordinator: coordinator.clone(),
-            expires_at_ms: now + SHARE_TERM_MS,
-        });
-    }
-
-    fn is_busy(&self, now: u64) -> bool {
-        self.in_flight && now.saturating_sub(self.called_at_ms) < CALL_TIMEOUT_MS
-    }
-}
-
 /// Rate limiter that lends credit through a coordinator.
 pub struct LendingLimiter {
     local: PeerProcess,
     tolerance: Tolerance,
+    /// Whether a new coordinator goes on where the earlier one stopped.
+    handover: bool,
     started_at_ms: u64,
     fleet: FleetView,
     quotas: Map<Name, PlacedQuota>,
@@ -104,6 +61,7 @@
         Self {
             local,
             tolerance,
+            handover: true,
             started_at_ms: now,
             fleet: FleetView::default(),
             quotas: Map::default(),
@@ -113,6 +71,19 @@
         }
     }
 
+    /// Lets a new coordinator start with nothing but the rate, and counts what
+    /// was lent in each window.
+    #[must_use]
+    pub fn without_handover(mut self) -> Self {
+        self.handover = false;
+        self
+    }
+
+    fn units_held(&self) -> f64 {
+        let held = |l: &Ledger| l.units_held();
+        self.ledgers.values().map(held).sum()
+    }
+
     /// This daemon's share of every quota; 0 while the number of daemons is not
     /// known.
     fn share(&self) -> f64 {
@@ -132,10 +103,12 @@
         if link.coordinator.as_ref() != Some(&self.local) {
             return;
         }
-        let assigns = link.may_assign_to(&self.local, now);
-        if assigns {
-            link.assign_to(&self.local, now);
-        }
+        let nothing = self.handover && share <= 0.0;
+        let assigns = !nothing && link.may_assign_to(&self.local, now);
+        let unlent_ms = match assigns {
+            true => link.assign_to(&self.local, now, now),
+            false => 0,
+        };
         link.serial += 1;
         let request = SettleRequest {
             from: self.local.peer_addr.to_string(),
@@ -145,6 +118,7 @@
             share: if assigns { share } else { 0.0 },
             as_of: now,
             term_ms: SHARE_TERM_MS,
+            unlent_ms: known_unlent_ms(unlent_ms, self.started_at_ms, now),
             lines,
         };
         let reply = self.settle_with_ledger(&request, self.started_at_ms, now);
@@ -164,6 +138,10 @@
         let context = LedgerContext {
             fleet: self.fleet,
             tolerance: &self.tolerance,
+            flow: match self.handover {
+                true => Flow::Even,
+                false => Flow::Counted,
+            },
             uptime_ms: now.saturating_sub(self.started_at_ms),
             known_since_ms,
             now,
@@ -207,7 +185,7 @@
         };
         match credit.reserve(size) {
             true => ReserveOutcome::Granted,
-            false => refuse(link, credit, now),
+            false => refuse(link, credit, self.handover, now),
         }
     }
 
@@ -226,9 +204,26 @@
     }
 }
 
+/// Time in ms for which nobody could lend a share, as far as this process knows:
+/// until a term after its start, another may lend what its predecessor assigned.
+fn known_unlent_ms(unlent_ms: u64, started_at_ms: u64, now: u64) -> u64 {
+    let known_ms = now.saturating_sub(started_at_ms + SHARE_TERM_MS);
+    unlent_ms.min(known_ms)
+}
+
 /// Refusal of a request that finds no credit when there is nobody to ask.
-fn refuse(link: &CoordinatorLink, credit: &CreditBalance, now: u64) -> ReserveOutcome {
+fn refuse(
+    link: &CoordinatorLink,
+    credit: &CreditBalance,
+    handover: bool,
+    now: u64,
+) -> ReserveOutcome {
     let retry_ms = credit.retry_after_ms(now).unwrap_or(0);
+    if handover && link.is_settling(now) {
+        // A new coordinator may have nothing yet, whatever the others use.
+        let retry_ms = retry_ms.max(RENEW_INTERVAL_MS);
+        return ReserveOutcome::UsageUnknown { retry_ms };
+    }
     if link.lendable_share >= QUORUM_SHARE {
         return ReserveOutcome::OverQuota { retry_ms };
     }
@@ -238,271 +233,5 @@
     }
 }
 
-impl RateLimiter for LendingLimiter {
-    fn set_quotas(&mut self, quotas: Map<Name, PlacedQuota>, groups: &[Name], now: u64) {
-        self.quotas = quotas;
-        let quotas = &self.quotas;
-        self.credits.retain(|w, _| quotas.contains_key(w));
-        for (group, ledger) in &mut self.ledgers {
-            let uptime_ms = now.saturating_sub(self.started_at_ms);
-            ledger.advance(self.fleet, uptime_ms, now);
-            ledger.retain(|w| quotas.get(w).is_some_and(|q| q.group == *group));
-        }
-        self.links.retain(|g, _| groups.contains(g));
-        for group in groups {
-            self.links.entry(group.clone()).or_default();
-        }
-    }
-
-    fn update_fleet(&mut self, coordinators: &Map<Name, PeerProcess>, fleet: FleetView, now: u64) {
-        self.fleet = fleet;
-        let groups: Vec<Name> = self.links.keys().cloned().collect();
-        for group in groups {
-            let coordinator = coordinators.get(&group).unwrap_or(&self.local).clone();
-            if let Some(link) = self.links.get_mut(&group)
-                && link.coordinator.as_ref() != Some(&coordinator)
-            {
-                link.coordinator = Some(coordinator.clone());
-                link.backoff_until_ms = 0;
-                link.lendable_share = 0.0;
-                let was_local = link
-                    .assigned
-                    .as_ref()
-                    .is_some_and(|a| a.coordinator == self.local);
-                if was_local && coordinator != self.local {
-                    // The local ledger drops the share at once, so another
-                    // coordinator may have it.
-                    link.assigned = None;
-                    if let Some(ledger) = self.ledgers.get_mut(&group) {
-                        ledger.revoke_share(&self.local.peer_addr);
-                    }
-                }
-            }
-            self.settle_locally(&group, Vec::new(), now);
-        }
-    }
-
-    fn record_demand(&mut self, workspace: &str, size: u64, now: u64) {
-        if let Some((name, _)) = self.quotas.get_key_value(workspace) {
-            let credit = self.credits.entry(name.clone()).or_default();
-            credit.record_demand(size as f64, now);
-        }
-    }
-
-    fn try_reserve(&mut self, workspace: &str, size: u64, now: u64) -> ReserveOutcome {
-        let usage_unknown = ReserveOutcome::UsageUnknown {
-            retry_ms: RENEW_INTERVAL_MS,
-        };
-        let size = size as f64;
-        let Some(group) = self.quotas.get(workspace).map(|q| q.group.clone()) else {
-            return usage_unknown;
-        };
-        let Some(credit) = self.credits.get_mut(workspace) else {
-            return usage_unknown;
-        };
-        if credit.reserve(size) {
-            return ReserveOutcome::Granted;
-        }
-        let link = self.links.get(&group);
-        if link.is_some_and(|l| l.coordinator.as_ref() == Some(&self.local)) {
-            return self.reserve_locally(workspace, &group, size, now);
-        }
-        let (Some(link), Some(credit)) =
-            (self.links.get_mut(&group), self.credits.get_mut(workspace))
-        else {
-            return usage_unknown;
-        };
-        if credit.retry_after_ms(now).is_some() || now < link.backoff_until_ms {
-            return refuse(link, credit, now);
-        }
-        credit.add_need(size);
-        link.urgent = true;
-        ReserveOutcome::Pending(link.serial + 1)
-    }
-
-    fn retry_after_ms(&self, name: &str, size: u64, now: u64) -> u64 {
-        let credit = self.credits.get(name);
-        let low = credit.filter(|c| c.balance() < size as f64);
-        low.and_then(|c| c.retry_after_ms(now)).unwrap_or(0)
-    }
-
-    fn has_surplus(&self, _name: &str, _now: u64) -> bool {
-        false
-    }
-
-    fn mark_sent(&mut self, workspace: &str, size: u64) {
-        if let Some(credit) = self.credits.get_mut(workspace) {
-            credit.mark_sent(size as f64);
-        }
-    }
-
-    fn release_unsent(&mut self, workspace: &str, size: u64) {
-        if let Some(credit) = self.credits.get_mut(workspace) {
-            credit.release_unsent(size as f64);
-        }
-    }
-
-    fn refund(&mut self, workspace: &str, size: u64) {
-        if let Some(credit) = self.credits.get_mut(workspace) {
-            credit.refund(size as f64);
-        }
-    }
-
-    fn due_settlements(&mut self, now: u64) -> Vec<(Name, PeerProcess)> {
-        let mut due = Vec::new();
-        for (group, link) in &self.links {
-            if link.is_busy(now) {
-                continue;
-            }
-            // The share is revoked from an earlier coordinator, which may still
-            // be running.
-            if let Some(assigned) = link.assigned.as_ref().filter(|a| {
-                now < a.expires_at_ms
-                    && a.coordinator != self.local
-                    && link.coordinator.as_ref() != Some(&a.coordinator)
-            }) {
-                due.push((group.clone(), assigned.coordinator.clone()));
-                continue;
-            }
-            let Some(coordinator) = link.coordinator.as_ref().filter(|c| **c != self.local) else {
-                continue;
-            };
-            let elapsed_ms = now.saturating_sub(link.called_at_ms);
-            let in_group = |w: &Name| self.quotas.get(w).is_some_and(|q| q.group == *group);
-            let low = || {
-                self.credits
-                    .iter()
-                    .any(|(w, c)| c.is_low(now) && in_group(w))
-            };
-            let needs_credit = link.urgent && now >= link.backoff_until_ms;
-            if needs_credit
-                || elapsed_ms >= RENEW_INTERVAL_MS
-                || (elapsed_ms >= PREFETCH_INTERVAL_MS && low())
-            {
-                due.push((group.clone(), coordinator.clone()));
-            }
-        }
-        due
-    }
-
-    fn settle_request(
-        &mut self,
-        group: &Name,
-        coordinator: &PeerProcess,
-        now: u64,
-    ) -> SettleRequest {
-        let share = self.share();
-        let current = self.links.get(group).and_then(|l| l.coordinator.clone());
-        let lines = match current.as_ref() == Some(coordinator) {
-            true => self.usage_lines(group, now),
-            false => Vec::new(),
-        };
-        let link = self.links.entry(group.clone()).or_default();
-        link.serial += 1;
-        link.called_at_ms = now;
-        link.in_flight = true;
-        link.urgent = false;
-        let last_clock = link
-            .last_clock
-            .as_ref()
-            .filter(|(from, _)| from == coordinator);
-        let last_clock = last_clock.map(|(_, clock)| *clock);
-        let assigns = current.as_ref() == Some(coordinator)
-            && last_clock.is_some()
-            && link.may_assign_to(coordinator, now);
-        if assigns {
-            link.assign_to(coordinator, now);
-        }
-        SettleRequest {
-            from: self.local.peer_addr.to_string(),
-            boot: self.local.boot,
-            serial: link.serial,
-            group: group.to_string(),
-            share: if assigns { share } else { 0.0 },
-            as_of: last_clock.unwrap_or(0),
-            term_ms: SHARE_TERM_MS,
-            lines,
-        }
-    }
-
-    fn handle_settle(
-        &mut self,
-        request: &SettleRequest,
-        known_since_ms: u64,
-        now: u64,
-    ) -> SettleReply {
-        self.settle_locally(&request.group.as_str().into(), Vec::new(), now);
-        self.settle_with_ledger(request, known_since_ms, now)
-    }
-
-    fn handle_reply(
-        &mut self,
-        group: &Name,
-        coordinator: &PeerProcess,
-        reply: Option<&SettleReply>,
-        now: u64,
-    ) {
-        let Some(link) = self.links.get_mut(group) else {
-            return;
-        };
-        link.in_flight = false;
-        link.last_answered = link.serial;
-        let Some(reply) = reply else {
-            link.backoff_until_ms = now + BACKOFF_MS;
-            return;
-        };
-        if reply.boot != coordinator.boot {
-            // Another process answers at this address: the one that was called
-            // has ended.
-            let coordinator = coordinator.clone();
-            self.process_ended(&coordinator);
-            return;
-        }
-        link.backoff_until_ms = 0;
-        if link.coordinator.as_ref() != Some(coordinator) {
-            // The coordinator no longer lends on this daemon's behalf.
-            link.assigned = None;
-            return;
-        }
-        link.last_clock = Some((coordinator.clone(), reply.clock_ms));
-        self.apply_reply(group, reply, now);
-    }
-
-    fn last_answered(&self, group: &Name) -> u64 {
-        self.links.get(group).map_or(u64::MAX, |l| l.last_answered)
-    }
-
-    fn process_ended(&mut self, coordinator: &PeerProcess) {
-        for link in self.links.values_mut() {
-            if link
-                .assigned
-                .as_ref()
-                .is_some_and(|a| a.coordinator == *coordinator)
-            {
-                link.assigned = None;
-            }
-        }
-    }
-
-    fn snapshot(&self, workspace: &str, now: u64) -> QuotaSnapshot {
-        let placed = self.quotas.get(workspace);
-        let credit = self.credits.get(workspace);
-        let link = placed.and_then(|q| self.links.get(&q.group));
-        QuotaSnapshot {
-            rate: placed.map_or(0.0, |q| q.quota.rate),
-            coordinator: link.and_then(|l| Some(l.coordinator.as_ref()?.peer_addr.clone())),
-            lendable_share: link.map_or(0.0, |l| l.lendable_share),
-            lent: credit.map_or(0.0, CreditBalance::lent),
-            age_ms: link.map_or(0, |l| now.saturating_sub(l.updated_at_ms)),
-            balance: credit.map_or(0.0, CreditBalance::balance),
-            demand: credit.map_or(0.0, |c| c.demand_rate(now)),
-        }
-    }
-
-    fn quota_group(&self, workspace: &str) -> Option<Name> {
-        self.quotas.get(workspace).map(|q| q.group.clone())
-    }
-}
-
 #[cfg(test)]
 mod tests;
