--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -75,7 +75,7 @@
         share: params.share.clone(),
         adapter: adapter_key(adapter),
         priority: u32::from(params.priority),
-        arrived_ms: now,
+        arrived_ms: now.saturating_sub(params.elapsed_ms),
         start_by_ms: now + left_ms.saturating_sub(first_event_ms),
         returned: false,
     };
@@ -128,7 +128,8 @@
     let used: f64 = shares.iter().map(|(_, used)| used).sum();
     let part = shares.used_ms(&params.share) / used.max(1.0);
     let waiting = node.slots.waiting(&params.group);
-    log::info!(target: "slots", group:% = params.group, share:% = params.share, part:% = format!("{part:.2}"), shares = shares.iter().count(), waiting, expected = expected_ms, comes_back = return_ms, left_out; "no slot in time");
+    let (free, in_use) = node.slots.slots(&params.group);
+    log::info!(target: "slots", group:% = params.group, share:% = params.share, part:% = format!("{part:.2}"), shares = shares.iter().count(), waiting, expected = expected_ms, comes_back = return_ms, free, in_use, left_out; "no slot in time");
 }
 
 /// The slot time of all shares in `group`, for the order of waiting requests.
--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -162,6 +162,18 @@
         pools.map(|p| p.list.iter().count()).sum()
     }
 
+    /// Free slots of `group`, and those in use.
+    pub(super) fn slots(&self, group: &Name) -> (usize, usize) {
+        let state = self.state();
+        let pools = state
+            .groups
+            .get(group)
+            .into_iter()
+            .flat_map(|g| g.pools.values());
+        let both = pools.map(|p| (p.schedule.free(), p.schedule.in_use()));
+        both.fold((0, 0), |sum, each| (sum.0 + each.0, sum.1 + each.1))
+    }
+
     /// Whether the caller of `identity` has come back at its time.
     pub(super) fn is_due(&self, pool: &PoolKey, identity: u64, now: u64) -> bool {
         let mut state = self.state();
--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -17,10 +17,17 @@
 /// What a controller waits for when all slots of its engine are in use.
 const SLOT_REASON: &str = "place";
 
+/// What it waits for when the weight store serves as many loads as it can. The
+/// store is the same for all groups, so that another wait elsewhere only loses
+/// the place in this one.
+const STORE_REASON: &str = "weight store";
+
 /// A request that waits for a slot; it leaves the list when this is dropped.
 pub(crate) struct WaitingSlot {
     node: Arc<Node>,
     waiter: SlotWaiter,
+    began_ms: u64,
+    expected_ms: u64,
     limit_ms: u64,
     /// Its place in the list; `None` where nothing is decided by it.
     place: Option<Place>,
@@ -39,6 +46,8 @@
         Self {
             node: node.clone(),
             waiter,
+            began_ms: node.now(),
+            expected_ms: 0,
             limit_ms,
             place: None,
             outcome: "left",
@@ -54,6 +63,7 @@
         limit_ms: u64,
     ) -> Self {
         let now = node.now();
+        let expected_ms = node.slots.expected_ms(&pool, &waiter, now);
         let number = node.slots.join(&pool, waiter.clone(), caller.identity, now);
         let place = Place {
             pool,
@@ -62,7 +72,9 @@
         };
         Self {
             node: node.clone(),
+            expected_ms,
             waiter,
+            began_ms: node.now(),
             limit_ms,
             place: Some(place),
             outcome: "left",
@@ -86,7 +98,10 @@
             return Ok(());
         };
         let now = node.now();
-        let waited_ms = now.saturating_sub(self.waiter.arrived_ms);
+        let waited_ms = now.saturating_sub(self.began_ms);
+        if reason == STORE_REASON {
+            return Ok(());
+        }
         if reason != SLOT_REASON {
             // Another group may have what this one lacks.
             let elsewhere = place.caller.patience_ms == 0 && waited_ms >= SLOT_WAIT_MS;
@@ -127,6 +142,7 @@
 
     /// Ends the wait, with a slot or without one.
     pub(crate) fn finish(mut self, served: bool) {
+        log::info!(target: "slots", at_join = self.expected_ms, waited = self.node.now() - self.began_ms, limit = self.limit_ms, served, patience = self.place.as_ref().map_or(0, |p| p.caller.patience_ms); "slot wait ended");
         self.outcome = if served { "served" } else { "expired" };
     }
 }
@@ -134,7 +150,7 @@
 impl Drop for WaitingSlot {
     fn drop(&mut self) {
         if let Some(place) = &self.place {
-            let waited_ms = self.node.now().saturating_sub(self.waiter.arrived_ms);
+            let waited_ms = self.node.now().saturating_sub(self.began_ms);
             self.node.slots.leave(&place.pool, place.number);
             self.node.metrics.slot_wait(self.outcome, waited_ms);
         }
--- a/crates/comfreyhall-slots/src/schedule.rs
+++ b/crates/comfreyhall-slots/src/schedule.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// Slots that are free.
+    pub fn free(&self) -> usize {
+        self.free
+    }
+
+    /// Slots in use.
+    pub fn in_use(&self) -> usize {
+        self.ends_ms.len()
+    }
+
     /// Mean ms between two slots that become free.
     pub fn interval_ms(&self) -> f64 {
         self.interval_ms
