--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -27,7 +27,6 @@
     node: Arc<Node>,
     waiter: SlotWaiter,
     began_ms: u64,
-    expected_ms: u64,
     limit_ms: u64,
     /// Its place in the list; `None` where nothing is decided by it.
     place: Option<Place>,
@@ -47,7 +46,6 @@
             node: node.clone(),
             waiter,
             began_ms: node.now(),
-            expected_ms: 0,
             limit_ms,
             place: None,
             outcome: "left",
@@ -63,7 +61,6 @@
         limit_ms: u64,
     ) -> Self {
         let now = node.now();
-        let expected_ms = node.slots.expected_ms(&pool, &waiter, now);
         let number = node.slots.join(&pool, waiter.clone(), caller.identity, now);
         let place = Place {
             pool,
@@ -72,7 +69,6 @@
         };
         Self {
             node: node.clone(),
-            expected_ms,
             waiter,
             began_ms: node.now(),
             limit_ms,
@@ -109,16 +105,11 @@
         }
         let left_ms = self.limit_ms.saturating_sub(waited_ms);
         let late = now > self.waiter.start_by_ms;
-        let margin = if late {
-            LATE_MARGIN as f64
-        } else {
-            DOUBT_MARGIN
-        };
         state::refresh(node, &place.pool.0, Some(&place.pool.1));
         let expected_ms = node.slots.expected_ms(&place.pool, &self.waiter, now);
         let hopeless = match late {
-            true => expected_ms as f64 * margin > left_ms as f64,
-            false => expected_ms as f64 > left_ms as f64 * margin,
+            true => LATE_MARGIN * expected_ms > left_ms,
+            false => expected_ms as f64 > left_ms as f64 * DOUBT_MARGIN,
         };
         match hopeless {
             true => Err(self.return_ms(node, reason)),
@@ -142,7 +133,6 @@
 
     /// Ends the wait, with a slot or without one.
     pub(crate) fn finish(mut self, served: bool) {
-        log::info!(target: "slots", at_join = self.expected_ms, waited = self.node.now() - self.began_ms, limit = self.limit_ms, served, patience = self.place.as_ref().map_or(0, |p| p.caller.patience_ms); "slot wait ended");
         self.outcome = if served { "served" } else { "expired" };
     }
 }
