--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -238,7 +238,9 @@
             view.count_demand(&demand.key, demand.requests, now);
         }
         drop(view);
-        node.slots.add_reported(node, &peer, &gossip.slot_use);
+        let is_held = |group: &Name| node.token(group).is_some();
+        node.slots
+            .add_reported(is_held, &peer, &gossip.slot_use, now);
         let age = gossip.targets_age;
         let covers = gossip.targets_version >= node.view().records.targets.version;
         let settings_as_of = self.settings_as_of(&gossip);
--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -122,14 +122,19 @@
 
     /// Adds what the daemon `peer` reports of its runs before this daemon took
     /// the lease, once for each lease, and forgets groups that are not held.
-    pub(crate) fn add_reported(&self, node: &Node, peer: &Name, uses: &[SlotUse]) {
-        let now = node.now();
+    pub(crate) fn add_reported(
+        &self,
+        is_held: impl Fn(&Name) -> bool,
+        peer: &Name,
+        uses: &[SlotUse],
+        now: u64,
+    ) {
         let mut state = self.state();
-        state.groups.retain(|group, _| node.token(group).is_some());
+        state.groups.retain(|group, _| is_held(group));
         let mut added: Set<Name> = Set::default();
         for slot_use in uses {
             let name: Name = slot_use.group.as_str().into();
-            if node.token(&name).is_none() {
+            if !is_held(&name) {
                 continue;
             }
             let group = state.group(&name, now);
@@ -321,3 +326,6 @@
         pool.schedule = SlotSchedule::new(slots, began, hold_ms, now);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -21,8 +21,12 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
 
-/// A lease holder that announces its lease and answers nothing else.
-struct Silent(Daemon);
+/// A lease holder that announces its lease and answers nothing else, or ends
+/// while requests wait.
+struct Silent {
+    daemon: Daemon,
+    ends: bool,
+}
 
 #[tonic::async_trait]
 impl Fleet for Silent {
@@ -38,13 +42,17 @@
             token: 1_000,
         };
         Ok(Response::new(News {
-            from: Some(self.0.clone()),
+            from: Some(self.daemon.clone()),
             holdings: vec![holding],
             ..News::default()
         }))
     }
 
     async fn bind(&self, _: Request<BindRequest>) -> Result<Response<BindReply>, Status> {
+        if self.ends {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            return Err(Status::unavailable("scripted end"));
+        }
         std::future::pending().await
     }
 
@@ -61,7 +69,7 @@
 }
 
 /// Starts the silent holder; returns its address for peers.
-async fn silent() -> String {
+async fn silent(ends: bool) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer = listener.local_addr().unwrap().to_string();
     let daemon = Daemon {
@@ -73,7 +81,8 @@
         ready: true,
         millicores: 250,
     };
-    let server = tonic::transport::Server::builder().add_service(FleetServer::new(Silent(daemon)));
+    let server =
+        tonic::transport::Server::builder().add_service(FleetServer::new(Silent { daemon, ends }));
     tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
     peer
 }
@@ -110,7 +119,7 @@
 /// until the deadline.
 #[tokio::test]
 async fn serve_silent_holder_sends_directly() {
-    let holder = silent().await;
+    let holder = silent(false).await;
     let table = FakeTable::default();
     let theirs = Lease::new(table.clone(), "d", "h".into(), Duration::from_secs(3));
     theirs.step(Instant::now, true).await.unwrap();
@@ -175,3 +184,40 @@
     assert_eq!(counts.get("b"), Some(&6), "{counts:?}");
     calls.iter().for_each(|c| c.abort());
 }
+
+/// Guards against requests that are lost with the lease holder at which they
+/// wait for a slot: they go on to another group, and none is refused.
+#[tokio::test]
+async fn serve_holder_lost_while_requests_wait() {
+    let holder = silent(true).await;
+    let table = FakeTable::default();
+    let theirs = Lease::new(table.clone(), "d", "h".into(), Duration::from_secs(60));
+    theirs.step(Instant::now, true).await.unwrap();
+    let mut long = route(RouteKind::Stream, 1, false);
+    long.objective_ms = 3_000;
+    let mut source = scripted_source(long, Some(engine()));
+    let targets = &mut Arc::get_mut(&mut source).unwrap().targets;
+    targets[1].failure_domain = "e".into();
+    let backend = Arc::new(ScriptedBackend::default());
+    backend
+        .finish_loads
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    *backend.default_behavior.lock().unwrap() = Some(Behavior::Stream(vec![1], true));
+    let settings = settings_of("n", "127.0.0.1:1", &[holder], 0.25);
+    let node = Node::new(settings, source, backend.clone());
+    comfreyhall_node::spawn(&node, table);
+    until(|| node.ready() && node.addresses().0.len() == 2).await;
+    // Its first reports show that it holds the lease of the other group.
+    let reports = &backend.report_count;
+    until(|| reports.load(std::sync::atomic::Ordering::SeqCst) > 0).await;
+    let calls = (0..3).map(|i| {
+        let node = node.clone();
+        let ask = model_ask(&format!("q{i}"), Some("a1"));
+        tokio::spawn(async move { caller_result(node.serve(ask).await).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        assert_eq!(call.await.unwrap(), CallerResult::Stream(vec![1], true));
+    }
+    let sent = backend.sent.lock().unwrap();
+    assert!(sent.len() == 3 && sent.iter().all(|s| &*s.target == "b"));
+}
--- a/crates/comfreyhall-node/tests/place.rs
+++ b/crates/comfreyhall-node/tests/place.rs
@@ -162,3 +162,31 @@
     assert_eq!(loaders(&backend, "z"), [free]);
     held[0].abort();
 }
+
+/// Guards against callers that are held for 250 ms in each group and rejected
+/// in the end: with all slots in use by runs that have just begun, the holder
+/// knows at once that none is free in time.
+#[tokio::test]
+async fn serve_no_slot_in_time_is_answered_at_once() {
+    let behaviors = vec![Behavior::Hang, Behavior::Hang];
+    let route = route(RouteKind::Stream, 1, false);
+    let (node, backend, _) = start_node_with(route, Some(engine()), behaviors).await;
+    backend.finish_loads.store(true, Ordering::SeqCst);
+    let mut held = Vec::new();
+    for (i, adapter) in ["x", "y"].into_iter().enumerate() {
+        let node = node.clone();
+        held.push(tokio::spawn(async move {
+            caller_result(node.serve(ask_for(adapter, adapter)).await).await
+        }));
+        while backend.sent.lock().unwrap().len() <= i {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let began = std::time::Instant::now();
+    let result = caller_result(node.serve(ask_for("z", "z")).await).await;
+    assert_eq!(result, CallerResult::NotRun);
+    let held_ms = began.elapsed().as_millis();
+    assert!(held_ms < 200, "{held_ms}");
+    assert!(loaders(&backend, "z").is_empty());
+    held.iter().for_each(|h| h.abort());
+}
