--- a/crates/comfreyhall-slots/src/tests.rs
+++ b/crates/comfreyhall-slots/src/tests.rs
@@ -40,7 +40,7 @@
 /// Guards against a workspace within its quota that takes the slots of the
 /// others: one of five sends six times as many requests, a slot becomes free
 /// every 20 ms, and each of the others must be served as much as without it.
-/// By priority and arrival alone, they got half.
+/// By priority and arrival alone they got 14 of 40 each.
 #[test]
 fn sort_key_rush_of_one_workspace() {
     let shares: Vec<SlotShare> = (0..5)
