Slots: earliest return time; with fair_slots off the order is as before

A caller that returns within 100 ms meets the same requests again. With the switch off, requests keep their arrival at the holder.

--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -324,7 +324,8 @@
                 BindOutcome::None => continue,
                 BindOutcome::NoSlot { return_ms } => {
                     if self.no_slot_anywhere(&plan, return_ms) {
-                        return self.give_up_until("no slot in time", return_ms);
+                        let retry_ms = return_ms.min(self.remaining_ms() / 3);
+                        return self.give_up_until("no slot in time", retry_ms);
                     }
                     continue;
                 }
--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -75,7 +75,7 @@
         share: params.share.clone(),
         adapter: adapter_key(adapter),
         priority: u32::from(params.priority),
-        arrived_ms: now.saturating_sub(params.elapsed_ms),
+        arrived_ms: now,
         start_by_ms: now + left_ms.saturating_sub(first_event_ms),
         returned: false,
     };
@@ -83,6 +83,8 @@
         let limit_ms = params.limit_ms().min(SLOT_WAIT_MS);
         return SlotDecision::Wait(Box::new(WaitingSlot::untracked(node, waiter, limit_ms)));
     }
+    // A request that was told by other groups to wait keeps its age.
+    waiter.arrived_ms = now.saturating_sub(params.elapsed_ms);
     let pool = (params.group.clone(), adapter.model.clone());
     let caller = SlotCaller::of(params);
     state::refresh(node, &params.group, Some(&adapter.model));
--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -213,7 +213,7 @@
         let interval_ms = pool.schedule.interval_ms().max(seen_ms);
         // Callers honour at most a third of the time they have left.
         let latest_ms = caller.remaining_ms / 3;
-        let bounds = (expected_ms.min(latest_ms), latest_ms);
+        let bounds = (expected_ms, latest_ms);
         let identity = caller.identity;
         pool.returns
             .promise(identity, waiter.priority, bounds, interval_ms, now)
--- a/crates/comfreyhall-slots/src/returns.rs
+++ b/crates/comfreyhall-slots/src/returns.rs
@@ -10,6 +10,10 @@
 /// Return times remembered at most; further callers get an estimate only.
 const MAX_PROMISES: usize = 1_024;
 
+/// Earliest return time, in ms from now: a caller that comes sooner meets the
+/// same requests again.
+const MIN_RETURN_MS: u64 = 100;
+
 /// How much earlier than its time a caller may return, in ms: clocks and links
 /// differ by some ms.
 const EARLY_MS: u64 = 50;
@@ -44,6 +48,7 @@
         now: u64,
     ) -> u64 {
         self.promises.retain(|_, p| now < p.at_ms + KEEP_MS);
+        let earliest_ms = earliest_ms.max(MIN_RETURN_MS).min(latest_ms);
         let first_ms = now + earliest_ms;
         let is_before = |p: &&Promise| p.priority <= priority && p.at_ms >= first_ms;
         let before = self.promises.values().filter(is_before).count();
