A request without a slot in time: a bound that leaves room on a busy machine

The test allowed 200 ms of wall-clock time where the old decision held the request for its objective of 300 ms. With an objective of 1,000 ms, for which the old decision holds it, 700 ms tell them apart.

--- a/crates/comfreyhall-node/tests/place.rs
+++ b/crates/comfreyhall-node/tests/place.rs
@@ -169,7 +169,9 @@
 #[tokio::test]
 async fn serve_no_slot_in_time_is_answered_at_once() {
     let behaviors = vec![Behavior::Hang, Behavior::Hang];
-    let route = route(RouteKind::Stream, 1, false);
+    let mut route = route(RouteKind::Stream, 1, false);
+    // It would be held for as long as this.
+    route.objective_ms = 1_000;
     let (node, backend, _) = start_node_with(route, Some(engine()), behaviors).await;
     backend.finish_loads.store(true, Ordering::SeqCst);
     let mut held = Vec::new();
@@ -186,7 +188,7 @@
     let result = caller_result(node.serve(ask_for("z", "z")).await).await;
     assert_eq!(result, CallerResult::NotRun);
     let held_ms = began.elapsed().as_millis();
-    assert!(held_ms < 200, "{held_ms}");
+    assert!(held_ms < 700, "{held_ms}");
     assert!(loaders(&backend, "z").is_empty());
     held.iter().for_each(|h| h.abort());
 }
