--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -374,7 +374,16 @@
     } else {
         out.len().max(MIN_NEW_HOMES)
     };
-    let loaders: Vec<Candidate> = loaders.into_iter().map(|(_, _, c)| c).collect();
+    let mut loaders: Vec<Candidate> = loaders.into_iter().map(|(_, _, c)| c).collect();
+    if policies.weight_affinity && !hot && criteria.group.is_none() && !criteria.only_tried {
+        let group_of = |id: &Name| {
+            targets
+                .iter()
+                .find(|t| t.id == *id)
+                .map(|t| &t.failure_domain)
+        };
+        loaders = weights::keep_affine(loaders, criteria.objective_ms as f64, group_of);
+    }
     out.extend(loaders.iter().take(homes).cloned());
     EngineChoices {
         eligible: out,
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -7,7 +7,7 @@
 
 use super::{EngineController, IDLE_POLL_MS, REPORT_DELAY};
 use crate::{
-    fleet::adapter_key,
+    fleet::{LoadTiming, adapter_key},
     leases, outbound,
     ports::{Action, Command, CommandReply},
 };
@@ -112,7 +112,7 @@
         drop(view);
         self.node
             .fleet
-            .record_placement(&self.target.id, adapter, None);
+            .record_placement(&self.target.id, adapter, None, LoadTiming::default());
         true
     }
 
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -9,13 +9,14 @@
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Stage, Target};
 use comfreyhall_placement::engines_needed;
-use comfreyhall_routing::selection::rendezvous_rank;
+use comfreyhall_routing::selection::{rendezvous_rank, weighted_rank};
 
 use super::Job;
 use crate::{
-    fleet::parse_adapter_key,
+    fleet::{adapter_key, parse_adapter_key},
     node::{Node, View},
     outbound::UnavailableTargets,
+    weights::recovery_order,
 };
 
 /// Interval between scans: half of the gossip period.
@@ -28,9 +29,15 @@
         loop {
             tokio::time::sleep(SCAN_PERIOD).await;
             let wanted = node.policies().early_replicas;
-            if wanted && node.leases.holds_any(node.settings().bounds.fencing) {
+            if !node.leases.holds_any(node.settings().bounds.fencing) {
+                continue;
+            }
+            if wanted {
                 request_copies(&node);
             }
+            if node.policies().weight_affinity {
+                restore_lost(&node);
+            }
         }
     });
 }
@@ -61,6 +68,61 @@
     }
 }
 
+/// Orders the most wanted adapters of lost engines at their new homes, at the
+/// rate of the weight store and after those that requests wait for.
+fn restore_lost(node: &Node) {
+    let now = node.now();
+    let room = node.controllers.store_room();
+    let due: Vec<MissingCopy> = {
+        let mut view = node.view();
+        let lost = view.residency.lost(now).into_iter();
+        let lost: Vec<_> = lost
+            .map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)))
+            .filter_map(|(a, score)| Some((home(&view, &a)?, a, score)))
+            .filter(|(t, ..)| node.token(&t.failure_domain).is_some())
+            .collect();
+        let homes: Map<AdapterRef, Arc<Target>> = lost
+            .iter()
+            .map(|(t, a, _)| (a.clone(), t.clone()))
+            .collect();
+        let scores = lost.into_iter().map(|(_, a, score)| (a, score)).collect();
+        let due = recovery_order(scores, room).into_iter();
+        due.filter_map(|adapter| {
+            view.residency.restore(&adapter);
+            let target = homes.get(&adapter)?.clone();
+            Some(MissingCopy { target, adapter })
+        })
+        .collect()
+    };
+    let unavailable = UnavailableTargets::current(node, now);
+    for copy in due {
+        let id = &copy.target.id;
+        if unavailable.blocks_loads(id) {
+            continue;
+        }
+        log::info!(target: "keeper", id:% = id, adapter:% = adapter_key(&copy.adapter); "lost adapter requested");
+        if let Some(jobs) = node.controllers.jobs().get(id) {
+            // A full queue has more urgent work.
+            let _ = jobs.try_send(Job::recovery(copy.adapter, now));
+        }
+    }
+}
+
+/// The engine on which all daemons load `adapter` where none holds it.
+fn home(view: &View, adapter: &AdapterRef) -> Option<Arc<Target>> {
+    let key = adapter_key(adapter);
+    let ready = view
+        .targets
+        .values()
+        .filter(|t| t.stage == Stage::Ready && t.has_model(&adapter.model));
+    let home = ready.min_by_key(|t| {
+        let weight = view.paces.home_weight(&t.id);
+        let at_hand = view.residency.at_hand(adapter, &t.id);
+        (!at_hand, weighted_rank(&key, &t.id, weight))
+    });
+    home.cloned()
+}
+
 /// An adapter copy to be loaded on an engine.
 struct MissingCopy {
     target: Arc<Target>,
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -1,6 +1,6 @@
 //! Loading of adapters into slots: job selection, eviction and completion.
 
-use comfreyhall_domain::AdapterRef;
+use comfreyhall_domain::{AdapterRef, Name, Stage};
 use comfreyhall_placement::{EvictionCandidate, select_victim};
 use comfreyhall_routing::Presence;
 
@@ -8,9 +8,11 @@
     EngineController, HeldAdapter, Job, LOAD_POLL_MS, PendingLoad, Placed, STALLED_LOAD_MS, finish,
 };
 use crate::{
-    fleet::adapter_key,
+    fleet::{LoadTiming, adapter_key},
     node::NamedVersion,
+    outbound::UnavailableTargets,
     ports::{Action, CommandReply},
+    weights::{self, LoadOrigin},
 };
 
 /// Concurrent adapter loads that an engine allows.
@@ -76,9 +78,18 @@
             return;
         };
         let load_ms = now.saturating_sub(loading.started_at_ms);
-        self.node
-            .controllers
-            .record_load(loading.cached, load_ms, now);
+        let (age, predicted) = (loading.age, loading.cached);
+        let timed = loading.origin != LoadOrigin::Unknown;
+        let was_cached = timed.then(|| {
+            let mut view = self.node.view();
+            view.residency
+                .record_load(adapter, &self.target.id, age, load_ms)
+        });
+        let cached = match was_cached {
+            Some(cached) if self.node.policies().weight_affinity => cached,
+            _ => predicted,
+        };
+        self.node.controllers.record_load(cached, load_ms, now);
         let Some(loading) = self.take_pending(adapter) else {
             return;
         };
@@ -93,11 +104,18 @@
         view.residency
             .record(adapter, &self.target.id, presence, now);
         drop(view);
-        self.node
-            .fleet
-            .record_placement(&self.target.id, adapter, Some(version));
-        self.node.metrics.adapter_load(loading.cached);
-        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), version, recent = loading.cached, queued = loading.queued_ms, blocked = loading.wait_reason, ms = load_ms; "adapter loaded");
+        self.node.fleet.record_placement(
+            &self.target.id,
+            adapter,
+            Some(version),
+            LoadTiming {
+                load_ms: if timed { load_ms } else { 0 },
+                age,
+            },
+        );
+        let why = if cached { "" } else { loading.origin.name() };
+        self.node.metrics.adapter_load(cached, why);
+        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), version, recent = cached, why, queued = loading.queued_ms, blocked = loading.wait_reason, ms = load_ms; "adapter loaded");
         finish(loading.waiters, Ok(self.placed(version)));
     }
 
@@ -165,6 +183,9 @@
             loading.waiters.extend(job.claim());
             return None;
         }
+        if job.is_recovery() && !self.may_recover(&job) {
+            return None;
+        }
         if let Some(wait_reason) = self.wait_reason(&job) {
             return Some(job.wait_for(wait_reason, &self.target.id));
         }
@@ -182,6 +203,26 @@
         self.load(job).await
     }
 
+    /// Whether a lost adapter is still to be loaded here: no engine has it or is
+    /// loading it, and there is a slot whose adapter is wanted less.
+    fn may_recover(&self, job: &Job) -> bool {
+        if self.node.controllers.is_loading(&job.adapter) {
+            return false;
+        }
+        let victim = match self.held.len() + self.pending.len() < self.slots() {
+            true => None,
+            false => match self.choose_victim() {
+                Some(victim) => Some(victim),
+                None => return false,
+            },
+        };
+        let now = self.node.now();
+        let view = self.node.view();
+        let score = |a: &AdapterRef| view.demand.score(&adapter_key(a), now);
+        view.residency.copy_count(&job.adapter) == 0
+            && victim.is_none_or(|v| score(&v) < score(&job.adapter))
+    }
+
     /// Returns why `job` may not be loaded here yet.
     fn wait_reason(&self, job: &Job) -> Option<&'static str> {
         if !self.synced {
@@ -203,12 +244,53 @@
         }
         let cached = {
             let view = self.node.view();
-            view.residency
-                .likely_cached(&job.adapter, &self.target.id, now)
+            weights::is_cached(&self.node, &view, &job.adapter, &self.target.id, now)
         };
         // Cached weights do not come from the weight store.
+        if cached {
+            return None;
+        }
+        if self.may_wait_for_cached(job, engines, now) {
+            return Some("cached elsewhere");
+        }
         let window = self.node.policies().load_window;
-        (window && !cached && self.node.controllers.store_full()).then_some("weight store")
+        if !window || !self.node.controllers.store_full() {
+            return None;
+        }
+        if let Some(ticket) = &job.ticket {
+            ticket.wait_for_store(&self.node.controllers.store_queue);
+        }
+        Some("weight store")
+    }
+
+    /// Whether another of the engines that may serve `job` has the weights
+    /// cached, and waiting for a slot there is better than a load from the
+    /// store here.
+    fn may_wait_for_cached(&self, job: &Job, engines: &[Name], now: u64) -> bool {
+        if !self.node.policies().weight_affinity || engines.len() < 2 {
+            return false;
+        }
+        let controllers = &self.node.controllers;
+        let start_in_ms = job.waiting.start_by_ms.saturating_sub(now);
+        let waited_ms = now.saturating_sub(job.waiting.arrived_ms);
+        let callers = controllers.callers.count(&job.adapter);
+        let store = controllers.store_state();
+        if waited_ms as f64 >= store.cached_wait_ms(waited_ms + start_in_ms, callers) {
+            return false;
+        }
+        let unavailable = UnavailableTargets::current(&self.node, now);
+        let view = self.node.view();
+        !view.is_hot(&job.adapter, now)
+            && engines.iter().any(|e| {
+                *e != self.target.id
+                    && !unavailable.blocks_loads(e)
+                    && view.targets.get(e).is_some_and(|t| t.stage == Stage::Ready)
+                    && !view
+                        .unavailable_until
+                        .get(e)
+                        .is_some_and(|until| now < *until)
+                    && view.residency.at_hand(&job.adapter, e)
+            })
     }
 
     /// Result of a placement on this engine.
@@ -221,16 +303,20 @@
 
     pub(super) async fn load(&mut self, job: Job) -> Option<Job> {
         let now = self.node.now();
-        let (version, cached) = {
+        let (version, cached, age, origin) = {
             let view = self.node.view();
             let named = view
                 .named_versions
                 .get(&job.adapter)
                 .map_or(0, |n| n.version);
-            let cached = view
-                .residency
-                .likely_cached(&job.adapter, &self.target.id, now);
-            (named.max(job.version), cached)
+            let id = &self.target.id;
+            let cached = weights::is_cached(&self.node, &view, &job.adapter, id, now);
+            let age = view.residency.load_age(&job.adapter, id);
+            let origin = match job.is_recovery() {
+                true => LoadOrigin::Lost,
+                false => LoadOrigin::of(&view.residency, &job.adapter),
+            };
+            (named.max(job.version), cached, age, origin)
         };
         let waiter = job.claim();
         let target = self.target.id.clone();
@@ -248,6 +334,8 @@
                     started_at_ms: now,
                     poll_at_ms: now + ((expected * FIRST_POLL_FRACTION) as u64).max(LOAD_POLL_MS),
                     cached,
+                    age,
+                    origin,
                     queued_ms: now.saturating_sub(job.waiting.arrived_ms),
                     wait_reason: job.wait_reason,
                     waiters: waiter.into_iter().collect(),
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -34,7 +34,10 @@
     request::{EngineCandidate, PlacementRequest, place_adapter},
     ticket::{Placed, PlacementError},
 };
-use crate::node::Node;
+use crate::{
+    node::Node,
+    weights::{CallerCounts, LoadOrigin, StoreQueue, StoreState},
+};
 
 /// Jobs that may be queued for one engine.
 const JOB_QUEUE_LEN: usize = 256;
@@ -99,6 +102,19 @@
         }
     }
 
+    /// A load of an adapter that was lost with its engine. It comes after those
+    /// that requests wait for.
+    fn recovery(adapter: AdapterRef, now: u64) -> Self {
+        let mut job = Self::prefetch(adapter, 0, now);
+        job.waiting.priority = u32::MAX;
+        job
+    }
+
+    /// Whether it restores a lost adapter.
+    fn is_recovery(&self) -> bool {
+        self.ticket.is_none() && self.waiting.priority == u32::MAX
+    }
+
     /// Returns the job after recording that it waits at `target` for `why`.
     fn wait_for(mut self, why: &'static str, target: &Name) -> Self {
         self.wait_reason = why;
@@ -134,6 +150,10 @@
     loading: Mutex<Map<AdapterRef, Vec<Name>>>,
     /// Loads from the weight store in progress.
     store_loads: AtomicU32,
+    /// Requests that wait until the weight store may load for them.
+    store_queue: StoreQueue,
+    /// Requests that wait for a load of each adapter.
+    callers: CallerCounts,
     window: Mutex<LoadWindow>,
     /// Model loads started recently.
     model_loads: Mutex<LoadRateLimit>,
@@ -146,6 +166,8 @@
             jobs: Mutex::default(),
             loading: Mutex::default(),
             store_loads: AtomicU32::new(0),
+            store_queue: StoreQueue::default(),
+            callers: CallerCounts::default(),
             window: Mutex::default(),
             model_loads: Mutex::default(),
             load_times: Mutex::new(INITIAL_LOAD_MS),
@@ -164,6 +186,21 @@
         self.store_loads.load(Ordering::Relaxed) >= self.window().size()
     }
 
+    /// What a load from the weight store costs now.
+    pub(crate) fn store_state(&self) -> StoreState {
+        StoreState {
+            load_ms: self.expected_load_ms(false),
+            waiting: self.store_queue.len(),
+            size: self.window().size(),
+        }
+    }
+
+    /// Loads from the weight store that may start now for nobody in particular.
+    fn store_room(&self) -> usize {
+        let used = self.store_loads.load(Ordering::Relaxed) + self.store_queue.len();
+        self.window().size().saturating_sub(used) as usize
+    }
+
     /// Whether a model load may start now.
     fn model_may_load(&self, rate: f64, share: f64, now: u64) -> bool {
         let mut models = self
@@ -208,6 +245,11 @@
         }
     }
 
+    /// Whether any engine managed here is loading `adapter`.
+    fn is_loading(&self, adapter: &AdapterRef) -> bool {
+        self.loading().contains_key(adapter)
+    }
+
     /// Whether one of `candidates` other than `target` is loading `adapter`.
     fn is_loading_elsewhere(
         &self,
@@ -312,6 +354,10 @@
     started_at_ms: u64,
     poll_at_ms: u64,
     cached: bool,
+    /// Number of other adapters that the engine had loaded since this one.
+    age: Option<usize>,
+    /// Why it comes from the weight store, as known when it began.
+    origin: LoadOrigin,
     /// Time in ms from the placement request to the command, and what it was
     /// spent waiting for.
     queued_ms: u64,
--- a/crates/comfreyhall-node/src/engine_control/report.rs
+++ b/crates/comfreyhall-node/src/engine_control/report.rs
@@ -14,6 +14,7 @@
 use crate::{
     outbound,
     ports::{Report, ReportError},
+    weights::LoadOrigin,
 };
 
 /// Longest wait for a report.
@@ -89,6 +90,8 @@
                     started_at_ms: now,
                     poll_at_ms: now + LOAD_POLL_MS,
                     cached: false,
+                    age: None,
+                    origin: LoadOrigin::Unknown,
                     queued_ms: 0,
                     wait_reason: "",
                     waiters: Vec::new(),
--- a/crates/comfreyhall-node/src/engine_control/request.rs
+++ b/crates/comfreyhall-node/src/engine_control/request.rs
@@ -52,6 +52,7 @@
     let gone = GoneEngines::default();
     let ticket = Arc::new(Ticket::new(waiter, targets, gone.clone()));
     let now = node.now();
+    let _caller = node.controllers.callers.enter(&request.adapter);
     let mut offered = false;
     for candidate in &request.candidates {
         let job = Job {
--- a/crates/comfreyhall-node/src/engine_control/ticket.rs
+++ b/crates/comfreyhall-node/src/engine_control/ticket.rs
@@ -6,11 +6,13 @@
 //! next one. With all slots in use one becomes free about every 20 ms over nine
 //! engines, but only every 200 ms on one of them.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use comfreyhall_domain::Name;
 use tokio::sync::oneshot;
 
+use crate::weights::{StoreQueue, StoreWait};
+
 /// Where an adapter is loaded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Placed {
@@ -64,6 +66,8 @@
     gone: GoneEngines,
     /// What the first candidate last waited for.
     wait_reason: Mutex<&'static str>,
+    /// Set once it has waited for the weight store.
+    store_wait: OnceLock<StoreWait>,
 }
 
 impl Ticket {
@@ -75,9 +79,16 @@
             candidates: engines,
             gone,
             wait_reason: Mutex::new(""),
+            store_wait: OnceLock::new(),
         }
     }
 
+    /// Counts the request among those that wait for the weight store, until it
+    /// is served or given up.
+    pub(super) fn wait_for_store(&self, queue: &StoreQueue) {
+        self.store_wait.get_or_init(|| queue.enter());
+    }
+
     /// Records what `target` waits for before it can serve the request.
     pub(super) fn set_wait_reason(&self, target: &Name, why: &'static str) {
         if self.candidates.first() == Some(target) {
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -9,7 +9,7 @@
 use comfreyhall_routing::{Presence, Work};
 use rand::seq::IteratorRandom;
 
-use super::{Fleet, Peer, State, hub, parse_adapter_key, runs::Runs};
+use super::{Fleet, Peer, State, histories::apply_histories, hub, parse_adapter_key, runs::Runs};
 use crate::{
     follow,
     node::Node,
@@ -35,6 +35,7 @@
     pub(super) fn gossip_for(&self, node: &Node, addr: &str) -> News {
         let now = node.now();
         let mut gossip = self.own_gossip(node, now);
+        gossip.load_histories = self.next_histories(node, &gossip.holdings, addr);
         let mut state = self.state();
         let known = state.alive_peers(now).filter(|(a, _)| &***a != addr);
         let known = known.map(|(a, _)| a.to_string());
@@ -226,9 +227,15 @@
                     true => Presence::Absent,
                     false => Presence::Held(placed.version),
                 };
+                if placed.load_ms > 0 {
+                    let age = placed.load_age.checked_sub(1).map(|a| a as usize);
+                    view.residency
+                        .record_load(&adapter, &target, age, placed.load_ms);
+                }
                 view.residency.record(&adapter, &target, presence, now);
             }
         }
+        apply_histories(&mut view, &gossip.load_histories);
         for demand in &gossip.demands {
             view.count_demand(&demand.key, demand.requests, now);
         }
@@ -324,6 +331,7 @@
         if peer.daemon.as_ref().is_none_or(|a| a.boot != from.boot) {
             // The runs of an earlier process are gone.
             peer.runs = Runs::default();
+            peer.histories_sent = 0;
         }
         peer.daemon = Some(from.clone());
         peer.findings_acked = match gossip.heard_boot == self.me.boot {
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod fetch;
 mod gossip;
+mod histories;
 mod holders;
 mod hub;
 mod members;
@@ -101,6 +102,8 @@
     demands: Map<Name, u32>,
     /// First placement not sent to it yet.
     untold_from: u64,
+    /// Load histories sent to it, in order of their targets.
+    histories_sent: usize,
     /// Serial of the last finding it has received from this daemon.
     findings_acked: u64,
     /// Its findings that this daemon has received.
@@ -109,6 +112,14 @@
     clock_ms: u64,
 }
 
+/// How long a load took, and how many others its target had loaded since it
+/// last loaded the adapter.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LoadTiming {
+    pub(crate) load_ms: u64,
+    pub(crate) age: Option<usize>,
+}
+
 #[derive(Default)]
 struct State {
     /// Keyed by peer address.
@@ -238,6 +249,7 @@
             members: 0,
             demands: Map::default(),
             untold_from,
+            histories_sent: 0,
             findings_acked: 0,
             findings_heard: SyncPosition::default(),
             clock_ms: 0,
@@ -385,6 +397,7 @@
         target: &Name,
         adapter: &AdapterRef,
         version: Option<u64>,
+        timing: LoadTiming,
     ) {
         let mut state = self.state();
         let serial = state.next_placement;
@@ -394,6 +407,8 @@
             adapter: adapter_key(adapter).to_string(),
             version: version.unwrap_or(0),
             dropped: version.is_none(),
+            load_ms: timing.load_ms,
+            load_age: timing.age.map_or(0, |a| a as u32 + 1),
         };
         state.placements.push_back((serial, placed));
         if state.placements.len() > MAX_PLACEMENTS {
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -132,9 +132,10 @@
         self.refusals.add(1, &[KeyValue::new("why", why)]);
     }
 
-    pub(crate) fn adapter_load(&self, cached: bool) {
+    pub(crate) fn adapter_load(&self, cached: bool, why: &'static str) {
         let from = if cached { "at_hand" } else { "store" };
-        self.adapter_loads.add(1, &[KeyValue::new("from", from)]);
+        let labels = [KeyValue::new("from", from), KeyValue::new("why", why)];
+        self.adapter_loads.add(1, &labels);
     }
 
     pub(crate) fn command(&self, reply: &'static str) {
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -129,7 +129,7 @@
         if topic == Topic::Targets {
             view.entry_errors.remove(&record.key);
             if let Some(known) = view.boot_of(&record.key) {
-                remove_target(view, &known.id);
+                remove_target(view, &known.id, now);
             }
         }
         return true;
@@ -176,7 +176,7 @@
                     return false;
                 }
                 log::info!(target: "follow", id:% = known.id, next:% = target.id; "target restarted");
-                remove_target(view, &known.id);
+                remove_target(view, &known.id, now);
             }
             let known = view.targets.get(&target.id);
             if known.is_none_or(|t| t.stage != target.stage) {
@@ -241,11 +241,11 @@
     a.stage == b.stage && a.addr == b.addr && a.service == b.service && models(a) == models(b)
 }
 
-fn remove_target(view: &mut View, target: &Name) {
+fn remove_target(view: &mut View, target: &Name, now: u64) {
     if view.targets.remove(target).is_some() {
         log::info!(target: "follow", id:% = target; "target gone");
     }
-    view.residency.remove(target);
+    view.residency.remove(target, now);
     let targets = &view.targets;
     view.board.retain(|id| targets.contains_key(id));
     view.paces.retain(|id| targets.contains_key(id));
--- /dev/null
+++ b/crates/comfreyhall-node/src/weights/recovery.rs
@@ -0,0 +1,16 @@
+//! Which adapters to load again after engines were lost.
+
+use comfreyhall_domain::AdapterRef;
+
+/// Demand score from which a lost adapter is loaded before a request asks for
+/// it: one request within the last half-life or so. Rarer ones are more often
+/// loaded in vain than not.
+const MIN_RECOVERY_SCORE: f64 = 0.5;
+
+/// The `room` lost adapters to load now, of those with these demand scores, the
+/// most wanted first.
+pub(crate) fn recovery_order(mut lost: Vec<(AdapterRef, f64)>, room: usize) -> Vec<AdapterRef> {
+    lost.retain(|(_, score)| *score >= MIN_RECOVERY_SCORE);
+    lost.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+    lost.into_iter().take(room).map(|(a, _)| a).collect()
+}
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -475,6 +475,22 @@
     pub version: u64,
     #[prost(bool, tag = "4")]
     pub dropped: bool,
+    /// Duration of the load in ms; 0 if unknown.
+    #[prost(uint64, tag = "5")]
+    pub load_ms: u64,
+    /// 1 more than the number of other adapters that the target had loaded since
+    /// it last loaded this one; 0 if it never had it.
+    #[prost(uint32, tag = "6")]
+    pub load_age: u32,
+}
+/// The adapters that a target loaded last.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LoadHistory {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// Short ids of the adapters, the last loaded at the end.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub ids: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct News {
@@ -566,6 +582,9 @@
     /// From a holder: the pace of the engines of its groups.
     #[prost(message, repeated, tag = "31")]
     pub paces: ::prost::alloc::vec::Vec<EnginePace>,
+    /// From a holder, once to each peer: the loads of the targets of its groups.
+    #[prost(message, repeated, tag = "34")]
+    pub load_histories: ::prost::alloc::vec::Vec<LoadHistory>,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/comfreyhall-routing/src/lib.rs
+++ b/crates/comfreyhall-routing/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 mod budget;
+mod cache;
 mod duration;
 mod health;
 mod latency;
@@ -20,6 +21,7 @@
 mod target_stats;
 
 pub use budget::RetryBudget;
+pub use cache::{CacheDepth, LoadOrder, cache_id};
 pub use health::Health;
 pub use latency::{LatencyModel, SpeedFactor};
 pub use pace::{Pace, PaceTable, StreamSample};
--- a/crates/comfreyhall-routing/src/residency.rs
+++ b/crates/comfreyhall-routing/src/residency.rs
@@ -4,9 +4,14 @@
 //! it commands knows sooner, and an answer of the target itself is immediate
 //! proof. Newer direct evidence takes precedence over an older published list
 //! for [`EVIDENCE_TTL_MS`]; afterwards the list decides.
+//!
+//! The order of the loads that were seen tells what an engine still has cached
+//! (see [`CacheDepth`]).
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Target};
 
+use crate::cache::{CacheDepth, LoadOrder, cache_id};
+
 /// How long direct evidence takes precedence over the published list: two
 /// publishing intervals of 1,200 ms, and the time to read them.
 const EVIDENCE_TTL_MS: u64 = 3_000;
@@ -47,8 +52,18 @@
     copy_counts: Map<AdapterRef, u32>,
     /// Number of adapters that each target holds.
     adapter_counts: Map<Name, u32>,
+    /// Loads of each target.
+    load_orders: Map<Name, LoadOrder>,
+    /// Cached adapters of the engines of each model.
+    depths: Map<Name, CacheDepth>,
+    /// Adapters that the last copy of was lost with its target, and when.
+    lost: Map<AdapterRef, u64>,
 }
 
+/// How long an adapter counts as lost, in ms. Later its requests have shown
+/// whether it is still wanted.
+const LOST_TTL_MS: u64 = 20_000;
+
 impl Residency {
     /// Records direct evidence received at `now`.
     pub fn record(&mut self, adapter: &AdapterRef, target: &Name, presence: Presence, now: u64) {
@@ -108,6 +123,80 @@
         })
     }
 
+    /// Records a load of `adapter` that took `load_ms` on `target`, which had
+    /// loaded `age` others since it last loaded it; returns whether the weights
+    /// were cached.
+    pub fn record_load(
+        &mut self,
+        adapter: &AdapterRef,
+        target: &Name,
+        age: Option<usize>,
+        load_ms: u64,
+    ) -> bool {
+        let depth = self.depths.entry(adapter.model.clone()).or_default();
+        let cached = depth.was_cached(load_ms);
+        depth.record(age, load_ms);
+        self.note_load(adapter, target);
+        cached
+    }
+
+    fn note_load(&mut self, adapter: &AdapterRef, target: &Name) {
+        let order = self.load_orders.entry(target.clone()).or_default();
+        order.push(cache_id(adapter));
+    }
+
+    /// Number of other adapters that `target` has loaded since `adapter`.
+    pub fn load_age(&self, adapter: &AdapterRef, target: &Name) -> Option<usize> {
+        self.load_orders.get(target)?.age(cache_id(adapter))
+    }
+
+    /// Whether `target` has the weights of `adapter` by the order of its loads.
+    pub fn at_hand(&self, adapter: &AdapterRef, target: &Name) -> bool {
+        let depth = self.cache_depth(&adapter.model);
+        self.load_age(adapter, target).is_some_and(|a| a < depth)
+    }
+
+    /// Number of adapters that engines of `model` have at hand.
+    pub fn cache_depth(&self, model: &Name) -> usize {
+        let depth = self.depths.get(model).map(CacheDepth::depth);
+        depth.unwrap_or_else(|| CacheDepth::default().depth())
+    }
+
+    /// Whether any target has the weights of `adapter`.
+    pub fn at_hand_anywhere(&self, adapter: &AdapterRef) -> bool {
+        self.load_orders.keys().any(|t| self.at_hand(adapter, t))
+    }
+
+    /// The last loads of `target`, at most `count`, for a peer.
+    pub fn last_loads(&self, target: &Name, count: usize) -> Vec<u32> {
+        let order = self.load_orders.get(target);
+        order.map_or_else(Vec::new, |o| o.last(count))
+    }
+
+    /// Adds loads of `target` that a peer knows of.
+    pub fn merge_loads(&mut self, target: &Name, earlier: &[u32]) {
+        let order = self.load_orders.entry(target.clone()).or_default();
+        order.merge(earlier);
+    }
+
+    /// Adapters that no target holds since their last one was removed.
+    pub fn lost(&mut self, now: u64) -> Vec<AdapterRef> {
+        let copies = &self.copy_counts;
+        self.lost
+            .retain(|a, since| now < *since + LOST_TTL_MS && !copies.contains_key(a));
+        self.lost.keys().cloned().collect()
+    }
+
+    /// Forgets that `adapter` was lost.
+    pub fn restore(&mut self, adapter: &AdapterRef) {
+        self.lost.remove(adapter);
+    }
+
+    /// Whether `adapter` was lost lately.
+    pub fn was_lost(&self, adapter: &AdapterRef) -> bool {
+        self.lost.contains_key(adapter)
+    }
+
     /// Number of targets that hold `adapter`.
     pub fn copy_count(&self, adapter: &AdapterRef) -> u32 {
         self.copy_counts.get(adapter).copied().unwrap_or(0)
@@ -119,12 +208,17 @@
     }
 
     /// Removes a target that no longer exists.
-    pub fn remove(&mut self, target: &Name) {
-        for (adapter, _) in self.entries(target) {
+    pub fn remove(&mut self, target: &Name, now: u64) {
+        for (adapter, entry) in self.entries(target) {
             self.set(&adapter, target, None);
+            let held = matches!(entry.presence, Presence::Held(_));
+            if held && self.copy_count(&adapter) == 0 {
+                self.lost.insert(adapter, now);
+            }
         }
         self.by_target.remove(target);
         self.adapter_counts.remove(target);
+        self.load_orders.remove(target);
     }
 
     /// The version of `adapter` that `target` holds.
@@ -170,6 +264,9 @@
         if before == after {
             return;
         }
+        if after && self.load_age(adapter, target) != Some(0) {
+            self.note_load(adapter, target);
+        }
         let copies = self.copy_counts.entry(adapter.clone()).or_default();
         let held = self.adapter_counts.entry(target.clone()).or_default();
         for count in [&mut *copies, held] {
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -306,7 +306,7 @@
         r.likely_cached(&adapter(), &a, 1_500),
         "it is still cached there"
     );
-    r.remove(&b);
+    r.remove(&b, 1_600);
     assert_eq!((r.copy_count(&adapter()), r.adapter_count(&b)), (0, 0));
 }
 
