--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -76,23 +76,18 @@
     let due: Vec<MissingCopy> = {
         let mut view = node.view();
         let lost = view.residency.lost(now).into_iter();
-        let lost: Vec<_> = lost
-            .map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)))
-            .filter_map(|(a, score)| Some((home(&view, &a)?, a, score)))
-            .filter(|(t, ..)| node.token(&t.failure_domain).is_some())
-            .collect();
-        let homes: Map<AdapterRef, Arc<Target>> = lost
-            .iter()
-            .map(|(t, a, _)| (a.clone(), t.clone()))
-            .collect();
-        let scores = lost.into_iter().map(|(_, a, score)| (a, score)).collect();
-        let due = recovery_order(scores, room).into_iter();
-        due.filter_map(|adapter| {
-            view.residency.restore(&adapter);
-            let target = homes.get(&adapter)?.clone();
+        let lost = lost.map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)));
+        let wanted = recovery_order(lost.collect()).into_iter();
+        let copies = wanted.filter_map(|adapter| {
+            let target = home(&view, &adapter)?;
             Some(MissingCopy { target, adapter })
-        })
-        .collect()
+        });
+        let own = copies.filter(|c| node.token(&c.target.failure_domain).is_some());
+        let due: Vec<MissingCopy> = own.take(room).collect();
+        for copy in &due {
+            view.residency.restore(&copy.adapter);
+        }
+        due
     };
     let unavailable = UnavailableTargets::current(node, now);
     for copy in due {
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -1,6 +1,6 @@
 //! Loading of adapters into slots: job selection, eviction and completion.
 
-use comfreyhall_domain::{AdapterRef, Name, Stage};
+use comfreyhall_domain::AdapterRef;
 use comfreyhall_placement::{EvictionCandidate, select_victim};
 use comfreyhall_routing::Presence;
 
@@ -10,7 +10,6 @@
 use crate::{
     fleet::{LoadTiming, adapter_key},
     node::NamedVersion,
-    outbound::UnavailableTargets,
     ports::{Action, CommandReply},
     weights::{self, LoadOrigin},
 };
@@ -203,26 +202,6 @@
         self.load(job).await
     }
 
-    /// Whether a lost adapter is still to be loaded here: no engine has it or is
-    /// loading it, and there is a slot whose adapter is wanted less.
-    fn may_recover(&self, job: &Job) -> bool {
-        if self.node.controllers.is_loading(&job.adapter) {
-            return false;
-        }
-        let victim = match self.held.len() + self.pending.len() < self.slots() {
-            true => None,
-            false => match self.choose_victim() {
-                Some(victim) => Some(victim),
-                None => return false,
-            },
-        };
-        let now = self.node.now();
-        let view = self.node.view();
-        let score = |a: &AdapterRef| view.demand.score(&adapter_key(a), now);
-        view.residency.copy_count(&job.adapter) == 0
-            && victim.is_none_or(|v| score(&v) < score(&job.adapter))
-    }
-
     /// Returns why `job` may not be loaded here yet.
     fn wait_reason(&self, job: &Job) -> Option<&'static str> {
         if !self.synced {
@@ -250,7 +229,7 @@
         if cached {
             return None;
         }
-        if self.may_wait_for_cached(job, engines, now) {
+        if self.may_wait_for_cached(job, now) {
             return Some("cached elsewhere");
         }
         let window = self.node.policies().load_window;
@@ -263,36 +242,6 @@
         Some("weight store")
     }
 
-    /// Whether another of the engines that may serve `job` has the weights
-    /// cached, and waiting for a slot there is better than a load from the
-    /// store here.
-    fn may_wait_for_cached(&self, job: &Job, engines: &[Name], now: u64) -> bool {
-        if !self.node.policies().weight_affinity || engines.len() < 2 {
-            return false;
-        }
-        let controllers = &self.node.controllers;
-        let start_in_ms = job.waiting.start_by_ms.saturating_sub(now);
-        let waited_ms = now.saturating_sub(job.waiting.arrived_ms);
-        let callers = controllers.callers.count(&job.adapter);
-        let store = controllers.store_state();
-        if waited_ms as f64 >= store.cached_wait_ms(waited_ms + start_in_ms, callers) {
-            return false;
-        }
-        let unavailable = UnavailableTargets::current(&self.node, now);
-        let view = self.node.view();
-        !view.is_hot(&job.adapter, now)
-            && engines.iter().any(|e| {
-                *e != self.target.id
-                    && !unavailable.blocks_loads(e)
-                    && view.targets.get(e).is_some_and(|t| t.stage == Stage::Ready)
-                    && !view
-                        .unavailable_until
-                        .get(e)
-                        .is_some_and(|until| now < *until)
-                    && view.residency.at_hand(&job.adapter, e)
-            })
-    }
-
     /// Result of a placement on this engine.
     pub(super) fn placed(&self, version: u64) -> Placed {
         Placed {
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -9,6 +9,7 @@
 //! load more adapters than it has slots crashes, along with everything that
 //! runs on it.
 
+mod affinity;
 mod command;
 mod copies;
 mod load;
--- a/crates/comfreyhall-node/src/engine_control/request.rs
+++ b/crates/comfreyhall-node/src/engine_control/request.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::{Job, Placed, PlacementError, Ticket, ticket::GoneEngines};
-use crate::node::Node;
+use crate::{node::Node, weights};
 
 /// An engine that may load an adapter.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,13 +44,15 @@
     request: PlacementRequest,
 ) -> Result<Placed, PlacementError> {
     let (waiter, mut result) = oneshot::channel();
-    let targets = request
+    let targets: Vec<Name> = request
         .candidates
         .iter()
         .map(|p| p.target.clone())
         .collect();
+    let cached = weights::cached_among(node, &request.adapter, &targets);
     let gone = GoneEngines::default();
-    let ticket = Arc::new(Ticket::new(waiter, targets, gone.clone()));
+    let ticket = Ticket::new(waiter, targets, gone.clone()).with_cached(cached);
+    let ticket = Arc::new(ticket);
     let now = node.now();
     let _caller = node.controllers.callers.enter(&request.adapter);
     let mut offered = false;
--- a/crates/comfreyhall-node/src/engine_control/ticket.rs
+++ b/crates/comfreyhall-node/src/engine_control/ticket.rs
@@ -63,6 +63,8 @@
     waiter: Mutex<Option<Waiter>>,
     /// Engines that may serve it.
     candidates: Vec<Name>,
+    /// Those of them that have the weights cached.
+    cached: Vec<Name>,
     gone: GoneEngines,
     /// What the first candidate last waited for.
     wait_reason: Mutex<&'static str>,
@@ -77,12 +79,24 @@
         Self {
             waiter: Mutex::new(Some(waiter)),
             candidates: engines,
+            cached: Vec::new(),
             gone,
             wait_reason: Mutex::new(""),
             store_wait: OnceLock::new(),
         }
     }
 
+    /// Names the engines that have the weights cached.
+    pub(super) fn with_cached(mut self, cached: Vec<Name>) -> Self {
+        self.cached = cached;
+        self
+    }
+
+    /// Engines that may serve it and have the weights cached.
+    pub(super) fn cached(&self) -> &[Name] {
+        &self.cached
+    }
+
     /// Counts the request among those that wait for the weight store, until it
     /// is served or given up.
     pub(super) fn wait_for_store(&self, queue: &StoreQueue) {
--- a/crates/comfreyhall-node/src/weights/mod.rs
+++ b/crates/comfreyhall-node/src/weights/mod.rs
@@ -69,6 +69,16 @@
     }
 }
 
+/// Those of `targets` that have the weights of `adapter` cached.
+pub(crate) fn cached_among(node: &Node, adapter: &AdapterRef, targets: &[Name]) -> Vec<Name> {
+    if !node.policies().weight_affinity {
+        return Vec::new();
+    }
+    let view = node.view();
+    let cached = |t: &&Name| view.residency.at_hand(adapter, t);
+    targets.iter().filter(cached).cloned().collect()
+}
+
 /// Estimates a load of `adapter` on `target`.
 pub(crate) fn estimate(
     node: &Node,
--- a/crates/comfreyhall-node/src/weights/recovery.rs
+++ b/crates/comfreyhall-node/src/weights/recovery.rs
@@ -7,10 +7,10 @@
 /// loaded in vain than not.
 const MIN_RECOVERY_SCORE: f64 = 0.5;
 
-/// The `room` lost adapters to load now, of those with these demand scores, the
-/// most wanted first.
-pub(crate) fn recovery_order(mut lost: Vec<(AdapterRef, f64)>, room: usize) -> Vec<AdapterRef> {
+/// Those of the lost adapters, with their demand scores, that are worth loading
+/// again, the most wanted first.
+pub(crate) fn recovery_order(mut lost: Vec<(AdapterRef, f64)>) -> Vec<AdapterRef> {
     lost.retain(|(_, score)| *score >= MIN_RECOVERY_SCORE);
     lost.sort_by(|(_, a), (_, b)| b.total_cmp(a));
-    lost.into_iter().take(room).map(|(a, _)| a).collect()
+    lost.into_iter().map(|(a, _)| a).collect()
 }
--- a/crates/comfreyhall-placement/src/queue.rs
+++ b/crates/comfreyhall-placement/src/queue.rs
@@ -18,6 +18,12 @@
 }
 
 impl QueuedRequest {
+    /// Time from its arrival within which a load must start to meet the
+    /// latency objective.
+    pub fn start_in_ms(&self) -> u64 {
+        self.start_by_ms.saturating_sub(self.arrived_ms)
+    }
+
     /// Sort key; the lowest is served first.
     pub fn sort_key(&self, now: u64) -> (bool, u32, u64) {
         (now > self.start_by_ms, self.priority, self.arrived_ms)
--- a/crates/comfreyhall-routing/src/cache.rs
+++ b/crates/comfreyhall-routing/src/cache.rs
@@ -159,3 +159,6 @@
         wrong.iter().rposition(fits).unwrap_or(MAX_TRACKED)
     }
 }
+
+#[cfg(test)]
+mod tests;
