--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -73,22 +73,11 @@
 fn restore_lost(node: &Node) {
     let now = node.now();
     let room = node.controllers.store_room();
-    let due: Vec<MissingCopy> = {
-        let mut view = node.view();
-        let lost = view.residency.lost(now).into_iter();
-        let lost = lost.map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)));
-        let wanted = recovery_order(lost.collect()).into_iter();
-        let copies = wanted.filter_map(|adapter| {
-            let target = home(&view, &adapter)?;
-            Some(MissingCopy { target, adapter })
-        });
-        let own = copies.filter(|c| node.token(&c.target.failure_domain).is_some());
-        let due: Vec<MissingCopy> = own.take(room).collect();
-        for copy in &due {
-            view.residency.restore(&copy.adapter);
-        }
-        due
-    };
+    if room == 0 {
+        return;
+    }
+    let owns = |t: &Target| node.token(&t.failure_domain).is_some();
+    let due = due_recoveries(&mut node.view(), room, owns, now);
     let unavailable = UnavailableTargets::current(node, now);
     for copy in due {
         let id = &copy.target.id;
@@ -103,6 +92,27 @@
     }
 }
 
+/// At most `room` lost adapters to load now on own engines, each of them once.
+fn due_recoveries(
+    view: &mut View,
+    room: usize,
+    owns: impl Fn(&Target) -> bool,
+    now: u64,
+) -> Vec<MissingCopy> {
+    let lost = view.residency.lost(now).into_iter();
+    let lost = lost.map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)));
+    let wanted = recovery_order(lost.collect()).into_iter();
+    let copies = wanted.filter_map(|adapter| {
+        let target = home(view, &adapter)?;
+        Some(MissingCopy { target, adapter })
+    });
+    let due: Vec<MissingCopy> = copies.filter(|c| owns(&c.target)).take(room).collect();
+    for copy in &due {
+        view.residency.restore(&copy.adapter);
+    }
+    due
+}
+
 /// The engine on which all daemons load `adapter` where none holds it.
 fn home(view: &View, adapter: &AdapterRef) -> Option<Arc<Target>> {
     let key = adapter_key(adapter);
--- a/crates/comfreyhall-node/src/weights/tests.rs
+++ b/crates/comfreyhall-node/src/weights/tests.rs
@@ -44,7 +44,7 @@
             .iter()
             .map(|e| {
                 let cached = is_cached(e);
-                let full = rendezvous_rank(&format!("{}", turn / 50), e) % 3 == 0;
+                let full = rendezvous_rank(&format!("{}", turn / 50), e).is_multiple_of(3);
                 let rank = if cached { 0 } else { rendezvous_rank(&key, e) };
                 (full && !cached, rank, loader(e, cached, full))
             })
--- a/crates/comfreyhall-node/tests/place.rs
+++ b/crates/comfreyhall-node/tests/place.rs
@@ -162,3 +162,36 @@
     assert_eq!(loaders(&backend, "z"), [free]);
     held[0].abort();
 }
+
+/// Guards against an engine that is ordered to hold more adapters than it has
+/// slots: the first command of each request gets no answer, and each may still
+/// be carried out.
+#[tokio::test]
+async fn serve_silent_commands_never_overfill() {
+    let mut long = route(RouteKind::Stream, 1, false);
+    long.timeout_ms = 8_000;
+    long.objective_ms = 4_000;
+    let (node, backend, _) = start_node_with(long, Some(engine()), Vec::new()).await;
+    *backend.default_behavior.lock().unwrap() = Some(Behavior::Stream(vec![1], true));
+    backend.finish_loads.store(true, Ordering::SeqCst);
+    for (i, adapter) in ["x", "y", "z", "x", "z", "y", "x"].into_iter().enumerate() {
+        let sent = backend.commands.lock().unwrap().len();
+        backend
+            .unanswered_commands
+            .store(sent + 1, Ordering::SeqCst);
+        let call = node.serve(ask_for(&i.to_string(), adapter));
+        caller_result(call.await).await;
+    }
+    let commands = backend.commands.lock().unwrap();
+    let targets = backend.command_targets.lock().unwrap();
+    let mut held: std::collections::BTreeMap<_, Vec<AdapterRef>> = Default::default();
+    for (command, target) in commands.iter().zip(targets.iter()) {
+        let adapters = held.entry(target.clone()).or_default();
+        adapters.retain(|a| *a != command.adapter);
+        if command.action == Action::Load {
+            adapters.push(command.adapter.clone());
+        }
+        assert!(adapters.len() <= 1, "{target} was to hold {adapters:?}");
+    }
+    assert!(commands.len() > 7, "{commands:?}");
+}
