--- a/crates/comfreyhall-node/src/engine_control/affinity.rs
+++ b/crates/comfreyhall-node/src/engine_control/affinity.rs
@@ -36,7 +36,7 @@
         }
         let controllers = &self.node.controllers;
         let waited_ms = now.saturating_sub(job.waiting.arrived_ms);
-        let callers = controllers.callers.count(&job.adapter);
+        let callers = controllers.callers(&job.adapter);
         let start_in_ms = job.waiting.start_in_ms();
         let limit_ms = controllers
             .store_state()
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -130,6 +130,13 @@
         self.ticket.as_ref().is_none_or(|t| t.is_open())
     }
 
+    /// Whether `target` had the weights cached when it was offered.
+    fn is_cached_at(&self, target: &Name) -> bool {
+        self.ticket
+            .as_ref()
+            .is_some_and(|t| t.cached().contains(target))
+    }
+
     /// Withdraws the job from the other engines and returns the waiting
     /// request, if there is one.
     fn claim(&self) -> Option<Waiter> {
@@ -196,6 +203,11 @@
         }
     }
 
+    /// Number of requests that wait for `adapter`.
+    pub(crate) fn callers(&self, adapter: &AdapterRef) -> u32 {
+        self.callers.count(adapter)
+    }
+
     /// Loads from the weight store that may start now for nobody in particular.
     fn store_room(&self) -> usize {
         let used = self.store_loads.load(Ordering::Relaxed) + self.store_queue.len();
