--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -12,6 +12,7 @@
 mod affinity;
 mod command;
 mod copies;
+mod job;
 mod load;
 mod report;
 mod request;
@@ -27,10 +28,13 @@
 };
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Target};
-use comfreyhall_placement::{LoadRateLimit, LoadWindow, QueuedRequest};
+use comfreyhall_placement::{LoadRateLimit, LoadWindow};
 use tokio::sync::mpsc;
 
-use self::ticket::{Ticket, Waiter};
+use self::{
+    job::Job,
+    ticket::{Ticket, Waiter},
+};
 pub(crate) use self::{
     request::{EngineCandidate, PlacementRequest, place_adapter},
     ticket::{Placed, PlacementError},
@@ -68,89 +72,6 @@
 /// Longest pause of an idle engine controller, in ms.
 const IDLE_POLL_MS: u64 = 500;
 
-/// A request to load an adapter on this engine, or on one of several.
-struct Job {
-    adapter: AdapterRef,
-    /// Minimum acceptable version; 0 for any.
-    version: u64,
-    waiting: QueuedRequest,
-    /// The waiting request; `None` for a prefetch.
-    ticket: Option<Arc<Ticket>>,
-    /// Additional latency in ms of serving it here instead of on the best
-    /// engine.
-    extra_ms: u64,
-    expires_at_ms: u64,
-    /// What it last waited for.
-    wait_reason: &'static str,
-}
-
-impl Job {
-    /// A load that no request waits for yet. It has the highest priority, as
-    /// many requests for its adapter are expected.
-    fn prefetch(adapter: AdapterRef, version: u64, now: u64) -> Self {
-        Self {
-            adapter,
-            version,
-            waiting: QueuedRequest {
-                priority: 0,
-                arrived_ms: now,
-                start_by_ms: now + STALLED_LOAD_MS,
-            },
-            ticket: None,
-            extra_ms: 0,
-            expires_at_ms: now + STALLED_LOAD_MS,
-            wait_reason: "",
-        }
-    }
-
-    /// A load of an adapter that was lost with its engine. It comes after those
-    /// that requests wait for.
-    fn recovery(adapter: AdapterRef, now: u64) -> Self {
-        let mut job = Self::prefetch(adapter, 0, now);
-        job.waiting.priority = u32::MAX;
-        job
-    }
-
-    /// Whether it restores a lost adapter.
-    fn is_recovery(&self) -> bool {
-        self.ticket.is_none() && self.waiting.priority == u32::MAX
-    }
-
-    /// Returns the job after recording that it waits at `target` for `why`.
-    fn wait_for(mut self, why: &'static str, target: &Name) -> Self {
-        self.wait_reason = why;
-        if let Some(ticket) = &self.ticket {
-            ticket.set_wait_reason(target, why);
-        }
-        self
-    }
-
-    /// Whether it is still wanted here.
-    fn is_open(&self) -> bool {
-        self.ticket.as_ref().is_none_or(|t| t.is_open())
-    }
-
-    /// Whether `target` had the weights cached when it was offered.
-    fn is_cached_at(&self, target: &Name) -> bool {
-        self.ticket
-            .as_ref()
-            .is_some_and(|t| t.cached().contains(target))
-    }
-
-    /// Withdraws the job from the other engines and returns the waiting
-    /// request, if there is one.
-    fn claim(&self) -> Option<Waiter> {
-        self.ticket.as_ref()?.take()
-    }
-
-    /// Offers the job to the other engines again, as this one cannot serve it.
-    fn yield_to_others(&self, waiter: Option<Waiter>) {
-        if let (Some(ticket), Some(waiter)) = (&self.ticket, waiter) {
-            ticket.put_back(waiter);
-        }
-    }
-}
-
 /// Controllers of all engines that this daemon manages.
 pub(crate) struct EngineControllers {
     jobs: Mutex<Map<Name, mpsc::Sender<Job>>>,
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -61,13 +61,9 @@
         self.poll_pending().await;
         self.drop_outdated().await;
         let now = self.node.now();
-        // Of equally urgent requests, those whose weights are cached here: they
-        // take a slot for a tenth of the load, and spare the weight store.
         let id = &self.target.id;
-        self.queue.sort_by_key(|j| {
-            let (late, priority, arrived_ms) = j.waiting.sort_key(now);
-            (late, priority, !j.is_cached_at(id), arrived_ms)
-        });
+        self.queue
+            .sort_by_key(|j| j.waiting.slot_key(j.is_cached_at(id), now));
         self.slots_full = false;
         let mut later = Vec::new();
         for job in std::mem::take(&mut self.queue) {
