--- a/crates/comfreyhall-node/src/fleet/histories.rs
+++ b/crates/comfreyhall-node/src/fleet/histories.rs
@@ -16,6 +16,9 @@
 /// Loads told for each engine: what is likely to be still cached.
 const MAX_LOADS: usize = 40;
 
+/// Count of a peer that has received all histories.
+const ALL_SENT: usize = usize::MAX;
+
 impl Fleet {
     /// The next load histories for the peer at `addr`, of the engines of the
     /// groups whose leases this daemon holds.
@@ -28,6 +31,10 @@
         if !node.policies().weight_affinity || holdings.is_empty() {
             return Vec::new();
         }
+        let sent = self.state().peers.get(addr).map(|p| p.histories_sent);
+        if sent.is_none_or(|sent| sent == ALL_SENT) {
+            return Vec::new();
+        }
         // Lock order: the view before the state.
         let view = node.view();
         let held = |domain: &str| holdings.iter().any(|h| h.group == domain);
@@ -40,7 +47,11 @@
                 return Vec::new();
             };
             let skipped = peer.histories_sent;
-            peer.histories_sent = (skipped + PER_MESSAGE).min(targets.len());
+            peer.histories_sent = match skipped + PER_MESSAGE {
+                next if next < targets.len() => next,
+                _ if targets.is_empty() => 0,
+                _ => ALL_SENT,
+            };
             skipped
         };
         let due = targets.iter().skip(skipped).take(PER_MESSAGE);
@@ -61,3 +72,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
