--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -140,7 +140,7 @@
         .saturating_sub(params.elapsed_ms + prefill_ms);
     let engines: Vec<Name> = plan.candidates.iter().map(|c| c.target.clone()).collect();
     let cached_ms = weights::cached_wait_ms(node, &adapter, &engines, objective_ms);
-    let wait_ms = SLOT_WAIT_MS.max(cached_ms);
+    let wait_ms = SLOT_WAIT_MS + cached_ms;
     let request = engine_control::PlacementRequest {
         adapter: adapter.clone(),
         candidates: plan.candidates.clone(),
--- a/crates/comfreyhall-node/src/weights/store.rs
+++ b/crates/comfreyhall-node/src/weights/store.rs
@@ -34,15 +34,14 @@
 
     /// How long a request may wait in ms, from its arrival, for an engine that
     /// has the weights, where a load must start within `start_in_ms` of its
-    /// arrival and `callers` wait for the same adapter.
+    /// arrival to be on time and `callers` wait for the same adapter.
     ///
     /// All of these wait for what one load would cost, so that an adapter in
     /// demand gets a copy soon. None waits past the moment from which a load
     /// from the store would make it late.
     pub(crate) fn cached_wait_ms(&self, start_in_ms: u64, callers: u32) -> f64 {
         let worth_ms = self.cost_ms() / f64::from(callers.max(1));
-        let slack_ms = start_in_ms as f64 - self.load_ms - self.wait_ms();
-        worth_ms.min(slack_ms)
+        worth_ms.min(start_in_ms as f64 - self.wait_ms())
     }
 }
 
