--- a/crates/comfreyhall-node/src/active_send.rs
+++ b/crates/comfreyhall-node/src/active_send.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use comfreyhall_domain::{AdapterRef, Name, Target};
-use comfreyhall_routing::StreamSample;
 use comfreyhall_slots::SlotShare;
 
 use crate::{
     fleet::{Run, RunChange, RunUpdate},
     node::Node,
+    paces::{self, StreamReport},
 };
 
 /// Time after its first event during which a run counts as just begun, in ms: a
@@ -160,8 +160,7 @@
         let wait_ms = now.saturating_sub(self.began_ms);
         let mut view = self.node.view();
         if self.run_handle.is_some() {
-            view.board
-                .record_first_token(&self.target, self.backlog, wait_ms);
+            paces::record_first(&mut view, &self.target, self.backlog, wait_ms, now);
         }
         view.board.prompt_read(&self.target, self.unread_tokens);
         drop(view);
@@ -174,13 +173,13 @@
     }
 
     /// Records the pace of its stream, which has ended.
-    pub(crate) fn record_stream(&self, sample: StreamSample) {
+    pub(crate) fn record_stream(&self, report: StreamReport) {
         let now = self.node.now();
         let mut view = self.node.view();
-        view.paces.record_stream(&self.target, sample, now);
+        paces::record_stream(&mut view, &self.target, &report, now);
         drop(view);
         if let Some(run_handle) = &self.run_handle {
-            run_handle.report(RunChange::Streamed(sample));
+            run_handle.report(RunChange::Streamed(report));
         }
     }
 
--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -59,6 +59,12 @@
     config.services.get(service)?.engine.clone()
 }
 
+fn gap_objective_of(node: &Node, route: &Name) -> Option<u64> {
+    let config = node.config()?;
+    let route = config.routes.iter().find(|r| r.name == *route)?;
+    route.gap_objective_ms
+}
+
 /// Counts the request, and marks its adapter as hot if it is requested often.
 fn record_demand(node: &Node, params: &BindParams) {
     let Some(adapter) = params
@@ -81,6 +87,8 @@
     let criteria = Criteria {
         requirements: &params.requirements,
         objective_ms: params.objective_ms,
+        gap_objective_ms: gap_objective_of(node, &params.route),
+        uses_paces: node.policies().engine_pace,
         service: &params.service,
         group: Some(&params.group),
         engine: Some(engine),
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -17,7 +17,7 @@
     engine_control::EngineCandidate,
     node::{Node, View},
     outbound::{self, UnavailableTargets},
-    weights,
+    paces, weights,
 };
 
 /// Divisor of the version bound: how long after a new version of an adapter was
@@ -120,6 +120,10 @@
     pub(crate) requirements: &'a Requirements,
     /// Latency objective of its route, in ms.
     pub(crate) objective_ms: u64,
+    /// Longest gap of a stream of its route that is in time, in ms.
+    pub(crate) gap_objective_ms: Option<u64>,
+    /// Whether engines differ in pace.
+    pub(crate) uses_paces: bool,
     pub(crate) service: &'a Name,
     /// Restricts the choice to the engines of this group, whose lease this daemon
     /// holds and of which it knows every run.
@@ -315,11 +319,12 @@
         if prefix_engine == Some(&t.id) {
             tokens = tokens.min(criteria.requirements.own_tokens());
         }
-        choice.wait_ms = view.board.prefill_ms(&t.id, tokens, now);
+        let cost = paces::cost(node, view, criteria, &t.id, tokens);
+        choice.wait_ms = cost.wait_ms;
+        choice.interference_ms = cost.late_ms;
         if let Some(slot_price) = slot_price {
             let streams = view.board.total_work(&t.id, now).requests;
-            let read_ms = view.board.read_duration_ms(tokens as f64);
-            choice.interference_ms = slot_price.read_cost_ms(read_ms, streams);
+            choice.interference_ms += slot_price.read_cost_ms(cost.read_ms, streams);
         }
         let in_other_domain =
             hot && has_local_engines && criteria.group.is_none() && t.failure_domain != domain;
@@ -364,7 +369,7 @@
         let rank = if cached {
             0
         } else {
-            selection::weighted_rank(&key, &t.id, view.paces.home_weight(&t.id))
+            selection::weighted_rank(&key, &t.id, paces::home_weight(view, criteria, &t.id))
         };
         loaders.push((full && !cached, rank, choice));
     }
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -35,6 +35,7 @@
     pub(super) fn gossip_for(&self, node: &Node, addr: &str) -> News {
         let now = node.now();
         let mut gossip = self.own_gossip(node, now);
+        self.add_paces(node, addr, &mut gossip);
         let mut state = self.state();
         let known = state.alive_peers(now).filter(|(a, _)| &***a != addr);
         let known = known.map(|(a, _)| a.to_string());
@@ -195,6 +196,7 @@
         outbound::merge_notices(node, &gossip.words, &from.id);
         let mut work_by_target = self.update_peer(node, &from, &gossip, now);
         self.learn_holders(&gossip.holders, now);
+        self.learn_paces(node, &gossip, now);
         if arrival == super::Origin::Answer {
             self.learn_totals(node, &from, &gossip, now);
         }
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod holders;
 mod hub;
 mod members;
+mod paces;
 mod progress;
 mod runs;
 
@@ -101,6 +102,8 @@
     demands: Map<Name, u32>,
     /// First placement not sent to it yet.
     untold_from: u64,
+    /// Serial of the last pace of an engine that it was told.
+    paces_told: u64,
     /// Serial of the last finding it has received from this daemon.
     findings_acked: u64,
     /// Its findings that this daemon has received.
@@ -123,6 +126,8 @@
     handovers: Vec<Cession>,
     /// Cached part of the answers to daemons that report here.
     summary: hub::Summary,
+    /// What this holder tells of the paces of its engines.
+    paces: paces::PaceLog,
     /// Whether this process has read the list of members from the store.
     members_listed: bool,
     /// When a random peer was last called, in a large fleet.
@@ -238,6 +243,7 @@
             members: 0,
             demands: Map::default(),
             untold_from,
+            paces_told: 0,
             findings_acked: 0,
             findings_heard: SyncPosition::default(),
             clock_ms: 0,
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -14,7 +14,10 @@
 use tokio::sync::mpsc;
 
 use super::Fleet;
-use crate::node::Node;
+use crate::{
+    node::Node,
+    paces::{self, StreamReport},
+};
 
 /// Capacity of the queue of updates. What does not fit is left to the next
 /// gossip message.
@@ -38,14 +41,14 @@
 }
 
 /// What changed.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) enum RunChange {
     /// Its first event arrived, after this many ms.
     FirstEvent(u64),
     /// It has ended, or was never sent.
     Ended,
     /// Its stream has ended.
-    Streamed(StreamSample),
+    Streamed(StreamReport),
     /// Its answer counts for the engine, with this weight.
     Success(f64),
     /// Its answer counts against the engine, with this weight.
@@ -99,30 +102,41 @@
         events.len() - 1
     });
     let merged = &mut events[at];
-    match event.change {
+    match &event.change {
         RunChange::FirstEvent(ms) => {
             merged.first = true;
-            merged.waited_ms = ms;
+            merged.waited_ms = *ms;
         }
         RunChange::Ended => merged.ended = true,
-        RunChange::Streamed(sample) => {
+        RunChange::Streamed(StreamReport {
+            sample,
+            route,
+            expected,
+        }) => {
             merged.stream_events = sample.events;
             merged.stream_ms = sample.stream_ms;
             merged.longest_gap_ms = sample.longest_gap_ms;
             merged.gap_objective_ms = sample.gap_objective_ms.unwrap_or(0);
+            merged.route = route.to_string();
+            merged.expected_events = expected.unwrap_or(0);
         }
-        RunChange::Success(weight) => merged.good += weight,
-        RunChange::Failure(weight) => merged.bad += weight,
+        RunChange::Success(weight) => merged.good += *weight,
+        RunChange::Failure(weight) => merged.bad += *weight,
     }
 }
 
 /// What `event` says of a stream that has ended.
-fn stream_sample(event: &RunEvent) -> Option<StreamSample> {
-    (event.stream_events > 0).then_some(StreamSample {
+fn stream_report(event: &RunEvent) -> Option<StreamReport> {
+    let sample = StreamSample {
         events: event.stream_events,
         stream_ms: event.stream_ms,
         longest_gap_ms: event.longest_gap_ms,
         gap_objective_ms: (event.gap_objective_ms > 0).then_some(event.gap_objective_ms),
+    };
+    (event.stream_events > 0).then(|| StreamReport {
+        sample,
+        route: event.route.as_str().into(),
+        expected: (event.expected_events > 0).then_some(event.expected_events),
     })
 }
 
@@ -184,8 +198,7 @@
                     ..Work::default()
                 };
                 view.board.subtract_peer_work(&id, &target, work);
-                view.board
-                    .record_first_token(&target, run.queued_tokens, event.waited_ms);
+                paces::record_first(&mut view, &target, run.queued_tokens, event.waited_ms, now);
             }
             if let Some(run) = ended {
                 node.slots.record_end(&run, now);
@@ -194,8 +207,8 @@
                     view.hold.record(now.saturating_sub(run.bound_at_ms));
                 }
             }
-            if let Some(sample) = stream_sample(event) {
-                view.paces.record_stream(&target, sample, now);
+            if let Some(report) = stream_report(event) {
+                paces::record_stream(&mut view, &target, &report, now);
             }
             if event.good > 0.0 {
                 view.board.record_outcome(&target, true, event.good, now);
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod outbound;
+mod paces;
 pub mod ports;
 mod quarantine;
 mod quotas;
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -16,6 +16,9 @@
 /// seconds; the latency objectives of the deployments served are 0.15 to 1 s.
 const BUCKETS_S: [f64; 11] = [0.0, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0];
 
+/// Histogram boundaries for the pace of engines; 1 is the mean.
+const BUCKETS_PACE: [f64; 7] = [0.6, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5];
+
 /// Workspaces with a series of their own; all others share one.
 const MAX_WORKSPACE_LABELS: usize = 64;
 
@@ -39,6 +42,7 @@
     settings_wait: Histogram<f64>,
     first_event: Histogram<f64>,
     load_stall: Histogram<f64>,
+    engine_pace: Histogram<f64>,
 }
 
 impl Metrics {
@@ -91,6 +95,11 @@
                 "time from a request's arrival to its first event",
             ),
             load_stall: seconds("load_stall", "time a request waited for an adapter"),
+            engine_pace: meter
+                .f64_histogram("engine_pace")
+                .with_description("time to read a prompt relative to the mean, of engines told of")
+                .with_boundaries(BUCKETS_PACE.to_vec())
+                .build(),
             exposition,
         }
     }
@@ -176,6 +185,11 @@
         self.load_stall.record(ms as f64 / 1_000.0, &[]);
     }
 
+    /// Records the pace of an engine that other daemons are told of.
+    pub(crate) fn engine_pace(&self, pace: f64) {
+        self.engine_pace.record(pace, &[]);
+    }
+
     pub(crate) fn text(&self) -> String {
         self.exposition.text()
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -11,7 +11,7 @@
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, PriorityTable, Target};
 use comfreyhall_life::{Lifecycle, Stage};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
-use comfreyhall_routing::{PaceTable, PrefixIndex, Residency, RetryBudget, TargetStats};
+use comfreyhall_routing::{PaceTable, PrefixIndex, Residency, RetryBudget, RunTimes, TargetStats};
 use comfreyhall_settings::{NodeSettings, Policies};
 use tokio::sync::Notify;
 
@@ -78,6 +78,8 @@
     pub(crate) prefixes: PrefixIndex,
     /// How fast each engine is.
     pub(crate) paces: PaceTable,
+    /// How much output the runs of each route have.
+    pub(crate) run_times: RunTimes,
     pub(crate) budgets: Map<Name, RetryBudget>,
     pub(crate) demand: Demand,
     /// The same over about a second.
@@ -107,6 +109,7 @@
             residency: Residency::default(),
             prefixes: PrefixIndex::default(),
             paces: PaceTable::default(),
+            run_times: RunTimes::default(),
             budgets: Map::default(),
             demand: Demand::new(DEMAND_HALF_LIFE_MS),
             fast_demand: Demand::new(FAST_DEMAND_HALF_LIFE_MS),
--- /dev/null
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -0,0 +1,106 @@
+//! What the paces of engines mean for a request.
+//!
+//! The decisions are in `comfreyhall-routing`; this module feeds them what this
+//! daemon knows of first events, streams and backlogs.
+
+use comfreyhall_domain::Name;
+use comfreyhall_routing::{Interference, StreamSample};
+
+use crate::{
+    choose::Criteria,
+    node::{Node, View},
+};
+
+/// How a stream went that has ended.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct StreamReport {
+    pub(crate) sample: StreamSample,
+    /// Name of its route.
+    pub(crate) route: Name,
+    /// Events that its caller expected.
+    pub(crate) expected: Option<u32>,
+}
+
+/// What one engine costs a request, and the streams that run there.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct EngineCost {
+    /// Expected time to the first event, in ms.
+    pub(crate) wait_ms: f64,
+    /// Time to read its prompt, in ms.
+    pub(crate) read_ms: f64,
+    /// Cost of streams with late gaps, in ms: those beside it, and its own.
+    pub(crate) late_ms: f64,
+}
+
+/// Estimates what `target` costs a request with `tokens` of prompt to read there.
+pub(crate) fn cost(
+    node: &Node,
+    view: &View,
+    criteria: &Criteria<'_>,
+    target: &Name,
+    tokens: u64,
+) -> EngineCost {
+    let now = node.now();
+    let board = &view.board;
+    let read_ms = board.read_duration_ms(tokens as f64);
+    if !criteria.uses_paces {
+        return EngineCost {
+            wait_ms: board.prefill_ms(target, tokens, now),
+            read_ms,
+            late_ms: 0.0,
+        };
+    }
+    let pace = view.paces.current(target, now);
+    let late_ms = criteria.gap_objective_ms.map_or(0.0, |objective_ms| {
+        let backlog = board.backlog(target, now) + tokens as f64;
+        let beside = Interference {
+            read_ms: pace.read * board.read_duration_ms(backlog),
+            event_wait_ms: pace.read * view.paces.event_wait_ms(),
+            objective_ms: objective_ms as f64,
+        };
+        let streams = board.total_work(target, now).requests;
+        // A late stream costs what a failed send does.
+        let late_cost_ms = criteria.objective_ms as f64;
+        beside.cost_ms(streams, late_cost_ms) + pace.late_gaps * late_cost_ms
+    });
+    EngineCost {
+        wait_ms: pace.read * board.mean_prefill_ms(target, tokens, now),
+        read_ms: pace.read * read_ms,
+        late_ms,
+    }
+}
+
+/// Weight of `target` as a home of adapters; 1 is the mean.
+pub(crate) fn home_weight(view: &View, criteria: &Criteria<'_>, target: &Name) -> f64 {
+    match criteria.uses_paces {
+        true => view.paces.home_weight(target),
+        false => 1.0,
+    }
+}
+
+/// Records a first event of `target` that came after `waited_ms`, with `tokens` of
+/// prompt to process before it.
+pub(crate) fn record_first(view: &mut View, target: &Name, tokens: u64, waited_ms: u64, now: u64) {
+    let expected_ms = view.board.record_first_token(target, tokens, waited_ms);
+    let Some(expected_ms) = expected_ms else {
+        return;
+    };
+    let weight = view
+        .paces
+        .record_first(target, waited_ms as f64, expected_ms, now);
+    if let Some(weight) = weight {
+        let pace = view.paces.current(target, now);
+        log::info!(target: "pace", id:% = target, weight, read = pace.long_read, gap = pace.gap, late = pace.late_gaps; "engine has another pace");
+    }
+}
+
+/// Records a stream of `target` that has ended.
+pub(crate) fn record_stream(view: &mut View, target: &Name, report: &StreamReport, now: u64) {
+    view.paces.record_stream(target, report.sample, now);
+    let StreamReport {
+        sample,
+        route,
+        expected,
+    } = report;
+    view.run_times.record(route, sample.events, *expected);
+}
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::{
     active_send::ActiveSend,
     events::{Event, EventSplitter},
+    paces::StreamReport,
     ports::Body,
     serve::{ActiveRequest, EventStream},
 };
@@ -174,11 +175,17 @@
         if self.resumes > 0 || self.events_sent == 0 {
             return;
         }
-        self.send.record_stream(StreamSample {
-            events: self.events_sent as u32,
+        let events = self.events_sent as u32;
+        let sample = StreamSample {
+            events,
             stream_ms: self.last_sent_ms.saturating_sub(self.first_sent_ms),
             longest_gap_ms: self.max_pause_ms,
             gap_objective_ms: request.route.gap_objective_ms,
+        };
+        self.send.record_stream(StreamReport {
+            sample,
+            route: request.route.name.clone(),
+            expected: request.expected_events(),
         });
     }
 
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -262,6 +262,13 @@
         }
     }
 
+    /// Events of the stream that its caller expects.
+    pub(crate) fn expected_events(&self) -> Option<u32> {
+        let event_tokens = self.engine.as_ref()?.event_tokens.max(1);
+        let expected = self.client_request.expected_output?;
+        Some(expected.div_ceil(event_tokens))
+    }
+
     /// Its identity over all attempts, as a number.
     fn identity(&self) -> u64 {
         let bytes = *self
@@ -450,6 +457,8 @@
         let criteria = Criteria {
             requirements: &self.requirements,
             objective_ms: self.route.objective_ms,
+            gap_objective_ms: self.route.gap_objective_ms,
+            uses_paces: self.node.policies().engine_pace,
             service: &self.service,
             group: None,
             engine: self.engine.as_ref(),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -566,6 +566,10 @@
     /// From a holder: the pace of the engines of its groups.
     #[prost(message, repeated, tag = "31")]
     pub paces: ::prost::alloc::vec::Vec<EnginePace>,
+    /// From a holder: the longest wait of one event, in ms, at an engine of mean
+    /// pace; 0 if unknown.
+    #[prost(double, tag = "33")]
+    pub event_wait_ms: f64,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -592,6 +596,9 @@
     /// Share of its streams that had a gap over the objective of their route.
     #[prost(double, tag = "4")]
     pub late_gaps: f64,
+    /// Time to read a prompt, by nature; `read` is as of now.
+    #[prost(double, tag = "5")]
+    pub long_read: f64,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -789,6 +796,11 @@
     /// Longest gap of a stream of its route that is in time; 0 if any is.
     #[prost(uint64, tag = "11")]
     pub gap_objective_ms: u64,
+    /// Its route, and the events that its caller expected; 0 if unknown.
+    #[prost(string, tag = "12")]
+    pub route: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "13")]
+    pub expected_events: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgressReport {
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -4,9 +4,72 @@
 //! slow for a moment. Two spans tell these apart: the long one decides which
 //! engine an adapter belongs to, the short one where a request goes now. A slow
 //! engine is not an unhealthy one.
+//!
+//! The time to read a prompt is compared with what its backlog lets expect, so
+//! it does not depend on the load, and neither do homes. The gaps between events
+//! do depend on it.
 
 use comfreyhall_domain::{Map, Name};
 
+use crate::{
+    average::{Average, Span},
+    home_class::HomeClass,
+};
+
+/// What an engine is by nature: long against a demand wave of some seconds.
+const LONG: Span = Span {
+    half_life_ms: 60_000.0,
+    prior: 10.0,
+};
+
+/// What it is just now: slow moments last some hundred ms.
+const SHORT: Span = Span {
+    half_life_ms: 700.0,
+    prior: 3.0,
+};
+
+/// Late streams of one engine: long enough to see some of them at a stream per
+/// second.
+const LATE: Span = Span {
+    half_life_ms: 15_000.0,
+    prior: 10.0,
+};
+
+/// All engines together.
+const ALL: Span = Span {
+    half_life_ms: 60_000.0,
+    prior: 1.0,
+};
+
+/// Samples that a report of the lease holder counts for.
+const REPORT_WEIGHT: f64 = 50.0;
+
+/// Samples that a report on the present moment counts for.
+const SHORT_REPORT_WEIGHT: f64 = 3.0;
+
+/// Bounds of one sample's ratio to what was expected, so that a stalled
+/// connection does not count for dozens of requests.
+const SAMPLE_BOUNDS: (f64, f64) = (0.3, 4.0);
+
+/// Bounds of a pace, so that no error idles or overloads an engine for good.
+const PACE_BOUNDS: (f64, f64) = (0.4, 4.0);
+
+/// Samples before an engine can leave the mean class of homes.
+const MIN_HOME_SAMPLES: f64 = 20.0;
+
+/// Assumed time between two events before any is known, in ms.
+const INITIAL_GAP_MS: f64 = 50.0;
+
+/// Share of streams whose longest gap is within the longest wait of an event.
+const WAIT_QUANTILE: f64 = 0.95;
+
+/// Relative step of the estimate of that quantile at each sample.
+const WAIT_STEP: f64 = 0.05;
+
+/// Assumed longest wait of an event before any is known, in ms: above most
+/// objectives, so that long backlogs count as harmful until they are known.
+const INITIAL_WAIT_MS: f64 = 1_000.0;
+
 /// What a stream that has ended tells of its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamSample {
@@ -23,8 +86,10 @@
 /// The pace of one engine; 1 is the mean and 2 takes twice as long.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pace {
-    /// Time to read a prompt.
+    /// Time to read a prompt, just now.
     pub read: f64,
+    /// Time to read a prompt, by nature.
+    pub long_read: f64,
     /// Time between two events.
     pub gap: f64,
     /// Share of its streams with a gap over the objective of their route.
@@ -35,46 +100,164 @@
     fn default() -> Self {
         Self {
             read: 1.0,
+            long_read: 1.0,
             gap: 1.0,
             late_gaps: 0.0,
         }
     }
 }
 
+/// Samples of one engine.
+#[derive(Debug, Clone, Copy, Default)]
+struct Engine {
+    read: Average,
+    /// Reading just now, relative to the long span.
+    short: Average,
+    gap: Average,
+    late: Average,
+    home: HomeClass,
+}
+
+impl Engine {
+    fn long_read(&self, now: u64) -> f64 {
+        let value = self.read.value(LONG, 1.0, now);
+        value.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+    }
+
+    fn read(&self, now: u64) -> f64 {
+        let read = self.long_read(now) * self.short.value(SHORT, 1.0, now);
+        read.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+    }
+}
+
 /// The pace of all engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PaceTable {
-    engines: Map<Name, Pace>,
+    engines: Map<Name, Engine>,
+    /// Ms per event.
+    gap_ms: Average,
+    /// Share of late streams.
+    late: Average,
+    /// Longest wait of an event at an engine of mean pace, in ms.
+    wait_ms: f64,
+}
+
+impl Default for PaceTable {
+    fn default() -> Self {
+        Self {
+            engines: Map::default(),
+            gap_ms: Average::default(),
+            late: Average::default(),
+            wait_ms: INITIAL_WAIT_MS,
+        }
+    }
 }
 
 impl PaceTable {
     /// Records a stream of `target` that has ended.
     pub fn record_stream(&mut self, target: &Name, sample: StreamSample, now: u64) {
-        let _ = (target, sample, now);
+        if sample.events < 2 {
+            return;
+        }
+        let mean_gap_ms = self.gap_ms.value(ALL, INITIAL_GAP_MS, now);
+        let gap_ms = sample.stream_ms as f64 / f64::from(sample.events - 1);
+        let ratio = (gap_ms / mean_gap_ms.max(1.0)).clamp(SAMPLE_BOUNDS.0, SAMPLE_BOUNDS.1);
+        let engine = self.engines.entry(target.clone()).or_default();
+        engine.gap.record(LONG, ratio, now);
+        let wait_ms = sample.longest_gap_ms as f64 / engine.long_read(now);
+        if let Some(objective_ms) = sample.gap_objective_ms {
+            let late = f64::from(u8::from(sample.longest_gap_ms > objective_ms));
+            engine.late.record(LATE, late, now);
+            self.late.record(ALL, late, now);
+        }
+        self.gap_ms.record(ALL, gap_ms, now);
+        self.record_wait(wait_ms);
+    }
+
+    /// Moves the quantile of the longest waits towards one of `wait_ms`.
+    fn record_wait(&mut self, wait_ms: f64) {
+        let step = match wait_ms > self.wait_ms {
+            true => WAIT_QUANTILE,
+            false => WAIT_QUANTILE - 1.0,
+        };
+        self.wait_ms = (self.wait_ms * (WAIT_STEP * step).exp()).max(1.0);
     }
 
     /// Records that the first event of `target` came after `waited_ms` where
-    /// `expected_ms` are usual.
-    pub fn record_first(&mut self, target: &Name, waited_ms: f64, expected_ms: f64, now: u64) {
-        let _ = (target, waited_ms, expected_ms, now);
+    /// `expected_ms` are usual at the mean of all engines. Returns the new
+    /// weight as a home if it has changed.
+    pub fn record_first(
+        &mut self,
+        target: &Name,
+        waited_ms: f64,
+        expected_ms: f64,
+        now: u64,
+    ) -> Option<f64> {
+        let ratio = (waited_ms / expected_ms.max(1.0)).clamp(SAMPLE_BOUNDS.0, SAMPLE_BOUNDS.1);
+        let engine = self.engines.entry(target.clone()).or_default();
+        engine
+            .short
+            .record(SHORT, ratio / engine.long_read(now), now);
+        engine.read.record(LONG, ratio, now);
+        let known = engine.read.weight(LONG, now) >= MIN_HOME_SAMPLES;
+        let changed = known && engine.home.update(engine.long_read(now), now);
+        changed.then(|| engine.home.weight())
     }
 
     /// Takes over what the lease holder of `target` says of it.
     pub fn set(&mut self, target: &Name, pace: Pace, now: u64) {
-        let _ = now;
-        self.engines.insert(target.clone(), pace);
+        let assumed_late = self.late.value(ALL, 0.0, now);
+        let engine = self.engines.entry(target.clone()).or_default();
+        let long_read = pace.long_read.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let short = pace.read / long_read;
+        engine.read.set(LONG, long_read, 1.0, REPORT_WEIGHT, now);
+        engine
+            .short
+            .set(SHORT, short, 1.0, SHORT_REPORT_WEIGHT, now);
+        engine.gap.set(LONG, pace.gap, 1.0, REPORT_WEIGHT, now);
+        engine
+            .late
+            .set(LATE, pace.late_gaps, assumed_late, REPORT_WEIGHT, now);
+        engine.home.update(long_read, now);
     }
 
     /// The pace of `target` as of `now`.
     pub fn current(&self, target: &Name, now: u64) -> Pace {
-        let _ = now;
-        self.engines.get(target).copied().unwrap_or_default()
+        let mean_late = self.late.value(ALL, 0.0, now);
+        let Some(engine) = self.engines.get(target) else {
+            return Pace {
+                late_gaps: mean_late,
+                ..Pace::default()
+            };
+        };
+        let gap = engine.gap.value(LONG, 1.0, now);
+        Pace {
+            read: engine.read(now),
+            long_read: engine.long_read(now),
+            gap: gap.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1),
+            late_gaps: engine.late.value(LATE, mean_late, now).clamp(0.0, 1.0),
+        }
+    }
+
+    /// Expected time between two events of `target`, in ms.
+    pub fn event_ms(&self, target: &Name, now: u64) -> f64 {
+        self.gap_ms.value(ALL, INITIAL_GAP_MS, now) * self.current(target, now).gap
+    }
+
+    /// Longest wait of one event at an engine of mean pace, in ms.
+    pub fn event_wait_ms(&self) -> f64 {
+        self.wait_ms
+    }
+
+    /// Takes over the longest wait of one event from a lease holder.
+    pub fn set_event_wait(&mut self, wait_ms: f64) {
+        self.wait_ms = wait_ms.max(1.0);
     }
 
     /// Weight of `target` as a home of adapters; 1 is the mean.
     pub fn home_weight(&self, target: &Name) -> f64 {
-        let _ = target;
-        1.0
+        let engine = self.engines.get(target);
+        engine.map_or(1.0, |e| e.home.weight())
     }
 
     /// Drops engines for which `keep` is false.
--- a/crates/comfreyhall-routing/src/target_stats.rs
+++ b/crates/comfreyhall-routing/src/target_stats.rs
@@ -127,14 +127,16 @@
 
     /// Updates the latency model with a first token that came after `waited`
     /// ms, with `tokens` of prompt to process before it, its own included.
-    pub fn record_first_token(&mut self, target: &Name, tokens: u64, waited: u64) {
+    /// Returns the ms that were expected at the mean of all engines, if any.
+    pub fn record_first_token(&mut self, target: &Name, tokens: u64, waited: u64) -> Option<f64> {
         if tokens == 0 {
-            return;
+            return None;
         }
         let (tokens, waited) = (tokens as f64, waited as f64);
         let expected = self.model.predict_ms(tokens);
         self.entry(target).speed.record(waited, expected);
         self.model.record(tokens, waited);
+        Some(expected)
     }
 
     /// Updates the average duration of plain requests with the one whose outcome
@@ -240,11 +242,19 @@
     pub fn prefill_ms(&self, target: &Name, tokens: u64, now: u64) -> f64 {
         let entry = self.entries.get(target);
         let speed = entry.map_or(1.0, |e| e.speed.get());
+        speed * self.mean_prefill_ms(target, tokens, now)
+    }
+
+    /// The same for an engine of mean speed with the backlog of `target`.
+    pub fn mean_prefill_ms(&self, target: &Name, tokens: u64, now: u64) -> f64 {
+        self.model
+            .predict_ms(self.backlog(target, now) + tokens as f64)
+    }
+
+    /// Prompt tokens that `target` has yet to process.
+    pub fn backlog(&self, target: &Name, now: u64) -> f64 {
         let work = self.total_work(target, now);
-        speed
-            * self
-                .model
-                .predict_ms((work.prefill_tokens + work.waiting_tokens + tokens) as f64)
+        (work.prefill_tokens + work.waiting_tokens) as f64
     }
 
     /// Time for which an engine is busy with a prompt of `tokens`.
