--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -314,6 +314,7 @@
         false => None,
     };
     let mut loaders: Vec<(bool, u64, Candidate)> = Vec::new();
+    let mut held_late_ms = f64::INFINITY;
     let mut out = Vec::new();
     for t in targets.iter().filter(|t| t.has_model(&adapter.model)) {
         let mut choice = base(t);
@@ -323,7 +324,6 @@
         }
         let cost = paces::cost(node, view, criteria, &t.id, tokens);
         choice.wait_ms = cost.wait_ms;
-        choice.interference_ms = cost.late_ms;
         if let Some(slot_price) = slot_price {
             let streams = view.board.total_work(&t.id, now).requests;
             choice.interference_ms += slot_price.read_cost_ms(cost.read_ms, streams);
@@ -333,12 +333,15 @@
         if in_other_domain {
             choice.interference_ms += REMOTE_DOMAIN_COST_MS;
         }
+        let interference_ms = choice.interference_ms;
+        choice.interference_ms += cost.late_ms;
         let resident = resident(t);
         let held = adapter.adapter.is_none() || resident.is_some_and(|v| v >= version);
         if held {
             if resident.is_some_and(|v| v < named) {
                 choice.wait_ms += OUTDATED_COST_MS;
             }
+            held_late_ms = held_late_ms.min(cost.late_ms);
             out.push(choice);
             continue;
         }
@@ -348,6 +351,7 @@
         if in_other_domain || unavailable.blocks_loads(&t.id) {
             continue;
         }
+        choice.interference_ms = interference_ms + cost.late_ms.min(paces::MAX_LOAD_LATE_MS);
         let held_lease = node.token(&t.failure_domain).is_some();
         if !held_lease && node.fleet.holder(&t.failure_domain, now).is_none() {
             continue;
@@ -381,7 +385,13 @@
     } else {
         out.len().max(MIN_NEW_HOMES)
     };
-    let loaders: Vec<Candidate> = loaders.into_iter().map(|(_, _, c)| c).collect();
+    let mut loaders: Vec<Candidate> = loaders.into_iter().map(|(_, _, c)| c).collect();
+    if held_late_ms.is_finite() {
+        // No copy is loaded only to spare streams at the engines that hold one.
+        for loader in &mut loaders {
+            loader.interference_ms += held_late_ms;
+        }
+    }
     out.extend(loaders.iter().take(homes).cloned());
     EngineChoices {
         eligible: out,
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -11,6 +11,11 @@
     node::{Node, View},
 };
 
+/// Largest cost of late streams at an engine that would load the adapter, in ms.
+/// Requests leave a free slot of such an engine unused for as long as it costs
+/// more than the best one, while others wait for a slot.
+pub(crate) const MAX_LOAD_LATE_MS: f64 = 120.0;
+
 /// How a stream went that has ended.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct StreamReport {
@@ -52,9 +57,9 @@
     }
     let pace = view.paces.current(target, now);
     let late_ms = criteria.gap_objective_ms.map_or(0.0, |objective_ms| {
-        let backlog = board.backlog(target, now) + tokens as f64;
         let beside = Interference {
-            read_ms: pace.read * board.read_duration_ms(backlog),
+            queued_ms: pace.read * board.read_duration_ms(board.backlog(target, now)),
+            read_ms: pace.read * read_ms,
             event_wait_ms: pace.read * view.paces.event_wait_ms(),
             objective_ms: objective_ms as f64,
         };
--- a/crates/comfreyhall-routing/src/interference.rs
+++ b/crates/comfreyhall-routing/src/interference.rs
@@ -18,7 +18,9 @@
 /// Lateness of the streams of one engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Interference {
-    /// Time to read the backlog, the new prompt included, in ms.
+    /// Time to read the backlog, in ms.
+    pub queued_ms: f64,
+    /// Time to read the new prompt, in ms.
     pub read_ms: f64,
     /// Longest wait of one event, in ms, however long the backlog is.
     pub event_wait_ms: f64,
@@ -27,13 +29,19 @@
 }
 
 impl Interference {
-    /// Probability that the backlog makes a stream beside it late.
-    pub fn late_probability(self) -> f64 {
-        let gap_ms = self.read_ms.min(self.event_wait_ms);
+    /// Probability that reading for `read_ms` makes a stream beside it late.
+    fn probability(self, read_ms: f64) -> f64 {
+        let gap_ms = read_ms.min(self.event_wait_ms);
         let ratio = gap_ms / self.objective_ms.max(1.0);
         ((ratio - HARMLESS) / (CERTAIN - HARMLESS)).clamp(0.0, 1.0)
     }
 
+    /// Probability that a stream is late because of the new prompt: with the
+    /// backlog alone it would be in time.
+    pub fn late_probability(self) -> f64 {
+        self.probability(self.queued_ms + self.read_ms) - self.probability(self.queued_ms)
+    }
+
     /// Expected cost beside `streams`, where a late one costs `late_cost_ms`.
     pub fn cost_ms(self, streams: u32, late_cost_ms: f64) -> f64 {
         self.late_probability() * f64::from(streams) * late_cost_ms
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -55,8 +55,10 @@
         for step in 0..3_000_u64 {
             let cost = |i: usize| {
                 let pace = table.current(&name(i), 20_000).read;
-                let read_ms = pace * (self.backlog_ms[i] + PROMPT_MS);
+                let queued_ms = pace * self.backlog_ms[i];
+                let read_ms = pace * PROMPT_MS;
                 let beside = Interference {
+                    queued_ms,
                     read_ms,
                     event_wait_ms: 330.0 * pace,
                     objective_ms: 400.0,
@@ -66,7 +68,7 @@
                 } else {
                     0.0
                 };
-                read_ms + late_ms
+                queued_ms + read_ms + late_ms
             };
             let best = (0..6).min_by(|a, b| cost(*a).total_cmp(&cost(*b))).unwrap();
             self.backlog_ms[best] += PROMPT_MS;
@@ -210,6 +212,7 @@
 #[test]
 fn late_probability_bounded_by_event_wait() {
     let with = |event_wait_ms| Interference {
+        queued_ms: 0.0,
         read_ms: 2_000.0,
         event_wait_ms,
         objective_ms: 400.0,
