--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -58,8 +58,8 @@
     let pace = view.paces.current(target, now);
     let late_ms = criteria.gap_objective_ms.map_or(0.0, |objective_ms| {
         let beside = Interference {
-            queued_ms: pace.read * board.read_duration_ms(board.backlog(target, now)),
-            read_ms: pace.read * read_ms,
+            queued_ms: pace.read_ms(board.read_duration_ms(board.backlog(target, now))),
+            read_ms: pace.read_ms(read_ms),
             event_wait_ms: pace.read * view.paces.event_wait_ms(),
             objective_ms: objective_ms as f64,
         };
@@ -70,8 +70,8 @@
         beside.cost_ms(streams, late_cost_ms) + pace.late_probability(events) * late_cost_ms
     });
     EngineCost {
-        wait_ms: pace.read * board.mean_prefill_ms(target, tokens, now),
-        read_ms: pace.read * read_ms,
+        wait_ms: pace.read_ms(board.mean_prefill_ms(target, tokens, now)),
+        read_ms: pace.read_ms(read_ms),
         late_ms,
     }
 }
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -28,6 +28,9 @@
     prior: 3.0,
 };
 
+/// Expected duration of a slow moment, in ms.
+const MOMENT_MS: f64 = 300.0;
+
 /// Late events of one engine: long enough for some dozen streams at one per
 /// second. The prior is about five streams.
 const LATE: Span = Span {
@@ -105,6 +108,16 @@
 }
 
 impl Pace {
+    /// Time in ms for what takes the mean of all engines `mean_ms`: a slow moment
+    /// passes before a long backlog is read.
+    pub fn read_ms(self, mean_ms: f64) -> f64 {
+        let now_ms = mean_ms * self.read;
+        if now_ms <= MOMENT_MS || self.read <= self.long_read {
+            return now_ms;
+        }
+        MOMENT_MS + (mean_ms - MOMENT_MS / self.read) * self.long_read
+    }
+
     /// Probability that a stream of `events` has a late one.
     pub fn late_probability(self, events: f64) -> f64 {
         let in_time = (1.0 - self.late_gaps).clamp(0.0, 1.0);
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -1,6 +1,6 @@
 use comfreyhall_domain::Name;
 
-use crate::{Interference, Pace, PaceTable, RunTimes, StreamSample, selection};
+use crate::{Interference, Pace, PaceTable, RunTimes, StreamSample, TargetStats, selection};
 
 /// Time in ms that an engine of mean pace takes for a prompt.
 const PROMPT_MS: f64 = 90.0;
@@ -240,3 +240,34 @@
     let short = times.run_ms(&route, None, 100.0, 40.0);
     assert!((250.0..400.0).contains(&short), "{short}");
 }
+
+/// Guards against requests that are refused because of a slow moment which ends
+/// before their turn comes.
+#[test]
+fn read_ms_slow_moment_passes() {
+    let pace = Pace {
+        read: 2.5,
+        ..Pace::default()
+    };
+    assert_eq!(pace.read_ms(100.0), 250.0);
+    assert_eq!(pace.read_ms(1_000.0), 300.0 + 880.0);
+    let fast = Pace {
+        read: 0.7,
+        ..Pace::default()
+    };
+    assert_eq!(fast.read_ms(1_000.0), 700.0);
+}
+
+/// A slow engine with late streams is as healthy as before: only answers count.
+#[test]
+fn health_slow_engine_unchanged() {
+    let (mut stats, mut table, engine) = (TargetStats::default(), PaceTable::default(), name(0));
+    for now in (0..20_000).step_by(200) {
+        let expected_ms = stats.record_first_token(&engine, 2_000, 900).unwrap();
+        table.record_first(&engine, 900.0, expected_ms, now);
+        table.record_stream(&engine, stream(20, 900), now);
+        stats.record_outcome(&engine, true, 1.0, now);
+    }
+    assert!(table.current(&engine, 20_000).late_gaps > 0.05);
+    assert!(stats.health(&engine, 20_000) > 0.99);
+}
