--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -73,13 +73,25 @@
 /// Share of streams whose longest gap is within the longest wait of an event.
 const WAIT_QUANTILE: f64 = 0.95;
 
-/// Relative step of the estimate of that quantile at each sample.
-const WAIT_STEP: f64 = 0.05;
+/// Share of streams with fewer ms per event than one beside which nothing is read.
+const QUIET_QUANTILE: f64 = 0.1;
+
+/// Relative step of the estimate of a quantile at each sample.
+const QUANTILE_STEP: f64 = 0.05;
 
 /// Assumed longest wait of an event before any is known, in ms: above most
 /// objectives, so that long backlogs count as harmful until they are known.
 const INITIAL_WAIT_MS: f64 = 1_000.0;
 
+/// The estimate `known` of a quantile, moved towards a sample of `value`.
+fn moved(known: f64, quantile: f64, value: f64) -> f64 {
+    let step = match value > known {
+        true => quantile,
+        false => quantile - 1.0,
+    };
+    (known * (QUANTILE_STEP * step).exp()).max(1.0)
+}
+
 /// What a stream that has ended tells of its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamSample {
@@ -169,6 +181,9 @@
     late: Average,
     /// Longest wait of an event at an engine of mean pace, in ms.
     wait_ms: f64,
+    /// Ms per event of a stream beside which nothing is read, at an engine of mean
+    /// pace.
+    quiet_ms: f64,
 }
 
 impl Default for PaceTable {
@@ -178,6 +193,7 @@
             gap_ms: Average::default(),
             late: Average::default(),
             wait_ms: INITIAL_WAIT_MS,
+            quiet_ms: INITIAL_GAP_MS,
         }
     }
 }
@@ -193,7 +209,8 @@
         let ratio = (gap_ms / mean_gap_ms.max(1.0)).clamp(SAMPLE_BOUNDS.0, SAMPLE_BOUNDS.1);
         let engine = self.engines.entry(target.clone()).or_default();
         engine.gap.record(LONG, ratio, now);
-        let wait_ms = sample.longest_gap_ms as f64 / engine.long_read(now);
+        let long_read = engine.long_read(now);
+        let wait_ms = sample.longest_gap_ms as f64 / long_read;
         if let Some(objective_ms) = sample.gap_objective_ms {
             let is_late = sample.longest_gap_ms > objective_ms;
             // Later events of a late stream tell nothing more; on average half
@@ -204,16 +221,8 @@
             self.late.record_sum(ALL, late, events.max(1.0), now);
         }
         self.gap_ms.record(ALL, gap_ms, now);
-        self.record_wait(wait_ms);
-    }
-
-    /// Moves the quantile of the longest waits towards one of `wait_ms`.
-    fn record_wait(&mut self, wait_ms: f64) {
-        let step = match wait_ms > self.wait_ms {
-            true => WAIT_QUANTILE,
-            false => WAIT_QUANTILE - 1.0,
-        };
-        self.wait_ms = (self.wait_ms * (WAIT_STEP * step).exp()).max(1.0);
+        self.wait_ms = moved(self.wait_ms, WAIT_QUANTILE, wait_ms);
+        self.quiet_ms = moved(self.quiet_ms, QUIET_QUANTILE, gap_ms / long_read);
     }
 
     /// Records that the first event of `target` came after `waited_ms` where
@@ -282,6 +291,11 @@
         self.wait_ms
     }
 
+    /// Ms per event at an engine of mean pace while nothing is read.
+    pub fn quiet_ms(&self) -> f64 {
+        self.quiet_ms
+    }
+
     /// Takes over the longest wait of one event from a lease holder.
     pub fn set_event_wait(&mut self, wait_ms: f64) {
         self.wait_ms = wait_ms.max(1.0);
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -1,6 +1,9 @@
 use comfreyhall_domain::Name;
 
-use crate::{Interference, Pace, PaceTable, RunTimes, StreamSample, TargetStats, selection};
+use crate::{
+    Interference, Pace, PaceTable, PromptPacer, Reading, RunTimes, StreamSample, TargetStats,
+    selection,
+};
 
 /// Time in ms that an engine of mean pace takes for a prompt.
 const PROMPT_MS: f64 = 90.0;
@@ -271,3 +274,41 @@
     assert!(table.current(&engine, 20_000).late_gaps > 0.05);
     assert!(stats.health(&engine, 20_000) > 0.99);
 }
+
+/// Guards against streams that get no turn while a burst of prompts is read: ten
+/// prompts of 100 ms arrive within half a second at an engine that could read all
+/// of them in a second, and its streams wait for it that long.
+#[test]
+fn admit_burst_streams_get_turns() {
+    let mut pacer = PromptPacer::default();
+    let reading = Reading {
+        read_ms: 100.0,
+        run_ms: 200.0,
+        break_ms: 40.0,
+        max_delay_ms: 2_000.0,
+    };
+    let mut free_at_ms = 0;
+    let (mut longest_ms, mut run_ms) = (0, 0);
+    for now in (0..500).step_by(50) {
+        let delay_ms = pacer.delay_ms(&name(0), reading, now);
+        assert_eq!(pacer.admit(&name(0), reading, now), delay_ms);
+        let sent = now + delay_ms;
+        if sent >= free_at_ms + 40 {
+            run_ms = 0;
+        }
+        run_ms += 100;
+        longest_ms = longest_ms.max(run_ms);
+        free_at_ms = free_at_ms.max(sent) + 100;
+    }
+    assert_eq!(longest_ms, 200);
+    // The breaks cost a fifth.
+    assert!(free_at_ms <= 1_200, "{free_at_ms}");
+    // A prompt that would wait too long goes at once.
+    let hurried = Reading {
+        max_delay_ms: 100.0,
+        ..reading
+    };
+    assert_eq!(pacer.admit(&name(0), hurried, 500), 0);
+    // An engine that has been idle begins a new run.
+    assert_eq!(pacer.delay_ms(&name(0), hurried, 5_000), 0);
+}
