Learn the reading time from prompts that were alone at their engine

The backlog of an engine is known with an error, so the shared line makes reading seem three times as fast as it is.

--- a/crates/comfreyhall-node/src/active_send.rs
+++ b/crates/comfreyhall-node/src/active_send.rs
@@ -9,7 +9,7 @@
 use crate::{
     fleet::{Run, RunChange, RunUpdate},
     node::Node,
-    paces::{self, StreamReport},
+    paces::{self, Prompt, StreamReport},
 };
 
 /// Time after its first event during which a run counts as just begun, in ms: a
@@ -160,7 +160,11 @@
         let wait_ms = now.saturating_sub(self.began_ms);
         let mut view = self.node.view();
         if self.run_handle.is_some() {
-            paces::record_first(&mut view, &self.target, self.backlog, wait_ms, now);
+            let prompt = Prompt {
+                tokens: self.unread_tokens,
+                queued_tokens: self.backlog,
+            };
+            paces::record_first(&mut view, &self.target, prompt, wait_ms, now);
         }
         view.board.prompt_read(&self.target, self.unread_tokens);
         drop(view);
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -16,7 +16,7 @@
 use super::Fleet;
 use crate::{
     node::Node,
-    paces::{self, StreamReport},
+    paces::{self, Prompt, StreamReport},
 };
 
 /// Capacity of the queue of updates. What does not fit is left to the next
@@ -198,7 +198,11 @@
                     ..Work::default()
                 };
                 view.board.subtract_peer_work(&id, &target, work);
-                paces::record_first(&mut view, &target, run.queued_tokens, event.waited_ms, now);
+                let prompt = Prompt {
+                    tokens: run.unread_tokens,
+                    queued_tokens: run.queued_tokens,
+                };
+                paces::record_first(&mut view, &target, prompt, event.waited_ms, now);
             }
             if let Some(run) = ended {
                 node.slots.record_end(&run, now);
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -70,8 +70,8 @@
     let pace = view.paces.current(target, now);
     let late_ms = criteria.gap_objective_ms.map_or(0.0, |objective_ms| {
         let beside = Interference {
-            queued_ms: pace.read_ms(board.read_duration_ms(board.backlog(target, now))),
-            read_ms: pace.read_ms(read_ms),
+            queued_ms: pace.read_ms(board.reading_ms(board.backlog(target, now))),
+            read_ms: pace.read_ms(board.reading_ms(tokens as f64)),
             event_wait_ms: pace.read * view.paces.event_wait_ms(),
             objective_ms: objective_ms as f64,
         };
@@ -105,19 +105,37 @@
     }
 }
 
-/// Records a first event of `target` that came after `waited_ms`, with `tokens` of
-/// prompt to process before it.
-pub(crate) fn record_first(view: &mut View, target: &Name, tokens: u64, waited_ms: u64, now: u64) {
-    let expected_ms = view.board.record_first_token(target, tokens, waited_ms);
-    let Some(expected_ms) = expected_ms else {
+/// The prompt of a first event.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Prompt {
+    /// Its tokens.
+    pub(crate) tokens: u64,
+    /// Tokens to process before the first event, its own included.
+    pub(crate) queued_tokens: u64,
+}
+
+/// Records a first event of `target` that came after `waited_ms`.
+pub(crate) fn record_first(
+    view: &mut View,
+    target: &Name,
+    prompt: Prompt,
+    waited_ms: u64,
+    now: u64,
+) {
+    let queued = prompt.queued_tokens;
+    let Some(expected_ms) = view.board.record_first_token(target, queued, waited_ms) else {
         return;
     };
+    if queued == prompt.tokens {
+        let pace = view.paces.current(target, now).long_read;
+        view.board.record_alone(queued, waited_ms as f64 / pace);
+    }
     let weight = view
         .paces
         .record_first(target, waited_ms as f64, expected_ms, now);
     if let Some(weight) = weight {
         let pace = view.paces.current(target, now);
-        log::info!(target: "pace", id:% = target, weight, read = pace.long_read, gap = pace.gap, late = pace.late_gaps; "engine has another pace");
+        log::info!(target: "pace", id:% = target, weight, read = pace.long_read, gap = pace.gap, late = pace.late_gaps, rate = 1.0 / view.board.reading_ms(1.0); "engine has another pace");
     }
 }
 
@@ -154,7 +172,7 @@
         let tokens = choose::unread_tokens(&view, &params.requirements, target);
         let pace = view.paces.current(target, now);
         let reading = Reading {
-            read_ms: pace.read_ms(view.board.read_duration_ms(tokens as f64)),
+            read_ms: pace.read_ms(view.board.reading_ms(tokens as f64)),
             run_ms: RUN_SHARE * objective_ms as f64,
             break_ms: pace.long_read * view.paces.quiet_ms(),
             max_delay_ms: DELAY_SHARE * params.objective_ms as f64,
--- a/crates/comfreyhall-routing/src/latency.rs
+++ b/crates/comfreyhall-routing/src/latency.rs
@@ -79,9 +79,14 @@
         self.cov += dx * (ms - self.mean_y);
     }
 
+    /// Expected ms for each further token.
+    pub fn slope(&self) -> f64 {
+        (self.cov / self.var_x.max(1.0)).clamp(SLOPE_BOUNDS.0, SLOPE_BOUNDS.1)
+    }
+
     /// Expected latency for `tokens`.
     pub fn predict_ms(&self, tokens: f64) -> f64 {
-        let slope = (self.cov / self.var_x.max(1.0)).clamp(SLOPE_BOUNDS.0, SLOPE_BOUNDS.1);
+        let slope = self.slope();
         let base = (self.mean_y - slope * self.mean_x).clamp(BASE_BOUNDS_MS.0, BASE_BOUNDS_MS.1);
         base + slope * tokens
     }
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -312,3 +312,21 @@
     // An engine that has been idle begins a new run.
     assert_eq!(pacer.delay_ms(&name(0), hurried, 5_000), 0);
 }
+
+/// Guards against a reading time that is far too short because backlogs are known
+/// with an error: of each backlog only half is still to be read.
+#[test]
+fn reading_ms_of_lone_prompts() {
+    let mut stats = TargetStats::default();
+    for i in 0..600_u64 {
+        let tokens = 500 + 37 * (i % 80);
+        let stale = 1_000 * (i % 7);
+        let waited_ms = 40 + (tokens + stale / 2) / 20;
+        stats.record_first_token(&name(0), tokens + stale, waited_ms);
+        if stale == 0 {
+            stats.record_alone(tokens, waited_ms as f64);
+        }
+    }
+    assert!(stats.read_duration_ms(4_000.0) < 150.0);
+    assert!((180.0..220.0).contains(&stats.reading_ms(4_000.0)));
+}
--- a/crates/comfreyhall-routing/src/target_stats.rs
+++ b/crates/comfreyhall-routing/src/target_stats.rs
@@ -78,6 +78,8 @@
     entries: Map<Name, Entry>,
     /// Latency model shared by all engines.
     model: LatencyModel,
+    /// The same for prompts that were the only ones at their engine.
+    alone: LatencyModel,
     /// Average duration of a plain request at any target.
     duration: PlainDuration,
 }
@@ -139,6 +141,20 @@
         Some(expected)
     }
 
+    /// Updates the time to read a prompt with one of `tokens` that was the only one
+    /// at its engine; `waited_ms` is relative to the pace of that engine.
+    ///
+    /// The backlog of an engine is known with an error only, which makes the
+    /// latency seem to depend on it less than it does.
+    pub fn record_alone(&mut self, tokens: u64, waited_ms: f64) {
+        self.alone.record(tokens as f64, waited_ms);
+    }
+
+    /// Time in which an engine of mean pace does nothing but read `tokens`.
+    pub fn reading_ms(&self, tokens: f64) -> f64 {
+        self.alone.slope() * tokens
+    }
+
     /// Updates the average duration of plain requests with the one whose outcome
     /// was recorded last for `target`.
     pub fn record_duration(&mut self, target: &Name, duration_ms: u64) {
