--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -24,9 +24,9 @@
 /// the same run takes about twice as long.
 const RUN_SHARE: f64 = 0.4;
 
-/// Longest delay of a prompt, as a share of the objective for the first event, so
-/// that most of it is left for reading.
-const DELAY_SHARE: f64 = 0.2;
+/// Share of the objective for the first event after which a prompt is sent at the
+/// latest, so that it can still be read in time.
+const DELAY_SHARE: f64 = 0.6;
 
 /// How a stream went that has ended.
 #[derive(Debug, Clone, PartialEq)]
@@ -171,11 +171,13 @@
         let mut view = node.view();
         let tokens = choose::unread_tokens(&view, &params.requirements, target);
         let pace = view.paces.current(target, now);
+        let queued_ms = view.board.reading_ms(view.board.backlog(target, now));
         let reading = Reading {
+            queued_ms: pace.read_ms(queued_ms),
             read_ms: pace.read_ms(view.board.reading_ms(tokens as f64)),
             run_ms: RUN_SHARE * objective_ms as f64,
             break_ms: pace.long_read * view.paces.quiet_ms(),
-            max_delay_ms: DELAY_SHARE * params.objective_ms as f64,
+            max_delay_ms: DELAY_SHARE * params.objective_ms as f64 - params.elapsed_ms as f64,
         };
         if !params.may_wait && view.pacer.delay_ms(target, reading, now) > 0 {
             return Err(BindError::LoadRequired);
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -282,6 +282,7 @@
 fn admit_burst_streams_get_turns() {
     let mut pacer = PromptPacer::default();
     let reading = Reading {
+        queued_ms: 1_000.0,
         read_ms: 100.0,
         run_ms: 200.0,
         break_ms: 40.0,
@@ -311,6 +312,12 @@
     assert_eq!(pacer.admit(&name(0), hurried, 500), 0);
     // An engine that has been idle begins a new run.
     assert_eq!(pacer.delay_ms(&name(0), hurried, 5_000), 0);
+    // So does one that has read its backlog sooner than expected.
+    let idle = Reading {
+        queued_ms: 0.0,
+        ..reading
+    };
+    assert_eq!(pacer.delay_ms(&name(0), idle, 1_000), 0);
 }
 
 /// Guards against a reading time that is far too short because backlogs are known
--- a/crates/comfreyhall-routing/src/pacer.rs
+++ b/crates/comfreyhall-routing/src/pacer.rs
@@ -9,9 +9,15 @@
 
 use comfreyhall_domain::{Map, Name};
 
+/// Ratio of the reading time that is planned to that of the known backlog, at most:
+/// prompts that are on their way are not known yet.
+const QUEUE_MARGIN: f64 = 1.5;
+
 /// How an engine reads, for one route.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reading {
+    /// Time to read the backlog of the engine, as far as is known, in ms.
+    pub queued_ms: f64,
     /// Time to read the prompt, in ms.
     pub read_ms: f64,
     /// Longest run of reading that makes no stream late, in ms.
@@ -41,9 +47,12 @@
     /// In how many ms a prompt is to be sent, and the run with it.
     fn with(self, reading: Reading, now: u64) -> (u64, Run) {
         let now = now as f64;
-        let ended = now >= self.free_at_ms + reading.break_ms;
+        // The engine may have read faster than expected.
+        let known_ms = now + QUEUE_MARGIN * reading.queued_ms;
+        let free_at_ms = self.free_at_ms.min(known_ms);
+        let ended = now >= free_at_ms + reading.break_ms;
         let run_ms = if ended { 0.0 } else { self.run_ms };
-        let free_at_ms = self.free_at_ms.max(now);
+        let free_at_ms = free_at_ms.max(now);
         let fits = run_ms == 0.0 || run_ms + reading.read_ms <= reading.run_ms;
         let starts_at_ms = free_at_ms + reading.break_ms;
         let delay_ms = starts_at_ms - now;
