--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -13,7 +13,7 @@
     fleet::adapter_key,
     leases,
     node::Node,
-    outbound, paces,
+    outbound,
     slots::{self, SlotDecision},
 };
 
@@ -41,7 +41,6 @@
     }
     if !plan.needs_load {
         let target = &plan.target.id;
-        paces::await_turn(node, &params, target).await?;
         return binding(node, &params, target, plan.min_version, plan.wait_ms);
     }
     if !params.may_wait {
@@ -51,7 +50,6 @@
         return Err(BindError::NoSlot { return_ms });
     }
     let placed = load_adapter(node, &params, &plan).await?;
-    paces::await_turn(node, &params, &placed.target).await?;
     // The load is done; the prompt is still to be prefilled.
     binding(node, &params, &placed.target, placed.version, 0.0)
 }
@@ -61,7 +59,7 @@
     config.services.get(service)?.engine.clone()
 }
 
-pub(crate) fn gap_objective_of(node: &Node, route: &Name) -> Option<u64> {
+fn gap_objective_of(node: &Node, route: &Name) -> Option<u64> {
     let config = node.config()?;
     let route = config.routes.iter().find(|r| r.name == *route)?;
     route.gap_objective_ms
--- a/crates/comfreyhall-node/src/bind/mod.rs
+++ b/crates/comfreyhall-node/src/bind/mod.rs
@@ -20,7 +20,7 @@
 use comfreyhall_domain::Name;
 use comfreyhall_slots::SlotShare;
 
-pub(crate) use self::{local::gap_objective_of, wire::answer};
+pub(crate) use self::wire::answer;
 use crate::{choose::Requirements, node::Node};
 
 /// Timeout of a holder's answer if no load has to come first, in ms: it takes a
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -11,9 +11,7 @@
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, PriorityTable, Target};
 use comfreyhall_life::{Lifecycle, Stage};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
-use comfreyhall_routing::{
-    PaceTable, PrefixIndex, PromptPacer, Residency, RetryBudget, RunTimes, TargetStats,
-};
+use comfreyhall_routing::{PaceTable, PrefixIndex, Residency, RetryBudget, RunTimes, TargetStats};
 use comfreyhall_settings::{NodeSettings, Policies};
 use tokio::sync::Notify;
 
@@ -82,8 +80,6 @@
     pub(crate) paces: PaceTable,
     /// How much output the runs of each route have.
     pub(crate) run_times: RunTimes,
-    /// When prompts are sent to the engines of held groups.
-    pub(crate) pacer: PromptPacer,
     pub(crate) budgets: Map<Name, RetryBudget>,
     pub(crate) demand: Demand,
     /// The same over about a second.
@@ -114,7 +110,6 @@
             prefixes: PrefixIndex::default(),
             paces: PaceTable::default(),
             run_times: RunTimes::default(),
-            pacer: PromptPacer::default(),
             budgets: Map::default(),
             demand: Demand::new(DEMAND_HALF_LIFE_MS),
             fast_demand: Demand::new(FAST_DEMAND_HALF_LIFE_MS),
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -3,15 +3,11 @@
 //! The decisions are in `comfreyhall-routing`; this module feeds them what this
 //! daemon knows of first events, streams and backlogs.
 
-use std::{sync::Arc, time::Duration};
-
 use comfreyhall_domain::Name;
-use comfreyhall_routing::{Interference, Reading, StreamSample, selection};
+use comfreyhall_routing::{Interference, StreamSample, selection};
 
 use crate::{
-    active_send::PendingLoad,
-    bind::{self, BindError, BindParams},
-    choose::{self, Criteria},
+    choose::Criteria,
     node::{Node, View},
 };
 
@@ -20,14 +16,6 @@
 /// more than the best one, while others wait for a slot.
 pub(crate) const MAX_LOAD_LATE_MS: f64 = 120.0;
 
-/// Longest run of reading, as a share of the objective for gaps: in a slow moment
-/// the same run takes about twice as long.
-const RUN_SHARE: f64 = 0.4;
-
-/// Share of the objective for the first event after which a prompt is sent at the
-/// latest, so that it can still be read in time.
-const DELAY_SHARE: f64 = 0.6;
-
 /// How a stream went that has ended.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct StreamReport {
@@ -149,47 +137,3 @@
     } = report;
     view.run_times.record(route, sample.events, *expected);
 }
-
-/// Waits until the prompt of `params` may be sent to `target`, so that the streams
-/// there get a turn. A request that may not wait asks again.
-pub(crate) async fn await_turn(
-    node: &Arc<Node>,
-    params: &BindParams,
-    target: &Name,
-) -> Result<(), BindError> {
-    let Some(adapter) = params.requirements.adapter.clone() else {
-        return Ok(());
-    };
-    if !node.policies().engine_pace {
-        return Ok(());
-    }
-    let Some(objective_ms) = bind::gap_objective_of(node, &params.route) else {
-        return Ok(());
-    };
-    let (delay_ms, tokens) = {
-        let now = node.now();
-        let mut view = node.view();
-        let tokens = choose::unread_tokens(&view, &params.requirements, target);
-        let pace = view.paces.current(target, now);
-        let queued_ms = view.board.reading_ms(view.board.backlog(target, now));
-        let reading = Reading {
-            queued_ms: pace.read_ms(queued_ms),
-            read_ms: pace.read_ms(view.board.reading_ms(tokens as f64)),
-            run_ms: RUN_SHARE * objective_ms as f64,
-            break_ms: pace.long_read * view.paces.quiet_ms(),
-            max_delay_ms: DELAY_SHARE * params.objective_ms as f64 - params.elapsed_ms as f64,
-        };
-        if !params.may_wait && view.pacer.delay_ms(target, reading, now) > 0 {
-            return Err(BindError::LoadRequired);
-        }
-        (view.pacer.admit(target, reading, now), tokens)
-    };
-    if delay_ms == 0 {
-        return Ok(());
-    }
-    // Shows other requests its prompt, and keeps its adapter loaded.
-    let pending = PendingLoad::begin(node, target, &adapter, tokens);
-    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-    drop(pending);
-    Ok(())
-}
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -249,7 +249,6 @@
     let targets = &view.targets;
     view.board.retain(|id| targets.contains_key(id));
     view.paces.retain(|id| targets.contains_key(id));
-    view.pacer.retain(|id| targets.contains_key(id));
 }
 
 /// Removes targets that a full read as of `version` no longer lists.
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -73,9 +73,6 @@
 /// Share of streams whose longest gap is within the longest wait of an event.
 const WAIT_QUANTILE: f64 = 0.95;
 
-/// Share of streams with fewer ms per event than one beside which nothing is read.
-const QUIET_QUANTILE: f64 = 0.1;
-
 /// Relative step of the estimate of a quantile at each sample.
 const QUANTILE_STEP: f64 = 0.05;
 
@@ -181,9 +178,6 @@
     late: Average,
     /// Longest wait of an event at an engine of mean pace, in ms.
     wait_ms: f64,
-    /// Ms per event of a stream beside which nothing is read, at an engine of mean
-    /// pace.
-    quiet_ms: f64,
 }
 
 impl Default for PaceTable {
@@ -193,7 +187,6 @@
             gap_ms: Average::default(),
             late: Average::default(),
             wait_ms: INITIAL_WAIT_MS,
-            quiet_ms: INITIAL_GAP_MS,
         }
     }
 }
@@ -222,7 +215,6 @@
         }
         self.gap_ms.record(ALL, gap_ms, now);
         self.wait_ms = moved(self.wait_ms, WAIT_QUANTILE, wait_ms);
-        self.quiet_ms = moved(self.quiet_ms, QUIET_QUANTILE, gap_ms / long_read);
     }
 
     /// Records that the first event of `target` came after `waited_ms` where
@@ -291,11 +283,6 @@
         self.wait_ms
     }
 
-    /// Ms per event at an engine of mean pace while nothing is read.
-    pub fn quiet_ms(&self) -> f64 {
-        self.quiet_ms
-    }
-
     /// Takes over the longest wait of one event from a lease holder.
     pub fn set_event_wait(&mut self, wait_ms: f64) {
         self.wait_ms = wait_ms.max(1.0);
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -1,9 +1,6 @@
 use comfreyhall_domain::Name;
 
-use crate::{
-    Interference, Pace, PaceTable, PromptPacer, Reading, RunTimes, StreamSample, TargetStats,
-    selection,
-};
+use crate::{Interference, Pace, PaceTable, RunTimes, StreamSample, TargetStats, selection};
 
 /// Time in ms that an engine of mean pace takes for a prompt.
 const PROMPT_MS: f64 = 90.0;
@@ -275,51 +272,6 @@
     assert!(stats.health(&engine, 20_000) > 0.99);
 }
 
-/// Guards against streams that get no turn while a burst of prompts is read: ten
-/// prompts of 100 ms arrive within half a second at an engine that could read all
-/// of them in a second, and its streams wait for it that long.
-#[test]
-fn admit_burst_streams_get_turns() {
-    let mut pacer = PromptPacer::default();
-    let reading = Reading {
-        queued_ms: 1_000.0,
-        read_ms: 100.0,
-        run_ms: 200.0,
-        break_ms: 40.0,
-        max_delay_ms: 2_000.0,
-    };
-    let mut free_at_ms = 0;
-    let (mut longest_ms, mut run_ms) = (0, 0);
-    for now in (0..500).step_by(50) {
-        let delay_ms = pacer.delay_ms(&name(0), reading, now);
-        assert_eq!(pacer.admit(&name(0), reading, now), delay_ms);
-        let sent = now + delay_ms;
-        if sent >= free_at_ms + 40 {
-            run_ms = 0;
-        }
-        run_ms += 100;
-        longest_ms = longest_ms.max(run_ms);
-        free_at_ms = free_at_ms.max(sent) + 100;
-    }
-    assert_eq!(longest_ms, 200);
-    // The breaks cost a fifth.
-    assert!(free_at_ms <= 1_200, "{free_at_ms}");
-    // A prompt that would wait too long goes at once.
-    let hurried = Reading {
-        max_delay_ms: 100.0,
-        ..reading
-    };
-    assert_eq!(pacer.admit(&name(0), hurried, 500), 0);
-    // An engine that has been idle begins a new run.
-    assert_eq!(pacer.delay_ms(&name(0), hurried, 5_000), 0);
-    // One that has read its backlog sooner than expected gets a break only.
-    let idle = Reading {
-        queued_ms: 0.0,
-        ..reading
-    };
-    assert!(pacer.delay_ms(&name(0), idle, 1_000) <= 40);
-}
-
 /// Guards against a reading time that is far too short because backlogs are known
 /// with an error: of each backlog only half is still to be read.
 #[test]
