--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -17,7 +17,7 @@
     engine_control::EngineCandidate,
     node::{Node, View},
     outbound::{self, UnavailableTargets},
-    weights,
+    paces, weights,
 };
 
 /// Divisor of the version bound: how long after a new version of an adapter was
@@ -120,6 +120,12 @@
     pub(crate) requirements: &'a Requirements,
     /// Latency objective of its route, in ms.
     pub(crate) objective_ms: u64,
+    /// Name of its route.
+    pub(crate) route: &'a Name,
+    /// Longest gap of a stream of its route that is in time, in ms.
+    pub(crate) gap_objective_ms: Option<u64>,
+    /// Whether engines differ in pace.
+    pub(crate) uses_paces: bool,
     pub(crate) service: &'a Name,
     /// Restricts the choice to the engines of this group, whose lease this daemon
     /// holds and of which it knows every run.
@@ -308,6 +314,7 @@
         false => None,
     };
     let mut loaders: Vec<(bool, u64, Candidate)> = Vec::new();
+    let mut held_late_ms = f64::INFINITY;
     let mut out = Vec::new();
     for t in targets.iter().filter(|t| t.has_model(&adapter.model)) {
         let mut choice = base(t);
@@ -315,23 +322,26 @@
         if prefix_engine == Some(&t.id) {
             tokens = tokens.min(criteria.requirements.own_tokens());
         }
-        choice.wait_ms = view.board.prefill_ms(&t.id, tokens, now);
+        let cost = paces::cost(node, view, criteria, &t.id, tokens);
+        choice.wait_ms = cost.wait_ms;
         if let Some(slot_price) = slot_price {
             let streams = view.board.total_work(&t.id, now).requests;
-            let read_ms = view.board.read_duration_ms(tokens as f64);
-            choice.interference_ms = slot_price.read_cost_ms(read_ms, streams);
+            choice.interference_ms += slot_price.read_cost_ms(cost.read_ms, streams);
         }
         let in_other_domain =
             hot && has_local_engines && criteria.group.is_none() && t.failure_domain != domain;
         if in_other_domain {
             choice.interference_ms += REMOTE_DOMAIN_COST_MS;
         }
+        let interference_ms = choice.interference_ms;
+        choice.interference_ms += cost.late_ms;
         let resident = resident(t);
         let held = adapter.adapter.is_none() || resident.is_some_and(|v| v >= version);
         if held {
             if resident.is_some_and(|v| v < named) {
                 choice.wait_ms += OUTDATED_COST_MS;
             }
+            held_late_ms = held_late_ms.min(cost.late_ms);
             out.push(choice);
             continue;
         }
@@ -341,6 +351,7 @@
         if in_other_domain || unavailable.blocks_loads(&t.id) {
             continue;
         }
+        choice.interference_ms = interference_ms + cost.late_ms.min(paces::MAX_LOAD_LATE_MS);
         let held_lease = node.token(&t.failure_domain).is_some();
         if !held_lease && node.fleet.holder(&t.failure_domain, now).is_none() {
             continue;
@@ -364,7 +375,7 @@
         let rank = if cached {
             0
         } else {
-            selection::weighted_rank(&key, &t.id, view.paces.home_weight(&t.id))
+            paces::home_rank(view, criteria.uses_paces, &key, &t.id)
         };
         loaders.push((full && !cached, rank, choice));
     }
@@ -375,6 +386,12 @@
         out.len().max(MIN_NEW_HOMES)
     };
     let mut loaders: Vec<Candidate> = loaders.into_iter().map(|(_, _, c)| c).collect();
+    if held_late_ms.is_finite() {
+        // No copy is loaded only to spare streams at the engines that hold one.
+        for loader in &mut loaders {
+            loader.interference_ms += held_late_ms;
+        }
+    }
     if policies.weight_affinity && !hot && criteria.group.is_none() && !criteria.only_tried {
         let group_of = |id: &Name| {
             targets
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -9,13 +9,13 @@
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Stage, Target};
 use comfreyhall_placement::engines_needed;
-use comfreyhall_routing::selection::{rendezvous_rank, weighted_rank};
 
 use super::Job;
 use crate::{
     fleet::{adapter_key, parse_adapter_key},
     node::{Node, View},
     outbound::UnavailableTargets,
+    paces,
     weights::recovery_order,
 };
 
@@ -48,7 +48,7 @@
     let due = {
         let view = node.view();
         let in_use = node.fleet.in_use(now);
-        missing_copies(&view, &in_use, now)
+        missing_copies(&view, &in_use, node.policies().engine_pace, now)
     };
     let unavailable = UnavailableTargets::current(node, now);
     for copy in due {
@@ -77,7 +77,8 @@
         return;
     }
     let owns = |t: &Target| node.token(&t.failure_domain).is_some();
-    let due = due_recoveries(&mut node.view(), room, owns, now);
+    let uses_paces = node.policies().engine_pace;
+    let due = due_recoveries(&mut node.view(), room, owns, uses_paces, now);
     let unavailable = UnavailableTargets::current(node, now);
     for copy in due {
         let id = &copy.target.id;
@@ -97,13 +98,14 @@
     view: &mut View,
     room: usize,
     owns: impl Fn(&Target) -> bool,
+    uses_paces: bool,
     now: u64,
 ) -> Vec<MissingCopy> {
     let lost = view.residency.lost(now).into_iter();
     let lost = lost.map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)));
     let wanted = recovery_order(lost.collect()).into_iter();
     let copies = wanted.filter_map(|adapter| {
-        let target = home(view, &adapter)?;
+        let target = home(view, &adapter, uses_paces)?;
         Some(MissingCopy { target, adapter })
     });
     let due: Vec<MissingCopy> = copies.filter(|c| owns(&c.target)).take(room).collect();
@@ -114,16 +116,15 @@
 }
 
 /// The engine on which all daemons load `adapter` where none holds it.
-fn home(view: &View, adapter: &AdapterRef) -> Option<Arc<Target>> {
+fn home(view: &View, adapter: &AdapterRef, uses_paces: bool) -> Option<Arc<Target>> {
     let key = adapter_key(adapter);
     let ready = view
         .targets
         .values()
         .filter(|t| t.stage == Stage::Ready && t.has_model(&adapter.model));
     let home = ready.min_by_key(|t| {
-        let weight = view.paces.home_weight(&t.id);
         let at_hand = view.residency.at_hand(adapter, &t.id);
-        (!at_hand, weighted_rank(&key, &t.id, weight))
+        (!at_hand, paces::home_rank(view, uses_paces, &key, &t.id))
     });
     home.cloned()
 }
@@ -138,7 +139,12 @@
 ///
 /// Engines without a free slot come last: a copy requested there waits, while
 /// the queues that it should relieve keep growing.
-fn missing_copies(view: &View, in_use: &Map<Name, Vec<AdapterRef>>, now: u64) -> Vec<MissingCopy> {
+fn missing_copies(
+    view: &View,
+    in_use: &Map<Name, Vec<AdapterRef>>,
+    uses_paces: bool,
+    now: u64,
+) -> Vec<MissingCopy> {
     let cost_ms = view.board.read_duration_ms(view.mean_prompt);
     let mut out = Vec::new();
     for (key, rate) in view.fast_demand.rates(now) {
@@ -158,7 +164,7 @@
             .map(|t| {
                 let used = in_use.get(&t.id).map_or(0, Vec::len);
                 let full = used as u32 >= view.adapter_slots(t);
-                ((full, rendezvous_rank(&key, &t.id)), t)
+                ((full, paces::home_rank(view, uses_paces, &key, &t.id)), t)
             })
             .collect();
         engines.sort_by_key(|(rank, _)| *rank);
--- a/crates/comfreyhall-node/src/engine_control/copies/tests.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies/tests.rs
@@ -43,11 +43,11 @@
         adapter: Some("a1".into()),
     };
     let none = Map::default();
-    let copies = missing_copies(&view(20, &adapter), &none, 2_000);
+    let copies = missing_copies(&view(20, &adapter), &none, true, 2_000);
     assert!((2..=4).contains(&copies.len()), "{}", copies.len());
     assert!(copies.iter().all(|c| c.adapter == adapter));
     assert!(copies.iter().all(|c| &*c.target.id != "a"));
-    assert!(missing_copies(&view(2, &adapter), &none, 2_000).is_empty());
+    assert!(missing_copies(&view(2, &adapter), &none, true, 2_000).is_empty());
 }
 
 /// Guards against engines' adapters that nobody loads after a loss until a
@@ -76,7 +76,7 @@
         .record(&adapter(13), &"c".into(), Presence::Held(1), 2_050);
     let mut calls = Vec::new();
     for _ in 0..4 {
-        let due = due_recoveries(&mut view, 3, |_| true, 2_100);
+        let due = due_recoveries(&mut view, 3, |_| true, true, 2_100);
         assert!(due.iter().all(|c| view.targets.contains_key(&c.target.id)));
         calls.push(due.into_iter().map(|c| c.adapter).collect::<Vec<_>>());
     }
@@ -87,5 +87,5 @@
         Vec::new(),
     ];
     assert_eq!(calls, expected);
-    assert!(due_recoveries(&mut view, 3, |_| false, 2_100).is_empty());
+    assert!(due_recoveries(&mut view, 3, |_| false, true, 2_100).is_empty());
 }
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -40,6 +40,7 @@
         let now = node.now();
         let mut gossip = self.own_gossip(node, now);
         gossip.load_histories = self.next_histories(node, &gossip.holdings, addr);
+        self.add_paces(node, addr, &mut gossip);
         let mut state = self.state();
         let known = state.alive_peers(now).filter(|(a, _)| &***a != addr);
         let known = known.map(|(a, _)| a.to_string());
@@ -201,6 +202,7 @@
         outbound::merge_notices(node, &gossip.words, &from.id);
         let mut work_by_target = self.update_peer(node, &from, &gossip, now);
         self.learn_holders(&gossip.holders, now);
+        self.learn_paces(node, &gossip, now);
         if arrival == super::Origin::Answer {
             self.learn_totals(node, &from, &gossip, now);
         }
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod holders;
 mod hub;
 mod members;
+mod paces;
 mod progress;
 mod runs;
 
@@ -106,6 +107,8 @@
     untold_from: u64,
     /// Load histories sent to it, in order of their targets.
     histories_sent: usize,
+    /// Serial of the last pace of an engine that it was told.
+    paces_told: u64,
     /// Serial of the last finding it has received from this daemon.
     findings_acked: u64,
     /// Its findings that this daemon has received.
@@ -136,6 +139,8 @@
     handovers: Vec<Cession>,
     /// Cached part of the answers to daemons that report here.
     summary: hub::Summary,
+    /// What this holder tells of the paces of its engines.
+    paces: paces::PaceLog,
     /// Whether this process has read the list of members from the store.
     members_listed: bool,
     /// When a random peer was last called, in a large fleet.
@@ -253,6 +258,7 @@
             use_told: Map::default(),
             untold_from,
             histories_sent: 0,
+            paces_told: 0,
             findings_acked: 0,
             findings_heard: SyncPosition::default(),
             clock_ms: 0,
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -585,6 +585,10 @@
     /// From a holder, once to each peer: the loads of the targets of its groups.
     #[prost(message, repeated, tag = "34")]
     pub load_histories: ::prost::alloc::vec::Vec<LoadHistory>,
+    /// From a holder: the longest wait of one event, in ms, at an engine of mean
+    /// pace; 0 if unknown.
+    #[prost(double, tag = "33")]
+    pub event_wait_ms: f64,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -608,9 +612,12 @@
     /// Time between two events of a stream.
     #[prost(double, tag = "3")]
     pub gap: f64,
-    /// Share of its streams that had a gap over the objective of their route.
+    /// Share of its events that came after a gap over the objective of their route.
     #[prost(double, tag = "4")]
     pub late_gaps: f64,
+    /// Time to read a prompt, by nature; `read` is as of now.
+    #[prost(double, tag = "5")]
+    pub long_read: f64,
 }
 /// Something that a daemon saw of a request that may end targets.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -813,6 +820,11 @@
     /// Longest gap of a stream of its route that is in time; 0 if any is.
     #[prost(uint64, tag = "11")]
     pub gap_objective_ms: u64,
+    /// Its route, and the events that its caller expected; 0 if unknown.
+    #[prost(string, tag = "12")]
+    pub route: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "13")]
+    pub expected_events: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProgressReport {
--- a/crates/comfreyhall-routing/src/target_stats.rs
+++ b/crates/comfreyhall-routing/src/target_stats.rs
@@ -78,6 +78,8 @@
     entries: Map<Name, Entry>,
     /// Latency model shared by all engines.
     model: LatencyModel,
+    /// The same for prompts that were the only ones at their engine.
+    alone: LatencyModel,
     /// Average duration of a plain request at any target.
     duration: PlainDuration,
 }
@@ -127,14 +129,30 @@
 
     /// Updates the latency model with a first token that came after `waited`
     /// ms, with `tokens` of prompt to process before it, its own included.
-    pub fn record_first_token(&mut self, target: &Name, tokens: u64, waited: u64) {
+    /// Returns the ms that were expected at the mean of all engines, if any.
+    pub fn record_first_token(&mut self, target: &Name, tokens: u64, waited: u64) -> Option<f64> {
         if tokens == 0 {
-            return;
+            return None;
         }
         let (tokens, waited) = (tokens as f64, waited as f64);
         let expected = self.model.predict_ms(tokens);
         self.entry(target).speed.record(waited, expected);
         self.model.record(tokens, waited);
+        Some(expected)
+    }
+
+    /// Updates the time to read a prompt with one of `tokens` that was the only one
+    /// at its engine; `waited_ms` is relative to the pace of that engine.
+    ///
+    /// The backlog of an engine is known with an error only, which makes the
+    /// latency seem to depend on it less than it does.
+    pub fn record_alone(&mut self, tokens: u64, waited_ms: f64) {
+        self.alone.record(tokens as f64, waited_ms);
+    }
+
+    /// Time in which an engine of mean pace does nothing but read `tokens`.
+    pub fn reading_ms(&self, tokens: f64) -> f64 {
+        self.alone.slope() * tokens
     }
 
     /// Updates the average duration of plain requests with the one whose outcome
@@ -240,11 +258,19 @@
     pub fn prefill_ms(&self, target: &Name, tokens: u64, now: u64) -> f64 {
         let entry = self.entries.get(target);
         let speed = entry.map_or(1.0, |e| e.speed.get());
+        speed * self.mean_prefill_ms(target, tokens, now)
+    }
+
+    /// The same for an engine of mean speed with the backlog of `target`.
+    pub fn mean_prefill_ms(&self, target: &Name, tokens: u64, now: u64) -> f64 {
+        self.model
+            .predict_ms(self.backlog(target, now) + tokens as f64)
+    }
+
+    /// Prompt tokens that `target` has yet to process.
+    pub fn backlog(&self, target: &Name, now: u64) -> f64 {
         let work = self.total_work(target, now);
-        speed
-            * self
-                .model
-                .predict_ms((work.prefill_tokens + work.waiting_tokens + tokens) as f64)
+        (work.prefill_tokens + work.waiting_tokens) as f64
     }
 
     /// Time for which an engine is busy with a prompt of `tokens`.
