Quota handover: two ways in which a share could be lent twice

The first answer of an earlier coordinator that had an unanswered call when it was replaced frees nothing now. - A coordinator that lost its role and regained it kept the bucket that it had filled, while its successor lent one of its own. It drops its unlent credit with the role now.

--- a/crates/comfreyhall-workspace/src/lending/account.rs
+++ b/crates/comfreyhall-workspace/src/lending/account.rs
@@ -72,6 +72,12 @@
                 .sum::<f64>()
     }
 
+    /// Drops the credit that is not lent.
+    pub(super) fn drop_credit(&mut self) {
+        self.balance = 0.0;
+        self.credited_to = AccruedTime::default();
+    }
+
     /// Credits what accrued since the last call.
     fn accrue(&mut self, terms: &LendingTerms, accrued: AccruedTime) {
         let rate = (accrued.rate_s - self.credited_to.rate_s).max(0.0) * terms.rate;
--- a/crates/comfreyhall-workspace/src/lending/ledger.rs
+++ b/crates/comfreyhall-workspace/src/lending/ledger.rs
@@ -91,6 +91,14 @@
         self.accounts.retain(|name, _| keep(name));
     }
 
+    /// Drops the credit that has accrued and is not lent.
+    pub(super) fn drop_credit(&mut self) {
+        self.accrued = AccruedTime::default();
+        for account in self.accounts.values_mut() {
+            account.drop_credit();
+        }
+    }
+
     /// Units that daemons hold unused.
     pub(super) fn units_held(&self) -> f64 {
         self.accounts.values().map(Account::held).sum()
--- a/crates/comfreyhall-workspace/src/lending/limits.rs
+++ b/crates/comfreyhall-workspace/src/lending/limits.rs
@@ -35,11 +35,13 @@
             if let Some(link) = self.links.get_mut(&group)
                 && link.coordinator.as_ref() != Some(&coordinator)
             {
+                let was_local = link.coordinator.as_ref() == Some(&self.local);
                 link.coordinator = Some(coordinator.clone());
                 link.backoff_until_ms = 0;
                 link.lendable_share = 0.0;
                 if self.handover {
                     // A call to the earlier coordinator may take its timeout.
+                    link.stale_call |= link.in_flight;
                     link.in_flight = false;
                     link.called_at_ms = 0;
                     link.changed_at_ms = now;
@@ -52,6 +54,14 @@
                         ledger.revoke_share(&self.local.peer_addr);
                     }
                 }
+                if self.handover
+                    && was_local
+                    && let Some(ledger) = self.ledgers.get_mut(&group)
+                {
+                    // Its successor begins with an empty bucket: both together would
+                    // lend more than one bucket if it became the coordinator again.
+                    ledger.drop_credit();
+                }
             }
             // The coordinator returns what it does not need, as all others do.
             let lines = match self.handover && coordinator == self.local {
@@ -245,8 +255,10 @@
         let is_current = link.coordinator.as_ref() == Some(coordinator);
         if self.handover && !is_current {
             // The share is free if this answers a revocation, or if the process that
-            // had it has ended.
-            let revoked = link.is_revoking(coordinator, now);
+            // had it has ended. The answer to a call from before the revocation does
+            // not prove that the coordinator has heard of it.
+            let stale = reply.is_some() && std::mem::take(&mut link.stale_call);
+            let revoked = !stale && link.is_revoking(coordinator, now);
             if reply.is_some_and(|r| revoked || r.boot != coordinator.boot) {
                 link.free_share(coordinator, now);
             }
--- a/crates/comfreyhall-workspace/src/lending/link.rs
+++ b/crates/comfreyhall-workspace/src/lending/link.rs
@@ -42,6 +42,9 @@
     pub(super) last_clock: Option<ClockReading>,
     /// The earlier coordinator that was told that its share ends, and when.
     pub(super) revoked: Option<(PeerProcess, u64)>,
+    /// Whether a call to an earlier coordinator, made before it was told that its
+    /// share ends, is still unanswered.
+    pub(super) stale_call: bool,
     /// Since when nobody may lend the share.
     unlent_since_ms: u64,
     pub(super) serial: u64,
--- a/crates/comfreyhall-workspace/src/lending/tests.rs
+++ b/crates/comfreyhall-workspace/src/lending/tests.rs
@@ -253,6 +253,44 @@
     assert_eq!(request.share, 0.0);
 }
 
+/// Guards against a share that two coordinators lend, because the answer to a call
+/// from before the revocation was taken for the revocation's.
+#[test]
+fn handle_reply_answer_to_earlier_call_frees_no_share() {
+    let (mut borrower, mut lender, now) = settled_pair();
+    let group: Name = "g".into();
+    let earlier = borrower.settle_request(&group, &process(1), now);
+    let mut other = daemon(3, 3, 2);
+    update_fleet(&mut borrower, 3, 2, now);
+    // The revocation is lost.
+    borrower.settle_request(&group, &process(1), now + 5);
+    let reply = lender.handle_settle(&earlier, 1, now + 10);
+    borrower.handle_reply(&group, &process(1), Some(&reply), now + 10);
+    settle(&mut borrower, &mut other, now + 20);
+    let request = borrower.settle_request(&group, &process(3), now + 30);
+    assert_eq!(request.share, 0.0);
+}
+
+/// Guards against two full buckets in one window: a coordinator that loses its role
+/// and regains it would keep the credit that its successor has lent meanwhile.
+#[test]
+fn update_fleet_regained_role_starts_empty() {
+    let (mut borrower, mut lender, now) = settled_pair();
+    update_fleet(&mut lender, 3, 2, now);
+    update_fleet(&mut lender, 1, 2, now + 10);
+    settle(&mut borrower, &mut lender, now + 10);
+    assert!(matches!(
+        try_reserve(&mut borrower, 8_000, now + 20),
+        ReserveOutcome::Pending(_)
+    ));
+    settle(&mut borrower, &mut lender, now + 20);
+    let outcome = try_reserve(&mut borrower, 8_000, now + 20);
+    assert!(
+        matches!(outcome, ReserveOutcome::OverQuota { .. }),
+        "{outcome:?}"
+    );
+}
+
 /// Guards against a new coordinator that starts with nothing, although nobody
 /// lent for a while.
 #[test]
