Gossip of loads: nothing is kept of boots that are gone

Cause: late gossip of a load at an engine boot that had been removed created its entries again, and nothing removed them: copies of a dead engine counted, and the adapter was never recovered. Adapters of lost engines were forgotten only by a lease holder with room at the weight store. A peer's new process was not told of paces and slot time again.

--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -230,6 +230,11 @@
         for placed in &gossip.placed {
             if let Some(adapter) = parse_adapter_key(&placed.adapter) {
                 let target: Name = placed.target.as_str().into();
+                // Of a boot that is gone, or not known yet, nothing would be
+                // removed again.
+                if !view.targets.contains_key(&target) {
+                    continue;
+                }
                 let presence = match placed.dropped {
                     true => Presence::Absent,
                     false => Presence::Held(placed.version),
@@ -342,6 +347,8 @@
             // The runs of an earlier process are gone.
             peer.runs = Runs::default();
             peer.histories_sent = 0;
+            peer.paces_told = 0;
+            peer.use_told.clear();
         }
         let held = &peer.holdings;
         peer.use_told
--- a/crates/comfreyhall-routing/src/residency.rs
+++ b/crates/comfreyhall-routing/src/residency.rs
@@ -209,6 +209,7 @@
 
     /// Removes a target that no longer exists.
     pub fn remove(&mut self, target: &Name, now: u64) {
+        self.lost.retain(|_, since| now < *since + LOST_TTL_MS);
         for (adapter, entry) in self.entries(target) {
             self.set(&adapter, target, None);
             let held = matches!(entry.presence, Presence::Held(_));
