Slots and recoveries: faults found in the read-through

- A run that the holder knows from gossip alone was charged to no share at its end, as it names no group; the engine's group is used.
- A recovery of a lost adapter went before late requests and those of shares that yield; it goes after all requests now.
- An adapter whose home took no loads was forgotten instead of staying lost.
- A request that waits for an engine of its group with the weights left the group after 250 ms, and another group fetched the weights from the store.
- A group whose lease was briefly missing lost its waiting list, and numbers of the new one met those of the old.
- A request that was given a second return time counted its own first one.

--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -76,15 +76,14 @@
     if room == 0 {
         return;
     }
-    let owns = |t: &Target| node.token(&t.failure_domain).is_some();
+    let unavailable = UnavailableTargets::current(node, now);
+    // An adapter whose home takes no loads now stays lost until it does.
+    let owns =
+        |t: &Target| node.token(&t.failure_domain).is_some() && !unavailable.blocks_loads(&t.id);
     let uses_paces = node.policies().engine_pace;
     let due = due_recoveries(&mut node.view(), room, owns, uses_paces, now);
-    let unavailable = UnavailableTargets::current(node, now);
     for copy in due {
         let id = &copy.target.id;
-        if unavailable.blocks_loads(id) {
-            continue;
-        }
         log::info!(target: "keeper", id:% = id, adapter:% = adapter_key(&copy.adapter); "lost adapter requested");
         if let Some(jobs) = node.controllers.jobs().get(id) {
             // A full queue has more urgent work.
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -63,8 +63,10 @@
         let now = self.node.now();
         let shares = slots::share_use(&self.node, &self.target.failure_domain);
         let id = &self.target.id;
-        self.queue
-            .sort_by_cached_key(|j| j.waiting.slot_key(&shares, j.is_cached_at(id), now));
+        self.queue.sort_by_cached_key(|j| {
+            let key = j.waiting.slot_key(&shares, j.is_cached_at(id), now);
+            (j.is_recovery(), key)
+        });
         self.slots_full = false;
         let mut later = Vec::new();
         for job in std::mem::take(&mut self.queue) {
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -204,7 +204,11 @@
                 };
                 paces::record_first(&mut view, &target, prompt, event.waited_ms, now);
             }
-            if let Some(run) = ended {
+            if let Some(mut run) = ended {
+                // A run that is known from gossip alone names no group.
+                if let Some(known) = view.targets.get(&target) {
+                    run.group = known.failure_domain.clone();
+                }
                 node.slots.record_end(&run, now);
                 view.board.subtract_peer_work(&id, &target, run.work());
                 if run.bound_at_ms > 0 && run.unread_tokens == 0 && run.adapter.is_some() {
--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -47,6 +47,12 @@
     pools: Map<Name, Pool>,
 }
 
+impl GroupUse {
+    fn has_waiters(&self) -> bool {
+        self.pools.values().any(|p| p.list.iter().next().is_some())
+    }
+}
+
 /// The slots of the engines of a group with the same model.
 #[derive(Debug, Default)]
 struct Pool {
@@ -130,7 +136,9 @@
         now: u64,
     ) {
         let mut state = self.state();
-        state.groups.retain(|group, _| is_held(group));
+        state
+            .groups
+            .retain(|group, known| is_held(group) || known.has_waiters());
         let mut added: Set<Name> = Set::default();
         for slot_use in uses {
             let name: Name = slot_use.group.as_str().into();
--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -22,6 +22,10 @@
 /// the place in this one.
 const STORE_REASON: &str = "weight store";
 
+/// What it waits for when another engine of the group has the weights. Another
+/// group would load them from the store.
+const CACHED_REASON: &str = "cached elsewhere";
+
 /// A request that waits for a slot; it leaves the list when this is dropped.
 pub(crate) struct WaitingSlot {
     node: Arc<Node>,
@@ -95,7 +99,7 @@
         };
         let now = node.now();
         let waited_ms = now.saturating_sub(self.began_ms);
-        if reason == STORE_REASON {
+        if [STORE_REASON, CACHED_REASON].contains(&reason) {
             return Ok(());
         }
         if reason != SLOT_REASON {
--- a/crates/comfreyhall-routing/src/run_time.rs
+++ b/crates/comfreyhall-routing/src/run_time.rs
@@ -116,9 +116,4 @@
     pub fn run_ms(&self, route: &Name, expected: Option<u32>, read_ms: f64, event_ms: f64) -> f64 {
         read_ms + self.output(route, expected).events * event_ms
     }
-
-    /// Drops routes for which `keep` is false.
-    pub fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
-        self.routes.retain(|route, _| keep(route));
-    }
 }
--- a/crates/comfreyhall-routing/src/selection.rs
+++ b/crates/comfreyhall-routing/src/selection.rs
@@ -154,8 +154,8 @@
 /// Rank of `target` for `key` where it has `weight` times the mean share of all
 /// keys; the lowest rank is preferred.
 pub fn weighted_rank(key: &str, target: &str, weight: f64) -> u64 {
-    // The ranks of one key at two targets are related, and of three equal ones
-    // the first got 2,412 of 6,000 keys and the second 1,644.
+    // The plain ranks of one key at two targets are correlated, so that equal
+    // weights would get unequal shares of the keys.
     let rank = mixed(rendezvous_rank(key, target));
     // With an exponential distribution of rate `weight`, the minimum falls on
     // each target with a probability in proportion to its weight.
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -154,8 +154,9 @@
     /// Loads go where the weights already are, whichever group that is; off: each
     /// group loads its own copy.
     pub weight_affinity: bool,
-    /// A quota coordinator that takes over continues from the usage that daemons
-    /// report; off: it lends nothing until its share of the quotas is confirmed.
+    /// A quota coordinator that takes over lends at once what accrued while nobody
+    /// could lend, and credit flows evenly; off: it lends at the rate only for a
+    /// window, and then the burst too.
     pub quota_handover: bool,
     /// When many targets end at once, a bounded number of requests becomes suspect
     /// and none is held back for it; off: each end counts in full.
--- a/crates/comfreyhall-slots/src/returns.rs
+++ b/crates/comfreyhall-slots/src/returns.rs
@@ -48,6 +48,7 @@
         now: u64,
     ) -> u64 {
         self.promises.retain(|_, p| now < p.at_ms + KEEP_MS);
+        self.promises.remove(&identity);
         let earliest_ms = earliest_ms.max(MIN_RETURN_MS).min(latest_ms);
         let first_ms = now + earliest_ms;
         let is_before = |p: &&Promise| p.priority <= priority && p.at_ms >= first_ms;
--- a/crates/comfreyhall-slots/src/share.rs
+++ b/crates/comfreyhall-slots/src/share.rs
@@ -13,8 +13,8 @@
         Self(workspace.into())
     }
 
-    /// The share of all routes with `priority`. It cannot be mistaken for a
-    /// workspace, as no workspace has an empty name.
+    /// The share of all routes with `priority`. A workspace with the same text as
+    /// its name would count together with it.
     pub fn priority(priority: u8) -> Self {
         Self(format!("/{priority}").into())
     }
