--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -46,6 +46,9 @@
     let Some(report) = quotas.state().limiter.as_mut().map(|l| l.take_report()) else {
         return;
     };
+    if quotas.kind != QuotaKind::Workspaces {
+        return;
+    }
     for (group, start) in report.starts {
         // Whether it lends what nobody lent before, or starts with nothing.
         let how = match start.unlent_s > 0.0 {
@@ -59,9 +62,7 @@
         );
         log::info!(target: "caps", group:%, how, lends, unlent_ms; "lending");
     }
-    if quotas.kind == QuotaKind::Workspaces {
-        node.metrics.quota_credit(report.granted, report.held);
-    }
+    node.metrics.quota_credit(report.granted, report.held);
 }
 
 /// Coordinators and fleet size, as passed to the limiter.
--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -131,7 +131,7 @@
     let part = shares.used_ms(&params.share) / used.max(1.0);
     let waiting = node.slots.waiting(&params.group);
     let (free, in_use) = node.slots.slots(&params.group);
-    log::info!(target: "slots", group:% = params.group, share:% = params.share, part:% = format!("{part:.2}"), shares = shares.iter().count(), waiting, expected = expected_ms, comes_back = return_ms, free, in_use, left_out; "no slot in time");
+    log::info!(target: "slots", group:% = params.group, share:% = params.share, share_used:% = format!("{part:.2}"), shares = shares.iter().count(), waiting, expected = expected_ms, comes_back = return_ms, free, in_use, left_out; "no slot in time");
 }
 
 /// The slot time of all shares in `group`, for the order of waiting requests.
