--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -101,8 +101,8 @@
 }
 
 /// Switches of the scheduling mechanisms, to measure what each contributes or to
-/// disable one that harms a deployment. All are on by default; with one off, the
-/// daemon uses the simplest behaviour that keeps every guarantee.
+/// disable one that harms a deployment. All but `engine_pace` are on by default;
+/// with one off, the daemon uses the simplest behaviour that keeps every guarantee.
 #[derive(Debug, Clone, Copy, Deserialize, PartialEq, Eq)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
@@ -149,7 +149,8 @@
     /// arrival.
     pub fair_slots: bool,
     /// Engines get work in proportion to how fast they read prompts and stream;
-    /// off: all count as equally fast between events.
+    /// off, as by default: all count as equally fast between events. Worth trying
+    /// where engines of one service differ much in speed.
     pub engine_pace: bool,
     /// Loads go where the weights already are, whichever group that is; off: each
     /// group loads its own copy.
@@ -180,7 +181,7 @@
             load_window: true,
             abandon_silent: true,
             fair_slots: true,
-            engine_pace: true,
+            engine_pace: false,
             weight_affinity: true,
             quota_handover: true,
             bounded_suspects: true,
