A moved test compares whole sort keys again

When sort_key_burst_in_time_first moved from comfreyhall-placement to comfreyhall-slots it put the parts of the key together itself, so that another order of them would have passed. It sorts by the key as it is, as before.

--- a/crates/comfreyhall-slots/src/tests.rs
+++ b/crates/comfreyhall-slots/src/tests.rs
@@ -181,7 +181,7 @@
 /// first 49 do.
 #[test]
 fn sort_key_burst_in_time_first() {
-    let count_in_time = |by: fn(&SlotWaiter, u64) -> (bool, u64)| {
+    fn count_in_time<K: Ord>(by: impl Fn(&SlotWaiter, u64) -> K) -> usize {
         let mut queue: Vec<SlotWaiter> = Vec::new();
         let mut in_time = 0;
         for now in (0..8_000).step_by(50) {
@@ -198,12 +198,9 @@
             }
         }
         in_time
-    };
-    let by_arrival = count_in_time(|w, _| (false, w.arrived_ms));
-    let in_time_first = count_in_time(|w, now| {
-        let (late, .., arrived_ms) = w.sort_key(&ShareUse::default(), now);
-        (late, arrived_ms)
-    });
+    }
+    let by_arrival = count_in_time(|w, _| (false, 0, w.arrived_ms));
+    let in_time_first = count_in_time(|w, now| w.sort_key(&ShareUse::default(), now));
     assert_eq!((by_arrival, in_time_first), (19, 49));
 }
 
