--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -189,7 +189,7 @@
     }
 
     /// Applies a peer's gossip message.
-    pub(super) fn apply_gossip(&self, node: &Arc<Node>, gossip: News, arrival: super::Origin) {
+    pub(crate) fn apply_gossip(&self, node: &Arc<Node>, gossip: News, arrival: super::Origin) {
         let Some(from) = gossip.from.clone() else {
             return;
         };
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -164,7 +164,7 @@
 
 /// How a gossip message arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
+pub(crate) enum Origin {
     /// In a call from a peer.
     Call,
     /// In the answer to a call of this daemon; only answers carry totals and
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -53,6 +53,8 @@
     quotas::spawn(node);
 }
 
+#[cfg(test)]
+mod settings_tests;
 #[cfg(test)]
 mod test_node;
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/test_node.rs
+++ b/crates/comfreyhall-node/src/test_node.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_domain::{ClientRequest, Stage, Target};
+use bytes::Bytes;
+use comfreyhall_domain::{
+    ClientRequest, Config, ForwardedRequest, RequestLimits, Route, RouteKind, Service, Stage,
+    Target, TrafficShare,
+};
 use comfreyhall_settings::NodeSettings;
 use futures::{FutureExt, future::BoxFuture};
 
@@ -66,6 +70,10 @@
 
     fn decode(&self, topic: Topic, record: &Record) -> Result<Decoded, String> {
         match topic {
+            Topic::Settings if &*record.key == "config" => Ok(Decoded::Config {
+                config: Box::new(config(record.version)),
+                warnings: Vec::new(),
+            }),
             Topic::Settings => Ok(Decoded::Other),
             Topic::Targets => decode(record)
                 .map(Decoded::Target)
@@ -102,6 +110,65 @@
     fn retain(&self, _: &[Arc<Target>]) {}
 }
 
+/// A configuration with one route, which leads to the service `s`.
+pub(crate) fn config(version: u64) -> Config {
+    let service = Service {
+        name: "s".into(),
+        max_connections: 10,
+        engine: None,
+    };
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 3_000,
+        objective_ms: 300,
+        gap_objective_ms: None,
+        priority: 0,
+        shares: vec![TrafficShare {
+            service: "s".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        resumable: false,
+        public: false,
+    };
+    Config {
+        version,
+        routes: vec![route],
+        services: [("s".into(), service)].into_iter().collect(),
+        limits: RequestLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout_ms: 1,
+            idle_timeout_ms: 1,
+        },
+        workspaces: None,
+    }
+}
+
+/// A request that matches the route of [`config`].
+pub(crate) fn request(id: &str) -> ClientRequest {
+    ClientRequest {
+        id: id.into(),
+        key: None,
+        host: "h".into(),
+        remaining_ms: Some(2_000),
+        adapter: None,
+        tokens: None,
+        expected_output: None,
+        prompt_segments: Vec::new(),
+        last_event_id: None,
+        forwarded: ForwardedRequest {
+            method: http::Method::GET,
+            path: "/x".into(),
+            headers: http::HeaderMap::new(),
+            body: Bytes::new(),
+        },
+    }
+}
+
 /// A daemon without any data yet.
 pub(crate) fn node() -> Arc<Node> {
     let text = r#"{
