Logs say by which settings a request was sent

The lines of sends, answers and streams now bear the configuration's version, when the request was bound to it, and how long ago the store had confirmed the settings at the last send.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -156,7 +156,8 @@
                     request.report_completed();
                     request.finished = true;
                     request.node.metrics.request(request.route.kind, "answered");
-                    log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, target_id:% = self.send.target, adapter:% = request.adapter(), events = self.events_sent, resumes = self.resumes, first = request.first_event_ms, stall = request.load_wait_ms, pause = self.max_pause_ms, aim = request.route.objective_ms, sends = request.history.sends, ms = self.send.elapsed_ms(); "streamed");
+                    let (config, bound) = request.settings_bound();
+                    log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, target_id:% = self.send.target, adapter:% = request.adapter(), events = self.events_sent, resumes = self.resumes, first = request.first_event_ms, stall = request.load_wait_ms, pause = self.max_pause_ms, aim = request.route.objective_ms, sends = request.history.sends, ms = self.send.elapsed_ms(), config, bound, age = request.settings_age_ms; "streamed");
                     return None;
                 }
                 Ok(Step::Broken(why)) => why,
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -109,8 +109,12 @@
     caller: Caller,
     /// Priority among requests; 0 is the most urgent.
     rank: u8,
-    /// Version of the configuration that admitted it.
+    /// Version of the configuration that it is bound to.
     config_version: u64,
+    /// Ms from arrival until it was bound to that configuration.
+    bound_after_ms: u64,
+    /// Ms since the store had confirmed the settings, at the last send.
+    pub(crate) settings_age_ms: u64,
     /// Credit reserved under its workspace's quota.
     credit: Option<Credit>,
     service: Name,
@@ -227,6 +231,8 @@
             route,
             caller,
             config_version: config.version,
+            bound_after_ms: 0,
+            settings_age_ms: 0,
             credit: None,
             service,
             engine,
@@ -256,6 +262,12 @@
             .map_or("".into(), adapter_key)
     }
 
+    /// Version of the configuration that it is bound to, and how long after its
+    /// arrival it was, in ms.
+    pub(crate) fn settings_bound(&self) -> (u64, u64) {
+        (self.config_version, self.bound_after_ms)
+    }
+
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline_ms.saturating_sub(self.node.now())
     }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -104,6 +104,8 @@
         if let Some(credit) = &mut self.credit {
             credit.mark_sent();
         }
+        let now = self.node.now();
+        self.settings_age_ms = self.node.view().records.settings_sync.age_ms(now);
         let adapter = self
             .client_request
             .adapter
@@ -185,7 +187,7 @@
         self.node.metrics.send(outcome);
         let left = self.remaining_ms();
         let fingerprint = self.fingerprint();
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, fingerprint:%, target_id:% = target, outcome, why, left, config = self.config_version; "send");
+        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, fingerprint:%, target_id:% = target, outcome, why, left, config = self.config_version, bound = self.bound_after_ms, age = self.settings_age_ms; "send");
     }
 
     /// Turns a target's response into the caller's answer, or decides to retry.
@@ -328,6 +330,8 @@
             caller: self.caller.clone(),
             rank: self.rank,
             config_version: self.config_version,
+            bound_after_ms: self.bound_after_ms,
+            settings_age_ms: self.settings_age_ms,
             credit: self.credit.take(),
             service: self.service.clone(),
             engine: self.engine.clone(),
@@ -370,7 +374,7 @@
         }
         self.history.record(Outcome::Answered);
         self.report_completed();
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, target_id:% = send.target, status = status.as_u16(), ms = now - self.began_ms, aim = self.route.objective_ms, sends = self.history.sends; "answered");
+        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, target_id:% = send.target, status = status.as_u16(), ms = now - self.began_ms, aim = self.route.objective_ms, sends = self.history.sends, config = self.config_version, bound = self.bound_after_ms, age = self.settings_age_ms; "answered");
         self.node
             .metrics
             .request(self.route.kind, if ok { "answered" } else { "failed" });
--- a/crates/comfreyhall-node/src/settings_tests.rs
+++ b/crates/comfreyhall-node/src/settings_tests.rs
@@ -125,7 +125,10 @@
     let node = serving_node();
     assert!(node.ready());
     node.fleet.apply_gossip(&node, reports(9), Origin::Call);
-    assert!(node.ready(), "the newer version may have just been accepted");
+    assert!(
+        node.ready(),
+        "the newer version may have just been accepted"
+    );
     pass_apply_bound(&node).await;
     assert!(!node.ready());
     assert!(is_rejected(&node).await);
