A daemon starts with settings that are confirmed, not with the first it gets

Callers saw requests run by an old configuration right after a process had started. A start took the rows of whichever gossip message bore some and served from then on. A small old configuration fits into a report and a large new one does not, so the old one may be the first to arrive, while another peer already reports a newer one.

comfreyhall-inforce now says whether a start may serve (`may_start`): within the bound of a confirmation, or, while the store is down for this daemon and nobody reports a newer version, once peers have had a third of the bound to report one. The lifecycle asks it at every event that may change the answer.

--- a/crates/comfreyhall-inforce/src/lib.rs
+++ b/crates/comfreyhall-inforce/src/lib.rs
@@ -14,7 +14,9 @@
 
 mod tracker;
 
-pub use tracker::{AppliedVersion, CatchUp, Freshness, NewerVersion, SettingsTracker, Source};
+pub use tracker::{
+    AppliedVersion, CatchUp, Freshness, NewerVersion, SettingsTracker, Source, Verdict,
+};
 
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-inforce/src/tests.rs
+++ b/crates/comfreyhall-inforce/src/tests.rs
@@ -1,4 +1,4 @@
-use super::{CatchUp, Freshness, SettingsTracker, Source};
+use super::{CatchUp, Freshness, SettingsTracker, Source, Verdict};
 
 const BOUND_MS: u64 = 3_000;
 
@@ -114,3 +114,42 @@
     tracker.peer_reported(&name("a"), 7, None, 101);
     assert_eq!(tracker.next_step(101, 500), CatchUp::AskPeer);
 }
+
+/// Guards against requests that run by a version that is known to be outdated.
+#[test]
+fn verdict_overdue_newer_version_rejects() {
+    let mut tracker = SettingsTracker::default();
+    tracker.apply(7, &Source::Store, 90, 100);
+    tracker.store_confirmed(9, 90);
+    tracker.peer_reported(&name("a"), 12, None, 200);
+    assert_eq!(tracker.verdict(3_090, BOUND_MS), Verdict::Serve);
+    assert_eq!(tracker.verdict(3_091, BOUND_MS), Verdict::Reject);
+    tracker.store_failed(3_100);
+    assert_eq!(tracker.verdict(3_100, BOUND_MS), Verdict::Reject);
+    tracker.apply(12, &Source::Peer(name("a")), 3_200, 3_200);
+    assert_eq!(tracker.verdict(3_200, BOUND_MS), Verdict::Serve);
+}
+
+/// Guards against a fleet that stops while its store is down.
+#[test]
+fn verdict_unconfirmed_waits_for_outage() {
+    let mut tracker = SettingsTracker::default();
+    tracker.apply(7, &Source::Store, 90, 100);
+    tracker.store_confirmed(9, 90);
+    assert_eq!(tracker.verdict(3_091, BOUND_MS), Verdict::Hold);
+    tracker.store_failed(3_100);
+    assert_eq!(tracker.verdict(3_100, BOUND_MS), Verdict::Serve);
+}
+
+/// Guards against a start in an outage by the first version that a peer sends.
+#[test]
+fn may_start_outage_waits_for_reports() {
+    let mut tracker = SettingsTracker::default();
+    tracker.apply(7, &Source::Peer(name("a")), 100, 100);
+    assert!(!tracker.may_start(100, BOUND_MS, 1_000));
+    tracker.store_failed(100);
+    assert!(!tracker.may_start(1_099, BOUND_MS, 1_000));
+    assert!(tracker.may_start(1_100, BOUND_MS, 1_000));
+    tracker.store_confirmed(7, 1_150);
+    assert!(tracker.may_start(1_200, BOUND_MS, 1_000));
+}
--- a/crates/comfreyhall-inforce/src/tracker.rs
+++ b/crates/comfreyhall-inforce/src/tracker.rs
@@ -68,6 +68,19 @@
     Stale,
 }
 
+/// What to do with requests that the known settings allow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Serve them.
+    Serve,
+    /// Nobody has confirmed the settings for longer than the bound, and it is not
+    /// known yet whether the store is down: hold them until it is.
+    Hold,
+    /// A newer version that is not known here may have been accepted longer ago
+    /// than the bound: reject them.
+    Reject,
+}
+
 /// What to do about a newer version that has been reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CatchUp {
@@ -237,6 +250,30 @@
         }
     }
 
+    /// What to do with requests that the known settings allow.
+    ///
+    /// While the store is down for this daemon and nobody reports a newer version,
+    /// old settings serve: a fleet whose store is down must not stop.
+    pub fn verdict(&self, now: u64, bound_ms: u64) -> Verdict {
+        if self.age_ms(now) <= bound_ms {
+            return Verdict::Serve;
+        }
+        match (&self.newer, self.store_down_since) {
+            (Some(_), _) => Verdict::Reject,
+            (None, Some(_)) => Verdict::Serve,
+            (None, None) => Verdict::Hold,
+        }
+    }
+
+    /// Whether a daemon that has just started may begin to serve. When the store is
+    /// down, peers have `report_ms` from the first failed call on to report a newer
+    /// version.
+    pub fn may_start(&self, now: u64, bound_ms: u64, report_ms: u64) -> bool {
+        let confirmed = self.age_ms(now) <= bound_ms;
+        let outage_ms = self.store_down_since.map_or(0, |at| now.saturating_sub(at));
+        self.verdict(now, bound_ms) == Verdict::Serve && (confirmed || outage_ms >= report_ms)
+    }
+
     fn note_newer(&mut self, peer: &Name, version: u64, now: u64) {
         match &mut self.newer {
             Some(newer) if newer.version >= version => {}
--- a/crates/comfreyhall-inforce/tests/model.rs
+++ b/crates/comfreyhall-inforce/tests/model.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use comfreyhall_domain::Name;
-use comfreyhall_inforce::{Freshness, SettingsTracker, Source};
+use comfreyhall_inforce::{Freshness, SettingsTracker, Source, Verdict};
 use proptest::prelude::*;
 
 const DAEMONS: usize = 4;
@@ -15,6 +15,9 @@
 /// Time in which an accepted version has to become active, in ms.
 const BOUND_MS: u64 = 3_000;
 
+/// Time for reports of peers before a start in an outage, in ms.
+const REPORT_MS: u64 = 1_000;
+
 /// One boot (one start of the process) of a daemon.
 #[derive(Default)]
 struct Daemon {
@@ -239,14 +242,22 @@
                 );
             }
             let now = daemon.clock(self.now_ms);
+            let due = self
+                .accepted
+                .iter()
+                .filter(|(_, at)| at + BOUND_MS < self.now_ms);
+            let due = due.map(|(v, _)| *v).max().unwrap_or(0);
             if daemon.tracker.freshness(now, BOUND_MS) == Freshness::Current {
-                let due = self
-                    .accepted
-                    .iter()
-                    .filter(|(_, at)| at + BOUND_MS < self.now_ms);
-                let due = due.map(|(v, _)| *v).max().unwrap_or(0);
                 assert!(complete_up_to(due), "current without a version that is due");
             }
+            let tracker = &daemon.tracker;
+            let outage = tracker.store_down_since().is_some() && tracker.newer_version().is_none();
+            if tracker.verdict(now, BOUND_MS) == Verdict::Serve && !outage {
+                assert!(complete_up_to(due), "serves without a version that is due");
+            }
+            if tracker.may_start(now, BOUND_MS, REPORT_MS) && !outage {
+                assert!(complete_up_to(due), "starts without a version that is due");
+            }
         }
     }
 
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -99,6 +99,8 @@
 
     pub(super) fn own_gossip(&self, node: &Node, now: u64) -> News {
         let words = outbound::holder_notices(node);
+        let mut from = self.me.clone();
+        from.ready = node.ready();
         let mut view = node.view();
         let work = view.board.own_work().map(|(target, w)| TargetWork {
             target: target.to_string(),
@@ -121,8 +123,6 @@
         // 90 daemons.
         let behind_ms = view.records.settings_sync.lag_ms(now);
         let lag_ms = node.settings().bounds.apply_ms / follow::PARTS_PER_APPLY;
-        let mut from = self.me.clone();
-        from.ready = node.ready();
         News {
             from: Some(from),
             work,
@@ -284,7 +284,6 @@
             let rows: Vec<Record> = rows.into_iter().map(from_wire).collect();
             let version = rows.iter().map(|f| f.version).max().unwrap_or(0);
             records::apply(node, topic, RecordBatch { rows, version }, &origin);
-            follow::start_if_synced(node);
         }
         let mut view = node.view();
         if age != u64::MAX && covers {
@@ -296,6 +295,7 @@
         log_newer_settings(sync, before, now);
         let is_behind = sync.newer_version().is_some();
         drop(view);
+        follow::start_if_synced(node);
         if is_behind {
             self.wake_fetch();
         }
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -200,6 +200,7 @@
             .records
             .settings_sync
             .store_confirmed(covers, as_of);
+        start_if_synced(node);
     }
 }
 
@@ -313,13 +314,18 @@
     }
 }
 
-/// Begins to serve once a configuration and a target are known.
+/// Begins to serve once a configuration that may be served by and a target are
+/// known.
 pub(crate) fn start_if_synced(node: &Node) {
-    let known = {
+    let bound_ms = node.settings().bounds.apply_ms;
+    let may_start = {
         let view = node.view();
-        view.config.is_some() && !view.targets.is_empty()
+        let sync = &view.records.settings_sync;
+        view.config.is_some()
+            && !view.targets.is_empty()
+            && sync.may_start(node.now(), bound_ms, bound_ms / PARTS_PER_APPLY)
     };
-    if known {
+    if may_start {
         node.life.handle(Event::Synced);
     }
 }
