Requests are rejected by settings that are known to be overdue

Callers of a daemon that was behind ran for seconds as an older configuration allows. Only refusals (404, 401) asked how old the settings were; what a known route allowed was served however old they were, and the readiness check asked nothing at all.

The verdict of comfreyhall-inforce now decides both: past the bound without a confirmation a daemon that knows of a newer version rejects with 503 and is not ready; one whose store is down, with nobody reporting a newer version, goes on serving, so that an outage stops nobody.

serve_overdue_settings_reject failed before (the request hung in its send).

--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -9,6 +9,7 @@
 };
 
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, PriorityTable, Target};
+use comfreyhall_inforce::Verdict;
 use comfreyhall_life::{Lifecycle, Stage};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
 use comfreyhall_routing::{PaceTable, PrefixIndex, Residency, RetryBudget, RunTimes, TargetStats};
@@ -296,7 +297,14 @@
 
     /// Whether callers may be sent here.
     pub fn ready(&self) -> bool {
-        self.life.stage() == Stage::Serving
+        self.life.stage() == Stage::Serving && self.settings_verdict() != Verdict::Reject
+    }
+
+    /// What to do with requests that the known settings allow.
+    pub(crate) fn settings_verdict(&self) -> Verdict {
+        let bound_ms = self.settings().bounds.apply_ms;
+        let now = self.now();
+        self.view().records.settings_sync.verdict(now, bound_ms)
     }
 
     /// Whether a planned stop was requested.
--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -1,7 +1,7 @@
 //! Authentication, key revocation and workspace quotas of one request.
 
 use comfreyhall_domain::{Allowance, Answer, Caller, ClientRequest, Config, Route, answer_for};
-use comfreyhall_inforce::{AppliedVersion, Freshness, SettingsTracker};
+use comfreyhall_inforce::{AppliedVersion, Freshness, SettingsTracker, Verdict};
 
 use super::{ActiveRequest, NOT_READY_RETRY_MS, Reply};
 use crate::{
@@ -30,6 +30,9 @@
     config: &Config,
     request: &ClientRequest,
 ) -> Result<(Route, Caller), Rejection> {
+    if node.settings_verdict() == Verdict::Reject {
+        return Err(Rejection::Unconfirmed);
+    }
     let path = request.forwarded.path.split('?').next().unwrap_or("");
     let Some(route) = config.match_route(&request.host, path) else {
         // The route may be in settings that have not reached this daemon yet.
