A request is bound to the settings in force when it is sent

Callers saw a request run 0.84 s after it came, by a configuration that was due before. Route, service and engine were taken from the configuration in force on arrival; a request that waited for a target, an adapter or a permit was sent by them, though a newer configuration had moved or dropped its route. Only its key was checked again.

Each send, resumption included, now asks the verdict of the settings and, if another configuration is in force, admits the request anew: its service, engine, rank and timeout follow, a dropped route gets 404 (unknown if it may have run), and what was chosen for the former service is void. While it is not known whether the settings are current a request is held within its time.

--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -1,6 +1,6 @@
 //! Authentication, key revocation and workspace quotas of one request.
 
-use comfreyhall_domain::{Allowance, Answer, Caller, ClientRequest, Config, Route, answer_for};
+use comfreyhall_domain::{Allowance, Answer, Caller, ClientRequest, Config, Route};
 use comfreyhall_inforce::{AppliedVersion, Freshness, SettingsTracker, Verdict};
 
 use super::{ActiveRequest, NOT_READY_RETRY_MS, Reply};
@@ -98,7 +98,7 @@
     }
 
     /// Whether all keys have expired, because a revocation may have been missed.
-    fn keys_expired(&self) -> bool {
+    pub(super) fn keys_expired(&self) -> bool {
         let Some(max_age_ms) = self.settings().bounds.revoke_ms else {
             return false;
         };
@@ -184,46 +184,6 @@
         Reply::Unanswered(answer)
     }
 
-    /// Whether its key still belongs to its workspace.
-    ///
-    /// Checked again before each send: a request may wait for an adapter slot
-    /// while its key is revoked, and would be sent seconds after every daemon has
-    /// learned of it.
-    pub(super) fn key_still_valid(&self) -> bool {
-        let Some(config) = self.node.config() else {
-            return false;
-        };
-        let Some(known) = self.caller.workspace() else {
-            return true;
-        };
-        if self.node.keys_expired() {
-            return false;
-        }
-        if config.version == self.config_version {
-            return true;
-        }
-        let found = config.resolve_caller(&self.route, self.client_request.key.as_ref());
-        let found = found.as_ref().and_then(Caller::workspace);
-        found.is_some_and(|w| w.name == known.name)
-    }
-
-    /// The final answer to a request whose key was revoked after admission.
-    pub(super) fn reject_revoked_key(&mut self) -> Reply {
-        let why = "its key was taken back";
-        self.finished = true;
-        self.return_credit();
-        self.node.metrics.refusal(why);
-        if let Some(reply) = self.fallback_reply(why) {
-            return reply;
-        }
-        let held = self.node.now() - self.began_ms;
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, why, sends = self.history.sends, held; "given up");
-        match self.history.may_have_run {
-            true => Reply::Unanswered(answer_for(&self.history, false, 0)),
-            false => Reply::UnknownKey,
-        }
-    }
-
     /// Returns its credit if it has certainly not run.
     pub(super) fn return_credit(&mut self) {
         if let Some(credit) = self.credit.take()
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod place;
 mod quarantine;
+mod renew;
 mod send;
 
 use std::{
@@ -28,7 +29,7 @@
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
-use self::{caller::SettingsBasis, place::BindOutcome, send::Next};
+use self::{caller::SettingsBasis, place::BindOutcome, renew::Step, send::Next};
 use crate::{
     choose::{self, Criteria, Plan, Requirements},
     fleet::adapter_key,
@@ -308,8 +309,10 @@
             if let Some(retry_ms) = self.quarantined_ms().await {
                 return self.reject_quarantined(retry_ms);
             }
-            if !self.key_still_valid() {
-                return self.reject_revoked_key();
+            match self.check_settings().await {
+                Step::Proceed => {}
+                Step::ChooseAgain => continue,
+                Step::End(reply) => return reply,
             }
             let Some(mut plan) = self.choose() else {
                 if let Some(ms) = self
@@ -365,8 +368,10 @@
             if let Some(retry_ms) = self.quarantined_ms().await {
                 return self.reject_quarantined(retry_ms);
             }
-            if !self.key_still_valid() {
-                return self.reject_revoked_key();
+            match self.recheck_settings() {
+                Step::Proceed => {}
+                Step::ChooseAgain => continue,
+                Step::End(reply) => return reply,
             }
             if self.deliveries > 0 && !self.take_retry() {
                 return self.give_up("the retry budget is spent", plan.wait_ms);
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -8,7 +8,7 @@
 use futures::StreamExt;
 use http::{HeaderMap, StatusCode};
 
-use super::{ActiveRequest, Reply, complete_reply, place::BindOutcome};
+use super::{ActiveRequest, Reply, complete_reply, place::BindOutcome, renew::Renewal};
 use crate::{
     active_send::{ActiveSend, RunHandle},
     choose::{self, Plan},
@@ -405,6 +405,9 @@
             return Err(());
         }
         for _ in 0..MAX_RESUME_CHOICES {
+            if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
+                return Err(());
+            }
             let mut plan = self.choose().ok_or(())?;
             if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
                 return Err(());
@@ -413,7 +416,8 @@
                 continue;
             };
             let quarantined = self.quarantined_ms().await.is_some();
-            if quarantined || !self.target_still_accepts(&plan) || !self.key_still_valid() {
+            let unchanged = matches!(self.renew(), Ok(Renewal::Unchanged));
+            if quarantined || !self.target_still_accepts(&plan) || !unchanged {
                 return Err(());
             }
             return self.send(&mut plan, permit, last_event).await;
--- a/crates/comfreyhall-node/tests/place.rs
+++ b/crates/comfreyhall-node/tests/place.rs
@@ -56,6 +56,72 @@
     assert!(backend.sent.lock().unwrap().is_empty());
 }
 
+/// A configuration whose route leads to the service `t`.
+fn moved(config: &comfreyhall_domain::Config) -> comfreyhall_domain::Config {
+    let mut moved = config.clone();
+    moved.version = 2;
+    moved.routes[0].shares[0].service = "t".into();
+    let mut service = moved.services["s"].clone();
+    service.name = "t".into();
+    service.engine = None;
+    moved.services.insert("t".into(), service);
+    moved
+}
+
+/// A daemon with the plain target `c` of service `t`, on which a request waits for
+/// its adapter at the engines of service `s`.
+async fn start_with_waiting_request() -> (
+    tokio::task::JoinHandle<CallerResult>,
+    std::sync::Arc<ScriptedBackend>,
+    std::sync::Arc<ScriptedSource>,
+) {
+    let mut long = route(RouteKind::Stream, 1, false);
+    long.timeout_ms = 8_000;
+    long.objective_ms = 4_000;
+    let other = comfreyhall_domain::Target {
+        service: "t".into(),
+        ..target("c")
+    };
+    let targets = vec![other];
+    let (node, backend, source) = start_node_among(long, Some(engine()), Vec::new(), targets).await;
+    *backend.default_behavior.lock().unwrap() = Some(Behavior::Stream(vec![1], true));
+    let waiting = node.clone();
+    let call =
+        tokio::spawn(async move { caller_result(waiting.serve(adapter_ask("q")).await).await });
+    while backend.commands.lock().unwrap().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    (call, backend, source)
+}
+
+/// Guards against a request that waits for its adapter and then runs by the
+/// configuration in which it came, though a newer one has moved its route.
+#[tokio::test]
+async fn serve_waiting_request_follows_moved_route() {
+    let (call, backend, source) = start_with_waiting_request().await;
+    source.publish(moved(&source.config));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    backend.finish_loads.store(true, Ordering::SeqCst);
+    assert_eq!(call.await.unwrap(), CallerResult::Stream(vec![1], true));
+    let sent = backend.sent.lock().unwrap();
+    let targets: Vec<&str> = sent.iter().map(|s| &*s.target).collect();
+    assert_eq!(targets, ["c"]);
+}
+
+/// Guards against a request that runs on a route that was dropped while it waited.
+#[tokio::test]
+async fn serve_waiting_request_of_dropped_route() {
+    let (call, backend, source) = start_with_waiting_request().await;
+    let mut dropped = source.config.clone();
+    dropped.version = 2;
+    dropped.routes.clear();
+    source.publish(dropped);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    backend.finish_loads.store(true, Ordering::SeqCst);
+    assert_eq!(call.await.unwrap(), CallerResult::Other);
+    assert!(backend.sent.lock().unwrap().is_empty());
+}
+
 /// Guards against a drop from 110 to 12 adapter loads a second, seen for ten
 /// seconds in a fleet of 60 engines: engines leave some commands unanswered and
 /// carry them out seconds later. Asking for a report after each one, with a
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -457,7 +457,19 @@
     engine: Option<EngineConfig>,
     behaviors: Vec<Behavior>,
 ) -> (Arc<Node>, Arc<ScriptedBackend>, Arc<ScriptedSource>) {
-    let source = scripted_source(route, engine);
+    start_node_among(route, engine, behaviors, Vec::new()).await
+}
+
+/// The same, with `others` besides the targets `a` and `b`.
+pub async fn start_node_among(
+    route: Route,
+    engine: Option<EngineConfig>,
+    behaviors: Vec<Behavior>,
+    others: Vec<Target>,
+) -> (Arc<Node>, Arc<ScriptedBackend>, Arc<ScriptedSource>) {
+    let mut source = scripted_source(route, engine);
+    let only = Arc::get_mut(&mut source).expect("the source has one owner");
+    only.targets.extend(others);
     let backend = Arc::new(ScriptedBackend::default());
     *backend.behaviors.lock().unwrap() = behaviors;
     let node = Node::new(settings(), source.clone(), backend.clone());
