A store's answer that covers less than is known confirms nothing

A read that lags behind the daemon's knowledge was counted as a confirmation of it, so that the daemon looked young though newer versions could have been accepted.

store_confirmed_older_answer_confirms_nothing failed before (age 0).

--- a/crates/comfreyhall-inforce/src/tests.rs
+++ b/crates/comfreyhall-inforce/src/tests.rs
@@ -153,3 +153,15 @@
     tracker.store_confirmed(7, 1_150);
     assert!(tracker.may_start(1_200, BOUND_MS, 1_000));
 }
+
+/// Guards against an answer from the past that confirms what it does not know.
+#[test]
+fn store_confirmed_older_answer_confirms_nothing() {
+    let mut tracker = SettingsTracker::default();
+    tracker.apply(7, &Source::Store, 90, 100);
+    tracker.store_confirmed(9, 90);
+    tracker.store_confirmed(8, 5_000);
+    assert_eq!(tracker.age_ms(5_000), 4_910);
+    tracker.store_confirmed(9, 5_000);
+    assert_eq!(tracker.age_ms(5_000), 0);
+}
--- a/crates/comfreyhall-inforce/src/tracker.rs
+++ b/crates/comfreyhall-inforce/src/tracker.rs
@@ -157,10 +157,14 @@
     }
 
     /// The store answered: every row up to `complete_to` is known now, and there
-    /// were no others at `confirmed_at_ms`.
+    /// were no others at `confirmed_at_ms`. An answer that covers less than is known
+    /// was made before, whenever it arrives, and confirms nothing.
     pub fn store_confirmed(&mut self, complete_to: u64, confirmed_at_ms: u64) {
         self.store_down_since = None;
         self.store_read_pending = false;
+        if complete_to < self.complete_to {
+            return;
+        }
         self.extend_to(complete_to);
         self.confirm_at(confirmed_at_ms);
     }
