Retry budgets of a fleet add up to no more than the whole

Targets of a service got more repeats than the fleet may send when several disruptions came at once. Each daemon spent the allowance divided by the daemons it saw at that moment: one that had just started or was cut off from its peers saw itself alone and took all of it, and a new process forgot what the one before had spent in the same window.

The allowance is now divided by the instances that may exist (the members of the store's list, as for quotas); while that number is unknown there is none. Processes older than a window share 0.6 of it, younger ones 0.2, which leaves room for two starts of every instance in a window. The part by requests is 0.5 in place of 0.7: in one window daemons may spend what they received in that one and the one before. Members are listed once at each start.

--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -58,7 +58,9 @@
                     log::warn!(target: "members", error:% = e; "own row not written");
                 }
             }
-        } else if listing_needed || (due && !has_peers) {
+        }
+        let first = written && listed.is_none();
+        if first || (written && (listing_needed || (due && !has_peers))) {
             match list_members(&node, &rows, &key).await {
                 Ok(()) => {
                     listed = Some(node.now());
@@ -84,14 +86,12 @@
     }
 }
 
-/// Whether this daemon should list the members, which the quotas of workspaces
-/// need. Of daemons that start together some list them, and the others learn
-/// the result from these.
+/// Whether this daemon should list the members again, which the quotas of
+/// workspaces and the retry budgets need. Of daemons that start together some list
+/// them, and the others learn the result from these.
 fn needs_listing(node: &Node, now: u64) -> bool {
     let size = node.fleet.size(now);
-    node.quotas.in_use()
-        && node.fleet.members(now).is_none()
-        && rand::rng().random_range(0..size) < INITIAL_LISTERS
+    node.fleet.members(now).is_none() && rand::rng().random_range(0..size) < INITIAL_LISTERS
 }
 
 fn period_ms(node: &Node) -> u64 {
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -362,6 +362,11 @@
         self.drain_began_ms.store(now, Ordering::SeqCst);
     }
 
+    /// When this daemon started, in ms of its clock.
+    pub(crate) fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+
     /// Ms since this daemon started.
     pub(crate) fn uptime_ms(&self) -> u64 {
         self.now().saturating_sub(self.started_ms)
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -446,7 +446,13 @@
         let mut view = self.node.view();
         let budget = view.budgets.entry(self.service.clone()).or_insert_with(|| {
             let window_ms = (bounds.retry_s * 1_000.0) as u64;
-            RetryBudget::new(window_ms, bounds.retry_ratio, bounds.retry_allowance)
+            let started_ms = self.node.started_ms();
+            RetryBudget::new(
+                window_ms,
+                bounds.retry_ratio,
+                bounds.retry_allowance,
+                started_ms,
+            )
         });
         budget.record_request(now);
         if let Some(adapter) = self
@@ -468,10 +474,10 @@
     /// Takes one retry out of the service's budget, if there is one.
     fn take_retry(&self) -> bool {
         let now = self.node.now();
-        let daemons = self.node.fleet.size(now);
+        let members = self.node.fleet.members(now);
         let mut view = self.node.view();
         let budget = view.budgets.get_mut(&self.service);
-        let granted = budget.is_some_and(|b| b.try_retry(now, daemons));
+        let granted = budget.is_some_and(|b| b.try_retry(now, members));
         drop(view);
         self.node.metrics.retry(granted);
         granted
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -35,13 +35,35 @@
 /// number of requests.
 #[test]
 fn try_retry_bounded_by_requests() {
-    let mut budget = RetryBudget::new(10_000, 0.2, 14.0);
-    for i in 0..100 {
+    let mut budget = RetryBudget::new(10_000, 0.2, 14.0, 0);
+    for i in 20_000..20_100 {
         budget.record_request(i);
     }
-    let granted = (0..100).filter(|_| budget.try_retry(100, 7)).count();
-    assert_eq!(granted, 15);
-    assert!(budget.try_retry(20_000, 1));
+    let granted = (0..100)
+        .filter(|_| budget.try_retry(20_100, Some(7)))
+        .count();
+    assert_eq!(granted, 11);
+    assert!(budget.try_retry(40_000, Some(1)));
+}
+
+/// Guards against daemons that each take the whole allowance because they see
+/// nobody else.
+#[test]
+fn try_retry_unknown_members_no_allowance() {
+    let mut budget = RetryBudget::new(10_000, 0.2, 52.0, 0);
+    assert!(!budget.try_retry(20_000, None));
+    assert!(budget.try_retry(20_000, Some(6)));
+}
+
+/// Guards against a process that spends what an earlier one of its instance has
+/// spent in the same window.
+#[test]
+fn try_retry_new_process_has_small_share() {
+    let mut budget = RetryBudget::new(10_000, 0.2, 52.0, 20_000);
+    let granted =
+        |budget: &mut RetryBudget, now| (0..100).filter(|_| budget.try_retry(now, Some(6))).count();
+    assert_eq!(granted(&mut budget, 21_000), 1);
+    assert_eq!(granted(&mut budget, 40_000), 5);
 }
 
 /// Guards against needless loads from the weight store: a third of them brought
