--- /dev/null
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -0,0 +1,140 @@
+//! Requests of a daemon that reaches no target.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use comfreyhall_domain::{Route, RouteKind};
+use comfreyhall_node::Node;
+use support::*;
+use tokio::net::TcpListener;
+
+/// Two daemons of one fleet; targets answer each with its own behavior.
+struct Pair {
+    cut: Arc<Node>,
+    cut_backend: Arc<ScriptedBackend>,
+    peer: Arc<Node>,
+    peer_backend: Arc<ScriptedBackend>,
+}
+
+async fn start(
+    source: &Arc<ScriptedSource>,
+    table: &comfreyhall_fakes::FakeTable,
+    id: &str,
+    listener: TcpListener,
+    seeds: &[String],
+    behavior: Behavior,
+) -> (Arc<Node>, Arc<ScriptedBackend>) {
+    let addr = listener.local_addr().unwrap().to_string();
+    let backend = Arc::new(ScriptedBackend::default());
+    *backend.default_behavior.lock().unwrap() = Some(behavior);
+    let node = Node::new(
+        settings_of(id, &addr, seeds, 0.25),
+        source.clone(),
+        backend.clone(),
+    );
+    comfreyhall_node::spawn(&node, table.clone());
+    tokio::spawn(comfreyhall_node::serve_peers(node.clone(), listener));
+    (node, backend)
+}
+
+async fn start_pair(route: Route, cut: Behavior, peer: Behavior) -> Pair {
+    let mut source = scripted_source(route, None);
+    let only = Arc::get_mut(&mut source).expect("the source has one owner");
+    only.targets.push(target("c"));
+    let table = comfreyhall_fakes::FakeTable::default();
+    let first = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = [&first, &second].map(|l| l.local_addr().unwrap().to_string());
+    let (cut, cut_backend) = start(&source, &table, "n1", first, &seeds, cut).await;
+    let (peer, peer_backend) = start(&source, &table, "n2", second, &seeds, peer).await;
+    while cut.addresses().0.len() < 2 || peer.addresses().0.len() < 2 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Pair {
+        cut,
+        cut_backend,
+        peer,
+        peer_backend,
+    }
+}
+
+/// Guards against callers who are served by nobody though another daemon could: the
+/// daemon they ask has lost its paths to all targets.
+#[tokio::test]
+async fn serve_isolated_daemon_passes_requests_on() {
+    let route = route(RouteKind::NonIdempotent, 2, false);
+    let pair = start_pair(route, Behavior::Unreachable, Behavior::Answer(200, 0)).await;
+    let mut served = 0;
+    for i in 0..20 {
+        let result = caller_result(pair.cut.serve(ask(&format!("r{i}"))).await).await;
+        served += u32::from(result == CallerResult::Complete(200));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert!(served >= 19, "{served} of 20");
+    let ran = pair.peer_backend.sent.lock().unwrap();
+    assert_eq!(ran.len(), served as usize, "each runs once");
+}
+
+/// Guards against a stream that is lost because its daemon reaches no target.
+#[tokio::test]
+async fn serve_isolated_daemon_passes_streams_on() {
+    let stream = Behavior::Stream(vec![1, 2, 3], true);
+    let route = route(RouteKind::Stream, 2, true);
+    let pair = start_pair(route, Behavior::Unreachable, stream).await;
+    let result = caller_result(pair.cut.serve(ask("r")).await).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2, 3], true));
+}
+
+/// Guards against requests that go back and forth while all daemons are isolated, and
+/// against callers who wait for nothing then.
+#[tokio::test]
+async fn serve_all_isolated_rejects_at_once() {
+    let route = route(RouteKind::Idempotent, 2, false);
+    let pair = start_pair(route, Behavior::Unreachable, Behavior::Unreachable).await;
+    for node in [&pair.cut, &pair.peer] {
+        for i in 0..10 {
+            caller_result(node.serve(ask(&format!("w{i}"))).await).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    // Gossip about it reaches the other daemon.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let sends = || {
+        pair.cut_backend.sent.lock().unwrap().len() + pair.peer_backend.sent.lock().unwrap().len()
+    };
+    let before = sends();
+    let began = std::time::Instant::now();
+    let result = caller_result(pair.cut.serve(ask("r")).await).await;
+    assert_eq!(result, CallerResult::NotRun);
+    assert!(began.elapsed() < Duration::from_millis(300));
+    assert_eq!(sends(), before, "no target is asked for it");
+}
+
+/// Guards against "not run" about a request that a peer may have run.
+#[tokio::test]
+async fn serve_passed_on_lost_answer_is_unknown() {
+    let route = route(RouteKind::NonIdempotent, 2, false);
+    let pair = start_pair(route, Behavior::Unreachable, Behavior::LoseAnswer).await;
+    let result = caller_result(pair.cut.serve(ask("r")).await).await;
+    assert_eq!(result, CallerResult::Unknown);
+    assert_eq!(pair.peer_backend.sent.lock().unwrap().len(), 1);
+}
+
+/// Guards against passing on requests because one target is silent.
+#[tokio::test]
+async fn serve_one_silent_target_keeps_requests() {
+    let route = route(RouteKind::Idempotent, 3, false);
+    let pair = start_pair(route, Behavior::Answer(200, 0), Behavior::Answer(200, 0)).await;
+    pair.cut_backend
+        .behaviors
+        .lock()
+        .unwrap()
+        .push(Behavior::Unreachable);
+    for i in 0..10 {
+        let result = caller_result(pair.cut.serve(ask(&format!("r{i}"))).await).await;
+        assert_eq!(result, CallerResult::Complete(200));
+    }
+    assert!(pair.peer_backend.sent.lock().unwrap().is_empty());
+    assert!(!pair.peer.addresses().0.is_empty());
+}
