A daemon that reaches no target passes its requests on

Each request found out anew, target by target, that nothing could be reached, and ended at its daemon after 0.1 to 1.8 s.

comfreyhall-routing keeps the evidence (Reachability): three different targets that could not be reached since one last answered, and no answer for 400 ms. A slow target is no evidence, and one silent target proves nothing. An isolated daemon passes requests on, in one hop, to a ready one that reaches targets, of its own domain first (rpc Forward); so does a request that found two targets unreachable, for paths that last while new connections fail. The receiver alone reserves credit and sends, so that the request runs at most once; its answer, 'not run' included, is passed back as it is, and a call without an answer is 'unknown'. If nobody reaches targets the request is rejected at once. An isolated daemon takes no lease and probes two targets each 250 ms, until one answers.

--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -4,7 +4,8 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{
-    BindReply, BindRequest, CapCall, CapReply, News, ProgressReply, ProgressReport, SettingsAsk,
+    BindReply, BindRequest, CapCall, CapReply, ForwardRequest, News, ProgressReply, ProgressReport,
+    SettingsAsk,
     fleet_server::{self, FleetServer},
 };
 use rand::Rng;
@@ -17,7 +18,7 @@
     gossip::{ReportedVersions, add_rows},
     hub,
 };
-use crate::{bind, node::Node, quotas};
+use crate::{bind, forward, node::Node, quotas};
 
 /// Longest duration of one exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -178,6 +179,16 @@
         Ok(Response::new(bind::answer(&self.0, req.into_inner()).await))
     }
 
+    type ForwardStream = forward::PartStream;
+
+    async fn forward(
+        &self,
+        req: Request<ForwardRequest>,
+    ) -> Result<Response<forward::PartStream>, Status> {
+        let parts = forward::receive(&self.0, req.into_inner()).await?;
+        Ok(Response::new(parts))
+    }
+
     type FetchStream = ChunkStream;
 
     async fn fetch(&self, req: Request<SettingsAsk>) -> Result<Response<ChunkStream>, Status> {
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -101,6 +101,7 @@
         let words = outbound::holder_notices(node);
         let mut from = self.me.clone();
         from.ready = node.ready();
+        from.isolated = node.is_isolated();
         let mut view = node.view();
         let work = view.board.own_work().map(|(target, w)| TargetWork {
             target: target.to_string(),
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -58,7 +58,7 @@
     fn from_members(members: Vec<Daemon>) -> Self {
         let mut hash = FxHasher::default();
         for member in &members {
-            (&member.peer, member.boot, member.ready).hash(&mut hash);
+            (&member.peer, member.boot, member.ready, member.isolated).hash(&mut hash);
         }
         // 0 stands for no roster.
         let version = hash.finish().max(1);
@@ -196,6 +196,7 @@
     fn summarize(&self, node: &Node, gossip: &News, now: u64) -> Summary {
         let mut me = self.me.clone();
         me.ready = node.ready();
+        me.isolated = node.is_isolated();
         let (roster, in_use) = {
             let state = self.state();
             (state.roster(me, now), state.adapters_in_use(now))
--- a/crates/comfreyhall-node/src/fleet/members.rs
+++ b/crates/comfreyhall-node/src/fleet/members.rs
@@ -46,6 +46,23 @@
         }
     }
 
+    /// Peers that callers may be sent to and that reach targets, in random order,
+    /// those of the own domain first.
+    pub(crate) fn reaching_peers(&self, now: u64) -> Vec<Name> {
+        let state = self.state();
+        let mut out: Vec<(bool, u64, Name)> = state
+            .alive_peers(now)
+            .filter_map(|(addr, peer)| {
+                let about = peer.daemon.as_ref();
+                let about = about.filter(|a| a.ready && !a.isolated)?;
+                let elsewhere = about.domain != self.me.domain;
+                Some((elsewhere, rand::random(), addr.clone()))
+            })
+            .collect();
+        out.sort_unstable();
+        out.into_iter().map(|(_, _, addr)| addr).collect()
+    }
+
     /// When the daemon at `peer` became known.
     pub(crate) fn known_since_ms(&self, peer: &str) -> Option<u64> {
         self.state().peers.get(peer).map(|p| p.met_at_ms)
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -199,6 +199,7 @@
             front: settings.listen.front.to_string(),
             domain: settings.domain.to_string(),
             ready: false,
+            isolated: false,
             millicores: (settings.cores * 1_000.0) as u32,
         };
         let (updates_tx, updates_rx) = mpsc::channel(progress::UPDATE_QUEUE_LEN);
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -19,6 +19,7 @@
         domain: "d".into(),
         ready: true,
         millicores: 500,
+        isolated: false,
     }
 }
 
--- /dev/null
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -0,0 +1,139 @@
+//! Passes requests on to another daemon while this one reaches no target.
+//!
+//! A daemon may lose its paths to all targets while callers still reach it. It
+//! passes their requests on to a daemon that reaches targets, in one hop: whoever
+//! receives one so serves it or rejects it. The receiver alone reserves credit,
+//! counts the request for retries and sends it, so that it runs at most once and
+//! its answer is passed back as it is.
+
+mod reach;
+mod receive;
+mod wire;
+
+pub(crate) use self::{
+    reach::spawn,
+    receive::{PartStream, receive},
+};
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use comfreyhall_domain::{Answer, ClientRequest, Name};
+use comfreyhall_protocol::{ForwardHead, ForwardOutcome, ForwardPart};
+use futures::StreamExt;
+use tonic::{Status, Streaming};
+
+use crate::{
+    node::Node,
+    serve::{EventStream, Reply},
+};
+
+/// Daemons that one request is passed on to; a second one only if the request may
+/// be repeated.
+const MAX_PEERS: usize = 2;
+
+/// Passes `request`, which has `remaining_ms` left, on to a daemon that reaches
+/// targets; `None` if no such daemon is known.
+pub(crate) async fn pass_on(
+    node: &Arc<Node>,
+    request: &ClientRequest,
+    remaining_ms: u64,
+    repeatable: bool,
+) -> Option<Reply> {
+    let deadline_ms = node.now() + remaining_ms;
+    let peers = node.fleet.reaching_peers(node.now());
+    let attempts = if repeatable { MAX_PEERS } else { 1 };
+    let mut reply = None;
+    for peer in peers.into_iter().take(attempts) {
+        let left_ms = deadline_ms.saturating_sub(node.now());
+        match pass_to(node, request, &peer, left_ms).await {
+            Ok(answer) => {
+                node.metrics.forward("answered");
+                return Some(answer);
+            }
+            Err(e) => {
+                node.metrics.forward("failed");
+                log::info!(target: "forward", id:% = request.id, to:% = peer, error = e.message(); "request passed on without an answer");
+                // The daemon may have served it.
+                reply = Some(Reply::Unanswered(Answer::Unknown));
+            }
+        }
+    }
+    reply
+}
+
+/// Passes a request on to the daemon at `peer` and awaits the head of its answer.
+async fn pass_to(
+    node: &Arc<Node>,
+    request: &ClientRequest,
+    peer: &Name,
+    left_ms: u64,
+) -> Result<Reply, Status> {
+    let unreachable = || Status::unavailable("the daemon is not known any more");
+    let mut client = node.fleet.client(peer).ok_or_else(unreachable)?;
+    let call = wire::encode_request(&node.settings().id, request, left_ms);
+    log::info!(target: "forward", id:% = request.id, to:% = peer, left = left_ms; "request passed on");
+    let answer = async {
+        let mut parts = client.forward(call).await?.into_inner();
+        let head = next_part(&mut parts).await?.head;
+        let head = head.ok_or_else(|| Status::data_loss("the answer has no head"))?;
+        read_answer(head, parts).await
+    };
+    match tokio::time::timeout(Duration::from_millis(left_ms), answer).await {
+        Ok(answer) => answer,
+        Err(_) => Err(Status::deadline_exceeded("no answer in time")),
+    }
+}
+
+async fn next_part(parts: &mut Streaming<ForwardPart>) -> Result<ForwardPart, Status> {
+    let part = parts.message().await?;
+    part.ok_or_else(|| Status::data_loss("the answer ended early"))
+}
+
+/// Reads the answer that follows `head`.
+async fn read_answer(
+    head: ForwardHead,
+    mut parts: Streaming<ForwardPart>,
+) -> Result<Reply, Status> {
+    match head.outcome() {
+        ForwardOutcome::Answered => {
+            let mut body = BytesMut::new();
+            loop {
+                let part = next_part(&mut parts).await?;
+                body.extend_from_slice(&part.data);
+                if part.last {
+                    break;
+                }
+            }
+            let (status, headers) = wire::decode_head(&head)?;
+            Ok(Reply::Complete {
+                status,
+                headers,
+                body: body.freeze(),
+            })
+        }
+        ForwardOutcome::Stream => {
+            let (status, headers) = wire::decode_head(&head)?;
+            let body = event_stream(parts);
+            Ok(Reply::Stream {
+                status,
+                headers,
+                body,
+            })
+        }
+        _ => wire::decode_rejection(&head),
+    }
+}
+
+/// The events of a stream, which ends with an error if its last part is missing.
+fn event_stream(parts: Streaming<ForwardPart>) -> EventStream {
+    let pieces = futures::stream::unfold(Some(parts), |parts| async {
+        let mut parts = parts?;
+        match next_part(&mut parts).await {
+            Ok(part) if part.last => None,
+            Ok(part) => Some((Ok(Bytes::from(part.data)), Some(parts))),
+            Err(e) => Some((Err(e.message().to_string()), None)),
+        }
+    });
+    pieces.boxed()
+}
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -325,7 +325,7 @@
     let held = before.is_some() || node.fleet.holder(group, now).is_some();
     let vacant = node.leases.vacant_ms(group, held, now);
     let delay_ms = acquire_delay_ms(node, group, term.as_millis() as u64);
-    let acquire = node.ready() && vacant >= delay_ms;
+    let acquire = node.ready() && !node.is_isolated() && vacant >= delay_ms;
     // A recently seen holder makes a store call unnecessary, and a daemon that
     // leaves the lease to others has nothing to acquire.
     if before.is_none() && (held || !acquire) {
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod events;
 mod fleet;
 mod follow;
+mod forward;
 mod leases;
 mod log_limit;
 mod members;
@@ -51,6 +52,7 @@
     engine_control::spawn(node);
     quarantine::spawn(node);
     quotas::spawn(node);
+    forward::spawn(node);
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -29,6 +29,7 @@
     sends: Counter<u64>,
     retries: Counter<u64>,
     refusals: Counter<u64>,
+    forwards: Counter<u64>,
     workspace_refusals: Counter<u64>,
     quota_starts: Counter<u64>,
     quota_lent: Counter<f64>,
@@ -70,6 +71,7 @@
                 "sends beyond a request's first, by whether the budget allowed them",
             ),
             refusals: counter("refusals", "requests given up on, by reason"),
+            forwards: counter("forwards", "requests passed on to another daemon"),
             workspace_refusals: counter(
                 "workspace_refusals",
                 "requests refused by the cap of their workspace",
@@ -171,6 +173,10 @@
         self.retries.add(1, &[KeyValue::new("granted", granted)]);
     }
 
+    pub(crate) fn forward(&self, how: &'static str) {
+        self.forwards.add(1, &[KeyValue::new("how", how)]);
+    }
+
     pub(crate) fn refusal(&self, why: &'static str) {
         self.refusals.add(1, &[KeyValue::new("why", why)]);
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -12,7 +12,9 @@
 use comfreyhall_inforce::Verdict;
 use comfreyhall_life::{Lifecycle, Stage};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
-use comfreyhall_routing::{PaceTable, PrefixIndex, Residency, RetryBudget, RunTimes, TargetStats};
+use comfreyhall_routing::{
+    PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes, TargetStats,
+};
 use comfreyhall_settings::{NodeSettings, Policies};
 use tokio::sync::Notify;
 
@@ -75,6 +77,8 @@
     /// unreachable, though the store still lists them.
     pub(crate) unavailable_until: Map<Name, u64>,
     pub(crate) board: TargetStats,
+    /// Whether any target can be reached.
+    pub(crate) reachability: Reachability,
     pub(crate) residency: Residency,
     pub(crate) prefixes: PrefixIndex,
     /// How fast each engine is.
@@ -107,6 +111,7 @@
             entry_errors: Map::default(),
             unavailable_until: Map::default(),
             board: TargetStats::default(),
+            reachability: Reachability::default(),
             residency: Residency::default(),
             prefixes: PrefixIndex::default(),
             paces: PaceTable::default(),
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -157,13 +157,20 @@
     }
     let sent_ms = node.now();
     let call = node.backend.send(target.clone(), request, options);
-    let answer = timeout(patience, call).await;
-    let answer =
-        answer.unwrap_or_else(|_| Err(SendError::Indeterminate("no answer in time".into())));
+    let Ok(answer) = timeout(patience, call).await else {
+        // A slow target may be reached all the same.
+        return Err(SendError::Indeterminate("no answer in time".into()));
+    };
     match &answer {
-        Ok(response) => observe(node, target, &response.notice, Some(sent_ms)),
-        Err(SendError::NotSent(_)) => permit.refund(),
-        Err(_) => {}
+        Ok(response) => {
+            node.record_reached();
+            observe(node, target, &response.notice, Some(sent_ms));
+        }
+        Err(SendError::NotSent(_)) => {
+            node.record_unreached(&target.id);
+            permit.refund();
+        }
+        Err(_) => node.record_unreached(&target.id),
     }
     answer
 }
@@ -196,7 +203,12 @@
     }
     let call = node.backend.report(target.clone());
     match timeout(patience, call).await {
-        Ok(reply) => observe_reply(node, target, reply),
+        Ok(reply) => {
+            if reply.answer.is_ok() {
+                node.record_reached();
+            }
+            observe_reply(node, target, reply)
+        }
         Err(_) => Err(ReportError::NoAnswer("no answer in time".into())),
     }
 }
@@ -208,6 +220,9 @@
         return ProbeResult::NoAnswer;
     }
     let reply = node.backend.probe(target.clone()).await;
+    if reply.answer == ProbeResult::Alive {
+        node.record_reached();
+    }
     observe_reply(node, target, reply)
 }
 
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -6,6 +6,7 @@
 //! once.
 
 mod caller;
+mod pass_on;
 mod place;
 mod quarantine;
 mod renew;
@@ -62,6 +63,15 @@
 /// A stream of whole events; an error means that it was interrupted.
 pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, String>> + Send>>;
 
+/// Who sent a request to this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which reaches no target.
+    Daemon,
+}
+
 /// The answer to a caller.
 pub enum Reply {
     /// No configuration is known yet, or the daemon is about to stop.
@@ -135,6 +145,10 @@
     pub(crate) history: SendHistory,
     /// Sends that reached a target.
     deliveries: u32,
+    /// Sends that did not.
+    unreached: u32,
+    /// Whether it may be passed on to another daemon.
+    may_pass_on: bool,
     /// A target's error response, passed on if no target answers better.
     fallback: Option<(StatusCode, HeaderMap, Bytes)>,
     pub(crate) in_flight: Option<InFlightGuard>,
@@ -165,6 +179,15 @@
     /// safe: a request that runs at most once continues to its end, since a
     /// partial run can be neither undone nor repeated.
     pub async fn serve(self: &Arc<Self>, client_request: ClientRequest) -> Reply {
+        self.serve_from(client_request, Origin::Caller).await
+    }
+
+    /// Serves a request that another daemon has passed on.
+    pub(crate) async fn serve_passed_on(self: &Arc<Self>, client_request: ClientRequest) -> Reply {
+        self.serve_from(client_request, Origin::Daemon).await
+    }
+
+    async fn serve_from(self: &Arc<Self>, client_request: ClientRequest, origin: Origin) -> Reply {
         let guard = self.track();
         let Some(config) = self.config().filter(|_| self.has_started()) else {
             let basis = SettingsBasis::of(&self.view().records.settings_sync, self.now());
@@ -189,6 +212,10 @@
             };
         }
         request.in_flight = Some(guard);
+        request.may_pass_on = origin == Origin::Caller;
+        if let Some(reply) = request.pass_on_if_isolated().await {
+            return reply;
+        }
         if let Some(reply) = request.reserve_credit(&config).await {
             return reply;
         }
@@ -246,6 +273,8 @@
             full_refusals: 0,
             history: SendHistory::default(),
             deliveries: 0,
+            unreached: 0,
+            may_pass_on: false,
             fallback: None,
             in_flight: None,
             load_wait_ms: 0,
@@ -314,6 +343,9 @@
                 Step::ChooseAgain => continue,
                 Step::End(reply) => return reply,
             }
+            if let Some(reply) = self.pass_on_if_isolated().await {
+                return reply;
+            }
             let Some(mut plan) = self.choose() else {
                 if let Some(ms) = self
                     .all_unavailable_ms()
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -136,6 +136,7 @@
                 Ok((response, send))
             }
             Err(SendError::NotSent(why)) => {
+                self.unreached += 1;
                 self.history.record(Outcome::NotSent);
                 send.record_outcome(false, UNREACHABLE_WEIGHT);
                 let until_ms = self.node.now() + UNREACHABLE_MS;
@@ -345,6 +346,8 @@
             full_refusals: self.full_refusals,
             history: self.history,
             deliveries: self.deliveries,
+            unreached: self.unreached,
+            may_pass_on: false,
             fallback: None,
             in_flight: self.in_flight.take(),
             load_wait_ms: self.load_wait_ms,
--- a/crates/comfreyhall-node/src/settings_tests.rs
+++ b/crates/comfreyhall-node/src/settings_tests.rs
@@ -22,6 +22,7 @@
         domain: "d".to_string(),
         ready: true,
         millicores: 500,
+        isolated: false,
     }
 }
 
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -12,8 +12,8 @@
 use comfreyhall_lease::Lease;
 use comfreyhall_node::Node;
 use comfreyhall_protocol::{
-    BindReply, BindRequest, CapCall, CapReply, Daemon, Holding, Map, News, ProgressReply,
-    ProgressReport, SettingsAsk, SettingsPart,
+    BindReply, BindRequest, CapCall, CapReply, Daemon, ForwardPart, ForwardRequest, Holding, Map,
+    News, ProgressReply, ProgressReport, SettingsAsk, SettingsPart,
     fleet_server::{Fleet, FleetServer},
 };
 use support::*;
@@ -30,6 +30,15 @@
 
 #[tonic::async_trait]
 impl Fleet for Silent {
+    type ForwardStream = futures::stream::Empty<Result<ForwardPart, Status>>;
+
+    async fn forward(
+        &self,
+        _: Request<ForwardRequest>,
+    ) -> Result<Response<Self::ForwardStream>, Status> {
+        Err(Status::unimplemented("scripted"))
+    }
+
     type FetchStream = futures::stream::Empty<Result<SettingsPart, Status>>;
 
     async fn fetch(&self, _: Request<SettingsAsk>) -> Result<Response<Self::FetchStream>, Status> {
@@ -78,6 +87,7 @@
         peer: peer.clone(),
         front: peer.clone(),
         domain: "d".into(),
+        isolated: false,
         ready: true,
         millicores: 250,
     };
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -210,8 +210,13 @@
     }
 
     fn probe(&self, target: Arc<Target>) -> BoxFuture<'static, TargetReply<ProbeResult>> {
+        let unreachable = matches!(
+            *self.default_behavior.lock().unwrap(),
+            Some(Behavior::Unreachable)
+        );
         let pulse = match self.exited_targets.lock().unwrap().contains(&target.id) {
             true => ProbeResult::Gone,
+            false if unreachable => ProbeResult::NoAnswer,
             false => ProbeResult::Alive,
         };
         async move { TargetReply::new(pulse) }.boxed()
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -432,3 +432,34 @@
         "{wait_ms}"
     );
 }
+
+/// Guards against a daemon that takes one silent target, or a moment without an
+/// answer, for the loss of all its paths.
+#[test]
+fn record_failure_one_silent_target_is_no_cut() {
+    let mut reach = Reachability::default();
+    reach.record_answer(1_000);
+    for at in [1_100, 1_500, 2_500] {
+        assert_eq!(reach.record_failure(&"a".into(), 9, at), None);
+    }
+    reach.record_answer(2_600);
+    for target in ["a", "b", "c"] {
+        assert_eq!(reach.record_failure(&target.into(), 9, 2_700), None);
+    }
+    assert_eq!(reach.isolated_since(), None);
+}
+
+/// Guards against a daemon that does not notice that it has lost all its paths, or
+/// that it has them back.
+#[test]
+fn record_failure_three_targets_isolate_until_answer() {
+    let mut reach = Reachability::default();
+    reach.record_answer(1_000);
+    reach.record_failure(&"a".into(), 9, 1_300);
+    reach.record_failure(&"b".into(), 9, 1_350);
+    let change = reach.record_failure(&"c".into(), 9, 1_400);
+    assert!(matches!(change, Some(ReachChange::Isolated(failed)) if failed.len() == 3));
+    assert_eq!(reach.record_failure(&"a".into(), 9, 1_500), None);
+    assert_eq!(reach.record_answer(2_000), Some(ReachChange::Restored(600)));
+    assert_eq!(reach.isolated_since(), None);
+}
--- a/crates/comfreyhall-workspace/src/key.rs
+++ b/crates/comfreyhall-workspace/src/key.rs
@@ -114,7 +114,8 @@
         Self(Zeroizing::new(bytes.to_vec()))
     }
 
-    pub(crate) fn bytes(&self) -> &[u8] {
+    /// The key itself, to pass the request on to another daemon.
+    pub fn expose(&self) -> &[u8] {
         &self.0
     }
 }
--- a/crates/comfreyhall-workspace/src/workspace.rs
+++ b/crates/comfreyhall-workspace/src/workspace.rs
@@ -51,7 +51,7 @@
 
     /// The workspace that `key` belongs to.
     pub fn find_by_key(&self, key: &PresentedKey) -> Option<&Arc<Workspace>> {
-        self.by_key.get(&self.hasher.hash(key.bytes()))
+        self.by_key.get(&self.hasher.hash(key.expose()))
     }
 
     /// All workspaces.
