Targets that bear few rejections are left alone after one

As every answer bears the signal it is known where it matters without gossip.

Partial: what was sent before the first rejection is not counted, so that many requests at once may still be rejected in the first moment; the signal is not drawn by emulator, stand-ins or soak.

--- a/crates/comfreyhall-backpressure/src/lib.rs
+++ b/crates/comfreyhall-backpressure/src/lib.rs
@@ -12,11 +12,13 @@
 
 mod notice;
 mod parse;
+mod rejections;
 mod shares;
 mod signals;
 
 pub use notice::{Anomaly, Notice, Rate};
-pub use parse::{parse_cooldown, parse_draining, parse_limit};
+pub use parse::{parse_cooldown, parse_draining, parse_limit, parse_rejections};
+pub use rejections::rejection_pause_ms;
 pub use shares::LimitShares;
 pub use signals::{Change, LimitReport, TargetSignals};
 
--- a/crates/comfreyhall-backpressure/src/notice.rs
+++ b/crates/comfreyhall-backpressure/src/notice.rs
@@ -70,6 +70,11 @@
     /// The draining flag is neither 0 nor 1.
     #[error("the draining flag is neither 0 nor 1, so a cooldown of 3 s is used; send 1 to drain")]
     DrainingInvalid,
+    /// The number of rejections is not a number, or is given several times.
+    #[error(
+        "the rejections that the target bears are unclear, so the lowest or one a second is used; send one number"
+    )]
+    RejectionsInvalid,
     /// The limit is given several times.
     #[error("several limits are given, so the lowest applies; send one")]
     LimitRepeated,
@@ -80,6 +85,9 @@
 pub struct Notice {
     /// Requests a second that the target takes from all daemons together.
     pub limit: Option<Rate>,
+    /// Requests a second that it may reject for want of room, from all daemons
+    /// together, before it fails.
+    pub max_rejections: Option<Rate>,
     /// How long it asks this daemon not to send.
     pub cooldown_ms: Option<u64>,
     /// Whether this boot of the target is draining.
--- a/crates/comfreyhall-backpressure/src/parse.rs
+++ b/crates/comfreyhall-backpressure/src/parse.rs
@@ -48,6 +48,24 @@
     rate
 }
 
+/// The rejections a second that a target bears, from `values`, all of one answer;
+/// invalid values are added to `anomalies`.
+pub fn parse_rejections<'a>(
+    values: impl IntoIterator<Item = &'a [u8]>,
+    anomalies: &mut Vec<Anomaly>,
+) -> Option<Rate> {
+    let mut lowest: Option<f64> = None;
+    for value in values {
+        let per_s = limit_per_s(value);
+        if lowest.is_some() || per_s.is_err() {
+            anomalies.push(Anomaly::RejectionsInvalid);
+        }
+        let per_s = per_s.unwrap_or(Rate::INVALID.per_s());
+        lowest = Some(lowest.map_or(per_s, |l| l.min(per_s)));
+    }
+    Rate::from_per_s(lowest?)
+}
+
 fn limit_per_s(value: &[u8]) -> Result<f64, Anomaly> {
     let number = text(value).and_then(|t| t.parse::<f64>().ok());
     number.filter(|n| !n.is_nan()).ok_or(Anomaly::LimitInvalid)
--- a/crates/comfreyhall-backpressure/src/tests.rs
+++ b/crates/comfreyhall-backpressure/src/tests.rs
@@ -236,3 +236,27 @@
     assert!(signals.is_draining("t@1", 100_000));
     assert!(!signals.is_draining("t@2", 100_000));
 }
+
+/// Guards against a fleet whose daemons, one rejection each, are too many for the
+/// target.
+#[test]
+fn rejection_pause_ms_fleet_stays_below() {
+    for (per_s, daemons) in [(1.0, 1), (5.0, 7), (3.0, 195), (0.5, 30)] {
+        let rate = Rate::from_per_s(per_s).unwrap();
+        let pause_s = rejection_pause_ms(rate, daemons) as f64 / 1_000.0;
+        assert!(daemons as f64 / pause_s <= per_s, "{per_s} {daemons}");
+    }
+}
+
+#[test]
+fn parse_rejections_lowest_or_one() {
+    let parse = |values: &[&str]| {
+        let mut anomalies = Vec::new();
+        let rate = parse_rejections(values.iter().map(|v| v.as_bytes()), &mut anomalies);
+        (rate.map(Rate::per_s), anomalies.len())
+    };
+    assert_eq!(parse(&[]), (None, 0));
+    assert_eq!(parse(&["6"]), (Some(6.0), 0));
+    assert_eq!(parse(&["x"]), (Some(1.0), 1));
+    assert_eq!(parse(&["6", "4"]), (Some(4.0), 1));
+}
--- a/crates/comfreyhall-daemon/src/outbound.rs
+++ b/crates/comfreyhall-daemon/src/outbound.rs
@@ -160,6 +160,7 @@
         cooldown_ms,
         draining,
         anomalies,
+        ..Notice::default()
     };
     let (boot_name, now) = (boot_name(app, target), app.now_ms());
     let mut state = app.inner.outbound.state();
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -15,8 +15,8 @@
     time::Duration,
 };
 
-use comfreyhall_backpressure::{Change, Notice, TargetSignals};
-use comfreyhall_domain::{ClientRequest, Target};
+use comfreyhall_backpressure::{Change, Notice, TargetSignals, rejection_pause_ms};
+use comfreyhall_domain::{ClientRequest, Refusal, Target};
 use rand::Rng;
 use tokio::time::timeout;
 
@@ -89,6 +89,25 @@
     }
 }
 
+/// The notice of `response`, with a cooldown if the target rejected the request for
+/// want of room and bears few such rejections.
+fn with_rejection_pause<'a>(node: &Node, response: &'a Response) -> Cow<'a, Notice> {
+    let notice = &response.notice;
+    let rejected = response.refusal == Some(Refusal::Full);
+    let Some(most) = notice.max_rejections.filter(|_| rejected) else {
+        return Cow::Borrowed(notice);
+    };
+    let now = node.now();
+    let daemons = node.fleet.members(now);
+    let daemons = daemons.unwrap_or_else(|| node.fleet.size(now));
+    let pause_ms = rejection_pause_ms(most, daemons);
+    node.metrics.target_notice("rejected");
+    Cow::Owned(Notice {
+        cooldown_ms: notice.cooldown_ms.max(Some(pause_ms)),
+        ..notice.clone()
+    })
+}
+
 /// Drops announcements that have expired.
 pub(crate) fn sweep(node: &Node) {
     let now = node.now();
@@ -164,7 +183,8 @@
     match &answer {
         Ok(response) => {
             node.record_reached();
-            observe(node, target, &response.notice, Some(sent_ms));
+            let notice = with_rejection_pause(node, response);
+            observe(node, target, &notice, Some(sent_ms));
         }
         Err(SendError::NotSent(_)) => {
             node.record_unreached(&target.id);
--- a/crates/comfreyhall-node/tests/serve.rs
+++ b/crates/comfreyhall-node/tests/serve.rs
@@ -165,3 +165,26 @@
         (CallerResult::TimedOut, 1)
     );
 }
+
+/// Guards against a target that fails because it is sent requests as fast as it
+/// rejects them, though it says how few rejections it bears.
+#[tokio::test]
+async fn serve_brittle_targets_get_few_rejections() {
+    let (node, backend) = start_node(route(RouteKind::Idempotent, 2, false), Vec::new()).await;
+    *backend.default_behavior.lock().unwrap() = Some(Behavior::RefuseBrittle(1.0));
+    let began = std::time::Instant::now();
+    let mut calls = 0;
+    while began.elapsed() < std::time::Duration::from_secs(4) {
+        let mut request = ask(&format!("r{calls}"));
+        request.remaining_ms = Some(300);
+        assert_eq!(
+            caller_result(node.serve(request).await).await,
+            CallerResult::NotRun
+        );
+        calls += 1;
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    // Two targets that bear one rejection a second each.
+    let sent = backend.sent.lock().unwrap().len();
+    assert!((2..=8).contains(&sent), "{sent} sends of {calls} requests");
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use comfreyhall_backpressure::Notice;
+use comfreyhall_backpressure::{Notice, Rate};
 use comfreyhall_domain::*;
 use comfreyhall_node::{Node, Reply, ports::*};
 use comfreyhall_settings::NodeSettings;
@@ -36,6 +36,8 @@
     CloseConnection,
     /// Proves that the request did not run.
     Refuse(Refusal),
+    /// Is full, and bears this many such rejections a second.
+    RefuseBrittle(f64),
     /// A success without the marker of a target.
     UnverifiedSuccess,
     /// A failure with this status and no proof.
@@ -137,6 +139,15 @@
                     verified: false,
                     ..respond(503, whole(""))
                 }),
+                Behavior::RefuseBrittle(per_s) => Ok(Response {
+                    refusal: Some(Refusal::Full),
+                    verified: false,
+                    notice: Notice {
+                        max_rejections: Rate::from_per_s(per_s),
+                        ..Notice::default()
+                    },
+                    ..respond(503, whole(""))
+                }),
                 Behavior::UnverifiedSuccess => Ok(Response {
                     verified: false,
                     ..respond(200, whole("not a target's"))
