--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -6,14 +6,17 @@
 //! once.
 
 mod caller;
+mod counting;
 mod pass_on;
 mod place;
 mod quarantine;
 mod renew;
+mod reply;
 mod send;
 
+pub use self::reply::{EventStream, Reply};
+
 use std::{
-    pin::Pin,
     sync::{Arc, OnceLock},
     time::Duration,
 };
@@ -24,13 +27,14 @@
     answer_for,
 };
 use comfreyhall_quarantine::Fingerprint;
-use comfreyhall_routing::{RetryBudget, admission};
+use comfreyhall_routing::admission;
 use comfreyhall_slots::SlotShare;
-use futures::Stream;
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
-use self::{caller::SettingsBasis, place::BindOutcome, renew::Step, send::Next};
+use self::{
+    caller::SettingsBasis, place::BindOutcome, renew::Step, reply::complete_reply, send::Next,
+};
 use crate::{
     choose::{self, Criteria, Plan, Requirements},
     fleet::adapter_key,
@@ -60,9 +64,6 @@
 /// Pause before choosing again when no target can take a request, in ms.
 const RECHECK_MS: u64 = 25;
 
-/// A stream of whole events; an error means that it was interrupted.
-pub type EventStream = Pin<Box<dyn Stream<Item = Result<Bytes, String>> + Send>>;
-
 /// Who sent a request to this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Origin {
@@ -72,40 +73,6 @@
     Daemon,
 }
 
-/// The answer to a caller.
-pub enum Reply {
-    /// No configuration is known yet, or the daemon is about to stop.
-    NotReady {
-        /// When to retry, in ms.
-        retry_ms: u64,
-    },
-    /// No route matches the request.
-    NoRoute,
-    /// The caller's key belongs to no workspace: the request has not run and
-    /// never will.
-    UnknownKey,
-    /// No target answered.
-    Unanswered(Answer),
-    /// A target's complete answer.
-    Complete {
-        /// Status code.
-        status: StatusCode,
-        /// End-to-end headers.
-        headers: HeaderMap,
-        /// Complete body.
-        body: Bytes,
-    },
-    /// A target's event stream.
-    Stream {
-        /// Status code.
-        status: StatusCode,
-        /// End-to-end headers.
-        headers: HeaderMap,
-        /// The events.
-        body: EventStream,
-    },
-}
-
 /// Retry delay for callers of a daemon that is not ready, in ms.
 const NOT_READY_RETRY_MS: u64 = 300;
 
@@ -471,50 +438,6 @@
         self.began_ms + hold_ms
     }
 
-    /// Counts the request for the retry budget and the demand for its adapter.
-    fn record_request(&self) {
-        let now = self.node.now();
-        let bounds = self.node.settings().bounds.clone();
-        let mut view = self.node.view();
-        let budget = view.budgets.entry(self.service.clone()).or_insert_with(|| {
-            let window_ms = (bounds.retry_s * 1_000.0) as u64;
-            let started_ms = self.node.started_ms();
-            RetryBudget::new(
-                window_ms,
-                bounds.retry_ratio,
-                bounds.retry_allowance,
-                started_ms,
-            )
-        });
-        budget.record_request(now);
-        if let Some(adapter) = self
-            .client_request
-            .adapter
-            .as_ref()
-            .filter(|a| a.adapter.is_some())
-        {
-            let key = adapter_key(adapter);
-            view.count_demand(&key, 1, now);
-            if let Some(tokens) = self.client_request.tokens {
-                view.observe_prompt(tokens.prompt);
-            }
-            drop(view);
-            self.node.fleet.record_demand(&key);
-        }
-    }
-
-    /// Takes one retry out of the service's budget, if there is one.
-    fn take_retry(&self) -> bool {
-        let now = self.node.now();
-        let members = self.node.fleet.members(now);
-        let mut view = self.node.view();
-        let budget = view.budgets.get_mut(&self.service);
-        let granted = budget.is_some_and(|b| b.try_retry(now, members));
-        drop(view);
-        self.node.metrics.retry(granted);
-        granted
-    }
-
     fn choose(&self) -> Option<Plan> {
         let criteria = Criteria {
             requirements: &self.requirements,
@@ -571,22 +494,3 @@
         Reply::Unanswered(answer)
     }
 }
-
-/// Passes on a target's own answer. An error whose status would tell the caller
-/// "not run" without the target's proof becomes one that promises nothing.
-fn complete_reply(status: StatusCode, headers: HeaderMap, body: Bytes) -> Reply {
-    let promises = [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-    ];
-    match promises.contains(&status) {
-        true => Reply::Unanswered(Answer::Unknown),
-        false => Reply::Complete {
-            status,
-            headers,
-            body,
-        },
-    }
-}
