--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -9,7 +9,7 @@
 use support::*;
 use tokio::net::TcpListener;
 
-/// Two daemons of one fleet; targets answer each with its own behavior.
+/// Two daemons of one fleet, each with scripted answers of the targets.
 struct Pair {
     cut: Arc<Node>,
     cut_backend: Arc<ScriptedBackend>,
