A test of brittle targets' first moment is known red

serve_brittle_targets_first_moment: 60 requests at once to two targets that bear five rejections a second each get 55 rejections. A daemon pauses after a rejection; what is on its way by then is not bounded, since it does not count the room of a target ahead.

--- a/crates/comfreyhall-node/tests/serve.rs
+++ b/crates/comfreyhall-node/tests/serve.rs
@@ -188,3 +188,23 @@
     let sent = backend.sent.lock().unwrap().len();
     assert!((2..=8).contains(&sent), "{sent} sends of {calls} requests");
 }
+
+/// Guards against many rejections in the first moment: requests that are on their way
+/// when a target first says how few it bears are not bounded.
+#[tokio::test]
+async fn serve_brittle_targets_first_moment() {
+    let (node, backend) = start_node(route(RouteKind::Idempotent, 2, false), Vec::new()).await;
+    *backend.default_behavior.lock().unwrap() = Some(Behavior::RefuseBrittle(5.0));
+    let request = |i: usize| caller_result_of(node.clone(), ask(&format!("r{i}")));
+    futures::future::join_all((0..60).map(request)).await;
+    // Two targets that bear five rejections a second each.
+    let sent = backend.sent.lock().unwrap().len();
+    assert!(sent <= 10, "{sent} rejections at once");
+}
+
+async fn caller_result_of(
+    node: std::sync::Arc<comfreyhall_node::Node>,
+    request: comfreyhall_domain::ClientRequest,
+) -> CallerResult {
+    caller_result(node.serve(request).await).await
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -139,15 +139,18 @@
                     verified: false,
                     ..respond(503, whole(""))
                 }),
-                Behavior::RefuseBrittle(per_s) => Ok(Response {
-                    refusal: Some(Refusal::Full),
-                    verified: false,
-                    notice: Notice {
-                        max_rejections: Rate::from_per_s(per_s),
-                        ..Notice::default()
-                    },
-                    ..respond(503, whole(""))
-                }),
+                Behavior::RefuseBrittle(per_s) => {
+                    tokio::time::sleep(CLOSE_DELAY).await;
+                    Ok(Response {
+                        refusal: Some(Refusal::Full),
+                        verified: false,
+                        notice: Notice {
+                            max_rejections: Rate::from_per_s(per_s),
+                            ..Notice::default()
+                        },
+                        ..respond(503, whole(""))
+                    })
+                }
                 Behavior::UnverifiedSuccess => Ok(Response {
                     verified: false,
                     ..respond(200, whole("not a target's"))
