A request is passed on to one daemon only

A request that may be repeated went to a second daemon if the first gave no answer; if the second rejected it, its caller was told 'not run' though the first may have run it, and the repeat was in nobody's retry budget. A call without an answer is 'unknown' now, for every kind of request.

No test failed before: it takes a daemon that ends while it serves the request and a second one that rejects it. serve_passed_on_hung_daemon_is_unknown covers a daemon that does not answer and passes on the code before, too.

--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -28,38 +28,29 @@
     serve::{EventStream, Reply},
 };
 
-/// Daemons that one request is passed on to; a second one only if the request may
-/// be repeated.
-const MAX_PEERS: usize = 2;
-
 /// Passes `request`, which has `remaining_ms` left, on to a daemon that reaches
 /// targets; `None` if no such daemon is known.
+///
+/// It goes to one daemon only: after a call without an answer it may have run, so a
+/// second daemon's rejection would not mean "not run", and nobody would count the
+/// repeat.
 pub(crate) async fn pass_on(
     node: &Arc<Node>,
     request: &ClientRequest,
     remaining_ms: u64,
-    repeatable: bool,
 ) -> Option<Reply> {
-    let deadline_ms = node.now() + remaining_ms;
-    let peers = node.fleet.reaching_peers(node.now());
-    let attempts = if repeatable { MAX_PEERS } else { 1 };
-    let mut reply = None;
-    for peer in peers.into_iter().take(attempts) {
-        let left_ms = deadline_ms.saturating_sub(node.now());
-        match pass_to(node, request, &peer, left_ms).await {
-            Ok(answer) => {
-                node.metrics.forward("answered");
-                return Some(answer);
-            }
-            Err(e) => {
-                node.metrics.forward("failed");
-                log::info!(target: "forward", id:% = request.id, to:% = peer, error = e.message(); "request passed on without an answer");
-                // The daemon may have served it.
-                reply = Some(Reply::Unanswered(Answer::Unknown));
-            }
+    let peer = node.fleet.reaching_peers(node.now()).into_iter().next()?;
+    match pass_to(node, request, &peer, remaining_ms).await {
+        Ok(answer) => {
+            node.metrics.forward("answered");
+            Some(answer)
+        }
+        Err(e) => {
+            node.metrics.forward("failed");
+            log::info!(target: "forward", id:% = request.id, to:% = peer, error = e.message(); "request passed on without an answer");
+            Some(Reply::Unanswered(Answer::Unknown))
         }
     }
-    reply
 }
 
 /// Passes a request on to the daemon at `peer` and awaits the head of its answer.
--- a/crates/comfreyhall-node/src/serve/pass_on.rs
+++ b/crates/comfreyhall-node/src/serve/pass_on.rs
@@ -26,10 +26,10 @@
         }
         self.may_pass_on = false;
         let request = self.client_request.clone();
-        let (left_ms, repeatable) = (self.remaining_ms(), self.route.repeatable());
+        let left_ms = self.remaining_ms();
         // The daemon that serves it reserves credit for it.
         self.return_credit();
-        match forward::pass_on(&self.node, &request, left_ms, repeatable).await {
+        match forward::pass_on(&self.node, &request, left_ms).await {
             Some(reply) => {
                 self.finished = true;
                 self.node.metrics.request(self.route.kind, "passed_on");
--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -138,3 +138,15 @@
     assert!(pair.peer_backend.sent.lock().unwrap().is_empty());
     assert!(!pair.peer.addresses().0.is_empty());
 }
+
+/// Guards against "not run" about a request that an unresponsive daemon may have run.
+#[tokio::test]
+async fn serve_passed_on_hung_daemon_is_unknown() {
+    let route = route(RouteKind::Idempotent, 2, false);
+    let pair = start_pair(route, Behavior::Unreachable, Behavior::Hang).await;
+    let mut request = ask("r");
+    request.remaining_ms = Some(600);
+    let result = caller_result(pair.cut.serve(request).await).await;
+    assert_ne!(result, CallerResult::NotRun);
+    assert_eq!(pair.peer_backend.sent.lock().unwrap().len(), 1);
+}
