Logs say at which software version a stream was sent, and which stream a caller resumes

The lines "streamed", "stream broke off", "send" and the new "stream resumed" have the version of the target and the age of the list of targets; "caller resumes a stream" names the attempt that began it, and `explain` shows that attempt's lines too. Nothing is decided by it yet.

--- a/crates/comfreyhall-cli/src/explain.rs
+++ b/crates/comfreyhall-cli/src/explain.rs
@@ -3,7 +3,8 @@
 //!
 //! For a request, these are in time order:
 //!
-//! - every line with the request's id;
+//! - every line with the request's id, or with that of the attempt that began the
+//!   stream which it resumes;
 //! - lines about the targets that it was sent to, from shortly before the
 //!   request until its end;
 //! - lines with the request's fingerprint, from earlier attempts of the same
@@ -52,7 +53,17 @@
 
 /// The lines about the request `id`, in time order.
 fn request_lines(lines: Vec<LogLine>, id: &str) -> Vec<LogLine> {
-    let own_lines: Vec<&LogLine> = lines.iter().filter(|l| l.str_field("id") == id).collect();
+    let resumed: BTreeSet<&str> = lines
+        .iter()
+        .filter(|l| l.str_field("id") == id)
+        .map(|l| l.str_field("first"))
+        .filter(|first| !first.is_empty())
+        .collect();
+    let concerns_request = |l: &LogLine| {
+        let line_id = l.str_field("id");
+        line_id == id || resumed.contains(line_id)
+    };
+    let own_lines: Vec<&LogLine> = lines.iter().filter(|l| concerns_request(l)).collect();
     let targets: BTreeSet<&str> = own_lines.iter().map(|l| l.str_field("target_id")).collect();
     let fingerprints: BTreeSet<&str> = own_lines
         .iter()
@@ -83,7 +94,7 @@
     let mut out: Vec<LogLine> = lines
         .iter()
         .filter(|l| {
-            l.str_field("id") == id || concerns_target(l) || is_attempt(l) || concerns_settings(l)
+            concerns_request(l) || concerns_target(l) || is_attempt(l) || concerns_settings(l)
         })
         .cloned()
         .collect();
--- a/crates/comfreyhall-cli/src/explain_tests.rs
+++ b/crates/comfreyhall-cli/src/explain_tests.rs
@@ -32,6 +32,18 @@
     assert_eq!(ids, ["r1", "r3"]);
 }
 
+/// Guards against output that does not show which software version began a stream
+/// that its caller resumes at another daemon.
+#[test]
+fn request_lines_include_resumed_attempt() {
+    let log = r#"0 front-1 {"t":1000,"part":"serve","msg":"stream broke off","id":"r1","target_id":"i-1","software":"v1"}
+0 front-2 {"t":1500,"part":"serve","msg":"caller resumes a stream","id":"r2","first":"r1","last":3}
+0 front-2 {"t":1600,"part":"serve","msg":"streamed","id":"r2","target_id":"i-2","software":"v2"}"#;
+    let found = request_lines(parse(log, "log"), "r2");
+    let times: Vec<u64> = found.iter().map(|l| l.at_ms).collect();
+    assert_eq!(times, [1_000, 1_500, 1_600]);
+}
+
 /// Two daemons and two configurations; `n2` is notified of the second one late.
 const CHANGES: &str = r#"0 n1 {"t":1000,"part":"follow","msg":"configuration in force","version":4,"before":0,"row":10,"from":"store","waited":20}
 0 n2 {"t":1010,"part":"follow","msg":"configuration in force","version":4,"before":0,"row":10,"from":"store","waited":30}
--- a/crates/comfreyhall-domain/src/request.rs
+++ b/crates/comfreyhall-domain/src/request.rs
@@ -69,6 +69,8 @@
     pub prompt_segments: Vec<PromptSegment>,
     /// Id of the last event that the client received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the attempt that brought the first event, if it resumes a stream.
+    pub resumes: Option<Name>,
     /// The request to forward.
     pub forwarded: ForwardedRequest,
 }
--- a/crates/comfreyhall-domain/src/target.rs
+++ b/crates/comfreyhall-domain/src/target.rs
@@ -34,6 +34,8 @@
     pub started_at_ms: u64,
     /// The service that it provides.
     pub service: Name,
+    /// Version of its software, without any order among versions; `None` if unknown.
+    pub software: Option<Name>,
     /// Address, as `ip:port`.
     pub addr: Name,
     /// Failure domain that it runs in.
--- a/crates/comfreyhall-node/src/forward/wire.rs
+++ b/crates/comfreyhall-node/src/forward/wire.rs
@@ -50,6 +50,7 @@
         expected_output: request.expected_output,
         segments: request.prompt_segments.iter().map(segment).collect(),
         last_event_id: request.last_event_id,
+        resumes: request.resumes.as_deref().map(str::to_string),
         method: request.forwarded.method.to_string(),
         path: request.forwarded.path.to_string(),
         headers: encode_headers(&request.forwarded.headers),
@@ -81,6 +82,7 @@
         expected_output: call.expected_output,
         prompt_segments: call.segments.iter().map(segment).collect(),
         last_event_id: call.last_event_id,
+        resumes: call.resumes.as_deref().map(Into::into),
         forwarded: ForwardedRequest {
             method: method.map_err(|_| Status::invalid_argument("the method is invalid"))?,
             path: call.path.as_str().into(),
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -157,7 +157,7 @@
                     request.finished = true;
                     request.node.metrics.request(request.route.kind, "answered");
                     let (config, bound) = request.settings_bound();
-                    log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, target_id:% = self.send.target, adapter:% = request.adapter(), events = self.events_sent, resumes = self.resumes, first = request.first_event_ms, stall = request.load_wait_ms, pause = self.max_pause_ms, aim = request.route.objective_ms, sends = request.history.sends, ms = self.send.elapsed_ms(), config, bound, age = request.settings_age_ms; "streamed");
+                    log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, target_id:% = self.send.target, software = request.software(), listed = request.targets_age_ms, adapter:% = request.adapter(), events = self.events_sent, resumes = self.resumes, first = request.first_event_ms, stall = request.load_wait_ms, pause = self.max_pause_ms, aim = request.route.objective_ms, sends = request.history.sends, ms = self.send.elapsed_ms(), config, bound, age = request.settings_age_ms; "streamed");
                     return None;
                 }
                 Ok(Step::Broken(why)) => why,
@@ -226,7 +226,7 @@
         }
         request.history.record(Outcome::Broken);
         let last = self.last_event;
-        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, fingerprint:% = request.fingerprint(), target_id:% = self.send.target, events = self.events_sent, why, left = request.remaining_ms(); "stream broke off");
+        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, fingerprint:% = request.fingerprint(), target_id:% = self.send.target, software = request.software(), events = self.events_sent, why, left = request.remaining_ms(); "stream broke off");
         // The old run must be cancelled before the new one begins.
         self.body = Box::pin(futures::stream::empty());
         self.splitter = EventSplitter::default();
@@ -239,6 +239,7 @@
             {
                 continue;
             }
+            log::info!(target: "serve", id:% = request.client_request.id, target_id:% = send.target, software = request.software(), listed = request.targets_age_ms, last:? = last, resumes = self.resumes; "stream resumed");
             self.body = response.body;
             self.send = send;
             return Ok(());
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -93,6 +93,10 @@
     bound_after_ms: u64,
     /// Ms since the store had confirmed the settings, at the last send.
     pub(crate) settings_age_ms: u64,
+    /// Software version of the target that it was last sent to.
+    pub(crate) software: Option<Name>,
+    /// Ms since the store had confirmed the targets, at the last send.
+    pub(crate) targets_age_ms: u64,
     /// Credit reserved under its workspace's quota.
     credit: Option<Credit>,
     service: Name,
@@ -228,6 +232,8 @@
             config_version: config.version,
             bound_after_ms: 0,
             settings_age_ms: 0,
+            software: None,
+            targets_age_ms: 0,
             credit: None,
             service,
             engine,
@@ -265,6 +271,11 @@
         (self.config_version, self.bound_after_ms)
     }
 
+    /// Software version of the target that it was last sent to, for the log.
+    pub(crate) fn software(&self) -> &str {
+        self.software.as_deref().unwrap_or("")
+    }
+
     pub(crate) fn remaining_ms(&self) -> u64 {
         self.deadline_ms.saturating_sub(self.node.now())
     }
@@ -296,6 +307,7 @@
 
     async fn run(mut self) -> Reply {
         self.record_request();
+        self.log_resumption();
         // Whether a lease holder has said that the wait in its group is too long.
         let mut too_long = false;
         for round in 0..MAX_ROUNDS {
@@ -394,6 +406,14 @@
         self.give_up("no target took it", 0.0)
     }
 
+    /// Logs which stream its caller resumes, if it does.
+    fn log_resumption(&self) {
+        if let Some(last) = self.client_request.last_event_id {
+            let first = self.client_request.resumes.as_deref().unwrap_or("");
+            log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, first, last; "caller resumes a stream");
+        }
+    }
+
     fn next_seed(mut self) -> Self {
         self.seed = self
             .seed
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -105,7 +105,12 @@
             credit.mark_sent();
         }
         let now = self.node.now();
-        self.settings_age_ms = self.node.view().records.settings_sync.age_ms(now);
+        {
+            let view = self.node.view();
+            self.settings_age_ms = view.records.settings_sync.age_ms(now);
+            self.targets_age_ms = view.records.targets.age(now);
+        }
+        self.software = plan.target.software.clone();
         let adapter = self
             .client_request
             .adapter
@@ -188,7 +193,7 @@
         self.node.metrics.send(outcome);
         let left = self.remaining_ms();
         let fingerprint = self.fingerprint();
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, fingerprint:%, target_id:% = target, outcome, why, left, config = self.config_version, bound = self.bound_after_ms, age = self.settings_age_ms; "send");
+        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, fingerprint:%, target_id:% = target, software = self.software(), listed = self.targets_age_ms, outcome, why, left, config = self.config_version, bound = self.bound_after_ms, age = self.settings_age_ms; "send");
     }
 
     /// Turns a target's response into the caller's answer, or decides to retry.
@@ -333,6 +338,8 @@
             config_version: self.config_version,
             bound_after_ms: self.bound_after_ms,
             settings_age_ms: self.settings_age_ms,
+            software: self.software.clone(),
+            targets_age_ms: self.targets_age_ms,
             credit: self.credit.take(),
             service: self.service.clone(),
             engine: self.engine.clone(),
--- a/crates/comfreyhall-node/src/test_node.rs
+++ b/crates/comfreyhall-node/src/test_node.rs
@@ -27,6 +27,7 @@
         name: id.into(),
         started_at_ms: 0,
         service: "s".into(),
+        software: Some("v1".into()),
         addr: "127.0.0.1:1".into(),
         failure_domain: "d".into(),
         stage: Stage::Ready,
@@ -160,6 +161,7 @@
         expected_output: None,
         prompt_segments: Vec::new(),
         last_event_id: None,
+        resumes: None,
         forwarded: ForwardedRequest {
             method: http::Method::GET,
             path: "/x".into(),
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -379,6 +379,7 @@
         name: id.into(),
         started_at_ms: 0,
         service: "s".into(),
+        software: Some("v1".into()),
         addr: "127.0.0.1:1".into(),
         failure_domain: "d".into(),
         stage: Stage::Ready,
@@ -510,6 +511,7 @@
         expected_output: None,
         prompt_segments: Vec::new(),
         last_event_id: None,
+        resumes: None,
         forwarded: ForwardedRequest {
             method: Method::GET,
             path: "/x".into(),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -36,6 +36,9 @@
     pub headers: ::prost::alloc::vec::Vec<ForwardHeader>,
     #[prost(bytes = "vec", tag = "16")]
     pub body: ::prost::alloc::vec::Vec<u8>,
+    /// Id of the attempt that brought the first event, if it resumes a stream.
+    #[prost(string, optional, tag = "17")]
+    pub resumes: ::core::option::Option<::prost::alloc::string::String>,
 }
 /// A segment of a prompt.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -345,6 +345,7 @@
         name: t.clone(),
         started_at_ms: 0,
         service: "s".into(),
+        software: None,
         addr: "a".into(),
         failure_domain: "d".into(),
         stage: comfreyhall_domain::Stage::Ready,
