A version begins streams once it was listed long enough, by target and by list

The model of comfreyhall-streams found a stream of two versions in some of its runs: a daemon with an old list began a stream at a version that had come and gone between two lists of the daemon at which its caller resumed it, and whose single version then passed for a proof.

A history is complete only while its lists follow each other within the age that a proof allows; a version counts as known to all once one target of it was listed at two times that far apart; a proof needs a target that took requests all that time. What a daemon that has just started learns from peers are versions known to all and versions that left.

--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -2,7 +2,7 @@
 
 use comfreyhall_domain::{Map, Name};
 
-use crate::Software;
+use crate::{Software, SoftwareRule};
 
 /// How much longer a new version is held back than a list of targets may be old, in
 /// ms: both are rounded to ms.
@@ -27,6 +27,8 @@
 /// One listed target.
 #[derive(Debug, Clone)]
 pub struct Listing {
+    /// Id of its boot (one start of the process).
+    pub boot: Name,
     /// Its software version.
     pub software: Software,
     /// Whether it takes new requests.
@@ -38,16 +40,27 @@
 pub struct Reported {
     /// The version.
     pub software: Software,
-    /// How long ago it was first listed, in ms.
-    pub first_ago_ms: u64,
+    /// Whether every daemon with a complete history knows it.
+    pub established: bool,
     /// How long ago it was last listed, in ms; 0 if it is now.
     pub left_ago_ms: u64,
 }
 
-/// What is known of one version.
+/// One listed boot.
 #[derive(Debug, Clone, Copy)]
+struct Boot {
+    listed_ms: u64,
+    /// Since when it takes requests; `None` if it does not.
+    ready_ms: Option<u64>,
+}
+
+/// What is known of one version.
+#[derive(Debug, Clone, Default)]
 struct Seen {
-    first_ms: u64,
+    boots: Map<Name, Boot>,
+    /// Whether one boot was listed for so long that every daemon with a complete
+    /// history has listed it too.
+    established: bool,
     /// When a target of it was last listed; `None` while one is.
     left_ms: Option<u64>,
     /// When a target of it last took requests; `None` while one does.
@@ -55,30 +68,56 @@
 }
 
 impl Seen {
-    fn within(since_ms: Option<u64>, window_ms: u64, now: u64) -> bool {
-        since_ms.is_none_or(|since| now.saturating_sub(since) < window_ms)
+    /// `ready_ms`: since when a target that is listed for the first time counts as
+    /// ready.
+    fn observe(&mut self, listed: &[&Listing], ready_ms: u64, now: u64) {
+        self.boots
+            .retain(|id, _| listed.iter().any(|l| l.boot == *id));
+        for target in listed {
+            let boot = self.boots.entry(target.boot.clone()).or_insert(Boot {
+                listed_ms: now,
+                ready_ms: None,
+            });
+            boot.ready_ms = match target.ready {
+                true => Some(boot.ready_ms.unwrap_or(ready_ms)),
+                false => None,
+            };
+        }
+        self.left_ms = match listed.is_empty() {
+            true => Some(self.left_ms.unwrap_or(now)),
+            false => None,
+        };
+        self.unready_ms = match listed.iter().any(|l| l.ready) {
+            true => None,
+            false => Some(self.unready_ms.unwrap_or(now)),
+        };
     }
-}
 
-/// Which versions may begin a stream.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct BeginRule {
-    /// Versions that have just appeared and begin no streams yet.
-    pub held: Vec<Software>,
-}
+    /// Whether a target of it takes requests, or did within `window_ms`.
+    fn was_ready(&self, window_ms: u64, now: u64) -> bool {
+        self.unready_ms
+            .is_none_or(|since| now.saturating_sub(since) < window_ms)
+    }
 
-impl BeginRule {
-    /// Whether a target that runs `software` may begin a stream.
-    pub fn allows(&self, software: &Software) -> bool {
-        !self.held.contains(software)
+    /// Whether one boot has taken requests for `span_ms` until `as_of_ms`.
+    fn steadily_ready(&self, span_ms: u64, as_of_ms: u64) -> bool {
+        let steady = |boot: &Boot| {
+            boot.ready_ms
+                .is_some_and(|since| as_of_ms.saturating_sub(since) >= span_ms)
+        };
+        self.boots.values().any(steady)
     }
 }
 
 /// The software versions of one service, as one daemon has listed them.
 #[derive(Debug, Clone, Default)]
 pub struct VersionHistory {
+    /// Whether the whole fleet started for the first time when this history began.
+    first_start: bool,
     /// Since when no listed version can have been missed.
     complete_from_ms: Option<u64>,
+    /// The newest time at which the list of targets was complete; 0 for never.
+    as_of_ms: u64,
     seen: Map<Software, Seen>,
 }
 
@@ -87,68 +126,78 @@
     /// that no version has served before.
     pub fn new(first_start: bool) -> Self {
         Self {
-            complete_from_ms: first_start.then_some(0),
-            seen: Map::default(),
+            first_start,
+            ..Self::default()
         }
     }
 
-    /// Records the targets listed at `now`; versions that left before `horizon_ms` are
+    /// Records the targets known at `now`; versions that left before the horizon are
     /// forgotten.
-    pub fn observe(&mut self, listed: &[Listing], horizon_ms: u64, now: u64) {
-        self.complete_from_ms.get_or_insert(now);
+    pub fn observe(&mut self, listed: &[Listing], timing: &Timing, now: u64) {
+        for target in listed {
+            self.seen.entry(target.software.clone()).or_default();
+        }
+        // Before the first start of the fleet there were no streams.
+        let ready_ms = match self.first_start && self.as_of_ms == 0 {
+            true => 0,
+            false => now,
+        };
         for (software, seen) in &mut self.seen {
-            if !listed.iter().any(|l| l.software == *software) {
-                seen.left_ms.get_or_insert(now);
-            }
-            if !listed.iter().any(|l| l.software == *software && l.ready) {
-                seen.unready_ms.get_or_insert(now);
-            }
+            let of_it = listed.iter().filter(|l| l.software == *software);
+            seen.observe(&of_it.collect::<Vec<_>>(), ready_ms, now);
         }
-        for target in listed {
-            let seen = self.seen.entry(target.software.clone()).or_insert(Seen {
-                first_ms: now,
-                left_ms: None,
-                unready_ms: Some(now),
-            });
-            seen.left_ms = None;
-            if target.ready {
-                seen.unready_ms = None;
-            }
+        let kept = |left_ms: Option<u64>| {
+            left_ms.is_none_or(|at| now.saturating_sub(at) < timing.horizon_ms)
+        };
+        self.seen.retain(|_, seen| kept(seen.left_ms));
+    }
+
+    /// Records that the observed targets were the complete list at `as_of_ms`.
+    ///
+    /// Between two lists that are far apart, a version may have come and gone.
+    pub fn confirm(&mut self, as_of_ms: u64, timing: &Timing) {
+        let gap_ms = as_of_ms.saturating_sub(self.as_of_ms);
+        match self.as_of_ms {
+            0 if self.first_start => self.complete_from_ms = Some(0),
+            0 => self.complete_from_ms = Some(as_of_ms),
+            _ if gap_ms > timing.max_age_ms => self.complete_from_ms = Some(as_of_ms),
+            _ => {}
+        }
+        self.as_of_ms = self.as_of_ms.max(as_of_ms);
+        for seen in self.seen.values_mut() {
+            let mut boots = seen.boots.values();
+            let long = |b: &Boot| as_of_ms.saturating_sub(b.listed_ms) >= timing.hold_ms();
+            seen.established |= boots.any(long);
         }
-        self.seen
-            .retain(|_, seen| Seen::within(seen.left_ms, horizon_ms, now));
     }
 
     /// Records what another daemon has seen of a version. One that this daemon has not
     /// listed may still have streams.
     pub fn learn(&mut self, reported: &Reported, now: u64) {
         let left_ms = now.saturating_sub(reported.left_ago_ms);
-        let seen = self.seen.entry(reported.software.clone()).or_insert(Seen {
-            first_ms: left_ms,
-            left_ms: Some(left_ms),
-            unready_ms: Some(left_ms),
-        });
-        let first_ms = now.saturating_sub(reported.first_ago_ms);
-        seen.first_ms = seen.first_ms.min(first_ms);
-        seen.left_ms = seen.left_ms.map(|at| at.max(left_ms));
-        seen.unready_ms = seen.unready_ms.map(|at| at.max(left_ms));
+        let seen = self.seen.entry(reported.software.clone()).or_default();
+        seen.established |= reported.established;
+        if seen.boots.is_empty() {
+            let latest = |at: Option<u64>| Some(at.map_or(left_ms, |at| at.max(left_ms)));
+            seen.left_ms = latest(seen.left_ms);
+            seen.unready_ms = latest(seen.unready_ms);
+        }
     }
 
     /// Records another daemon's proof that `software` alone has served since
-    /// `since_ms`; returns whether this history agrees.
-    pub fn learn_only(&mut self, software: &Name, since_ms: u64) -> bool {
+    /// `since_ms`.
+    pub fn learn_only(&mut self, software: &Name, since_ms: u64) {
         let agrees = self.seen.keys().all(|s| s.as_ref() == Some(software));
         if agrees && let Some(from) = &mut self.complete_from_ms {
             *from = (*from).min(since_ms);
         }
-        agrees
     }
 
     /// What this daemon has seen of all versions that may have streams.
     pub fn report(&self, now: u64) -> impl Iterator<Item = Reported> {
         let report = move |(software, seen): (&Software, &Seen)| Reported {
             software: software.clone(),
-            first_ago_ms: now.saturating_sub(seen.first_ms),
+            established: seen.established,
             left_ago_ms: seen.left_ms.map_or(0, |at| now.saturating_sub(at)),
         };
         self.seen.iter().map(report)
@@ -159,42 +208,55 @@
         self.seen.len() > 1 || self.seen.contains_key(&None)
     }
 
-    /// Since when this history is complete, by the daemon's clock.
-    pub fn complete_from_ms(&self) -> Option<u64> {
-        self.complete_from_ms
+    /// Age of the newest complete list of targets, in ms.
+    pub fn age_ms(&self, now: u64) -> u64 {
+        now.saturating_sub(self.as_of_ms)
+    }
+
+    /// How long this history has been complete, in ms.
+    pub fn span_ms(&self, now: u64) -> u64 {
+        let from = self.complete_from_ms.unwrap_or(now);
+        now.saturating_sub(from)
+    }
+
+    fn is_fresh(&self, timing: &Timing, now: u64) -> bool {
+        self.as_of_ms > 0 && self.age_ms(now) <= timing.max_age_ms
     }
 
     /// The version that must have begun every stream that can still be resumed;
-    /// `None` if that is not certain. `as_of_ms`: a time at which the list of targets
-    /// was complete.
-    pub fn only_version(&self, as_of_ms: u64, timing: &Timing, now: u64) -> Option<&Name> {
-        let fresh = now.saturating_sub(as_of_ms) <= timing.max_age_ms;
+    /// `None` if that is not certain.
+    pub fn only_version(&self, timing: &Timing, now: u64) -> Option<&Name> {
         let complete_from = self.complete_from_ms?;
         let complete = complete_from <= now.saturating_sub(timing.horizon_ms);
-        if !fresh || !complete || self.is_mixed() {
+        if !self.is_fresh(timing, now) || !complete || self.is_mixed() {
             return None;
         }
-        self.seen.keys().next()?.as_ref()
+        let (software, seen) = self.seen.iter().next()?;
+        let span_ms = match complete_from {
+            0 => timing.hold_ms().min(self.as_of_ms),
+            _ => timing.hold_ms(),
+        };
+        let steady = seen.steadily_ready(span_ms, self.as_of_ms);
+        software.as_ref().filter(|_| steady)
     }
 
     /// Which versions may begin streams now.
     ///
-    /// A version that has just appeared is held back only while another one takes
-    /// requests, or did a moment ago: a daemon with an older list would continue its
-    /// streams there.
-    pub fn begin_rule(&self, timing: &Timing, now: u64) -> BeginRule {
-        let hold_ms = timing.hold_ms();
-        let is_new = |seen: &Seen| now.saturating_sub(seen.first_ms) < hold_ms;
+    /// A version that not every daemon knows is held back while another one takes
+    /// requests, or may do so: a daemon that knows only that one would continue the
+    /// stream there.
+    pub fn begin_rule(&self, timing: &Timing, now: u64) -> SoftwareRule {
+        let stale = !self.is_fresh(timing, now);
         let has_alternative = |software: &Software| {
             let mut others = self.seen.iter().filter(|(other, _)| *other != software);
-            others.any(|(_, seen)| Seen::within(seen.unready_ms, hold_ms, now))
+            others.any(|(_, seen)| stale || seen.was_ready(timing.hold_ms(), now))
         };
-        let held = self
-            .seen
-            .iter()
-            .filter(|(software, seen)| is_new(seen) && has_alternative(software));
-        BeginRule {
-            held: held.map(|(software, _)| software.clone()).collect(),
+        let new = self.seen.iter().filter(|(_, seen)| !seen.established);
+        let held = new.filter(|(software, _)| has_alternative(software));
+        let held: Vec<Software> = held.map(|(software, _)| software.clone()).collect();
+        match held.is_empty() {
+            true => SoftwareRule::Any,
+            false => SoftwareRule::Except(held),
         }
     }
 }
--- a/crates/comfreyhall-streams/src/lib.rs
+++ b/crates/comfreyhall-streams/src/lib.rs
@@ -18,10 +18,12 @@
 mod history;
 mod proof;
 mod records;
+mod rule;
 
-pub use history::{BeginRule, Listing, Reported, Timing, VersionHistory};
+pub use history::{Listing, Reported, Timing, VersionHistory};
 pub use proof::{Answer, Evidence, Proof, conclude};
 pub use records::{StreamRecord, StreamRecords};
+pub use rule::SoftwareRule;
 
 /// A software version, or `None` if the target does not report one.
 pub type Software = Option<comfreyhall_domain::Name>;
--- a/crates/comfreyhall-streams/src/proof.rs
+++ b/crates/comfreyhall-streams/src/proof.rs
@@ -38,6 +38,9 @@
 /// The version of a stream, and how it is known.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Proof {
+    /// The service that the stream belongs to; `None` for any whose versions are
+    /// known.
+    pub service: Option<Name>,
     /// Version that sent the stream's first event.
     pub software: Name,
     /// How that is known.
@@ -51,6 +54,8 @@
 pub enum Answer {
     /// It has the record.
     Recorded {
+        /// The service that the stream belongs to.
+        service: Name,
         /// Version that sent the first event.
         software: Name,
         /// Age of the record in ms.
@@ -72,21 +77,17 @@
 /// What the answers of other daemons prove together. Records go before histories;
 /// records that contradict each other prove nothing.
 pub fn conclude(answers: &[Answer]) -> Option<Proof> {
-    let mut records = answers.iter().filter_map(|a| match a {
-        Answer::Recorded { software, age_ms } => Some((software, *age_ms)),
-        _ => None,
-    });
-    if let Some((software, age_ms)) = records.next() {
-        return records.all(|(other, _)| other == software).then(|| Proof {
-            software: software.clone(),
-            evidence: Evidence::PeerRecord,
-            age_ms,
-        });
+    let mut records = answers.iter().filter_map(recorded);
+    if let Some(first) = records.next() {
+        let same =
+            |other: &Proof| other.service == first.service && other.software == first.software;
+        return records.all(|other| same(&other)).then_some(first);
     }
     answers.iter().find_map(|a| match a {
         Answer::Only {
             software, age_ms, ..
         } => Some(Proof {
+            service: None,
             software: software.clone(),
             evidence: Evidence::PeerHistory,
             age_ms: *age_ms,
@@ -94,3 +95,19 @@
         _ => None,
     })
 }
+
+fn recorded(answer: &Answer) -> Option<Proof> {
+    match answer {
+        Answer::Recorded {
+            service,
+            software,
+            age_ms,
+        } => Some(Proof {
+            service: Some(service.clone()),
+            software: software.clone(),
+            evidence: Evidence::PeerRecord,
+            age_ms: *age_ms,
+        }),
+        _ => None,
+    }
+}
--- a/crates/comfreyhall-streams/src/tests.rs
+++ b/crates/comfreyhall-streams/src/tests.rs
@@ -7,25 +7,37 @@
 
 fn listed(versions: &[(&str, bool)]) -> Vec<Listing> {
     let listing = |(software, ready): &(&str, bool)| Listing {
+        boot: format!("boot of {software}").into(),
         software: (!software.is_empty()).then(|| (*software).into()),
         ready: *ready,
     };
     versions.iter().map(listing).collect()
 }
 
+/// Lists `versions` once a second from `from` to `until`.
+fn list(history: &mut VersionHistory, versions: &[(&str, bool)], from: u64, until: u64) {
+    for now in (from..=until).step_by(1_000) {
+        history.observe(&listed(versions), &TIMING, now);
+        history.confirm(now, &TIMING);
+    }
+}
+
 fn history(first_start: bool, versions: &[(&str, bool)], now: u64) -> VersionHistory {
     let mut history = VersionHistory::new(first_start);
-    history.observe(&listed(versions), TIMING.horizon_ms, now);
+    list(&mut history, versions, now, now);
     history
 }
 
-fn only(history: &VersionHistory, as_of_ms: u64, now: u64) -> Option<String> {
-    let version = history.only_version(as_of_ms, &TIMING, now);
+fn only(history: &VersionHistory, now: u64) -> Option<String> {
+    let version = history.only_version(&TIMING, now);
     version.map(|v| v.to_string())
 }
 
 fn held(history: &VersionHistory, now: u64) -> Vec<Software> {
-    history.begin_rule(&TIMING, now).held
+    match history.begin_rule(&TIMING, now) {
+        SoftwareRule::Except(held) => held,
+        _ => Vec::new(),
+    }
 }
 
 fn record(software: &str, expires_ms: u64) -> StreamRecord {
@@ -38,90 +50,108 @@
 
 #[test]
 fn only_version_of_first_start() {
-    let history = history(true, &[("v1", true)], 100);
-    assert_eq!(only(&history, 100, 200).as_deref(), Some("v1"));
+    let mut history = history(true, &[("v1", true)], 100);
+    list(&mut history, &[("v1", true)], 1_100, 3_100);
+    assert_eq!(only(&history, 3_200).as_deref(), Some("v1"));
 }
 
 /// Guards against a daemon that has just restarted and takes the only listed version
 /// for the only one that can have begun a stream.
 #[test]
 fn only_version_unknown_after_restart() {
-    let history = history(false, &[("v2", true)], 100);
-    assert_eq!(only(&history, 5_000, 5_000), None);
-    let later = 100 + TIMING.horizon_ms;
-    assert_eq!(only(&history, later, later).as_deref(), Some("v2"));
+    let mut history = history(false, &[("v2", true)], 1_000);
+    list(&mut history, &[("v2", true)], 2_000, 60_000);
+    assert_eq!(only(&history, 60_000), None);
+    list(&mut history, &[("v2", true)], 61_000, 61_000);
+    assert_eq!(only(&history, 61_000).as_deref(), Some("v2"));
 }
 
 /// Guards against a proof from an old list: another version may have appeared since.
 #[test]
 fn only_version_needs_recent_list() {
-    let history = history(true, &[("v1", true)], 100);
-    assert_eq!(only(&history, 1_000, 3_001), None);
+    let mut history = history(true, &[("v1", true)], 100);
+    list(&mut history, &[("v1", true)], 1_100, 9_100);
+    assert_eq!(only(&history, 11_100).as_deref(), Some("v1"));
+    assert_eq!(only(&history, 11_101), None);
+}
+
+/// Guards against a version that came and went between two lists that are far apart.
+#[test]
+fn only_version_needs_close_lists() {
+    let mut history = history(true, &[("v1", true)], 100);
+    list(&mut history, &[("v1", true)], 5_000, 9_000);
+    assert_eq!(only(&history, 9_000), None);
 }
 
 /// Guards against taking a gone version for one that has no streams any more.
 #[test]
 fn only_version_counts_gone_versions() {
     let mut history = history(true, &[("v1", true)], 100);
-    history.observe(&listed(&[("v2", true)]), TIMING.horizon_ms, 1_000);
-    assert_eq!(only(&history, 30_000, 30_000), None);
-    history.observe(&listed(&[("v2", true)]), TIMING.horizon_ms, 61_000);
-    assert_eq!(only(&history, 61_000, 61_000).as_deref(), Some("v2"));
+    list(&mut history, &[("v2", true)], 1_000, 60_000);
+    assert_eq!(only(&history, 60_000), None);
+    list(&mut history, &[("v2", true)], 61_000, 61_000);
+    assert_eq!(only(&history, 61_000).as_deref(), Some("v2"));
 }
 
 /// Guards against a target without a version that passes for one of any version.
 #[test]
 fn only_version_needs_known_versions() {
-    assert_eq!(only(&history(true, &[("", true)], 100), 100, 200), None);
-    let both = history(true, &[("", true), ("v1", true)], 100);
-    assert_eq!(only(&both, 100, 200), None);
+    let mut unknown = history(true, &[("", true)], 100);
+    list(&mut unknown, &[("", true)], 1_100, 9_100);
+    assert_eq!(only(&unknown, 9_100), None);
+    let mut both = history(true, &[("", true), ("v1", true)], 100);
+    list(&mut both, &[("", true), ("v1", true)], 1_100, 9_100);
+    assert_eq!(only(&both, 9_100), None);
 }
 
 #[test]
 fn learn_only_completes_history() {
     let mut history = history(false, &[("v1", true)], 70_000);
-    assert!(history.learn_only(&"v1".into(), 5_000));
-    assert_eq!(only(&history, 71_000, 71_000).as_deref(), Some("v1"));
-    assert!(!history.learn_only(&"v2".into(), 0));
+    list(&mut history, &[("v1", true)], 71_000, 74_000);
+    assert_eq!(only(&history, 74_000), None);
+    history.learn_only(&"v2".into(), 5_000);
+    assert_eq!(only(&history, 74_000), None);
+    history.learn_only(&"v1".into(), 5_000);
+    assert_eq!(only(&history, 74_000).as_deref(), Some("v1"));
 }
 
 /// Guards against streams that begin at a version which other daemons do not know yet.
 #[test]
 fn begin_rule_holds_new_version() {
-    let mut history = history(true, &[("v1", true)], 100);
-    history.observe(
-        &listed(&[("v1", true), ("v2", true)]),
-        TIMING.horizon_ms,
-        10_000,
-    );
-    assert_eq!(held(&history, 10_000), [Some("v2".into())]);
-    assert!(held(&history, 10_000 + TIMING.hold_ms()).is_empty());
+    let mut history = history(true, &[("v1", true)], 1_000);
+    list(&mut history, &[("v1", true)], 2_000, 9_000);
+    let both = [("v1", true), ("v2", true)];
+    list(&mut history, &both, 10_000, 12_000);
+    assert_eq!(held(&history, 12_000), [Some("v2".into())]);
+    list(&mut history, &both, 13_000, 13_000);
+    assert!(held(&history, 13_000).is_empty());
 }
 
 /// Guards against a service that is starved because its only version is new.
 #[test]
 fn begin_rule_allows_only_version() {
     assert!(held(&history(false, &[("v2", true)], 100), 100).is_empty());
-    let mut replaced = history(true, &[("v1", true)], 100);
-    replaced.observe(&listed(&[("v1", false)]), TIMING.horizon_ms, 5_000);
-    replaced.observe(&listed(&[("v2", true)]), TIMING.horizon_ms, 9_000);
+    let mut replaced = history(true, &[("v1", true)], 1_000);
+    list(&mut replaced, &[("v1", true)], 2_000, 4_000);
+    list(&mut replaced, &[("v1", false)], 5_000, 8_000);
+    list(&mut replaced, &[("v2", true)], 9_000, 9_000);
     assert!(held(&replaced, 9_000).is_empty());
 }
 
-fn reported(software: &str, first_ago_ms: u64, left_ago_ms: u64) -> Reported {
+fn reported(software: &str, left_ago_ms: u64) -> Reported {
     Reported {
         software: Some(software.into()),
-        first_ago_ms,
+        established: true,
         left_ago_ms,
     }
 }
 
 #[test]
-fn begin_rule_learns_first_listing() {
+fn begin_rule_learns_established_versions() {
     let mut history = history(false, &[("v1", true), ("v2", true)], 5_000);
     assert_eq!(held(&history, 5_000).len(), 2);
-    history.learn(&reported("v1", 4_000, 0), 5_000);
-    history.learn(&reported("v2", 3_000, 0), 5_000);
+    history.learn(&reported("v1", 0), 5_000);
+    history.learn(&reported("v2", 0), 5_000);
     assert!(held(&history, 5_000).is_empty());
 }
 
@@ -130,7 +160,7 @@
 #[test]
 fn learn_gone_version_counts() {
     let mut history = history(false, &[("v2", true)], 5_000);
-    history.learn(&reported("v1", 9_000, 500), 5_100);
+    history.learn(&reported("v1", 500), 5_100);
     assert!(history.is_mixed());
     assert_eq!(held(&history, 5_100), [Some("v2".into())]);
 }
@@ -159,6 +189,7 @@
 #[test]
 fn conclude_record_goes_first() {
     let recorded = |v: &str| Answer::Recorded {
+        service: "s".into(),
         software: v.into(),
         age_ms: 1,
     };
@@ -177,3 +208,13 @@
     assert_eq!(proof.evidence, Evidence::PeerHistory);
     assert_eq!(conclude(&[Answer::Unknown]), None);
 }
+
+#[test]
+fn allows_by_rule() {
+    let (v1, v2) = (Some("v1".into()), Some("v2".into()));
+    assert!(SoftwareRule::Any.allows(&None));
+    let except = SoftwareRule::Except(vec![v2.clone()]);
+    assert!(except.allows(&v1) && except.allows(&None) && !except.allows(&v2));
+    let only = SoftwareRule::Only("v1".into());
+    assert!(only.allows(&v1) && !only.allows(&v2) && !only.allows(&None));
+}
--- a/crates/comfreyhall-streams/tests/model.rs
+++ b/crates/comfreyhall-streams/tests/model.rs
@@ -46,7 +46,6 @@
     running: Vec<Stream>,
     /// Targets as last listed: index and version.
     targets: Vec<(usize, usize)>,
-    as_of_ms: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -102,15 +101,17 @@
 impl Daemon {
     fn answer(&self, id: &str, now: u64) -> Answer {
         if let Some((record, age_ms)) = self.records.find(id, now) {
-            let software = record.software.clone();
-            return Answer::Recorded { software, age_ms };
+            return Answer::Recorded {
+                service: record.service.clone(),
+                software: record.software.clone(),
+                age_ms,
+            };
         }
-        let from = self.history.complete_from_ms().unwrap_or(now);
-        match self.history.only_version(self.as_of_ms, &TIMING, now) {
+        match self.history.only_version(&TIMING, now) {
             Some(software) => Answer::Only {
                 software: software.clone(),
-                age_ms: now - self.as_of_ms,
-                span_ms: now - from,
+                age_ms: self.history.age_ms(now),
+                span_ms: self.history.span_ms(now),
             },
             None => Answer::Unknown,
         }
@@ -146,7 +147,6 @@
             records: StreamRecords::default(),
             running: Vec::new(),
             targets: Vec::new(),
-            as_of_ms: 1,
         };
         let mut fleet = Self {
             now_ms: 1,
@@ -172,8 +172,10 @@
     }
 
     fn list(&mut self, d: usize) {
-        let listed = self.targets.iter().filter(|t| t.listed);
-        let listing = |t: &Target| Listing {
+        let listed = self.targets.iter().enumerate();
+        let listed = listed.filter(|(_, t)| t.listed);
+        let listing = |(i, t): (usize, &Target)| Listing {
+            boot: format!("t{i}").into(),
             software: Some(name(t.version)),
             ready: t.ready,
         };
@@ -182,10 +184,8 @@
         let ready = ready.filter(|(_, t)| t.listed && t.ready);
         let daemon = &mut self.daemons[d];
         daemon.targets = ready.map(|(i, t)| (i, t.version)).collect();
-        daemon
-            .history
-            .observe(&listings, TIMING.horizon_ms, self.now_ms);
-        daemon.as_of_ms = self.now_ms;
+        daemon.history.observe(&listings, &TIMING, self.now_ms);
+        daemon.history.confirm(self.now_ms, &TIMING);
         let begun = daemon.record_running(self.now_ms);
         self.send_records(d, begun);
     }
@@ -321,7 +321,7 @@
                 fleet.start_target(new);
                 fleet.start_target(new);
             }
-            fleet.begin(*begins, *choice);
+            fleet.begin(*begins, i + *choice % 2);
             while let Some((to, stream)) = fleet.in_flight.pop() {
                 let now = fleet.now_ms;
                 fleet.daemons[to].records.insert(&stream.id, record(&stream), now);
