Daemons record which software version began a stream, and find it for each other

Mechanism only: nothing is decided by it yet.

Each daemon keeps the versions that it has listed for each service. With one version no record and no question is sent.

The proof needs to know how recent a list certainly is. Gossip did not say it: an age was counted from when a message was read, and a message without the rows confirmed them too. A message now says after which version its rows are complete, and its age counts from the receiver's own clock reading that it echoes, as for settings.

--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -5,7 +5,7 @@
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{
     BindReply, BindRequest, CapCall, CapReply, ForwardRequest, News, ProgressReply, ProgressReport,
-    SettingsAsk,
+    SettingsAsk, StreamFinding, StreamQuery, StreamRecordBatch, StreamRecordReply,
     fleet_server::{self, FleetServer},
 };
 use rand::Rng;
@@ -18,7 +18,7 @@
     gossip::{ReportedVersions, add_rows},
     hub,
 };
-use crate::{bind, forward, node::Node, quotas};
+use crate::{bind, forward, node::Node, quotas, streams};
 
 /// Longest duration of one exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -199,6 +199,21 @@
         Ok(Response::new(quotas::answer(&self.0, req.into_inner())))
     }
 
+    async fn record_streams(
+        &self,
+        req: Request<StreamRecordBatch>,
+    ) -> Result<Response<StreamRecordReply>, Status> {
+        streams::receive(&self.0, req.into_inner());
+        Ok(Response::new(StreamRecordReply::default()))
+    }
+
+    async fn find_stream(
+        &self,
+        req: Request<StreamQuery>,
+    ) -> Result<Response<StreamFinding>, Status> {
+        Ok(Response::new(streams::answer(&self.0, req.get_ref())))
+    }
+
     async fn progress(
         &self,
         req: Request<ProgressReport>,
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -4,7 +4,9 @@
 
 use comfreyhall_domain::{Map, Name, Set};
 use comfreyhall_inforce::{SettingsTracker, Source};
-use comfreyhall_protocol::{Daemon, Demand, EngineRun, Holding, News, SlotUse, TargetWork};
+use comfreyhall_protocol::{
+    Daemon, Demand, EngineRun, Holding, News, ServiceVersion, SlotUse, TargetWork, TargetsProof,
+};
 use comfreyhall_quarantine::SyncPosition;
 use comfreyhall_routing::{Presence, Work};
 use rand::seq::IteratorRandom;
@@ -17,6 +19,7 @@
     ports::{Record, RecordBatch, Topic},
     quarantine::wire,
     records::{self, Provenance},
+    streams,
 };
 
 /// Peers named in one call of a large fleet.
@@ -26,6 +29,9 @@
 /// lost.
 const SLOT_USE_MESSAGES: u8 = 3;
 
+/// Messages that tell a new process of all software versions: one may get lost.
+const VERSION_MESSAGES: u8 = 3;
+
 /// Maximum size in bytes of the settings in a gossip message: a few named
 /// versions, or a configuration of some dozen routes.
 ///
@@ -80,6 +86,7 @@
         gossip.work.retain(|w| w.waiting > 0 || w.running > 0);
         if let Some(peer) = peers.get_mut(addr) {
             gossip.slot_use = slot_use_for(node, peer, now);
+            gossip.versions = Self::versions_for(node, peer, now);
             let untold = placements
                 .iter()
                 .filter(|(serial, _)| *serial >= peer.untold_from);
@@ -186,7 +193,7 @@
         if new || cut_off {
             add_settings(node, settings, gossip);
         }
-        gossip.targets = rows_since(node, Topic::Targets, known);
+        add_targets(node, known, gossip);
     }
 
     /// Applies a peer's gossip message.
@@ -258,7 +265,13 @@
             .add_reported(is_held, &peer, &gossip.slot_use, now);
         let age = gossip.targets_age;
         let covers = gossip.targets_version >= node.view().records.targets.version;
-        let settings_as_of = self.settings_as_of(&gossip);
+        let settings_as_of = match gossip.settings_age {
+            u64::MAX => None,
+            age_ms => self.as_of(&gossip, age_ms),
+        };
+        let targets_proof = gossip.targets_proof;
+        let proven_at = targets_proof.and_then(|p| self.as_of(&gossip, p.age_ms));
+        let complete_to = node.view().records.targets.complete_to;
         let settings_version = gossip.settings_version;
         // The version that the peer assumes here may be that of an earlier
         // start.
@@ -286,6 +299,12 @@
             let version = rows.iter().map(|f| f.version).max().unwrap_or(0);
             records::apply(node, topic, RecordBatch { rows, version }, &origin);
         }
+        if let (Some(proof), Some(at)) = (targets_proof, proven_at)
+            && proof.since <= complete_to
+        {
+            records::prove_targets(node, proof.until, at);
+        }
+        self.learn_versions(node, &gossip.versions, now);
         let mut view = node.view();
         if age != u64::MAX && covers {
             view.records.targets.confirm(now.saturating_sub(age));
@@ -302,19 +321,41 @@
         }
     }
 
-    /// Returns a lower bound, by this daemon's clock, on the time at which the
-    /// store confirmed the sender's settings.
+    /// Returns a lower bound, by this daemon's clock, on a time that was `age_ms` ago
+    /// when the sender made the message.
     ///
     /// The age in a message applies to the time it was made, and a message may
     /// stay unread for seconds in a daemon that was frozen or busy. Counted
-    /// from the time of reading, an old version would pass for confirmed.
-    fn settings_as_of(&self, gossip: &News) -> Option<u64> {
-        let known = gossip.settings_age != u64::MAX && gossip.echoed_at > 0;
-        let made_after =
-            (known && gossip.heard_boot == self.me.boot).then_some(gossip.echoed_at)?;
+    /// from the time of reading, old knowledge would pass for confirmed.
+    fn as_of(&self, gossip: &News, age_ms: u64) -> Option<u64> {
+        let known = gossip.echoed_at > 0 && gossip.heard_boot == self.me.boot;
+        let made_after = known.then_some(gossip.echoed_at)?;
         // A time before this start is useless, because the clock began at the
         // start.
-        made_after.checked_sub(gossip.settings_age)
+        made_after.checked_sub(age_ms)
+    }
+
+    /// Software versions for a message to `peer`.
+    fn versions_for(node: &Node, peer: &mut Peer, now: u64) -> Vec<ServiceVersion> {
+        let new = peer.versions_told < VERSION_MESSAGES;
+        peer.versions_told = peer.versions_told.saturating_add(1);
+        let view = node.view();
+        let told = view.versions.iter().filter(|(_, h)| new || h.is_mixed());
+        let versions = told.flat_map(|(service, history)| {
+            let reports = history.report(now);
+            reports.map(move |r| streams::encode_version(service, &r))
+        });
+        versions.collect()
+    }
+
+    /// Learns which software versions a peer has seen.
+    fn learn_versions(&self, node: &Node, versions: &[ServiceVersion], now: u64) {
+        let mut view = node.view();
+        for version in versions {
+            if let Some(history) = view.versions.get_mut(version.service.as_str()) {
+                history.learn(&streams::decode_version(version), now);
+            }
+        }
     }
 
     /// Updates a peer's own state; returns its work at engines.
@@ -350,6 +391,7 @@
             peer.histories_sent = 0;
             peer.paces_told = 0;
             peer.use_told.clear();
+            peer.versions_told = 0;
         }
         let held = &peer.holdings;
         peer.use_told
@@ -491,6 +533,20 @@
 pub(super) fn add_rows(node: &Node, asked: ReportedVersions, gossip: &mut News) {
     add_settings(node, asked.settings_version, gossip);
     if gossip.targets_age < asked.targets_age {
-        gossip.targets = rows_since(node, Topic::Targets, asked.targets_version);
+        add_targets(node, asked.targets_version, gossip);
     }
 }
+
+/// Adds the relevant changes of targets after `version` to a message, and how recent
+/// they are.
+fn add_targets(node: &Node, version: u64, gossip: &mut News) {
+    gossip.targets = rows_since(node, Topic::Targets, version);
+    let now = node.now();
+    let view = node.view();
+    let targets = &view.records.targets;
+    gossip.targets_proof = targets.proven_age(now).map(|age_ms| TargetsProof {
+        since: version,
+        until: targets.complete_to,
+        age_ms,
+    });
+}
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -103,6 +103,8 @@
     demands: Map<Name, u32>,
     /// How often it was told of the slots used in each group that it holds.
     use_told: Map<Name, u8>,
+    /// How many messages told it of all software versions.
+    versions_told: u8,
     /// First placement not sent to it yet.
     untold_from: u64,
     /// Load histories sent to it, in order of their targets.
@@ -257,6 +259,7 @@
             members: 0,
             demands: Map::default(),
             use_told: Map::default(),
+            versions_told: 0,
             untold_from,
             histories_sent: 0,
             paces_told: 0,
@@ -302,6 +305,18 @@
             .count()
     }
 
+    /// The first `count` live peers in the order for `key`.
+    pub(crate) fn first_peers(&self, key: &str, count: usize, now: u64) -> Vec<Name> {
+        let state = self.state();
+        let ranked = state.alive_peers(now);
+        let mut ranked: Vec<(u64, &Name)> = ranked
+            .map(|(addr, _)| (selection::rendezvous_rank(key, addr), addr))
+            .collect();
+        ranked.sort_unstable();
+        let first = ranked.into_iter().take(count);
+        first.map(|(_, addr)| addr.clone()).collect()
+    }
+
     /// Wakes the task that fetches settings.
     pub(crate) fn wake_fetch(&self) {
         self.fetch_wanted.notify_one();
--- a/crates/comfreyhall-node/src/follow/targets.rs
+++ b/crates/comfreyhall-node/src/follow/targets.rs
@@ -116,6 +116,7 @@
     if outage.ended_at_ms == 0 || now.saturating_sub(outage.ended_at_ms) >= return_ms {
         records::remove_unlisted(node, &listed);
     }
+    records::prove_targets(node, listed.version, began);
     let targets: Vec<_> = node.view().targets.values().cloned().collect();
     node.backend.retain(&targets);
     start_if_synced(node);
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -32,6 +32,7 @@
 mod serve;
 mod slots;
 mod stop;
+mod streams;
 mod weights;
 
 pub use fleet::serve_peers;
@@ -53,6 +54,7 @@
     quarantine::spawn(node);
     quotas::spawn(node);
     forward::spawn(node);
+    streams::spawn(node);
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/log_limit.rs
+++ b/crates/comfreyhall-node/src/log_limit.rs
@@ -61,6 +61,8 @@
     pub(crate) bad_notice: LineLimiter,
     /// Requests under which a target ended.
     pub(crate) suspect: LineLimiter,
+    /// Records of streams that a daemon did not receive.
+    pub(crate) stream_records: LineLimiter,
 }
 
 #[cfg(test)]
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -30,6 +30,9 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     forwards: Counter<u64>,
+    resumptions: Counter<u64>,
+    stream_records: Gauge<u64>,
+    stream_records_sent: Counter<u64>,
     workspace_refusals: Counter<u64>,
     quota_starts: Counter<u64>,
     quota_lent: Counter<f64>,
@@ -72,6 +75,18 @@
             ),
             refusals: counter("refusals", "requests given up on, by reason"),
             forwards: counter("forwards", "requests passed on to another daemon"),
+            resumptions: counter(
+                "resumptions",
+                "streams that callers resumed, by how their version was known or why not",
+            ),
+            stream_records: meter
+                .u64_gauge("stream_records")
+                .with_description("records of streams that may be resumed")
+                .build(),
+            stream_records_sent: counter(
+                "stream_records_sent",
+                "records of streams sent to other daemons, by outcome",
+            ),
             workspace_refusals: counter(
                 "workspace_refusals",
                 "requests refused by the cap of their workspace",
@@ -177,6 +192,20 @@
         self.forwards.add(1, &[KeyValue::new("how", how)]);
     }
 
+    /// Counts a stream that its caller resumed.
+    pub(crate) fn resumption(&self, how: &'static str) {
+        self.resumptions.add(1, &[KeyValue::new("how", how)]);
+    }
+
+    pub(crate) fn stream_records(&self, records: usize) {
+        self.stream_records.record(records as u64, &[]);
+    }
+
+    pub(crate) fn stream_records_sent(&self, how: &'static str, records: usize) {
+        let labels = [KeyValue::new("how", how)];
+        self.stream_records_sent.add(records as u64, &labels);
+    }
+
     pub(crate) fn refusal(&self, why: &'static str) {
         self.refusals.add(1, &[KeyValue::new("why", why)]);
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -16,6 +16,7 @@
     PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes, TargetStats,
 };
 use comfreyhall_settings::{NodeSettings, Policies};
+use comfreyhall_streams::{SoftwareRule, VersionHistory};
 use tokio::sync::Notify;
 
 use crate::{
@@ -31,6 +32,7 @@
     quotas::{QuotaKind, Quotas},
     records::RecordStore,
     slots::SlotLedgers,
+    streams::{self, Streams},
 };
 
 /// Half-life of the demand for an adapter, in ms: popularity in the deployments
@@ -98,6 +100,8 @@
     /// How long runs hold their slots.
     pub(crate) hold: HoldTime,
     pub(crate) records: RecordStore,
+    /// Software versions by service.
+    pub(crate) versions: Map<Name, VersionHistory>,
 }
 
 impl Default for View {
@@ -124,6 +128,7 @@
             mean_prompt: INITIAL_MEAN_PROMPT,
             hold: HoldTime::default(),
             records: RecordStore::default(),
+            versions: Map::default(),
         }
     }
 }
@@ -220,6 +225,7 @@
     pub(crate) target_limits: Quotas,
     pub(crate) log_limits: LogLimits,
     pub(crate) outbound: Outbound,
+    pub(crate) streams: Arc<Streams>,
     /// Wakes background tasks when settings or targets change.
     pub(crate) changed: Notify,
     view: Mutex<View>,
@@ -256,6 +262,7 @@
             target_limits: Quotas::new(QuotaKind::Targets),
             log_limits: LogLimits::default(),
             outbound: Outbound::default(),
+            streams: Arc::default(),
             changed: Notify::new(),
             view: Mutex::default(),
             started_ms: clock::now(),
@@ -270,6 +277,15 @@
         self.view.lock().expect("no holder of this lock panics")
     }
 
+    /// Which software versions of `service` may begin a stream that can be resumed.
+    pub(crate) fn begin_rule(&self, service: &str) -> SoftwareRule {
+        let timing = streams::timing(self.settings().bounds.drain_ms);
+        let now = self.now();
+        let view = self.view();
+        let history = view.versions.get(service);
+        history.map_or(SoftwareRule::Any, |h| h.begin_rule(&timing, now))
+    }
+
     /// The active settings.
     pub fn settings(&self) -> Arc<NodeSettings> {
         let settings = self.settings.lock();
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -13,6 +13,7 @@
 use crate::{
     node::{NamedVersion, Node, View},
     ports::{Decoded, Record, RecordBatch, Topic},
+    streams::{self, versions},
 };
 
 /// Rows of one topic by key.
@@ -27,6 +28,10 @@
     /// When the store confirmed the rows, to this daemon or to a peer; for
     /// settings [`SettingsTracker`] keeps it.
     pub(crate) as_of_ms: u64,
+    /// Version up to which no relevant row is missing.
+    pub(crate) complete_to: u64,
+    /// The newest time at which the rows were certainly complete; 0 for never.
+    proven_ms: u64,
 }
 
 impl TopicRows {
@@ -39,6 +44,22 @@
         }
     }
 
+    /// Records that no relevant row up to `version` was missing at `at`.
+    fn prove(&mut self, version: u64, at: u64) {
+        self.complete_to = self.complete_to.max(version);
+        self.proven_ms = self.proven_ms.max(at);
+    }
+
+    /// Whether the rows have ever been certainly complete.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.proven_ms > 0
+    }
+
+    /// Time in ms since the rows were certainly complete.
+    pub(crate) fn proven_age(&self, now: u64) -> Option<u64> {
+        self.is_proven().then(|| now.saturating_sub(self.proven_ms))
+    }
+
     /// Records that the store confirmed the rows as complete at `at`.
     pub(crate) fn confirm(&mut self, at: u64) {
         self.as_of_ms = self.as_of_ms.max(at);
@@ -114,10 +135,33 @@
     }
     drop(view);
     if changed {
+        if topic == Topic::Targets {
+            observe_versions(node);
+        }
         node.changed.notify_waiters();
     }
 }
 
+/// Records the software versions of the known targets.
+fn observe_versions(node: &Node) {
+    let settings = node.settings();
+    let timing = streams::timing(settings.bounds.drain_ms);
+    let now = node.now();
+    let mixed = versions::observe(&mut node.view(), &timing, settings.first_start, now);
+    for service in mixed {
+        node.streams.record_running(&service, now);
+    }
+}
+
+/// Records that the known targets were complete up to row `version` at `as_of_ms`.
+pub(crate) fn prove_targets(node: &Node, version: u64, as_of_ms: u64) {
+    observe_versions(node);
+    let timing = streams::timing(node.settings().bounds.drain_ms);
+    let mut view = node.view();
+    view.records.targets.prove(version, as_of_ms);
+    versions::confirm(&mut view, &timing, as_of_ms);
+}
+
 /// Applies one newer row to the view; returns whether it is relevant to peers.
 ///
 /// A target publishes itself about every second, mostly with no change except
@@ -238,7 +282,11 @@
 /// on.
 fn routes_alike(a: &Target, b: &Target) -> bool {
     let models = |t: &Target| t.loaded.iter().map(|h| h.model.clone()).collect::<Vec<_>>();
-    a.stage == b.stage && a.addr == b.addr && a.service == b.service && models(a) == models(b)
+    a.stage == b.stage
+        && a.software == b.software
+        && a.addr == b.addr
+        && a.service == b.service
+        && models(a) == models(b)
 }
 
 fn remove_target(view: &mut View, target: &Name, now: u64) {
--- /dev/null
+++ b/crates/comfreyhall-node/src/streams/mod.rs
@@ -0,0 +1,47 @@
+//! Keeps each stream at the software version that began it.
+//!
+//! While several versions of a service may serve, a daemon that begins a stream records
+//! its version with [`OWNERS`] other daemons, chosen by the id of the attempt, and a
+//! daemon at which the caller resumes the stream asks them. With one version nothing is
+//! sent: that version must have begun the stream. What proves a version is decided by
+//! `comfreyhall-streams`.
+
+mod find;
+mod share;
+mod state;
+pub(crate) mod versions;
+mod wire;
+
+pub(crate) use self::{
+    find::{answer, find_version},
+    share::{receive, spawn},
+    state::{RunningStream, Streams},
+    wire::{decode_version, encode_version},
+};
+
+use comfreyhall_streams::Timing;
+
+/// Daemons that a record is sent to.
+const OWNERS: usize = 2;
+
+/// How long a version that left may have streams that callers resume, in ms.
+const HORIZON_MS: u64 = 60_000;
+
+/// Longest time for which a record is kept, in ms.
+const MAX_RECORD_MS: u64 = 600_000;
+
+/// How much longer than its caller waits for a stream it may be resumed, in ms.
+const RESUME_SLACK_MS: u64 = 10_000;
+
+/// When the record of a stream expires whose caller waits until `deadline_ms`.
+pub(crate) fn expiry_ms(deadline_ms: u64, now: u64) -> u64 {
+    (deadline_ms + RESUME_SLACK_MS).min(now + MAX_RECORD_MS)
+}
+
+/// The times that proofs depend on, for this bound on new work at draining targets.
+pub(crate) fn timing(drain_ms: u64) -> Timing {
+    Timing {
+        horizon_ms: HORIZON_MS,
+        max_age_ms: drain_ms,
+    }
+}
--- /dev/null
+++ b/crates/comfreyhall-node/src/streams/versions.rs
@@ -0,0 +1,42 @@
+//! The software versions of all services, from the known targets.
+
+use comfreyhall_domain::{Name, Set, Stage};
+use comfreyhall_streams::{Listing, Timing, VersionHistory};
+
+use crate::node::View;
+
+/// Records the versions of the known targets; returns the services of which several
+/// may have streams. `first_start`: the whole fleet starts for the first time.
+pub(crate) fn observe(view: &mut View, timing: &Timing, first_start: bool, now: u64) -> Vec<Name> {
+    let first_start = first_start && !view.records.targets.is_proven();
+    let known = view.versions.keys().cloned();
+    let listed = view.targets.values().map(|t| t.service.clone());
+    let services: Set<Name> = known.chain(listed).collect();
+    let mut mixed = Vec::new();
+    for service in services {
+        let targets = view.targets.values().filter(|t| t.service == service);
+        let listings: Vec<Listing> = targets
+            .map(|t| Listing {
+                boot: t.id.clone(),
+                software: t.software.clone(),
+                ready: t.stage == Stage::Ready,
+            })
+            .collect();
+        let history = view
+            .versions
+            .entry(service.clone())
+            .or_insert_with(|| VersionHistory::new(first_start));
+        history.observe(&listings, timing, now);
+        if history.is_mixed() {
+            mixed.push(service);
+        }
+    }
+    mixed
+}
+
+/// Records that the known targets were complete at `as_of_ms`.
+pub(crate) fn confirm(view: &mut View, timing: &Timing, as_of_ms: u64) {
+    for history in view.versions.values_mut() {
+        history.confirm(as_of_ms, timing);
+    }
+}
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -13,7 +13,8 @@
 use comfreyhall_node::Node;
 use comfreyhall_protocol::{
     BindReply, BindRequest, CapCall, CapReply, Daemon, ForwardPart, ForwardRequest, Holding, Map,
-    News, ProgressReply, ProgressReport, SettingsAsk, SettingsPart,
+    News, ProgressReply, ProgressReport, SettingsAsk, SettingsPart, StreamFinding, StreamQuery,
+    StreamRecordBatch, StreamRecordReply,
     fleet_server::{Fleet, FleetServer},
 };
 use support::*;
@@ -65,6 +66,20 @@
         std::future::pending().await
     }
 
+    async fn record_streams(
+        &self,
+        _: Request<StreamRecordBatch>,
+    ) -> Result<Response<StreamRecordReply>, Status> {
+        std::future::pending().await
+    }
+
+    async fn find_stream(
+        &self,
+        _: Request<StreamQuery>,
+    ) -> Result<Response<StreamFinding>, Status> {
+        std::future::pending().await
+    }
+
     async fn settle(&self, _: Request<CapCall>) -> Result<Response<CapReply>, Status> {
         std::future::pending().await
     }
