A stream goes on at the software version that began it

Cause: a resumption was sent like a new request. resume_elsewhere and the first choice of an attempt that resumes a stream took any ready target of the service, and nothing knew which version had begun the stream.

Now a request is bound to a version with the first event that its caller gets, or, if it resumes a stream, by a record or a proof before it is sent; the rule goes to the lease holder that chooses the engine and is checked again right before each send. Without a proof the attempt is rejected at once as not run, and so is one whose version serves no more. A version that has just appeared begins no streams for as long as other daemons may not know it, but only while another one takes requests.

--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -90,6 +90,7 @@
         unavailable: &params.unavailable,
         only_tried: params.only_tried,
         seed: params.run,
+        software: &params.software,
     };
     choose::choose(node, &criteria)
 }
--- a/crates/comfreyhall-node/src/bind/mod.rs
+++ b/crates/comfreyhall-node/src/bind/mod.rs
@@ -19,6 +19,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_slots::SlotShare;
+use comfreyhall_streams::SoftwareRule;
 
 pub(crate) use self::wire::answer;
 use crate::{choose::Requirements, node::Node};
@@ -66,6 +67,8 @@
     /// How long it would wait for a slot, in ms, when no other group has one
     /// sooner; 0 as long as other groups are to be asked.
     pub(crate) patience_ms: u64,
+    /// Software versions that may receive it.
+    pub(crate) software: SoftwareRule,
 }
 
 impl BindParams {
--- a/crates/comfreyhall-node/src/bind/wire.rs
+++ b/crates/comfreyhall-node/src/bind/wire.rs
@@ -5,6 +5,7 @@
 use comfreyhall_domain::{AdapterRef, Name, PromptSegment, TokenCounts};
 use comfreyhall_protocol::{BindReply, BindRequest, PromptPart};
 use comfreyhall_slots::SlotShare;
+use comfreyhall_streams::{Software, SoftwareRule};
 
 use super::{BindError, BindParams, Binding, local};
 use crate::{choose::Requirements, fleet::Run, node::Node};
@@ -43,6 +44,29 @@
         expected_output: requirements.expected_output.unwrap_or(0),
         identity: params.identity,
         patience_ms: params.patience_ms,
+        software: match &params.software {
+            SoftwareRule::Only(software) => software.to_string(),
+            _ => String::new(),
+        },
+        held_software: match &params.software {
+            SoftwareRule::Except(held) => held.iter().map(encode_software).collect(),
+            _ => Vec::new(),
+        },
+    }
+}
+
+fn encode_software(software: &Software) -> String {
+    software.as_deref().unwrap_or("").to_string()
+}
+
+fn decode_software_rule(message: &BindRequest) -> SoftwareRule {
+    if !message.software.is_empty() {
+        return SoftwareRule::Only(message.software.as_str().into());
+    }
+    let decode = |s: &String| (!s.is_empty()).then(|| s.as_str().into());
+    match message.held_software.is_empty() {
+        true => SoftwareRule::Any,
+        false => SoftwareRule::Except(message.held_software.iter().map(decode).collect()),
     }
 }
 
@@ -82,6 +106,7 @@
         only_tried: message.only_tried,
         may_wait: message.may_wait,
         patience_ms: message.patience_ms,
+        software: decode_software_rule(message),
     }
 }
 
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -11,6 +11,7 @@
     selection,
     selection::{Candidate, Spread},
 };
+use comfreyhall_streams::SoftwareRule;
 
 use crate::{
     active_send::RunHandle,
@@ -138,11 +139,14 @@
     /// Whether only targets in `tried` may be used.
     pub(crate) only_tried: bool,
     pub(crate) seed: u64,
+    /// Software versions that may receive it.
+    pub(crate) software: &'a SoftwareRule,
 }
 
 impl Criteria<'_> {
     fn allows(&self, target: &Target) -> bool {
-        self.group.is_none_or(|g| *target.failure_domain == *g)
+        self.software.allows(&target.software)
+            && self.group.is_none_or(|g| *target.failure_domain == *g)
             && !self.unavailable.contains(&target.id)
             && (!self.only_tried || self.tried.contains(&target.id))
     }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -13,6 +13,7 @@
 mod renew;
 mod reply;
 mod send;
+mod version;
 
 pub use self::reply::{EventStream, Reply};
 
@@ -34,6 +35,7 @@
 
 use self::{
     caller::SettingsBasis, place::BindOutcome, renew::Step, reply::complete_reply, send::Next,
+    version::StreamVersion,
 };
 use crate::{
     choose::{self, Criteria, Plan, Requirements},
@@ -42,6 +44,7 @@
     quarantine::Trial,
     quotas::Credit,
     stop,
+    streams::RunningStream,
 };
 
 /// Upper bound on rounds of placement and sending per request: a guard against
@@ -97,6 +100,10 @@
     pub(crate) software: Option<Name>,
     /// Ms since the store had confirmed the targets, at the last send.
     pub(crate) targets_age_ms: u64,
+    /// The version of its stream.
+    stream: StreamVersion,
+    /// Its entry among the streams that began here.
+    running: Option<RunningStream>,
     /// Credit reserved under its workspace's quota.
     credit: Option<Credit>,
     service: Name,
@@ -234,6 +241,8 @@
             settings_age_ms: 0,
             software: None,
             targets_age_ms: 0,
+            stream: StreamVersion::Unbound,
+            running: None,
             credit: None,
             service,
             engine,
@@ -307,7 +316,9 @@
 
     async fn run(mut self) -> Reply {
         self.record_request();
-        self.log_resumption();
+        if let Some(reply) = self.bind_version().await {
+            return reply;
+        }
         // Whether a lease holder has said that the wait in its group is too long.
         let mut too_long = false;
         for round in 0..MAX_ROUNDS {
@@ -325,6 +336,9 @@
             if let Some(reply) = self.pass_on_if_isolated().await {
                 return reply;
             }
+            if let Some(reply) = self.reject_gone_version() {
+                return reply;
+            }
             let Some(mut plan) = self.choose() else {
                 if let Some(ms) = self
                     .all_unavailable_ms()
@@ -406,14 +420,6 @@
         self.give_up("no target took it", 0.0)
     }
 
-    /// Logs which stream its caller resumes, if it does.
-    fn log_resumption(&self) {
-        if let Some(last) = self.client_request.last_event_id {
-            let first = self.client_request.resumes.as_deref().unwrap_or("");
-            log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, first, last; "caller resumes a stream");
-        }
-    }
-
     fn next_seed(mut self) -> Self {
         self.seed = self
             .seed
@@ -459,6 +465,7 @@
     }
 
     fn choose(&self) -> Option<Plan> {
+        let software = self.software_rule();
         let criteria = Criteria {
             requirements: &self.requirements,
             objective_ms: self.route.objective_ms,
@@ -472,6 +479,7 @@
             unavailable: &self.unavailable,
             only_tried: self.only_tried(),
             seed: self.seed,
+            software: &software,
         };
         choose::choose(&self.node, &criteria)
     }
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -41,9 +41,10 @@
     /// after the bound for new work at draining targets.
     pub(super) fn target_still_accepts(&self, plan: &Plan) -> bool {
         let now = self.node.now();
+        let software = self.software_rule();
         let view = self.node.view();
         let known = view.targets.get(&plan.target.id);
-        known.is_some_and(|t| view.accepts(t, &self.service, now))
+        known.is_some_and(|t| software.allows(&t.software) && view.accepts(t, &self.service, now))
     }
 
     /// Lets the lease holder of the planned group choose the engine, which
@@ -113,6 +114,7 @@
                 Some(group) if *group == plan.target.failure_domain => self.patience_ms(),
                 _ => 0,
             },
+            software: self.software_rule(),
         }
     }
 
@@ -154,7 +156,7 @@
 
     /// Continues with the engine that the holder chose, if it is known here.
     fn apply_binding(
-        &self,
+        &mut self,
         plan: &mut Plan,
         adapter: &AdapterRef,
         run: u64,
@@ -177,6 +179,12 @@
             return BindOutcome::None;
         };
         drop(view);
+        if !self.software_rule().allows(&target.software) {
+            // The holder may be of a build that does not know the rule.
+            log::info!(target: "serve", id:% = self.client_request.id, target_id:% = target.id, software = target.software.as_deref().unwrap_or(""); "the bound engine runs another software version");
+            self.unavailable.push(target.id.clone());
+            return BindOutcome::None;
+        }
         plan.unread_tokens = binding.unread_tokens;
         plan.wait_ms = binding.wait_ms as f64;
         plan.granted = binding.granted;
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -303,6 +303,7 @@
                         now,
                     );
                 }
+                self.stream_began(&plan.target);
                 let request = self.detach();
                 self.node.metrics.first_event(request.first_event_ms);
                 let body = relay.run(request);
@@ -340,6 +341,8 @@
             settings_age_ms: self.settings_age_ms,
             software: self.software.clone(),
             targets_age_ms: self.targets_age_ms,
+            stream: self.stream.clone(),
+            running: self.running.take(),
             credit: self.credit.take(),
             service: self.service.clone(),
             engine: self.engine.clone(),
@@ -408,6 +411,7 @@
         let may_resume = self.history.may_send(self.route.repeatable(), u32::MAX)
             && (self.tried.len() as u32) < self.route.max_attempts;
         if !may_resume
+            || !self.may_change_target()
             || self.remaining_ms() == 0
             || self.quarantined_ms().await.is_some()
             || !self.take_retry()
