Gossip of targets covers what a peer does not know to be complete

A row received by gossip raises the version that a daemon reports beyond what it knows to be complete, peers then sent only rows after that version, and their proofs never connected; its own readings of the store are skipped while gossip keeps its list young.

A daemon now reports the version up to which it lacks nothing, and rows and proofs begin there. add_rows_covers_what_is_not_complete does not compile on the code before, which had no such version; with the old one (9) in place of it the proof begins at 9 and the test fails. The line on a resumption says how old the list is, for how long it is complete and how many versions may have streams.

--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -120,6 +120,7 @@
         let targets = view.records.topic_rows(Topic::Targets);
         let targets_version = targets.version;
         let targets_age = targets.age(now);
+        let targets_complete = targets.complete_to;
         let settings_age = view.records.settings_sync.age_ms(now);
         let settings_version = view.records.settings_sync.newest();
         // A daemon that has known of newer settings for one part of their bound
@@ -145,6 +146,7 @@
                 .collect(),
             settings_version,
             targets_version,
+            targets_complete,
             targets_age,
             settings_age,
             cut_off: node.settings_unavailable() || behind_ms > lag_ms,
@@ -183,7 +185,7 @@
                 new,
                 peer.cut_off,
                 peer.settings_version,
-                peer.targets_version,
+                peer.targets_complete,
             )
         };
         // A new peer may have just started. A peer that is cut off gets only
@@ -374,7 +376,7 @@
         peer.heard_at_ms = now;
         peer.holder_hint = false;
         peer.settings_version = gossip.settings_version;
-        peer.targets_version = gossip.targets_version;
+        peer.targets_complete = gossip.targets_complete;
         peer.cut_off = gossip.cut_off;
         peer.members = gossip.members as usize;
         if gossip.holdings.is_empty() {
@@ -502,7 +504,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ReportedVersions {
     settings_version: u64,
-    targets_version: u64,
+    targets_complete: u64,
     targets_age: u64,
 }
 
@@ -510,7 +512,7 @@
     fn from(gossip: &News) -> Self {
         Self {
             settings_version: gossip.settings_version,
-            targets_version: gossip.targets_version,
+            targets_complete: gossip.targets_complete,
             targets_age: gossip.targets_age,
         }
     }
@@ -533,7 +535,7 @@
 pub(super) fn add_rows(node: &Node, asked: ReportedVersions, gossip: &mut News) {
     add_settings(node, asked.settings_version, gossip);
     if gossip.targets_age < asked.targets_age {
-        add_targets(node, asked.targets_version, gossip);
+        add_targets(node, asked.targets_complete, gossip);
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -93,8 +93,8 @@
     suspended_until_ms: u64,
     /// Newest settings row it has.
     settings_version: u64,
-    /// Version of its targets.
-    targets_version: u64,
+    /// Version up to which it lacks no relevant change of targets.
+    targets_complete: u64,
     /// Whether it cannot read the settings from the store itself.
     cut_off: bool,
     /// Daemons that may serve requests, by its own count; 0 if it does not
@@ -254,7 +254,7 @@
             runs: Runs::default(),
             suspended_until_ms: 0,
             settings_version: 0,
-            targets_version: 0,
+            targets_complete: 0,
             cut_off: false,
             members: 0,
             demands: Map::default(),
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -342,3 +342,22 @@
         .apply_gossip(&node, reported(0), super::Origin::Answer);
     assert_eq!(newest(), 12);
 }
+
+/// Guards against daemons that never learn how recent their targets are: one had a row
+/// by gossip that is newer than what it knows to be complete, and was sent only rows
+/// after that one.
+#[test]
+fn add_rows_covers_what_is_not_complete() {
+    let node = node();
+    records::prove_targets(&node, 10, node.now());
+    let ask = News {
+        targets_version: 9,
+        targets_complete: 5,
+        targets_age: 1_000,
+        ..News::default()
+    };
+    let mut answer = News::default();
+    add_rows(&node, ReportedVersions::from(&ask), &mut answer);
+    let proof = answer.targets_proof.expect("the rows are complete");
+    assert_eq!((proof.since, proof.until), (5, 10));
+}
--- a/crates/comfreyhall-node/src/serve/version.rs
+++ b/crates/comfreyhall-node/src/serve/version.rs
@@ -151,6 +151,12 @@
     fn log_resumption(&self, last: u64, software: &str, by: &'static str, age: u64, ms: u64) {
         self.node.metrics.resumption(by);
         let first = self.client_request.resumes.as_deref().unwrap_or("");
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, first, last, software, by, age, ms; "caller resumes a stream");
+        let now = self.node.now();
+        let (listed, span, versions) = {
+            let view = self.node.view();
+            let history = view.versions.get(&self.service);
+            history.map_or((0, 0, 0), |h| (h.age_ms(now), h.span_ms(now), h.versions()))
+        };
+        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, first, last, software, by, age, ms, listed, span, versions; "caller resumes a stream");
     }
 }
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -762,6 +762,9 @@
     /// them in the first messages to a process.
     #[prost(message, repeated, tag = "36")]
     pub versions: ::prost::alloc::vec::Vec<ServiceVersion>,
+    /// Version up to which the sender lacks no relevant change of targets.
+    #[prost(uint64, tag = "37")]
+    pub targets_complete: u64,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -208,6 +208,11 @@
         self.seen.len() > 1 || self.seen.contains_key(&None)
     }
 
+    /// Number of versions that may have streams.
+    pub fn versions(&self) -> usize {
+        self.seen.len()
+    }
+
     /// Age of the newest complete list of targets, in ms.
     pub fn age_ms(&self, now: u64) -> u64 {
         now.saturating_sub(self.as_of_ms)
