A service that appears after the daemon's first list has as complete a history

The times of complete lists are those of the daemon, and a history that begins later takes them over.

only_version_of_later_service fails to compile on the code before, which could not say it.

--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -16,7 +16,7 @@
     PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes, TargetStats,
 };
 use comfreyhall_settings::{NodeSettings, Policies};
-use comfreyhall_streams::{SoftwareRule, VersionHistory};
+use comfreyhall_streams::{ListTimes, SoftwareRule, VersionHistory};
 use tokio::sync::Notify;
 
 use crate::{
@@ -102,6 +102,8 @@
     pub(crate) records: RecordStore,
     /// Software versions by service.
     pub(crate) versions: Map<Name, VersionHistory>,
+    /// When the list of targets was complete.
+    pub(crate) list_times: ListTimes,
 }
 
 impl Default for View {
@@ -129,6 +131,7 @@
             hold: HoldTime::default(),
             records: RecordStore::default(),
             versions: Map::default(),
+            list_times: ListTimes::default(),
         }
     }
 }
@@ -247,6 +250,10 @@
         source: Arc<dyn Source>,
         backend: Arc<dyn Backend>,
     ) -> Arc<Self> {
+        let view = View {
+            list_times: ListTimes::new(settings.first_start),
+            ..View::default()
+        };
         Arc::new(Self {
             fleet: Fleet::new(&settings),
             quarantine: QuarantineTracker::new(settings.policies.bounded_suspects),
@@ -264,7 +271,7 @@
             outbound: Outbound::default(),
             streams: Arc::default(),
             changed: Notify::new(),
-            view: Mutex::default(),
+            view: Mutex::new(view),
             started_ms: clock::now(),
             in_flight: AtomicUsize::new(0),
             drain_began_ms: AtomicU64::new(0),
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -50,14 +50,9 @@
         self.proven_ms = self.proven_ms.max(at);
     }
 
-    /// Whether the rows have ever been certainly complete.
-    pub(crate) fn is_proven(&self) -> bool {
-        self.proven_ms > 0
-    }
-
     /// Time in ms since the rows were certainly complete.
     pub(crate) fn proven_age(&self, now: u64) -> Option<u64> {
-        self.is_proven().then(|| now.saturating_sub(self.proven_ms))
+        (self.proven_ms > 0).then(|| now.saturating_sub(self.proven_ms))
     }
 
     /// Records that the store confirmed the rows as complete at `at`.
@@ -144,10 +139,9 @@
 
 /// Records the software versions of the known targets.
 fn observe_versions(node: &Node) {
-    let settings = node.settings();
-    let timing = streams::timing(settings.bounds.drain_ms);
+    let timing = streams::timing(node.settings().bounds.drain_ms);
     let now = node.now();
-    let mixed = versions::observe(&mut node.view(), &timing, settings.first_start, now);
+    let mixed = versions::observe(&mut node.view(), &timing, now);
     for service in mixed {
         node.streams.record_running(&service, now);
     }
--- a/crates/comfreyhall-node/src/streams/versions.rs
+++ b/crates/comfreyhall-node/src/streams/versions.rs
@@ -6,9 +6,8 @@
 use crate::node::View;
 
 /// Records the versions of the known targets; returns the services of which several
-/// may have streams. `first_start`: the whole fleet starts for the first time.
-pub(crate) fn observe(view: &mut View, timing: &Timing, first_start: bool, now: u64) -> Vec<Name> {
-    let first_start = first_start && !view.records.targets.is_proven();
+/// may have streams.
+pub(crate) fn observe(view: &mut View, timing: &Timing, now: u64) -> Vec<Name> {
     let known = view.versions.keys().cloned();
     let listed = view.targets.values().map(|t| t.service.clone());
     let services: Set<Name> = known.chain(listed).collect();
@@ -25,7 +24,7 @@
         let history = view
             .versions
             .entry(service.clone())
-            .or_insert_with(|| VersionHistory::new(first_start));
+            .or_insert_with(|| VersionHistory::new(view.list_times.clone()));
         history.observe(&listings, timing, now);
         if history.is_mixed() {
             mixed.push(service);
@@ -36,6 +35,7 @@
 
 /// Records that the known targets were complete at `as_of_ms`.
 pub(crate) fn confirm(view: &mut View, timing: &Timing, as_of_ms: u64) {
+    view.list_times.confirm(as_of_ms, timing);
     for history in view.versions.values_mut() {
         history.confirm(as_of_ms, timing);
     }
--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -109,21 +109,20 @@
     }
 }
 
-/// The software versions of one service, as one daemon has listed them.
+/// The times at which a daemon knew the complete list of targets.
 #[derive(Debug, Clone, Default)]
-pub struct VersionHistory {
-    /// Whether the whole fleet started for the first time when this history began.
+pub struct ListTimes {
+    /// Whether the whole fleet started for the first time with this daemon.
     first_start: bool,
-    /// Since when no listed version can have been missed.
+    /// Since when no listed target can have been missed.
     complete_from_ms: Option<u64>,
-    /// The newest time at which the list of targets was complete; 0 for never.
+    /// The newest time; 0 for never.
     as_of_ms: u64,
-    seen: Map<Software, Seen>,
 }
 
-impl VersionHistory {
-    /// An empty history. `first_start`: the whole fleet starts for the first time, so
-    /// that no version has served before.
+impl ListTimes {
+    /// Before any list. `first_start`: the whole fleet starts for the first time, so
+    /// that no target has served before.
     pub fn new(first_start: bool) -> Self {
         Self {
             first_start,
@@ -131,6 +130,46 @@
         }
     }
 
+    /// Records that the list was complete at `as_of_ms`.
+    ///
+    /// Between two lists that are far apart, a target may have come and gone.
+    pub fn confirm(&mut self, as_of_ms: u64, timing: &Timing) {
+        let gap_ms = as_of_ms.saturating_sub(self.as_of_ms);
+        match self.as_of_ms {
+            0 if self.first_start => self.complete_from_ms = Some(0),
+            0 => self.complete_from_ms = Some(as_of_ms),
+            _ if gap_ms > timing.max_age_ms => self.complete_from_ms = Some(as_of_ms),
+            _ => {}
+        }
+        self.as_of_ms = self.as_of_ms.max(as_of_ms);
+    }
+
+    /// Age of the newest complete list, in ms.
+    fn age_ms(&self, now: u64) -> u64 {
+        now.saturating_sub(self.as_of_ms)
+    }
+
+    fn is_fresh(&self, timing: &Timing, now: u64) -> bool {
+        self.as_of_ms > 0 && self.age_ms(now) <= timing.max_age_ms
+    }
+}
+
+/// The software versions of one service, as one daemon has listed them.
+#[derive(Debug, Clone, Default)]
+pub struct VersionHistory {
+    list: ListTimes,
+    seen: Map<Software, Seen>,
+}
+
+impl VersionHistory {
+    /// A history of a service of which no target was listed until now.
+    pub fn new(list: ListTimes) -> Self {
+        Self {
+            list,
+            seen: Map::default(),
+        }
+    }
+
     /// Records the targets known at `now`; versions that left before the horizon are
     /// forgotten.
     pub fn observe(&mut self, listed: &[Listing], timing: &Timing, now: u64) {
@@ -138,7 +177,7 @@
             self.seen.entry(target.software.clone()).or_default();
         }
         // Before the first start of the fleet there were no streams.
-        let ready_ms = match self.first_start && self.as_of_ms == 0 {
+        let ready_ms = match self.list.first_start && self.list.as_of_ms == 0 {
             true => 0,
             false => now,
         };
@@ -153,17 +192,8 @@
     }
 
     /// Records that the observed targets were the complete list at `as_of_ms`.
-    ///
-    /// Between two lists that are far apart, a version may have come and gone.
     pub fn confirm(&mut self, as_of_ms: u64, timing: &Timing) {
-        let gap_ms = as_of_ms.saturating_sub(self.as_of_ms);
-        match self.as_of_ms {
-            0 if self.first_start => self.complete_from_ms = Some(0),
-            0 => self.complete_from_ms = Some(as_of_ms),
-            _ if gap_ms > timing.max_age_ms => self.complete_from_ms = Some(as_of_ms),
-            _ => {}
-        }
-        self.as_of_ms = self.as_of_ms.max(as_of_ms);
+        self.list.confirm(as_of_ms, timing);
         for seen in self.seen.values_mut() {
             let mut boots = seen.boots.values();
             let long = |b: &Boot| as_of_ms.saturating_sub(b.listed_ms) >= timing.hold_ms();
@@ -188,7 +218,7 @@
     /// `since_ms`.
     pub fn learn_only(&mut self, software: &Name, since_ms: u64) {
         let agrees = self.seen.keys().all(|s| s.as_ref() == Some(software));
-        if agrees && let Some(from) = &mut self.complete_from_ms {
+        if agrees && let Some(from) = &mut self.list.complete_from_ms {
             *from = (*from).min(since_ms);
         }
     }
@@ -215,33 +245,29 @@
 
     /// Age of the newest complete list of targets, in ms.
     pub fn age_ms(&self, now: u64) -> u64 {
-        now.saturating_sub(self.as_of_ms)
+        self.list.age_ms(now)
     }
 
     /// How long this history has been complete, in ms.
     pub fn span_ms(&self, now: u64) -> u64 {
-        let from = self.complete_from_ms.unwrap_or(now);
+        let from = self.list.complete_from_ms.unwrap_or(now);
         now.saturating_sub(from)
     }
 
-    fn is_fresh(&self, timing: &Timing, now: u64) -> bool {
-        self.as_of_ms > 0 && self.age_ms(now) <= timing.max_age_ms
-    }
-
     /// The version that must have begun every stream that can still be resumed;
     /// `None` if that is not certain.
     pub fn only_version(&self, timing: &Timing, now: u64) -> Option<&Name> {
-        let complete_from = self.complete_from_ms?;
+        let complete_from = self.list.complete_from_ms?;
         let complete = complete_from <= now.saturating_sub(timing.horizon_ms);
-        if !self.is_fresh(timing, now) || !complete || self.is_mixed() {
+        if !self.list.is_fresh(timing, now) || !complete || self.is_mixed() {
             return None;
         }
         let (software, seen) = self.seen.iter().next()?;
         let span_ms = match complete_from {
-            0 => timing.hold_ms().min(self.as_of_ms),
+            0 => timing.hold_ms().min(self.list.as_of_ms),
             _ => timing.hold_ms(),
         };
-        let steady = seen.steadily_ready(span_ms, self.as_of_ms);
+        let steady = seen.steadily_ready(span_ms, self.list.as_of_ms);
         software.as_ref().filter(|_| steady)
     }
 
@@ -251,7 +277,7 @@
     /// requests, or may do so: a daemon that knows only that one would continue the
     /// stream there.
     pub fn begin_rule(&self, timing: &Timing, now: u64) -> SoftwareRule {
-        let stale = !self.is_fresh(timing, now);
+        let stale = !self.list.is_fresh(timing, now);
         let has_alternative = |software: &Software| {
             let mut others = self.seen.iter().filter(|(other, _)| *other != software);
             others.any(|(_, seen)| stale || seen.was_ready(timing.hold_ms(), now))
--- a/crates/comfreyhall-streams/src/tests.rs
+++ b/crates/comfreyhall-streams/src/tests.rs
@@ -23,7 +23,7 @@
 }
 
 fn history(first_start: bool, versions: &[(&str, bool)], now: u64) -> VersionHistory {
-    let mut history = VersionHistory::new(first_start);
+    let mut history = VersionHistory::new(ListTimes::new(first_start));
     list(&mut history, versions, now, now);
     history
 }
@@ -66,6 +66,21 @@
     assert_eq!(only(&history, 61_000).as_deref(), Some("v2"));
 }
 
+/// Guards against a service whose targets were listed after its daemon had started,
+/// and that counts as incomplete since then.
+#[test]
+fn only_version_of_later_service() {
+    let mut list = ListTimes::new(true);
+    list.confirm(100, &TIMING);
+    list.confirm(1_100, &TIMING);
+    let mut history = VersionHistory::new(list);
+    for now in (2_000..=5_000).step_by(1_000) {
+        history.observe(&listed(&[("v1", true)]), &TIMING, now);
+        history.confirm(now, &TIMING);
+    }
+    assert_eq!(only(&history, 5_000).as_deref(), Some("v1"));
+}
+
 /// Guards against a proof from an old list: another version may have appeared since.
 #[test]
 fn only_version_needs_recent_list() {
--- a/crates/comfreyhall-streams/tests/model.rs
+++ b/crates/comfreyhall-streams/tests/model.rs
@@ -143,7 +143,7 @@
 impl Fleet {
     fn new(versions: &[usize]) -> Self {
         let daemon = |_| Daemon {
-            history: VersionHistory::new(true),
+            history: VersionHistory::new(ListTimes::new(true)),
             records: StreamRecords::default(),
             running: Vec::new(),
             targets: Vec::new(),
@@ -250,7 +250,7 @@
 
     fn restart(&mut self, d: usize) {
         let now = self.now_ms;
-        self.daemons[d].history = VersionHistory::new(false);
+        self.daemons[d].history = VersionHistory::new(ListTimes::new(false));
         self.daemons[d].records = StreamRecords::default();
         self.daemons[d].running.clear();
         self.list(d);
