Member rows name the software versions that may have streams

A daemon stores the versions that may have streams in its member row, once for each change of them; with one version that is one write after a start. A version that has just appeared begins streams only after that, and a daemon that starts reads the rows before it replaces its own. Rows of other builds or of daemons too young to have stored anything leave the past open, and resumptions are rejected as before.

--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -1,7 +1,8 @@
 //! Discovery of the other daemons through the platform's store.
 //!
 //! Each daemon writes one row when it starts and deletes it when it stops.
-//! Liveness is known from gossip, so nothing is written in between. The rows of
+//! Liveness is known from gossip, so nothing is written in between, except when other
+//! software versions of targets may have streams: the row names them. The rows of
 //! instances that died are deleted by one of the daemons that no longer see
 //! them.
 
@@ -10,7 +11,11 @@
 use comfreyhall_catalog::{CatalogError, Rows, delete, put};
 use rand::Rng;
 
-use crate::{follow, node::Node};
+use crate::{
+    follow,
+    node::Node,
+    streams::stored::{self, MemberValue},
+};
 
 const PREFIX: &str = "member/";
 
@@ -37,7 +42,8 @@
 
 async fn run<R: Rows>(node: Arc<Node>, rows: R) {
     let key = format!("{PREFIX}{}", node.settings().listen.peers);
-    let mut written = false;
+    let mut written: Option<MemberValue> = None;
+    let mut inherited = node.settings().first_start;
     let mut listed = None;
     let began = node.now();
     let mut failures = 0;
@@ -47,10 +53,25 @@
         let has_peers = now.saturating_sub(began) < period_ms(&node) && node.fleet.size(now) > 1;
         let listing_needed = needs_listing(&node, now);
         let due = listed.is_none_or(|at| now.saturating_sub(at) >= period_ms(&node));
-        if !written {
-            match write_own_row(&node, &rows, &key).await {
+        if !inherited {
+            match learn_versions(&node, &rows).await {
                 Ok(()) => {
-                    written = true;
+                    inherited = true;
+                    failures = 0;
+                }
+                Err(e) => {
+                    failures += 1;
+                    log::warn!(target: "members", error:% = e; "stored software versions not read");
+                }
+            }
+        }
+        let value = own_value(&node);
+        if written.as_ref() == Some(&value) {
+            value.mark_stored(&mut node.view());
+        } else if inherited {
+            match write_own_row(&node, &rows, &key, &value).await {
+                Ok(()) => {
+                    written = Some(value);
                     failures = 0;
                 }
                 Err(e) => {
@@ -59,6 +80,7 @@
                 }
             }
         }
+        let written = written.is_some();
         let first = written && listed.is_none();
         if first || (written && (listing_needed || (due && !has_peers))) {
             match list_members(&node, &rows, &key).await {
@@ -105,7 +127,7 @@
     let found = rows.scan(PREFIX, "", 0).await?;
     if !found.iter().any(|row| row.key == key) {
         // Other daemons took this one for lost while it was cut off.
-        write_own_row(node, rows, key).await?;
+        write_own_row(node, rows, key, &own_value(node)).await?;
     }
     let now = node.now();
     for row in found {
@@ -121,8 +143,29 @@
     Ok(())
 }
 
-async fn write_own_row<R: Rows>(node: &Node, rows: &R, key: &str) -> Result<(), CatalogError> {
-    let id = node.settings().id.to_string();
-    let entry = put(key, id.into_bytes());
-    rows.commit(Vec::new(), vec![entry]).await.map(|_| ())
+fn own_value(node: &Node) -> MemberValue {
+    let id = node.settings().id.clone();
+    MemberValue::current(&node.view(), &id, node.now())
+}
+
+async fn write_own_row<R: Rows>(
+    node: &Node,
+    rows: &R,
+    key: &str,
+    value: &MemberValue,
+) -> Result<(), CatalogError> {
+    rows.commit(Vec::new(), vec![put(key, value.encode())])
+        .await?;
+    value.mark_stored(&mut node.view());
+    Ok(())
+}
+
+/// Learns which software versions all members have stored, before this daemon replaces
+/// its own row.
+async fn learn_versions<R: Rows>(node: &Node, rows: &R) -> Result<(), CatalogError> {
+    let found = rows.scan(PREFIX, "", 0).await?;
+    let values: Vec<Vec<u8>> = found.into_iter().map(|row| row.value).collect();
+    let now = node.now();
+    stored::learn(&mut node.view(), &values, now);
+    Ok(())
 }
--- a/crates/comfreyhall-node/src/streams/mod.rs
+++ b/crates/comfreyhall-node/src/streams/mod.rs
@@ -9,6 +9,7 @@
 mod find;
 mod share;
 mod state;
+pub(crate) mod stored;
 pub(crate) mod versions;
 mod wire;
 
--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -59,8 +59,10 @@
 struct Seen {
     boots: Map<Name, Boot>,
     /// Whether one boot was listed for so long that every daemon with a complete
-    /// history has listed it too.
+    /// history has listed it too, and the version was stored before.
     established: bool,
+    /// Whether this daemon's stored record names it.
+    stored: bool,
     /// When a target of it was last listed; `None` while one is.
     left_ms: Option<u64>,
     /// When a target of it last took requests; `None` while one does.
@@ -136,7 +138,7 @@
     pub fn confirm(&mut self, as_of_ms: u64, timing: &Timing) {
         let gap_ms = as_of_ms.saturating_sub(self.as_of_ms);
         match self.as_of_ms {
-            0 if self.first_start => self.complete_from_ms = Some(0),
+            0 if self.is_first_complete() => self.complete_from_ms = Some(0),
             0 => self.complete_from_ms = Some(as_of_ms),
             _ if gap_ms > timing.max_age_ms => self.complete_from_ms = Some(as_of_ms),
             _ => {}
@@ -144,6 +146,11 @@
         self.as_of_ms = self.as_of_ms.max(as_of_ms);
     }
 
+    /// Whether all is known of the time before the first list, which is to come.
+    fn is_first_complete(&self) -> bool {
+        self.as_of_ms == 0 && (self.first_start || self.complete_from_ms == Some(0))
+    }
+
     /// Age of the newest complete list, in ms.
     fn age_ms(&self, now: u64) -> u64 {
         now.saturating_sub(self.as_of_ms)
@@ -176,8 +183,8 @@
         for target in listed {
             self.seen.entry(target.software.clone()).or_default();
         }
-        // Before the first start of the fleet there were no streams.
-        let ready_ms = match self.list.first_start && self.list.as_of_ms == 0 {
+        // What was known of earlier streams covers the time before the first list.
+        let ready_ms = match self.list.is_first_complete() {
             true => 0,
             false => now,
         };
@@ -197,7 +204,7 @@
         for seen in self.seen.values_mut() {
             let mut boots = seen.boots.values();
             let long = |b: &Boot| as_of_ms.saturating_sub(b.listed_ms) >= timing.hold_ms();
-            seen.established |= boots.any(long);
+            seen.established |= seen.stored && boots.any(long);
         }
     }
 
@@ -214,6 +221,30 @@
         }
     }
 
+    /// Records that this daemon's stored record names `versions`.
+    pub fn mark_stored(&mut self, versions: &[Software]) {
+        for (software, seen) in &mut self.seen {
+            seen.stored = versions.contains(software);
+        }
+    }
+
+    /// Records the versions that all daemons had stored by `now`: no other one has begun
+    /// a stream before.
+    pub fn learn_stored(&mut self, versions: &[Software], now: u64) {
+        for software in versions {
+            let reported = Reported {
+                software: software.clone(),
+                established: false,
+                left_ago_ms: 0,
+            };
+            self.learn(&reported, now);
+        }
+        self.list.complete_from_ms = Some(0);
+        for boot in self.seen.values_mut().flat_map(|s| s.boots.values_mut()) {
+            boot.ready_ms = boot.ready_ms.map(|_| 0);
+        }
+    }
+
     /// Records another daemon's proof that `software` alone has served since
     /// `since_ms`.
     pub fn learn_only(&mut self, software: &Name, since_ms: u64) {
--- a/crates/comfreyhall-streams/src/tests.rs
+++ b/crates/comfreyhall-streams/src/tests.rs
@@ -18,6 +18,8 @@
 fn list(history: &mut VersionHistory, versions: &[(&str, bool)], from: u64, until: u64) {
     for now in (from..=until).step_by(1_000) {
         history.observe(&listed(versions), &TIMING, now);
+        let seen: Vec<Software> = history.report(now).map(|r| r.software).collect();
+        history.mark_stored(&seen);
         history.confirm(now, &TIMING);
     }
 }
@@ -142,6 +144,34 @@
     assert!(held(&history, 13_000).is_empty());
 }
 
+/// Guards against streams of a version that nobody knows of after the whole fleet was
+/// killed: it has to be stored before it begins streams.
+#[test]
+fn begin_rule_holds_version_not_stored() {
+    let mut history = history(true, &[("v1", true)], 1_000);
+    list(&mut history, &[("v1", true)], 2_000, 9_000);
+    for now in (10_000..=20_000).step_by(1_000) {
+        history.observe(&listed(&[("v1", true), ("v2", true)]), &TIMING, now);
+        history.mark_stored(&[Some("v1".into())]);
+        history.confirm(now, &TIMING);
+    }
+    assert_eq!(held(&history, 20_000), [Some("v2".into())]);
+}
+
+/// Guards against rejected resumptions of a service with one version after the whole
+/// fleet was killed.
+#[test]
+fn learn_stored_completes_history() {
+    let mut fresh = VersionHistory::new(ListTimes::new(false));
+    fresh.learn_stored(&[Some("v1".into())], 50);
+    list(&mut fresh, &[("v1", true)], 100, 100);
+    assert_eq!(only(&fresh, 150).as_deref(), Some("v1"));
+    let mut mixed = VersionHistory::new(ListTimes::new(false));
+    mixed.learn_stored(&[Some("v1".into()), Some("v2".into())], 50);
+    list(&mut mixed, &[("v1", true)], 100, 100);
+    assert_eq!(only(&mixed, 150), None);
+}
+
 /// Guards against a service that is starved because its only version is new.
 #[test]
 fn begin_rule_allows_only_version() {
--- a/crates/comfreyhall-streams/tests/model.rs
+++ b/crates/comfreyhall-streams/tests/model.rs
@@ -46,6 +46,8 @@
     running: Vec<Stream>,
     /// Targets as last listed: index and version.
     targets: Vec<(usize, usize)>,
+    /// The versions in its stored record, which outlives it.
+    stored: Vec<Software>,
 }
 
 #[derive(Debug, Clone)]
@@ -66,6 +68,7 @@
     /// The message with this index is lost.
     Lose(usize),
     Restart(usize),
+    RestartAll,
 }
 
 fn op() -> impl Strategy<Value = Op> {
@@ -83,6 +86,7 @@
         8 => any_index().prop_map(Op::Deliver),
         1 => any_index().prop_map(Op::Lose),
         1 => d().prop_map(Op::Restart),
+        1 => Just(Op::RestartAll),
     ]
 }
 
@@ -147,6 +151,7 @@
             records: StreamRecords::default(),
             running: Vec::new(),
             targets: Vec::new(),
+            stored: Vec::new(),
         };
         let mut fleet = Self {
             now_ms: 1,
@@ -186,6 +191,13 @@
         daemon.targets = ready.map(|(i, t)| (i, t.version)).collect();
         daemon.history.observe(&listings, &TIMING, self.now_ms);
         daemon.history.confirm(self.now_ms, &TIMING);
+        daemon.stored = daemon
+            .history
+            .report(self.now_ms)
+            .map(|r| r.software)
+            .collect();
+        let stored = daemon.stored.clone();
+        daemon.history.mark_stored(&stored);
         let begun = daemon.record_running(self.now_ms);
         self.send_records(d, begun);
     }
@@ -248,12 +260,18 @@
         Ok(())
     }
 
-    fn restart(&mut self, d: usize) {
+    fn restart(&mut self, d: usize, asks_peer: bool) {
         let now = self.now_ms;
         self.daemons[d].history = VersionHistory::new(ListTimes::new(false));
         self.daemons[d].records = StreamRecords::default();
         self.daemons[d].running.clear();
+        let stored = self.daemons.iter().flat_map(|d| d.stored.clone());
+        let stored: Vec<Software> = stored.collect();
+        self.daemons[d].history.learn_stored(&stored, now);
         self.list(d);
+        if !asks_peer {
+            return;
+        }
         let peer = (d + 1) % DAEMONS;
         let reports: Vec<Reported> = self.daemons[peer].history.report(now).collect();
         for reported in &reports {
@@ -289,7 +307,11 @@
                     self.in_flight.remove(i);
                 }
             }
-            Op::Restart(d) => self.restart(d),
+            Op::Restart(d) => self.restart(d, true),
+            Op::RestartAll => {
+                self.in_flight.clear();
+                (0..DAEMONS).for_each(|d| self.restart(d, false));
+            }
         }
         Ok(())
     }
