--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -16,9 +16,11 @@
 use crate::{
     active_send::RunHandle,
     engine_control::EngineCandidate,
-    node::{Node, View},
+    node::Node,
     outbound::{self, UnavailableTargets},
-    paces, weights,
+    paces,
+    view::View,
+    weights,
 };
 
 /// Divisor of the version bound: how long after a new version of an adapter was
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -13,9 +13,10 @@
 use super::Job;
 use crate::{
     fleet::{adapter_key, parse_adapter_key},
-    node::{Node, View},
+    node::Node,
     outbound::UnavailableTargets,
     paces,
+    view::View,
     weights::recovery_order,
 };
 
--- a/crates/comfreyhall-node/src/engine_control/copies/tests.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies/tests.rs
@@ -2,7 +2,7 @@
 use comfreyhall_routing::Presence;
 
 use super::{due_recoveries, missing_copies};
-use crate::{node::View, test_node::target};
+use crate::{test_node::target, view::View};
 
 fn engine(id: &str) -> Target {
     Target {
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -9,9 +9,9 @@
 };
 use crate::{
     fleet::{LoadTiming, adapter_key},
-    node::NamedVersion,
     ports::{Action, CommandReply},
     slots,
+    view::NamedVersion,
     weights::{self, LoadOrigin},
 };
 
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -33,7 +33,8 @@
     follow,
     node::Node,
     ports::{Record, RecordBatch, Topic},
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
 };
 
 /// Concurrent transfers: with one, a daemon that freezes in the middle would
--- a/crates/comfreyhall-node/src/fleet/fetch/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch/tests.rs
@@ -5,7 +5,8 @@
 use crate::{
     node::Node,
     ports::{Record, RecordBatch, Topic},
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
     test_node::node,
 };
 
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -18,7 +18,8 @@
     outbound,
     ports::{Record, RecordBatch, Topic},
     quarantine::wire,
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
     streams,
 };
 
--- a/crates/comfreyhall-node/src/fleet/histories.rs
+++ b/crates/comfreyhall-node/src/fleet/histories.rs
@@ -7,7 +7,7 @@
 use comfreyhall_protocol::{Holding, LoadHistory};
 
 use super::Fleet;
-use crate::node::{Node, View};
+use crate::{node::Node, view::View};
 
 /// Load histories in one message: about 1 KB, so that a daemon that starts in a
 /// fleet of 60 groups receives 24 KB a second of them at most.
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -6,7 +6,8 @@
 use crate::{
     node::Node,
     ports::{Record, RecordBatch, Topic},
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
     test_node::node,
 };
 
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -18,7 +18,8 @@
 use crate::{
     node::Node,
     ports::{PendingBatch, RecordBatch, SourceError, Topic},
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
 };
 
 /// Longest wait of one feed call. It is far shorter than the store allows, so
--- a/crates/comfreyhall-node/src/follow/targets.rs
+++ b/crates/comfreyhall-node/src/follow/targets.rs
@@ -18,7 +18,8 @@
 use crate::{
     node::Node,
     ports::{RecordBatch, Topic},
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
 };
 
 /// Parts that the bound for draining targets is divided into. The data is
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -29,10 +29,12 @@
 mod quotas;
 mod records;
 mod relay;
+mod rows;
 mod serve;
 mod slots;
 mod stop;
 mod streams;
+mod view;
 mod weights;
 
 pub use fleet::serve_peers;
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -6,10 +6,7 @@
 use comfreyhall_domain::Name;
 use comfreyhall_routing::{Interference, StreamSample, selection};
 
-use crate::{
-    choose::Criteria,
-    node::{Node, View},
-};
+use crate::{choose::Criteria, node::Node, view::View};
 
 /// Largest cost of late streams at an engine that would load the adapter, in ms.
 /// Requests leave a free slot of such an engine unused for as long as it costs
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -7,96 +7,16 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{Config, Map, Name, PriorityTable, Stage, Target};
-use comfreyhall_inforce::{SettingsTracker, Source};
+use comfreyhall_domain::{Config, Name, PriorityTable, Stage, Target};
 
 use crate::{
-    node::{NamedVersion, Node, View},
+    node::Node,
     ports::{Decoded, Record, RecordBatch, Topic},
+    rows::Provenance,
     streams::{self, versions},
+    view::{NamedVersion, View},
 };
 
-/// Rows of one topic by key.
-#[derive(Debug, Default)]
-pub(crate) struct TopicRows {
-    pub(crate) rows: Map<Name, Record>,
-    /// Version at which each row last changed in a way that is relevant to
-    /// peers.
-    pub(crate) changed_versions: Map<Name, u64>,
-    /// Newest version covered.
-    pub(crate) version: u64,
-    /// When the store confirmed the rows, to this daemon or to a peer; for
-    /// settings [`SettingsTracker`] keeps it.
-    pub(crate) as_of_ms: u64,
-    /// Version up to which no relevant row is missing.
-    pub(crate) complete_to: u64,
-    /// The newest time at which the rows were certainly complete; 0 for never.
-    proven_ms: u64,
-}
-
-impl TopicRows {
-    /// Time in ms since the store confirmed the rows; the maximum if it never
-    /// did.
-    pub(crate) fn age(&self, now: u64) -> u64 {
-        match self.as_of_ms {
-            0 => u64::MAX,
-            as_of => now.saturating_sub(as_of),
-        }
-    }
-
-    /// Records that no relevant row up to `version` was missing at `at`.
-    fn prove(&mut self, version: u64, at: u64) {
-        self.complete_to = self.complete_to.max(version);
-        self.proven_ms = self.proven_ms.max(at);
-    }
-
-    /// Time in ms since the rows were certainly complete.
-    pub(crate) fn proven_age(&self, now: u64) -> Option<u64> {
-        (self.proven_ms > 0).then(|| now.saturating_sub(self.proven_ms))
-    }
-
-    /// Records that the store confirmed the rows as complete at `at`.
-    pub(crate) fn confirm(&mut self, at: u64) {
-        self.as_of_ms = self.as_of_ms.max(at);
-    }
-}
-
-/// The rows of all topics.
-#[derive(Debug, Default)]
-pub(crate) struct RecordStore {
-    pub(crate) settings: TopicRows,
-    pub(crate) targets: TopicRows,
-    /// Synchronization state of the settings.
-    pub(crate) settings_sync: SettingsTracker,
-}
-
-impl RecordStore {
-    pub(crate) fn topic_rows(&mut self, topic: Topic) -> &mut TopicRows {
-        match topic {
-            Topic::Settings => &mut self.settings,
-            Topic::Targets => &mut self.targets,
-        }
-    }
-}
-
-/// Source of rows, and when they were requested.
-#[derive(Debug)]
-pub(crate) struct Provenance {
-    pub(crate) source: Source,
-    pub(crate) requested_at_ms: u64,
-}
-
-impl Provenance {
-    /// The store's answer to a call that began at `requested_at_ms`.
-    pub(crate) fn store(requested_at_ms: u64) -> Self {
-        let source = Source::Store;
-        Self {
-            source,
-            requested_at_ms,
-        }
-    }
-}
-
 /// Applies rows of `topic` that are newer than those known.
 pub(crate) fn apply(node: &Node, topic: Topic, batch: RecordBatch, origin: &Provenance) {
     let now = node.now();
--- a/crates/comfreyhall-node/src/settings_tests.rs
+++ b/crates/comfreyhall-node/src/settings_tests.rs
@@ -8,7 +8,8 @@
     fleet::Origin,
     node::Node,
     ports::{Record, RecordBatch, Topic},
-    records::{self, Provenance},
+    records,
+    rows::Provenance,
     serve::Reply,
     test_node::{node, request},
 };
--- a/crates/comfreyhall-node/src/streams/stored.rs
+++ b/crates/comfreyhall-node/src/streams/stored.rs
@@ -9,7 +9,7 @@
 use comfreyhall_streams::{Software, VersionHistory};
 use serde::{Deserialize, Serialize};
 
-use crate::node::View;
+use crate::view::View;
 
 /// Versions by service; an empty text stands for an unknown version.
 type Versions = BTreeMap<String, Vec<String>>;
--- a/crates/comfreyhall-node/src/streams/versions.rs
+++ b/crates/comfreyhall-node/src/streams/versions.rs
@@ -3,7 +3,7 @@
 use comfreyhall_domain::{Name, Set, Stage};
 use comfreyhall_streams::{Listing, Timing, VersionHistory};
 
-use crate::node::View;
+use crate::view::View;
 
 /// Records the versions of the known targets; returns the services of which several
 /// may have streams.
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -5,7 +5,7 @@
 use crate::{
     events::EventSplitter,
     leases::{HeldLease, Leases},
-    node::View,
+    view::View,
 };
 
 #[test]
--- a/crates/comfreyhall-node/src/weights/mod.rs
+++ b/crates/comfreyhall-node/src/weights/mod.rs
@@ -10,7 +10,7 @@
     recovery::recovery_order,
     store::{CallerCounts, StoreQueue, StoreState, StoreWait},
 };
-use crate::node::{Node, View};
+use crate::{node::Node, view::View};
 
 /// What loading an adapter on an engine takes.
 #[derive(Debug, Clone, Copy, PartialEq)]
