Moves: the state of outbound, quotas, leases, quarantine and engine control imports no node

Outbound, Quotas with QuotaKind, Leases with HeldLease, QuarantineTracker and EngineControllers to a file each (state.rs, controllers.rs), adapter_key and parse_adapter_key to a module of their own, STALLED_LOAD_MS to job.rs. Their methods that take a node stay where they were. Nothing else changes.

--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -8,9 +8,9 @@
 use super::{BindError, BindParams, Binding};
 use crate::{
     active_send::PendingLoad,
+    adapter_key::adapter_key,
     choose::{self, Criteria, Plan},
     engine_control::{self, Placed},
-    fleet::adapter_key,
     leases,
     node::Node,
     outbound,
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -302,7 +302,7 @@
         version,
     } = engine_needs;
     let now = node.now();
-    let key = crate::fleet::adapter_key(adapter);
+    let key = crate::adapter_key::adapter_key(adapter);
     let in_use = node.fleet.in_use(now);
     let used = node.fleet.reported_in_use(now);
     let named = view.named_versions.get(adapter).map_or(0, |n| n.version);
--- a/crates/comfreyhall-node/src/engine_control/affinity.rs
+++ b/crates/comfreyhall-node/src/engine_control/affinity.rs
@@ -3,7 +3,7 @@
 use comfreyhall_domain::{AdapterRef, Stage};
 
 use super::{EngineController, Job};
-use crate::{fleet::adapter_key, outbound::UnavailableTargets};
+use crate::{adapter_key::adapter_key, outbound::UnavailableTargets};
 
 impl EngineController {
     /// Whether a lost adapter is still to be loaded here: no engine has it or is
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -7,7 +7,8 @@
 
 use super::{EngineController, IDLE_POLL_MS, REPORT_DELAY};
 use crate::{
-    fleet::{LoadTiming, adapter_key},
+    adapter_key::adapter_key,
+    fleet::LoadTiming,
     leases, outbound,
     ports::{Action, Command, CommandReply},
 };
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -12,7 +12,7 @@
 
 use super::Job;
 use crate::{
-    fleet::{adapter_key, parse_adapter_key},
+    adapter_key::{adapter_key, parse_adapter_key},
     node::Node,
     outbound::UnavailableTargets,
     paces,
--- a/crates/comfreyhall-node/src/engine_control/job.rs
+++ b/crates/comfreyhall-node/src/engine_control/job.rs
@@ -5,11 +5,11 @@
 use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_slots::{SlotShare, SlotWaiter};
 
-use super::{
-    STALLED_LOAD_MS,
-    ticket::{Ticket, Waiter},
-};
-use crate::fleet::adapter_key;
+use super::ticket::{Ticket, Waiter};
+use crate::adapter_key::adapter_key;
+
+/// Duration after which a load counts as stalled and is abandoned, in ms.
+pub(super) const STALLED_LOAD_MS: u64 = 3_000;
 
 /// A request to load an adapter on this engine, or on one of several.
 pub(super) struct Job {
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -5,10 +5,12 @@
 use comfreyhall_routing::Presence;
 
 use super::{
-    EngineController, HeldAdapter, Job, LOAD_POLL_MS, PendingLoad, Placed, STALLED_LOAD_MS, finish,
+    EngineController, HeldAdapter, Job, LOAD_POLL_MS, PendingLoad, Placed, finish,
+    job::STALLED_LOAD_MS,
 };
 use crate::{
-    fleet::{LoadTiming, adapter_key},
+    adapter_key::adapter_key,
+    fleet::LoadTiming,
     ports::{Action, CommandReply},
     slots,
     view::NamedVersion,
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -11,6 +11,7 @@
 
 mod affinity;
 mod command;
+mod controllers;
 mod copies;
 mod job;
 mod load;
@@ -20,28 +21,25 @@
 mod ticket;
 
 use std::{
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::Arc,
     time::Duration,
 };
 
-use comfreyhall_domain::{AdapterRef, Map, Name, Target};
-use comfreyhall_placement::{LoadRateLimit, LoadWindow};
+use comfreyhall_domain::{AdapterRef, Map, Target};
 use tokio::sync::mpsc;
 
-use self::{
-    job::Job,
-    ticket::{Ticket, Waiter},
-};
 pub(crate) use self::{
+    controllers::EngineControllers,
     request::{EngineCandidate, PlacementRequest, place_adapter},
     ticket::{Placed, PlacementError},
 };
+use self::{
+    job::Job,
+    ticket::{Ticket, Waiter},
+};
 use crate::{
     node::Node,
-    weights::{CallerCounts, LoadOrigin, StoreQueue, StoreState},
+    weights::LoadOrigin,
 };
 
 /// Jobs that may be queued for one engine.
@@ -51,13 +49,6 @@
 /// few hundred ms old.
 const REPORT_DELAY: Duration = Duration::from_millis(250);
 
-/// Load duration in ms assumed before any measurement: from the weight store,
-/// and of an adapter that the engine has cached.
-const INITIAL_LOAD_MS: [f64; 2] = [250.0, 25.0];
-
-/// Weight of one sample in the moving average of load durations.
-const LOAD_EWMA_WEIGHT: f64 = 0.1;
-
 /// Interval between checks of a load that should have finished, in ms.
 const LOAD_POLL_MS: u64 = 15;
 
@@ -66,163 +57,9 @@
 /// requested.
 const MIN_DEMAND_SCORE: f64 = 0.01;
 
-/// Duration after which a load counts as stalled and is abandoned, in ms.
-const STALLED_LOAD_MS: u64 = 3_000;
-
 /// Longest pause of an idle engine controller, in ms.
 const IDLE_POLL_MS: u64 = 500;
 
-/// Controllers of all engines that this daemon manages.
-pub(crate) struct EngineControllers {
-    jobs: Mutex<Map<Name, mpsc::Sender<Job>>>,
-    /// Engines that are loading each adapter.
-    loading: Mutex<Map<AdapterRef, Vec<Name>>>,
-    /// Loads from the weight store in progress.
-    store_loads: AtomicU32,
-    /// Requests that wait until the weight store may load for them.
-    store_queue: StoreQueue,
-    /// Requests that wait for a load of each adapter.
-    callers: CallerCounts,
-    window: Mutex<LoadWindow>,
-    /// Model loads started recently.
-    model_loads: Mutex<LoadRateLimit>,
-    load_times: Mutex<[f64; 2]>,
-}
-
-impl Default for EngineControllers {
-    fn default() -> Self {
-        Self {
-            jobs: Mutex::default(),
-            loading: Mutex::default(),
-            store_loads: AtomicU32::new(0),
-            store_queue: StoreQueue::default(),
-            callers: CallerCounts::default(),
-            window: Mutex::default(),
-            model_loads: Mutex::default(),
-            load_times: Mutex::new(INITIAL_LOAD_MS),
-        }
-    }
-}
-
-impl EngineControllers {
-    fn window(&self) -> MutexGuard<'_, LoadWindow> {
-        self.window.lock().expect("no holder of this lock panics")
-    }
-
-    /// Whether the weight store has reached its number of efficient concurrent
-    /// loads.
-    fn store_full(&self) -> bool {
-        self.store_loads.load(Ordering::Relaxed) >= self.window().size()
-    }
-
-    /// What a load from the weight store costs now.
-    pub(crate) fn store_state(&self) -> StoreState {
-        StoreState {
-            load_ms: self.expected_load_ms(false),
-            waiting: self.store_queue.len(),
-            size: self.window().size(),
-        }
-    }
-
-    /// Number of requests that wait for `adapter`.
-    pub(crate) fn callers(&self, adapter: &AdapterRef) -> u32 {
-        self.callers.count(adapter)
-    }
-
-    /// Loads from the weight store that may start now for nobody in particular.
-    fn store_room(&self) -> usize {
-        let used = self.store_loads.load(Ordering::Relaxed) + self.store_queue.len();
-        self.window().size().saturating_sub(used) as usize
-    }
-
-    /// Whether a model load may start now.
-    fn model_may_load(&self, rate: f64, share: f64, now: u64) -> bool {
-        let mut models = self
-            .model_loads
-            .lock()
-            .expect("no holder of this lock panics");
-        models.try_start(rate, share, now)
-    }
-
-    /// Expected duration of a load in ms.
-    pub(crate) fn expected_load_ms(&self, cached: bool) -> f64 {
-        let times = self
-            .load_times
-            .lock()
-            .expect("no holder of this lock panics");
-        times[usize::from(cached)]
-    }
-
-    fn record_load(&self, cached: bool, load_ms: u64, now: u64) {
-        if !cached {
-            let full = self.store_full();
-            self.window().record_load(load_ms, full, now);
-        }
-        let mut times = self
-            .load_times
-            .lock()
-            .expect("no holder of this lock panics");
-        let time = &mut times[usize::from(cached)];
-        *time += LOAD_EWMA_WEIGHT * (load_ms as f64 - *time);
-    }
-
-    fn loading(&self) -> MutexGuard<'_, Map<AdapterRef, Vec<Name>>> {
-        self.loading.lock().expect("no holder of this lock panics")
-    }
-
-    /// Records that `target` is loading `adapter`.
-    fn begin_load(&self, adapter: &AdapterRef, target: &Name) {
-        let mut loading = self.loading();
-        let targets = loading.entry(adapter.clone()).or_default();
-        if !targets.contains(target) {
-            targets.push(target.clone());
-        }
-    }
-
-    /// Whether any engine managed here is loading `adapter`.
-    fn is_loading(&self, adapter: &AdapterRef) -> bool {
-        self.loading().contains_key(adapter)
-    }
-
-    /// Whether one of `candidates` other than `target` is loading `adapter`.
-    fn is_loading_elsewhere(
-        &self,
-        adapter: &AdapterRef,
-        target: &Name,
-        candidates: &[Name],
-    ) -> bool {
-        let loading = self.loading();
-        let other = |t: &Name| t != target && candidates.contains(t);
-        loading
-            .get(adapter)
-            .is_some_and(|targets| targets.iter().any(other))
-    }
-
-    /// Loads in progress, by adapter and engine.
-    pub(crate) fn loads(&self) -> Vec<(AdapterRef, Name)> {
-        let loading = self.loading();
-        let pairs = loading
-            .iter()
-            .flat_map(|(adapter, targets)| targets.iter().map(|t| (adapter.clone(), t.clone())));
-        pairs.collect()
-    }
-
-    /// Records that `target` is no longer loading `adapter`.
-    fn end_load(&self, adapter: &AdapterRef, target: &Name) {
-        let mut loading = self.loading();
-        if let Some(targets) = loading.get_mut(adapter) {
-            targets.retain(|t| t != target);
-            if targets.is_empty() {
-                loading.remove(adapter);
-            }
-        }
-    }
-
-    fn jobs(&self) -> MutexGuard<'_, Map<Name, mpsc::Sender<Job>>> {
-        self.jobs.lock().expect("no holder of this lock panics")
-    }
-}
-
 /// Starts the task that runs a controller for each engine of a held lease.
 pub(crate) fn spawn(node: &Arc<Node>) {
     copies::spawn(node);
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -11,7 +11,8 @@
 use comfreyhall_routing::{Presence, Work};
 use rand::seq::IteratorRandom;
 
-use super::{Fleet, Peer, State, histories::apply_histories, hub, parse_adapter_key, runs::Runs};
+use super::{Fleet, Peer, State, histories::apply_histories, hub, runs::Runs};
+use crate::adapter_key::parse_adapter_key;
 use crate::{
     follow,
     node::Node,
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -45,7 +45,7 @@
 use tonic::transport::Channel;
 
 use self::runs::Runs;
-use crate::{clock, node::Node};
+use crate::{adapter_key::adapter_key, clock, node::Node};
 
 /// Gossip period in ms. It keeps the wait estimate at most a quarter of a
 /// second old, about the duration of one prompt.
@@ -174,24 +174,6 @@
     Answer,
 }
 
-/// Formats an adapter as `model/adapter`.
-pub(crate) fn adapter_key(adapter: &AdapterRef) -> Name {
-    format!(
-        "{}/{}",
-        adapter.model,
-        adapter.adapter.as_deref().unwrap_or("")
-    )
-    .into()
-}
-
-pub(crate) fn parse_adapter_key(key: &str) -> Option<AdapterRef> {
-    let (model, adapter) = key.split_once('/')?;
-    Some(AdapterRef {
-        model: model.into(),
-        adapter: (!adapter.is_empty()).then(|| adapter.into()),
-    })
-}
-
 impl Fleet {
     pub(crate) fn new(settings: &NodeSettings) -> Self {
         let me = Daemon {
--- a/crates/comfreyhall-node/src/fleet/runs.rs
+++ b/crates/comfreyhall-node/src/fleet/runs.rs
@@ -10,7 +10,7 @@
 use comfreyhall_routing::Work;
 use comfreyhall_slots::SlotShare;
 
-use super::{adapter_key, parse_adapter_key};
+use crate::adapter_key::{adapter_key, parse_adapter_key};
 
 /// How long a run that was bound for a daemon counts although its gossip does
 /// not list it, in ms: the last message may have been made before the daemon
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -6,9 +6,11 @@
 //! One for each failure domain limits both, and places the holder next to its
 //! engines.
 
+pub(crate) mod state;
+
 use std::{
-    sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    sync::Arc,
+    time::Duration,
 };
 
 use comfreyhall_catalog::{CatalogError, Rows};
@@ -16,6 +18,7 @@
 use comfreyhall_lease::Lease;
 use tokio::time::error::Elapsed;
 
+pub(crate) use self::state::Leases;
 use crate::{clock, fleet, node::Node};
 
 /// Renewals or checks within one lease term.
@@ -28,150 +31,6 @@
 /// placed daemons have had time for a takeover by then.
 const VACANT_TERMS: u64 = 2;
 
-/// Command fencing tokens for each token of the lease: a holder that stops
-/// while the store is down hands the group over under the next one, and whoever
-/// acquires the lease from the store afterwards still has a higher one.
-const TOKEN_STRIDE: u64 = 1_000;
-
-/// A lease without its access to the store.
-pub(crate) trait HeldLease: Send + Sync {
-    fn token(&self, now: Instant) -> Option<u64>;
-    fn expired_token(&self) -> Option<u64>;
-}
-
-impl<R: Rows> HeldLease for Lease<R> {
-    fn token(&self, now: Instant) -> Option<u64> {
-        Lease::token(self, now)
-    }
-
-    fn expired_token(&self) -> Option<u64> {
-        self.lapsed_token()
-    }
-}
-
-/// Leases known to this daemon.
-#[derive(Default)]
-pub(crate) struct Leases {
-    held: Mutex<Map<Name, Arc<dyn HeldLease>>>,
-    /// Tokens that stopping holders handed over to this daemon, by group.
-    handed_over: Mutex<Map<Name, u64>>,
-    /// Highest token of another holder by group, as reported by engines and
-    /// peers.
-    highest_seen: Mutex<Map<Name, u64>>,
-    /// Time since which no holder is known, by group.
-    vacant_since_ms: Mutex<Map<Name, u64>>,
-}
-
-impl Leases {
-    /// Returns the fencing token for a command in `group`.
-    ///
-    /// While the store is down nobody can renew, and stopping all loads for the
-    /// length of an outage would fail every request for an adapter that is not
-    /// loaded. Where engines check tokens (`fencing`), a holder whose lease has
-    /// expired continues under its token until an engine or a peer reports a
-    /// higher one: whoever acquires the lease gets a higher token, and engines
-    /// reject the lower one from then on.
-    pub(crate) fn token(&self, group: &str, fencing: bool) -> Option<u64> {
-        let lease = {
-            let held = self.held.lock().expect("no holder of this lock panics");
-            held.get(group).cloned()
-        };
-        let current = lease.as_ref().and_then(|l| l.token(clock::instant()));
-        let expired = lease.and_then(|l| l.expired_token().filter(|_| fencing));
-        let handed_over = {
-            let handed_over = self
-                .handed_over
-                .lock()
-                .expect("no holder of this lock panics");
-            handed_over.get(group).copied().filter(|_| fencing)
-        };
-        let own = current.or(expired).map(|t| t * TOKEN_STRIDE);
-        let token = own.max(handed_over)?;
-        let highest_seen = self
-            .highest_seen
-            .lock()
-            .expect("no holder of this lock panics");
-        let highest = highest_seen.get(group).copied().unwrap_or(0);
-        (token > highest).then_some(token)
-    }
-
-    /// Stops commands in `group`; returns the token for a successor, if one may
-    /// continue without the store.
-    ///
-    /// Without it, a holder that stops while the store is down cannot release
-    /// its lease, and all loads of its group stop until the store is back and a
-    /// lease term has passed: 9 s in an incident with an outage of 8 s.
-    pub(crate) fn hand_over(&self, group: &str, fencing: bool) -> Option<u64> {
-        let token = self.token(group, fencing).filter(|_| fencing)?;
-        self.observe_token(group, token);
-        Some(token + 1)
-    }
-
-    /// Continues `group` under `token` for a holder that stopped.
-    pub(crate) fn accept_handover(&self, group: &str, token: u64) {
-        let mut handed_over = self
-            .handed_over
-            .lock()
-            .expect("no holder of this lock panics");
-        let known = handed_over.entry(group.into()).or_default();
-        *known = token.max(*known);
-    }
-
-    /// Groups held now, with their tokens.
-    pub(crate) fn held(&self, fencing: bool) -> Vec<(Name, u64)> {
-        let groups: Vec<Name> = {
-            let held = self.held.lock().expect("no holder of this lock panics");
-            let handed_over = self
-                .handed_over
-                .lock()
-                .expect("no holder of this lock panics");
-            let mut groups: Vec<Name> = held.keys().chain(handed_over.keys()).cloned().collect();
-            groups.sort();
-            groups.dedup();
-            groups
-        };
-        let tokens = groups
-            .into_iter()
-            .map(|g| Some((g.clone(), self.token(&g, fencing)?)));
-        tokens.flatten().collect()
-    }
-
-    /// Returns for how long no holder of `group` has been known, in ms.
-    fn vacant_ms(&self, group: &str, held: bool, now: u64) -> u64 {
-        let mut vacant_since = self
-            .vacant_since_ms
-            .lock()
-            .expect("no holder of this lock panics");
-        if held {
-            vacant_since.remove(group);
-            return 0;
-        }
-        let since = vacant_since.entry(group.into()).or_insert(now);
-        now.saturating_sub(*since)
-    }
-
-    /// Whether this daemon holds any group.
-    pub(crate) fn holds_any(&self, fencing: bool) -> bool {
-        !self.held(fencing).is_empty()
-    }
-
-    /// Records a `token` of another holder of `group`, or one that an engine
-    /// rejected.
-    pub(crate) fn observe_token(&self, group: &str, token: u64) {
-        let mut highest_seen = self
-            .highest_seen
-            .lock()
-            .expect("no holder of this lock panics");
-        let highest = highest_seen.entry(group.into()).or_default();
-        *highest = token.max(*highest);
-    }
-
-    pub(crate) fn add(&self, group: &Name, lease: Arc<dyn HeldLease>) {
-        let mut held = self.held.lock().expect("no holder of this lock panics");
-        held.insert(group.clone(), lease);
-    }
-}
-
 /// Failure domains that contain engines.
 pub(crate) fn groups(node: &Node) -> Vec<Name> {
     let view = node.view();
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -9,6 +9,7 @@
 //! format.
 
 mod active_send;
+mod adapter_key;
 mod bind;
 mod choose;
 mod clock;
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -8,14 +8,15 @@
 mod availability;
 mod limits;
 mod log;
+mod state;
 
 use std::{
     borrow::Cow,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::Arc,
     time::Duration,
 };
 
-use comfreyhall_backpressure::{Change, Notice, TargetSignals, rejection_pause_ms};
+use comfreyhall_backpressure::{Change, Notice, rejection_pause_ms};
 use comfreyhall_domain::{ClientRequest, Refusal, Target};
 use rand::Rng;
 use tokio::time::timeout;
@@ -25,6 +26,7 @@
         Unavailable, UnavailableTargets, describe_unavailable, is_draining, unavailable,
     },
     limits::{grant, holder_notices, limits, merge_notices, notices, own_notices},
+    state::Outbound,
 };
 use crate::{
     node::Node,
@@ -38,18 +40,6 @@
 /// Divisor of a cooldown that gives the maximum of its jitter.
 const COOLDOWN_JITTER_DIVISOR: u64 = 8;
 
-/// What this daemon knows of what targets announce.
-#[derive(Default)]
-pub(crate) struct Outbound {
-    signals: Mutex<TargetSignals>,
-}
-
-impl Outbound {
-    fn signals(&self) -> MutexGuard<'_, TargetSignals> {
-        self.signals.lock().expect("no holder of this lock panics")
-    }
-}
-
 /// Lengthens a cooldown by a random part. Daemons that were notified together
 /// would otherwise return together, and overload the target right after its
 /// cooldown.
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -13,15 +13,16 @@
 mod confirm;
 mod log;
 mod spread;
+mod state;
 pub(crate) mod wire;
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 
-use comfreyhall_domain::{Map, Name, Set, Stage};
-use comfreyhall_quarantine::{Change, Evidence, Fingerprint, Observation, Quarantine, Status};
-use tokio::sync::Notify;
+use comfreyhall_domain::{Name, Stage};
+use comfreyhall_quarantine::{Change, Evidence, Fingerprint, Observation, Status};
 
-pub(crate) use self::spread::spawn;
+use self::state::ClosedRun;
+pub(crate) use self::{spread::spawn, state::QuarantineTracker};
 use crate::{node::Node, outbound};
 
 /// How long a target that was found to have ended is remembered, in ms: the
@@ -29,35 +30,6 @@
 /// may be busy for a few hundred.
 const ENDED_TTL_MS: u64 = 10_000;
 
-/// Evidence on this daemon about requests that end targets.
-pub(crate) struct QuarantineTracker {
-    state: Mutex<State>,
-    /// Wakes the task that notifies the other daemons.
-    found: Notify,
-    /// Wakes requests that wait to learn whether their target has ended.
-    resolved: Notify,
-}
-
-#[derive(Default)]
-struct State {
-    known: Quarantine,
-    /// Requests whose connections these targets closed.
-    closed_runs: Map<Name, Map<Fingerprint, ClosedRun>>,
-    /// Targets that have ended, and when that was found.
-    ended_targets: Map<Name, u64>,
-    /// Requests with a trial in progress here.
-    trials: Set<Fingerprint>,
-}
-
-/// A run whose connection its target closed.
-#[derive(Clone, Copy)]
-struct ClosedRun {
-    /// When it was closed, in ms.
-    at: u64,
-    /// Whether the target had just started the run.
-    early: bool,
-}
-
 /// Retry delay given to the caller of a request that is on trial, in ms: the
 /// result is known to everyone by then.
 pub(crate) const TRIAL_RETRY_MS: u64 = 5_000;
@@ -87,38 +59,6 @@
 }
 
 impl QuarantineTracker {
-    /// One without evidence. `bounded`: ends that many targets share count less.
-    pub(crate) fn new(bounded: bool) -> Self {
-        let known = match bounded {
-            true => Quarantine::default(),
-            false => Quarantine::unbounded(),
-        };
-        let state = State {
-            known,
-            ..State::default()
-        };
-        Self {
-            state: Mutex::new(state),
-            found: Notify::new(),
-            resolved: Notify::new(),
-        }
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of this lock panics")
-    }
-
-    /// Whether there is no evidence against any request; no request needs a
-    /// fingerprint then.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.state().known.is_empty()
-    }
-
-    /// Whether a target ended while running `fingerprint`.
-    pub(crate) fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
-        self.state().known.is_suspect(fingerprint)
-    }
-
     /// Describes the targets that ended while running `fingerprint`, for the
     /// log.
     pub(crate) fn describe_ends(&self, fingerprint: &Fingerprint, now: u64) -> String {
--- /dev/null
+++ b/crates/comfreyhall-node/src/quarantine/state.rs
@@ -0,0 +1,70 @@
+//! Evidence against requests, and runs whose end is not resolved.
+
+use std::sync::{Mutex, MutexGuard};
+
+use comfreyhall_domain::{Map, Name, Set};
+use comfreyhall_quarantine::{Fingerprint, Quarantine};
+use tokio::sync::Notify;
+
+/// Evidence on this daemon about requests that end targets.
+pub(crate) struct QuarantineTracker {
+    state: Mutex<State>,
+    /// Wakes the task that notifies the other daemons.
+    pub(super) found: Notify,
+    /// Wakes requests that wait to learn whether their target has ended.
+    pub(super) resolved: Notify,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) known: Quarantine,
+    /// Requests whose connections these targets closed.
+    pub(super) closed_runs: Map<Name, Map<Fingerprint, ClosedRun>>,
+    /// Targets that have ended, and when that was found.
+    pub(super) ended_targets: Map<Name, u64>,
+    /// Requests with a trial in progress here.
+    pub(super) trials: Set<Fingerprint>,
+}
+
+/// A run whose connection its target closed.
+#[derive(Clone, Copy)]
+pub(super) struct ClosedRun {
+    /// When it was closed, in ms.
+    pub(super) at: u64,
+    /// Whether the target had just started the run.
+    pub(super) early: bool,
+}
+
+impl QuarantineTracker {
+    /// One without evidence. `bounded`: ends that many targets share count less.
+    pub(crate) fn new(bounded: bool) -> Self {
+        let known = match bounded {
+            true => Quarantine::default(),
+            false => Quarantine::unbounded(),
+        };
+        let state = State {
+            known,
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+            found: Notify::new(),
+            resolved: Notify::new(),
+        }
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+
+    /// Whether there is no evidence against any request; no request needs a
+    /// fingerprint then.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.state().known.is_empty()
+    }
+
+    /// Whether a target ended while running `fingerprint`.
+    pub(crate) fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
+        self.state().known.is_suspect(fingerprint)
+    }
+}
--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -10,23 +10,25 @@
 //! to the quota coordinators.
 
 mod settle;
+mod state;
 mod wire;
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard},
+    sync::Arc,
     time::Duration,
 };
 
-use comfreyhall_domain::{Config, Map, Name};
+use comfreyhall_domain::{Config, Name};
 use comfreyhall_settings::QuotaMode;
 use comfreyhall_workspace::{
-    GrantingLimiter, LendingLimiter, PeerProcess, PlacedQuota, QuotaSnapshot, RateLimiter,
+    GrantingLimiter, LendingLimiter, PeerProcess, RateLimiter,
     ReserveOutcome, SharingLimiter, Tolerance,
 };
-use tokio::sync::Notify;
 
+use self::state::State;
 pub(crate) use self::{
     settle::{notify_coordinator, spawn},
+    state::{QuotaKind, Quotas},
     wire::answer,
 };
 use crate::{clock, leases, node::Node, outbound};
@@ -37,46 +39,6 @@
 /// The group of workspaces where no group of engines is known.
 const DEFAULT_GROUP: &str = "fleet";
 
-/// What a quota limits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum QuotaKind {
-    /// Workspaces, as configured.
-    Workspaces,
-    /// Targets, by the limits they announce.
-    Targets,
-}
-
-impl QuotaKind {
-    /// Longest wait of a request for a coordinator's answer, in ms: it takes a
-    /// few ms, and some tens on a busy core. A request that gets no credit of
-    /// one target can use others.
-    pub(crate) fn answer_ms(self) -> u64 {
-        match self {
-            QuotaKind::Workspaces => 250,
-            QuotaKind::Targets => 100,
-        }
-    }
-}
-
-/// Quotas of one kind on this daemon.
-pub(crate) struct Quotas {
-    kind: QuotaKind,
-    state: Mutex<State>,
-    /// Notified when a coordinator has answered.
-    answered: Notify,
-}
-
-#[derive(Default)]
-struct State {
-    limiter: Option<Box<dyn RateLimiter>>,
-    /// Version of the configuration that the limiter has, and the groups it is
-    /// distributed over.
-    version: u64,
-    groups: Vec<Name>,
-    /// Limits that the limiter of targets has.
-    limits: Map<Name, PlacedQuota>,
-}
-
 /// Why a request gets no credit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum QuotaError {
@@ -93,63 +55,12 @@
 }
 
 impl Quotas {
-    pub(crate) fn new(kind: QuotaKind) -> Self {
-        Self {
-            kind,
-            state: Mutex::default(),
-            answered: Notify::new(),
-        }
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of this lock panics")
-    }
-
-    /// Whether there is any quota.
-    pub(crate) fn in_use(&self) -> bool {
-        let state = self.state();
-        match self.kind {
-            QuotaKind::Workspaces => state.limiter.is_some(),
-            QuotaKind::Targets => !state.limits.is_empty(),
-        }
-    }
-
     /// Ensures that the limiter has the quotas of `config`.
     pub(crate) fn sync_config(&self, node: &Node, config: &Config) {
         if self.state().version != config.version {
             refresh(node, self.kind);
         }
     }
-
-    /// Time in ms until a unit of `name` may be available.
-    pub(crate) fn unavailable_ms(&self, name: &str, now: u64) -> u64 {
-        let state = self.state();
-        let limiter = state.limiter.as_ref();
-        limiter.map_or(0, |m| m.retry_after_ms(name, 1, now))
-    }
-
-    /// Whether `name` has unused units, as far as is known here.
-    pub(crate) fn has_spare(&self, name: &str, now: u64) -> bool {
-        let state = self.state();
-        state
-            .limiter
-            .as_ref()
-            .is_some_and(|m| m.has_surplus(name, now))
-    }
-
-    /// Takes a unit of `name` if one is available here and now.
-    pub(crate) fn take_local(&self, name: &str, now: u64) -> bool {
-        let mut state = self.state();
-        let outcome = state.limiter.as_mut().map(|m| m.try_reserve(name, 1, now));
-        outcome == Some(ReserveOutcome::Granted)
-    }
-
-    /// The data behind a rejection by the quota of `name`.
-    pub(crate) fn basis(&self, name: &str, now: u64) -> QuotaSnapshot {
-        let state = self.state();
-        let limiter = state.limiter.as_ref();
-        limiter.map_or_else(QuotaSnapshot::default, |m| m.snapshot(name, now))
-    }
 }
 
 /// The groups that quotas are distributed over.
--- a/crates/comfreyhall-node/src/serve/counting.rs
+++ b/crates/comfreyhall-node/src/serve/counting.rs
@@ -3,7 +3,7 @@
 use comfreyhall_routing::RetryBudget;
 
 use super::ActiveRequest;
-use crate::fleet::adapter_key;
+use crate::adapter_key::adapter_key;
 
 impl ActiveRequest {
     /// Counts the request for the retry budget and the demand for its adapter.
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -38,8 +38,8 @@
     version::StreamVersion,
 };
 use crate::{
+    adapter_key::adapter_key,
     choose::{self, Criteria, Plan, Requirements},
-    fleet::adapter_key,
     node::{InFlightGuard, Node},
     quarantine::Trial,
     quotas::Credit,
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -8,9 +8,9 @@
 use super::{ActiveRequest, RECHECK_MS, send::UNREACHABLE_MS};
 use crate::{
     active_send::RunHandle,
+    adapter_key::adapter_key,
     bind::{self, BindError, BindParams, Binding},
     choose::Plan,
-    fleet::adapter_key,
 };
 
 /// Part of a caller's total time that may pass in a wait for a slot that the
--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -12,7 +12,7 @@
 use comfreyhall_slots::{ShareUse, SlotWaiter};
 
 pub(crate) use self::{state::SlotLedgers, waiting::WaitingSlot};
-use crate::{bind::BindParams, choose, fleet::adapter_key, node::Node};
+use crate::{adapter_key::adapter_key, bind::BindParams, choose, node::Node};
 
 /// How long a request waits for a slot in one group of engines before it
 /// chooses again, in ms, if the holder expects a slot for it: another group may
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     events::EventSplitter,
-    leases::{HeldLease, Leases},
+    leases::{Leases, state::HeldLease},
     view::View,
 };
 
