--- a/crates/comfreyhall-node/src/active_send.rs
+++ b/crates/comfreyhall-node/src/active_send.rs
@@ -7,9 +7,9 @@
 use comfreyhall_slots::SlotShare;
 
 use crate::{
-    fleet::{Run, RunChange, RunUpdate},
+    fleet::{Run, RunChange, RunUpdate, updates::StreamReport},
     node::Node,
-    paces::{self, Prompt, StreamReport},
+    paces::{self, Prompt},
 };
 
 /// Time after its first event during which a run counts as just begun, in ms: a
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -11,7 +11,7 @@
 
 mod affinity;
 mod command;
-mod controllers;
+pub(crate) mod controllers;
 mod copies;
 mod job;
 mod load;
@@ -20,27 +20,20 @@
 mod task;
 mod ticket;
 
-use std::{
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{AdapterRef, Map, Target};
 use tokio::sync::mpsc;
 
-pub(crate) use self::{
-    controllers::EngineControllers,
-    request::{EngineCandidate, PlacementRequest, place_adapter},
-    ticket::{Placed, PlacementError},
-};
 use self::{
     job::Job,
     ticket::{Ticket, Waiter},
 };
-use crate::{
-    node::Node,
-    weights::LoadOrigin,
+pub(crate) use self::{
+    request::{EngineCandidate, PlacementRequest, place_adapter},
+    ticket::{Placed, PlacementError},
 };
+use crate::{node::Node, weights::LoadOrigin};
 
 /// Jobs that may be queued for one engine.
 const JOB_QUEUE_LEN: usize = 256;
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -1,31 +1,22 @@
-//! Gossip calls to the other daemons, and the service that answers theirs.
+//! Gossip calls to the other daemons, and the answers to theirs.
 
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Name;
-use comfreyhall_protocol::{
-    BindReply, BindRequest, CapCall, CapReply, ForwardRequest, News, ProgressReply, ProgressReport,
-    SettingsAsk, StreamFinding, StreamQuery, StreamRecordBatch, StreamRecordReply,
-    fleet_server::{self, FleetServer},
-};
+use comfreyhall_protocol::News;
 use rand::Rng;
-use tokio::net::TcpListener;
-use tonic::{Request, Response, Status};
 
 use super::{
     Fleet, GOSSIP_PERIOD_MS, Origin, State,
-    fetch::{self, ChunkStream},
     gossip::{ReportedVersions, add_rows},
-    hub,
+    roster,
+    state::FORGET_MS,
 };
-use crate::{bind, forward, node::Node, quotas, streams};
+use crate::node::Node;
 
 /// Longest duration of one exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which a peer that nobody has seen is forgotten, in ms.
-pub(super) const FORGET_MS: u64 = 60_000;
-
 /// Interval between calls to a peer that does not answer, in ms.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
 
@@ -58,7 +49,7 @@
         p.seed || now.saturating_sub(last) < FORGET_MS
     });
     let holding = node.leases.holds_any(node.settings().bounds.fencing);
-    let out = if hub::is_large(state.peers.len()) {
+    let out = if roster::is_large(state.peers.len()) {
         state.due_in_large(holding, now)
     } else {
         state.due_small(me, now)
@@ -131,7 +122,7 @@
     let now = node.now();
     let addrs: Vec<Name> = {
         let state = node.fleet.state();
-        let large = hub::is_large(state.peers.len());
+        let large = roster::is_large(state.peers.len());
         let heard = state.alive_peers(now).filter(|(_, p)| !large || p.holds());
         heard.map(|(a, _)| a.clone()).collect()
     };
@@ -146,91 +137,24 @@
 /// one by chance, seconds later; until then they know no holder and place no
 /// adapter there. In a small fleet the next period reaches everyone.
 pub(crate) async fn announce_lease(node: Arc<Node>) {
-    let large = hub::is_large(node.fleet.state().peers.len());
+    let large = roster::is_large(node.fleet.state().peers.len());
     if large {
         notify_all(&node).await;
     }
 }
 
-/// Answers the other daemons.
-struct PeerService(Arc<Node>);
-
-#[tonic::async_trait]
-impl fleet_server::Fleet for PeerService {
-    async fn exchange(&self, req: Request<News>) -> Result<Response<News>, Status> {
-        let asked = req.into_inner();
-        let addr = asked.from.as_ref().map(|d| d.peer.clone());
-        let addr = addr.unwrap_or_default();
-        let versions = ReportedVersions::from(&asked);
-        let asker = asked.from.clone();
-        let roster = asked.roster_version;
-        self.0.fleet.apply_gossip(&self.0, asked, Origin::Call);
-        let mut gossip = self.0.fleet.gossip_for(&self.0, &addr);
-        add_rows(&self.0, versions, &mut gossip);
-        if let Some(asker) = asker {
-            self.0
-                .fleet
-                .add_totals(&self.0, &asker, roster, &mut gossip);
-        }
-        Ok(Response::new(gossip))
-    }
-
-    async fn bind(&self, req: Request<BindRequest>) -> Result<Response<BindReply>, Status> {
-        Ok(Response::new(bind::answer(&self.0, req.into_inner()).await))
-    }
-
-    type ForwardStream = forward::PartStream;
-
-    async fn forward(
-        &self,
-        req: Request<ForwardRequest>,
-    ) -> Result<Response<forward::PartStream>, Status> {
-        let parts = forward::receive(&self.0, req.into_inner()).await?;
-        Ok(Response::new(parts))
-    }
-
-    type FetchStream = ChunkStream;
-
-    async fn fetch(&self, req: Request<SettingsAsk>) -> Result<Response<ChunkStream>, Status> {
-        fetch::send_settings(&self.0, &req.into_inner()).map(Response::new)
-    }
-
-    async fn settle(&self, req: Request<CapCall>) -> Result<Response<CapReply>, Status> {
-        Ok(Response::new(quotas::answer(&self.0, req.into_inner())))
+/// Answers the gossip of another daemon.
+pub(crate) fn answer(node: &Arc<Node>, asked: News) -> News {
+    let addr = asked.from.as_ref().map(|d| d.peer.clone());
+    let addr = addr.unwrap_or_default();
+    let versions = ReportedVersions::from(&asked);
+    let asker = asked.from.clone();
+    let roster = asked.roster_version;
+    node.fleet.apply_gossip(node, asked, Origin::Call);
+    let mut gossip = node.fleet.gossip_for(node, &addr);
+    add_rows(node, versions, &mut gossip);
+    if let Some(asker) = asker {
+        node.fleet.add_totals(node, &asker, roster, &mut gossip);
     }
-
-    async fn record_streams(
-        &self,
-        req: Request<StreamRecordBatch>,
-    ) -> Result<Response<StreamRecordReply>, Status> {
-        streams::receive(&self.0, req.into_inner());
-        Ok(Response::new(StreamRecordReply::default()))
-    }
-
-    async fn find_stream(
-        &self,
-        req: Request<StreamQuery>,
-    ) -> Result<Response<StreamFinding>, Status> {
-        Ok(Response::new(streams::answer(&self.0, req.get_ref())))
-    }
-
-    async fn progress(
-        &self,
-        req: Request<ProgressReport>,
-    ) -> Result<Response<ProgressReply>, Status> {
-        self.0.fleet.apply_progress(&self.0, &req.into_inner());
-        Ok(Response::new(ProgressReply::default()))
-    }
-}
-
-/// Answers the other daemons on `listener` for as long as the process runs.
-pub async fn serve_peers(node: Arc<Node>, listener: TcpListener) -> eyre::Result<()> {
-    let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
-    tonic::transport::Server::builder()
-        .http2_keepalive_interval(Some(Duration::from_secs(1)))
-        .http2_keepalive_timeout(Some(Duration::from_secs(1)))
-        .add_service(FleetServer::new(PeerService(node)))
-        .serve_with_incoming(incoming)
-        .await?;
-    Ok(())
+    gossip
 }
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -4,7 +4,7 @@
 //! fleet may lack them. They are therefore not part of the reports, which are
 //! frequent and have short timeouts: a daemon that has learned of a newer
 //! version asks one daemon that has it, and receives it in chunks, which may
-//! take as long as the links need. A daemon sends them to [`MAX_TRANSFERS`]
+//! take as long as the links need. A daemon sends them to a few
 //! others at a time and names the latest recipients, so that they spread
 //! through the fleet and no daemon's link carries all copies.
 
@@ -25,7 +25,7 @@
 use prost::Message;
 use rand::{Rng, seq::IteratorRandom};
 use thiserror::Error;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tonic::{Status, transport::Channel};
 
 use super::{Fleet, gossip};
@@ -37,10 +37,6 @@
     rows::Provenance,
 };
 
-/// Concurrent transfers: with one, a daemon that freezes in the middle would
-/// block all others; each additional one slows down all of them.
-const MAX_TRANSFERS: usize = 2;
-
 /// Recipients named to daemons that cannot be served now.
 const NAMED: usize = 8;
 
@@ -60,33 +56,7 @@
 const NO_SOURCE_PAUSE: Duration = Duration::from_millis(500);
 
 /// The chunks of one transfer.
-pub(super) type ChunkStream = Pin<Box<dyn Stream<Item = Result<SettingsPart, Status>> + Send>>;
-
-/// Transfers of settings to other daemons.
-pub(super) struct SettingsSender {
-    permits: Arc<Semaphore>,
-    /// Peer addresses of the latest recipients.
-    recipients: Arc<Mutex<VecDeque<String>>>,
-}
-
-impl Default for SettingsSender {
-    fn default() -> Self {
-        Self {
-            permits: Arc::new(Semaphore::new(MAX_TRANSFERS)),
-            recipients: Arc::default(),
-        }
-    }
-}
-
-impl SettingsSender {
-    fn recent_recipients(&self) -> Vec<String> {
-        let recipients = self
-            .recipients
-            .lock()
-            .expect("no holder of this lock panics");
-        recipients.iter().cloned().collect()
-    }
-}
+pub(crate) type ChunkStream = Pin<Box<dyn Stream<Item = Result<SettingsPart, Status>> + Send>>;
 
 /// A transfer to one daemon; it holds its permit until it ends.
 struct Transfer {
@@ -120,7 +90,7 @@
 
 /// Sends the settings that `ask` lacks, or names other daemons that may have
 /// them.
-pub(super) fn send_settings(node: &Node, ask: &SettingsAsk) -> Result<ChunkStream, Status> {
+pub(crate) fn send_settings(node: &Node, ask: &SettingsAsk) -> Result<ChunkStream, Status> {
     let newest = node.view().records.settings_sync.newest();
     if newest <= ask.since {
         return Err(Status::not_found("nothing newer is known here"));
--- a/crates/comfreyhall-node/src/fleet/fetch/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch/tests.rs
@@ -1,7 +1,8 @@
 use comfreyhall_protocol::{SettingsAsk, SettingsPart};
 use futures::StreamExt;
 
-use super::{MAX_TRANSFERS, send_settings};
+use super::send_settings;
+use crate::fleet::sender::MAX_TRANSFERS;
 use crate::{
     node::Node,
     ports::{Record, RecordBatch, Topic},
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -11,7 +11,7 @@
 use comfreyhall_routing::{Presence, Work};
 use rand::seq::IteratorRandom;
 
-use super::{Fleet, Peer, State, histories::apply_histories, hub, runs::Runs};
+use super::{Fleet, Peer, State, histories::apply_histories, roster, runs::Runs};
 use crate::adapter_key::parse_adapter_key;
 use crate::{
     follow,
@@ -52,13 +52,13 @@
         let mut state = self.state();
         let known = state.alive_peers(now).filter(|(a, _)| &***a != addr);
         let known = known.map(|(a, _)| a.to_string());
-        gossip.peers = if hub::is_large(state.peers.len()) {
+        gossip.peers = if roster::is_large(state.peers.len()) {
             // The rosters name the rest.
             known.choose_multiple(&mut rand::rng(), NAMED_PEERS)
         } else {
             known.collect()
         };
-        if hub::is_large(state.peers.len()) {
+        if roster::is_large(state.peers.len()) {
             gossip.holders = state.holders(now);
         }
         gossip.runs = state.runs_for(addr, now);
@@ -179,7 +179,7 @@
             let Some(peer) = state.peers.get(addr) else {
                 return;
             };
-            if hub::is_large(state.peers.len()) && !peer.holds() {
+            if roster::is_large(state.peers.len()) && !peer.holds() {
                 return;
             }
             let new = peer.daemon.is_none();
@@ -447,7 +447,7 @@
     /// engines of its groups, and those of groups without a known holder.
     fn runs_for(&self, addr: &str, now: u64) -> Vec<EngineRun> {
         let all = self.runs.iter();
-        if !hub::is_large(self.peers.len()) {
+        if !roster::is_large(self.peers.len()) {
             return all.map(|(id, run)| run.to_wire(id, now)).collect();
         }
         let holds = |p: &Peer, group: &Name| p.holdings.iter().any(|(g, _)| g == group);
--- a/crates/comfreyhall-node/src/fleet/holders.rs
+++ b/crates/comfreyhall-node/src/fleet/holders.rs
@@ -4,7 +4,7 @@
 use comfreyhall_protocol::{Cession, Daemon};
 use comfreyhall_routing::selection::rendezvous_rank;
 
-use super::{Fleet, hub};
+use super::{Fleet, roster};
 
 /// Processor needed to hold leases in a large fleet, in thousandths of a core:
 /// the reports of 88 daemons and the commands to thirty engines took 59 to 69
@@ -52,7 +52,7 @@
     /// takes requests, in the group's domain if possible.
     pub(crate) fn successor(&self, group: &str, now: u64) -> Option<Name> {
         let state = self.state();
-        let large = hub::is_large(state.peers.len());
+        let large = roster::is_large(state.peers.len());
         let ready = state.alive_peers(now).filter_map(|(addr, peer)| {
             let about = peer.daemon.as_ref().filter(|a| a.ready)?;
             let weak = large && about.millicores < MIN_HOLDER_MILLICORES;
@@ -74,14 +74,14 @@
     /// Whether this daemon has too little processor to hold leases in a large
     /// fleet while others can.
     pub(crate) fn is_underpowered(&self) -> bool {
-        hub::is_large(self.state().peers.len()) && self.me.millicores < MIN_HOLDER_MILLICORES
+        roster::is_large(self.state().peers.len()) && self.me.millicores < MIN_HOLDER_MILLICORES
     }
 
     /// Whether the peer at `addr` is better placed for the lease of `group`
     /// than this daemon: in its domain, and not weaker.
     pub(crate) fn is_better_placed(&self, group: &str, addr: &str) -> bool {
         let state = self.state();
-        let large = hub::is_large(state.peers.len());
+        let large = roster::is_large(state.peers.len());
         let strong = |d: &Daemon| !large || d.millicores >= MIN_HOLDER_MILLICORES;
         let about = state.peers.get(addr).and_then(|p| p.daemon.as_ref());
         let near = about.is_some_and(|d| d.domain == group && strong(d) >= strong(&self.me));
@@ -97,7 +97,7 @@
     /// next.
     pub(crate) fn precedence(&self, group: &str, now: u64) -> Precedence {
         let state = self.state();
-        let large = hub::is_large(state.peers.len());
+        let large = roster::is_large(state.peers.len());
         let class = |d: &Daemon| {
             (
                 large && d.millicores >= MIN_HOLDER_MILLICORES,
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -9,22 +9,17 @@
 //! knowledge of the others is one [`report_period_ms`] old. A few additional
 //! random peers keep the fleet connected when holders change or are cut off.
 
-use std::hash::{Hash, Hasher};
-
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_protocol::{Daemon, News, TargetTotal};
 use comfreyhall_routing::Work;
 use rand::seq::IteratorRandom;
-use rustc_hash::FxHasher;
 
-use super::{FANOUT, Fleet, GOSSIP_PERIOD_MS, Peer, State};
+use super::{
+    FANOUT, Fleet, GOSSIP_PERIOD_MS, Peer, State,
+    roster::{Roster, Summary, is_large, report_period_ms},
+};
 use crate::node::Node;
 
-/// Calls that a holder answers per second: at 0.2 ms each (processor time over
-/// calls with 89 daemons, including all other work) this takes 4% of a core,
-/// which is below the limit for control traffic.
-const REPORTS_PER_S: u64 = 200;
-
 /// Interval between calls to a random peer while holders are known, in ms.
 const RANDOM_CALL_MS: u64 = 1_000;
 
@@ -32,40 +27,6 @@
 /// reports, so that ten are made per second instead of one for each call.
 const SUMMARY_TTL_MS: u64 = 100;
 
-/// Whether a fleet of `peers` reports to holders.
-pub(super) fn is_large(peers: usize) -> bool {
-    peers > FANOUT
-}
-
-/// Interval in ms between two reports to the same holder in a fleet of `peers`.
-pub(super) fn report_period_ms(peers: usize) -> u64 {
-    (peers as u64 * 1_000 / REPORTS_PER_S).max(GOSSIP_PERIOD_MS)
-}
-
-/// Live daemons, as reported by a holder.
-#[derive(Debug, Default)]
-pub(super) struct Roster {
-    version: u64,
-    members: Vec<Daemon>,
-}
-
-impl Roster {
-    /// Version of the roster; 0 for none.
-    pub(super) fn version(&self) -> u64 {
-        self.version
-    }
-
-    fn from_members(members: Vec<Daemon>) -> Self {
-        let mut hash = FxHasher::default();
-        for member in &members {
-            (&member.peer, member.boot, member.ready, member.isolated).hash(&mut hash);
-        }
-        // 0 stands for no roster.
-        let version = hash.finish().max(1);
-        Self { version, members }
-    }
-}
-
 impl Peer {
     /// Whether it holds a lease.
     pub(super) fn holds(&self) -> bool {
@@ -135,17 +96,6 @@
     }
 }
 
-/// The part of a holder's answers that is the same for all daemons, before each
-/// daemon's own work is subtracted.
-#[derive(Debug, Default)]
-pub(super) struct Summary {
-    /// When it was made; 0 for never.
-    made_at_ms: u64,
-    roster: Roster,
-    /// Work of all daemons at the targets of the held groups.
-    totals: Vec<(Name, TargetTotal)>,
-}
-
 impl Fleet {
     /// Whether the fleet is so large that it reports to holders.
     pub(crate) fn is_large(&self) -> bool {
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -15,49 +15,30 @@
 mod holders;
 mod hub;
 mod members;
+mod pace_log;
 mod paces;
 mod progress;
-mod runs;
+mod roster;
+pub(crate) mod runs;
+mod sender;
+pub(crate) mod state;
+pub(crate) mod updates;
 
 pub(crate) use self::{
-    exchange::{announce_lease, notify_all, notify_findings, spawn},
-    progress::{RunChange, RunUpdate},
+    exchange::{announce_lease, answer, notify_all, notify_findings, spawn},
+    fetch::{ChunkStream, send_settings},
     runs::Run,
+    state::LoadTiming,
+    updates::{RunChange, RunUpdate},
 };
-pub use exchange::serve_peers;
 
-use std::{
-    collections::VecDeque,
-    sync::{
-        Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
-
-use comfreyhall_domain::{AdapterRef, Map, Name, Set};
-use comfreyhall_protocol::{Cession, Daemon, Placed, fleet_client::FleetClient, link};
-use comfreyhall_quarantine::SyncPosition;
-use comfreyhall_routing::selection;
-use comfreyhall_settings::NodeSettings;
-use rand::{Rng, seq::IteratorRandom};
-use tokio::sync::{Notify, mpsc};
-use tonic::transport::Channel;
-
-use self::runs::Runs;
-use crate::{adapter_key::adapter_key, clock, node::Node};
-
-/// Gossip period in ms. It keeps the wait estimate at most a quarter of a
-/// second old, about the duration of one prompt.
-const GOSSIP_PERIOD_MS: u64 = 250;
+use std::time::Duration;
 
-/// Peers called in one period. With more daemons than this, gossip goes through
-/// the lease holders, which keeps the cost of a daemon constant.
-const FANOUT: usize = 16;
+use comfreyhall_domain::Name;
+use rand::seq::IteratorRandom;
 
-/// Missing reports after which a peer's address is no longer given to callers,
-/// so that a few lost calls do not exclude it.
-const ALIVE_PERIODS: u64 = 4;
+use self::state::{FANOUT, Fleet, GOSSIP_PERIOD_MS, Peer, State};
+use crate::node::Node;
 
 /// Maximum number of addresses in one answer that callers accept.
 const MAX_ADDRESSES: usize = 64;
@@ -66,104 +47,6 @@
 /// long, and a stopping daemon serves at least that long.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
 
-/// Placements remembered for peers that have not received them yet.
-const MAX_PLACEMENTS: usize = 512;
-
-struct Peer {
-    client: FleetClient<Channel>,
-    seed: bool,
-    daemon: Option<Daemon>,
-    /// When its address became known.
-    met_at_ms: u64,
-    heard_at_ms: u64,
-    /// When a lease holder last reported it as alive.
-    vouched_at_ms: u64,
-    called_at_ms: u64,
-    calling: bool,
-    /// Reported to hold a lease, and not called yet.
-    holder_hint: bool,
-    roster: hub::Roster,
-    /// Adapters in use by others at targets of its groups, if it reported them.
-    reported_use: Map<Name, u32>,
-    holdings: Vec<(Name, u64)>,
-    /// Its runs at engines, as it reported them or as they were bound here.
-    runs: Runs,
-    /// Receives no placement requests before this, because it did not answer in
-    /// time.
-    suspended_until_ms: u64,
-    /// Newest settings row it has.
-    settings_version: u64,
-    /// Version up to which it lacks no relevant change of targets.
-    targets_complete: u64,
-    /// Whether it cannot read the settings from the store itself.
-    cut_off: bool,
-    /// Daemons that may serve requests, by its own count; 0 if it does not
-    /// know.
-    members: usize,
-    demands: Map<Name, u32>,
-    /// How often it was told of the slots used in each group that it holds.
-    use_told: Map<Name, u8>,
-    /// How many messages told it of all software versions.
-    versions_told: u8,
-    /// First placement not sent to it yet.
-    untold_from: u64,
-    /// Load histories sent to it, in order of their targets.
-    histories_sent: usize,
-    /// Serial of the last pace of an engine that it was told.
-    paces_told: u64,
-    /// Serial of the last finding it has received from this daemon.
-    findings_acked: u64,
-    /// Its findings that this daemon has received.
-    findings_heard: SyncPosition,
-    /// Its clock in its last gossip message.
-    clock_ms: u64,
-}
-
-/// How long a load took, and how many others its target had loaded since it
-/// last loaded the adapter.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct LoadTiming {
-    pub(crate) load_ms: u64,
-    pub(crate) age: Option<usize>,
-}
-
-#[derive(Default)]
-struct State {
-    /// Keyed by peer address.
-    peers: Map<Name, Peer>,
-    /// Requests that wait for an adapter at a target managed here.
-    pins: Map<(Name, AdapterRef), u32>,
-    /// Runs of this daemon at engines.
-    runs: Runs,
-    placements: VecDeque<(u64, Placed)>,
-    next_placement: u64,
-    /// Groups this daemon handed over.
-    handovers: Vec<Cession>,
-    /// Cached part of the answers to daemons that report here.
-    summary: hub::Summary,
-    /// What this holder tells of the paces of its engines.
-    paces: paces::PaceLog,
-    /// Whether this process has read the list of members from the store.
-    members_listed: bool,
-    /// When a random peer was last called, in a large fleet.
-    random_call_ms: u64,
-}
-
-/// The fleet as this daemon knows it.
-pub(crate) struct Fleet {
-    me: Daemon,
-    state: Mutex<State>,
-    /// Number of the next run.
-    next_run: AtomicU64,
-    /// Transfers of settings to other daemons.
-    settings_sender: fetch::SettingsSender,
-    /// Wakes the task that fetches settings.
-    fetch_wanted: Notify,
-    /// Queue of run updates to be reported to lease holders.
-    updates_tx: mpsc::Sender<RunUpdate>,
-    updates_rx: Mutex<Option<mpsc::Receiver<RunUpdate>>>,
-}
-
 /// How a gossip message arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -175,181 +58,6 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(settings: &NodeSettings) -> Self {
-        let me = Daemon {
-            id: settings.id.to_string(),
-            boot: rand::rng().random(),
-            peer: settings.listen.peers.to_string(),
-            front: settings.listen.front.to_string(),
-            domain: settings.domain.to_string(),
-            ready: false,
-            isolated: false,
-            millicores: (settings.cores * 1_000.0) as u32,
-        };
-        let (updates_tx, updates_rx) = mpsc::channel(progress::UPDATE_QUEUE_LEN);
-        let fleet = Self {
-            me,
-            state: Mutex::default(),
-            // After a restart the numbers must not overlap with earlier ones:
-            // holders still know some of those runs.
-            next_run: AtomicU64::new(rand::rng().random::<u64>() >> 1),
-            settings_sender: fetch::SettingsSender::default(),
-            fetch_wanted: Notify::new(),
-            updates_tx,
-            updates_rx: Mutex::new(Some(updates_rx)),
-        };
-        for seed in &settings.seeds {
-            fleet.add_peer(&seed.to_string(), true);
-        }
-        fleet
-    }
-
-    /// Longest silence of a live peer, in ms, in a fleet of `peers`.
-    fn alive_ms(peers: usize) -> u64 {
-        ALIVE_PERIODS * hub::report_period_ms(peers)
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of this lock panics")
-    }
-
-    /// Adds a peer to call.
-    pub(crate) fn add_peer(&self, addr: &str, seed: bool) {
-        if addr == self.me.peer || addr.parse::<std::net::SocketAddr>().is_err() {
-            return;
-        }
-        let mut state = self.state();
-        let untold_from = state.next_placement;
-        state.peers.entry(addr.into()).or_insert_with(|| Peer {
-            client: FleetClient::new(link::channel(addr)),
-            seed,
-            daemon: None,
-            met_at_ms: clock::now(),
-            heard_at_ms: 0,
-            vouched_at_ms: 0,
-            called_at_ms: 0,
-            calling: false,
-            holder_hint: false,
-            roster: hub::Roster::default(),
-            reported_use: Map::default(),
-            holdings: Vec::new(),
-            runs: Runs::default(),
-            suspended_until_ms: 0,
-            settings_version: 0,
-            targets_complete: 0,
-            cut_off: false,
-            members: 0,
-            demands: Map::default(),
-            use_told: Map::default(),
-            versions_told: 0,
-            untold_from,
-            histories_sent: 0,
-            paces_told: 0,
-            findings_acked: 0,
-            findings_heard: SyncPosition::default(),
-            clock_ms: 0,
-        });
-    }
-
-    /// Whether the peer at `addr` has not been seen by anybody for so long that
-    /// it counts as gone.
-    pub(crate) fn is_lost(&self, addr: &str, now: u64) -> bool {
-        let state = self.state();
-        state.peers.get(addr).is_some_and(|p| {
-            let last = p.heard_at_ms.max(p.vouched_at_ms).max(p.met_at_ms);
-            now.saturating_sub(last) >= exchange::FORGET_MS / 2
-        })
-    }
-
-    /// Whether this daemon's address is the lowest of those alive.
-    pub(crate) fn has_lowest_addr(&self, now: u64) -> bool {
-        let state = self.state();
-        state
-            .alive_peers(now)
-            .all(|(addr, _)| *self.me.peer < **addr)
-    }
-
-    /// Daemons alive now, including this one.
-    pub(crate) fn size(&self, now: u64) -> usize {
-        let state = self.state();
-        1 + state.alive_peers(now).count()
-    }
-
-    /// Number of live daemons ranked before this one for `key`. Each key has
-    /// its own order, which is the same on all daemons that know each other.
-    pub(crate) fn rank(&self, key: &str, now: u64) -> usize {
-        let own = selection::rendezvous_rank(key, &self.me.peer);
-        let state = self.state();
-        let before = |addr: &Name| selection::rendezvous_rank(key, addr) < own;
-        state
-            .alive_peers(now)
-            .filter(|(addr, _)| before(addr))
-            .count()
-    }
-
-    /// The first `count` live peers in the order for `key`.
-    pub(crate) fn first_peers(&self, key: &str, count: usize, now: u64) -> Vec<Name> {
-        let state = self.state();
-        let ranked = state.alive_peers(now);
-        let mut ranked: Vec<(u64, &Name)> = ranked
-            .map(|(addr, _)| (selection::rendezvous_rank(key, addr), addr))
-            .collect();
-        ranked.sort_unstable();
-        let first = ranked.into_iter().take(count);
-        first.map(|(_, addr)| addr.clone()).collect()
-    }
-
-    /// Wakes the task that fetches settings.
-    pub(crate) fn wake_fetch(&self) {
-        self.fetch_wanted.notify_one();
-    }
-
-    /// Counts a request that waits for `adapter` at `target`.
-    pub(crate) fn pin(&self, target: &Name, adapter: &AdapterRef) {
-        let key = (target.clone(), adapter.clone());
-        *self.state().pins.entry(key).or_default() += 1;
-    }
-
-    pub(crate) fn unpin(&self, target: &Name, adapter: &AdapterRef) {
-        let key = (target.clone(), adapter.clone());
-        let mut state = self.state();
-        if let Some(count) = state.pins.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
-                state.pins.remove(&key);
-            }
-        }
-    }
-
-    /// Returns an id for a run of this daemon.
-    pub(crate) fn next_run_id(&self) -> u64 {
-        self.next_run.fetch_add(1, Ordering::Relaxed)
-    }
-
-    /// Records that a run of this daemon is being sent to its engine.
-    pub(crate) fn start_run(&self, id: u64, run: Run) {
-        self.state().runs.begin(id, run);
-    }
-
-    /// Records that the engine has read the prompt of a run of this daemon.
-    pub(crate) fn mark_prompt_read(&self, id: u64) {
-        self.state().runs.mark_prompt_read(id);
-    }
-
-    /// Records that a run of this daemon has ended, and returns it.
-    pub(crate) fn end_run(&self, id: u64) -> Option<Run> {
-        self.state().runs.end(id)
-    }
-
-    /// Calls `visit` with each run known here, of any daemon.
-    pub(crate) fn visit_runs(&self, now: u64, mut visit: impl FnMut(&Run)) {
-        let state = self.state();
-        let theirs = state.heard_recently(now).map(|(_, p)| &p.runs);
-        for runs in std::iter::once(&state.runs).chain(theirs) {
-            runs.iter().for_each(|(_, run)| visit(run));
-        }
-    }
-
     /// Counts a run that the daemon at `peer` is about to send.
     pub(crate) fn add_bound_run(&self, node: &Node, peer: &str, id: u64, run: Run) {
         let until = node.now() + self.liveness_ms();
@@ -366,92 +74,6 @@
         node.view().board.add_peer_work(&name, &target, work, until);
     }
 
-    /// Longest silence of a live daemon, in ms.
-    fn liveness_ms(&self) -> u64 {
-        Self::alive_ms(self.state().peers.len())
-    }
-
-    /// Adapters in use at `target`, on any daemon.
-    pub(crate) fn in_use_at(&self, target: &Name, now: u64) -> Set<AdapterRef> {
-        let state = self.state();
-        let here = state.uses(now).filter(|(t, _)| *t == target);
-        here.map(|(_, adapter)| adapter.clone()).collect()
-    }
-
-    /// Adapters in use at each target, on any daemon.
-    pub(crate) fn in_use(&self, now: u64) -> Map<Name, Vec<AdapterRef>> {
-        let state = self.state();
-        let mut out: Map<Name, Vec<AdapterRef>> = Map::default();
-        for (target, adapter) in state.pinned(now) {
-            out.entry(target.clone()).or_default().push(adapter.clone());
-        }
-        out
-    }
-
-    /// Number of adapters in use at targets, as reported by lease holders.
-    pub(crate) fn reported_in_use(&self, now: u64) -> Map<Name, u32> {
-        let state = self.state();
-        let reported = state
-            .heard_recently(now)
-            .flat_map(|(_, p)| p.reported_use.iter());
-        reported.map(|(t, n)| (t.clone(), *n)).collect()
-    }
-
-    /// Records a served request for `adapter`, to be reported to lease holders.
-    pub(crate) fn record_demand(&self, key: &Name) {
-        for peer in self.state().peers.values_mut() {
-            if !peer.holdings.is_empty() {
-                *peer.demands.entry(key.clone()).or_default() += 1;
-            }
-        }
-    }
-
-    /// Records that an adapter was loaded on a target by a command of this
-    /// daemon, or unloaded from it (`None`).
-    pub(crate) fn record_placement(
-        &self,
-        target: &Name,
-        adapter: &AdapterRef,
-        version: Option<u64>,
-        timing: LoadTiming,
-    ) {
-        let mut state = self.state();
-        let serial = state.next_placement;
-        state.next_placement += 1;
-        let placed = Placed {
-            target: target.to_string(),
-            adapter: adapter_key(adapter).to_string(),
-            version: version.unwrap_or(0),
-            dropped: version.is_none(),
-            load_ms: timing.load_ms,
-            load_age: timing.age.map_or(0, |a| a as u32 + 1),
-        };
-        state.placements.push_back((serial, placed));
-        if state.placements.len() > MAX_PLACEMENTS {
-            state.placements.pop_front();
-        }
-    }
-
-    /// Id of this process.
-    pub(crate) fn boot(&self) -> u64 {
-        self.me.boot
-    }
-
-    /// Id of the process that answers at `peer`, as it reported.
-    pub(crate) fn boot_of(&self, peer: &str) -> Option<u64> {
-        let state = self.state();
-        Some(state.peers.get(peer)?.daemon.as_ref()?.boot)
-    }
-
-    /// Address at which this daemon answers its peers.
-    pub(crate) fn peer_addr(&self) -> &str {
-        &self.me.peer
-    }
-
-    pub(crate) fn client(&self, peer: &str) -> Option<FleetClient<Channel>> {
-        self.state().peers.get(peer).map(|p| p.client.clone())
-    }
-
     pub(crate) fn addresses(&self, node: &Node) -> (Vec<Name>, Duration) {
         let now = node.now();
         let mut out: Vec<Name> = Vec::new();
@@ -474,49 +96,5 @@
     }
 }
 
-impl State {
-    /// Peers seen recently, by this daemon or by a lease holder.
-    fn alive_peers(&self, now: u64) -> impl Iterator<Item = (&Name, &Peer)> {
-        let limit = Fleet::alive_ms(self.peers.len());
-        self.peers
-            .iter()
-            .filter(move |(_, p)| p.is_seen(now, limit))
-    }
-
-    /// Each adapter in use at a target by any daemon, once.
-    fn pinned(&self, now: u64) -> Set<(&Name, &AdapterRef)> {
-        self.uses(now).collect()
-    }
-
-    /// Adapters in use at targets; the same one may be listed several times.
-    fn uses(&self, now: u64) -> impl Iterator<Item = (&Name, &AdapterRef)> {
-        let theirs = self.heard_recently(now).flat_map(|(_, p)| p.runs.uses());
-        let waiting = self.pins.keys().map(|(target, adapter)| (target, adapter));
-        waiting.chain(self.runs.uses()).chain(theirs)
-    }
-
-    /// Peers that this daemon received gossip from recently.
-    fn heard_recently(&self, now: u64) -> impl Iterator<Item = (&Name, &Peer)> {
-        let limit = Fleet::alive_ms(self.peers.len());
-        self.peers.iter().filter(move |(_, p)| p.alive(now, limit))
-    }
-}
-
-impl Peer {
-    fn alive(&self, now: u64, limit: u64) -> bool {
-        is_recent(self.heard_at_ms, now, limit)
-    }
-
-    /// Whether it was seen recently, by this daemon or by a lease holder.
-    fn is_seen(&self, now: u64, limit: u64) -> bool {
-        self.alive(now, limit) || is_recent(self.vouched_at_ms, now, limit)
-    }
-}
-
-/// Whether `at` is set and at most `limit` ms ago.
-fn is_recent(at: u64, now: u64, limit: u64) -> bool {
-    at > 0 && now.saturating_sub(at) <= limit
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-node/src/fleet/paces.rs
+++ b/crates/comfreyhall-node/src/fleet/paces.rs
@@ -6,134 +6,13 @@
 //! each peer is told the serials that it has not received yet, a bounded number
 //! in one message. A lost message is made good when the engine is told again.
 
-use std::collections::BTreeMap;
-
-use comfreyhall_domain::{Map, Name};
-use comfreyhall_protocol::{EnginePace, News};
+use comfreyhall_domain::Name;
+use comfreyhall_protocol::News;
 use comfreyhall_routing::Pace;
 
-use super::Fleet;
+use super::{Fleet, State};
 use crate::node::Node;
 
-/// Engines told in one message: 56 entries of 66 bytes, twice a second from each
-/// of three holders, are 22 KB/s.
-const MAX_TOLD: usize = 56;
-
-/// Interval between two looks at all engines, in ms.
-const UPDATE_MS: u64 = 200;
-
-/// Shortest time between two tellings of one engine, in ms.
-const MIN_TOLD_MS: u64 = 1_000;
-
-/// Time after which an engine that differs from the mean is told again, in ms.
-const RENEW_MS: u64 = 10_000;
-
-/// Relative difference of a pace that is told at once.
-const MIN_CHANGE: f64 = 0.1;
-
-/// Difference of the share of late events that is told at once.
-const MIN_LATE_CHANGE: f64 = 0.01;
-
-/// What was last told of an engine.
-#[derive(Debug, Clone, Copy)]
-struct Told {
-    serial: u64,
-    pace: Pace,
-    at_ms: u64,
-}
-
-impl Told {
-    /// Whether `pace` is to be told.
-    fn is_due(&self, pace: Pace, now: u64) -> bool {
-        let age_ms = now.saturating_sub(self.at_ms);
-        age_ms >= RENEW_MS || (age_ms >= MIN_TOLD_MS && differ(self.pace, pace))
-    }
-}
-
-/// Whether two paces differ by more than their errors.
-fn differ(a: Pace, b: Pace) -> bool {
-    let ratio = |a: f64, b: f64| (a - b).abs() > MIN_CHANGE * b.max(a);
-    ratio(a.read, b.read)
-        || ratio(a.long_read, b.long_read)
-        || ratio(a.gap, b.gap)
-        || (a.late_gaps - b.late_gaps).abs() > MIN_LATE_CHANGE
-}
-
-/// The paces that this holder tells.
-#[derive(Debug, Default)]
-pub(super) struct PaceLog {
-    told: Map<Name, Told>,
-    by_serial: BTreeMap<u64, Name>,
-    next_serial: u64,
-    updated_ms: u64,
-}
-
-impl PaceLog {
-    /// Whether the engines are to be looked at again.
-    fn needs_update(&self, now: u64) -> bool {
-        self.updated_ms == 0 || now.saturating_sub(self.updated_ms) >= UPDATE_MS
-    }
-
-    /// Updates the log with the current `paces` of all engines of held groups.
-    /// Returns those that are told anew.
-    pub(super) fn update(
-        &mut self,
-        paces: impl Iterator<Item = (Name, Pace)>,
-        now: u64,
-    ) -> Vec<Pace> {
-        self.updated_ms = now;
-        let mut before = std::mem::take(&mut self.told);
-        let mut changed = Vec::new();
-        for (target, pace) in paces {
-            let told = match before.remove(&target) {
-                Some(told) if !told.is_due(pace, now) => told,
-                None if !differ(pace, Pace::default()) => continue,
-                known => {
-                    if let Some(known) = known {
-                        self.by_serial.remove(&known.serial);
-                    }
-                    self.next_serial += 1;
-                    self.by_serial.insert(self.next_serial, target.clone());
-                    changed.push(pace);
-                    Told {
-                        serial: self.next_serial,
-                        pace,
-                        at_ms: now,
-                    }
-                }
-            };
-            self.told.insert(target, told);
-        }
-        for gone in before.values() {
-            self.by_serial.remove(&gone.serial);
-        }
-        changed
-    }
-
-    /// The next entries after the serial `told`, which is advanced.
-    pub(super) fn next(&self, told: &mut u64) -> Vec<EnginePace> {
-        let untold = self.by_serial.range(*told + 1..).take(MAX_TOLD);
-        let mut out = Vec::new();
-        for (serial, target) in untold {
-            *told = *serial;
-            if let Some(known) = self.told.get(target) {
-                out.push(to_wire(target, known.pace));
-            }
-        }
-        out
-    }
-}
-
-fn to_wire(target: &Name, pace: Pace) -> EnginePace {
-    EnginePace {
-        target: target.to_string(),
-        read: pace.read,
-        gap: pace.gap,
-        late_gaps: pace.late_gaps,
-        long_read: pace.long_read,
-    }
-}
-
 impl Fleet {
     /// Adds the paces of the engines of held groups to a message for the peer at
     /// `addr`.
@@ -153,7 +32,7 @@
                 node.metrics.engine_pace(pace.long_read);
             }
         }
-        let super::State { peers, paces, .. } = &mut *state;
+        let State { peers, paces, .. } = &mut *state;
         if let Some(peer) = peers.get_mut(addr) {
             gossip.paces = paces.next(&mut peer.paces_told);
         }
--- a/crates/comfreyhall-node/src/fleet/paces/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/paces/tests.rs
@@ -2,7 +2,7 @@
 use comfreyhall_protocol::{Daemon, EnginePace, Holding, News};
 use comfreyhall_routing::Pace;
 
-use super::{MAX_TOLD, PaceLog, RENEW_MS};
+use crate::fleet::pace_log::{MAX_TOLD, PaceLog, RENEW_MS};
 use crate::test_node::{node, target};
 
 fn slow(read: f64) -> Pace {
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -13,16 +13,15 @@
 use comfreyhall_routing::{StreamSample, Work};
 use tokio::sync::mpsc;
 
-use super::Fleet;
+use super::{
+    Fleet,
+    updates::{RunChange, RunUpdate, StreamReport},
+};
 use crate::{
     node::Node,
-    paces::{self, Prompt, StreamReport},
+    paces::{self, Prompt},
 };
 
-/// Capacity of the queue of updates. What does not fit is left to the next
-/// gossip message.
-pub(super) const UPDATE_QUEUE_LEN: usize = 512;
-
 /// Delay that batches updates into one call, in ms: short against the 100 ms or
 /// so between two slots that become free in one group.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
@@ -31,30 +30,6 @@
 /// it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// A state change of a run.
-#[derive(Debug, Clone)]
-pub(crate) struct RunUpdate {
-    pub(crate) run: u64,
-    pub(crate) target: Name,
-    pub(crate) group: Name,
-    pub(crate) change: RunChange,
-}
-
-/// What changed.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum RunChange {
-    /// Its first event arrived, after this many ms.
-    FirstEvent(u64),
-    /// It has ended, or was never sent.
-    Ended,
-    /// Its stream has ended.
-    Streamed(StreamReport),
-    /// Its answer counts for the engine, with this weight.
-    Success(f64),
-    /// Its answer counts against the engine, with this weight.
-    Failure(f64),
-}
-
 /// Starts the reporting task.
 pub(super) fn spawn(node: &Arc<Node>) {
     let Some(mut events) = node.fleet.take_updates() else {
@@ -172,7 +147,7 @@
     }
 
     /// Applies a daemon's report on its runs.
-    pub(super) fn apply_progress(&self, node: &Node, report: &ProgressReport) {
+    pub(crate) fn apply_progress(&self, node: &Node, report: &ProgressReport) {
         let now = node.now();
         for event in &report.events {
             let target: Name = event.target.as_str().into();
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -247,7 +247,7 @@
     };
     node.fleet
         .apply_gossip(&node, reported, super::Origin::Call);
-    let late = node.now() + super::hub::report_period_ms(194) + super::GOSSIP_PERIOD_MS;
+    let late = node.now() + super::roster::report_period_ms(194) + super::GOSSIP_PERIOD_MS;
     assert_eq!(
         node.view()
             .board
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -8,17 +8,13 @@
 
 pub(crate) mod state;
 
-use std::{
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use comfreyhall_catalog::{CatalogError, Rows};
 use comfreyhall_domain::{Map, Name, Set};
 use comfreyhall_lease::Lease;
 use tokio::time::error::Elapsed;
 
-pub(crate) use self::state::Leases;
 use crate::{clock, fleet, node::Node};
 
 /// Renewals or checks within one lease term.
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -25,6 +25,7 @@
 mod node;
 mod outbound;
 mod paces;
+mod peer_service;
 pub mod ports;
 mod quarantine;
 mod quotas;
@@ -38,8 +39,8 @@
 mod view;
 mod weights;
 
-pub use fleet::serve_peers;
 pub use node::Node;
+pub use peer_service::serve_peers;
 pub use serve::{EventStream, Reply};
 pub use stop::drain;
 
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -17,16 +17,16 @@
 
 use crate::{
     clock,
-    engine_control::EngineControllers,
-    fleet::Fleet,
-    leases::Leases,
+    engine_control::controllers::EngineControllers,
+    fleet::state::Fleet,
+    leases::state::Leases,
     log_limit::LogLimits,
     metrics::Metrics,
-    outbound::Outbound,
+    outbound::state::Outbound,
     ports::{Backend, Source},
-    quarantine::QuarantineTracker,
-    quotas::{QuotaKind, Quotas},
-    slots::SlotLedgers,
+    quarantine::state::QuarantineTracker,
+    quotas::state::{QuotaKind, Quotas},
+    slots::state::SlotLedgers,
     streams::{self, Streams},
     view::View,
 };
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -8,13 +8,9 @@
 mod availability;
 mod limits;
 mod log;
-mod state;
+pub(crate) mod state;
 
-use std::{
-    borrow::Cow,
-    sync::Arc,
-    time::Duration,
-};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use comfreyhall_backpressure::{Change, Notice, rejection_pause_ms};
 use comfreyhall_domain::{ClientRequest, Refusal, Target};
@@ -26,7 +22,6 @@
         Unavailable, UnavailableTargets, describe_unavailable, is_draining, unavailable,
     },
     limits::{grant, holder_notices, limits, merge_notices, notices, own_notices},
-    state::Outbound,
 };
 use crate::{
     node::Node,
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -4,25 +4,15 @@
 //! daemon knows of first events, streams and backlogs.
 
 use comfreyhall_domain::Name;
-use comfreyhall_routing::{Interference, StreamSample, selection};
+use comfreyhall_routing::{Interference, selection};
 
-use crate::{choose::Criteria, node::Node, view::View};
+use crate::{choose::Criteria, fleet::updates::StreamReport, node::Node, view::View};
 
 /// Largest cost of late streams at an engine that would load the adapter, in ms.
 /// Requests leave a free slot of such an engine unused for as long as it costs
 /// more than the best one, while others wait for a slot.
 pub(crate) const MAX_LOAD_LATE_MS: f64 = 120.0;
 
-/// How a stream went that has ended.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct StreamReport {
-    pub(crate) sample: StreamSample,
-    /// Name of its route.
-    pub(crate) route: Name,
-    /// Events that its caller expected.
-    pub(crate) expected: Option<u32>,
-}
-
 /// What one engine costs a request, and the streams that run there.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct EngineCost {
--- /dev/null
+++ b/crates/comfreyhall-node/src/peer_service.rs
@@ -0,0 +1,89 @@
+//! The service that answers the other daemons.
+
+use std::{sync::Arc, time::Duration};
+
+use comfreyhall_protocol::{
+    BindReply, BindRequest, CapCall, CapReply, ForwardRequest, News, ProgressReply, ProgressReport,
+    SettingsAsk, StreamFinding, StreamQuery, StreamRecordBatch, StreamRecordReply,
+    fleet_server::{self, FleetServer},
+};
+use tokio::net::TcpListener;
+use tonic::{Request, Response, Status};
+
+use crate::{
+    bind,
+    fleet::{self, ChunkStream},
+    forward,
+    node::Node,
+    quotas, streams,
+};
+
+/// Answers the other daemons.
+struct PeerService(Arc<Node>);
+
+#[tonic::async_trait]
+impl fleet_server::Fleet for PeerService {
+    async fn exchange(&self, req: Request<News>) -> Result<Response<News>, Status> {
+        let gossip = fleet::answer(&self.0, req.into_inner());
+        Ok(Response::new(gossip))
+    }
+
+    async fn bind(&self, req: Request<BindRequest>) -> Result<Response<BindReply>, Status> {
+        Ok(Response::new(bind::answer(&self.0, req.into_inner()).await))
+    }
+
+    type ForwardStream = forward::PartStream;
+
+    async fn forward(
+        &self,
+        req: Request<ForwardRequest>,
+    ) -> Result<Response<forward::PartStream>, Status> {
+        let parts = forward::receive(&self.0, req.into_inner()).await?;
+        Ok(Response::new(parts))
+    }
+
+    type FetchStream = ChunkStream;
+
+    async fn fetch(&self, req: Request<SettingsAsk>) -> Result<Response<ChunkStream>, Status> {
+        fleet::send_settings(&self.0, &req.into_inner()).map(Response::new)
+    }
+
+    async fn settle(&self, req: Request<CapCall>) -> Result<Response<CapReply>, Status> {
+        Ok(Response::new(quotas::answer(&self.0, req.into_inner())))
+    }
+
+    async fn record_streams(
+        &self,
+        req: Request<StreamRecordBatch>,
+    ) -> Result<Response<StreamRecordReply>, Status> {
+        streams::receive(&self.0, req.into_inner());
+        Ok(Response::new(StreamRecordReply::default()))
+    }
+
+    async fn find_stream(
+        &self,
+        req: Request<StreamQuery>,
+    ) -> Result<Response<StreamFinding>, Status> {
+        Ok(Response::new(streams::answer(&self.0, req.get_ref())))
+    }
+
+    async fn progress(
+        &self,
+        req: Request<ProgressReport>,
+    ) -> Result<Response<ProgressReply>, Status> {
+        self.0.fleet.apply_progress(&self.0, &req.into_inner());
+        Ok(Response::new(ProgressReply::default()))
+    }
+}
+
+/// Answers the other daemons on `listener` for as long as the process runs.
+pub async fn serve_peers(node: Arc<Node>, listener: TcpListener) -> eyre::Result<()> {
+    let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+    tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(Duration::from_secs(1)))
+        .http2_keepalive_timeout(Some(Duration::from_secs(1)))
+        .add_service(FleetServer::new(PeerService(node)))
+        .serve_with_incoming(incoming)
+        .await?;
+    Ok(())
+}
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -13,7 +13,7 @@
 mod confirm;
 mod log;
 mod spread;
-mod state;
+pub(crate) mod state;
 pub(crate) mod wire;
 
 use std::sync::Arc;
--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -10,19 +10,16 @@
 //! to the quota coordinators.
 
 mod settle;
-mod state;
+pub(crate) mod state;
 mod wire;
 
-use std::{
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{Config, Name};
 use comfreyhall_settings::QuotaMode;
 use comfreyhall_workspace::{
-    GrantingLimiter, LendingLimiter, PeerProcess, RateLimiter,
-    ReserveOutcome, SharingLimiter, Tolerance,
+    GrantingLimiter, LendingLimiter, PeerProcess, RateLimiter, ReserveOutcome, SharingLimiter,
+    Tolerance,
 };
 
 use self::state::State;
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::{
     active_send::ActiveSend,
     events::{Event, EventSplitter},
-    paces::StreamReport,
+    fleet::updates::StreamReport,
     ports::Body,
     serve::{ActiveRequest, EventStream},
 };
--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -3,7 +3,8 @@
 //! The decisions are in `comfreyhall-slots`; this module feeds them what the
 //! holder sees of runs and waiting requests.
 
-mod state;
+mod refresh;
+pub(crate) mod state;
 mod waiting;
 
 use std::sync::Arc;
@@ -11,7 +12,8 @@
 use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_slots::{ShareUse, SlotWaiter};
 
-pub(crate) use self::{state::SlotLedgers, waiting::WaitingSlot};
+use self::state::SlotCaller;
+pub(crate) use self::waiting::WaitingSlot;
 use crate::{adapter_key::adapter_key, bind::BindParams, choose, node::Node};
 
 /// How long a request waits for a slot in one group of engines before it
@@ -35,16 +37,6 @@
     },
 }
 
-/// What the schedule needs to know of a request's caller.
-#[derive(Debug, Clone, Copy)]
-struct SlotCaller {
-    identity: u64,
-    /// Ms until its deadline.
-    remaining_ms: u64,
-    /// See [`BindParams::patience_ms`].
-    patience_ms: u64,
-}
-
 impl SlotCaller {
     fn of(params: &BindParams) -> Self {
         Self {
@@ -87,7 +79,7 @@
     waiter.arrived_ms = now.saturating_sub(params.elapsed_ms);
     let pool = (params.group.clone(), adapter.model.clone());
     let caller = SlotCaller::of(params);
-    state::refresh(node, &params.group, Some(&adapter.model));
+    refresh::refresh(node, &params.group, Some(&adapter.model));
     waiter.returned = node.slots.is_due(&pool, params.identity, now);
     let expected_ms = node.slots.expected_ms(&pool, &waiter, now);
     if expected_ms > 0 {
@@ -139,7 +131,7 @@
     if !node.policies().fair_slots {
         return Arc::default();
     }
-    state::refresh(node, group, None);
+    refresh::refresh(node, group, None);
     node.slots.share_use(group)
 }
 
--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -10,17 +10,22 @@
     WaitingList, slot_time_ms,
 };
 
-use super::SlotCaller;
-use crate::{fleet::Run, node::Node};
-
-/// How long what was computed from the runs of a group is used again, in ms:
-/// about one slot of a group becomes free in that time.
-const REFRESH_MS: u64 = 25;
+use crate::fleet::runs::Run;
 
 /// A group and a model: the engines of the group that hold the model share
 /// their slots.
 pub(super) type PoolKey = (Name, Name);
 
+/// What the schedule needs to know of a request's caller.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SlotCaller {
+    pub(super) identity: u64,
+    /// Ms until its deadline.
+    pub(super) remaining_ms: u64,
+    /// See `BindParams::patience_ms`.
+    pub(super) patience_ms: u64,
+}
+
 /// The ledgers of the groups whose lease this daemon holds, and the slot time of
 /// its own runs.
 #[derive(Debug, Default)]
@@ -29,22 +34,22 @@
 }
 
 #[derive(Debug, Default)]
-struct State {
-    groups: Map<Name, GroupUse>,
+pub(super) struct State {
+    pub(super) groups: Map<Name, GroupUse>,
     /// Slot time of this daemon's own runs, by group.
-    own: Map<Name, SlotLedger>,
+    pub(super) own: Map<Name, SlotLedger>,
 }
 
 /// The slots of one group.
 #[derive(Debug, Default)]
-struct GroupUse {
-    ledger: SlotLedger,
+pub(super) struct GroupUse {
+    pub(super) ledger: SlotLedger,
     /// Daemons whose slot time from before this lease has been added.
-    counted: Set<Name>,
-    shares: Arc<ShareUse>,
-    refreshed_ms: u64,
+    pub(super) counted: Set<Name>,
+    pub(super) shares: Arc<ShareUse>,
+    pub(super) refreshed_ms: u64,
     /// By model.
-    pools: Map<Name, Pool>,
+    pub(super) pools: Map<Name, Pool>,
 }
 
 impl GroupUse {
@@ -55,16 +60,16 @@
 
 /// The slots of the engines of a group with the same model.
 #[derive(Debug, Default)]
-struct Pool {
-    list: WaitingList,
-    schedule: SlotSchedule,
-    pace: GrantPace,
-    returns: ReturnSchedule,
+pub(super) struct Pool {
+    pub(super) list: WaitingList,
+    pub(super) schedule: SlotSchedule,
+    pub(super) pace: GrantPace,
+    pub(super) returns: ReturnSchedule,
 }
 
 impl State {
     /// The group, which begins with the slot time of this daemon's own runs.
-    fn group(&mut self, group: &Name, now: u64) -> &mut GroupUse {
+    pub(super) fn group(&mut self, group: &Name, now: u64) -> &mut GroupUse {
         self.groups.entry(group.clone()).or_insert_with(|| {
             let mut created = GroupUse::default();
             if let Some(own) = self.own.get_mut(group) {
@@ -83,7 +88,7 @@
 }
 
 impl SlotLedgers {
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of this lock panics")
     }
 
@@ -261,79 +266,5 @@
     known.then(|| slot_time_ms(now.saturating_sub(run.began_at_ms)))
 }
 
-/// An engine of a group.
-struct EngineSlots {
-    slots: usize,
-    models: Vec<Name>,
-}
-
-/// Brings what is known of the slots of `group` up to date, with a pool for
-/// `model`.
-pub(super) fn refresh(node: &Node, group: &Name, model: Option<&Name>) {
-    let now = node.now();
-    {
-        let mut state = node.slots.state();
-        let known = state.group(group, now);
-        let current = now < known.refreshed_ms + REFRESH_MS;
-        let new = model.is_some_and(|m| !known.pools.contains_key(m));
-        if current && !new {
-            return;
-        }
-        if let Some(model) = model {
-            known.pools.entry(model.clone()).or_default();
-        }
-    }
-    let view = node.view();
-    let hold_ms = view.hold.mean_ms();
-    let targets = view.targets.values();
-    let engines = targets.filter(|t| t.failure_domain == *group).map(|t| {
-        let slots = EngineSlots {
-            slots: view.adapter_slots(t) as usize,
-            models: t.loaded.iter().map(|l| l.model.clone()).collect(),
-        };
-        (t.id.clone(), slots)
-    });
-    let engines: Map<Name, EngineSlots> = engines.filter(|(_, e)| e.slots > 0).collect();
-    drop(view);
-    let mut runs: Vec<(SlotShare, u64)> = Vec::new();
-    // The start of the latest run of each slot in use.
-    let mut used: Map<(Name, Name), u64> = Map::default();
-    node.fleet.visit_runs(now, |run| {
-        if let Some(adapter) = run.adapter.as_ref().and_then(|a| a.adapter.clone())
-            && engines.contains_key(&run.target)
-        {
-            runs.push((run.share.clone(), run.began_at_ms));
-            let latest = used.entry((run.target.clone(), adapter)).or_default();
-            *latest = run.began_at_ms.max(*latest);
-        }
-    });
-    for (adapter, target) in node.controllers.loads() {
-        if let Some(adapter) = adapter.adapter
-            && engines.contains_key(&target)
-        {
-            used.insert((target, adapter), now);
-        }
-    }
-    let mut state = node.slots.state();
-    let known = state.group(group, now);
-    known.refreshed_ms = now;
-    let waiting = known.pools.values().flat_map(|p| p.list.iter());
-    let shares = known.ledger.share_use(
-        runs.iter().map(|(share, began)| (share, *began)),
-        waiting.map(|w| &w.share),
-        now,
-    );
-    known.shares = Arc::new(shares);
-    for (model, pool) in &mut known.pools {
-        let of_model = |e: &&EngineSlots| e.models.contains(model);
-        let slots = engines.values().filter(of_model).map(|e| e.slots).sum();
-        let used = used
-            .iter()
-            .filter(|((target, _), _)| engines.get(target).as_ref().is_some_and(of_model));
-        let began = used.map(|(_, began)| *began);
-        pool.schedule = SlotSchedule::new(slots, began, hold_ms, now);
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -4,10 +4,7 @@
 
 use comfreyhall_slots::SlotWaiter;
 
-use super::{
-    LATE_MARGIN, SLOT_WAIT_MS, SlotCaller,
-    state::{self, PoolKey},
-};
+use super::{LATE_MARGIN, SLOT_WAIT_MS, SlotCaller, state::PoolKey};
 use crate::node::Node;
 
 /// How many times the wait that is left the expected one may be before the
@@ -109,7 +106,7 @@
         }
         let left_ms = self.limit_ms.saturating_sub(waited_ms);
         let late = now > self.waiter.start_by_ms;
-        state::refresh(node, &place.pool.0, Some(&place.pool.1));
+        super::refresh::refresh(node, &place.pool.0, Some(&place.pool.1));
         let expected_ms = node.slots.expected_ms(&place.pool, &self.waiter, now);
         let hopeless = match late {
             true => LATE_MARGIN * expected_ms > left_ms,
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     events::EventSplitter,
-    leases::{Leases, state::HeldLease},
+    leases::state::{HeldLease, Leases},
     view::View,
 };
 
