Moves: criteria, groups, rows and versions of gossip, use of engines, entry and end of requests

Requirements and Criteria from choose.rs to criteria.rs; groups to leases/groups.rs; rows of the store in gossip to fleet/rows.rs, software versions to fleet/versions.rs; pins, runs and adapters in use to fleet/usage.rs; serve, serve_passed_on and serve_from to serve/entry.rs, the final answers to serve/give_up.rs. Nothing else changes.

--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -9,7 +9,8 @@
 use crate::{
     active_send::PendingLoad,
     adapter_key::adapter_key,
-    choose::{self, Criteria, Plan},
+    choose::{self, Plan},
+    criteria::Criteria,
     engine_control::{self, Placed},
     leases,
     node::Node,
--- a/crates/comfreyhall-node/src/bind/mod.rs
+++ b/crates/comfreyhall-node/src/bind/mod.rs
@@ -22,7 +22,7 @@
 use comfreyhall_streams::SoftwareRule;
 
 pub(crate) use self::wire::answer;
-use crate::{choose::Requirements, node::Node};
+use crate::{criteria::Requirements, node::Node};
 
 /// Timeout of a holder's answer if no load has to come first, in ms: it takes a
 /// few ms, and some tens of ms on a busy core. A request that has waited this
--- a/crates/comfreyhall-node/src/bind/wire.rs
+++ b/crates/comfreyhall-node/src/bind/wire.rs
@@ -8,7 +8,7 @@
 use comfreyhall_streams::{Software, SoftwareRule};
 
 use super::{BindError, BindParams, Binding, local};
-use crate::{choose::Requirements, fleet::Run, node::Node};
+use crate::{criteria::Requirements, fleet::Run, node::Node};
 
 /// The request that the daemon at `from` sends.
 pub(super) fn ask(from: &str, params: &BindParams) -> BindRequest {
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -2,19 +2,16 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{
-    AdapterRef, ClientRequest, EngineConfig, Map, Name, PromptSegment, Route, RouteKind, Target,
-    TokenCounts,
-};
+use comfreyhall_domain::{AdapterRef, EngineConfig, Map, Name, Route, RouteKind, Target};
 use comfreyhall_placement::SlotTimePrice;
 use comfreyhall_routing::{
     selection,
     selection::{Candidate, Spread},
 };
-use comfreyhall_streams::SoftwareRule;
 
 use crate::{
     active_send::RunHandle,
+    criteria::{Criteria, Requirements},
     engine_control::EngineCandidate,
     node::Node,
     outbound::{self, UnavailableTargets},
@@ -61,42 +58,6 @@
 /// slot for about a second, and several of them end in that time.
 pub(crate) const FULL_ENGINE_WAIT_MS: f64 = 250.0;
 
-/// What a request needs from an engine.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Requirements {
-    /// The model and the adapter.
-    pub(crate) adapter: Option<AdapterRef>,
-    /// Prompt and output tokens.
-    pub(crate) tokens: Option<TokenCounts>,
-    /// Output tokens that the caller expects.
-    pub(crate) expected_output: Option<u32>,
-    /// Parts of the prompt in order.
-    pub(crate) prompt_segments: Vec<PromptSegment>,
-}
-
-impl Requirements {
-    /// The requirements of `request`.
-    pub(crate) fn of(request: &ClientRequest) -> Self {
-        Self {
-            adapter: request.adapter.clone(),
-            tokens: request.tokens,
-            expected_output: request.expected_output,
-            prompt_segments: request.prompt_segments.clone(),
-        }
-    }
-
-    fn prompt(&self) -> u64 {
-        self.tokens.map_or(0, |t| u64::from(t.prompt))
-    }
-
-    /// Prompt tokens that are not shared with other requests.
-    fn own_tokens(&self) -> u64 {
-        let shared = self.prompt_segments.iter().rev().skip(1);
-        let shared: u64 = shared.map(|p| u64::from(p.tokens)).sum();
-        self.prompt().saturating_sub(shared).max(1)
-    }
-}
-
 /// The chosen target of a request, and what is expected there.
 pub(crate) struct Plan {
     pub(crate) target: Arc<Target>,
@@ -118,42 +79,6 @@
     pub(crate) granted: bool,
 }
 
-/// The input of a choice.
-pub(crate) struct Criteria<'a> {
-    pub(crate) requirements: &'a Requirements,
-    /// Latency objective of its route, in ms.
-    pub(crate) objective_ms: u64,
-    /// Name of its route.
-    pub(crate) route: &'a Name,
-    /// Longest gap of a stream of its route that is in time, in ms.
-    pub(crate) gap_objective_ms: Option<u64>,
-    /// Whether engines differ in pace.
-    pub(crate) uses_paces: bool,
-    pub(crate) service: &'a Name,
-    /// Restricts the choice to the engines of this group, whose lease this daemon
-    /// holds and of which it knows every run.
-    pub(crate) group: Option<&'a str>,
-    pub(crate) engine: Option<&'a EngineConfig>,
-    /// Targets that have already received it.
-    pub(crate) tried: &'a [Name],
-    /// Targets that cannot take it now.
-    pub(crate) unavailable: &'a [Name],
-    /// Whether only targets in `tried` may be used.
-    pub(crate) only_tried: bool,
-    pub(crate) seed: u64,
-    /// Software versions that may receive it.
-    pub(crate) software: &'a SoftwareRule,
-}
-
-impl Criteria<'_> {
-    fn allows(&self, target: &Target) -> bool {
-        self.software.allows(&target.software)
-            && self.group.is_none_or(|g| *target.failure_domain == *g)
-            && !self.unavailable.contains(&target.id)
-            && (!self.only_tried || self.tried.contains(&target.id))
-    }
-}
-
 /// Chooses the target of a request; `None` if none can take it now.
 pub(crate) fn choose(node: &Node, criteria: &Criteria<'_>) -> Option<Plan> {
     let now = node.now();
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -7,9 +7,8 @@
 use rand::Rng;
 
 use super::{
-    Fleet, GOSSIP_PERIOD_MS, Origin, State,
-    gossip::{ReportedVersions, add_rows},
-    roster,
+    Fleet, GOSSIP_PERIOD_MS, Origin, State, roster,
+    rows::{ReportedVersions, add_rows},
     state::FORGET_MS,
 };
 use crate::node::Node;
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -28,7 +28,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tonic::{Status, transport::Channel};
 
-use super::{Fleet, gossip};
+use super::{Fleet, rows};
 use crate::{
     follow,
     node::Node,
@@ -106,7 +106,7 @@
     let rows = SettingsRows {
         since: ask.since,
         newest,
-        rows: gossip::rows_since(node, Topic::Settings, ask.since),
+        rows: rows::rows_since(node, Topic::Settings, ask.since),
     };
     let transfer = Transfer {
         _permit: permit,
@@ -201,7 +201,7 @@
         return Err(FetchError::Unusable("rows before them are missing"));
     }
     let newest = rows.newest;
-    let rows: Vec<Record> = rows.rows.into_iter().map(gossip::from_wire).collect();
+    let rows: Vec<Record> = rows.rows.into_iter().map(rows::from_wire).collect();
     let origin = Provenance {
         source: Source::Peer(node.fleet.id_of(addr)),
         requested_at_ms: asked,
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -4,14 +4,12 @@
 
 use comfreyhall_domain::{Map, Name, Set};
 use comfreyhall_inforce::{SettingsTracker, Source};
-use comfreyhall_protocol::{
-    Daemon, Demand, EngineRun, Holding, News, ServiceVersion, SlotUse, TargetWork, TargetsProof,
-};
+use comfreyhall_protocol::{Daemon, Demand, EngineRun, Holding, News, SlotUse, TargetWork};
 use comfreyhall_quarantine::SyncPosition;
 use comfreyhall_routing::{Presence, Work};
 use rand::seq::IteratorRandom;
 
-use super::{Fleet, Peer, State, histories::apply_histories, roster, runs::Runs};
+use super::{Fleet, Peer, State, histories::apply_histories, roster, rows::from_wire, runs::Runs};
 use crate::adapter_key::parse_adapter_key;
 use crate::{
     follow,
@@ -21,7 +19,6 @@
     quarantine::wire,
     records,
     rows::Provenance,
-    streams,
 };
 
 /// Peers named in one call of a large fleet.
@@ -31,17 +28,6 @@
 /// lost.
 const SLOT_USE_MESSAGES: u8 = 3;
 
-/// Messages that tell a new process of all software versions: one may get lost.
-const VERSION_MESSAGES: u8 = 3;
-
-/// Maximum size in bytes of the settings in a gossip message: a few named
-/// versions, or a configuration of some dozen routes.
-///
-/// Without a limit, holders answer each report of a large fleet with the whole
-/// configuration until it has been applied, and over slow links no answer
-/// arrives in time. Larger settings are read from the store or fetched once.
-const MAX_SETTINGS_BYTES: usize = 8 * 1_024;
-
 impl Fleet {
     /// Creates the gossip message for the peer at `addr`.
     pub(super) fn gossip_for(&self, node: &Node, addr: &str) -> News {
@@ -168,38 +154,6 @@
         gossip.roster_version = state.peers.get(addr).map_or(0, |p| p.roster.version());
     }
 
-    /// Adds rows that the peer at `addr` may lack to a call.
-    ///
-    /// In a large fleet only holders receive them unasked, and pass them on:
-    /// rows for randomly called peers, whose recent state is not known, came to
-    /// two thirds of the bytes between 89 daemons.
-    pub(super) fn push_rows(&self, node: &Node, addr: &str, gossip: &mut News) {
-        let (new, cut_off, settings, known) = {
-            let state = self.state();
-            let Some(peer) = state.peers.get(addr) else {
-                return;
-            };
-            if roster::is_large(state.peers.len()) && !peer.holds() {
-                return;
-            }
-            let new = peer.daemon.is_none();
-            (
-                new,
-                peer.cut_off,
-                peer.settings_version,
-                peer.targets_complete,
-            )
-        };
-        // A new peer may have just started. A peer that is cut off gets only
-        // what it lacks: in an outage of the store all are cut off, and a
-        // configuration of 300 KB went to the holders with each report of 90
-        // daemons, 0.45 GB between failure domains in six seconds.
-        if new || cut_off {
-            add_settings(node, settings, gossip);
-        }
-        add_targets(node, known, gossip);
-    }
-
     /// Applies a peer's gossip message.
     pub(crate) fn apply_gossip(&self, node: &Arc<Node>, gossip: News, arrival: super::Origin) {
         let Some(from) = gossip.from.clone() else {
@@ -339,29 +293,6 @@
         made_after.checked_sub(age_ms)
     }
 
-    /// Software versions for a message to `peer`.
-    fn versions_for(node: &Node, peer: &mut Peer, now: u64) -> Vec<ServiceVersion> {
-        let new = peer.versions_told < VERSION_MESSAGES;
-        peer.versions_told = peer.versions_told.saturating_add(1);
-        let view = node.view();
-        let told = view.versions.iter().filter(|(_, h)| new || h.is_mixed());
-        let versions = told.flat_map(|(service, history)| {
-            let reports = history.report(now);
-            reports.map(move |r| streams::encode_version(service, &r))
-        });
-        versions.collect()
-    }
-
-    /// Learns which software versions a peer has seen.
-    fn learn_versions(&self, node: &Node, versions: &[ServiceVersion], now: u64) {
-        let mut view = node.view();
-        for version in versions {
-            if let Some(history) = view.versions.get_mut(version.service.as_str()) {
-                history.learn(&streams::decode_version(version), now);
-            }
-        }
-    }
-
     /// Updates a peer's own state; returns its work at engines.
     fn update_peer(&self, node: &Node, from: &Daemon, gossip: &News, now: u64) -> Map<Name, Work> {
         for holding in &gossip.holdings {
@@ -460,97 +391,3 @@
         concerned.map(|(id, run)| run.to_wire(id, now)).collect()
     }
 }
-
-pub(super) fn to_wire(record: &Record) -> comfreyhall_protocol::Fact {
-    comfreyhall_protocol::Fact {
-        key: record.key.to_string(),
-        value: record
-            .value
-            .as_ref()
-            .map(|v| v.to_vec())
-            .unwrap_or_default(),
-        version: record.version,
-        deleted: record.value.is_none(),
-    }
-}
-
-pub(super) fn from_wire(fact: comfreyhall_protocol::Fact) -> Record {
-    Record {
-        key: fact.key.into(),
-        value: (!fact.deleted).then(|| fact.value.into()),
-        version: fact.version,
-    }
-}
-
-/// Rows of `topic` that changed after `version`.
-pub(super) fn rows_since(
-    node: &Node,
-    topic: Topic,
-    version: u64,
-) -> Vec<comfreyhall_protocol::Fact> {
-    let mut view = node.view();
-    let stored = view.records.topic_rows(topic);
-    // All rows of settings, so that nobody lacks the newest one; of targets
-    // only relevant changes.
-    let newer = |record: &&Record| match topic {
-        Topic::Settings => record.version > version,
-        Topic::Targets => stored
-            .changed_versions
-            .get(&record.key)
-            .is_some_and(|v| *v > version),
-    };
-    stored.rows.values().filter(newer).map(to_wire).collect()
-}
-
-/// Versions that the sender of a message has.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ReportedVersions {
-    settings_version: u64,
-    targets_complete: u64,
-    targets_age: u64,
-}
-
-impl From<&News> for ReportedVersions {
-    fn from(gossip: &News) -> Self {
-        Self {
-            settings_version: gossip.settings_version,
-            targets_complete: gossip.targets_complete,
-            targets_age: gossip.targets_age,
-        }
-    }
-}
-
-/// Adds the settings newer than `version` to a message for a peer, all of them
-/// or none: a peer that has the newest row counts as having those before it. A
-/// peer that does not receive them learns of the newer version, and reads or
-/// fetches it.
-fn add_settings(node: &Node, version: u64, gossip: &mut News) {
-    let rows = rows_since(node, Topic::Settings, version);
-    let bytes: usize = rows.iter().map(|r| r.value.len()).sum();
-    if bytes <= MAX_SETTINGS_BYTES {
-        gossip.settings = rows;
-        gossip.settings_since = version;
-    }
-}
-
-/// Adds the rows that a peer lacks to its answer.
-pub(super) fn add_rows(node: &Node, asked: ReportedVersions, gossip: &mut News) {
-    add_settings(node, asked.settings_version, gossip);
-    if gossip.targets_age < asked.targets_age {
-        add_targets(node, asked.targets_complete, gossip);
-    }
-}
-
-/// Adds the relevant changes of targets after `version` to a message, and how recent
-/// they are.
-fn add_targets(node: &Node, version: u64, gossip: &mut News) {
-    gossip.targets = rows_since(node, Topic::Targets, version);
-    let now = node.now();
-    let view = node.view();
-    let targets = &view.records.targets;
-    gossip.targets_proof = targets.proven_age(now).map(|age_ms| TargetsProof {
-        since: version,
-        until: targets.complete_to,
-        age_ms,
-    });
-}
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -19,10 +19,13 @@
 mod paces;
 mod progress;
 mod roster;
+mod rows;
 pub(crate) mod runs;
 mod sender;
 pub(crate) mod state;
 pub(crate) mod updates;
+mod usage;
+mod versions;
 
 pub(crate) use self::{
     exchange::{announce_lease, answer, notify_all, notify_findings, spawn},
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -2,7 +2,7 @@
 
 use comfreyhall_protocol::{Daemon, EngineRun, Holding, News};
 
-use super::gossip::{ReportedVersions, add_rows};
+use super::rows::{ReportedVersions, add_rows};
 use crate::{
     node::Node,
     ports::{Record, RecordBatch, Topic},
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -6,6 +6,7 @@
 //! One for each failure domain limits both, and places the holder next to its
 //! engines.
 
+mod groups;
 pub(crate) mod state;
 
 use std::{sync::Arc, time::Duration};
@@ -15,6 +16,7 @@
 use comfreyhall_lease::Lease;
 use tokio::time::error::Elapsed;
 
+pub(crate) use self::groups::groups;
 use crate::{clock, fleet, node::Node};
 
 /// Renewals or checks within one lease term.
@@ -27,22 +29,6 @@
 /// placed daemons have had time for a takeover by then.
 const VACANT_TERMS: u64 = 2;
 
-/// Failure domains that contain engines.
-pub(crate) fn groups(node: &Node) -> Vec<Name> {
-    let view = node.view();
-    let Some(config) = &view.config else {
-        return Vec::new();
-    };
-    let engines = view.targets.values().filter(|t| {
-        let service = config.services.get(&t.service);
-        service.is_some_and(|s| s.engine.is_some())
-    });
-    let mut out: Vec<Name> = engines.map(|t| t.failure_domain.clone()).collect();
-    out.sort();
-    out.dedup();
-    out
-}
-
 /// Starts the lease task.
 pub(crate) fn spawn<R: Rows>(node: &Arc<Node>, rows: R) {
     let node = node.clone();
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod bind;
 mod choose;
 mod clock;
+mod criteria;
 mod engine_control;
 mod events;
 mod fleet;
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -6,7 +6,7 @@
 use comfreyhall_domain::Name;
 use comfreyhall_routing::{Interference, selection};
 
-use crate::{choose::Criteria, fleet::updates::StreamReport, node::Node, view::View};
+use crate::{criteria::Criteria, fleet::updates::StreamReport, node::Node, view::View};
 
 /// Largest cost of late streams at an engine that would load the adapter, in ms.
 /// Requests leave a free slot of such an engine unused for as long as it costs
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -1,12 +1,14 @@
 //! Serves one request: routing, admission, placement, sending and the answer.
 //!
 //! A request is sent to one target after another until one answers, its
-//! deadline passes, or the known outcomes forbid another send; then only
-//! [`answer_for`] chooses the answer. A request that fails early is answered at
+//! deadline passes, or the known outcomes forbid another send; then
+//! `answer_for` alone chooses the answer. A request that fails early is answered at
 //! once.
 
 mod caller;
 mod counting;
+mod entry;
+mod give_up;
 mod pass_on;
 mod place;
 mod quarantine;
@@ -23,10 +25,7 @@
 };
 
 use bytes::Bytes;
-use comfreyhall_domain::{
-    Answer, Caller, ClientRequest, Config, EngineConfig, Name, Route, RouteKind, SendHistory,
-    answer_for,
-};
+use comfreyhall_domain::{Caller, ClientRequest, Config, EngineConfig, Name, Route, SendHistory};
 use comfreyhall_quarantine::Fingerprint;
 use comfreyhall_routing::admission;
 use comfreyhall_slots::SlotShare;
@@ -34,16 +33,15 @@
 use rand::Rng;
 
 use self::{
-    caller::SettingsBasis, place::BindOutcome, renew::Step, reply::complete_reply, send::Next,
-    version::StreamVersion,
+    place::BindOutcome, renew::Step, reply::complete_reply, send::Next, version::StreamVersion,
 };
 use crate::{
     adapter_key::adapter_key,
-    choose::{self, Criteria, Plan, Requirements},
+    choose::{self, Plan},
+    criteria::{Criteria, Requirements},
     node::{InFlightGuard, Node},
     quarantine::Trial,
     quotas::Credit,
-    stop,
     streams::RunningStream,
 };
 
@@ -152,65 +150,6 @@
     }
 }
 
-impl Node {
-    /// Serves a request of a caller. Dropping the future cancels it where that is
-    /// safe: a request that runs at most once continues to its end, since a
-    /// partial run can be neither undone nor repeated.
-    pub async fn serve(self: &Arc<Self>, client_request: ClientRequest) -> Reply {
-        self.serve_from(client_request, Origin::Caller).await
-    }
-
-    /// Serves a request that another daemon has passed on.
-    pub(crate) async fn serve_passed_on(self: &Arc<Self>, client_request: ClientRequest) -> Reply {
-        self.serve_from(client_request, Origin::Daemon).await
-    }
-
-    async fn serve_from(self: &Arc<Self>, client_request: ClientRequest, origin: Origin) -> Reply {
-        let guard = self.track();
-        let Some(config) = self.config().filter(|_| self.has_started()) else {
-            let basis = SettingsBasis::of(&self.view().records.settings_sync, self.now());
-            log::info!(target: "serve", id:% = client_request.id, row = basis.version, newer = basis.newer_version, away = basis.outage_ms, up = self.uptime_ms(); "refused: nothing is known yet");
-            return Reply::NotReady {
-                retry_ms: NOT_READY_RETRY_MS,
-            };
-        };
-        let (route, caller) = match caller::admit(self, &config, &client_request) {
-            Ok(found) => found,
-            Err(why) => return self.reject(&client_request, config.version, why),
-        };
-        let Some(mut request) = ActiveRequest::new(self, &config, client_request, route, caller)
-        else {
-            return Reply::NoRoute;
-        };
-        if !stop::accepts(self, request.deadline_ms) {
-            request.finished = true;
-            log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name; "refused: the stop is near its end");
-            return Reply::NotReady {
-                retry_ms: NOT_READY_RETRY_MS,
-            };
-        }
-        request.in_flight = Some(guard);
-        request.may_pass_on = origin == Origin::Caller;
-        if let Some(reply) = request.pass_on_if_isolated().await {
-            return reply;
-        }
-        if let Some(reply) = request.reserve_credit(&config).await {
-            return reply;
-        }
-        match request.route.kind {
-            RouteKind::NonIdempotent => match tokio::spawn(request.run()).await {
-                Ok(reply) => reply,
-                Err(_) => Reply::Unanswered(Answer::Unknown),
-            },
-            RouteKind::Idempotent | RouteKind::Stream => request.run().await,
-        }
-    }
-
-    fn has_started(&self) -> bool {
-        self.life.stage() != comfreyhall_life::Stage::Starting
-    }
-}
-
 impl ActiveRequest {
     fn new(
         node: &Arc<Node>,
@@ -483,42 +422,4 @@
         };
         choose::choose(&self.node, &criteria)
     }
-
-    /// The error response kept in case no target answered better.
-    fn fallback_reply(&mut self, why: &'static str) -> Option<Reply> {
-        let (status, headers, body) = self.fallback.take()?;
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, why; "passed on a target's failure");
-        Some(complete_reply(status, headers, body))
-    }
-
-    /// When its caller should retry, in ms, if there will be capacity
-    /// for it after `excess_ms`.
-    fn retry_after_ms(&self, excess_ms: f64) -> u64 {
-        let seed: u64 = rand::rng().random();
-        admission::retry_ms(excess_ms, self.remaining_ms(), seed)
-    }
-
-    /// Ends the request with its final answer; there will be capacity for it
-    /// after `excess_ms`.
-    fn give_up(&mut self, why: &'static str, excess_ms: f64) -> Reply {
-        let retry_ms = self.retry_after_ms(excess_ms);
-        self.give_up_until(why, retry_ms)
-    }
-
-    /// Ends the request with its final answer; its caller should retry after
-    /// `retry_ms`.
-    fn give_up_until(&mut self, why: &'static str, retry_ms: u64) -> Reply {
-        self.finished = true;
-        self.return_credit();
-        self.node.metrics.refusal(why);
-        if let Some(reply) = self.fallback_reply(why) {
-            return reply;
-        }
-        let left = self.remaining_ms();
-        let answer = answer_for(&self.history, left == 0, retry_ms);
-        let held = self.node.now() - self.began_ms;
-        self.node.metrics.request(self.route.kind, answer.name());
-        log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, why, answer:? = answer, sends = self.history.sends, held, left; "given up");
-        Reply::Unanswered(answer)
-    }
 }
