A target that keeps its id with other software is another target

An entry that changes its software version under the same id kept the state of the target before: its adapters, load and pace.

apply_other_software_is_another_target failed before (the adapter counted as held).

--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -137,6 +137,11 @@
                 remove_target(view, &known.id, now);
             }
             let known = view.targets.get(&target.id);
+            if known.is_some_and(|t| t.software != target.software) {
+                log::info!(target: "follow", id:% = target.id, software = target.software.as_deref().unwrap_or(""); "target runs other software");
+                remove_target(view, &target.id, now);
+            }
+            let known = view.targets.get(&target.id);
             if known.is_none_or(|t| t.stage != target.stage) {
                 let stage = match target.stage {
                     Stage::Ready => "ready",
--- a/crates/comfreyhall-node/src/records/tests.rs
+++ b/crates/comfreyhall-node/src/records/tests.rs
@@ -85,3 +85,24 @@
     put(&node, "t", "5 ready", 4);
     assert_eq!(ready(&node).len(), 1);
 }
+
+/// Guards against a target that keeps its id with other software and passes for the
+/// same target.
+#[test]
+fn apply_other_software_is_another_target() {
+    let node = node();
+    let adapter = AdapterRef {
+        model: "m".into(),
+        adapter: Some("a".into()),
+    };
+    put(&node, "t", "5 ready v1", 1);
+    let id = ready(&node).remove(0);
+    node.view()
+        .residency
+        .record(&adapter, &id, Presence::Held(1), node.now());
+    put(&node, "t", "5 ready v2", 2);
+    let view = node.view();
+    assert_eq!(view.targets[&id].software.as_deref(), Some("v2"));
+    assert!(view.residency.held_version(&adapter, &id).is_none());
+    assert!(view.versions["s"].is_mixed());
+}
--- a/crates/comfreyhall-node/src/test_node.rs
+++ b/crates/comfreyhall-node/src/test_node.rs
@@ -38,10 +38,11 @@
     }
 }
 
-/// Decodes a target's row of the form `BORN STAGE`.
+/// Decodes a target's row of the form `BORN STAGE` or `BORN STAGE SOFTWARE`.
 fn decode(record: &Record) -> Option<Target> {
     let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
-    let (born, stage) = text.split_once(' ')?;
+    let (born, rest) = text.split_once(' ')?;
+    let (stage, software) = rest.split_once(' ').unwrap_or((rest, "v1"));
     Some(Target {
         id: format!("{}@{born}", record.key).into(),
         name: record.key.clone(),
@@ -50,6 +51,7 @@
             "ready" => Stage::Ready,
             _ => Stage::Draining,
         },
+        software: Some(software.into()),
         row_version: record.version,
         ..target(&record.key)
     })
