--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -8,6 +8,9 @@
 //! throughout, on connections that stay open until the process is gone, and the
 //! outcomes that they get are compared with what the targets ran.
 //!
+//! From seed [`VERSIONS_FROM`] on, engines run two software versions and callers resume
+//! streams: no caller may hold events of both.
+//!
 //! CI runs [`SEEDS`]. To run others: `SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo
 //! test -p comfreyhall --test soak -- --nocapture`. A seed that has failed stays in
 //! [`SEEDS`], with a line on the cause.
@@ -20,6 +23,9 @@
 #[path = "soak/target_signals.rs"]
 mod target_signals;
 
+#[path = "soak/versions.rs"]
+mod versions;
+
 use std::{
     collections::HashMap,
     ops::Range,
@@ -55,13 +61,20 @@
 /// event only. 4: scripted stream breaks happened more than [`FAULT_AFTERMATH`] after
 /// they were recorded, as all targets had been quarantined meanwhile. From
 /// [`SIGNALS_FROM`] on, targets also send signals about themselves.
-const SEEDS: [u64; 7] = [3, 4, 5, 202, 223, 400, 401];
+const SEEDS: [u64; 9] = [3, 4, 5, 202, 223, 400, 401, 600, 601];
 
 /// From this seed on, targets also announce limits, cooldowns and draining, and the
 /// configuration changes in quick succession when the store is back. Smaller seeds
 /// keep their sequence of faults.
 const SIGNALS_FROM: u64 = 400;
 
+/// From this seed on, engines run two software versions, and other ones after each
+/// crash; some callers resume their streams.
+const VERSIONS_FROM: u64 = 600;
+
+/// Callers that resume their streams.
+const RESUMING_CALLERS: usize = 6;
+
 /// How long faults are injected in one run.
 const FAULT_SECONDS: u64 = 8;
 
@@ -208,18 +221,20 @@
         let store_addr = start_store(store.clone()).await;
         let stream_breaks = Arc::new(Mutex::new(0));
         let mut targets = Vec::new();
-        for (id, service) in [
-            ("e1", "llm"),
-            ("e2", "llm"),
-            ("e3", "llm"),
-            ("s1", "app"),
-            ("s2", "app"),
+        let rollout = seed >= VERSIONS_FROM;
+        for (id, service, software) in [
+            ("e1", "llm", vec!["v1", "v2"]),
+            ("e2", "llm", vec!["v2", "v1"]),
+            ("e3", "llm", vec!["v1", "v2"]),
+            ("s1", "app", Vec::new()),
+            ("s2", "app", Vec::new()),
         ] {
             let options = TargetOptions {
                 name: id.into(),
                 service,
                 stream_breaks: stream_breaks.clone(),
                 delay_ms: EVENT_INTERVAL_MS,
+                software: if rollout { software } else { Vec::new() },
             };
             let mut wire = None;
             let host = Host::start_proxied(options, store.clone(), |addr| {
@@ -575,12 +590,32 @@
         })
         .collect();
     let planned_only = seed.is_multiple_of(3);
+    let front_addrs = fronts.clone();
     let poison = (!planned_only).then(|| tokio::spawn(send_poison(fronts, stop.clone())));
     let target_signals = (seed >= SIGNALS_FROM).then(|| {
         let hosts = fleet.targets.iter().map(|(host, _)| host.clone()).collect();
         let rng = StdRng::seed_from_u64(seed);
         tokio::spawn(target_signals::send_signals(hosts, rng, stop.clone()))
     });
+    let tally = Arc::new(Mutex::new(versions::Tally::default()));
+    let resuming = if seed >= VERSIONS_FROM {
+        RESUMING_CALLERS
+    } else {
+        0
+    };
+    let resuming: Vec<_> = (0..resuming)
+        .map(|i| {
+            let rng = StdRng::seed_from_u64(seed * 2_000 + i as u64);
+            let (fronts, stop) = (front_addrs.clone(), stop.clone());
+            tokio::spawn(versions::resume_streams(
+                i,
+                fronts,
+                rng,
+                stop,
+                tally.clone(),
+            ))
+        })
+        .collect();
     let start_time = Instant::now();
     while start_time.elapsed() < Duration::from_secs(seconds) {
         let pause = fleet.random_duration(20..400);
@@ -604,6 +639,9 @@
     for fault in poison.into_iter().chain(target_signals) {
         fault.await.unwrap();
     }
+    for caller in resuming {
+        caller.await.unwrap();
+    }
     for (host, _) in &fleet.targets {
         fleet.faults.extend(host.outages());
     }
@@ -622,7 +660,12 @@
         count(&Outcome::NotRun),
         fleet.faults.len()
     );
-    let violations = fleet.violations(&attempts);
+    let tally = tally.lock().unwrap();
+    if seed >= VERSIONS_FROM {
+        println!("begun {:?}, resumed {:?}", tally.begins, tally.resumptions);
+    }
+    let mut violations = fleet.violations(&attempts);
+    violations.extend(tally.all_violations(planned_only));
     assert!(
         violations.is_empty(),
         "seed {seed}, logs in {}: {violations:#?}",
