--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -61,7 +61,7 @@
 /// event only. 4: scripted stream breaks happened more than [`FAULT_AFTERMATH`] after
 /// they were recorded, as all targets had been quarantined meanwhile. From
 /// [`SIGNALS_FROM`] on, targets also send signals about themselves.
-const SEEDS: [u64; 9] = [3, 4, 5, 202, 223, 400, 401, 600, 601];
+const SEEDS: [u64; 10] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700];
 
 /// From this seed on, targets also announce limits, cooldowns and draining, and the
 /// configuration changes in quick succession when the store is back. Smaller seeds
@@ -72,6 +72,13 @@
 /// crash; some callers resume their streams.
 const VERSIONS_FROM: u64 = 600;
 
+/// From this seed on, the only faults are killed daemons, one at a time, and engines
+/// that are replaced, one by one or by halves; there are more engines of each version.
+const ROLLOUTS_FROM: u64 = 700;
+
+/// Engines besides the usual ones in such seeds.
+const MORE_ENGINES: usize = 5;
+
 /// Callers that resume their streams.
 const RESUMING_CALLERS: usize = 6;
 
@@ -210,6 +217,7 @@
     version: u64,
     /// Whether the configuration changes in quick succession when the store is back.
     burst_changes: bool,
+    scene: Arc<versions::Scene>,
 }
 
 impl Fleet {
@@ -222,15 +230,24 @@
         let stream_breaks = Arc::new(Mutex::new(0));
         let mut targets = Vec::new();
         let rollout = seed >= VERSIONS_FROM;
+        let more = match seed >= ROLLOUTS_FROM {
+            true => MORE_ENGINES,
+            false => 0,
+        };
+        let more = (0..more).map(|i| (format!("f{i}"), "llm", vec!["v1", "v2"]));
         for (id, service, software) in [
             ("e1", "llm", vec!["v1", "v2"]),
             ("e2", "llm", vec!["v2", "v1"]),
             ("e3", "llm", vec!["v1", "v2"]),
             ("s1", "app", Vec::new()),
             ("s2", "app", Vec::new()),
-        ] {
+        ]
+        .map(|(id, service, software)| (id.to_string(), service, software))
+        .into_iter()
+        .chain(more)
+        {
             let options = TargetOptions {
-                name: id.into(),
+                name: id,
                 service,
                 stream_breaks: stream_breaks.clone(),
                 delay_ms: EVENT_INTERVAL_MS,
@@ -243,7 +260,13 @@
             targets.push((host, wire.unwrap()));
         }
         store.put("op", "config", &config(1, "/g/"));
+        let engines = targets.iter().map(|(host, _)| host.clone());
+        let scene = versions::Scene {
+            up_since: (0..DAEMONS).map(|_| Mutex::default()).collect(),
+            engines: engines.filter(|h| h.is_engine()).collect(),
+        };
         let mut fleet = Self {
+            scene: Arc::new(scene),
             dir,
             store,
             targets,
@@ -348,6 +371,7 @@
         };
         match self.rng.random_range(0..10) {
             0 if self.is_idle(i) => {
+                self.scene.set_up(i, false);
                 self.daemons[i].kill();
                 self.begin_fault(started_at, duration, Recovery::Restart(i));
             }
@@ -386,6 +410,23 @@
         }
     }
 
+    /// Kills a daemon if all run, or replaces an engine, or half of them.
+    fn inject_rollout_fault(&mut self) {
+        let started_at = Instant::now();
+        let i = self.rng.random_range(0..DAEMONS);
+        let engines = &self.scene.engines;
+        match self.rng.random_range(0..12) {
+            0 | 1 if self.active_faults.is_empty() => {
+                self.scene.set_up(i, false);
+                self.daemons[i].kill();
+                self.begin_fault(started_at, Duration::from_millis(500), Recovery::Restart(i));
+            }
+            2 => engines.iter().step_by(2).for_each(|e| e.crash()),
+            3 | 4 => engines[self.rng.random_range(0..engines.len())].crash(),
+            _ => {}
+        }
+    }
+
     fn wire(&self, link: Link) -> &Wire {
         match link {
             Link::Store(i) => &self.daemons[i].store,
@@ -412,7 +453,10 @@
             match fault.recovery {
                 Recovery::AwaitStop(_) => continue,
                 Recovery::Unfreeze(i) => self.daemons[i].signal(Signal::SIGCONT),
-                Recovery::Restart(i) => self.daemons[i].start(),
+                Recovery::Restart(i) => {
+                    self.daemons[i].start();
+                    self.scene.set_up(i, true);
+                }
                 Recovery::RestoreStore => {
                     self.store.down.store(false, Ordering::SeqCst);
                     self.change_in_burst();
@@ -589,10 +633,14 @@
             ))
         })
         .collect();
-    let planned_only = seed.is_multiple_of(3);
+    let rollout = seed >= ROLLOUTS_FROM;
+    let planned_only = seed.is_multiple_of(3) || rollout;
+    for i in 0..DAEMONS {
+        fleet.scene.set_up(i, true);
+    }
     let front_addrs = fronts.clone();
     let poison = (!planned_only).then(|| tokio::spawn(send_poison(fronts, stop.clone())));
-    let target_signals = (seed >= SIGNALS_FROM).then(|| {
+    let target_signals = (seed >= SIGNALS_FROM && !rollout).then(|| {
         let hosts = fleet.targets.iter().map(|(host, _)| host.clone()).collect();
         let rng = StdRng::seed_from_u64(seed);
         tokio::spawn(target_signals::send_signals(hosts, rng, stop.clone()))
@@ -603,6 +651,7 @@
     } else {
         0
     };
+    let scene = fleet.scene.clone();
     let resuming: Vec<_> = (0..resuming)
         .map(|i| {
             let rng = StdRng::seed_from_u64(seed * 2_000 + i as u64);
@@ -613,6 +662,7 @@
                 rng,
                 stop,
                 tally.clone(),
+                scene.clone(),
             ))
         })
         .collect();
@@ -621,7 +671,9 @@
         let pause = fleet.random_duration(20..400);
         tokio::time::sleep(pause).await;
         fleet.end_faults(false);
-        if planned_only || fleet.rng.random_bool(0.3) {
+        if seed >= ROLLOUTS_FROM {
+            fleet.inject_rollout_fault();
+        } else if planned_only || fleet.rng.random_bool(0.3) {
             fleet.planned_work().await;
         } else {
             fleet.inject_fault();
@@ -665,7 +717,7 @@
         println!("begun {:?}, resumed {:?}", tally.begins, tally.resumptions);
     }
     let mut violations = fleet.violations(&attempts);
-    violations.extend(tally.all_violations(planned_only));
+    violations.extend(tally.all_violations(rollout));
     assert!(
         violations.is_empty(),
         "seed {seed}, logs in {}: {violations:#?}",
--- a/crates/comfreyhall/tests/soak/versions.rs
+++ b/crates/comfreyhall/tests/soak/versions.rs
@@ -7,14 +7,15 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rand::{Rng, rngs::StdRng};
 
 use crate::emulator::{
     STREAM_EVENTS,
-    resume::{Resumed, read_stream},
+    host::Host,
+    resume::{Event, Resumed, read_stream},
 };
 
 /// Resumptions from which on their share is compared.
@@ -23,28 +24,76 @@
 /// Attempts of one stream.
 const MAX_ATTEMPTS: usize = 3;
 
+/// How long a daemon has run without a fault before it counts as in touch.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
+/// Engines of a version below which its streams need not go on.
+const MIN_ENGINES: usize = 2;
+
+/// Smallest share of the resumptions that goes on, relative to the share of streams
+/// that begin, where only daemons are killed and engines replaced.
+const RESUMED_SHARE: f64 = 0.95;
+
+/// Resumptions in one run from which on that share is compared.
+const COMPARED_RESUMPTIONS: usize = 100;
+
+/// What callers may expect: daemons in touch, and engines of each version.
+pub struct Scene {
+    /// Since when each daemon runs without a fault.
+    pub up_since: Vec<Mutex<Option<Instant>>>,
+    pub engines: Vec<Arc<Host>>,
+}
+
+impl Scene {
+    /// Records that a daemon runs, or that it does not.
+    pub fn set_up(&self, daemon: usize, up: bool) {
+        *self.up_since[daemon].lock().unwrap() = up.then(Instant::now);
+    }
+
+    fn in_touch(&self, daemon: usize) -> bool {
+        let since = *self.up_since[daemon].lock().unwrap();
+        since.is_some_and(|at| at.elapsed() >= IN_TOUCH)
+    }
+
+    /// Whether enough engines serve `software`, or any version.
+    fn serves(&self, software: Option<&str>) -> bool {
+        let versions = self.engines.iter().filter_map(|h| h.serving_software());
+        let of_it = versions.filter(|v| software.is_none_or(|s| s == v));
+        of_it.count() >= MIN_ENGINES
+    }
+
+    /// Whether a stream sent to `daemon` may expect to get events.
+    fn expects(&self, daemon: usize, software: Option<&str>) -> bool {
+        self.in_touch(daemon) && self.serves(software)
+    }
+}
+
 /// What happened to the streams of all callers.
 #[derive(Debug, Default)]
 pub struct Tally {
-    /// Attempts to begin a stream, and those that brought an event.
+    /// Attempts to begin a stream that may expect to, and those that brought an event.
     pub begins: (usize, usize),
-    /// Attempts to resume one, and those that brought an event.
+    /// Attempts to resume one that may expect to, and those that brought an event.
     pub resumptions: (usize, usize),
     /// Streams that hold events of two versions, or lack an event.
     pub violations: Vec<String>,
 }
 
 impl Tally {
-    /// The violated guarantees, one line each. `planned_only`: nothing but planned work
-    /// happened, so that resumptions go on about as often as streams begin.
-    pub fn all_violations(&self, planned_only: bool) -> Vec<String> {
+    /// The violated guarantees, one line each. `rollout`: only daemons were killed and
+    /// engines replaced.
+    pub fn all_violations(&self, rollout: bool) -> Vec<String> {
         let mut out = self.violations.clone();
         let share = |(sent, went): (usize, usize)| went as f64 / sent.max(1) as f64;
         let (begun, resumed) = (share(self.begins), share(self.resumptions));
-        let few = self.resumptions.0 < MIN_RESUMPTIONS;
-        if planned_only && !few && resumed < begun / 2.0 {
+        let sent = self.resumptions.0;
+        let (compared, least) = match rollout {
+            true => (sent >= COMPARED_RESUMPTIONS, RESUMED_SHARE * begun),
+            false => (sent >= MIN_RESUMPTIONS, begun / 2.0),
+        };
+        if compared && resumed < least {
             out.push(format!(
-                "{resumed:.2} of the resumptions go on, {begun:.2} begin"
+                "{resumed:.3} of {sent} resumptions go on, {begun:.3} begin"
             ));
         }
         out
@@ -58,6 +107,7 @@
     mut rng: StdRng,
     stop: Arc<AtomicBool>,
     tally: Arc<Mutex<Tally>>,
+    scene: Arc<Scene>,
 ) {
     for number in 0.. {
         if stop.load(Ordering::SeqCst) {
@@ -66,20 +116,23 @@
         let first = format!("v{caller}-{number}");
         let mut events = Vec::new();
         for attempt in 0..MAX_ATTEMPTS {
-            let front = &fronts[rng.random_range(0..fronts.len())];
+            let daemon = rng.random_range(0..fronts.len());
+            let front = &fronts[daemon];
             let left = STREAM_EVENTS as usize - events.len();
             let limit = rng.random_range(1..=left);
-            let last = events.last().map(|e: &crate::emulator::resume::Event| e.id);
-            let resumed = last.map(|last| Resumed {
-                last,
+            let last: Option<&Event> = events.last();
+            let software = last.map(|e| e.software.clone());
+            let resumed = last.map(|e| Resumed {
+                last: e.id,
                 first: first.clone(),
             });
+            let expected = scene.expects(daemon, software.as_deref());
             let id = match attempt {
                 0 => first.clone(),
                 _ => format!("{first}-{attempt}"),
             };
             let reading = read_stream(front, &id, "m/a1", resumed.as_ref(), limit).await;
-            {
+            if expected && scene.expects(daemon, software.as_deref()) {
                 let mut tally = tally.lock().unwrap();
                 let count = match resumed {
                     Some(_) => &mut tally.resumptions,
