Member rows say which versions every daemon knows

After the whole fleet was killed in a rollout no version counted as known to all, and all streams of the service waited for two seconds. The rows keep it: a version that every daemon with a complete history knew is known to those that read the rows as well.

begin_rule_after_fleet_kill does not compile on the code before, which held both versions back; the model restarts the whole fleet with it.

--- a/crates/comfreyhall-node/src/streams/stored.rs
+++ b/crates/comfreyhall-node/src/streams/stored.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use comfreyhall_streams::{Software, VersionHistory};
+use comfreyhall_streams::{Software, Stored, VersionHistory};
 use serde::{Deserialize, Serialize};
 
 use crate::view::View;
@@ -21,6 +21,9 @@
     id: String,
     #[serde(default)]
     software: Versions,
+    /// Those of them that every daemon with a complete history knows.
+    #[serde(default)]
+    established: Versions,
 }
 
 fn decode(software: &str) -> Software {
@@ -30,20 +33,28 @@
 impl MemberValue {
     /// The value to store for the daemon `id`.
     pub(crate) fn current(view: &View, id: &str, now: u64) -> Self {
-        let versions = |history: &VersionHistory| {
-            let reports = history.report(now).map(|r| r.software);
-            let mut out: Vec<String> = reports
-                .map(|s| s.as_deref().unwrap_or("").to_string())
-                .collect();
-            out.sort();
-            out
-        };
-        let services = view.versions.iter();
-        let software = services.map(|(service, h)| (service.to_string(), versions(h)));
-        Self {
+        let mut value = Self {
             id: id.to_string(),
-            software: software.filter(|(_, v)| !v.is_empty()).collect(),
+            ..Self::default()
+        };
+        for (service, history) in &view.versions {
+            for reported in history.report(now) {
+                let version = reported.software.as_deref().unwrap_or("").to_string();
+                let (service, all) = (service.to_string(), &mut value.software);
+                all.entry(service.clone())
+                    .or_default()
+                    .push(version.clone());
+                if reported.established {
+                    value.established.entry(service).or_default().push(version);
+                }
+            }
         }
+        let all = value
+            .software
+            .values_mut()
+            .chain(value.established.values_mut());
+        all.for_each(|versions| versions.sort());
+        value
     }
 
     pub(crate) fn encode(&self) -> Vec<u8> {
@@ -74,12 +85,18 @@
             return;
         }
     };
-    let mut stored = Versions::new();
-    for (service, versions) in rows.into_iter().flat_map(|r| r.software) {
-        stored.entry(service).or_default().extend(versions);
+    let mut stored: BTreeMap<String, Vec<Stored>> = BTreeMap::new();
+    for row in &rows {
+        for (service, versions) in &row.software {
+            let known = row.established.get(service);
+            let of_row = versions.iter().map(|version| Stored {
+                software: decode(version),
+                established: known.is_some_and(|k| k.contains(version)),
+            });
+            stored.entry(service.clone()).or_default().extend(of_row);
+        }
     }
     for (service, versions) in stored {
-        let versions: Vec<Software> = versions.iter().map(|s| decode(s)).collect();
         let list = view.list_times.clone();
         let history = view.versions.entry(service.as_str().into());
         let history = history.or_insert_with(|| VersionHistory::new(list));
--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -46,6 +46,15 @@
     pub left_ago_ms: u64,
 }
 
+/// What one daemon has stored of a version.
+#[derive(Debug, Clone)]
+pub struct Stored {
+    /// The version.
+    pub software: Software,
+    /// Whether every daemon with a complete history knew it.
+    pub established: bool,
+}
+
 /// One listed boot.
 #[derive(Debug, Clone, Copy)]
 struct Boot {
@@ -230,11 +239,11 @@
 
     /// Records the versions that all daemons had stored by `now`: no other one has begun
     /// a stream before.
-    pub fn learn_stored(&mut self, versions: &[Software], now: u64) {
-        for software in versions {
+    pub fn learn_stored(&mut self, versions: &[Stored], now: u64) {
+        for version in versions {
             let reported = Reported {
-                software: software.clone(),
-                established: false,
+                software: version.software.clone(),
+                established: version.established,
                 left_ago_ms: 0,
             };
             self.learn(&reported, now);
--- a/crates/comfreyhall-streams/src/lib.rs
+++ b/crates/comfreyhall-streams/src/lib.rs
@@ -20,7 +20,7 @@
 mod records;
 mod rule;
 
-pub use history::{ListTimes, Listing, Reported, Timing, VersionHistory};
+pub use history::{ListTimes, Listing, Reported, Stored, Timing, VersionHistory};
 pub use proof::{Answer, Evidence, Proof, conclude};
 pub use records::{StreamRecord, StreamRecords};
 pub use rule::SoftwareRule;
--- a/crates/comfreyhall-streams/src/tests.rs
+++ b/crates/comfreyhall-streams/src/tests.rs
@@ -158,16 +158,34 @@
     assert_eq!(held(&history, 20_000), [Some("v2".into())]);
 }
 
+fn stored(software: &str, established: bool) -> Stored {
+    Stored {
+        software: Some(software.into()),
+        established,
+    }
+}
+
+/// Guards against a service without streams after the whole fleet was killed in a
+/// rollout.
+#[test]
+fn begin_rule_after_fleet_kill() {
+    let mut fresh = VersionHistory::new(ListTimes::new(false));
+    fresh.learn_stored(&[stored("v1", true), stored("v2", false)], 50);
+    let both = [("v1", true), ("v2", true)];
+    list(&mut fresh, &both, 100, 100);
+    assert_eq!(held(&fresh, 150), [Some("v2".into())]);
+}
+
 /// Guards against rejected resumptions of a service with one version after the whole
 /// fleet was killed.
 #[test]
 fn learn_stored_completes_history() {
     let mut fresh = VersionHistory::new(ListTimes::new(false));
-    fresh.learn_stored(&[Some("v1".into())], 50);
+    fresh.learn_stored(&[stored("v1", true)], 50);
     list(&mut fresh, &[("v1", true)], 100, 100);
     assert_eq!(only(&fresh, 150).as_deref(), Some("v1"));
     let mut mixed = VersionHistory::new(ListTimes::new(false));
-    mixed.learn_stored(&[Some("v1".into()), Some("v2".into())], 50);
+    mixed.learn_stored(&[stored("v1", true), stored("v2", true)], 50);
     list(&mut mixed, &[("v1", true)], 100, 100);
     assert_eq!(only(&mixed, 150), None);
 }
--- a/crates/comfreyhall-streams/tests/model.rs
+++ b/crates/comfreyhall-streams/tests/model.rs
@@ -47,7 +47,7 @@
     /// Targets as last listed: index and version.
     targets: Vec<(usize, usize)>,
     /// The versions in its stored record, which outlives it.
-    stored: Vec<Software>,
+    stored: Vec<Stored>,
 }
 
 #[derive(Debug, Clone)]
@@ -191,12 +191,14 @@
         daemon.targets = ready.map(|(i, t)| (i, t.version)).collect();
         daemon.history.observe(&listings, &TIMING, self.now_ms);
         daemon.history.confirm(self.now_ms, &TIMING);
-        daemon.stored = daemon
-            .history
-            .report(self.now_ms)
-            .map(|r| r.software)
+        let reports = daemon.history.report(self.now_ms);
+        daemon.stored = reports
+            .map(|r| Stored {
+                software: r.software,
+                established: r.established,
+            })
             .collect();
-        let stored = daemon.stored.clone();
+        let stored: Vec<Software> = daemon.stored.iter().map(|s| s.software.clone()).collect();
         daemon.history.mark_stored(&stored);
         let begun = daemon.record_running(self.now_ms);
         self.send_records(d, begun);
@@ -266,7 +268,7 @@
         self.daemons[d].records = StreamRecords::default();
         self.daemons[d].running.clear();
         let stored = self.daemons.iter().flat_map(|d| d.stored.clone());
-        let stored: Vec<Software> = stored.collect();
+        let stored: Vec<Stored> = stored.collect();
         self.daemons[d].history.learn_stored(&stored, now);
         self.list(d);
         if !asks_peer {
