A resumption is passed on when no target of its version is reached

A daemon that reached targets of one version only rejected resumptions at the other one, though a peer reaches it: it counted as unreached only when all targets of the service were. Found with the test of a resumption that is passed on.

serve_passed_on_resumption_keeps_version failed before (rejected); it also guards against a receiver that resumes without a proof.

--- a/crates/comfreyhall-node/src/serve/pass_on.rs
+++ b/crates/comfreyhall-node/src/serve/pass_on.rs
@@ -39,15 +39,18 @@
         }
     }
 
-    /// Whether each of its targets was found unreachable a moment ago.
+    /// Whether each of its targets was found unreachable a moment ago; of a stream that
+    /// is resumed these are the targets of its version.
     fn all_unreached(&self) -> bool {
         let now = self.node.now();
+        let software = self.software_rule();
         let view = self.node.view();
         let unreached = |id| view.unavailable_until.get(id).is_some_and(|at| now < *at);
         let mut ready = view
             .targets
             .values()
             .filter(|t| t.service == self.service && t.stage == Stage::Ready)
+            .filter(|t| software.allows(&t.software))
             .peekable();
         ready.peek().is_some() && ready.all(|t| unreached(&t.id))
     }
--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -4,7 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_domain::{Route, RouteKind};
+use comfreyhall_domain::{ClientRequest, Route, RouteKind, Target};
 use comfreyhall_node::Node;
 use support::*;
 use tokio::net::TcpListener;
@@ -39,9 +39,14 @@
 }
 
 async fn start_pair(route: Route, cut: Behavior, peer: Behavior) -> Pair {
+    start_pair_before(route, cut, peer, target("c")).await
+}
+
+/// The same, with `other` besides the targets `a` and `b`.
+async fn start_pair_before(route: Route, cut: Behavior, peer: Behavior, other: Target) -> Pair {
     let mut source = scripted_source(route, None);
     let only = Arc::get_mut(&mut source).expect("the source has one owner");
-    only.targets.push(target("c"));
+    only.targets.push(other);
     let table = comfreyhall_fakes::FakeTable::default();
     let first = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -150,3 +155,38 @@
     assert_ne!(result, CallerResult::NotRun);
     assert_eq!(pair.peer_backend.sent.lock().unwrap().len(), 1);
 }
+
+/// Guards against a resumption that goes on at any version because it was passed on.
+#[tokio::test]
+async fn serve_passed_on_resumption_keeps_version() {
+    let stream = Behavior::Stream(vec![1, 2, 3], true);
+    let route = route(RouteKind::Stream, 2, true);
+    let other = Target {
+        software: Some("v2".into()),
+        ..target("c")
+    };
+    let pair = start_pair_before(route, Behavior::Unreachable, stream, other).await;
+    // A version that has just appeared begins no streams.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let resumption = |id: String, first: String| ClientRequest {
+        last_event_id: Some(1),
+        resumes: Some(first.as_str().into()),
+        ..ask(&id)
+    };
+    for i in 0..10 {
+        let first = format!("r{i}");
+        let result = caller_result(pair.peer.serve(ask(&first)).await).await;
+        assert_eq!(result, CallerResult::Stream(vec![1, 2, 3], true));
+        let request = resumption(format!("r{i}b"), first);
+        let result = caller_result(pair.cut.serve(request).await).await;
+        assert_eq!(result, CallerResult::Stream(vec![2, 3], true));
+        let sent = pair.peer_backend.sent.lock().unwrap();
+        let [.., began, resumed] = &sent[..] else {
+            panic!("two sends");
+        };
+        assert_eq!(*began.target == *"c", *resumed.target == *"c");
+    }
+    let unknown = resumption("u".into(), "never seen".into());
+    let result = caller_result(pair.cut.serve(unknown).await).await;
+    assert_eq!(result, CallerResult::NotRun);
+}
