Commands that were not sent are told apart from those that another boot answered

One reply stood for both, so logs and metrics could not show which of the two a daemon had met. Handled as before; a line says why a command was not carried out or a load left the account, and comfreyhall_commands_total counts other_boot, not_sent and withheld (before: gone and unsent).

--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -70,8 +70,9 @@
                     .observe_token(&self.target.failure_domain, token);
             }
             // The engine gets no more commands until it has sent a report.
-            CommandReply::Unsent => self.synced = false,
-            CommandReply::Gone => {
+            CommandReply::Withheld => self.synced = false,
+            CommandReply::OtherBoot | CommandReply::NotSent(_) => {
+                log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), reply:? = reply, expected = self.sequence, held = self.held.len(), loading = self.pending.len(); "command not carried out");
                 let until = self.node.now() + IDLE_POLL_MS;
                 let mut view = self.node.view();
                 view.unavailable_until.insert(self.target.id.clone(), until);
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -48,9 +48,13 @@
             match self.send_command(Action::Load, &adapter, version).await {
                 CommandReply::Holds => self.finish_load(&adapter),
                 CommandReply::Accepted => self.check_stalled(&adapter),
-                CommandReply::Conflict | CommandReply::Silent(_) | CommandReply::Unsent => {}
-                CommandReply::Fenced | CommandReply::Gone | CommandReply::Invalid => {
+                CommandReply::Conflict | CommandReply::Silent(_) | CommandReply::Withheld => {}
+                reply @ (CommandReply::Fenced
+                | CommandReply::OtherBoot
+                | CommandReply::NotSent(_)
+                | CommandReply::Invalid) => {
                     if let Some(loading) = self.take_pending(&adapter) {
+                        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(&adapter), reply:? = reply, expected = self.sequence, held = self.held.len(), loading = self.pending.len(); "load no longer counted");
                         finish(loading.waiters, Err("the engine no longer loads it".into()));
                     }
                 }
@@ -312,11 +316,11 @@
             CommandReply::Silent(_)
             | CommandReply::Fenced
             | CommandReply::Invalid
-            | CommandReply::Unsent => {
+            | CommandReply::Withheld => {
                 job.yield_to_others(waiter);
                 None
             }
-            CommandReply::Gone => {
+            CommandReply::OtherBoot | CommandReply::NotSent(_) => {
                 if let Some(ticket) = &job.ticket {
                     ticket.note_gone(&target);
                 }
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -188,7 +188,7 @@
     patience: Duration,
 ) -> CommandReply {
     if unavailable(node, &target.id).is_some() {
-        return CommandReply::Unsent;
+        return CommandReply::Withheld;
     }
     let call = node.backend.command(target.clone(), command);
     match timeout(patience, call).await {
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -221,13 +221,15 @@
     Conflict,
     /// The engine has seen a higher fencing token.
     Fenced,
-    /// Another boot (start of the engine's process) answered, or nothing listens
-    /// there.
-    Gone,
+    /// Another boot (start of the engine's process) answered, so the one that was
+    /// asked has ended.
+    OtherBoot,
     /// The command cannot be carried out.
     Invalid,
-    /// The command was not sent: the engine takes none now.
-    Unsent,
+    /// The command was not sent, as the engine takes none now.
+    Withheld,
+    /// Nothing reached the engine; whether it still runs is unknown.
+    NotSent(String),
     /// No answer: the command may be carried out, now or later.
     Silent(String),
 }
@@ -240,9 +242,10 @@
             CommandReply::Holds => "holds",
             CommandReply::Conflict => "conflict",
             CommandReply::Fenced => "fenced",
-            CommandReply::Gone => "gone",
+            CommandReply::OtherBoot => "other_boot",
             CommandReply::Invalid => "invalid",
-            CommandReply::Unsent => "unsent",
+            CommandReply::Withheld => "withheld",
+            CommandReply::NotSent(_) => "not_sent",
             CommandReply::Silent(_) => "silent",
         }
     }
