The account of an engine's slots is a type of its own

The controller's held adapters, loads in progress, sequence number and whether they are confirmed move into SlotAccount of the new crate comfreyhall-capacity, and a command can only be built from an order of it. Behaves as before: a load is dropped from the account when the command that asks for its outcome is not sent, refused or answered by another boot; a load that counts as stuck stays until the next report, which was asked for at once before too.

Renamed: EngineController::held, pending (as an account), sequence, synced -> SlotAccount; send_command -> carry_out.

--- /dev/null
+++ b/crates/comfreyhall-capacity/src/account.rs
@@ -0,0 +1,187 @@
+//! The account of one boot of an engine.
+
+use std::hash::Hash;
+
+use comfreyhall_domain::Map;
+
+use crate::order::{Action, Order, Outcome};
+
+/// An adapter that an engine holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldAdapter {
+    /// Its version.
+    pub version: u64,
+    /// When it was loaded; 0 if that was not observed.
+    pub since_ms: u64,
+}
+
+/// An engine's state as it reported it.
+#[derive(Debug, Clone)]
+pub struct Snapshot<K> {
+    /// Number of commands accepted.
+    pub sequence: u64,
+    /// Adapters that it holds, with their versions.
+    pub held: Vec<(K, u64)>,
+    /// Adapters that it is loading, with their versions.
+    pub loading: Vec<(K, u64)>,
+}
+
+/// Why there is no order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoRoom {
+    /// The account has to be confirmed by a report first.
+    Unconfirmed,
+    /// All slots are in use.
+    Full,
+}
+
+/// What one boot of an engine holds, loads and has been ordered to do.
+#[derive(Debug)]
+pub struct SlotAccount<K> {
+    /// Number of commands that the engine has accepted.
+    sequence: u64,
+    /// Whether the rest was right when the engine had accepted that many.
+    confirmed: bool,
+    held: Map<K, HeldAdapter>,
+    /// Versions of the adapters that are being loaded.
+    loading: Map<K, u64>,
+}
+
+impl<K> Default for SlotAccount<K> {
+    fn default() -> Self {
+        Self {
+            sequence: 0,
+            confirmed: false,
+            held: Map::default(),
+            loading: Map::default(),
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash> SlotAccount<K> {
+    /// Whether orders can be made; otherwise a report is needed first.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Requires a report before the next order.
+    pub fn require_report(&mut self) {
+        self.confirmed = false;
+    }
+
+    /// Number of commands that the engine has accepted.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Adapters that the engine holds.
+    pub fn held(&self) -> impl Iterator<Item = (&K, &HeldAdapter)> {
+        self.held.iter()
+    }
+
+    /// Version of `key` that the engine holds.
+    pub fn held_version(&self, key: &K) -> Option<u64> {
+        self.held.get(key).map(|h| h.version)
+    }
+
+    /// Version of `key` that the engine is loading.
+    pub fn loading_version(&self, key: &K) -> Option<u64> {
+        self.loading.get(key).copied()
+    }
+
+    /// Number of adapters that it is loading.
+    pub fn loading_count(&self) -> usize {
+        self.loading.len()
+    }
+
+    /// Number of slots in use.
+    pub fn occupied(&self) -> usize {
+        self.held.len() + self.loading.len()
+    }
+
+    /// An order to load `version` of `key` on an engine with `slots` slots. One for a
+    /// load in progress asks for its outcome, and needs no further slot.
+    pub fn load(&self, key: &K, version: u64, slots: usize) -> Result<Order<K>, NoRoom> {
+        if !self.confirmed {
+            return Err(NoRoom::Unconfirmed);
+        }
+        if !self.loading.contains_key(key) && self.occupied() >= slots {
+            return Err(NoRoom::Full);
+        }
+        Ok(self.order(Action::Load, key, version))
+    }
+
+    /// An order to load the model `key`, which takes no adapter slot.
+    pub fn load_model(&self, key: &K) -> Result<Order<K>, NoRoom> {
+        match (self.confirmed, self.occupied()) {
+            (false, _) => Err(NoRoom::Unconfirmed),
+            (true, 0) => Ok(self.order(Action::Load, key, 0)),
+            (true, _) => Err(NoRoom::Full),
+        }
+    }
+
+    /// An order to unload `key`.
+    pub fn unload(&self, key: &K) -> Result<Order<K>, NoRoom> {
+        match self.confirmed {
+            true => Ok(self.order(Action::Unload, key, 0)),
+            false => Err(NoRoom::Unconfirmed),
+        }
+    }
+
+    fn order(&self, action: Action, key: &K, version: u64) -> Order<K> {
+        Order {
+            action,
+            key: key.clone(),
+            version,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Records what came of `order` for an adapter at `now`.
+    pub fn settle(&mut self, order: Order<K>, outcome: Outcome, now: u64) {
+        let key = order.key;
+        match (order.action, outcome) {
+            (_, Outcome::OutOfSequence | Outcome::Unanswered) => self.confirmed = false,
+            (Action::Load, Outcome::Accepted) => {
+                if self.loading.insert(key, order.version).is_none() {
+                    self.sequence += 1;
+                }
+            }
+            (Action::Load, Outcome::AlreadyDone) => {
+                let version = self.loading.remove(&key).unwrap_or(order.version);
+                let since_ms = now;
+                self.held.insert(key, HeldAdapter { version, since_ms });
+            }
+            (Action::Unload, Outcome::Accepted | Outcome::AlreadyDone) => {
+                self.held.remove(&key);
+                self.sequence += 1;
+            }
+            (Action::Load, Outcome::NotSent | Outcome::Rejected | Outcome::OtherBoot) => {
+                self.loading.remove(&key);
+            }
+            (Action::Unload, Outcome::NotSent | Outcome::Rejected | Outcome::OtherBoot) => {}
+        }
+    }
+
+    /// Records what came of `order` for a model.
+    pub fn settle_model(&mut self, order: Order<K>, outcome: Outcome) {
+        match outcome {
+            Outcome::Accepted => self.sequence += 1,
+            Outcome::OutOfSequence | Outcome::Unanswered => self.confirmed = false,
+            Outcome::NotSent | Outcome::AlreadyDone | Outcome::Rejected | Outcome::OtherBoot => {}
+        }
+        drop(order);
+    }
+
+    /// Replaces the account by what the engine reported.
+    pub fn apply(&mut self, report: Snapshot<K>) {
+        self.sequence = report.sequence;
+        self.confirmed = true;
+        let held = report.held.into_iter().map(|(key, version)| {
+            let since_ms = self.held.get(&key).map_or(0, |h| h.since_ms);
+            (key, HeldAdapter { version, since_ms })
+        });
+        self.held = held.collect();
+        self.loading = report.loading.into_iter().collect();
+    }
+}
--- a/crates/comfreyhall-node/src/engine_control/affinity.rs
+++ b/crates/comfreyhall-node/src/engine_control/affinity.rs
@@ -12,7 +12,7 @@
         if self.node.controllers.is_loading(&job.adapter) {
             return false;
         }
-        let victim = match self.held.len() + self.pending.len() < self.slots() {
+        let victim = match self.account.occupied() < self.slots() {
             true => None,
             false => match self.choose_victim() {
                 Some(victim) => Some(victim),
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use comfreyhall_capacity::Order;
 use comfreyhall_domain::{AdapterRef, Name, Stage};
 use comfreyhall_routing::Presence;
 
@@ -10,7 +11,7 @@
     adapter_key::adapter_key,
     fleet::LoadTiming,
     leases, outbound,
-    ports::{Action, Command, CommandReply},
+    ports::{Command, CommandReply},
 };
 
 /// Longest wait for the answer to a command. Answers take a few ms; an engine
@@ -28,39 +29,30 @@
 const MAX_ATTEMPTS: u32 = 3;
 
 impl EngineController {
-    /// Sends one command under the current lease.
-    pub(super) async fn send_command(
-        &mut self,
-        action: Action,
-        adapter: &AdapterRef,
-        version: u64,
-    ) -> CommandReply {
+    /// Sends the command of `order` under the current lease, and settles the order.
+    pub(super) async fn carry_out(&mut self, order: Order<AdapterRef>) -> CommandReply {
+        let reply = self.send_order(&order).await;
+        let now = self.node.now();
+        self.account.settle(order, reply.outcome(), now);
+        reply
+    }
+
+    /// Sends the command of `order` under the current lease.
+    async fn send_order(&mut self, order: &Order<AdapterRef>) -> CommandReply {
+        let adapter = order.key();
         let Some(token) = self.node.token(&self.target.failure_domain) else {
             return CommandReply::Fenced;
         };
         if self.node.draining() {
             return CommandReply::Fenced;
         }
-        let order = Command {
-            action,
-            adapter: adapter.clone(),
-            version: (version > 0).then_some(version),
-            expected_sequence: self.sequence,
-            holder: self.node.settings().id.clone(),
-            token,
-        };
-        let reply = self.send_with_retries(order).await;
-        log::debug!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), action:? = action, version, expected = self.sequence, token, reply:? = reply; "order");
+        let command = Command::new(order, self.node.settings().id.clone(), token);
+        let reply = self.send_with_retries(command).await;
+        log::debug!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), action:? = order.action(), version = order.version(), expected = order.sequence(), token, reply:? = reply; "order");
         self.node.metrics.command(reply.name());
         match &reply {
-            // A load that is already in progress is accepted again without
-            // being counted; unloading an unused adapter takes effect at once
-            // and is counted.
-            CommandReply::Accepted if !self.pending.contains_key(adapter) => self.sequence += 1,
-            CommandReply::Holds if action == Action::Unload => self.sequence += 1,
-            CommandReply::Accepted | CommandReply::Holds => {}
+            CommandReply::Accepted | CommandReply::Holds | CommandReply::Withheld => {}
             CommandReply::Conflict | CommandReply::Silent(_) => {
-                self.synced = false;
                 self.report_after_ms = self.node.now() + REPORT_DELAY.as_millis() as u64;
             }
             CommandReply::Fenced => {
@@ -69,10 +61,8 @@
                     .leases
                     .observe_token(&self.target.failure_domain, token);
             }
-            // The engine gets no more commands until it has sent a report.
-            CommandReply::Withheld => self.synced = false,
             CommandReply::OtherBoot | CommandReply::NotSent(_) => {
-                log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), reply:? = reply, expected = self.sequence, held = self.held.len(), loading = self.pending.len(); "command not carried out");
+                log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), reply:? = reply, expected = order.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "command not carried out");
                 let until = self.node.now() + IDLE_POLL_MS;
                 let mut view = self.node.view();
                 view.unavailable_until.insert(self.target.id.clone(), until);
@@ -102,12 +92,14 @@
     }
 
     pub(super) async fn unload(&mut self, adapter: &AdapterRef) -> bool {
-        let reply = self.send_command(Action::Unload, adapter, 0).await;
+        let Ok(order) = self.account.unload(adapter) else {
+            return false;
+        };
+        let reply = self.carry_out(order).await;
         if !matches!(reply, CommandReply::Accepted | CommandReply::Holds) {
             return false;
         }
         let now = self.node.now();
-        self.held.remove(adapter);
         let mut view = self.node.view();
         view.residency
             .record(adapter, &self.target.id, Presence::Absent, now);
@@ -121,7 +113,7 @@
     /// Loads a model on an engine that has none, as after a restart.
     pub(super) async fn load_model(&mut self) {
         let now = self.node.now();
-        let empty = self.target.loaded.is_empty() && self.held.is_empty();
+        let empty = self.target.loaded.is_empty() && self.account.occupied() == 0;
         if !empty || now < self.model_due_ms || self.target.stage != Stage::Ready {
             return;
         }
@@ -137,7 +129,11 @@
             model,
             adapter: None,
         };
-        let reply = self.send_command(Action::Load, &adapter, 0).await;
+        let Ok(order) = self.account.load_model(&adapter) else {
+            return;
+        };
+        let reply = self.send_order(&order).await;
+        self.account.settle_model(order, reply.outcome());
         log::info!(target: "keeper", id:% = self.target.id, model:% = adapter.model, reply:? = reply; "model load requested");
         // Loads queue at the weight store, so one may take several times its
         // own duration.
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -5,13 +5,12 @@
 use comfreyhall_routing::Presence;
 
 use super::{
-    EngineController, HeldAdapter, Job, LOAD_POLL_MS, PendingLoad, Placed, finish,
-    job::STALLED_LOAD_MS,
+    EngineController, Job, LOAD_POLL_MS, PendingLoad, Placed, finish, job::STALLED_LOAD_MS,
 };
 use crate::{
     adapter_key::adapter_key,
     fleet::LoadTiming,
-    ports::{Action, CommandReply},
+    ports::CommandReply,
     slots,
     view::NamedVersion,
     weights::{self, LoadOrigin},
@@ -38,14 +37,16 @@
     pub(super) async fn poll_pending(&mut self) {
         let now = self.node.now();
         let due = self.pending.iter().filter(|(_, c)| c.poll_at_ms <= now);
-        let due: Vec<(AdapterRef, u64)> = due.map(|(a, c)| (a.clone(), c.version)).collect();
-        for (adapter, version) in due {
-            if !self.synced {
-                return;
-            }
+        let due: Vec<AdapterRef> = due.map(|(a, _)| a.clone()).collect();
+        let slots = self.slots();
+        for adapter in due {
+            let version = self.account.loading_version(&adapter).unwrap_or(0);
             // A repeated command reports a finished load, and is cheaper than a
             // report.
-            match self.send_command(Action::Load, &adapter, version).await {
+            let Ok(order) = self.account.load(&adapter, version, slots) else {
+                return;
+            };
+            match self.carry_out(order).await {
                 CommandReply::Holds => self.finish_load(&adapter),
                 CommandReply::Accepted => self.check_stalled(&adapter),
                 CommandReply::Conflict | CommandReply::Silent(_) | CommandReply::Withheld => {}
@@ -54,7 +55,7 @@
                 | CommandReply::NotSent(_)
                 | CommandReply::Invalid) => {
                     if let Some(loading) = self.take_pending(&adapter) {
-                        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(&adapter), reply:? = reply, expected = self.sequence, held = self.held.len(), loading = self.pending.len(); "load no longer counted");
+                        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(&adapter), reply:? = reply, expected = self.account.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "load no longer counted");
                         finish(loading.waiters, Err("the engine no longer loads it".into()));
                     }
                 }
@@ -73,7 +74,7 @@
         {
             log::warn!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter); "load is stuck");
             finish(loading.waiters, Err("the load is stuck".into()));
-            self.synced = false;
+            self.account.require_report();
         }
     }
 
@@ -99,12 +100,7 @@
         let Some(loading) = self.take_pending(adapter) else {
             return;
         };
-        let version = loading.version;
-        let held_adapter = HeldAdapter {
-            version,
-            since_ms: now,
-        };
-        self.held.insert(adapter.clone(), held_adapter);
+        let version = self.account.held_version(adapter).unwrap_or(0);
         let presence = Presence::Held(version);
         let mut view = self.node.view();
         view.residency
@@ -153,7 +149,7 @@
                 .collect()
         };
         for (adapter, version, score) in outdated {
-            if !self.synced || !self.unload(&adapter).await {
+            if !self.account.is_confirmed() || !self.unload(&adapter).await {
                 return;
             }
             log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(&adapter), version, score; "outdated adapter dropped");
@@ -166,7 +162,7 @@
     /// Held adapters for which a newer version has been named.
     fn outdated(&self) -> Vec<(AdapterRef, NamedVersion)> {
         let view = self.node.view();
-        let newer = self.held.iter().filter_map(|(adapter, held_adapter)| {
+        let newer = self.account.held().filter_map(|(adapter, held_adapter)| {
             let named = view.named_versions.get(adapter)?;
             (named.version > held_adapter.version).then(|| (adapter.clone(), *named))
         });
@@ -178,10 +174,10 @@
         if !job.is_open() {
             return None;
         }
-        if let Some(held_adapter) = self.held.get(&job.adapter)
-            && held_adapter.version >= job.version
+        if let Some(version) = self.account.held_version(&job.adapter)
+            && version >= job.version
         {
-            let placed = self.placed(held_adapter.version);
+            let placed = self.placed(version);
             finish(job.claim(), Ok(placed));
             return None;
         }
@@ -211,7 +207,7 @@
 
     /// Returns why `job` may not be loaded here yet.
     fn wait_reason(&self, job: &Job) -> Option<&'static str> {
-        if !self.synced {
+        if !self.account.is_confirmed() {
             return Some("report");
         }
         let now = self.node.now();
@@ -225,7 +221,7 @@
         if controllers.is_loading_elsewhere(&job.adapter, &self.target.id, engines) {
             return Some("elsewhere");
         }
-        if self.pending.len() >= MAX_PENDING_LOADS {
+        if self.account.loading_count() >= MAX_PENDING_LOADS {
             return Some("engine");
         }
         let cached = {
@@ -274,10 +270,13 @@
             };
             (named.max(job.version), cached, age, origin)
         };
+        let Ok(order) = self.account.load(&job.adapter, version, self.slots()) else {
+            return Some(job.wait_for("place", &self.target.id));
+        };
         let waiter = job.claim();
         let target = self.target.id.clone();
         self.node.controllers.begin_load(&job.adapter, &target);
-        let reply = self.send_command(Action::Load, &job.adapter, version).await;
+        let reply = self.carry_out(order).await;
         if reply != CommandReply::Accepted {
             self.node.controllers.end_load(&job.adapter, &target);
         }
@@ -287,7 +286,6 @@
                 slots::record_grant(&self.node, &self.target.failure_domain, &job.adapter);
                 let expected = self.node.controllers.expected_load_ms(cached);
                 let loading = PendingLoad {
-                    version,
                     started_at_ms: now,
                     poll_at_ms: now + ((expected * FIRST_POLL_FRACTION) as u64).max(LOAD_POLL_MS),
                     cached,
@@ -301,9 +299,6 @@
                 None
             }
             CommandReply::Holds => {
-                let since_ms = self.node.now();
-                self.held
-                    .insert(job.adapter, HeldAdapter { version, since_ms });
                 let placed = self.placed(version);
                 finish(waiter, Ok(placed));
                 None
@@ -333,7 +328,7 @@
     /// Ensures that a slot is free; returns false if all are in use.
     pub(super) async fn free_slot(&mut self) -> bool {
         let slots = self.slots();
-        while self.held.len() + self.pending.len() >= slots {
+        while self.account.occupied() >= slots {
             let Some(out) = self.choose_victim() else {
                 return false;
             };
@@ -352,7 +347,7 @@
         let now = self.node.now();
         let pinned = self.node.fleet.in_use_at(&self.target.id, now);
         let view = self.node.view();
-        let unused = self.held.iter().filter(|(a, _)| !pinned.contains(*a));
+        let unused = self.account.held().filter(|(a, _)| !pinned.contains(*a));
         let evictable: Vec<EvictionCandidate<AdapterRef>> = unused
             .map(|(adapter, held_adapter)| EvictionCandidate {
                 score: view.demand.score(&adapter_key(adapter), now),
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -22,6 +22,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use comfreyhall_capacity::SlotAccount;
 use comfreyhall_domain::{AdapterRef, Map, Target};
 use tokio::sync::mpsc;
 
@@ -104,10 +105,8 @@
     let keeper = EngineController {
         node: node.clone(),
         target: target.clone(),
-        held: Map::default(),
+        account: SlotAccount::default(),
         pending: Map::default(),
-        sequence: 0,
-        synced: false,
         report_after_ms: 0,
         queue: Vec::new(),
         model_due_ms: 0,
@@ -116,14 +115,8 @@
     tokio::spawn(keeper.run(receive));
 }
 
-#[derive(Debug, Clone, Copy)]
-struct HeldAdapter {
-    version: u64,
-    since_ms: u64,
-}
-
+/// A load that is watched for its end.
 struct PendingLoad {
-    version: u64,
     started_at_ms: u64,
     poll_at_ms: u64,
     cached: bool,
@@ -141,12 +134,10 @@
 struct EngineController {
     node: Arc<Node>,
     target: Arc<Target>,
-    held: Map<AdapterRef, HeldAdapter>,
+    /// What the engine holds and loads.
+    account: SlotAccount<AdapterRef>,
+    /// Loads of the account that are watched.
     pending: Map<AdapterRef, PendingLoad>,
-    /// Number of commands that the engine has accepted.
-    sequence: u64,
-    /// Whether `held`, `pending` and `sequence` match the engine's last report.
-    synced: bool,
     /// Earliest time of the next report.
     report_after_ms: u64,
     queue: Vec<Job>,
--- a/crates/comfreyhall-node/src/engine_control/report.rs
+++ b/crates/comfreyhall-node/src/engine_control/report.rs
@@ -5,12 +5,11 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use comfreyhall_domain::{AdapterRef, Map};
+use comfreyhall_capacity::Snapshot;
+use comfreyhall_domain::AdapterRef;
 use comfreyhall_routing::Presence;
 
-use super::{
-    EngineController, HeldAdapter, IDLE_POLL_MS, LOAD_POLL_MS, PendingLoad, REPORT_DELAY, finish,
-};
+use super::{EngineController, IDLE_POLL_MS, LOAD_POLL_MS, PendingLoad, REPORT_DELAY, finish};
 use crate::{
     outbound,
     ports::{Report, ReportError},
@@ -54,39 +53,36 @@
 
     pub(super) fn apply_report(&mut self, report: Report) {
         let now = self.node.now();
-        self.sequence = report.sequence;
-        self.synced = true;
-        let mut held: Map<AdapterRef, HeldAdapter> = Map::default();
-        for model in &report.loaded {
-            for (name, version) in &model.adapters {
+        let held = report.loaded.iter().flat_map(|model| {
+            let adapters = model.adapters.iter();
+            adapters.map(|(name, version)| {
                 let adapter = AdapterRef {
                     model: model.model.clone(),
                     adapter: Some(name.clone()),
                 };
-                let since_ms = self.held.get(&adapter).map_or(0, |h| h.since_ms);
-                let version = *version;
-                held.insert(adapter, HeldAdapter { version, since_ms });
-            }
-        }
-        let listed: Map<AdapterRef, u64> = report.loading.into_iter().collect();
+                (adapter, *version)
+            })
+        });
+        self.account.apply(Snapshot {
+            sequence: report.sequence,
+            held: held.collect(),
+            loading: report.loading.clone(),
+        });
         let old: Vec<AdapterRef> = self.pending.keys().cloned().collect();
-        let old = old
-            .into_iter()
-            .filter_map(|a| Some((a.clone(), self.take_pending(&a)?)));
-        let old: Vec<(AdapterRef, PendingLoad)> = old.collect();
-        for (adapter, loading) in old {
-            match (held.get(&adapter), listed.contains_key(&adapter)) {
-                (Some(held_adapter), _) => {
-                    finish(loading.waiters, Ok(self.placed(held_adapter.version)))
-                }
-                (None, true) => self.add_pending(adapter, loading),
-                (None, false) => finish(loading.waiters, Err("the order was lost".into())),
+        for adapter in old {
+            let Some(loading) = self.take_pending(&adapter) else {
+                continue;
+            };
+            let held = self.account.held_version(&adapter);
+            match (held, self.account.loading_version(&adapter)) {
+                (Some(version), _) => finish(loading.waiters, Ok(self.placed(version))),
+                (None, Some(_)) => self.add_pending(adapter, loading),
+                (None, None) => finish(loading.waiters, Err("the order was lost".into())),
             }
         }
-        for (adapter, version) in listed {
+        for (adapter, _) in report.loading {
             if !self.pending.contains_key(&adapter) {
                 let loading = PendingLoad {
-                    version,
                     started_at_ms: now,
                     poll_at_ms: now + LOAD_POLL_MS,
                     cached: false,
@@ -99,23 +95,22 @@
                 self.add_pending(adapter, loading);
             }
         }
-        self.publish_held(&held, now);
-        self.held = held;
+        self.publish_held(now);
         if report.loaded.is_empty() && !report.busy {
             self.model_due_ms = self.model_due_ms.min(now);
         }
     }
 
     /// Updates the adapter residency that request routing reads.
-    pub(super) fn publish_held(&self, held: &Map<AdapterRef, HeldAdapter>, now: u64) {
+    pub(super) fn publish_held(&self, now: u64) {
         let mut view = self.node.view();
         for (adapter, _) in view.residency.held_adapters(&self.target.id) {
-            if !held.contains_key(&adapter) {
+            if self.account.held_version(&adapter).is_none() {
                 view.residency
                     .record(&adapter, &self.target.id, Presence::Absent, now);
             }
         }
-        for (adapter, held_adapter) in held {
+        for (adapter, held_adapter) in self.account.held() {
             let presence = Presence::Held(held_adapter.version);
             view.residency
                 .record(adapter, &self.target.id, presence, now);
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -54,7 +54,7 @@
             return now + closed.retry_ms;
         }
         self.drop_expired(now);
-        if !self.synced && !self.fetch_report().await {
+        if !self.account.is_confirmed() && !self.fetch_report().await {
             return self.node.now() + REPORT_DELAY.as_millis() as u64;
         }
         self.load_model().await;
@@ -85,7 +85,7 @@
     fn abandon_jobs(&mut self) {
         self.queue.clear();
         self.clear_pending();
-        self.synced = false;
+        self.account.require_report();
     }
 
     /// Drops jobs whose requests no longer wait.
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use comfreyhall_backpressure::Notice;
+pub use comfreyhall_capacity::Action;
+use comfreyhall_capacity::{Order, Outcome};
 use comfreyhall_domain::{AdapterRef, ClientRequest, Config, Name, Refusal, Target};
 use futures::{Stream, future::BoxFuture};
 use http::{HeaderMap, StatusCode};
@@ -183,17 +185,9 @@
     Indeterminate(String),
 }
 
-/// What a command does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Action {
-    /// Loads a model or adapter.
-    Load,
-    /// Unloads it.
-    Unload,
-}
-
-/// A command to an engine.
+/// A command to an engine, made from an order of the engine's account.
 #[derive(Debug, Clone, PartialEq)]
+#[non_exhaustive]
 pub struct Command {
     /// What to do.
     pub action: Action,
@@ -210,6 +204,20 @@
     pub token: u64,
 }
 
+impl Command {
+    /// The command for `order`, sent by `holder` under `token`.
+    pub(crate) fn new(order: &Order<AdapterRef>, holder: Name, token: u64) -> Self {
+        Self {
+            action: order.action(),
+            adapter: order.key().clone(),
+            version: (order.version() > 0).then_some(order.version()),
+            expected_sequence: order.sequence(),
+            holder,
+            token,
+        }
+    }
+}
+
 /// An engine's reply to a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommandReply {
@@ -235,6 +243,19 @@
 }
 
 impl CommandReply {
+    /// What it says about the command.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match self {
+            CommandReply::Accepted => Outcome::Accepted,
+            CommandReply::Holds => Outcome::AlreadyDone,
+            CommandReply::Conflict => Outcome::OutOfSequence,
+            CommandReply::Fenced | CommandReply::Invalid => Outcome::Rejected,
+            CommandReply::OtherBoot => Outcome::OtherBoot,
+            CommandReply::NotSent(_) => Outcome::NotSent,
+            CommandReply::Withheld | CommandReply::Silent(_) => Outcome::Unanswered,
+        }
+    }
+
     /// Label in metrics.
     pub(crate) fn name(&self) -> &'static str {
         match self {
