A command that was not sent changes nothing in an engine's account

Callers lost all runs of an engine that had been ordered to load an adapter without a slot for it and crashed. Cause: a failed connection and the answer of another boot were one reply, and the load whose outcome had been asked for left the account, while the engine finished it. The sequence number stayed right, so the next load was accepted.

An account now loses nothing while the sequence number stays the same: a command that was not sent changes nothing, a rejected one asks for a report, another boot ends the account, an adapter that waits for its runs to be unloaded keeps its slot, an attempt without an answer before one that could not be sent counts as unanswered, and a report from before an accepted command is not taken in. An engine that cannot be reached is left alone for 250 ms to 1 s, and the requests that wait for it go elsewhere at once.

--- a/crates/comfreyhall-capacity/src/account.rs
+++ b/crates/comfreyhall-capacity/src/account.rs
@@ -6,6 +6,10 @@
 
 use crate::order::{Action, Order, Outcome};
 
+/// Longest time in ms between the making of a report and its arrival; most take
+/// some hundred.
+const MAX_REPORT_AGE_MS: u64 = 1_000;
+
 /// An adapter that an engine holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldAdapter {
@@ -45,6 +49,8 @@
     held: Map<K, HeldAdapter>,
     /// Versions of the adapters that are being loaded.
     loading: Map<K, u64>,
+    /// When the engine last accepted a command; 0 for never.
+    accepted_ms: u64,
 }
 
 impl<K> Default for SlotAccount<K> {
@@ -54,6 +60,7 @@
             confirmed: false,
             held: Map::default(),
             loading: Map::default(),
+            accepted_ms: 0,
         }
     }
 }
@@ -141,10 +148,15 @@
     pub fn settle(&mut self, order: Order<K>, outcome: Outcome, now: u64) {
         let key = order.key;
         match (order.action, outcome) {
-            (_, Outcome::OutOfSequence | Outcome::Unanswered) => self.confirmed = false,
+            // Whatever the engine was told before, it still does.
+            (_, Outcome::NotSent) => {}
+            (_, Outcome::OutOfSequence | Outcome::Unanswered | Outcome::Rejected) => {
+                self.confirmed = false;
+            }
+            (_, Outcome::OtherBoot) => *self = Self::default(),
             (Action::Load, Outcome::Accepted) => {
                 if self.loading.insert(key, order.version).is_none() {
-                    self.sequence += 1;
+                    self.count_accepted(now);
                 }
             }
             (Action::Load, Outcome::AlreadyDone) => {
@@ -152,29 +164,46 @@
                 let since_ms = now;
                 self.held.insert(key, HeldAdapter { version, since_ms });
             }
-            (Action::Unload, Outcome::Accepted | Outcome::AlreadyDone) => {
+            (Action::Unload, Outcome::AlreadyDone) => {
                 self.held.remove(&key);
-                self.sequence += 1;
+                self.count_accepted(now);
             }
-            (Action::Load, Outcome::NotSent | Outcome::Rejected | Outcome::OtherBoot) => {
-                self.loading.remove(&key);
+            // The adapter keeps its slot until its runs have ended.
+            (Action::Unload, Outcome::Accepted) => {
+                self.count_accepted(now);
+                self.confirmed = false;
             }
-            (Action::Unload, Outcome::NotSent | Outcome::Rejected | Outcome::OtherBoot) => {}
         }
     }
 
+    fn count_accepted(&mut self, now: u64) {
+        self.sequence += 1;
+        self.accepted_ms = now;
+    }
+
     /// Records what came of `order` for a model.
-    pub fn settle_model(&mut self, order: Order<K>, outcome: Outcome) {
+    pub fn settle_model(&mut self, order: Order<K>, outcome: Outcome, now: u64) {
         match outcome {
-            Outcome::Accepted => self.sequence += 1,
-            Outcome::OutOfSequence | Outcome::Unanswered => self.confirmed = false,
-            Outcome::NotSent | Outcome::AlreadyDone | Outcome::Rejected | Outcome::OtherBoot => {}
+            Outcome::Accepted => self.count_accepted(now),
+            Outcome::OutOfSequence | Outcome::Unanswered | Outcome::Rejected => {
+                self.confirmed = false;
+            }
+            Outcome::OtherBoot => *self = Self::default(),
+            Outcome::NotSent | Outcome::AlreadyDone => {}
         }
         drop(order);
     }
 
-    /// Replaces the account by what the engine reported.
-    pub fn apply(&mut self, report: Snapshot<K>) {
+    /// Replaces the account by a report that was asked for at `asked_ms`; false if the
+    /// engine made it before it accepted commands that the account has.
+    ///
+    /// A report with the same number of accepted commands lists the same adapters,
+    /// however old it is. One with fewer is old, or the engine has lost count.
+    pub fn apply(&mut self, report: Snapshot<K>, asked_ms: u64) -> bool {
+        let certainly_later = asked_ms >= self.accepted_ms + MAX_REPORT_AGE_MS;
+        if report.sequence < self.sequence && !certainly_later {
+            return false;
+        }
         self.sequence = report.sequence;
         self.confirmed = true;
         let held = report.held.into_iter().map(|(key, version)| {
@@ -183,5 +212,6 @@
         });
         self.held = held.collect();
         self.loading = report.loading.into_iter().collect();
+        true
     }
 }
--- a/crates/comfreyhall-capacity/tests/model.rs
+++ b/crates/comfreyhall-capacity/tests/model.rs
@@ -209,7 +209,7 @@
             held: versions(&state.held),
             loading: versions(&state.loading),
         };
-        apply(&mut self.accounts[by], snapshot, self.now_ms);
+        self.accounts[by].apply(snapshot, self.now_ms);
     }
 
     fn run(&mut self, step: Step) {
@@ -253,10 +253,6 @@
     }
 }
 
-fn apply(account: &mut SlotAccount<u8>, snapshot: Snapshot<u8>, _asked_ms: u64) {
-    account.apply(snapshot);
-}
-
 fn fate() -> impl Strategy<Value = Fate> {
     prop_oneof![
         8 => Just(Fate::Answered),
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -6,7 +6,7 @@
 use comfreyhall_domain::{AdapterRef, Name, Stage};
 use comfreyhall_routing::Presence;
 
-use super::{EngineController, IDLE_POLL_MS, REPORT_DELAY};
+use super::{EngineController, IDLE_POLL_MS, MAX_REPORT_PAUSE_MS, REPORT_DELAY};
 use crate::{
     adapter_key::adapter_key,
     fleet::LoadTiming,
@@ -28,15 +28,57 @@
 /// adapters a second instead of 110.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Doublings of the pause after failed calls.
+const MAX_PAUSE_DOUBLINGS: u32 = 4;
+
 impl EngineController {
     /// Sends the command of `order` under the current lease, and settles the order.
     pub(super) async fn carry_out(&mut self, order: Order<AdapterRef>) -> CommandReply {
         let reply = self.send_order(&order).await;
         let now = self.node.now();
         self.account.settle(order, reply.outcome(), now);
+        self.note_contact(&reply);
         reply
     }
 
+    /// Records whether `reply` came from the engine.
+    fn note_contact(&mut self, reply: &CommandReply) {
+        match reply {
+            CommandReply::NotSent(why) => self.lose_contact(why),
+            CommandReply::Withheld => self.account.require_report(),
+            CommandReply::Silent(_) | CommandReply::Fenced => {}
+            _ => self.regain_contact(),
+        }
+    }
+
+    /// Records that the engine answered.
+    pub(super) fn regain_contact(&mut self) {
+        self.failed_calls = 0;
+        if self.unreachable {
+            self.unreachable = false;
+            log::info!(target: "keeper", id:% = self.target.id; "engine reached again");
+        }
+    }
+
+    /// Leaves the engine alone for a while, longer after each failed call, and frees
+    /// the requests that wait for it. What it loads stays in its account.
+    pub(super) fn lose_contact(&mut self, why: &str) {
+        let now = self.node.now();
+        let pause = (REPORT_DELAY.as_millis() as u64) << self.failed_calls.min(MAX_PAUSE_DOUBLINGS);
+        let pause = pause.min(MAX_REPORT_PAUSE_MS);
+        self.failed_calls = self.failed_calls.saturating_add(1);
+        if !self.unreachable {
+            self.unreachable = true;
+            log::warn!(target: "keeper", id:% = self.target.id, why, expected = self.account.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "engine not reached; its account is kept until a report");
+        }
+        self.report_after_ms = now + pause;
+        let target = self.target.id.clone();
+        let mut view = self.node.view();
+        view.unavailable_until.insert(target, now + pause);
+        drop(view);
+        self.release_jobs();
+    }
+
     /// Sends the command of `order` under the current lease.
     async fn send_order(&mut self, order: &Order<AdapterRef>) -> CommandReply {
         let adapter = order.key();
@@ -61,8 +103,9 @@
                     .leases
                     .observe_token(&self.target.failure_domain, token);
             }
-            CommandReply::OtherBoot | CommandReply::NotSent(_) => {
-                log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), reply:? = reply, expected = order.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "command not carried out");
+            CommandReply::NotSent(_) => {}
+            CommandReply::OtherBoot => {
+                log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter); "another boot answered; the engine has ended");
                 let until = self.node.now() + IDLE_POLL_MS;
                 let mut view = self.node.view();
                 view.unavailable_until.insert(self.target.id.clone(), until);
@@ -76,14 +119,20 @@
 
     /// Sends `order`, and repeats it while there is no answer.
     async fn send_with_retries(&self, order: Command) -> CommandReply {
-        let mut reply = CommandReply::Silent("not sent".into());
+        let mut reply = CommandReply::NotSent("the lease has ended".into());
         for _ in 0..MAX_ATTEMPTS {
             // The lease may have expired while waiting for an answer.
             if self.node.token(&self.target.failure_domain) != Some(order.token) {
                 break;
             }
             let target = &self.target;
-            reply = outbound::command(&self.node, target, order.clone(), COMMAND_TIMEOUT).await;
+            let next = outbound::command(&self.node, target, order.clone(), COMMAND_TIMEOUT).await;
+            let unsent = matches!(next, CommandReply::NotSent(_) | CommandReply::Withheld);
+            if unsent && matches!(reply, CommandReply::Silent(_)) {
+                // An earlier attempt may still be carried out.
+                break;
+            }
+            reply = next;
             if !matches!(reply, CommandReply::Silent(_)) {
                 break;
             }
@@ -133,7 +182,9 @@
             return;
         };
         let reply = self.send_order(&order).await;
-        self.account.settle_model(order, reply.outcome());
+        self.account
+            .settle_model(order, reply.outcome(), self.node.now());
+        self.note_contact(&reply);
         log::info!(target: "keeper", id:% = self.target.id, model:% = adapter.model, reply:? = reply; "model load requested");
         // Loads queue at the weight store, so one may take several times its
         // own duration.
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -49,13 +49,14 @@
             match self.carry_out(order).await {
                 CommandReply::Holds => self.finish_load(&adapter),
                 CommandReply::Accepted => self.check_stalled(&adapter),
-                CommandReply::Conflict | CommandReply::Silent(_) | CommandReply::Withheld => {}
-                reply @ (CommandReply::Fenced
-                | CommandReply::OtherBoot
-                | CommandReply::NotSent(_)
-                | CommandReply::Invalid) => {
+                CommandReply::Conflict
+                | CommandReply::Silent(_)
+                | CommandReply::Withheld
+                | CommandReply::NotSent(_) => {}
+                reply
+                @ (CommandReply::Fenced | CommandReply::OtherBoot | CommandReply::Invalid) => {
                     if let Some(loading) = self.take_pending(&adapter) {
-                        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(&adapter), reply:? = reply, expected = self.account.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "load no longer counted");
+                        log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(&adapter), reply:? = reply, expected = self.account.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "load no longer watched");
                         finish(loading.waiters, Err("the engine no longer loads it".into()));
                     }
                 }
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -5,9 +5,12 @@
 //! Every command therefore names the boot it is meant for and the number of
 //! commands accepted before it, so that at most one command of a sequence takes
 //! effect. After an unexpected result the engine is asked for a report before
-//! the next command. A slot is never assigned twice: an engine that is told to
-//! load more adapters than it has slots crashes, along with everything that
-//! runs on it.
+//! the next command. A slot is never assigned twice: commands are made only from
+//! the engine's [`SlotAccount`].
+//!
+//! A command that cannot be sent proves nothing about the engine, which goes on
+//! with what it was told before. The controller leaves the engine alone for a while,
+//! frees the requests that wait for it, and goes on after a report.
 
 mod affinity;
 mod command;
@@ -43,6 +46,10 @@
 /// few hundred ms old.
 const REPORT_DELAY: Duration = Duration::from_millis(250);
 
+/// Longest pause between reports requested from an engine that cannot be reached,
+/// in ms.
+const MAX_REPORT_PAUSE_MS: u64 = 1_000;
+
 /// Interval between checks of a load that should have finished, in ms.
 const LOAD_POLL_MS: u64 = 15;
 
@@ -108,6 +115,8 @@
         account: SlotAccount::default(),
         pending: Map::default(),
         report_after_ms: 0,
+        failed_calls: 0,
+        unreachable: false,
         queue: Vec::new(),
         model_due_ms: 0,
         slots_full: false,
@@ -140,6 +149,10 @@
     pending: Map<AdapterRef, PendingLoad>,
     /// Earliest time of the next report.
     report_after_ms: u64,
+    /// Consecutive calls that did not reach the engine.
+    failed_calls: u32,
+    /// Whether the engine counts as out of reach.
+    unreachable: bool,
     queue: Vec<Job>,
     /// Earliest time of the next command to load a model.
     model_due_ms: u64,
--- a/crates/comfreyhall-node/src/engine_control/report.rs
+++ b/crates/comfreyhall-node/src/engine_control/report.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use comfreyhall_capacity::Snapshot;
+use comfreyhall_capacity::{SlotAccount, Snapshot};
 use comfreyhall_domain::AdapterRef;
 use comfreyhall_routing::Presence;
 
@@ -28,8 +28,8 @@
         }
         match outbound::report(&self.node, &self.target, REPORT_TIMEOUT).await {
             Ok(report) => {
-                self.apply_report(report);
-                true
+                self.regain_contact();
+                self.apply_report(report, now)
             }
             Err(why) => {
                 self.report_failed(&why);
@@ -42,6 +42,12 @@
         log::info!(target: "keeper", id:% = self.target.id, why:%; "no report");
         let now = self.node.now();
         self.report_after_ms = now + REPORT_DELAY.as_millis() as u64;
+        match why {
+            // A single lost answer is no cut.
+            ReportError::NoAnswer(_) if self.failed_calls == 0 => self.failed_calls = 1,
+            ReportError::NoAnswer(why) => self.lose_contact(why),
+            ReportError::Restarted => self.account = SlotAccount::default(),
+        }
         if *why == ReportError::Restarted {
             // Without this, requests to the previous boot would be rejected one
             // by one.
@@ -51,7 +57,8 @@
         }
     }
 
-    pub(super) fn apply_report(&mut self, report: Report) {
+    /// Takes in a report that was asked for at `asked`; false if it is too old.
+    pub(super) fn apply_report(&mut self, report: Report, asked: u64) -> bool {
         let now = self.node.now();
         let held = report.loaded.iter().flat_map(|model| {
             let adapters = model.adapters.iter();
@@ -63,11 +70,16 @@
                 (adapter, *version)
             })
         });
-        self.account.apply(Snapshot {
+        let snapshot = Snapshot {
             sequence: report.sequence,
             held: held.collect(),
             loading: report.loading.clone(),
-        });
+        };
+        if !self.account.apply(snapshot, asked) {
+            log::info!(target: "keeper", id:% = self.target.id, sequence = report.sequence, known = self.account.sequence(); "report is older than what is known");
+            self.report_after_ms = now + REPORT_DELAY.as_millis() as u64;
+            return false;
+        }
         let old: Vec<AdapterRef> = self.pending.keys().cloned().collect();
         for adapter in old {
             let Some(loading) = self.take_pending(&adapter) else {
@@ -99,6 +111,7 @@
         if report.loaded.is_empty() && !report.busy {
             self.model_due_ms = self.model_due_ms.min(now);
         }
+        true
     }
 
     /// Updates the adapter residency that request routing reads.
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -55,6 +55,9 @@
         }
         self.drop_expired(now);
         if !self.account.is_confirmed() && !self.fetch_report().await {
+            if self.unreachable {
+                self.release_jobs();
+            }
             return self.node.now() + REPORT_DELAY.as_millis() as u64;
         }
         self.load_model().await;
@@ -81,6 +84,17 @@
         next_poll.into_iter().chain(blocked).min().unwrap_or(idle)
     }
 
+    /// Drops all jobs, as the engine cannot be reached: other engines may serve them,
+    /// and those that none serves are answered at once.
+    pub(super) fn release_jobs(&mut self) {
+        for job in &self.queue {
+            if let Some(ticket) = &job.ticket {
+                ticket.note_gone(&self.target.id);
+            }
+        }
+        self.abandon_jobs();
+    }
+
     /// Drops all jobs and pending loads: other engines may serve them.
     fn abandon_jobs(&mut self) {
         self.queue.clear();
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -251,8 +251,8 @@
             CommandReply::Conflict => Outcome::OutOfSequence,
             CommandReply::Fenced | CommandReply::Invalid => Outcome::Rejected,
             CommandReply::OtherBoot => Outcome::OtherBoot,
-            CommandReply::NotSent(_) => Outcome::NotSent,
-            CommandReply::Withheld | CommandReply::Silent(_) => Outcome::Unanswered,
+            CommandReply::Withheld | CommandReply::NotSent(_) => Outcome::NotSent,
+            CommandReply::Silent(_) => Outcome::Unanswered,
         }
     }
 
