A lease keeps one holder and gives no token twice when its table comes back from a copy

The row names the era of its write. A holder that is still trusted writes its row again under its token; nobody else acquires a lease whose row is of an earlier era until it has been unchanged for a term; tokens of each era begin above all of those before (2^24 an era; the first one from 1, as before). A write that is found in a later era extends nothing. The stand-in of the table and the scripted table can come back from a copy; the stand-in's versions bear its era, so that they are never given out twice. Revision moves from comfreyhall-domain to comfreyhall-protocol, which they and leases depend on.

--- a/crates/comfreyhall-domain/src/lib.rs
+++ b/crates/comfreyhall-domain/src/lib.rs
@@ -11,10 +11,9 @@
 mod outcome;
 mod priority;
 mod request;
-mod revision;
 mod target;
 
-pub use comfreyhall_protocol::{Map, Set};
+pub use comfreyhall_protocol::{Map, Revision, Set};
 pub use comfreyhall_workspace::{
     Allowance, KeyHash, KeyHasher, PresentedKey, Quota, QuotaUnit, RawNumber, RawUnit, Salt,
     Workspace, WorkspaceEntry, Workspaces, read_entries,
@@ -25,7 +24,6 @@
 pub use outcome::{Answer, Outcome, Refusal, SendHistory, answer_for, answer_quarantined};
 pub use priority::PriorityTable;
 pub use request::{AdapterRef, ClientRequest, ForwardedRequest, PromptSegment, TokenCounts};
-pub use revision::Revision;
 pub use target::{LoadedModel, Stage, Target};
 
 /// A shared, immutable string.
--- a/crates/comfreyhall-fakes/src/lib.rs
+++ b/crates/comfreyhall-fakes/src/lib.rs
@@ -15,12 +15,15 @@
     collections::VecDeque,
     fmt::Debug,
     marker::PhantomData,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use comfreyhall_catalog::{CatalogError, Rows};
-use comfreyhall_protocol::{Check, CommitRequest, Put, Row};
-use comfreyhall_standins::TableStandin;
+use comfreyhall_protocol::{Check, CommitReply, CommitRequest, Put, Revision, Row};
+use comfreyhall_standins::{TableCopy, TableStandin};
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 
@@ -53,6 +56,8 @@
 pub struct FakeTable {
     table: TableStandin,
     script: Arc<Mutex<Script>>,
+    /// Newest era of an answer to this client.
+    seen_era: Arc<AtomicU32>,
 }
 
 fn unavailable() -> CatalogError {
@@ -74,9 +79,36 @@
         Self {
             table: self.table.clone(),
             script: Arc::default(),
+            seen_era: Arc::default(),
         }
     }
 
+    /// What the table holds now.
+    pub fn copy(&self) -> TableCopy {
+        self.table.copy()
+    }
+
+    /// The table comes back from `copy`.
+    pub fn restore(&self, copy: &TableCopy) {
+        self.table.restore(copy);
+    }
+
+    fn note_answer(&self) {
+        self.seen_era.store(self.table.era(), Ordering::SeqCst);
+    }
+
+    /// Applies a commit by the numbers of its checks alone, as a store does that gives
+    /// numbers out again after it has come back from a copy.
+    fn write(&self, mut commit: CommitRequest) -> CommitReply {
+        for check in &mut commit.checks {
+            let found = self.table.read(&check.key).map_or(0, |row| row.version);
+            if Revision::from_wire(found).number() == Revision::from_wire(check.version).number() {
+                check.version = found;
+            }
+        }
+        self.table.write(commit)
+    }
+
     /// Appends the outcomes of later calls to the script.
     pub fn script(&self, outcomes: impl IntoIterator<Item = CallOutcome>) {
         self.script.lock().unwrap().outcomes.extend(outcomes);
@@ -91,7 +123,7 @@
     pub fn deliver(&self) {
         let delayed = self.script.lock().unwrap().delayed.pop_front();
         if let Some(commit) = delayed {
-            self.table.write(commit);
+            self.write(commit);
         }
     }
 
@@ -104,7 +136,10 @@
     /// a lost reply and a delay are the same failure.
     fn next_read(&self) -> Result<(), CatalogError> {
         match self.next_outcome() {
-            CallOutcome::Answered => Ok(()),
+            CallOutcome::Answered => {
+                self.note_answer();
+                Ok(())
+            }
             CallOutcome::Unsent => Err(unreachable()),
             CallOutcome::RequestLost | CallOutcome::ReplyLost | CallOutcome::Delayed => {
                 Err(unavailable())
@@ -114,6 +149,10 @@
 }
 
 impl Rows for FakeTable {
+    fn era(&self) -> u32 {
+        self.seen_era.load(Ordering::SeqCst)
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Row>, CatalogError> {
         self.next_read()?;
         Ok(self.table.read(key))
@@ -125,6 +164,13 @@
     }
 
     async fn commit(&self, checks: Vec<Check>, puts: Vec<Put>) -> Result<Vec<u64>, CatalogError> {
+        let known_era = self.era();
+        let outdated =
+            |c: &&Check| c.version > 0 && Revision::from_wire(c.version).era() != known_era;
+        if let Some(check) = checks.iter().find(outdated) {
+            let key = check.key.clone();
+            return Err(CatalogError::Conflict { key });
+        }
         let req = CommitRequest { checks, puts };
         match self.next_outcome() {
             CallOutcome::Unsent => return Err(unreachable()),
@@ -134,12 +180,16 @@
                 return Err(unavailable());
             }
             CallOutcome::ReplyLost => {
-                self.table.write(req);
+                self.write(req);
                 return Err(unavailable());
             }
             CallOutcome::Answered => {}
         }
-        let reply = self.table.write(req);
+        let reply = self.write(req);
+        self.note_answer();
+        if reply.applied && self.era() != known_era && known_era > 0 {
+            return Err(unavailable());
+        }
         if reply.applied {
             Ok(reply.versions)
         } else {
--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -22,6 +22,11 @@
 //!   runs two. Otherwise every restart would stop commands for one term.
 //! - The answer to a renewal or acquisition is lost. The row is read at the
 //!   next step; only a write found in it extends the lease.
+//! - The table comes back from a copy, under a new era, and lacks the last writes. A
+//!   holder that is still trusted writes its row again. Nobody else acquires the lease
+//!   for a term after it first saw the new era, or a row that was written in an earlier
+//!   one, as the row may name a former holder or none. Tokens of each era begin above
+//!   all of the ones before.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -29,7 +34,7 @@
 };
 
 use comfreyhall_catalog::{CatalogError, Rows, Table, check, put};
-use comfreyhall_protocol::Row;
+use comfreyhall_protocol::{Revision, Row};
 use serde::{Deserialize, Serialize};
 
 /// Owner of a row that does not contain a lease; not the id of any instance.
@@ -38,6 +43,17 @@
 /// Key prefix of lease rows.
 const KEY_PREFIX: &str = "lease/";
 
+/// Bits of a token that count the holders of one era.
+const TOKEN_BITS: u32 = 24;
+
+/// Era of a table that has never come back from a copy.
+const FIRST_ERA: u32 = 1;
+
+/// Lowest token of `era`, above all of earlier ones.
+fn first_token(era: u32) -> u64 {
+    u64::from(era.saturating_sub(FIRST_ERA)) << TOKEN_BITS
+}
+
 /// Contents of a lease row.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 struct Record {
@@ -47,6 +63,9 @@
     boot: u64,
     /// Fencing token; grows with every new holder.
     token: u64,
+    /// Era of the table in which it was written; 0 if unknown.
+    #[serde(default)]
+    era: u32,
     /// Random id of the write. Otherwise two renewals in a row would be equal,
     /// and finding the earlier one would be taken for the later one, which
     /// trusts the lease longer than other daemons wait.
@@ -86,6 +105,8 @@
     trusted_until: Option<Instant>,
     /// Whether `row` is what our last write left, so that it need not be read.
     row_current: bool,
+    /// Newest era of the table that was seen; 0 before any.
+    era: u32,
 }
 
 /// One process's view of one lease.
@@ -110,7 +131,9 @@
         Record {
             owner: UNKNOWN_OWNER.into(),
             boot: 0,
-            token: row.version,
+            token: first_token(Revision::from_wire(row.version).era())
+                + Revision::from_wire(row.version).number(),
+            era: 0,
             write: 0,
         }
     })
@@ -234,51 +257,78 @@
     /// Whether the row is certain to be as our last write left it.
     fn knows_row(&self, now: Instant) -> bool {
         let state = self.state();
-        state.row_current && state.trusted_until.is_some_and(|end| now < end)
+        let trusted = state.trusted_until.is_some_and(|end| now < end);
+        state.row_current && trusted && state.era == self.table.era()
     }
 
     /// Updates the state with the row as read at `now`.
     fn observe(&self, row: Option<(Record, u64)>, now: Instant) {
         let mut state = self.state();
-        if state.row != row || state.changed_at.is_none() {
+        let era = self.table.era();
+        let restored = era > state.era;
+        if state.row != row || state.changed_at.is_none() || restored {
             state.changed_at = Some(now);
         }
         // Our last write was not answered, but the row shows that it was
-        // applied.
+        // applied. In a later era it may have been applied by accident.
         if let (Some((found, _)), Some((sent, at))) = (&row, &state.last_write)
             && found == sent
+            && found.era == era
         {
             state.trusted_until = Some(*at + self.term);
         }
-        state.row = row;
+        let held = state.trusted_until.is_some_and(|end| now < end);
+        let lost = match &state.row {
+            Some((own, _)) if restored && held && self.is_ours(own) => Some(own.clone()),
+            _ => None,
+        };
+        state.era = era;
+        let taken = row.as_ref().is_some_and(|(r, _)| r.era == era);
+        state.row = match (lost, row) {
+            // What we wrote is written again, in place of what the copy has.
+            (Some(own), found) if !taken => {
+                log::warn!(target: "lease", key = self.key, era, token = own.token; "the table came back without our row; writing it again");
+                Some((own, found.map_or(0, |(_, version)| version)))
+            }
+            (_, found) => found,
+        };
     }
 
     /// The write to make next, with the row version it is conditional on.
     fn next_write(&self, now: Instant, acquire: Acquire) -> Option<(Record, u64)> {
         let state = self.state();
-        let new_record = |token| Record {
+        let era = state.era;
+        let new_record = |token: u64| Record {
             owner: self.owner.clone(),
             boot: self.boot,
-            token,
+            token: token.max(first_token(era)),
+            era,
             write: rand::random(),
         };
+        let unchanged = state
+            .changed_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= self.term);
         let Some((record, version)) = &state.row else {
-            return (acquire == Acquire::Free).then(|| (new_record(1), 0));
+            let certain = unchanged || era <= FIRST_ERA;
+            return (certain && acquire == Acquire::Free).then(|| (new_record(1), 0));
         };
+        // A row of an earlier era may name a holder that has been replaced.
+        let certain = unchanged || record.era >= era;
         if self.is_ours(record) {
             // An expired lease is acquired with a new token: commands sent
             // under the old one may still be on their way.
             let held = state.trusted_until.is_some_and(|end| now < end);
-            let mut next = record.clone();
-            next.write = rand::random();
-            if !held {
-                next.token += 1;
-            }
-            return (held || acquire == Acquire::Free).then_some((next, *version));
+            let next = match held {
+                true => Record {
+                    era,
+                    write: rand::random(),
+                    ..record.clone()
+                },
+                false => new_record(record.token + 1),
+            };
+            let allowed = held || (certain && acquire == Acquire::Free);
+            return allowed.then_some((next, *version));
         }
-        let unchanged = state
-            .changed_at
-            .is_some_and(|at| now.saturating_duration_since(at) >= self.term);
         // The row may belong to the previous process of this instance. An
         // instance runs one process, so that one is dead, and nothing sends
         // commands under its token any more.
@@ -286,8 +336,8 @@
         let free = record.owner.is_empty() || unchanged;
         let allowed = match acquire {
             Acquire::Never => false,
-            Acquire::Former => former,
-            Acquire::Free => free || former,
+            Acquire::Former => certain && former,
+            Acquire::Free => certain && (free || former),
         };
         allowed.then(|| (new_record(record.token + 1), *version))
     }
--- a/crates/comfreyhall-protocol/src/lib.rs
+++ b/crates/comfreyhall-protocol/src/lib.rs
@@ -17,9 +17,11 @@
 pub mod link;
 pub mod notice;
 mod outcome;
+mod revision;
 
 pub use generated::*;
 pub use outcome::{NOT_RUN, not_run, proves_not_run};
+pub use revision::Revision;
 
 /// The hash map that the project uses: the map of std with a fast, unkeyed hasher.
 ///
--- a/crates/comfreyhall-standins/src/lib.rs
+++ b/crates/comfreyhall-standins/src/lib.rs
@@ -25,7 +25,7 @@
 pub use instances::InstancesStandin;
 pub use objects::ObjectsStandin;
 pub use plain::PlainStandin;
-pub use table::TableStandin;
+pub use table::{TableCopy, TableStandin};
 pub use text::expected_text;
 pub use weights::WeightsStandin;
 
--- a/crates/comfreyhall-standins/src/table.rs
+++ b/crates/comfreyhall-standins/src/table.rs
@@ -7,20 +7,25 @@
 };
 
 use comfreyhall_protocol::{
-    CommitReply, CommitRequest, FaultOrder, FaultReply, GetReply, GetRequest, Row, ScanReply,
-    ScanRequest, table_server::Table,
+    CommitReply, CommitRequest, FaultOrder, FaultReply, GetReply, GetRequest, Revision, Row,
+    ScanReply, ScanRequest, table_server::Table,
 };
 use tonic::{Request, Response, Status};
 
 use crate::Faults;
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct Rows {
     rows: BTreeMap<String, (Vec<u8>, u64)>,
-    /// Last version assigned. Versions increase across all keys and are never reused.
+    /// Last version assigned. Versions increase across all keys and are never reused, not
+    /// even after the table has come back from a copy: they bear its era.
     last_version: u64,
 }
 
+/// What a table held at one moment.
+#[derive(Clone)]
+pub struct TableCopy(Rows);
+
 /// An in-memory table service with conditional, all-or-nothing commits.
 #[derive(Clone, Default)]
 pub struct TableStandin {
@@ -37,6 +42,25 @@
 }
 
 impl TableStandin {
+    /// What the table holds now.
+    pub fn copy(&self) -> TableCopy {
+        TableCopy(self.rows.lock().unwrap().clone())
+    }
+
+    /// Comes back from `copy`, in the next era: what was written since is gone.
+    pub fn restore(&self, copy: &TableCopy) {
+        let mut rows = self.rows.lock().unwrap();
+        let era = Revision::from_wire(rows.last_version).era() + 1;
+        let number = Revision::from_wire(copy.0.last_version).number();
+        *rows = copy.0.clone();
+        rows.last_version = Revision::new(era, number).to_wire();
+    }
+
+    /// How often the table has come back from a copy.
+    pub fn era(&self) -> u32 {
+        Revision::from_wire(self.rows.lock().unwrap().last_version).era()
+    }
+
     /// Reads one row, bypassing the fault switches.
     pub fn read(&self, key: &str) -> Option<Row> {
         let rows = self.rows.lock().unwrap();
