--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -4,7 +4,7 @@
 //! Liveness is known from gossip, so nothing is written in between, except when other
 //! software versions of targets may have streams: the row names them. The rows of
 //! instances that died are deleted by one of the daemons that no longer see
-//! them.
+//! them. When the store comes back from a copy, each daemon writes its row again.
 
 use std::{sync::Arc, time::Duration};
 
@@ -43,6 +43,7 @@
 async fn run<R: Rows>(node: Arc<Node>, rows: R) {
     let key = format!("{PREFIX}{}", node.settings().listen.peers);
     let mut written: Option<MemberValue> = None;
+    let mut era = newest_era(&node, &rows);
     let mut inherited = node.settings().first_start;
     let mut listed = None;
     let began = node.now();
@@ -65,6 +66,14 @@
                 }
             }
         }
+        let newest_era = newest_era(&node, &rows);
+        if newest_era != era {
+            if era > 0 {
+                log::info!(target: "members", from = era, to = newest_era; "the store came back from a copy; writing the own row again");
+                written = None;
+            }
+            era = newest_era;
+        }
         let value = own_value(&node);
         if written.as_ref() == Some(&value) {
             value.mark_stored(&mut node.view());
@@ -108,6 +117,12 @@
     }
 }
 
+/// Newest era of the store that this daemon or a peer has seen: one that calls the store
+/// seldom hears of it from others.
+pub(crate) fn newest_era<R: Rows>(node: &Node, rows: &R) -> u32 {
+    rows.era().max(node.view().records.settings.version.era())
+}
+
 /// Whether this daemon should list the members again, which the quotas of
 /// workspaces and the retry budgets need. Of daemons that start together some list
 /// them, and the others learn the result from these.
--- a/crates/comfreyhall-node/src/quarantine/store.rs
+++ b/crates/comfreyhall-node/src/quarantine/store.rs
@@ -4,7 +4,8 @@
 //! have to end as many again. So the daemon that observes the second end of a feature or
 //! a later one stores all evidence on it, in one row for each feature, and a daemon that
 //! starts reads these rows before its first send. A row is deleted when its feature is
-//! cleared or its evidence has become too old.
+//! cleared or its evidence has become too old. When the store comes back from a copy,
+//! the rows are written again.
 
 use std::{
     sync::Arc,
@@ -18,7 +19,7 @@
 use prost::Message;
 
 use super::{Node, learn, time};
-use crate::follow;
+use crate::{follow, members::newest_era};
 
 const PREFIX: &str = "quarantine/";
 
@@ -29,6 +30,9 @@
 /// Minimum pause between two commits: the ends of a series are stored together.
 const COMMIT_PAUSE: Duration = Duration::from_millis(300);
 
+/// Interval between checks whether the store has come back from a copy.
+const ERA_POLL: Duration = Duration::from_millis(500);
+
 /// Most rows in one commit; what is beyond goes into the next.
 const MAX_ROWS: usize = 32;
 
@@ -52,9 +56,24 @@
     };
     node.quarantine.mark_loaded();
     let mut failures = 0;
+    let mut era = newest_era(&node, &rows);
     loop {
         if failures == 0 {
-            node.quarantine.stored_changed.notified().await;
+            tokio::select! {
+                () = node.quarantine.stored_changed.notified() => {}
+                () = tokio::time::sleep(ERA_POLL) => {}
+            }
+        }
+        let newest_era = newest_era(&node, &rows);
+        if newest_era != era {
+            if era > 0 && !stored.is_empty() {
+                log::info!(target: "quarantine", rows = stored.len(), from = era, to = newest_era; "the store came back from a copy; writing evidence again");
+                node.quarantine
+                    .state()
+                    .to_store
+                    .extend(stored.iter().copied());
+            }
+            era = newest_era;
         }
         match store_changed(&node, &rows, &mut stored).await {
             Ok(()) => failures = 0,
