A refused connection is not taken for the end of a target

Cause: a probe had one result for a refused connection and the answer of another boot.

Without peers a refusal counts as before; without an answer the entry decides. serve_cut_paths_quarantine_nothing failed with refusals taken for ends. An answer without framing that ends with a refused target still counts as cut short.

--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -10,7 +10,7 @@
 use comfreyhall_quarantine::SyncPosition;
 use comfreyhall_routing::selection;
 use comfreyhall_settings::NodeSettings;
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 use tokio::sync::{Notify, mpsc};
 use tonic::transport::Channel;
 
@@ -325,6 +325,13 @@
     pub(crate) fn client(&self, peer: &str) -> Option<FleetClient<Channel>> {
         self.state().peers.get(peer).map(|p| p.client.clone())
     }
+
+    /// Clients of up to `most` peers seen recently, drawn at random.
+    pub(crate) fn some_clients(&self, most: usize, now: u64) -> Vec<FleetClient<Channel>> {
+        let state = self.state();
+        let alive = state.alive_peers(now).map(|(_, p)| p.client.clone());
+        alive.choose_multiple(&mut rand::rng(), most)
+    }
 }
 
 impl State {
--- a/crates/comfreyhall-node/src/peer_service.rs
+++ b/crates/comfreyhall-node/src/peer_service.rs
@@ -4,7 +4,8 @@
 
 use comfreyhall_protocol::{
     BindReply, BindRequest, CapCall, CapReply, ForwardRequest, News, ProgressReply, ProgressReport,
-    SettingsAsk, StreamFinding, StreamQuery, StreamRecordBatch, StreamRecordReply,
+    ReachQuery, ReachReply, SettingsAsk, StreamFinding, StreamQuery, StreamRecordBatch,
+    StreamRecordReply,
     fleet_server::{self, FleetServer},
 };
 use tokio::net::TcpListener;
@@ -15,6 +16,7 @@
     fleet::{self, ChunkStream},
     forward,
     node::Node,
+    quarantine::reach,
     quotas, streams,
 };
 
@@ -67,6 +69,10 @@
         Ok(Response::new(streams::answer(&self.0, req.get_ref())))
     }
 
+    async fn reach(&self, req: Request<ReachQuery>) -> Result<Response<ReachReply>, Status> {
+        Ok(Response::new(reach::answer(&self.0, req.get_ref()).await))
+    }
+
     async fn progress(
         &self,
         req: Request<ProgressReport>,
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -304,8 +304,10 @@
 pub enum ProbeResult {
     /// It is alive.
     Alive,
-    /// Nothing listens there any more, or another boot does.
-    Gone,
+    /// Another boot answered, so the one that was asked has ended.
+    OtherBoot,
+    /// The connection was refused: nothing listens there any more, or the path is cut.
+    Refused,
     /// No answer.
     NoAnswer,
 }
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -4,14 +4,15 @@
 //! alone proves nothing: a device on the path may have reset it, or the target
 //! aborted a single answer. If each one counted, a switch that restarts and
 //! resets all connections of a failure domain three times would have every
-//! request in it quarantined.
+//! request in it quarantined. Nor does a refused connection, which looks the same if the
+//! path is cut: peers are asked whether they reach the target ([`reach`]).
 
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Name;
 use comfreyhall_quarantine::{Feature, Status};
 
-use super::{Node, QuarantineTracker, is_staying, is_unresolved, resolve, status, time};
+use super::{Node, QuarantineTracker, is_staying, is_unresolved, reach, resolve, status, time};
 use crate::{outbound, ports::ProbeResult};
 
 /// Delays before each probe of the target, in ms: a process that ended refuses
@@ -44,7 +45,12 @@
         };
         match outbound::probe(node, &known).await {
             ProbeResult::Alive => return false,
-            ProbeResult::Gone => return true,
+            ProbeResult::OtherBoot => return true,
+            ProbeResult::Refused => {
+                if let Some(ended) = reach::is_refused_by_all(node, target).await {
+                    return ended;
+                }
+            }
             ProbeResult::NoAnswer => {}
         }
     }
@@ -69,7 +75,8 @@
     };
     match outbound::probe(node, &known).await {
         ProbeResult::Alive => Some(false),
-        ProbeResult::Gone => Some(true),
+        // What it sent may have been cut short either way.
+        ProbeResult::OtherBoot | ProbeResult::Refused => Some(true),
         ProbeResult::NoAnswer => None,
     }
 }
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -14,6 +14,7 @@
 
 mod confirm;
 mod log;
+pub(crate) mod reach;
 mod spread;
 pub(crate) mod state;
 mod store;
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -13,8 +13,8 @@
 use comfreyhall_node::Node;
 use comfreyhall_protocol::{
     BindReply, BindRequest, CapCall, CapReply, Daemon, ForwardPart, ForwardRequest, Holding, Map,
-    News, ProgressReply, ProgressReport, SettingsAsk, SettingsPart, StreamFinding, StreamQuery,
-    StreamRecordBatch, StreamRecordReply,
+    News, ProgressReply, ProgressReport, ReachQuery, ReachReply, SettingsAsk, SettingsPart,
+    StreamFinding, StreamQuery, StreamRecordBatch, StreamRecordReply,
     fleet_server::{Fleet, FleetServer},
 };
 use support::*;
@@ -84,6 +84,10 @@
         std::future::pending().await
     }
 
+    async fn reach(&self, _: Request<ReachQuery>) -> Result<Response<ReachReply>, Status> {
+        std::future::pending().await
+    }
+
     async fn progress(
         &self,
         _: Request<ProgressReport>,
--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -341,3 +341,40 @@
         assert_eq!(before + script.sent.lock().unwrap().len(), 4);
     }
 }
+
+/// Guards against a request that is quarantined, and targets that no daemon uses, because the
+/// paths from one daemon to its targets are cut with refused connections.
+#[tokio::test]
+async fn serve_cut_paths_quarantine_nothing() {
+    let mut cut_off = None;
+    let mut seeds = Vec::new();
+    for i in 0..2 {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let mut route = route(RouteKind::Idempotent, 1, false);
+        route.timeout_ms = PATIENT_MS;
+        let mut world = scripted_source(route, None);
+        let plain = Arc::get_mut(&mut world).unwrap();
+        plain.targets.extend(["c", "d", "e"].map(target));
+        plain.config.workspaces = Some(workspaces(&["a", "b"]));
+        let script = Arc::new(ScriptedBackend::default());
+        let settings = settings_of(&format!("n{i}"), &addr, &seeds, 0.25);
+        let node = Node::new(settings, world, script.clone());
+        comfreyhall_node::spawn(&node, FakeTable::default());
+        tokio::spawn(comfreyhall_node::serve_peers(node.clone(), listener));
+        seeds.push(addr);
+        cut_off = Some((node, script));
+    }
+    let (node, script) = cut_off.unwrap();
+    while !node.ready() || node.addresses().0.len() < 2 {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    // Each send loses its connection, and the target refuses new ones from here.
+    always(&script, Behavior::Exit);
+    for i in 0..8 {
+        let got = serve(&node, deadly(&format!("q{i}"))).await;
+        assert!(!matches!(got, CallerResult::Quarantined(_)), "{got:?}");
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(counted(&node, r#"quarantine_total{change="suspect""#), 0);
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -247,7 +247,7 @@
             Some(Behavior::Unreachable)
         );
         let pulse = match self.exited_targets.lock().unwrap().contains(&target.id) {
-            true => ProbeResult::Gone,
+            true => ProbeResult::Refused,
             false if unreachable => ProbeResult::NoAnswer,
             false => ProbeResult::Alive,
         };
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -171,6 +171,17 @@
     #[prost(string, tag = "2")]
     pub peer: ::prost::alloc::string::String,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReachQuery {
+    /// Id of the target's boot.
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReachReply {
+    #[prost(enumeration = "Reach", tag = "1")]
+    pub reach: i32,
+}
 /// A piece of an encoded SettingsRows; none in an answer that names others.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SettingsPart {
@@ -1236,6 +1247,43 @@
         }
     }
 }
+/// What a probe of the target by the callee showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Reach {
+    /// It does not know the target, or has no answer.
+    Unknown = 0,
+    /// The boot is alive.
+    Alive = 1,
+    /// Connections to it are refused.
+    Refused = 2,
+    /// Another boot answers.
+    OtherBoot = 3,
+}
+impl Reach {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unknown => "REACH_UNKNOWN",
+            Self::Alive => "REACH_ALIVE",
+            Self::Refused => "REACH_REFUSED",
+            Self::OtherBoot => "REACH_OTHER_BOOT",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "REACH_UNKNOWN" => Some(Self::Unknown),
+            "REACH_ALIVE" => Some(Self::Alive),
+            "REACH_REFUSED" => Some(Self::Refused),
+            "REACH_OTHER_BOOT" => Some(Self::OtherBoot),
+            _ => None,
+        }
+    }
+}
 /// What caps bound the use of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -4001,6 +4049,28 @@
                 .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "FindStream"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks whether the callee reaches a target that the caller does not.
+        pub async fn reach(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReachQuery>,
+        ) -> std::result::Result<tonic::Response<super::ReachReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/comfreyhall.v1.Fleet/Reach",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("comfreyhall.v1.Fleet", "Reach"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -4073,6 +4143,11 @@
             &self,
             request: tonic::Request<super::StreamQuery>,
         ) -> std::result::Result<tonic::Response<super::StreamFinding>, tonic::Status>;
+        /// Asks whether the callee reaches a target that the caller does not.
+        async fn reach(
+            &self,
+            request: tonic::Request<super::ReachQuery>,
+        ) -> std::result::Result<tonic::Response<super::ReachReply>, tonic::Status>;
     }
     /// Between daemons of one deployment: each tells the others what it knows.
     #[derive(Debug)]
@@ -4501,6 +4576,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/comfreyhall.v1.Fleet/Reach" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReachSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::ReachQuery>
+                    for ReachSvc<T> {
+                        type Response = super::ReachReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReachQuery>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Fleet>::reach(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReachSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
