Moves: load commands of the own daemon have a module for duties and one for loads

orders.rs -> orders/mod.rs (placement), orders/duties.rs (lease task, demand reports) and orders/loads.rs (one load and the view). No change of logic.

--- a/crates/comfreyhall-daemon/src/orders.rs
+++ b/crates/comfreyhall-daemon/src/orders/mod.rs
@@ -19,25 +19,27 @@
 //! seen. No daemon can have a higher one, and once the table is back the next
 //! holder does, which ends such commands.
 
+mod duties;
+mod loads;
+
 use std::{
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use comfreyhall_lease::LeaseStatus;
-use comfreyhall_placement::{Decision, EngineView, SlotView};
-use comfreyhall_protocol::{DemandReport, LoadOrder, PlaceReply, PlaceRequest};
-use prost::Message;
-
-use comfreyhall_life::Stage;
+use comfreyhall_placement::Decision;
+use comfreyhall_protocol::{PlaceReply, PlaceRequest};
 
-use crate::{
-    app::App,
-    outbound::{self, Target},
+use self::{
+    duties::lease_term,
+    loads::{is_loading, load, show_resident},
 };
-
-/// Time a load may take beyond twice the expected wait at the weight store.
-const LOAD_SLACK: Duration = Duration::from_secs(3);
+pub(crate) use self::{
+    duties::{record_demand, spawn, spawn_reports},
+    loads::remove_from_view,
+};
+use crate::{app::App, outbound};
 
 /// Timeout of a background copy.
 const COPY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -45,12 +47,6 @@
 /// Delay before another attempt while nobody holds the lease.
 const HOLDER_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// How often demand is reported to the lease holder.
-const REPORT_PERIOD: Duration = Duration::from_millis(500);
-
-/// Runs of the lease task per lease term.
-const STEPS_PER_TERM: u32 = 4;
-
 /// Result of a request to place an adapter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PlaceOutcome {
@@ -80,82 +76,6 @@
     }
 }
 
-/// Starts the task that acquires, renews or watches the lease on load commands.
-pub(crate) fn spawn(app: &App) {
-    let app = app.clone();
-    let term = lease_term(&app);
-    tokio::spawn(async move {
-        let mut tick = tokio::time::interval(term / STEPS_PER_TERM);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut was_held = false;
-        loop {
-            tick.tick().await;
-            let lease = &app.inner.lease;
-            let should_hold = app.inner.lifecycle.stage() == Stage::Serving;
-            let step = async {
-                match should_hold || !was_held {
-                    true => lease.step(Instant::now, should_hold).await,
-                    false => lease.release().await,
-                }
-            };
-            if let Ok(Err(e)) = tokio::time::timeout(term / 2, step).await {
-                log::debug!(target: "orders", "lease not renewed: {e}");
-            }
-            let token = lease.token(Instant::now());
-            if token.is_some() != was_held {
-                was_held = token.is_some();
-                match token {
-                    Some(token) => {
-                        log::info!(target: "orders", "holding the lease under token {token}")
-                    }
-                    None => log::info!(target: "orders", "no longer holding the lease"),
-                }
-            }
-        }
-    });
-}
-
-/// Starts the task that reports demand to the lease holder.
-///
-/// The holder decides which adapters stay resident, but requests that other
-/// daemons serve from resident adapters never reach it. Without these reports
-/// it treats the adapters in steadiest use elsewhere as cold and evicts them.
-pub(crate) fn spawn_reports(app: &App) {
-    let app = app.clone();
-    tokio::spawn(async move {
-        let mut tick = tokio::time::interval(REPORT_PERIOD);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tick.tick().await;
-            let demands = app.inner.demand.drain();
-            if demands.is_empty() {
-                continue;
-            }
-            if let LeaseStatus::HeldByOther(holder) = app.inner.lease.status(Instant::now())
-                && let Some(peer) = app.inner.peers.get(&holder)
-            {
-                let report = DemandReport { demands };
-                app.inner.counters.count_control(report.encoded_len(), 0);
-                let mut peer = peer.clone();
-                let _ = tokio::time::timeout(REPORT_PERIOD, peer.report(report)).await;
-            }
-        }
-    });
-}
-
-/// Adds a peer's demand report to the placement policy.
-pub(crate) fn record_demand(app: &App, report: DemandReport) {
-    let now = app.now_ms();
-    let mut policy = app.policy();
-    for demand in report.demands {
-        policy.record_requests(&demand.key, demand.requests, now);
-    }
-}
-
-fn lease_term(app: &App) -> Duration {
-    Duration::from_millis(app.inner.settings.tuning.lease_ms)
-}
-
 /// Ensures that `key` (`adapter@version`) is in a slot of some engine.
 pub(crate) async fn place(app: &App, key: &Arc<str>, timeout: Duration) -> PlaceOutcome {
     let placement = Placement {
@@ -318,109 +238,3 @@
         app.inner.copy_in_flight.store(false, Ordering::Release);
     });
 }
-
-/// Commands `engine` to load an adapter; true once it is resident.
-///
-/// The engine continues the load after the timeout passes here, because other
-/// requests may have joined it.
-async fn load(
-    app: &App,
-    engine: usize,
-    placement: &Placement<'_>,
-    victims: Vec<Arc<str>>,
-    token: u64,
-) -> bool {
-    let key = placement.key;
-    let target = Target::Engine(engine);
-    if outbound::unavailable_ms(app, target) > 0 {
-        return false;
-    }
-    let (adapter, version) = placement.adapter_and_version();
-    let command = LoadOrder {
-        adapter: adapter.to_string(),
-        version: version.to_string(),
-        victims: victims.iter().map(|v| v.to_string()).collect(),
-        fence: token,
-        only_named: placement.copy,
-    };
-    mark_loading(app, engine, key);
-    app.inner.metrics.count_load();
-    let mut client = app.inner.engine_clients[engine].clone();
-    let load_timeout = load_timeout(app);
-    let answer =
-        tokio::time::timeout(placement.timeout.min(load_timeout), client.load(command)).await;
-    let answer = answer.map(|a| outbound::record_answer(app, target, None, a));
-    let reason = match answer {
-        Ok(Ok(reply)) => {
-            let reply = reply.into_inner();
-            if reply.loaded {
-                show_resident(app, engine, key, &reply.evicted);
-                return true;
-            }
-            format!("refused: {}", reply.error)
-        }
-        Ok(Err(s)) => format!("failed: {}", s.message()),
-        Err(_) if placement.timeout >= load_timeout => {
-            app.inner.stuck_loads.mark(engine, key);
-            "is stuck; its engine is avoided for it".to_string()
-        }
-        Err(_) => "took longer than its request allows".to_string(),
-    };
-    log::warn!(target: "orders", "load of {key} {reason}");
-    remove_from_view(app, engine, key);
-    false
-}
-
-/// Time after which a load started now counts as stuck.
-///
-/// The weight store serves loads in turn, so a long wait alone proves nothing;
-/// twice the time that all pending loads need does.
-fn load_timeout(app: &App) -> Duration {
-    let loading_slots = |e: &EngineView| e.slots.iter().filter(|s| s.loading).count();
-    let pending: usize = app.view().iter().map(loading_slots).sum();
-    let rate = app.inner.settings.platform.loads_per_sec;
-    LOAD_SLACK + Duration::from_secs_f64(2.0 * (pending + 1) as f64 / rate)
-}
-
-/// Whether the view shows `key` as loading on `engine`.
-fn is_loading(app: &App, engine: usize, key: &str) -> bool {
-    let view = app.view();
-    let mut slots = view[engine].slots.iter();
-    slots.any(|s| &*s.key == key && s.loading)
-}
-
-/// Shows `key` as loading on `engine` in the view until the command ends.
-///
-/// Otherwise every request for a cold adapter that arrives before the next
-/// status poll starts its own load, often on another engine. The weight store's
-/// queue then fills with duplicates of the same few adapters, and load waits
-/// grow to seconds for all callers.
-fn mark_loading(app: &App, engine: usize, key: &Arc<str>) {
-    let mut view = app.view();
-    let slots = &mut view[engine].slots;
-    if !slots.iter().any(|s| s.key == *key) {
-        slots.push(SlotView {
-            key: key.clone(),
-            pins: 0,
-            loading: true,
-        });
-    }
-}
-
-/// Shows `key` as resident on `engine`, in place of `evicted`, so that later
-/// requests see it before the next status poll.
-fn show_resident(app: &App, engine: usize, key: &Arc<str>, evicted: &str) {
-    let mut view = app.view();
-    let slots = &mut view[engine].slots;
-    slots.retain(|s| *s.key != *evicted && s.key != *key);
-    slots.push(SlotView {
-        key: key.clone(),
-        pins: 0,
-        loading: false,
-    });
-}
-
-/// Removes `key` from `engine` in the view.
-pub(crate) fn remove_from_view(app: &App, engine: usize, key: &str) {
-    app.view()[engine].slots.retain(|s| &*s.key != key);
-}
