The own daemon keeps its engines' slots by the same account

A load command without an answer was taken out of the view until the next poll, so that its slot counted as free though the engine may have been loading. SlotAccount has a form for engines that count no commands: a load takes a slot from its sending on, one without an answer keeps it until a report made later says otherwise, one that was not sent frees it.

--- a/crates/comfreyhall-capacity/src/account.rs
+++ b/crates/comfreyhall-capacity/src/account.rs
@@ -51,6 +51,12 @@
     loading: Map<K, u64>,
     /// When the engine last accepted a command; 0 for never.
     accepted_ms: u64,
+    /// Whether the engine counts commands and carries out none that does not bear the
+    /// number.
+    sequenced: bool,
+    /// Loads sent to an engine that does not, whose outcome is unknown, with the time of
+    /// sending: each of them may take a slot.
+    sent: Map<K, u64>,
 }
 
 impl<K> Default for SlotAccount<K> {
@@ -61,11 +67,53 @@
             held: Map::default(),
             loading: Map::default(),
             accepted_ms: 0,
+            sequenced: true,
+            sent: Map::default(),
         }
     }
 }
 
 impl<K: Clone + Eq + Hash> SlotAccount<K> {
+    /// The account of an engine that counts no commands, and refuses one for which it has
+    /// no slot.
+    pub fn unsequenced() -> Self {
+        Self {
+            confirmed: true,
+            sequenced: false,
+            ..Self::default()
+        }
+    }
+
+    /// Records that `order` is sent at `now` to an engine that counts no commands: from now
+    /// on it may take a slot.
+    pub fn send(&mut self, order: &Order<K>, now: u64) {
+        self.sent.insert(order.key.clone(), now);
+    }
+
+    /// Loads that were sent and whose outcome is unknown.
+    pub fn unknown(&self) -> impl Iterator<Item = &K> {
+        self.sent.keys()
+    }
+
+    /// Records what came of `order`, sent to an engine that counts no commands; `evicted`
+    /// was dropped for it.
+    pub fn settle_sent(&mut self, order: Order<K>, outcome: Outcome, evicted: &K, now: u64) {
+        match outcome {
+            Outcome::Accepted | Outcome::Unanswered => {}
+            Outcome::AlreadyDone => {
+                self.sent.remove(&order.key);
+                self.held.remove(evicted);
+                let (version, since_ms) = (order.version, now);
+                self.held
+                    .insert(order.key, HeldAdapter { version, since_ms });
+            }
+            Outcome::NotSent | Outcome::Rejected | Outcome::OutOfSequence => {
+                self.sent.remove(&order.key);
+            }
+            Outcome::OtherBoot => *self = Self::unsequenced(),
+        }
+    }
+
     /// Whether orders can be made; otherwise a report is needed first.
     pub fn is_confirmed(&self) -> bool {
         self.confirmed
@@ -103,16 +151,18 @@
 
     /// Number of slots in use.
     pub fn occupied(&self) -> usize {
-        self.held.len() + self.loading.len()
+        self.held.len() + self.loading.len() + self.sent.len()
     }
 
-    /// An order to load `version` of `key` on an engine with `slots` slots. One for a
-    /// load in progress asks for its outcome, and needs no further slot.
+    /// An order to load `version` of `key` on an engine with `slots` slots. One for what the
+    /// engine holds or is loading asks for the outcome, and needs no further slot.
     pub fn load(&self, key: &K, version: u64, slots: usize) -> Result<Order<K>, NoRoom> {
         if !self.confirmed {
             return Err(NoRoom::Unconfirmed);
         }
-        if !self.loading.contains_key(key) && self.occupied() >= slots {
+        let held = self.held_version(key) == Some(version);
+        let counted = held || self.loading.contains_key(key) || self.sent.contains_key(key);
+        if !counted && self.occupied() >= slots {
             return Err(NoRoom::Full);
         }
         Ok(self.order(Action::Load, key, version))
@@ -201,7 +251,7 @@
     /// however old it is. One with fewer is old, or the engine has lost count.
     pub fn apply(&mut self, report: Snapshot<K>, asked_ms: u64) -> bool {
         let certainly_later = asked_ms >= self.accepted_ms + MAX_REPORT_AGE_MS;
-        if report.sequence < self.sequence && !certainly_later {
+        if self.sequenced && report.sequence < self.sequence && !certainly_later {
             return false;
         }
         self.sequence = report.sequence;
@@ -212,6 +262,11 @@
         });
         self.held = held.collect();
         self.loading = report.loading.into_iter().collect();
+        let (held, loading) = (&self.held, &self.loading);
+        self.sent.retain(|key, sent_ms| {
+            let listed = held.contains_key(key) || loading.contains_key(key);
+            !listed && asked_ms < *sent_ms + MAX_REPORT_AGE_MS
+        });
         true
     }
 }
--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyhall_capacity::SlotAccount;
 use comfreyhall_catalog::{Catalog, Follower, Labels, Table};
 use comfreyhall_lease::Lease;
 use comfreyhall_life::{Lifecycle, Stage};
@@ -27,6 +28,9 @@
     quarantine::SharedQuarantine, stats::Counters, stuck::StuckLoads,
 };
 
+/// The account of an engine's slots, by `adapter@version`.
+pub(crate) type EngineAccount = SlotAccount<Arc<str>>;
+
 /// Shared daemon state; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct App {
@@ -64,6 +68,8 @@
     /// Whether a background copy is in flight.
     pub(crate) copy_in_flight: AtomicBool,
     view: Mutex<Vec<EngineView>>,
+    /// What each engine holds and was told to load.
+    accounts: Mutex<Vec<EngineAccount>>,
     policy: Mutex<Box<dyn Policy>>,
     in_flight: AtomicUsize,
     cancel_registry: Mutex<CancelRegistry>,
@@ -96,6 +102,8 @@
             .map(|i| (i.id.clone(), PeerClient::new(link::channel(&i.listen))))
             .collect();
         let view = settings.engines.iter().map(engines::empty_view).collect();
+        let accounts = settings.engines.iter();
+        let accounts = accounts.map(|_| EngineAccount::unsequenced()).collect();
         let term = Duration::from_millis(settings.tuning.lease_ms);
         let lease = Lease::new(table.clone(), "orders", instance.id.clone(), term);
         let labels = Labels::from([("domain".to_string(), instance.domain.to_string())]);
@@ -124,6 +132,7 @@
                 demand: DemandCounter::default(),
                 copy_in_flight: AtomicBool::new(false),
                 view: Mutex::new(view),
+                accounts: Mutex::new(accounts),
                 policy: Mutex::new(policy),
                 in_flight: AtomicUsize::new(0),
                 cancel_registry: Mutex::default(),
@@ -151,6 +160,14 @@
             .expect("no holder of this lock panics")
     }
 
+    /// The accounts of the engines' slots.
+    pub(crate) fn accounts(&self) -> MutexGuard<'_, Vec<EngineAccount>> {
+        self.inner
+            .accounts
+            .lock()
+            .expect("no holder of this lock panics")
+    }
+
     pub(crate) fn policy(&self) -> MutexGuard<'_, Box<dyn Policy>> {
         self.inner
             .policy
--- a/crates/comfreyhall-daemon/src/engines.rs
+++ b/crates/comfreyhall-daemon/src/engines.rs
@@ -1,14 +1,18 @@
 //! Engine status polls, which keep the placement view current.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
+use comfreyhall_capacity::Snapshot;
 use comfreyhall_placement::{EngineView, SlotView};
-use comfreyhall_protocol::{EngineStatus, StatusQuery};
+use comfreyhall_protocol::{EngineStatus, Slot, StatusQuery};
 use comfreyhall_settings::Engine;
 use prost::Message;
 
 use crate::{
-    app::App,
+    app::{App, EngineAccount},
     outbound::{self, Target},
 };
 
@@ -27,16 +31,43 @@
     }
 }
 
-/// Builds an engine's view from its status reply.
-fn view_of(engine: &Engine, status: &EngineStatus) -> EngineView {
+/// Takes an engine's status, asked for at `asked_ms`, into its account.
+fn apply_status(account: &mut EngineAccount, status: &EngineStatus, asked_ms: u64) {
+    let keys = |loading: bool| {
+        let slots = status.slots.iter().filter(move |s| s.loading == loading);
+        slots.map(|s| (slot_key(s), 0)).collect()
+    };
+    account.apply(
+        Snapshot {
+            sequence: 0,
+            held: keys(false),
+            loading: keys(true),
+        },
+        asked_ms,
+    );
+}
+
+fn slot_key(slot: &Slot) -> Arc<str> {
+    format!("{}@{}", slot.adapter, slot.version).into()
+}
+
+/// Builds an engine's view from its status reply, and the loads that may be on their way
+/// to it.
+fn view_of(engine: &Engine, status: &EngineStatus, account: &EngineAccount) -> EngineView {
+    let unknown = account.unknown().map(|key| SlotView {
+        key: key.clone(),
+        pins: 0,
+        loading: true,
+    });
     let slots = status
         .slots
         .iter()
         .map(|slot| SlotView {
-            key: format!("{}@{}", slot.adapter, slot.version).into(),
+            key: slot_key(slot),
             pins: slot.pins,
             loading: slot.loading,
         })
+        .chain(unknown)
         .collect();
     EngineView {
         id: engine.id.clone(),
@@ -68,6 +99,7 @@
         if outbound::unavailable_ms(&app, target) > 0 {
             continue;
         }
+        let asked_ms = app.now_ms();
         let answer = tokio::time::timeout(POLL_TIMEOUT, client.status(StatusQuery {})).await;
         let answer = answer.map(|a| outbound::record_answer(&app, target, None, a));
         let status = match answer {
@@ -83,11 +115,17 @@
         }
         if let Some(status) = &status {
             app.inner.metrics.record_engine(&engine.id, status);
-            app.inner.engine_boots[index].store(status.epoch, Ordering::Relaxed);
+            let boot = app.inner.engine_boots[index].swap(status.epoch, Ordering::Relaxed);
+            let account = &mut app.accounts()[index];
+            if boot != status.epoch {
+                *account = EngineAccount::unsequenced();
+            }
+            apply_status(account, status, asked_ms);
         }
+        let accounts = app.accounts();
         let mut view = app.view();
         match status {
-            Some(status) => view[index] = view_of(&engine, &status),
+            Some(status) => view[index] = view_of(&engine, &status, &accounts[index]),
             None => view[index].up = false,
         }
     }
--- a/crates/comfreyhall-daemon/src/orders/loads.rs
+++ b/crates/comfreyhall-daemon/src/orders/loads.rs
@@ -2,8 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use comfreyhall_capacity::{Order, Outcome};
 use comfreyhall_placement::{EngineView, SlotView};
-use comfreyhall_protocol::LoadOrder;
+use comfreyhall_protocol::{LoadOrder, LoadReply, proves_not_run};
+use tokio::time::error::Elapsed;
+use tonic::{Response, Status};
 
 use super::Placement;
 use crate::{
@@ -38,6 +41,9 @@
         fence: token,
         only_named: placement.copy,
     };
+    let Some(order) = reserve(app, engine, key, victims.len()) else {
+        return false;
+    };
     mark_loading(app, engine, key);
     app.inner.metrics.count_load();
     let mut client = app.inner.engine_clients[engine].clone();
@@ -45,15 +51,15 @@
     let answer =
         tokio::time::timeout(placement.timeout.min(load_timeout), client.load(command)).await;
     let answer = answer.map(|a| outbound::record_answer(app, target, None, a));
+    let (outcome, evicted) = outcome_of(&answer);
+    let now = app.now_ms();
+    app.accounts()[engine].settle_sent(order, outcome, &evicted, now);
     let reason = match answer {
-        Ok(Ok(reply)) => {
-            let reply = reply.into_inner();
-            if reply.loaded {
-                show_resident(app, engine, key, &reply.evicted);
-                return true;
-            }
-            format!("refused: {}", reply.error)
+        Ok(Ok(reply)) if reply.get_ref().loaded => {
+            show_resident(app, engine, key, &evicted);
+            return true;
         }
+        Ok(Ok(reply)) => format!("refused: {}", reply.get_ref().error),
         Ok(Err(s)) => format!("failed: {}", s.message()),
         Err(_) if placement.timeout >= load_timeout => {
             app.inner.stuck_loads.mark(engine, key);
@@ -62,10 +68,44 @@
         Err(_) => "took longer than its request allows".to_string(),
     };
     log::warn!(target: "orders", "load of {key} {reason}");
-    remove_from_view(app, engine, key);
+    if outcome != Outcome::Unanswered {
+        remove_from_view(app, engine, key);
+    }
     false
 }
 
+/// An order to load `key`, if `engine` has a slot for it or may evict one of `victims`.
+fn reserve(app: &App, engine: usize, key: &Arc<str>, victims: usize) -> Option<Order<Arc<str>>> {
+    let slots = app.inner.settings.engines[engine].slots as usize + victims;
+    let now = app.now_ms();
+    let account = &mut app.accounts()[engine];
+    match account.load(key, 0, slots) {
+        Ok(order) => {
+            account.send(&order, now);
+            Some(order)
+        }
+        Err(why) => {
+            log::info!(target: "orders", "load of {key} not commanded: {why:?}, {} of {slots} slots in use", account.occupied());
+            None
+        }
+    }
+}
+
+/// What an answer says about a command to load, and which adapter was evicted for it.
+fn outcome_of(
+    answer: &Result<Result<Response<LoadReply>, Status>, Elapsed>,
+) -> (Outcome, Arc<str>) {
+    match answer {
+        Ok(Ok(reply)) if reply.get_ref().loaded => (
+            Outcome::AlreadyDone,
+            reply.get_ref().evicted.as_str().into(),
+        ),
+        Ok(Ok(_)) => (Outcome::Rejected, "".into()),
+        Ok(Err(status)) if proves_not_run(status) => (Outcome::NotSent, "".into()),
+        Ok(Err(_)) | Err(_) => (Outcome::Unanswered, "".into()),
+    }
+}
+
 /// Time after which a load started now counts as stuck.
 ///
 /// The weight store serves loads in turn, so a long wait alone proves nothing;
