--- a/crates/comfreyhall-cli/src/explain.rs
+++ b/crates/comfreyhall-cli/src/explain.rs
@@ -124,14 +124,17 @@
         return Vec::new();
     };
     let last = activations.iter().map(|l| l.at_ms).max().unwrap_or(first);
-    let row = activations[0].u64_field("row");
+    let row = activations[0].revision_field("row");
     let is_relevant = |l: &LogLine| {
-        let is_notification = l.u64_field("newer") == row && !l.str_field("peer").is_empty();
+        let is_notification =
+            row.is_some() && l.revision_field("newer") == row && !l.str_field("peer").is_empty();
         let is_failure =
             SETTINGS_MESSAGES.contains(&l.str_field("msg")) && l.str_field("msg") != CONFIG_ACTIVE;
         is_activation(l)
             || is_notification
-            || is_failure && l.u64_field("newer") == 0 && (first..=last).contains(&l.at_ms)
+            || is_failure
+                && l.revision_field("newer").is_none()
+                && (first..=last).contains(&l.at_ms)
     };
     let mut out: Vec<LogLine> = lines.iter().filter(|l| is_relevant(l)).cloned().collect();
     out.sort_by_key(|l| l.at_ms);
--- a/crates/comfreyhall-cli/src/explain_tests.rs
+++ b/crates/comfreyhall-cli/src/explain_tests.rs
@@ -47,11 +47,11 @@
 /// Two daemons and two configurations; `n2` is notified of the second one late.
 const CHANGES: &str = r#"0 n1 {"t":1000,"part":"follow","msg":"configuration in force","version":4,"before":0,"row":10,"from":"store","waited":20}
 0 n2 {"t":1010,"part":"follow","msg":"configuration in force","version":4,"before":0,"row":10,"from":"store","waited":30}
-0 n1 {"t":30000,"part":"follow","msg":"configuration in force","version":7,"before":4,"row":15,"from":"store","waited":40}
+0 n1 {"t":30000,"part":"follow","msg":"configuration in force","version":7,"before":4,"row":"2/15","from":"store","waited":40}
 0 n2 {"t":30100,"part":"follow","msg":"settings not read","error":"no answer in time"}
-0 n2 {"t":30400,"part":"follow","msg":"newer settings heard of","newer":15,"peer":"n1","row":10}
-0 n2 {"t":30500,"part":"serve","msg":"turned away","id":"r1","config":4,"newer":15}
-0 n2 {"t":30900,"part":"follow","msg":"configuration in force","version":7,"before":4,"row":15,"from":"n1","waited":500}"#;
+0 n2 {"t":30400,"part":"follow","msg":"newer settings heard of","newer":"2/15","peer":"n1","row":10}
+0 n2 {"t":30500,"part":"serve","msg":"turned away","id":"r1","config":4,"newer":"2/15"}
+0 n2 {"t":30900,"part":"follow","msg":"configuration in force","version":7,"before":4,"row":"2/15","from":"n1","waited":500}"#;
 
 #[test]
 fn request_lines_include_settings() {
--- a/crates/comfreyhall-cli/src/lines.rs
+++ b/crates/comfreyhall-cli/src/lines.rs
@@ -20,6 +20,16 @@
         self.value.get(field).and_then(Value::as_str).unwrap_or("")
     }
 
+    /// The row version in `field`, as era/number; `None` if there is none. Older builds
+    /// log the number alone.
+    pub(crate) fn revision_field(&self, field: &str) -> Option<String> {
+        let revision = match self.value.get(field)? {
+            Value::String(revision) => revision.clone(),
+            number => format!("0/{number}"),
+        };
+        (revision != "0/0").then_some(revision)
+    }
+
     /// The integer field `field`, or 0 if it is absent.
     pub(crate) fn u64_field(&self, field: &str) -> u64 {
         self.value.get(field).and_then(Value::as_u64).unwrap_or(0)
