The soak has a store that comes back from copies, and engines behind refused paths

In the end every daemon must serve a new route within the bound, and in all seeds no engine may be ordered to load without a slot.

--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -11,6 +11,10 @@
 //! From seed [`VERSIONS_FROM`] on, engines run two software versions and callers resume
 //! streams: no caller may hold events of both.
 //!
+//! From seed [`COPIES_FROM`] on, the store comes back from copies some seconds old, paths to
+//! engines refuse connections and engines take time to load: none is ordered to load more
+//! than it has slots for, and in the end every daemon serves a new route in time.
+//!
 //! CI runs [`SEEDS`]. To run others: `SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo
 //! test -p comfreyhall --test soak -- --nocapture`. A seed that has failed stays in
 //! [`SEEDS`], with a line on the cause.
@@ -23,6 +27,9 @@
 #[path = "soak/target_signals.rs"]
 mod target_signals;
 
+#[path = "soak/copies.rs"]
+mod copies;
+
 #[path = "soak/versions.rs"]
 mod versions;
 
@@ -61,7 +68,7 @@
 /// event only. 4: scripted stream breaks happened more than [`FAULT_AFTERMATH`] after
 /// they were recorded, as all targets had been quarantined meanwhile. From
 /// [`SIGNALS_FROM`] on, targets also send signals about themselves.
-const SEEDS: [u64; 10] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700];
+const SEEDS: [u64; 11] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700, 800];
 
 /// From this seed on, targets also announce limits, cooldowns and draining, and the
 /// configuration changes in quick succession when the store is back. Smaller seeds
@@ -76,6 +83,13 @@
 /// that are replaced, one by one or by halves; there are more engines of each version.
 const ROLLOUTS_FROM: u64 = 700;
 
+/// From this seed on, the store comes back from copies, and paths to engines refuse
+/// connections.
+const COPIES_FROM: u64 = 800;
+
+/// How long an engine loads an adapter in such seeds, in ms.
+const LOAD_MS: u64 = 250;
+
 /// Engines besides the usual ones in such seeds.
 const MORE_ENGINES: usize = 5;
 
@@ -192,6 +206,8 @@
     RestoreStore,
     ResumeStore,
     RestoreLink(Link),
+    /// The operators and the targets write again what the store's copy lacks.
+    WriteAgain,
 }
 
 /// A fault or planned stop in progress.
@@ -218,6 +234,7 @@
     /// Whether the configuration changes in quick succession when the store is back.
     burst_changes: bool,
     scene: Arc<versions::Scene>,
+    copies: copies::Copies,
 }
 
 impl Fleet {
@@ -229,8 +246,8 @@
         let store_addr = start_store(store.clone()).await;
         let stream_breaks = Arc::new(Mutex::new(0));
         let mut targets = Vec::new();
-        let rollout = seed >= VERSIONS_FROM;
-        let more = match seed >= ROLLOUTS_FROM {
+        let rollout = (VERSIONS_FROM..COPIES_FROM).contains(&seed);
+        let more = match (ROLLOUTS_FROM..COPIES_FROM).contains(&seed) {
             true => MORE_ENGINES,
             false => 0,
         };
@@ -251,6 +268,7 @@
                 service,
                 stream_breaks: stream_breaks.clone(),
                 delay_ms: EVENT_INTERVAL_MS,
+                load_ms: if seed >= COPIES_FROM { LOAD_MS } else { 0 },
                 software: if rollout { software } else { Vec::new() },
             };
             let mut wire = None;
@@ -277,6 +295,7 @@
             active_faults: Vec::new(),
             version: 1,
             burst_changes: seed >= SIGNALS_FROM,
+            copies: copies::Copies::default(),
         };
         let peers: Vec<String> = (0..DAEMONS).map(|_| addr()).collect();
         for i in 0..DAEMONS {
@@ -410,6 +429,25 @@
         }
     }
 
+    /// The store comes back from a copy, or the path to an engine refuses connections.
+    fn inject_copy_fault(&mut self) {
+        let started_at = Instant::now();
+        let duration = self.random_duration(200..1_500);
+        let link = Link::Target(self.rng.random_range(0..ENGINES));
+        match self.rng.random_range(0..3) {
+            0 => {
+                if let Some(copy) = self.copies.take(&mut self.rng) {
+                    self.store.restore(copy);
+                    self.begin_fault(started_at, duration, Recovery::WriteAgain);
+                }
+            }
+            _ => {
+                self.wire(link).refuse(true);
+                self.begin_fault(started_at, duration, Recovery::RestoreLink(link));
+            }
+        }
+    }
+
     /// Kills a daemon if all run, or replaces an engine, or half of them.
     fn inject_rollout_fault(&mut self) {
         let started_at = Instant::now();
@@ -462,9 +500,10 @@
                     self.change_in_burst();
                 }
                 Recovery::ResumeStore => self.store.hang_commits.store(false, Ordering::SeqCst),
+                Recovery::WriteAgain => self.write_again(),
                 Recovery::RestoreLink(link) => {
                     let wire = self.wire(link);
-                    wire.cut(false);
+                    wire.refuse(false);
                     wire.delay(0);
                     wire.one_way(false);
                 }
@@ -633,20 +672,21 @@
             ))
         })
         .collect();
-    let rollout = seed >= ROLLOUTS_FROM;
+    let rollout = (ROLLOUTS_FROM..COPIES_FROM).contains(&seed);
+    let copies = seed >= COPIES_FROM;
     let planned_only = seed.is_multiple_of(3) || rollout;
     for i in 0..DAEMONS {
         fleet.scene.set_up(i, true);
     }
     let front_addrs = fronts.clone();
     let poison = (!planned_only).then(|| tokio::spawn(send_poison(fronts, stop.clone())));
-    let target_signals = (seed >= SIGNALS_FROM && !rollout).then(|| {
+    let target_signals = (seed >= SIGNALS_FROM && !rollout && !copies).then(|| {
         let hosts = fleet.targets.iter().map(|(host, _)| host.clone()).collect();
         let rng = StdRng::seed_from_u64(seed);
         tokio::spawn(target_signals::send_signals(hosts, rng, stop.clone()))
     });
     let tally = Arc::new(Mutex::new(versions::Tally::default()));
-    let resuming = if seed >= VERSIONS_FROM {
+    let resuming = if (VERSIONS_FROM..COPIES_FROM).contains(&seed) {
         RESUMING_CALLERS
     } else {
         0
@@ -671,7 +711,10 @@
         let pause = fleet.random_duration(20..400);
         tokio::time::sleep(pause).await;
         fleet.end_faults(false);
-        if seed >= ROLLOUTS_FROM {
+        fleet.copies.add(fleet.store.copy());
+        if copies && fleet.rng.random_bool(0.5) {
+            fleet.inject_copy_fault();
+        } else if rollout {
             fleet.inject_rollout_fault();
         } else if planned_only || fleet.rng.random_bool(0.3) {
             fleet.planned_work().await;
@@ -712,11 +755,25 @@
         count(&Outcome::NotRun),
         fleet.faults.len()
     );
+    let late = match copies {
+        true => fleet.late_daemons().await,
+        false => Vec::new(),
+    };
     let tally = tally.lock().unwrap();
     if seed >= VERSIONS_FROM {
         println!("begun {:?}, resumed {:?}", tally.begins, tally.resumptions);
     }
     let mut violations = fleet.violations(&attempts);
+    violations.extend(late);
+    for (host, _) in &fleet.targets {
+        if host.overfilled() > 0 {
+            let name = host.boots()[0].id.clone();
+            violations.push(format!(
+                "{name} had no slot for {} loads",
+                host.overfilled()
+            ));
+        }
+    }
     violations.extend(tally.all_violations(rollout));
     assert!(
         violations.is_empty(),
--- /dev/null
+++ b/crates/comfreyhall/tests/soak/copies.rs
@@ -0,0 +1,89 @@
+//! A store that comes back from copies, and what must hold in the end.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, rngs::StdRng};
+
+use super::{
+    Fleet,
+    emulator::{
+        Rows,
+        caller::{Caller, PathOutcome},
+        config, safe_route,
+    },
+};
+
+/// Longest age of a copy.
+const MAX_AGE: Duration = Duration::from_secs(4);
+
+/// Time in which a change is in force.
+const BOUND: Duration = Duration::from_secs(2);
+
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Copies of the store, the oldest first.
+#[derive(Default)]
+pub struct Copies(VecDeque<(Instant, Rows)>);
+
+impl Copies {
+    /// Adds a copy made now.
+    pub fn add(&mut self, copy: Rows) {
+        self.0.push_back((Instant::now(), copy));
+        while self.0.front().is_some_and(|(at, _)| at.elapsed() > MAX_AGE) {
+            self.0.pop_front();
+        }
+    }
+
+    /// Any of the copies; those that were made after it are gone with the store.
+    pub fn take(&mut self, rng: &mut StdRng) -> Option<Rows> {
+        let at = rng.random_range(0..self.0.len().max(1));
+        let (_, copy) = self.0.get(at)?.clone();
+        self.0.truncate(at + 1);
+        Some(copy)
+    }
+}
+
+impl Fleet {
+    /// What the operators and the targets write again after the store came back.
+    pub fn write_again(&mut self) {
+        self.store.put("op", "config", &config(self.version, "/g/"));
+        for (host, _) in &self.targets {
+            host.write_entry_again();
+        }
+    }
+
+    /// Adds a route; says which daemons do not serve it in time.
+    pub async fn late_daemons(&mut self) -> Vec<String> {
+        self.version += 3;
+        let mut config = config(self.version, "/g/");
+        let routes = config["routes"].as_array_mut().unwrap();
+        routes.push(safe_route("last", "/last/", "app"));
+        self.store.put("op", "config", &config);
+        tokio::time::sleep(BOUND).await;
+        let mut late = Vec::new();
+        for (i, daemon) in self.daemons.iter().enumerate() {
+            let began = Instant::now();
+            loop {
+                let id = format!("last{i}-{}", began.elapsed().as_millis());
+                let outcome = Caller::default()
+                    .send_path(&daemon.front, "/last/x", &id)
+                    .await;
+                match outcome {
+                    PathOutcome::AnsweredBy(_) => break,
+                    // Targets may still be on their way back.
+                    PathOutcome::Status(503) if began.elapsed() < BOUND => {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                    other => {
+                        late.push(format!("n{i} does not serve the last route: {other:?}"));
+                        break;
+                    }
+                }
+            }
+        }
+        late
+    }
+}
--- a/crates/comfreyhall/tests/support/wire.rs
+++ b/crates/comfreyhall/tests/support/wire.rs
@@ -22,8 +22,13 @@
     delay: AtomicU64,
     /// Whether nothing passes back from the target.
     one_way: AtomicBool,
+    /// Whether nothing listens, so that new connections are refused.
+    refuses: AtomicBool,
 }
 
+/// Interval between looks whether a wire that refuses is mended.
+const REFUSE_POLL: Duration = Duration::from_millis(5);
+
 /// Forwards connections to one address until told otherwise.
 pub struct Wire {
     /// Where to connect to.
@@ -39,8 +44,22 @@
         let state = Arc::new(State::default());
         let wire = state.clone();
         let target = target.to_string();
+        let listen_addr = addr.clone();
         std::thread::spawn(move || {
-            for near in listener.incoming().flatten() {
+            let mut listener = Some(listener);
+            loop {
+                if wire.refuses.load(Ordering::SeqCst) {
+                    listener = None;
+                    std::thread::sleep(REFUSE_POLL);
+                    continue;
+                }
+                let Some(open) = &listener else {
+                    listener = TcpListener::bind(&listen_addr).ok();
+                    continue;
+                };
+                let Ok((near, _)) = open.accept() else {
+                    continue;
+                };
                 let number = wire.opened.fetch_add(1, Ordering::SeqCst) + 1;
                 if wire.cut.load(Ordering::SeqCst) {
                     continue;
@@ -72,7 +91,15 @@
         self.state.one_way.store(one_way, Ordering::SeqCst);
     }
 
-    /// Resets every connection and refuses new ones, or mends the wire.
+    /// Closes every connection and refuses new ones, or mends the wire.
+    pub fn refuse(&self, refuse: bool) {
+        self.state.refuses.store(refuse, Ordering::SeqCst);
+        self.cut(refuse);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect(&self.addr);
+    }
+
+    /// Resets every connection and closes new ones, or mends the wire.
     pub fn cut(&self, cut: bool) {
         self.state.cut.store(cut, Ordering::SeqCst);
     }
