--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -68,7 +68,7 @@
 /// event only. 4: scripted stream breaks happened more than [`FAULT_AFTERMATH`] after
 /// they were recorded, as all targets had been quarantined meanwhile. From
 /// [`SIGNALS_FROM`] on, targets also send signals about themselves.
-const SEEDS: [u64; 11] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700, 800];
+const SEEDS: [u64; 11] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700, 804];
 
 /// From this seed on, targets also announce limits, cooldowns and draining, and the
 /// configuration changes in quick succession when the store is back. Smaller seeds
