A daemon knows which single targets it has lost, and passes their requests on

Cause: "isolated" ended with any answer of any target, so an instance that reached 4 of 15 targets counted as whole. A target that could not be reached was left out for 700 ms and then tried with a caller's request again. A lease holder that reaches an engine bound requests to it for an instance that does not; that instance found the engine unavailable and asked the holder again, for the same engine, up to 40 times.

Change: `Contacts` (comfreyhall-routing, pure) holds the evidence for each target: a failed connection is checked by a probe at once, a second failure makes the target lost, and only probes (after 250 ms, then up to 1 s) bring it back. Nothing is sent to a lost target. An instance that has lost half of a service, or whose request is bound to an engine that it has lost, passes the request on, in one hop as before, to the peer that has lost the least; gossip carries that share in steps of ten percent, no byte while nothing is lost. A request that was passed on, or resumes a stream, names the lost engines to the holder. A request without a peer to pass it on to kept no credit of its workspace before; the credit is returned only with the call now. `forward/reach.rs` is now `reach.rs`, as the lease task needs it too.

--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -72,6 +72,7 @@
             log::warn!(target: "keeper", id:% = self.target.id, why, expected = self.account.sequence(), occupied = self.account.occupied(), loading = self.account.loading_count(); "engine not reached; its account is kept until a report");
         }
         self.report_after_ms = now + pause;
+        self.node.record_lost(&self.target.id);
         let target = self.target.id.clone();
         let mut view = self.node.view();
         view.unavailable_until.insert(target, now + pause);
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -17,7 +17,7 @@
     outbound,
     ports::{Record, RecordBatch, Topic},
     quarantine::wire,
-    records,
+    reach, records,
     rows::Provenance,
 };
 
@@ -96,7 +96,7 @@
         let words = outbound::holder_notices(node);
         let mut from = self.me.clone();
         from.ready = node.ready();
-        from.isolated = node.is_isolated();
+        reach::describe(node, &mut from);
         let mut view = node.view();
         let work = view.board.own_work().map(|(target, w)| TargetWork {
             target: target.to_string(),
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -18,7 +18,7 @@
     FANOUT, Fleet, GOSSIP_PERIOD_MS, Peer, State,
     roster::{Roster, Summary, is_large, report_period_ms},
 };
-use crate::node::Node;
+use crate::{node::Node, reach};
 
 /// Interval between calls to a random peer while holders are known, in ms.
 const RANDOM_CALL_MS: u64 = 1_000;
@@ -146,7 +146,7 @@
     fn summarize(&self, node: &Node, gossip: &News, now: u64) -> Summary {
         let mut me = self.me.clone();
         me.ready = node.ready();
-        me.isolated = node.is_isolated();
+        reach::describe(node, &mut me);
         let (roster, in_use) = {
             let state = self.state();
             (state.roster(me, now), state.adapters_in_use(now))
--- a/crates/comfreyhall-node/src/fleet/members.rs
+++ b/crates/comfreyhall-node/src/fleet/members.rs
@@ -46,21 +46,19 @@
         }
     }
 
-    /// Peers that callers may be sent to and that reach targets, in random order,
-    /// those of the own domain first.
-    pub(crate) fn reaching_peers(&self, now: u64) -> Vec<Name> {
+    /// The peer to pass a request on to: one that callers may be sent to and that has
+    /// lost `most_lost` percent of the targets at most. The fewer it has lost the better,
+    /// and then one of the own domain.
+    pub(crate) fn reaching_peer(&self, most_lost: u32, now: u64) -> Option<Name> {
         let state = self.state();
-        let mut out: Vec<(bool, u64, Name)> = state
-            .alive_peers(now)
-            .filter_map(|(addr, peer)| {
-                let about = peer.daemon.as_ref();
-                let about = about.filter(|a| a.ready && !a.isolated)?;
-                let elsewhere = about.domain != self.me.domain;
-                Some((elsewhere, rand::random(), addr.clone()))
-            })
-            .collect();
-        out.sort_unstable();
-        out.into_iter().map(|(_, _, addr)| addr).collect()
+        let reaching = state.alive_peers(now).filter_map(|(addr, peer)| {
+            let about = peer.daemon.as_ref();
+            let about = about.filter(|a| a.ready && !a.isolated)?;
+            let elsewhere = about.domain != self.me.domain;
+            let rank = (about.lost_percent, elsewhere, rand::random::<u64>());
+            (about.lost_percent <= most_lost).then_some((rank, addr))
+        });
+        reaching.min().map(|(_, addr)| addr.clone())
     }
 
     /// When the daemon at `peer` became known.
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -146,6 +146,7 @@
             domain: settings.domain.to_string(),
             ready: false,
             isolated: false,
+            lost_percent: 0,
             millicores: (settings.cores * 1_000.0) as u32,
         };
         let (updates_tx, updates_rx) = mpsc::channel(UPDATE_QUEUE_LEN);
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -21,6 +21,7 @@
         ready: true,
         millicores: 500,
         isolated: false,
+        ..Daemon::default()
     }
 }
 
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -1,19 +1,15 @@
-//! Passes requests on to another daemon while this one reaches no target.
+//! Passes requests on to another daemon while this one does not reach their targets.
 //!
-//! A daemon may lose its paths to all targets while callers still reach it. It
-//! passes their requests on to a daemon that reaches targets, in one hop: whoever
+//! A daemon may lose its paths to targets while callers still reach it. It
+//! passes their requests on to a daemon that reaches more, in one hop: whoever
 //! receives one so serves it or rejects it. The receiver alone reserves credit,
 //! counts the request for retries and sends it, so that it runs at most once and
 //! its answer is passed back as it is.
 
-mod reach;
 mod receive;
 mod wire;
 
-pub(crate) use self::{
-    reach::spawn,
-    receive::{PartStream, receive},
-};
+pub(crate) use self::receive::{PartStream, receive};
 
 use std::{sync::Arc, time::Duration};
 
@@ -28,8 +24,7 @@
     serve::{EventStream, Reply},
 };
 
-/// Passes `request`, which has `remaining_ms` left, on to a daemon that reaches
-/// targets; `None` if no such daemon is known.
+/// Passes `request`, which has `remaining_ms` left, on to the daemon at `peer`.
 ///
 /// It goes to one daemon only: after a call without an answer it may have run, so a
 /// second daemon's rejection would not mean "not run", and nobody would count the
@@ -37,18 +32,18 @@
 pub(crate) async fn pass_on(
     node: &Arc<Node>,
     request: &ClientRequest,
+    peer: &Name,
     remaining_ms: u64,
-) -> Option<Reply> {
-    let peer = node.fleet.reaching_peers(node.now()).into_iter().next()?;
-    match pass_to(node, request, &peer, remaining_ms).await {
+) -> Reply {
+    match pass_to(node, request, peer, remaining_ms).await {
         Ok(answer) => {
             node.metrics.forward("answered");
-            Some(answer)
+            answer
         }
         Err(e) => {
             node.metrics.forward("failed");
             log::info!(target: "forward", id:% = request.id, to:% = peer, error = e.message(); "request passed on without an answer");
-            Some(Reply::Unanswered(Answer::Unknown))
+            Reply::Unanswered(Answer::Unknown)
         }
     }
 }
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod ports;
 mod quarantine;
 mod quotas;
+mod reach;
 mod records;
 mod relay;
 mod rows;
@@ -59,7 +60,7 @@
     engine_control::spawn(node);
     quarantine::spawn(node, rows);
     quotas::spawn(node);
-    forward::spawn(node);
+    reach::spawn(node);
     streams::spawn(node);
 }
 
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -42,6 +42,7 @@
     adapter_loads: Counter<u64>,
     commands: Counter<u64>,
     lease_changes: Counter<u64>,
+    lost_targets: Gauge<u64>,
     store_reads: Counter<u64>,
     quarantine: Counter<u64>,
     suspects_left_out: Counter<u64>,
@@ -108,6 +109,10 @@
             adapter_loads: counter("adapter_loads", "adapters loaded, by where from"),
             commands: counter("orders", "orders to engines by answer"),
             lease_changes: counter("lease_changes", "leases on orders gained or lost"),
+            lost_targets: meter
+                .u64_gauge("lost_targets")
+                .with_description("targets that this daemon does not reach")
+                .build(),
             quarantine: counter(
                 "quarantine",
                 "requests that became suspect of ending targets, were held back or let go",
@@ -230,6 +235,10 @@
             .add(1, &[KeyValue::new("gained", gained)]);
     }
 
+    pub(crate) fn set_lost_targets(&self, lost: usize) {
+        self.lost_targets.record(lost as u64, &[]);
+    }
+
     pub(crate) fn store_read(&self, topic: &'static str, ok: bool) {
         let labels = [KeyValue::new("topic", topic), KeyValue::new("ok", ok)];
         self.store_reads.add(1, &labels);
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -167,12 +167,12 @@
     };
     match &answer {
         Ok(response) => {
-            node.record_reached();
+            node.record_reached(&target.id);
             let notice = with_rejection_pause(node, response);
             observe(node, target, &notice, Some(sent_ms));
         }
         Err(SendError::NotSent(_)) => {
-            node.record_unreached(&target.id);
+            node.record_unsent(&target.id);
             permit.refund();
         }
         Err(_) => node.record_unreached(&target.id),
@@ -210,7 +210,7 @@
     match timeout(patience, call).await {
         Ok(reply) => {
             if reply.answer.is_ok() {
-                node.record_reached();
+                node.record_reached(&target.id);
             }
             observe_reply(node, target, reply)
         }
@@ -225,8 +225,9 @@
         return ProbeResult::NoAnswer;
     }
     let reply = node.backend.probe(target.clone()).await;
-    if reply.answer == ProbeResult::Alive {
-        node.record_reached();
+    match reply.answer {
+        ProbeResult::Alive => node.record_reached(&target.id),
+        _ => node.record_failed_probe(&target.id),
     }
     observe_reply(node, target, reply)
 }
--- a/crates/comfreyhall-node/src/serve/entry.rs
+++ b/crates/comfreyhall-node/src/serve/entry.rs
@@ -46,7 +46,7 @@
         }
         request.in_flight = Some(guard);
         request.may_pass_on = origin == Origin::Caller;
-        if let Some(reply) = request.pass_on_if_isolated().await {
+        if let Some(reply) = request.pass_on_if_unreached().await {
             return reply;
         }
         if let Some(reply) = request.reserve_credit(&config).await {
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -71,7 +71,7 @@
 enum Origin {
     /// A caller.
     Caller,
-    /// Another daemon, which reaches no target.
+    /// Another daemon, which does not reach its targets.
     Daemon,
 }
 
@@ -273,7 +273,7 @@
                 Step::ChooseAgain => continue,
                 Step::End(reply) => return reply,
             }
-            if let Some(reply) = self.pass_on_if_isolated().await {
+            if let Some(reply) = self.pass_on_if_unreached().await {
                 return reply;
             }
             if let Some(reply) = self.reject_gone_version() {
@@ -328,6 +328,7 @@
                 continue;
             };
             if !self.target_still_accepts(&plan) {
+                self.skip_target(&plan.target.id);
                 continue;
             }
             if let Some(rejection) = self.quarantined().await {
--- a/crates/comfreyhall-node/src/serve/pass_on.rs
+++ b/crates/comfreyhall-node/src/serve/pass_on.rs
@@ -1,6 +1,6 @@
 //! Passing a request on to another daemon.
 
-use comfreyhall_domain::Stage;
+use comfreyhall_domain::{Name, Stage};
 
 use super::{ActiveRequest, Reply};
 use crate::forward;
@@ -9,33 +9,64 @@
 /// has reached others lately: some paths may last while new connections fail.
 const MAX_UNREACHED: u32 = 2;
 
+/// How much smaller the share of lost targets of a daemon has to be that gets requests
+/// of one which still reaches some of their targets, in percent of all targets.
+const MIN_LOST_DIFFERENCE: u32 = 20;
+
 /// Retry delay if no daemon is known to reach a target, in ms.
 const ALL_ISOLATED_RETRY_MS: f64 = 500.0;
 
 impl ActiveRequest {
-    /// Passes the request on if this daemon reaches no target for it; `None` if it
-    /// is to be served here. It has not run and holds no credit then.
-    pub(super) async fn pass_on_if_isolated(&mut self) -> Option<Reply> {
-        let isolated = self.node.is_isolated();
-        let unreached = self.unreached >= MAX_UNREACHED || self.all_unreached();
-        if self.history.may_have_run || !(isolated || unreached) {
+    /// Passes the request on if this daemon does not reach its targets, or has lost half
+    /// of them to which another daemon has paths; `None` if it is to be served here. It
+    /// has not run and holds no credit then.
+    pub(super) async fn pass_on_if_unreached(&mut self) -> Option<Reply> {
+        if self.history.may_have_run {
             return None;
         }
+        let isolated = self.node.is_isolated();
+        let give_up = |request: &mut Self| {
+            isolated.then(|| request.give_up("no target is reached", ALL_ISOLATED_RETRY_MS))
+        };
         if !self.may_pass_on {
-            return isolated.then(|| self.give_up("no target is reached", ALL_ISOLATED_RETRY_MS));
+            return give_up(self);
         }
+        let now = self.node.now();
+        let Some(peer) = self
+            .most_lost(isolated)
+            .and_then(|most| self.node.fleet.reaching_peer(most, now))
+        else {
+            return give_up(self);
+        };
         self.may_pass_on = false;
         let request = self.client_request.clone();
         let left_ms = self.remaining_ms();
         // The daemon that serves it reserves credit for it.
         self.return_credit();
-        match forward::pass_on(&self.node, &request, left_ms).await {
-            Some(reply) => {
-                self.finished = true;
-                self.node.metrics.request(self.route.kind, "passed_on");
-                Some(reply)
-            }
-            None => isolated.then(|| self.give_up("no target is reached", ALL_ISOLATED_RETRY_MS)),
+        let reply = forward::pass_on(&self.node, &request, &peer, left_ms).await;
+        self.finished = true;
+        self.node.metrics.request(self.route.kind, "passed_on");
+        Some(reply)
+    }
+
+    /// Share of targets, in percent, that a daemon may have lost that gets this request;
+    /// `None` if it is to be served here.
+    fn most_lost(&self, isolated: bool) -> Option<u32> {
+        if isolated || self.unreached >= MAX_UNREACHED || self.all_unreached() {
+            return Some(100);
+        }
+        let loses = self.node.loses_service(&self.service);
+        let own = loses.then(|| self.node.lost_percent())?;
+        own.checked_sub(MIN_LOST_DIFFERENCE)
+    }
+
+    /// Excludes `target`, which takes nothing from here. If its path is cut, the request
+    /// is passed on, as the target is where its adapter is.
+    pub(super) fn skip_target(&mut self, target: &Name) {
+        let cut = self.unreached > 0 || self.node.view().contacts.is_lost(target);
+        match cut && self.may_pass_on {
+            true => self.unreached = MAX_UNREACHED,
+            false => self.unavailable.push(target.clone()),
         }
     }
 
@@ -45,7 +76,10 @@
         let now = self.node.now();
         let software = self.software_rule();
         let view = self.node.view();
-        let unreached = |id| view.unavailable_until.get(id).is_some_and(|at| now < *at);
+        let unreached = |id: &Name| {
+            let until_ms = view.unavailable_until.get(id);
+            view.contacts.is_lost(id) || until_ms.is_some_and(|at| now < *at)
+        };
         let mut ready = view
             .targets
             .values()
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -93,6 +93,11 @@
     }
 
     fn bind_params(&self, plan: &Plan, run: u64, may_wait: bool) -> BindParams {
+        let mut unavailable = self.unavailable.clone();
+        if !self.may_pass_on {
+            // The holder may reach engines that this daemon does not.
+            unavailable.extend(self.node.lost_engines(&plan.target.failure_domain));
+        }
         BindParams {
             run,
             group: plan.target.failure_domain.clone(),
@@ -107,7 +112,7 @@
             elapsed_ms: self.node.now() - self.began_ms,
             remaining_ms: self.remaining_ms(),
             tried: self.tried.clone(),
-            unavailable: self.unavailable.clone(),
+            unavailable,
             only_tried: self.only_tried(),
             may_wait,
             patience_ms: match &self.slot_group {
--- a/crates/comfreyhall-node/src/settings_tests.rs
+++ b/crates/comfreyhall-node/src/settings_tests.rs
@@ -24,6 +24,7 @@
         ready: true,
         millicores: 500,
         isolated: false,
+        ..Daemon::default()
     }
 }
 
--- a/crates/comfreyhall-node/src/view.rs
+++ b/crates/comfreyhall-node/src/view.rs
@@ -7,7 +7,7 @@
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, PriorityTable, Target};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
 use comfreyhall_routing::{
-    PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes, TargetStats,
+    Contacts, PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes, TargetStats,
 };
 use comfreyhall_streams::{ListTimes, VersionHistory};
 
@@ -61,6 +61,8 @@
     pub(crate) board: TargetStats,
     /// Whether any target can be reached.
     pub(crate) reachability: Reachability,
+    /// Which single targets can be reached.
+    pub(crate) contacts: Contacts,
     pub(crate) residency: Residency,
     pub(crate) prefixes: PrefixIndex,
     /// How fast each engine is.
@@ -99,6 +101,7 @@
             unavailable_until: Map::default(),
             board: TargetStats::default(),
             reachability: Reachability::default(),
+            contacts: Contacts::default(),
             residency: Residency::default(),
             prefixes: PrefixIndex::default(),
             paces: PaceTable::default(),
@@ -173,6 +176,7 @@
     pub(crate) fn accepts(&self, target: &Target, service: &str, now: u64) -> bool {
         *target.service == *service
             && target.stage == comfreyhall_domain::Stage::Ready
+            && !self.contacts.is_lost(&target.id)
             && self
                 .unavailable_until
                 .get(&target.id)
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -109,6 +109,7 @@
         isolated: false,
         ready: true,
         millicores: 250,
+        ..Daemon::default()
     };
     let server =
         tonic::transport::Server::builder().add_service(FleetServer::new(Silent { daemon, ends }));
--- /dev/null
+++ b/crates/comfreyhall-node/tests/reach.rs
@@ -0,0 +1,129 @@
+//! Daemons that reach some of the targets only.
+
+mod support;
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use comfreyhall_domain::{ClientRequest, RouteKind, Target};
+use comfreyhall_fakes::FakeTable;
+use comfreyhall_node::Node;
+use support::*;
+use tokio::net::TcpListener;
+
+/// Longest time for which a target stays lost after its path is back.
+const MAX_LOST: Duration = Duration::from_millis(1_200);
+
+/// A daemon with its own paths to the targets of its fleet.
+struct Daemon {
+    node: Arc<Node>,
+    backend: Arc<ScriptedBackend>,
+}
+
+impl Daemon {
+    fn start(
+        source: &Arc<ScriptedSource>,
+        table: &FakeTable,
+        id: &str,
+        listener: TcpListener,
+        seeds: &[String],
+    ) -> Self {
+        let addr = listener.local_addr().unwrap().to_string();
+        let backend = Arc::new(ScriptedBackend::default());
+        backend.finish_loads.store(true, Ordering::SeqCst);
+        *backend.default_behavior.lock().unwrap() = Some(match source.config.routes[0].kind {
+            RouteKind::Stream => Behavior::Stream(vec![1], true),
+            _ => Behavior::Answer(200, 0),
+        });
+        let settings = settings_of(id, &addr, seeds, 0.25);
+        let node = Node::new(settings, source.clone(), backend.clone());
+        comfreyhall_node::spawn(&node, table.clone());
+        tokio::spawn(comfreyhall_node::serve_peers(node.clone(), listener));
+        Self { node, backend }
+    }
+
+    fn cut(&self, targets: &[&str]) {
+        let names = targets.iter().map(|t| (*t).into());
+        *self.backend.cut_targets.lock().unwrap() = names.collect();
+    }
+
+    async fn serve(&self, request: ClientRequest) -> CallerResult {
+        caller_result(self.node.serve(request).await).await
+    }
+
+    fn sends_to(&self, targets: &[&str]) -> usize {
+        let sent = self.backend.sent.lock().unwrap();
+        sent.iter()
+            .filter(|s| targets.contains(&&*s.target))
+            .count()
+    }
+}
+
+/// Two daemons of one fleet before the given targets.
+async fn start_pair(mut source: Arc<ScriptedSource>, targets: Vec<Target>) -> [Daemon; 2] {
+    let only = Arc::get_mut(&mut source).expect("the source has one owner");
+    only.targets.extend(targets);
+    let table = FakeTable::default();
+    let first = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = [&first, &second].map(|l| l.local_addr().unwrap().to_string());
+    let pair = [
+        Daemon::start(&source, &table, "n1", first, &seeds),
+        Daemon::start(&source, &table, "n2", second, &seeds),
+    ];
+    for daemon in &pair {
+        while daemon.node.addresses().0.len() < 2 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    pair
+}
+
+/// Guards against a daemon that has lost most targets of a service and sends all its
+/// requests to the few that are left.
+#[tokio::test]
+async fn serve_most_targets_lost_passes_requests_on() {
+    let route = route(RouteKind::NonIdempotent, 2, false);
+    let others = ["c", "d"].map(target).to_vec();
+    let [cut, peer] = start_pair(scripted_source(route, None), others).await;
+    cut.cut(&["a", "b", "c"]);
+    let mut learned = 0;
+    for i in 0..60 {
+        let result = cut.serve(ask(&format!("q{i}"))).await;
+        assert_eq!(result, CallerResult::Complete(200));
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        if i == 20 {
+            learned = cut.sends_to(&["a", "b", "c", "d"]);
+        }
+    }
+    let all: Vec<&str> = vec!["a", "b", "c", "d"];
+    // By then it knows which targets it has lost.
+    assert_eq!(cut.sends_to(&all), learned);
+    assert!(peer.sends_to(&["a", "b", "c"]) > 20);
+}
+
+/// Guards against requests that wait again and again for a path that is known to be cut,
+/// and against a target that is left out after its path is back.
+#[tokio::test]
+async fn serve_lost_target_waits_for_probe() {
+    let route = route(RouteKind::NonIdempotent, 2, false);
+    let (node, backend) = start_node(route, Vec::new()).await;
+    let cut = |target: &str| *backend.cut_targets.lock().unwrap() = vec![target.into()];
+    let sends_to_a = || {
+        let sent = backend.sent.lock().unwrap();
+        sent.iter().filter(|s| &*s.target == "a").count()
+    };
+    cut("a");
+    for i in 0..100 {
+        let result = caller_result(node.serve(ask(&format!("q{i}"))).await).await;
+        assert_eq!(result, CallerResult::Complete(200));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(sends_to_a() <= 1, "{}", sends_to_a());
+    cut("b");
+    tokio::time::sleep(MAX_LOST).await;
+    let result = caller_result(node.serve(ask("r")).await).await;
+    assert_eq!(result, CallerResult::Complete(200));
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -79,12 +79,20 @@
     pub finish_loads: std::sync::atomic::AtomicBool,
     /// Number of commands that get no answer, from the first one on.
     pub unanswered_commands: std::sync::atomic::AtomicUsize,
+    /// Targets whose paths from this daemon are cut.
+    pub cut_targets: Mutex<Vec<Name>>,
     /// Targets that have exited.
     pub exited_targets: Mutex<Vec<Name>>,
     /// Reports requested so far.
     pub report_count: std::sync::atomic::AtomicUsize,
 }
 
+impl ScriptedBackend {
+    fn is_cut(&self, target: &Target) -> bool {
+        self.cut_targets.lock().unwrap().contains(&target.id)
+    }
+}
+
 fn event(id: u64) -> Bytes {
     format!("id: {id}\ndata: t{id}\n\n").into()
 }
@@ -118,6 +126,9 @@
             request: ask.id.clone(),
             options,
         });
+        if self.is_cut(&target) {
+            return async { Err(SendError::NotSent("cut".into())) }.boxed();
+        }
         let mut behaviors = self.behaviors.lock().unwrap();
         let behavior = match behaviors.is_empty() {
             true => self.default_behavior.lock().unwrap().clone(),
@@ -208,6 +219,10 @@
         target: Arc<Target>,
         command: Command,
     ) -> BoxFuture<'static, TargetReply<CommandReply>> {
+        if self.is_cut(&target) {
+            let reply = CommandReply::NotSent("cut".into());
+            return async { TargetReply::new(reply) }.boxed();
+        }
         self.command_targets.lock().unwrap().push(target.id.clone());
         let mut commands = self.commands.lock().unwrap();
         let answered = commands.len() >= self.unanswered_commands.load(Ordering::SeqCst);
@@ -229,9 +244,13 @@
 
     fn report(
         &self,
-        _: Arc<Target>,
+        target: Arc<Target>,
     ) -> BoxFuture<'static, TargetReply<Result<Report, ReportError>>> {
         self.report_count.fetch_add(1, Ordering::SeqCst);
+        if self.is_cut(&target) {
+            let error = ReportError::NoAnswer("cut".into());
+            return async { TargetReply::new(Err(error)) }.boxed();
+        }
         async {
             TargetReply::new(Ok(Report {
                 loaded: vec![held("m")],
@@ -248,7 +267,7 @@
         );
         let pulse = match self.exited_targets.lock().unwrap().contains(&target.id) {
             true => ProbeResult::Refused,
-            false if unreachable => ProbeResult::NoAnswer,
+            false if unreachable || self.is_cut(&target) => ProbeResult::NoAnswer,
             false => ProbeResult::Alive,
         };
         async move { TargetReply::new(pulse) }.boxed()
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -607,6 +607,9 @@
     /// Whether it reaches no target.
     #[prost(bool, tag = "8")]
     pub isolated: bool,
+    /// Targets that it does not reach, in percent of all, rounded down to tens.
+    #[prost(uint32, tag = "9")]
+    pub lost_percent: u32,
 }
 /// What a daemon has at one target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/comfreyhall-routing/src/lib.rs
+++ b/crates/comfreyhall-routing/src/lib.rs
@@ -5,7 +5,7 @@
 //! request would wait at each target, [`Residency`] tracks which target holds
 //! which adapter, [`PaceTable`] how fast each engine is,
 //! [`RunTimes`] how long a run takes, [`PrefixIndex`] which prompt prefixes a
-//! target has cached, [`selection`] compares targets, [`RetryBudget`] bounds retries across the
+//! target has cached, [`Contacts`] which targets this daemon reaches, [`selection`] compares targets, [`RetryBudget`] bounds retries across the
 //! fleet, and [`admission`] decides when to reject a request and when its
 //! caller should retry.
 
@@ -13,6 +13,7 @@
 mod average;
 mod budget;
 mod cache;
+mod contacts;
 mod duration;
 mod health;
 mod home_class;
@@ -28,6 +29,7 @@
 
 pub use budget::RetryBudget;
 pub use cache::{CacheDepth, LoadOrder, cache_id};
+pub use contacts::Contacts;
 pub use health::Health;
 pub use interference::Interference;
 pub use latency::{LatencyModel, SpeedFactor};
