A lease holder that has lost its engines hands their group on

Cause: a lease ended only with its holder or with a better placed daemon of the same domain. Reaching engines was no condition for holding their lease, or for taking one.

Gossip names the groups that a daemon has lost; such a daemon gives way to all others for their leases, is no successor, and is not "better placed". What is told of a handover ends after two terms: it was told until the process ended, and a group can move more than once now.

Test: serve_lost_group_moves_to_reaching_daemon failed before (no adapter loaded in 3 s at either daemon).

--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -73,6 +73,7 @@
         }
         self.report_after_ms = now + pause;
         self.node.record_lost(&self.target.id);
+        self.node.leases.wake();
         let target = self.target.id.clone();
         let mut view = self.node.view();
         view.unavailable_until.insert(target, now + pause);
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -62,7 +62,8 @@
             handovers,
             ..
         } = &mut *state;
-        gossip.cessions = handovers.clone();
+        handovers.retain(|(until_ms, _)| now < *until_ms);
+        gossip.cessions = handovers.iter().map(|(_, c)| c.clone()).collect();
         let engines: Set<&str> = runs.iter().map(|(_, r)| &*r.target).collect();
         for work in &mut gossip.work {
             if engines.contains(work.target.as_str()) {
--- a/crates/comfreyhall-node/src/fleet/holders.rs
+++ b/crates/comfreyhall-node/src/fleet/holders.rs
@@ -1,10 +1,11 @@
 //! Lease holders, and which daemons are well placed to hold a lease.
 
 use comfreyhall_domain::Name;
-use comfreyhall_protocol::{Cession, Daemon};
+use comfreyhall_protocol::{Cession, Daemon, fleet_client::FleetClient};
 use comfreyhall_routing::selection::rendezvous_rank;
+use tonic::transport::Channel;
 
-use super::{Fleet, roster};
+use super::{Fleet, State, roster};
 
 /// Processor needed to hold leases in a large fleet, in thousandths of a core:
 /// the reports of 88 daemons and the commands to thirty engines took 59 to 69
@@ -24,6 +25,29 @@
 /// the shortest lease, so that a merely slow one is soon asked again.
 const SUSPEND_MS: u64 = 1_000;
 
+/// Whether `daemon` reaches the engines of `group`, as far as it knows.
+fn reaches(daemon: &Daemon, group: &str) -> bool {
+    !daemon.isolated && !daemon.lost_groups.iter().any(|g| g == group)
+}
+
+impl State {
+    /// Ready peers that may continue `group`, the best first: those that reach its
+    /// engines, then those in its domain.
+    fn ranked_successors(&self, group: &str, now: u64) -> Vec<Name> {
+        let large = roster::is_large(self.peers.len());
+        let ready = self.alive_peers(now).filter_map(|(addr, peer)| {
+            let about = peer.daemon.as_ref().filter(|a| a.ready)?;
+            let weak = large && about.millicores < MIN_HOLDER_MILLICORES;
+            let far = about.domain != group;
+            let rank = (!reaches(about, group), weak, far, peer.holdings.len());
+            Some((rank, addr))
+        });
+        let mut ranked: Vec<_> = ready.collect();
+        ranked.sort();
+        ranked.into_iter().map(|(_, addr)| addr.clone()).collect()
+    }
+}
+
 impl Fleet {
     /// The holder of the lease of `group`, other than this daemon.
     pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
@@ -52,23 +76,38 @@
     /// takes requests, in the group's domain if possible.
     pub(crate) fn successor(&self, group: &str, now: u64) -> Option<Name> {
         let state = self.state();
-        let large = roster::is_large(state.peers.len());
-        let ready = state.alive_peers(now).filter_map(|(addr, peer)| {
-            let about = peer.daemon.as_ref().filter(|a| a.ready)?;
-            let weak = large && about.millicores < MIN_HOLDER_MILLICORES;
-            let far = about.domain != group;
-            Some((weak, far, peer.holdings.len(), addr.clone()))
+        let ranked = state.ranked_successors(group, now);
+        ranked.into_iter().next()
+    }
+
+    /// Daemons that may continue `group` when this one does not reach its engines, the
+    /// best first, with clients to ask them.
+    pub(crate) fn reaching_successors(
+        &self,
+        group: &str,
+        most: usize,
+        now: u64,
+    ) -> Vec<(Name, FleetClient<Channel>)> {
+        let state = self.state();
+        let ranked = state.ranked_successors(group, now).into_iter();
+        let reaching = ranked.filter_map(|addr| {
+            let peer = state.peers.get(&addr)?;
+            peer.daemon.as_ref().filter(|d| reaches(d, group))?;
+            Some((addr, peer.client.clone()))
         });
-        ready.min().map(|(_, _, _, addr)| addr)
+        reaching.take(most).collect()
     }
 
-    /// Announces to peers that `to` continues `group` under `token`.
-    pub(crate) fn announce_handover(&self, group: &str, token: u64, to: &str) {
-        self.state().handovers.push(Cession {
+    /// Announces to peers until `until_ms` that `to` continues `group` under `token`.
+    pub(crate) fn announce_handover(&self, group: &str, token: u64, to: &str, until_ms: u64) {
+        let mut state = self.state();
+        state.handovers.retain(|(_, c)| c.group != group);
+        let cession = Cession {
             group: group.to_string(),
             token,
             to: to.to_string(),
-        });
+        };
+        state.handovers.push((until_ms, cession));
     }
 
     /// Whether this daemon has too little processor to hold leases in a large
@@ -84,7 +123,9 @@
         let large = roster::is_large(state.peers.len());
         let strong = |d: &Daemon| !large || d.millicores >= MIN_HOLDER_MILLICORES;
         let about = state.peers.get(addr).and_then(|p| p.daemon.as_ref());
-        let near = about.is_some_and(|d| d.domain == group && strong(d) >= strong(&self.me));
+        let near = about.is_some_and(|d| {
+            d.domain == group && strong(d) >= strong(&self.me) && reaches(d, group)
+        });
         near && self.me.domain != group
     }
 
@@ -94,12 +135,14 @@
     /// with clearly more processor come first: with 0.12 of a core, holders
     /// left 2,221 placement requests unanswered in 34 s, three quarters of all
     /// that failed. Daemons in the group's domain, next to its engines, come
-    /// next.
-    pub(crate) fn precedence(&self, group: &str, now: u64) -> Precedence {
+    /// next. Before all others come daemons that reach its engines; `loses_group` says
+    /// whether this one does not.
+    pub(crate) fn precedence(&self, group: &str, loses_group: bool, now: u64) -> Precedence {
         let state = self.state();
         let large = roster::is_large(state.peers.len());
-        let class = |d: &Daemon| {
+        let class = |d: &Daemon, reaches: bool| {
             (
+                reaches,
                 large && d.millicores >= MIN_HOLDER_MILLICORES,
                 d.domain == group,
             )
@@ -109,7 +152,8 @@
             .alive_peers(now)
             .filter_map(|(_, p)| p.daemon.as_ref());
         let ready: Vec<&Daemon> = about.filter(|a| a.ready).collect();
-        let mine = class(&self.me);
+        let mine = class(&self.me, !loses_group);
+        let class = |d: &Daemon| class(d, reaches(d, group));
         let equals = ready.iter().filter(|d| class(d) == mine);
         Precedence {
             better: ready.iter().any(|d| class(d) > mine),
--- a/crates/comfreyhall-node/src/fleet/roster.rs
+++ b/crates/comfreyhall-node/src/fleet/roster.rs
@@ -40,7 +40,7 @@
         let mut hash = FxHasher::default();
         for member in &members {
             (&member.peer, member.boot, member.ready, member.isolated).hash(&mut hash);
-            member.lost_percent.hash(&mut hash);
+            (member.lost_percent, &member.lost_groups).hash(&mut hash);
         }
         // 0 stands for no roster.
         let version = hash.finish().max(1);
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -109,8 +109,8 @@
     pub(super) runs: Runs,
     pub(super) placements: VecDeque<(u64, Placed)>,
     pub(super) next_placement: u64,
-    /// Groups this daemon handed over.
-    pub(super) handovers: Vec<Cession>,
+    /// Groups that this daemon handed over, and until when peers are told.
+    pub(super) handovers: Vec<(u64, Cession)>,
     /// Cached part of the answers to daemons that report here.
     pub(super) summary: Summary,
     /// What this holder tells of the paces of its engines.
@@ -147,6 +147,7 @@
             ready: false,
             isolated: false,
             lost_percent: 0,
+            lost_groups: Vec::new(),
             millicores: (settings.cores * 1_000.0) as u32,
         };
         let (updates_tx, updates_rx) = mpsc::channel(UPDATE_QUEUE_LEN);
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -224,11 +224,11 @@
         node.fleet.apply_gossip(&node, heard, super::Origin::Call);
     }
     let now = node.now();
-    let own = node.fleet.precedence("d", now);
+    let own = node.fleet.precedence("d", false, now);
     assert!(!own.better);
     assert!(own.equals <= 10);
     // The turn differs from group to group.
-    let turns = ["d", "e", "f", "g"].map(|g| node.fleet.precedence(g, now).equals);
+    let turns = ["d", "e", "f", "g"].map(|g| node.fleet.precedence(g, false, now).equals);
     assert!(turns.iter().any(|t| *t != turns[0]), "{turns:?}");
 }
 
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -7,6 +7,7 @@
 //! engines.
 
 mod groups;
+mod reach;
 pub(crate) mod state;
 
 use std::{sync::Arc, time::Duration};
@@ -34,6 +35,9 @@
     let node = node.clone();
     tokio::spawn(async move {
         let mut leases: Map<Name, Arc<Lease<R>>> = Map::default();
+        // Groups that another daemon continues, but whose leases the store still has as
+        // this daemon's.
+        let mut handed_on: Set<Name> = Set::default();
         // The groups are known once the daemon serves.
         tokio::select! {
             () = node.life.wait_for_stage(comfreyhall_life::Stage::Serving) => {}
@@ -49,8 +53,18 @@
             }
             for group in groups(&node) {
                 match leases.get(&group) {
+                    Some(lease) if handed_on.contains(&group) => {
+                        if release_group(&node, &group, lease, term).await {
+                            handed_on.remove(&group);
+                        }
+                    }
+                    Some(lease) if reach::hand_on(&node, &group).await => {
+                        if !release_group(&node, &group, lease, term).await {
+                            handed_on.insert(group);
+                        }
+                    }
                     Some(lease) if yields_group(&node, &group) => {
-                        release_group(&node, &group, lease, term).await
+                        release_group(&node, &group, lease, term).await;
                     }
                     Some(lease) => run_step(&node, &group, lease, term).await,
                     None => {
@@ -67,6 +81,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep(term / STEPS_PER_TERM) => {}
+                () = reach::wait_for_losses(&node) => {}
                 () = node.life.wait_for_stage(comfreyhall_life::Stage::Leaving) => {}
             }
         }
@@ -122,20 +137,28 @@
             .is_some_and(|to| node.fleet.is_better_placed(group, &to))
 }
 
-/// Releases `group` for a better placed daemon.
-async fn release_group<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
+/// Releases `group` for another daemon; returns whether the store has confirmed it.
+async fn release_group<R: Rows>(
+    node: &Arc<Node>,
+    group: &Name,
+    lease: &Lease<R>,
+    term: Duration,
+) -> bool {
     let call = tokio::time::timeout(term / STEP_TIMEOUT_DIVISOR, lease.release());
     match call.await {
         Ok(Ok(())) => {
-            log::info!(target: "leases", group:% = group; "lease released for a better placed daemon");
+            log::info!(target: "leases", group:% = group; "lease released for another daemon");
             node.changed.notify_waiters();
             fleet::notify_all(node).await;
+            true
         }
         Ok(Err(e)) => {
-            log::warn!(target: "leases", group:% = group, error:% = e; "lease not released; retrying")
+            log::warn!(target: "leases", group:% = group, error:% = e; "lease not released; retrying");
+            false
         }
         Err(_) => {
-            log::warn!(target: "leases", group:% = group; "lease release unanswered")
+            log::warn!(target: "leases", group:% = group; "lease release unanswered");
+            false
         }
     }
 }
@@ -148,7 +171,8 @@
 /// them tried at once, an outage of the store in a fleet of 90 cost 360 calls a
 /// second for leases that nobody could acquire.
 fn acquire_delay_ms(node: &Node, group: &Name, term_ms: u64) -> u64 {
-    let preceding = node.fleet.precedence(group, node.now());
+    let loses = node.loses_group(group);
+    let preceding = node.fleet.precedence(group, loses, node.now());
     // Without the age check, the first of 195 daemons to be ready knew of no
     // other yet, and acquired the leases of four domains out of five.
     let newcomer = *node.settings().domain != **group && node.uptime_ms() < VACANT_TERMS * term_ms;
@@ -235,7 +259,8 @@
         };
         if let Some(token) = node.leases.hand_over(group, fencing) {
             log::info!(target: "leases", group:% = group, token, to:% = to; "orders handed on");
-            node.fleet.announce_handover(group, token, &to);
+            let until_ms = now + VACANT_TERMS * node.settings().bounds.lease_ms;
+            node.fleet.announce_handover(group, token, &to, until_ms);
         }
     }
     if !kept.is_empty() {
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -8,6 +8,7 @@
 use comfreyhall_catalog::Rows;
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_lease::Lease;
+use tokio::sync::Notify;
 
 use crate::clock;
 
@@ -43,9 +44,21 @@
     highest_seen: Mutex<Map<Name, u64>>,
     /// Time since which no holder is known, by group.
     vacant_since_ms: Mutex<Map<Name, u64>>,
+    /// Wakes the lease task when an engine is lost.
+    engine_lost: Notify,
 }
 
 impl Leases {
+    /// Has the lease task check whether this daemon still reaches its engines.
+    pub(crate) fn wake(&self) {
+        self.engine_lost.notify_one();
+    }
+
+    /// Waits until an engine is lost.
+    pub(super) async fn wait_for_loss(&self) {
+        self.engine_lost.notified().await;
+    }
+
     /// Returns the fencing token for a command in `group`.
     ///
     /// While the store is down nobody can renew, and stopping all loads for the
--- a/crates/comfreyhall-node/src/reach.rs
+++ b/crates/comfreyhall-node/src/reach.rs
@@ -85,6 +85,12 @@
         return;
     }
     about.lost_percent = lost_percent(&view);
+    let groups = engines(&view).map(|t| t.failure_domain.clone());
+    let mut groups: Vec<Name> = groups.collect();
+    groups.sort();
+    groups.dedup();
+    let lost = groups.iter().filter(|g| loses_group(&view, g));
+    about.lost_groups = lost.map(|g| g.to_string()).collect();
 }
 
 /// Share of targets that are lost, in percent, rounded down to [`LOST_PERCENT_STEP`].
@@ -95,6 +101,21 @@
     (percent / LOST_PERCENT_STEP * LOST_PERCENT_STEP) as u32
 }
 
+/// Known engines.
+fn engines(view: &View) -> impl Iterator<Item = &Arc<Target>> {
+    view.targets.values().filter(|t| {
+        let config = view.config.as_ref();
+        let service = config.and_then(|c| c.services.get(&t.service));
+        service.is_some_and(|s| s.engine.is_some())
+    })
+}
+
+/// Whether half of the engines of `group`, or more, are lost.
+fn loses_group(view: &View, group: &str) -> bool {
+    let all = engines(view).filter(|t| *t.failure_domain == *group);
+    is_half_lost(view, all)
+}
+
 /// Whether half of `targets`, or more, are lost.
 fn is_half_lost<'a>(view: &View, targets: impl Iterator<Item = &'a Arc<Target>>) -> bool {
     let (mut all, mut lost) = (0, 0);
@@ -111,6 +132,12 @@
         self.view().reachability.isolated_since().is_some()
     }
 
+    /// Whether this daemon has lost half of the engines of `group`, or more.
+    pub(crate) fn loses_group(&self, group: &str) -> bool {
+        let view = self.view();
+        view.reachability.isolated_since().is_some() || loses_group(&view, group)
+    }
+
     /// Whether this daemon has lost half of the targets of `service` that take work, or
     /// more.
     pub(crate) fn loses_service(&self, service: &str) -> bool {
--- a/crates/comfreyhall-node/tests/reach.rs
+++ b/crates/comfreyhall-node/tests/reach.rs
@@ -7,11 +7,14 @@
     time::Duration,
 };
 
-use comfreyhall_domain::{ClientRequest, RouteKind, Target};
+use comfreyhall_domain::{AdapterRef, ClientRequest, RouteKind, Target};
 use comfreyhall_fakes::FakeTable;
 use comfreyhall_node::Node;
 use support::*;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
+
+/// Time after a cut in which a group's loads go on: one lease term of these daemons.
+const MOVED_WITHIN: Duration = Duration::from_millis(3_000);
 
 /// Longest time for which a target stays lost after its path is back.
 const MAX_LOST: Duration = Duration::from_millis(1_200);
@@ -53,6 +56,10 @@
         caller_result(self.node.serve(request).await).await
     }
 
+    fn commands(&self) -> usize {
+        self.backend.commands.lock().unwrap().len()
+    }
+
     fn sends_to(&self, targets: &[&str]) -> usize {
         let sent = self.backend.sent.lock().unwrap();
         sent.iter()
@@ -81,6 +88,55 @@
     pair
 }
 
+fn adapter_request(id: &str, adapter: &str) -> ClientRequest {
+    ClientRequest {
+        adapter: Some(AdapterRef {
+            model: "m".into(),
+            adapter: Some(adapter.into()),
+        }),
+        remaining_ms: Some(2_000),
+        ..ask(id)
+    }
+}
+
+/// Sends requests for adapters that are not loaded until one is served; returns whether
+/// that was soon enough.
+async fn serve_new_adapter(daemon: &Daemon, prefix: &str) -> bool {
+    let began = Instant::now();
+    let mut served = false;
+    for i in 0.. {
+        if served || began.elapsed() > MOVED_WITHIN {
+            break;
+        }
+        let name = format!("{prefix}{i}");
+        let result = daemon.serve(adapter_request(&name, &name)).await;
+        served = result == CallerResult::Stream(vec![1], true);
+    }
+    served && began.elapsed() < MOVED_WITHIN
+}
+
+/// Guards against a lease holder that has lost its engines and keeps their group: no
+/// adapter is loaded until its paths are back, though another daemon reaches the engines.
+#[tokio::test]
+async fn serve_lost_group_moves_to_reaching_daemon() {
+    let long = route(RouteKind::Stream, 2, false);
+    let engines = ["c", "d"].map(|id| Target {
+        loaded: vec![held("m")],
+        ..target(id)
+    });
+    let source = scripted_source(long, Some(engine()));
+    let pair = start_pair(source, engines.to_vec()).await;
+    while !serve_new_adapter(&pair[0], "before").await {}
+    let (holder, other) = match pair[0].commands() > 0 {
+        true => (&pair[0], &pair[1]),
+        false => (&pair[1], &pair[0]),
+    };
+    holder.cut(&["a", "b", "c", "d"]);
+    assert!(serve_new_adapter(other, "other").await);
+    assert!(serve_new_adapter(holder, "holder").await);
+    assert!(other.commands() > 0);
+}
+
 /// Guards against a daemon that has lost most targets of a service and sends all its
 /// requests to the few that are left.
 #[tokio::test]
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -610,6 +610,9 @@
     /// Targets that it does not reach, in percent of all, rounded down to tens.
     #[prost(uint32, tag = "9")]
     pub lost_percent: u32,
+    /// Failure domains in which it does not reach half of the engines or more.
+    #[prost(string, repeated, tag = "10")]
+    pub lost_groups: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// What a daemon has at one target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
