A group that was handed over is kept, and a lost target has others probed

And it took 1 to 3 s until a daemon knew of 8 of its 11 lost targets: each needed two requests of callers that failed.

A group that was handed over is not given to a better placed daemon for four terms, and releasing a group ends the token that was handed over for it. When a target is lost, eight others are probed at once; a failed probe is a failure like any other.

Test: end_handover_stops_commands (the method did not exist before).

--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -175,7 +175,8 @@
         }
         let own_cessions = gossip.cessions.iter().filter(|c| c.to == self.me.peer);
         for cession in own_cessions {
-            node.leases.accept_handover(&cession.group, cession.token);
+            node.leases
+                .accept_handover(&cession.group, cession.token, now);
             node.changed.notify_waiters();
         }
         let peer: Name = from.id.as_str().into();
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -30,6 +30,10 @@
 /// placed daemons have had time for a takeover by then.
 const VACANT_TERMS: u64 = 2;
 
+/// Terms for which a daemon keeps a group that was handed over to it. A better placed one
+/// may not know yet that it has lost the engines.
+const HANDOVER_TERMS: u64 = 4;
+
 /// Starts the lease task.
 pub(crate) fn spawn<R: Rows>(node: &Arc<Node>, rows: R) {
     let node = node.clone();
@@ -129,7 +133,9 @@
 fn yields_group(node: &Node, group: &Name) -> bool {
     let fencing = node.settings().bounds.fencing;
     let now = node.now();
+    let kept_ms = HANDOVER_TERMS * node.settings().bounds.lease_ms;
     node.token(group).is_some()
+        && !node.leases.took_over(group, kept_ms, now)
         && node.leases.held(fencing).len() > 1
         && node
             .fleet
@@ -144,6 +150,7 @@
     lease: &Lease<R>,
     term: Duration,
 ) -> bool {
+    node.leases.end_handover(group);
     let call = tokio::time::timeout(term / STEP_TIMEOUT_DIVISOR, lease.release());
     match call.await {
         Ok(Ok(())) => {
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -33,12 +33,19 @@
     }
 }
 
+/// A group that its holder handed over to this daemon.
+#[derive(Debug, Clone, Copy)]
+struct Handover {
+    token: u64,
+    accepted_ms: u64,
+}
+
 /// Leases known to this daemon.
 #[derive(Default)]
 pub(crate) struct Leases {
     held: Mutex<Map<Name, Arc<dyn HeldLease>>>,
-    /// Tokens that stopping holders handed over to this daemon, by group.
-    handed_over: Mutex<Map<Name, u64>>,
+    /// Groups that other holders handed over to this daemon.
+    handed_over: Mutex<Map<Name, Handover>>,
     /// Highest token of another holder by group, as reported by engines and
     /// peers.
     highest_seen: Mutex<Map<Name, u64>>,
@@ -74,13 +81,7 @@
         };
         let current = lease.as_ref().and_then(|l| l.token(clock::instant()));
         let expired = lease.and_then(|l| l.expired_token().filter(|_| fencing));
-        let handed_over = {
-            let handed_over = self
-                .handed_over
-                .lock()
-                .expect("no holder of this lock panics");
-            handed_over.get(group).copied().filter(|_| fencing)
-        };
+        let handed_over = self.handover(group).filter(|_| fencing).map(|h| h.token);
         let own = current.or(expired).map(|t| t * TOKEN_STRIDE);
         let token = own.max(handed_over)?;
         let highest_seen = self
@@ -103,14 +104,44 @@
         Some(token + 1)
     }
 
-    /// Continues `group` under `token` for a holder that stopped.
-    pub(crate) fn accept_handover(&self, group: &str, token: u64) {
+    /// Continues `group` under `token` for a holder that stopped or has lost its engines.
+    pub(crate) fn accept_handover(&self, group: &str, token: u64, now: u64) {
+        let known = self.handover(group);
+        if known.is_some_and(|k| k.token >= token) {
+            return;
+        }
+        let handover = Handover {
+            token,
+            accepted_ms: now,
+        };
+        let mut handed_over = self
+            .handed_over
+            .lock()
+            .expect("no holder of this lock panics");
+        handed_over.insert(group.into(), handover);
+    }
+
+    fn handover(&self, group: &str) -> Option<Handover> {
+        let handed_over = self
+            .handed_over
+            .lock()
+            .expect("no holder of this lock panics");
+        handed_over.get(group).copied()
+    }
+
+    /// Whether `group` was handed over to this daemon less than `for_ms` ago.
+    pub(crate) fn took_over(&self, group: &str, for_ms: u64, now: u64) -> bool {
+        let handover = self.handover(group);
+        handover.is_some_and(|h| now.saturating_sub(h.accepted_ms) < for_ms)
+    }
+
+    /// Continues `group` no longer for its former holder.
+    pub(crate) fn end_handover(&self, group: &str) {
         let mut handed_over = self
             .handed_over
             .lock()
             .expect("no holder of this lock panics");
-        let known = handed_over.entry(group.into()).or_default();
-        *known = token.max(*known);
+        handed_over.remove(group);
     }
 
     /// Groups held now, with their tokens.
--- a/crates/comfreyhall-node/src/reach.rs
+++ b/crates/comfreyhall-node/src/reach.rs
@@ -11,7 +11,7 @@
 use comfreyhall_routing::ReachChange;
 use rand::seq::IteratorRandom;
 
-use crate::{node::Node, outbound, view::View};
+use crate::{node::Node, outbound, ports::ProbeResult, view::View};
 
 /// Interval between checks which targets are to be probed.
 const PROBE_PERIOD: Duration = Duration::from_millis(100);
@@ -19,6 +19,9 @@
 /// Targets that an isolated daemon probes in each period.
 const PROBED_TARGETS: usize = 1;
 
+/// Targets that are probed in addition when one is lost: a cut often affects many.
+const EXPLORED_TARGETS: usize = 8;
+
 /// Step of the published share of lost targets, in percent: each new value makes
 /// holders of large fleets send the list of daemons again.
 const LOST_PERCENT_STEP: usize = 10;
@@ -38,7 +41,11 @@
                 // A successful one is recorded as contact with the target.
                 tokio::spawn(async move { outbound::probe(&node, &target).await });
             }
-            logged = log_lost(&node, logged);
+            let lost = log_lost(&node, logged);
+            if lost > logged {
+                explore(&node);
+            }
+            logged = lost;
         }
     });
 }
@@ -61,6 +68,30 @@
     due
 }
 
+/// Probes some of the targets of which nothing bad is known.
+fn explore(node: &Arc<Node>) {
+    let targets: Vec<Arc<Target>> = {
+        let view = node.view();
+        let targets = view.targets.values();
+        let unsuspected = targets.filter(|t| !view.contacts.has_failed(&t.id));
+        let some = unsuspected.cloned();
+        some.choose_multiple(&mut rand::rng(), EXPLORED_TARGETS)
+    };
+    for target in targets {
+        // One in cooldown is not called, which would look like a failure.
+        if outbound::unavailable(node, &target.id).is_some() {
+            continue;
+        }
+        let node = node.clone();
+        tokio::spawn(async move {
+            if outbound::probe(&node, &target).await != ProbeResult::Alive {
+                let now = node.now();
+                node.view().contacts.record_failure(&target.id, now);
+            }
+        });
+    }
+}
+
 /// Logs how many targets are lost if that has changed from `logged`; returns it.
 fn log_lost(node: &Node, logged: usize) -> usize {
     let view = node.view();
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -86,7 +86,7 @@
     let ceded = old.hand_over("g", true).unwrap();
     assert_eq!(old.token("g", true), None);
     let successor = Leases::default();
-    successor.accept_handover("g", ceded);
+    successor.accept_handover("g", ceded, 0);
     assert_eq!(successor.token("g", true), Some(ceded));
     assert_eq!(successor.held(true), vec![("g".into(), ceded)]);
     assert!(ceded > token);
@@ -95,6 +95,21 @@
     assert_eq!(leases(None, Some(2)).hand_over("g", false), None);
 }
 
+/// Guards against two holders: a daemon that has released its lease goes on under the older
+/// token that a former holder handed over to it; and against a group that is given away
+/// right after it was handed over.
+#[test]
+fn end_handover_stops_commands() {
+    let successor = Leases::default();
+    successor.accept_handover("g", 2_001, 1_000);
+    // It is told again until the former holder ceases to.
+    successor.accept_handover("g", 2_001, 5_000);
+    assert!(successor.took_over("g", 4_000, 4_500));
+    assert!(!successor.took_over("g", 4_000, 5_500));
+    successor.end_handover("g");
+    assert_eq!(successor.token("g", true), None);
+}
+
 /// Guards against callers of all five domains that queue at the engines of one
 /// domain while their own idle: a newly hot adapter has few engines, and
 /// daemons know the queues only as of a second ago.
--- a/crates/comfreyhall-routing/src/contacts.rs
+++ b/crates/comfreyhall-routing/src/contacts.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether `target` has failed since it last answered.
+    pub fn has_failed(&self, target: &str) -> bool {
+        self.failures.contains_key(target)
+    }
+
     /// Whether `target` is lost to this daemon.
     pub fn is_lost(&self, target: &str) -> bool {
         self.failures.get(target).is_some_and(Failure::is_lost)
