A daemon that starts on the store's copy learns what the store has lost

What callers would see: after the store has come back from a copy, and until the operators have written again what it lost, a daemon that starts serves by the copy: older settings (routes denied that were in force, keys valid that were taken back), and requests to targets that have said that they leave.

Cause: daemons that have run since keep the newer content, but exchange rows by the store's version only, and the copy's rows are newer by that.

Change: each daemon counts the rows of which it keeps newer content than the store; gossip names the number (no byte while it is 0). A daemon that keeps fewer fetches those rows, and the boots that have said that they leave, by the transfer that settings use already; content decides as before. A number that was fetched is not fetched again.

--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -93,7 +93,7 @@
 pub(crate) fn send_settings(node: &Node, ask: &SettingsAsk) -> Result<ChunkStream, Status> {
     let newest = node.view().records.settings_sync.newest();
     let since = Revision::from_wire(ask.since);
-    if newest <= since {
+    if !ask.kept && newest <= since {
         return Err(Status::not_found("nothing newer is known here"));
     }
     let sender = &node.fleet.settings_sender;
@@ -104,10 +104,21 @@
         };
         return Ok(futures::stream::iter([Ok(part)]).boxed());
     };
-    let rows = SettingsRows {
-        since: ask.since,
-        newest: newest.to_wire(),
-        rows: rows::rows_since(node, Topic::Settings, since),
+    let rows = match ask.kept {
+        true => {
+            let kept = records::kept_rows(node);
+            SettingsRows {
+                rows: kept.settings.iter().map(rows::to_wire).collect(),
+                leaving: kept.leaving.iter().map(|id| id.to_string()).collect(),
+                ..SettingsRows::default()
+            }
+        }
+        false => SettingsRows {
+            since: ask.since,
+            newest: newest.to_wire(),
+            rows: rows::rows_since(node, Topic::Settings, since),
+            leaving: Vec::new(),
+        },
     };
     let transfer = Transfer {
         _permit: permit,
@@ -120,7 +131,7 @@
 
 /// Why settings could not be fetched from another daemon.
 #[derive(Debug, Error)]
-enum FetchError {
+pub(super) enum FetchError {
     /// All its transfers are in use.
     #[error("the daemon is busy with other transfers; asking one of {} daemons that it named", .0.len())]
     Busy(Vec<String>),
@@ -191,13 +202,12 @@
 async fn fetch(node: &Arc<Node>, addr: &str) -> Result<(), FetchError> {
     let asked = node.now();
     let since = node.view().records.settings_sync.complete_to();
-    let transfer = collect(node, addr, since);
-    let rows = match tokio::time::timeout(TRANSFER_TIMEOUT, transfer).await {
-        Ok(rows) => rows?,
-        Err(_) => return Err(FetchError::Failed("it exceeded the time limit".to_string())),
+    let ask = SettingsAsk {
+        since: since.to_wire(),
+        peer: node.fleet.peer_addr().to_string(),
+        kept: false,
     };
-    let rows =
-        SettingsRows::decode(rows).map_err(|_| FetchError::Unusable("they cannot be decoded"))?;
+    let rows = collect(node, addr, ask).await?;
     if !node
         .view()
         .records
@@ -224,13 +234,22 @@
     Ok(())
 }
 
+/// Receives the transfer that `ask` asks for from `addr`.
+pub(super) async fn collect(
+    node: &Node,
+    addr: &str,
+    ask: SettingsAsk,
+) -> Result<SettingsRows, FetchError> {
+    let whole = match tokio::time::timeout(TRANSFER_TIMEOUT, read_chunks(node, addr, ask)).await {
+        Ok(whole) => whole?,
+        Err(_) => return Err(FetchError::Failed("it exceeded the time limit".to_string())),
+    };
+    SettingsRows::decode(whole).map_err(|_| FetchError::Unusable("they cannot be decoded"))
+}
+
 /// Receives all chunks of a transfer from `addr`.
-async fn collect(node: &Node, addr: &str, since: Revision) -> Result<Bytes, FetchError> {
+async fn read_chunks(node: &Node, addr: &str, ask: SettingsAsk) -> Result<Bytes, FetchError> {
     let mut client = node.fleet.client_at(addr);
-    let ask = SettingsAsk {
-        since: since.to_wire(),
-        peer: node.fleet.peer_addr().to_string(),
-    };
     let failed = |status: Status| FetchError::Failed(status.message().to_string());
     let begun = tokio::time::timeout(SILENCE_TIMEOUT, client.fetch(ask)).await;
     let begun = begun.map_err(|_| FetchError::Silent)?;
@@ -273,7 +292,7 @@
     }
 
     /// The id of the daemon at `addr`, or the address if it is not known.
-    fn id_of(&self, addr: &str) -> Name {
+    pub(super) fn id_of(&self, addr: &str) -> Name {
         let state = self.state();
         let about = state.peers.get(addr).and_then(|p| p.daemon.as_ref());
         about.map_or(addr, |a| a.id.as_str()).into()
--- a/crates/comfreyhall-node/src/fleet/fetch/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch/tests.rs
@@ -15,6 +15,7 @@
     SettingsAsk {
         since: 0,
         peer: format!("127.0.0.1:{port}"),
+        kept: false,
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -9,7 +9,9 @@
 use comfreyhall_routing::{Presence, Work};
 use rand::seq::IteratorRandom;
 
-use super::{Fleet, Peer, State, histories::apply_histories, roster, rows::from_wire, runs::Runs};
+use super::{
+    Fleet, Peer, State, histories::apply_histories, kept, roster, rows::from_wire, runs::Runs,
+};
 use crate::adapter_key::parse_adapter_key;
 use crate::{
     follow,
@@ -112,6 +114,7 @@
         let targets_complete = targets.complete_to.to_wire();
         let settings_age = view.records.settings_sync.age_ms(now);
         let settings_version = view.records.settings_sync.newest().to_wire();
+        let kept = view.records.kept() as u32;
         // A daemon that has known of newer settings for one part of their bound
         // without having them counts as cut off; the other parts are left for a
         // peer to learn of it and to send them. Otherwise, when the store goes
@@ -138,6 +141,7 @@
             targets_complete,
             targets_age,
             settings_age,
+            kept,
             cut_off: node.settings_unavailable() || behind_ms > lag_ms,
             members: self.certain_members(),
             words,
@@ -278,6 +282,7 @@
         let is_behind = sync.newer_version().is_some();
         drop(view);
         follow::start_if_synced(node);
+        kept::request(node, &from.peer, gossip.kept);
         if is_behind {
             self.wake_fetch();
         }
--- /dev/null
+++ b/crates/comfreyhall-node/src/fleet/kept.rs
@@ -0,0 +1,92 @@
+//! What the store has lost, and peers still know.
+//!
+//! The store may come back from a copy some seconds old. Daemons that have run since keep
+//! the newer content that they know. One that starts on the copy knows less, and its own
+//! rows are newer by their version, so the usual exchange brings it nothing. It learns from
+//! gossip that a peer keeps such rows, and fetches them.
+
+use std::sync::Arc;
+
+use comfreyhall_inforce::Source;
+use comfreyhall_protocol::SettingsAsk;
+
+use super::{
+    fetch::{FetchError, collect},
+    rows,
+};
+use crate::{
+    node::Node,
+    records,
+    rows::{KeptRows, Provenance},
+};
+
+/// Fetches of what the store has lost, one at a time.
+#[derive(Debug, Default)]
+pub(super) struct KeptFetch {
+    /// The era of the store and the number of rows, in progress.
+    running: Option<(u32, u32)>,
+    /// The same, completed. What was received once is not fetched again, even if this
+    /// daemon had no use for some rows.
+    done: (u32, u32),
+}
+
+impl KeptFetch {
+    /// Whether a fetch of `kept` rows begins now.
+    fn begin(&mut self, era: u32, kept: u32) -> bool {
+        if self.running.is_some() || self.done >= (era, kept) {
+            return false;
+        }
+        self.running = Some((era, kept));
+        true
+    }
+
+    fn end(&mut self, completed: bool) {
+        if let Some(running) = self.running.take().filter(|_| completed) {
+            self.done = running;
+        }
+    }
+}
+
+/// Has what the store has lost fetched from the daemon at `addr`, which knows `kept` such
+/// rows, if this one knows fewer.
+///
+/// It may have started after the store came back from a copy, and know only the copy.
+pub(super) fn request(node: &Arc<Node>, addr: &str, kept: u32) {
+    let (own, era) = {
+        let view = node.view();
+        let era = view.records.settings.version.era();
+        (view.records.kept(), era)
+    };
+    if kept as usize <= own || !node.fleet.state().kept_fetch.begin(era, kept) {
+        return;
+    }
+    let (node, addr) = (node.clone(), addr.to_string());
+    tokio::spawn(async move {
+        let result = fetch(&node, &addr).await;
+        if let Err(e) = &result {
+            log::info!(target: "fleet", addr, error:% = e; "rows that the store has lost not fetched");
+        }
+        node.fleet.state().kept_fetch.end(result.is_ok());
+    });
+}
+
+/// Fetches from the daemon at `addr` what the store has lost, and applies it.
+async fn fetch(node: &Arc<Node>, addr: &str) -> Result<(), FetchError> {
+    let asked = node.now();
+    let ask = SettingsAsk {
+        since: 0,
+        peer: node.fleet.peer_addr().to_string(),
+        kept: true,
+    };
+    let found = collect(node, addr, ask).await?;
+    let kept = KeptRows {
+        settings: found.rows.into_iter().map(rows::from_wire).collect(),
+        leaving: found.leaving.iter().map(|id| id.as_str().into()).collect(),
+    };
+    let origin = Provenance {
+        source: Source::Peer(node.fleet.id_of(addr)),
+        requested_at_ms: asked,
+    };
+    records::apply_kept(node, kept, &origin);
+    Ok(())
+}
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod histories;
 mod holders;
 mod hub;
+mod kept;
 mod members;
 mod pace_log;
 mod paces;
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -15,6 +15,7 @@
 use tonic::transport::Channel;
 
 use super::{
+    kept::KeptFetch,
     pace_log::PaceLog,
     roster::{Roster, Summary, report_period_ms},
     runs::Runs,
@@ -111,6 +112,8 @@
     pub(super) next_placement: u64,
     /// Groups that this daemon handed over, and until when peers are told.
     pub(super) handovers: Vec<(u64, Cession)>,
+    /// Fetches of what the store has lost.
+    pub(super) kept_fetch: KeptFetch,
     /// Cached part of the answers to daemons that report here.
     pub(super) summary: Summary,
     /// What this holder tells of the paces of its engines.
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -18,7 +18,7 @@
 use crate::{
     node::Node,
     ports::{Decoded, Record, RecordBatch, Topic},
-    rows::Provenance,
+    rows::{KeptRows, Provenance},
     streams::{self, versions},
     view::{NamedVersion, View},
 };
@@ -47,11 +47,19 @@
         let relevant = match apply_row(node, &mut view, topic, &record, now) {
             Effect::Outdated => {
                 went_back += 1;
+                if topic == Topic::Settings {
+                    view.records.settings.kept.insert(record.key.clone());
+                }
                 continue;
             }
             effect => effect == Effect::Relevant,
         };
+        let kept = topic == Topic::Targets && keeps_leaving(&view, node, &record);
         let stored = view.records.topic_rows(topic);
+        match kept {
+            true => stored.kept.insert(record.key.clone()),
+            false => stored.kept.remove(&record.key),
+        };
         if relevant {
             stored
                 .changed_versions
@@ -73,6 +81,66 @@
     }
 }
 
+/// Whether the target of `record` leaves, though this row of a later era says otherwise.
+fn keeps_leaving(view: &View, node: &Node, record: &Record) -> bool {
+    let Some(known) = view.boot_of(&record.key) else {
+        return false;
+    };
+    if known.stage != Stage::Draining {
+        return false;
+    }
+    let listed = node.source.decode(Topic::Targets, record);
+    matches!(listed, Ok(Decoded::Target(t)) if t.id == known.id && t.stage == Stage::Ready)
+}
+
+/// What the store has lost and this daemon knows.
+pub(crate) fn kept_rows(node: &Node) -> KeptRows {
+    let view = node.view();
+    let settings = &view.records.settings;
+    let kept = settings.kept.iter().filter_map(|k| settings.rows.get(k));
+    let leaving = view.targets.values().filter(|t| t.stage == Stage::Draining);
+    KeptRows {
+        settings: kept.cloned().collect(),
+        leaving: leaving.map(|t| t.id.clone()).collect(),
+    }
+}
+
+/// Applies what a peer knows and the store has lost; this daemon may know only the copy.
+pub(crate) fn apply_kept(node: &Node, found: KeptRows, origin: &Provenance) {
+    let now = node.now();
+    let mut applied = 0;
+    let mut view = node.view();
+    for record in found.settings {
+        // A row that is not of an earlier era comes by the usual ways.
+        let known = view.records.settings.rows.get(&record.key);
+        if known.is_none_or(|k| k.version.era() <= record.version.era()) {
+            continue;
+        }
+        if apply_row(node, &mut view, Topic::Settings, &record, now) == Effect::Relevant {
+            let stored = &mut view.records.settings;
+            stored.kept.insert(record.key.clone());
+            stored.rows.insert(record.key.clone(), record);
+            applied += 1;
+        }
+    }
+    for id in found.leaving {
+        let known = view.targets.get(&id).cloned();
+        if let Some(known) = known.filter(|t| t.stage == Stage::Ready) {
+            let mut target = (*known).clone();
+            target.stage = Stage::Draining;
+            view.records.targets.kept.insert(target.name.clone());
+            view.targets.insert(id, Arc::new(target));
+            applied += 1;
+        }
+    }
+    drop(view);
+    log::info!(target: "follow", rows = applied, from:% = origin.source; "rows that the store has lost taken from a peer");
+    if applied > 0 {
+        observe_versions(node);
+        node.changed.notify_waiters();
+    }
+}
+
 /// Records the software versions of the known targets.
 fn observe_versions(node: &Node) {
     let timing = streams::timing(node.settings().bounds.drain_ms);
@@ -263,7 +331,8 @@
 }
 
 fn remove_target(view: &mut View, target: &Name, now: u64) {
-    if view.targets.remove(target).is_some() {
+    if let Some(gone) = view.targets.remove(target) {
+        view.records.targets.kept.remove(&gone.name);
         log::info!(target: "follow", id:% = target; "target gone");
     }
     view.residency.remove(target, now);
--- a/crates/comfreyhall-node/src/records/tests.rs
+++ b/crates/comfreyhall-node/src/records/tests.rs
@@ -159,6 +159,34 @@
     assert_eq!(ready(&node).len(), 1);
 }
 
+/// Guards against a daemon that starts on the store's copy and never learns what its peers
+/// still know.
+#[test]
+fn apply_kept_brings_what_the_copy_lacks() {
+    let old = node();
+    put_config(&old, 1, 306);
+    put(&old, "t", "5 draining", at(1, 305));
+    put(&old, "u", "5 draining", at(1, 307));
+    let new = node();
+    for daemon in [&old, &new] {
+        put_config(daemon, 2, 257);
+        put(daemon, "t", "5 ready", at(2, 250));
+        // The next boot is not bound by what the former one said.
+        put(daemon, "u", "9 ready", at(2, 260));
+    }
+    assert_eq!((ready(&new).len(), config_version(&new)), (2, 257));
+    assert_eq!(old.view().records.kept(), 2);
+    let kept = super::kept_rows(&old);
+    super::apply_kept(&new, kept, &super::Provenance::store(new.now()));
+    assert_eq!((ready(&new), config_version(&new)), (ready(&old), 306));
+    assert_eq!(new.view().records.kept(), 2);
+    // The operator writes it again.
+    put_config(&new, 2, 310);
+    put(&new, "t", "5 draining", at(2, 311));
+    assert_eq!(new.view().records.kept(), 0);
+    assert_eq!(config_version(&new), 310);
+}
+
 /// Guards against a change of the new history that is ignored for its lower number.
 #[test]
 fn apply_lower_number_of_later_era() {
--- a/crates/comfreyhall-node/src/rows.rs
+++ b/crates/comfreyhall-node/src/rows.rs
@@ -1,6 +1,6 @@
 //! The rows of the platform's store that this daemon knows.
 
-use comfreyhall_domain::{Map, Name, Revision};
+use comfreyhall_domain::{Map, Name, Revision, Set};
 use comfreyhall_inforce::{SettingsTracker, Source};
 
 use crate::ports::{Record, Topic};
@@ -17,6 +17,9 @@
     pub(crate) changed_versions: Map<Name, Revision>,
     /// Newest version covered.
     pub(crate) version: Revision,
+    /// Keys of rows of which this daemon has newer content than the store, which came
+    /// back from a copy.
+    pub(crate) kept: Set<Name>,
     /// When the store confirmed the rows, to this daemon or to a peer; for
     /// settings [`SettingsTracker`] keeps it.
     pub(crate) as_of_ms: u64,
@@ -59,6 +62,14 @@
     }
 }
 
+/// What the store has lost, and a daemon still knows.
+#[derive(Debug, Default)]
+pub(crate) struct KeptRows {
+    pub(crate) settings: Vec<Record>,
+    /// Boots that have said that they leave.
+    pub(crate) leaving: Vec<Name>,
+}
+
 /// The rows of all topics.
 #[derive(Debug, Default)]
 pub(crate) struct RecordStore {
@@ -69,6 +80,11 @@
 }
 
 impl RecordStore {
+    /// Number of rows with newer content than the store has.
+    pub(crate) fn kept(&self) -> usize {
+        self.settings.kept.len() + self.targets.kept.len()
+    }
+
     pub(crate) fn topic_rows(&mut self, topic: Topic) -> &mut TopicRows {
         match topic {
             Topic::Settings => &mut self.settings,
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -170,6 +170,9 @@
     /// Peer address of the asker, which has them when it was given all.
     #[prost(string, tag = "2")]
     pub peer: ::prost::alloc::string::String,
+    /// Whether only what the store has lost is asked for; `since` has no meaning then.
+    #[prost(bool, tag = "3")]
+    pub kept: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReachQuery {
@@ -202,6 +205,9 @@
     pub newest: u64,
     #[prost(message, repeated, tag = "3")]
     pub rows: ::prost::alloc::vec::Vec<Fact>,
+    /// Boots that have said that they leave, in an answer with what the store has lost.
+    #[prost(string, repeated, tag = "4")]
+    pub leaving: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GenerateRequest {
@@ -782,6 +788,10 @@
     /// Version up to which the sender lacks no relevant change of targets.
     #[prost(uint64, tag = "37")]
     pub targets_complete: u64,
+    /// Rows of which the sender has newer content than the store, which came back from a
+    /// copy.
+    #[prost(uint32, tag = "38")]
+    pub kept: u32,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
