--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -228,7 +228,8 @@
     let after = lease.token(clock::instant());
     if before != after {
         node.metrics.lease_change(after.is_some());
-        log::info!(target: "leases", group:% = group, before:? = before, token:? = after; "lease changed");
+        let era = node.view().records.settings.version.era();
+        log::info!(target: "leases", group:% = group, before:? = before, token:? = after, era; "lease changed");
         node.changed.notify_waiters();
         if after.is_some() {
             tokio::spawn(fleet::announce_lease(node.clone()));
