What probes of a target prove is decided once, in comfreyhall-quarantine

`EndCheck`, `ProbeResult` (from the node's ports), `Finding` and `PeerAnswers` are pure, so that the own daemon can use them too.

--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -12,6 +12,7 @@
 pub use comfreyhall_capacity::Action;
 use comfreyhall_capacity::{Order, Outcome};
 use comfreyhall_domain::{AdapterRef, ClientRequest, Config, Name, Refusal, Revision, Target};
+pub use comfreyhall_quarantine::ProbeResult;
 use futures::{Stream, future::BoxFuture};
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
@@ -299,19 +300,6 @@
     Restarted,
 }
 
-/// Whether a target is alive.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProbeResult {
-    /// It is alive.
-    Alive,
-    /// Another boot answered, so the one that was asked has ended.
-    OtherBoot,
-    /// The connection was refused: nothing listens there any more, or the path is cut.
-    Refused,
-    /// No answer.
-    NoAnswer,
-}
-
 /// A reply with what its target announces about itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TargetReply<T> {
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -10,15 +10,11 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Name;
-use comfreyhall_quarantine::{Feature, Status};
+use comfreyhall_quarantine::{EndCheck, Feature, Finding, Status};
 
 use super::{Node, QuarantineTracker, is_staying, is_unresolved, reach, resolve, status, time};
 use crate::{outbound, ports::ProbeResult};
 
-/// Delays before each probe of the target, in ms: a process that ended refuses
-/// connections at once; a listener may outlive its process by a few ms.
-const PROBE_DELAYS_MS: [u64; 3] = [0, 60, 300];
-
 /// How long to wait for the entry of a silent target to disappear, in ms: the
 /// platform removes it after a few missed heartbeats.
 const ENTRY_TIMEOUT_MS: u64 = 5_000;
@@ -38,20 +34,21 @@
 }
 
 async fn ended(node: &Arc<Node>, target: &Name) -> bool {
-    for pause in PROBE_DELAYS_MS {
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+    let mut check = EndCheck::default();
+    while let Some(delay) = check.next_delay() {
+        tokio::time::sleep(delay).await;
         let Some(known) = node.view().targets.get(target).cloned() else {
             return true;
         };
-        match outbound::probe(node, &known).await {
-            ProbeResult::Alive => return false,
-            ProbeResult::OtherBoot => return true,
-            ProbeResult::Refused => {
+        match outbound::probe(node, &known).await.into() {
+            Finding::Alive => return false,
+            Finding::Ended => return true,
+            Finding::AskPeers => {
                 if let Some(ended) = reach::is_refused_by_all(node, target).await {
                     return ended;
                 }
             }
-            ProbeResult::NoAnswer => {}
+            Finding::Nothing => {}
         }
     }
     let until = node.now() + ENTRY_TIMEOUT_MS;
--- a/crates/comfreyhall-node/src/quarantine/reach.rs
+++ b/crates/comfreyhall-node/src/quarantine/reach.rs
@@ -7,10 +7,11 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Name;
-use comfreyhall_protocol::{Reach, ReachQuery, ReachReply};
+use comfreyhall_protocol::{ReachQuery, ReachReply};
+use comfreyhall_quarantine::{PeerAnswers, ProbeResult};
 use futures::{StreamExt, stream::FuturesUnordered};
 
-use crate::{node::Node, outbound, ports::ProbeResult};
+use crate::{node::Node, outbound};
 
 /// Peers that are asked: with paths to a target cut for half of all daemons, all of these are
 /// cut off once in 64 times.
@@ -34,22 +35,23 @@
         async move { client.reach(query).await }
     });
     let mut replies: FuturesUnordered<_> = calls.collect();
-    let mut refused = None;
+    let mut answers = PeerAnswers::default();
     let asking = async {
         while let Some(reply) = replies.next().await {
             match reply.map(|r| r.into_inner().reach()) {
-                Ok(Reach::Alive) => return Some(false),
-                Ok(Reach::Refused | Reach::OtherBoot) => refused = Some(true),
-                Ok(Reach::Unknown) => {}
+                Ok(reach) => answers.add(ProbeResult::from_wire(reach)),
                 Err(e) => {
                     log::debug!(target: "quarantine", target_id:% = target, error:% = e; "peer not asked whether it reaches a target");
                 }
             }
+            if answers.is_reached() {
+                return;
+            }
         }
-        refused
     };
-    let verdict = tokio::time::timeout(ANSWER_TIMEOUT, asking).await;
-    let verdict = verdict.unwrap_or(refused);
+    // After a timeout the answers that have come decide.
+    let _ = tokio::time::timeout(ANSWER_TIMEOUT, asking).await;
+    let verdict = answers.ended();
     if verdict == Some(false) {
         log::info!(target: "quarantine", target_id:% = target; "a peer reaches the target that refuses connections from here");
     }
@@ -63,13 +65,9 @@
         return ReachReply::default();
     };
     let probe = outbound::probe(node, &target);
-    let reach = match tokio::time::timeout(ANSWER_TIMEOUT, probe).await {
-        Ok(ProbeResult::Alive) => Reach::Alive,
-        Ok(ProbeResult::Refused) => Reach::Refused,
-        Ok(ProbeResult::OtherBoot) => Reach::OtherBoot,
-        Ok(ProbeResult::NoAnswer) | Err(_) => Reach::Unknown,
-    };
+    let found = tokio::time::timeout(ANSWER_TIMEOUT, probe).await;
+    let found = found.unwrap_or(ProbeResult::NoAnswer);
     ReachReply {
-        reach: reach.into(),
+        reach: found.to_wire().into(),
     }
 }
--- a/crates/comfreyhall-quarantine/src/lib.rs
+++ b/crates/comfreyhall-quarantine/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod attribution;
 mod case;
+mod end_check;
 mod feature;
 mod fingerprint;
 mod moment;
@@ -21,6 +22,7 @@
 mod wire;
 
 pub use case::{Evidence, Observation, TargetEnd};
+pub use end_check::{EndCheck, Finding, PeerAnswers, ProbeResult};
 pub use feature::{Feature, FeatureKind};
 pub use fingerprint::Fingerprint;
 pub use quarantine::{Change, Quarantine, Status, SyncPosition, process_time};
