Own daemon: a refused connection is no longer the end of a target

What callers would see: with the paths from one daemon to engines cut, requests that ran there became suspects ("is suspect: e0#0 ended 0 ms ago"), and after four of them were held back by all daemons, though no engine had ended.

Change: it asks up to six peers (`Peer.Reach`), with the decision that the node uses.

--- a/crates/comfreyhall-daemon/src/peer.rs
+++ b/crates/comfreyhall-daemon/src/peer.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use comfreyhall_protocol::{
-    DemandReply, DemandReport, Findings, PlaceReply, PlaceRequest, SyncReply, SyncRequest,
-    peer_server::Peer,
+    DemandReply, DemandReport, Findings, PlaceReply, PlaceRequest, ReachQuery, ReachReply,
+    SyncReply, SyncRequest, peer_server::Peer,
 };
 use futures::{StreamExt, stream::FuturesUnordered};
 use prost::Message;
@@ -62,6 +62,11 @@
         )))
     }
 
+    async fn reach(&self, req: Request<ReachQuery>) -> Result<Response<ReachReply>, Status> {
+        let reply = quarantine::answer(&self.app, req.get_ref()).await;
+        Ok(Response::new(reply))
+    }
+
     async fn report(&self, req: Request<DemandReport>) -> Result<Response<DemandReply>, Status> {
         orders::record_demand(&self.app, req.into_inner());
         Ok(Response::new(DemandReply {}))
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -3461,6 +3461,27 @@
             req.extensions_mut().insert(GrpcMethod::new("comfreyhall.v1.Peer", "Swap"));
             self.inner.unary(req, path, codec).await
         }
+        /// Probes a target that the caller does not reach.
+        pub async fn reach(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReachQuery>,
+        ) -> std::result::Result<tonic::Response<super::ReachReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/comfreyhall.v1.Peer/Reach",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("comfreyhall.v1.Peer", "Reach"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -3496,6 +3517,11 @@
             &self,
             request: tonic::Request<super::Findings>,
         ) -> std::result::Result<tonic::Response<super::Findings>, tonic::Status>;
+        /// Probes a target that the caller does not reach.
+        async fn reach(
+            &self,
+            request: tonic::Request<super::ReachQuery>,
+        ) -> std::result::Result<tonic::Response<super::ReachReply>, tonic::Status>;
     }
     /// Between daemons: spreads accepted configuration past a table outage, and
     /// brings load orders to the daemon that holds the lease on them.
@@ -3747,6 +3773,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/comfreyhall.v1.Peer/Reach" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReachSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::ReachQuery>
+                    for ReachSvc<T> {
+                        type Response = super::ReachReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReachQuery>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::reach(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReachSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -252,6 +252,11 @@
         !self.children.values_mut().any(ended)
     }
 
+    /// What the process `name` has logged so far.
+    pub fn log_of(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap()
+    }
+
     /// Starts of `request` (a prefix of request ids) over every engine and
     /// service that is up.
     pub fn starts(&self, request: &str) -> u32 {
