--- a/crates/comfreyhall-node/src/records/tests.rs
+++ b/crates/comfreyhall-node/src/records/tests.rs
@@ -146,6 +146,40 @@
     assert_eq!(config_version(&node), 310);
 }
 
+/// Guards against an adapter version of the store's copy that replaces a newer one, here or
+/// at a daemon that starts on the copy.
+#[test]
+fn apply_copy_keeps_newer_adapter_version() {
+    let put_version = |node: &Node, value: &'static str, version: Revision| {
+        let record = Record {
+            key: "adapter/a".into(),
+            value: Some(Bytes::from_static(value.as_bytes())),
+            version,
+        };
+        let batch = RecordBatch {
+            rows: vec![record],
+            version,
+        };
+        let origin = super::Provenance::store(node.now());
+        apply(node, Topic::Settings, batch, &origin);
+    };
+    let named = |node: &Node| {
+        let view = node.view();
+        view.named_versions.values().map(|n| n.version).max()
+    };
+    let (old, new) = (node(), node());
+    put_version(&old, "3", Revision::new(1, 306));
+    for daemon in [&old, &new] {
+        put_version(daemon, "2", Revision::new(2, 257));
+    }
+    assert_eq!((named(&old), named(&new)), (Some(3), Some(2)));
+    let kept = super::kept_rows(&old);
+    super::apply_kept(&new, kept, &super::Provenance::store(new.now()));
+    assert_eq!(named(&new), Some(3));
+    put_version(&old, "4", Revision::new(2, 258));
+    assert_eq!(named(&old), Some(4));
+}
+
 /// Guards against a target that leaves and is listed as ready by the store's copy.
 #[test]
 fn apply_copy_keeps_leaving_target() {
--- a/crates/comfreyhall-node/src/test_node.rs
+++ b/crates/comfreyhall-node/src/test_node.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use comfreyhall_domain::{
-    ClientRequest, Config, ForwardedRequest, RequestLimits, Revision, Route, RouteKind, Service,
-    Stage, Target, TrafficShare,
+    AdapterRef, ClientRequest, Config, ForwardedRequest, RequestLimits, Revision, Route, RouteKind,
+    Service, Stage, Target, TrafficShare,
 };
 use comfreyhall_settings::NodeSettings;
 use futures::{FutureExt, future::BoxFuture};
@@ -57,6 +57,16 @@
     })
 }
 
+/// Decodes a row `adapter/NAME` whose value is a version.
+fn named_version(record: &Record) -> Option<Decoded> {
+    let adapter = AdapterRef {
+        model: "m".into(),
+        adapter: Some(record.key.strip_prefix("adapter/")?.into()),
+    };
+    let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
+    Some(Decoded::Version(adapter, text.parse().ok()?))
+}
+
 /// A version of a store without eras.
 pub(crate) fn rev(number: u64) -> Revision {
     Revision::new(0, number)
@@ -82,7 +92,7 @@
                 config: Box::new(config(record.version.number())),
                 warnings: Vec::new(),
             }),
-            Topic::Settings => Ok(Decoded::Other),
+            Topic::Settings => Ok(named_version(record).unwrap_or(Decoded::Other)),
             Topic::Targets => decode(record)
                 .map(Decoded::Target)
                 .ok_or_else(|| "not a target".to_string()),
