An engine that its controller asks for reports is not probed besides

`serve_reset_path_never_overfills` failed in a run of the platform's tests: more than eight connections were opened to an engine in a cut of 1.5 s, as the controller's requests for reports and the probes of lost targets added up. A target that its controller has reported as lost is left to it until the controller ends.

--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -26,6 +26,7 @@
         }
         self.queue.clear();
         self.clear_pending();
+        self.node.view().contacts.end_watch(&self.target.id);
         log::info!(target: "keeper", id:% = self.target.id; "engine control ended");
     }
 
--- a/crates/comfreyhall-routing/src/contacts.rs
+++ b/crates/comfreyhall-routing/src/contacts.rs
@@ -26,6 +26,8 @@
     /// When it is to be probed.
     probe_at_ms: u64,
     pause_ms: u64,
+    /// Whether its controller asks it for reports, which makes probes superfluous.
+    watched: bool,
 }
 
 impl Failure {
@@ -34,6 +36,7 @@
             count: 0,
             probe_at_ms: now,
             pause_ms: FIRST_PROBE_PAUSE_MS,
+            watched: false,
         }
     }
 
@@ -71,11 +74,20 @@
         }
     }
 
-    /// Records that `target` did not answer several calls in a row.
+    /// Records that `target` did not answer several calls of its controller, which goes
+    /// on asking it.
     pub fn record_lost(&mut self, target: &Name, now: u64) {
         self.record_failure(target, now);
         if let Some(failure) = self.failures.get_mut(target) {
             failure.count = failure.count.max(MIN_FAILURES);
+            failure.watched = true;
+        }
+    }
+
+    /// Records that the controller of `target` has ended.
+    pub fn end_watch(&mut self, target: &str) {
+        if let Some(failure) = self.failures.get_mut(target) {
+            failure.watched = false;
         }
     }
 
@@ -105,7 +117,7 @@
     /// Targets that are to be probed now; sets when they are due again.
     pub fn take_due_probes(&mut self, now: u64) -> Vec<Name> {
         let due = self.failures.iter_mut();
-        let due = due.filter(|(_, f)| now >= f.probe_at_ms);
+        let due = due.filter(|(_, f)| !f.watched && now >= f.probe_at_ms);
         due.take(MAX_DUE_PROBES)
             .map(|(target, failure)| {
                 failure.probe_at_ms = now + failure.pause_ms;
--- a/crates/comfreyhall-routing/src/contacts/tests.rs
+++ b/crates/comfreyhall-routing/src/contacts/tests.rs
@@ -24,6 +24,9 @@
     let target: Name = "t".into();
     let mut contacts = Contacts::default();
     contacts.record_lost(&target, 0);
+    // Its controller asks it for reports.
+    assert!(contacts.take_due_probes(0).is_empty());
+    contacts.end_watch(&target);
     let due = (0..4_000).filter(|now| !contacts.take_due_probes(*now).is_empty());
     let due: Vec<u64> = due.collect();
     assert_eq!(due, [0, 250, 750, 1_750, 2_750, 3_750]);
