--- a/crates/comfreyhall-workspace/src/granting/mod.rs
+++ b/crates/comfreyhall-workspace/src/granting/mod.rs
@@ -9,158 +9,26 @@
 //! a coordinator nothing is granted. A new coordinator starts with an empty
 //! bucket, since it does not know what its predecessor has granted.
 
+mod bucket;
+mod credit;
+
 use comfreyhall_protocol::Map;
 
+use self::{
+    bucket::{Bucket, capacity},
+    credit::{CoordinatorLink, CreditBalance},
+};
 use crate::{
-    FleetView, GrantLine, Name, PeerProcess, Quota, QuotaSnapshot, RateLimiter, ReserveOutcome,
+    FleetView, GrantLine, Name, PeerProcess, QuotaSnapshot, RateLimiter, ReserveOutcome,
     SettleReply, SettleRequest, UsageLine, limiter::PlacedQuota,
 };
 
-/// Capacity of the bucket besides the burst, in units and in seconds of the
-/// rate: with room for a single request only, requests that arrive a moment
-/// apart would leave part of the rate unused.
-const BASE_CAPACITY: f64 = 2.0;
-const CAPACITY_S: f64 = 0.5;
-
-/// How long granted credit stays available for its request, in ms.
-const CREDIT_TTL_MS: u64 = 400;
-
-/// Timeout of a call, in ms.
-const CALL_TIMEOUT_MS: u64 = 400;
-
 /// Pause before a coordinator that did not answer is called again, in ms.
 const BACKOFF_MS: u64 = 300;
 
 /// Delay until a coordinator may be found where none is known, in ms.
 const DISCOVERY_MS: u64 = 250;
 
-/// Spacing of retry times, as a fraction of the time between two requests at
-/// the quota's rate: some refused clients have gone elsewhere by then.
-const RETRY_SPACING: f64 = 0.7;
-
-/// Maximum delay that a refused request is told to wait, in ms.
-const MAX_RETRY_MS: f64 = 5_000.0;
-
-/// The token bucket of one quota, at its coordinator.
-#[derive(Debug, Clone, Copy)]
-struct Bucket {
-    balance: f64,
-    /// Time up to which the bucket has been filled.
-    filled_at_ms: u64,
-    /// Latest retry time given to a refused request.
-    last_retry_ms: u64,
-}
-
-impl Bucket {
-    fn new(now: u64) -> Self {
-        Self {
-            balance: 0.0,
-            filled_at_ms: now,
-            last_retry_ms: now,
-        }
-    }
-
-    /// Units in the bucket at `now`.
-    fn level(&self, quota: &Quota, now: u64) -> f64 {
-        let elapsed_s = now.saturating_sub(self.filled_at_ms) as f64 / 1_000.0;
-        (self.balance + elapsed_s * quota.rate).min(capacity(quota))
-    }
-
-    /// Grants `need` units, or as many whole requests of `min_need` as the
-    /// bucket covers.
-    fn grant(&mut self, quota: &Quota, need: f64, min_need: f64, now: u64) -> f64 {
-        self.balance = self.level(quota, now);
-        self.filled_at_ms = now;
-        let min_need = min_need.max(f64::MIN_POSITIVE);
-        let grant = match self.balance >= need {
-            true => need,
-            false => (self.balance / min_need).floor() * min_need,
-        };
-        self.balance -= grant;
-        grant
-    }
-
-    /// Delay until a refused request should be retried, in ms. Each refusal
-    /// gets a retry time of its own, so that the retries do not arrive
-    /// together.
-    fn retry_delay_ms(&mut self, quota: &Quota, size: f64, now: u64) -> u64 {
-        let ms = |units: f64| units / quota.rate.max(f64::MIN_POSITIVE) * 1_000.0;
-        let available_at = now as f64 + ms(size - self.level(quota, now));
-        let after_previous = self.last_retry_ms as f64 + ms(size) * RETRY_SPACING;
-        let latest = now as f64 + MAX_RETRY_MS;
-        let retry_at = available_at.max(after_previous);
-        if retry_at > latest {
-            // Too many requests wait: the excess ones share the second half of
-            // the interval.
-            let excess = (retry_at - latest) % (MAX_RETRY_MS / 2.0);
-            return (MAX_RETRY_MS - excess) as u64;
-        }
-        self.last_retry_ms = retry_at as u64;
-        self.last_retry_ms.saturating_sub(now).max(1)
-    }
-}
-
-/// Capacity of a bucket.
-fn capacity(quota: &Quota) -> f64 {
-    BASE_CAPACITY + quota.burst + quota.rate * CAPACITY_S
-}
-
-/// Credit for one quota at the daemon that asked for it.
-#[derive(Debug, Clone, Copy, Default)]
-struct CreditBalance {
-    balance: f64,
-    expires_at_ms: u64,
-    need: f64,
-    min_need: f64,
-    refused_until_ms: u64,
-}
-
-impl CreditBalance {
-    fn try_take(&mut self, size: f64, now: u64) -> bool {
-        let enough = self.balance >= size && now < self.expires_at_ms;
-        if enough {
-            self.balance -= size;
-        }
-        enough
-    }
-
-    fn add_need(&mut self, size: f64) {
-        self.min_need = match self.need > 0.0 {
-            true => self.min_need.min(size),
-            false => size,
-        };
-        self.need += size;
-    }
-
-    fn deposit(&mut self, credit: f64, now: u64) {
-        if now >= self.expires_at_ms {
-            self.balance = 0.0;
-        }
-        self.balance += credit;
-        self.expires_at_ms = now + CREDIT_TTL_MS;
-    }
-}
-
-/// State of the communication with the coordinator of one group.
-#[derive(Debug, Default)]
-struct CoordinatorLink {
-    coordinator: Option<PeerProcess>,
-    serial: u64,
-    /// The last call that was answered or has failed.
-    last_answered: u64,
-    called_at_ms: u64,
-    in_flight: bool,
-    /// Whether requests wait for an answer.
-    urgent: bool,
-    backoff_until_ms: u64,
-}
-
-impl CoordinatorLink {
-    fn is_busy(&self, now: u64) -> bool {
-        self.in_flight && now.saturating_sub(self.called_at_ms) < CALL_TIMEOUT_MS
-    }
-}
-
 /// Rate limiter that grants credit for single requests.
 pub struct GrantingLimiter {
     local: PeerProcess,
