--- a/crates/comfreyhall-node/src/reach.rs
+++ b/crates/comfreyhall-node/src/reach.rs
@@ -4,7 +4,7 @@
 //! calls, tells peers about it in a few bytes, and probes what it lost, since it sends
 //! nothing else there.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use comfreyhall_domain::{Name, Stage, Target};
 use comfreyhall_protocol::Daemon;
@@ -19,9 +19,14 @@
 /// Targets that an isolated daemon probes in each period.
 const PROBED_TARGETS: usize = 1;
 
-/// Targets that are probed in addition when one is lost: a cut often affects many.
+/// Targets that are probed in addition when several are lost together: a cut often affects
+/// many. A single one has mostly ended.
 const EXPLORED_TARGETS: usize = 8;
 
+/// Growth of the number of lost targets that makes others suspect, within so many periods.
+const EXPLORING_GROWTH: usize = 2;
+const GROWTH_PERIODS: usize = 10;
+
 /// Step of the published share of lost targets, in percent: each new value makes
 /// holders of large fleets send the list of daemons again.
 const LOST_PERCENT_STEP: usize = 10;
@@ -33,7 +38,7 @@
 pub(crate) fn spawn(node: &Arc<Node>) {
     let node = node.clone();
     tokio::spawn(async move {
-        let mut logged = 0;
+        let mut counts = VecDeque::from([0]);
         loop {
             tokio::time::sleep(PROBE_PERIOD).await;
             for target in due_probes(&node) {
@@ -41,11 +46,16 @@
                 // A successful one is recorded as contact with the target.
                 tokio::spawn(async move { outbound::probe(&node, &target).await });
             }
-            let lost = log_lost(&node, logged);
-            if lost > logged {
+            let last = counts.back().copied().unwrap_or_default();
+            let lost = log_lost(&node, last);
+            let least = counts.iter().copied().min().unwrap_or_default();
+            if lost > last && lost >= least + EXPLORING_GROWTH {
                 explore(&node);
             }
-            logged = lost;
+            counts.push_back(lost);
+            if counts.len() > GROWTH_PERIODS {
+                counts.pop_front();
+            }
         }
     });
 }
--- a/crates/comfreyhall-routing/src/contacts.rs
+++ b/crates/comfreyhall-routing/src/contacts.rs
@@ -17,7 +17,7 @@
 const MAX_PROBE_PAUSE_MS: u64 = 1_000;
 
 /// Probes that are due at once: a daemon may lose thousands of targets together.
-const MAX_DUE_PROBES: usize = 32;
+const MAX_DUE_PROBES: usize = 24;
 
 /// What is known of a target since it last answered.
 #[derive(Debug)]
