Soak: a prompt segment that crashes engines, beside killed daemons

From seed 900 on, requests of which no two are alike carry a segment that crashes each engine on which it is answered, while daemons are killed one at a time and stopped as planned. At most three such requests may reach engines later than 2 s after the fifth did.

The order of random draws of smaller seeds is unchanged.

--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -15,6 +15,9 @@
 //! engines refuse connections and engines take time to load: none is ordered to load more
 //! than it has slots for, and in the end every daemon serves a new route in time.
 //!
+//! From seed [`SEGMENTS_FROM`] on, requests of which no two are alike have a prompt segment
+//! that crashes engines, while daemons are killed: it soon reaches no engine any more.
+//!
 //! CI runs [`SEEDS`]. To run others: `SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo
 //! test -p comfreyhall --test soak -- --nocapture`. A seed that has failed stays in
 //! [`SEEDS`], with a line on the cause.
@@ -30,6 +33,9 @@
 #[path = "soak/copies.rs"]
 mod copies;
 
+#[path = "soak/segments.rs"]
+mod segments;
+
 #[path = "soak/versions.rs"]
 mod versions;
 
@@ -68,7 +74,7 @@
 /// event only. 4: scripted stream breaks happened more than [`FAULT_AFTERMATH`] after
 /// they were recorded, as all targets had been quarantined meanwhile. From
 /// [`SIGNALS_FROM`] on, targets also send signals about themselves.
-const SEEDS: [u64; 11] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700, 804];
+const SEEDS: [u64; 12] = [3, 4, 5, 202, 223, 400, 401, 600, 601, 700, 804, 900];
 
 /// From this seed on, targets also announce limits, cooldowns and draining, and the
 /// configuration changes in quick succession when the store is back. Smaller seeds
@@ -87,7 +93,11 @@
 /// connections.
 const COPIES_FROM: u64 = 800;
 
-/// How long an engine loads an adapter in such seeds, in ms.
+/// From this seed on, a prompt segment crashes engines, and the only other faults are
+/// killed daemons, one at a time.
+const SEGMENTS_FROM: u64 = 900;
+
+/// How long an engine loads an adapter in seeds with copies, in ms.
 const LOAD_MS: u64 = 250;
 
 /// Engines besides the usual ones in such seeds.
@@ -448,17 +458,22 @@
         }
     }
 
+    /// Kills daemon `i` if all run.
+    fn kill_one(&mut self, i: usize) {
+        let started_at = Instant::now();
+        if self.active_faults.is_empty() {
+            self.scene.set_up(i, false);
+            self.daemons[i].kill();
+            self.begin_fault(started_at, Duration::from_millis(500), Recovery::Restart(i));
+        }
+    }
+
     /// Kills a daemon if all run, or replaces an engine, or half of them.
     fn inject_rollout_fault(&mut self) {
-        let started_at = Instant::now();
         let i = self.rng.random_range(0..DAEMONS);
         let engines = &self.scene.engines;
         match self.rng.random_range(0..12) {
-            0 | 1 if self.active_faults.is_empty() => {
-                self.scene.set_up(i, false);
-                self.daemons[i].kill();
-                self.begin_fault(started_at, Duration::from_millis(500), Recovery::Restart(i));
-            }
+            0 | 1 if self.active_faults.is_empty() => self.kill_one(i),
             2 => engines.iter().step_by(2).for_each(|e| e.crash()),
             3 | 4 => engines[self.rng.random_range(0..engines.len())].crash(),
             _ => {}
@@ -673,14 +688,18 @@
         })
         .collect();
     let rollout = (ROLLOUTS_FROM..COPIES_FROM).contains(&seed);
-    let copies = seed >= COPIES_FROM;
-    let planned_only = seed.is_multiple_of(3) || rollout;
+    let copies = (COPIES_FROM..SEGMENTS_FROM).contains(&seed);
+    let segments = seed >= SEGMENTS_FROM;
+    let planned_only = seed.is_multiple_of(3) || rollout || segments;
     for i in 0..DAEMONS {
         fleet.scene.set_up(i, true);
     }
     let front_addrs = fronts.clone();
-    let poison = (!planned_only).then(|| tokio::spawn(send_poison(fronts, stop.clone())));
-    let target_signals = (seed >= SIGNALS_FROM && !rollout && !copies).then(|| {
+    let poison = match segments {
+        true => Some(tokio::spawn(segments::send_poison(fronts, stop.clone()))),
+        false => (!planned_only).then(|| tokio::spawn(send_poison(fronts, stop.clone()))),
+    };
+    let target_signals = (seed >= SIGNALS_FROM && !rollout && !copies && !segments).then(|| {
         let hosts = fleet.targets.iter().map(|(host, _)| host.clone()).collect();
         let rng = StdRng::seed_from_u64(seed);
         tokio::spawn(target_signals::send_signals(hosts, rng, stop.clone()))
@@ -714,6 +733,9 @@
         fleet.copies.add(fleet.store.copy());
         if copies && fleet.rng.random_bool(0.5) {
             fleet.inject_copy_fault();
+        } else if segments && fleet.rng.random_bool(0.2) {
+            let i = fleet.rng.random_range(0..DAEMONS);
+            fleet.kill_one(i);
         } else if rollout {
             fleet.inject_rollout_fault();
         } else if planned_only || fleet.rng.random_bool(0.3) {
@@ -765,6 +787,7 @@
     }
     let mut violations = fleet.violations(&attempts);
     violations.extend(late);
+    violations.extend(fleet.late_segments());
     for (host, _) in &fleet.targets {
         if host.overfilled() > 0 {
             let name = host.boots()[0].id.clone();
