Test: a partly cut daemon is asked until it passes requests on

serve_most_targets_lost_passes_requests_on failed in 3 of 32 copies, sixteen at once: it took for granted that the daemon knows what it has lost after 21 requests in 0.5 s.

--- a/crates/comfreyhall-node/tests/reach.rs
+++ b/crates/comfreyhall-node/tests/reach.rs
@@ -16,6 +16,11 @@
 /// Time after a cut in which a group's loads go on: one lease term of these daemons.
 const MOVED_WITHIN: Duration = Duration::from_millis(3_000);
 
+/// Requests in a row that are passed on once a daemon knows what it has lost, and the time
+/// until then: two probes, a gossip period, and these requests.
+const IN_A_ROW: usize = 20;
+const LEARNED_WITHIN: Duration = Duration::from_millis(3_000);
+
 /// Longest time for which a target stays lost after its path is back.
 const MAX_LOST: Duration = Duration::from_millis(1_200);
 
@@ -145,19 +150,23 @@
     let others = ["c", "d"].map(target).to_vec();
     let [cut, peer] = start_pair(scripted_source(route, None), others).await;
     cut.cut(&["a", "b", "c"]);
-    let mut learned = 0;
-    for i in 0..60 {
+    let began = Instant::now();
+    let mut passed_on = 0;
+    for i in 0.. {
+        let before = cut.sends_to(&["a", "b", "c", "d"]);
         let result = cut.serve(ask(&format!("q{i}"))).await;
         assert_eq!(result, CallerResult::Complete(200));
         tokio::time::sleep(Duration::from_millis(25)).await;
-        if i == 20 {
-            learned = cut.sends_to(&["a", "b", "c", "d"]);
+        passed_on = match cut.sends_to(&["a", "b", "c", "d"]) == before {
+            true => passed_on + 1,
+            false => 0,
+        };
+        if passed_on == IN_A_ROW {
+            break;
         }
+        assert!(began.elapsed() < LEARNED_WITHIN, "{passed_on}");
     }
-    let all: Vec<&str> = vec!["a", "b", "c", "d"];
-    // By then it knows which targets it has lost.
-    assert_eq!(cut.sends_to(&all), learned);
-    assert!(peer.sends_to(&["a", "b", "c"]) > 20);
+    assert!(peer.sends_to(&["a", "b", "c", "d"]) >= IN_A_ROW);
 }
 
 /// Guards against requests that wait again and again for a path that is known to be cut,
