No daemon commands a group in turn with another within a lease term

Cause: whoever did not know the new holder yet took the lease that the old one had released, and a holder that lost its engines at once handed the group back.

Change: a handover that gossip tells of counts as a holder for one lease term, so nobody else takes the lease. An instance that has commanded a group sends nothing there under a later token until a lease term after its last command, if another holder is known to have commanded it since: it handed the group over, or has seen a token between.

--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -91,6 +91,10 @@
             return CommandReply::Fenced;
         }
         let command = Command::new(order, self.node.settings().id.clone(), token);
+        let group = &self.target.failure_domain;
+        self.node
+            .leases
+            .record_command(group, token, self.node.now());
         let reply = self.send_with_retries(command).await;
         log::debug!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), action:? = order.action(), version = order.version(), expected = order.sequence(), token, reply:? = reply; "order");
         self.node.metrics.command(reply.name());
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -54,6 +54,11 @@
             self.abandon_jobs();
             return now + closed.retry_ms;
         }
+        let pause_ms = self.command_pause_ms(now);
+        if pause_ms > 0 {
+            self.abandon_jobs();
+            return now + pause_ms;
+        }
         self.drop_expired(now);
         if !self.account.is_confirmed() && !self.fetch_report().await {
             if self.unreachable {
@@ -85,6 +90,18 @@
         next_poll.into_iter().chain(blocked).min().unwrap_or(idle)
     }
 
+    /// How long this daemon is to send the engine no command, as another holder has just
+    /// commanded it.
+    fn command_pause_ms(&self, now: u64) -> u64 {
+        let group = &self.target.failure_domain;
+        let term_ms = self.node.settings().bounds.lease_ms;
+        let token = self.node.token(group);
+        token.map_or(0, |t| {
+            let leases = &self.node.leases;
+            leases.command_pause_ms(group, t, term_ms, now)
+        })
+    }
+
     /// Drops all jobs, as the engine cannot be reached: other engines may serve them,
     /// and those that none serves are answered at once.
     pub(super) fn release_jobs(&mut self) {
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -177,11 +177,14 @@
         if arrival == super::Origin::Answer {
             self.learn_totals(node, &from, &gossip, now);
         }
-        let own_cessions = gossip.cessions.iter().filter(|c| c.to == self.me.peer);
-        for cession in own_cessions {
-            node.leases
-                .accept_handover(&cession.group, cession.token, now);
-            node.changed.notify_waiters();
+        for cession in &gossip.cessions {
+            let (group, token) = (&cession.group, cession.token);
+            if cession.to == self.me.peer {
+                node.leases.accept_handover(group, token, now);
+                node.changed.notify_waiters();
+            } else {
+                node.leases.note_ceded(group, token, now);
+            }
         }
         let peer: Name = from.id.as_str().into();
         let liveness_ms = self.liveness_ms();
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -194,7 +194,8 @@
 async fn run_step<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
     let before = lease.token(clock::instant());
     let now = node.now();
-    let held = before.is_some() || node.fleet.holder(group, now).is_some();
+    let ceded = node.leases.is_ceded(group, term.as_millis() as u64, now);
+    let held = before.is_some() || ceded || node.fleet.holder(group, now).is_some();
     let vacant = node.leases.vacant_ms(group, held, now);
     let delay_ms = acquire_delay_ms(node, group, term.as_millis() as u64);
     let acquire = node.ready() && !node.is_isolated() && vacant >= delay_ms;
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -1,7 +1,7 @@
 //! The leases that this daemon knows.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Instant,
 };
 
@@ -40,6 +40,15 @@
     accepted_ms: u64,
 }
 
+/// The last command that this daemon sent in a group.
+#[derive(Debug, Clone, Copy)]
+struct LastCommand {
+    token: u64,
+    sent_ms: u64,
+    /// Whether it has handed the group to another daemon since.
+    handed_over: bool,
+}
+
 /// Leases known to this daemon.
 #[derive(Default)]
 pub(crate) struct Leases {
@@ -51,6 +60,9 @@
     highest_seen: Mutex<Map<Name, u64>>,
     /// Time since which no holder is known, by group.
     vacant_since_ms: Mutex<Map<Name, u64>>,
+    /// Handovers to other daemons, by group: the token, and when it was first heard of.
+    ceded: Mutex<Map<Name, (u64, u64)>>,
+    last_commands: Mutex<Map<Name, LastCommand>>,
     /// Wakes the lease task when an engine is lost.
     engine_lost: Notify,
 }
@@ -84,12 +96,7 @@
         let handed_over = self.handover(group).filter(|_| fencing).map(|h| h.token);
         let own = current.or(expired).map(|t| t * TOKEN_STRIDE);
         let token = own.max(handed_over)?;
-        let highest_seen = self
-            .highest_seen
-            .lock()
-            .expect("no holder of this lock panics");
-        let highest = highest_seen.get(group).copied().unwrap_or(0);
-        (token > highest).then_some(token)
+        (token > self.highest_seen(group)).then_some(token)
     }
 
     /// Stops commands in `group`; returns the token for a successor, if one may
@@ -101,15 +108,75 @@
     pub(crate) fn hand_over(&self, group: &str, fencing: bool) -> Option<u64> {
         let token = self.token(group, fencing).filter(|_| fencing)?;
         self.observe_token(group, token);
+        if let Some(last) = self.last_commands().get_mut(group) {
+            last.handed_over = true;
+        }
         Some(token + 1)
     }
 
+    /// Records that `group` was handed over under `token` to another daemon.
+    pub(crate) fn note_ceded(&self, group: &str, token: u64, now: u64) {
+        let mut ceded = self.ceded.lock().expect("no holder of this lock panics");
+        let known = ceded.entry(group.into()).or_insert((token, now));
+        if known.0 < token {
+            *known = (token, now);
+        }
+    }
+
+    /// Whether another daemon took over `group` less than `for_ms` ago, which may not be
+    /// known as its holder yet.
+    pub(super) fn is_ceded(&self, group: &str, for_ms: u64, now: u64) -> bool {
+        let ceded = self.ceded.lock().expect("no holder of this lock panics");
+        let heard = ceded.get(group).map(|(_, heard_ms)| *heard_ms);
+        heard.is_some_and(|at| now.saturating_sub(at) < for_ms)
+    }
+
+    fn last_commands(&self) -> MutexGuard<'_, Map<Name, LastCommand>> {
+        let last = self.last_commands.lock();
+        last.expect("no holder of this lock panics")
+    }
+
+    /// Records that a command is sent in `group` under `token`.
+    pub(crate) fn record_command(&self, group: &str, token: u64, now: u64) {
+        let command = LastCommand {
+            token,
+            sent_ms: now,
+            handed_over: false,
+        };
+        self.last_commands().insert(group.into(), command);
+    }
+
+    /// How long this daemon is to send no command in `group` under `token`, in ms.
+    ///
+    /// If another holder has commanded the group since its own last command, a lease term
+    /// `term_ms` passes first: two daemons that take turns look like two holders at once.
+    pub(crate) fn command_pause_ms(&self, group: &str, token: u64, term_ms: u64, now: u64) -> u64 {
+        let Some(last) = self.last_commands().get(group).copied() else {
+            return 0;
+        };
+        let highest_seen = self.highest_seen(group);
+        let other_since = last.handed_over || highest_seen > last.token;
+        match last.token != token && other_since {
+            true => (last.sent_ms + term_ms).saturating_sub(now),
+            false => 0,
+        }
+    }
+
+    /// Highest token of another holder of `group`.
+    fn highest_seen(&self, group: &str) -> u64 {
+        let highest_seen = self.highest_seen.lock();
+        let highest_seen = highest_seen.expect("no holder of this lock panics");
+        highest_seen.get(group).copied().unwrap_or(0)
+    }
+
     /// Continues `group` under `token` for a holder that stopped or has lost its engines.
     pub(crate) fn accept_handover(&self, group: &str, token: u64, now: u64) {
         let known = self.handover(group);
         if known.is_some_and(|k| k.token >= token) {
             return;
         }
+        // Its former holder commanded the group under the token before.
+        self.observe_token(group, token.saturating_sub(1));
         let handover = Handover {
             token,
             accepted_ms: now,
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -110,6 +110,27 @@
     assert_eq!(successor.token("g", true), None);
 }
 
+/// Guards against two daemons that command a group in turn within a lease term.
+#[test]
+fn command_pause_ms_after_other_holder() {
+    let term_ms = 3_000;
+    let first = leases(Some(1), Some(1));
+    let token = first.token("g", true).unwrap();
+    first.record_command("g", token, 1_000);
+    assert_eq!(first.command_pause_ms("g", token, term_ms, 1_100), 0);
+    let ceded = first.hand_over("g", true).unwrap();
+    // The group comes back from its next holder.
+    first.accept_handover("g", ceded + 1, 1_500);
+    let back = first.token("g", true).unwrap();
+    assert_eq!(first.command_pause_ms("g", back, term_ms, 1_500), 2_500);
+    assert_eq!(first.command_pause_ms("g", back, term_ms, 4_000), 0);
+    // Its own next token after a handover is no turn.
+    let next = leases(Some(2), Some(2));
+    next.accept_handover("g", 1_001, 0);
+    next.record_command("g", 1_001, 100);
+    assert_eq!(next.command_pause_ms("g", 2_000, term_ms, 200), 0);
+}
+
 /// Guards against callers of all five domains that queue at the engines of one
 /// domain while their own idle: a newly hot adapter has few engines, and
 /// daemons know the queues only as of a second ago.
--- a/crates/comfreyhall-node/tests/cuts.rs
+++ b/crates/comfreyhall-node/tests/cuts.rs
@@ -25,6 +25,9 @@
 /// Adapters that are requested.
 const ADAPTERS: usize = 60;
 
+/// Lease term of the daemons.
+const LEASE_TERM: Duration = Duration::from_millis(3_000);
+
 const LOAD_TIME: Duration = Duration::from_millis(120);
 
 /// How long cuts come and go.
@@ -51,6 +54,8 @@
     token: u64,
     /// Loads that were ordered without a slot for them.
     overfilled: usize,
+    /// Who sent the commands that it accepted, and when.
+    holders: Vec<(Name, Instant)>,
 }
 
 impl Engine {
@@ -75,9 +80,23 @@
             }
         }
         self.sequence += 1;
+        self.holders.push((command.holder.clone(), Instant::now()));
         CommandReply::Accepted
     }
 
+    /// Times at which a holder commanded it again less than a lease term after a command
+    /// of its own, with another holder's in between.
+    fn turns(&self) -> usize {
+        let mut turns = 0;
+        for (i, (holder, at)) in self.holders.iter().enumerate() {
+            let between = self.holders[..i].iter().rev();
+            let mut others = between.take_while(|(_, earlier)| *at - *earlier < LEASE_TERM);
+            let others_first = others.find(|(h, _)| h != holder).is_some();
+            turns += usize::from(others_first && others.any(|(h, _)| h == holder));
+        }
+        turns
+    }
+
     fn report(&self) -> Report {
         let adapters = self.held.iter().filter_map(|a| a.adapter.clone());
         Report {
@@ -257,12 +276,23 @@
         result == CallerResult::Stream(vec![1], true)
     }
 
-    /// Changes the paths of a few daemons: most engines are cut off, or none.
+    /// The daemon whose command an engine accepted last.
+    fn holder(&self) -> Option<Name> {
+        let engines = self.engines.values().map(|e| e.lock().unwrap());
+        let last = engines.filter_map(|e| e.holders.last().cloned());
+        let last = last.max_by_key(|(_, at)| *at);
+        last.map(|(holder, _)| holder)
+    }
+
+    /// Changes the paths of all daemons: most engines are cut off, or none. The holder
+    /// mostly loses some.
     fn change_cuts(&self, rng: &mut StdRng) {
-        for paths in &self.paths {
+        let holder = self.holder();
+        for (node, paths) in self.nodes.iter().zip(&self.paths) {
             let mut cuts = paths.cuts.lock().unwrap();
             cuts.clear();
-            if rng.random_bool(0.5) {
+            let holds = holder.as_ref() == Some(&node.settings().id);
+            if rng.random_bool(if holds { 0.8 } else { 0.3 }) {
                 let how = match rng.random_bool(0.5) {
                     true => Cut::Refused,
                     false => Cut::Hung,
@@ -282,7 +312,7 @@
 }
 
 /// Guards against engines that are ordered to load more than they have slots for while
-/// their group passes from daemon to daemon, and against groups that stay without loads
+/// their group passes from daemon to daemon, against holders that take turns, and against groups that stay without loads
 /// after the last cut.
 #[tokio::test]
 async fn serve_changing_cuts_never_overfill() {
@@ -314,6 +344,12 @@
             assert!(healed.elapsed() < HEALED_WITHIN, "daemon {daemon}");
         }
     }
+    let turns: usize = fleet
+        .engines
+        .values()
+        .map(|e| e.lock().unwrap().turns())
+        .sum();
+    assert_eq!(turns, 0, "holders took turns");
     let overfilled = |e: &Mutex<Engine>| e.lock().unwrap().overfilled;
     let overfilled: Vec<usize> = fleet.engines.values().map(overfilled).collect();
     assert_eq!(overfilled, [0; ENGINES]);
