A crate for what ends an answer; a body's error names its cause

Moves the splitter of events out of the node (node/events.rs -> relay/events.rs, EventSplitter::next -> take_event) into comfreyhall-relay, with EndCause, the closed list of causes for which an answer may end early. BodyError.connection_closed -> BodyError.cause. No change of behaviour.

--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -16,7 +16,6 @@
 mod criteria;
 mod departed;
 mod engine_control;
-mod events;
 mod fleet;
 mod follow;
 mod forward;
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -13,6 +13,7 @@
 use comfreyhall_capacity::{Order, Outcome};
 use comfreyhall_domain::{AdapterRef, ClientRequest, Config, Name, Refusal, Revision, Target};
 pub use comfreyhall_quarantine::ProbeResult;
+pub use comfreyhall_relay::EndCause;
 use futures::{Stream, future::BoxFuture};
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
@@ -115,11 +116,10 @@
 #[derive(Debug, Error, Clone, PartialEq, Eq)]
 #[error("{reason}")]
 pub struct BodyError {
-    /// What went wrong.
+    /// What went wrong, for the log.
     pub reason: String,
-    /// Whether the target closed the connection; otherwise it stopped sending, or
-    /// sent something unreadable.
-    pub connection_closed: bool,
+    /// Why it ended.
+    pub cause: EndCause,
 }
 
 /// A chunk of a response body, or the reason why it ended early.
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -11,12 +11,12 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyhall_domain::Outcome;
+use comfreyhall_relay::{Event, EventSplitter};
 use comfreyhall_routing::StreamSample;
 use futures::StreamExt;
 
 use crate::{
     active_send::ActiveSend,
-    events::{Event, EventSplitter},
     fleet::updates::StreamReport,
     ports::{Body, Framing, Response},
     quarantine,
@@ -106,7 +106,7 @@
     /// The next events of the current target, or its end.
     async fn step(&mut self) -> Step {
         loop {
-            while let Some(event) = self.splitter.next() {
+            while let Some(event) = self.splitter.take_event() {
                 if let Err(why) = self.accept(event) {
                     return Step::Broken(why);
                 }
@@ -117,7 +117,7 @@
             match self.body.next().await {
                 Some(Ok(bytes)) => self.splitter.push(&bytes),
                 Some(Err(error)) => {
-                    self.connection_closed = error.connection_closed;
+                    self.connection_closed = error.cause.may_be_target_end();
                     return Step::Broken(error.reason);
                 }
                 None if self.splitter.has_partial() => {
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     active_send::ActiveSend,
-    ports::{Body, BodyError, Framing, Response},
+    ports::{Body, BodyError, EndCause, Framing, Response},
     quarantine,
 };
 
@@ -35,7 +35,7 @@
             failed => {
                 let why = match failed {
                     Ok(Err(failed)) => {
-                        if failed.connection_closed {
+                        if failed.cause.may_be_target_end() {
                             self.report_closed(&send);
                         }
                         failed.reason
@@ -68,7 +68,7 @@
         match has_ended {
             Some(true) => Err(BodyError {
                 reason: "the target ended with its answer".to_string(),
-                connection_closed: true,
+                cause: EndCause::TargetEnded,
             }),
             known => Ok((body, known.is_some())),
         }
--- a/crates/comfreyhall-node/src/events.rs
+++ b/crates/comfreyhall-relay/src/events.rs
@@ -9,14 +9,16 @@
 
 /// One whole event, including the blank line at its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Event {
-    pub(crate) id: Option<u64>,
-    pub(crate) bytes: Bytes,
+pub struct Event {
+    /// Its id, if it has one.
+    pub id: Option<u64>,
+    /// Its bytes.
+    pub bytes: Bytes,
 }
 
 /// Collects bytes into events.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     buffer: BytesMut,
     /// Position where the search for the end of the event continues.
     scanned: usize,
@@ -24,12 +26,12 @@
 
 impl EventSplitter {
     /// Appends received bytes.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
     /// The next whole event.
-    pub(crate) fn next(&mut self) -> Option<Event> {
+    pub fn take_event(&mut self) -> Option<Event> {
         let end = self.event_end()?;
         let bytes = self.buffer.split_to(end).freeze();
         self.scanned = 0;
@@ -40,7 +42,7 @@
     }
 
     /// Whether an event has begun and not ended.
-    pub(crate) fn has_partial(&self) -> bool {
+    pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
     }
 
