Logs say why a stream was not resumed

"stream given up" did not tell a resumption that found no target from one whose settings had changed or whose budget was spent. resume_elsewhere returns the reason, and the relay logs it as "stream not resumed".

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -273,8 +273,12 @@
         self.splitter = EventSplitter::default();
         while request.route.repeatable() && last.is_some() && self.resumes < MAX_RESUMES {
             self.resumes += 1;
-            let Ok((response, send)) = request.resume_elsewhere(last).await else {
-                break;
+            let (response, send) = match request.resume_elsewhere(last).await {
+                Ok(resumed) => resumed,
+                Err(refused) => {
+                    log::info!(target: "serve", id:% = request.client_request.id, refused, resumes = self.resumes, left = request.remaining_ms(); "stream not resumed");
+                    break;
+                }
             };
             if response.refusal.is_some() || !response.status.is_success() || !response.event_stream
             {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -341,39 +341,58 @@
         }
     }
 
-    /// Chooses a target for the rest of an interrupted stream and sends it there.
+    /// Chooses a target for the rest of an interrupted stream and sends it there; an
+    /// error says why no target was asked, or that the asked one did not answer.
     pub(crate) async fn resume_elsewhere(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<(Response, ActiveSend), ()> {
-        let may_resume = self.history.may_send(self.route.repeatable(), u32::MAX)
-            && (self.tried.len() as u32) < self.route.max_attempts;
-        if !may_resume
-            || !self.may_change_target()
-            || self.remaining_ms() == 0
-            || self.quarantined().await.is_some()
-            || !self.take_retry()
-        {
-            return Err(());
+    ) -> Result<(Response, ActiveSend), &'static str> {
+        if let Some(why) = self.cannot_resume() {
+            return Err(why);
+        }
+        if self.quarantined().await.is_some() {
+            return Err("it is quarantined");
+        }
+        if !self.take_retry() {
+            return Err("the retry budget is spent");
         }
         for _ in 0..MAX_RESUME_CHOICES {
             if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
-                return Err(());
+                return Err("its settings have changed");
             }
-            let mut plan = self.choose().ok_or(())?;
+            let mut plan = self.choose().ok_or("no target can take it")?;
             if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
-                return Err(());
+                return Err("no engine is bound");
             }
             let Some(permit) = self.permit(&plan).await else {
                 continue;
             };
-            let quarantined = self.quarantined().await.is_some();
-            let unchanged = matches!(self.renew(), Ok(Renewal::Unchanged));
-            if quarantined || !self.target_still_accepts(&plan) || !unchanged {
-                return Err(());
+            if self.quarantined().await.is_some() {
+                return Err("it is quarantined");
+            }
+            if !self.target_still_accepts(&plan) {
+                return Err("the target takes no more work");
+            }
+            if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
+                return Err("its settings have changed");
             }
-            return self.send(&mut plan, permit, last_event).await;
+            let sent = self.send(&mut plan, permit, last_event).await;
+            return sent.map_err(|()| "the target did not answer");
+        }
+        Err("its targets take no more now")
+    }
+
+    /// Why the rest of its stream may not be sent to another target.
+    fn cannot_resume(&self) -> Option<&'static str> {
+        if !self.history.may_send(self.route.repeatable(), u32::MAX) {
+            return Some("it may run only once");
+        }
+        if self.tried.len() as u32 >= self.route.max_attempts {
+            return Some("its attempts are spent");
+        }
+        if !self.may_change_target() {
+            return Some("its version is not known");
         }
-        Err(())
+        (self.remaining_ms() == 0).then_some("its deadline has passed")
     }
 }
