--- /dev/null
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -0,0 +1,71 @@
+//! Sound targets that send nothing for a while and then go on.
+
+mod support;
+
+use comfreyhall_domain::{ClientRequest, Refusal, RouteKind};
+use support::*;
+
+/// Longer than any gap between events or wait for an answer after which other targets
+/// are considered.
+const SILENCE_MS: u64 = 1_800;
+
+/// A request with time for such a silence.
+fn patient(id: &str) -> ClientRequest {
+    ClientRequest {
+        remaining_ms: Some(4_000),
+        ..ask(id)
+    }
+}
+
+fn route_with_time(kind: RouteKind) -> comfreyhall_domain::Route {
+    comfreyhall_domain::Route {
+        timeout_ms: 4_000,
+        ..route(kind, 3, kind == RouteKind::Stream)
+    }
+}
+
+/// What a caller gets whose first send is answered as `first`, all others as `other`.
+async fn result_of(kind: RouteKind, first: Behavior, other: Behavior) -> CallerResult {
+    let (node, backend) = start_node(route_with_time(kind), vec![first]).await;
+    *backend.default_behavior.lock().unwrap() = Some(other);
+    caller_result(node.serve(patient("r")).await).await
+}
+
+fn pausing() -> Behavior {
+    Behavior::PausingStream(vec![1, 2], SILENCE_MS, vec![3, 4])
+}
+
+/// Guards against a stream that is given up since its target is silent and no other
+/// target takes the rest.
+#[tokio::test]
+async fn serve_stream_outlasts_silence_without_other_target() {
+    let other = Behavior::Refuse(Refusal::Full);
+    let result = result_of(RouteKind::Stream, pausing(), other).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2, 3, 4], true));
+}
+
+/// Guards against a stream that is given up since the target that takes the rest is
+/// silent as well.
+#[tokio::test]
+async fn serve_stream_outlasts_silence_of_all() {
+    let result = result_of(RouteKind::Stream, pausing(), Behavior::Hang).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2, 3, 4], true));
+}
+
+/// Guards against a stream that is given up before its first event, which comes late.
+#[tokio::test]
+async fn serve_late_first_event_is_awaited() {
+    let first = Behavior::PausingStream(Vec::new(), SILENCE_MS, vec![1, 2]);
+    let other = Behavior::Refuse(Refusal::Full);
+    let result = result_of(RouteKind::Stream, first, other).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2], true));
+}
+
+/// Guards against a repeatable request that is given up while its target is silent.
+#[tokio::test]
+async fn serve_late_plain_answer_is_awaited() {
+    let other = Behavior::Refuse(Refusal::Full);
+    let first = Behavior::Answer(200, SILENCE_MS);
+    let result = result_of(RouteKind::Idempotent, first, other).await;
+    assert_eq!(result, CallerResult::Complete(200));
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -45,6 +45,8 @@
     /// Streams these event ids; then ends normally, or stops in the middle of an
     /// event.
     Stream(Vec<u64>, bool),
+    /// Streams these event ids, sends nothing for so many ms, then the others and its end.
+    PausingStream(Vec<u64>, u64, Vec<u64>),
     /// Streams these event ids and ends with the connection; the target exits with it
     /// if so asked.
     UnframedStream(Vec<u64>, bool),
@@ -188,6 +190,20 @@
                         ..respond(200, stream::iter(events).boxed())
                     })
                 }
+                Behavior::PausingStream(before, ms, after) => {
+                    let pause = async move {
+                        tokio::time::sleep(Duration::from_millis(ms)).await;
+                        None
+                    };
+                    let paced = stream::iter(before.into_iter().map(Some))
+                        .chain(stream::once(pause))
+                        .chain(stream::iter(after.into_iter().map(Some)));
+                    let paced = paced.filter_map(|id| async move { id.map(|i| Ok(event(i))) });
+                    Ok(Response {
+                        event_stream: true,
+                        ..respond(200, paced.boxed())
+                    })
+                }
                 Behavior::Stream(ids, ends) => {
                     let mut pieces: Vec<BodyChunk> =
                         ids.into_iter().map(|i| Ok(event(i))).collect();
