A silent target keeps its answer; another one is asked beside it

What callers saw: streams ended with a closed connection whenever their engine sent nothing for 1.2 s, whether or not a configuration changed, and repeatable requests got "unknown" while their target was about to answer.

Cause: the relay took a gap of 1.2 s for the end of the target and dropped the answer before another target had taken the stream; a send without a first event was dropped in the same way. A failure to hear was taken for an end, and the old was given up before the new was certain.

Change: an answer ends only for a cause of EndCause, logged as "cause" and counted in answers_ended. After 1.2 s of silence another target is asked beside the silent one. The first answer that brings the next event (or, before any event, the first answer) goes on and the other run is cancelled. comfreyhall-relay decides (Merge, EventOrder), the node only sends (serve/exchange.rs, serve/beside.rs, source.rs, relay.rs). A target counts as tried from the moment of the send, and the retry budget is taken only for a send. Events that the caller has are skipped up to a bound of bytes. Renames: policies.abandon_silent -> ask_beside (its key "patience" stays), first_event_timeout_ms -> silence_limit_ms.

--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{AdapterRef, EngineConfig, Map, Name, Route, RouteKind, Target};
+use comfreyhall_domain::{AdapterRef, EngineConfig, Map, Name, Target};
 use comfreyhall_placement::SlotTimePrice;
 use comfreyhall_routing::{
     selection,
@@ -361,8 +361,3 @@
         criteria.objective_ms,
     ))
 }
-
-/// Whether a hung send may be abandoned for another.
-pub(crate) fn repeatable(route: &Route) -> bool {
-    route.repeatable() && route.max_attempts > 1 && route.kind != RouteKind::NonIdempotent
-}
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -36,6 +36,7 @@
 mod rows;
 mod serve;
 mod slots;
+mod source;
 mod stop;
 mod streams;
 mod view;
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 
 use comfreyhall_domain::{RouteKind, Set};
+use comfreyhall_relay::EndCause;
 use comfreyhall_telemetry::Exposition;
 use opentelemetry::{
     KeyValue,
@@ -43,6 +44,8 @@
     commands: Counter<u64>,
     lease_changes: Counter<u64>,
     lost_targets: Gauge<u64>,
+    answers_ended: Counter<u64>,
+    silences: Counter<u64>,
     store_reads: Counter<u64>,
     quarantine: Counter<u64>,
     suspects_left_out: Counter<u64>,
@@ -125,6 +128,14 @@
                 "target_notices",
                 "targets that began or ceased to say something of themselves, by what",
             ),
+            answers_ended: counter(
+                "answers_ended",
+                "answers of targets that ended before they were complete, by cause",
+            ),
+            silences: counter(
+                "silences",
+                "targets that were silent for so long that another one was asked beside them",
+            ),
             store_reads: counter("store_reads", "readings of settings and targets by outcome"),
             rows_passed_over: counter(
                 "rows_passed_over",
@@ -156,6 +167,17 @@
         }
     }
 
+    /// Counts an answer of a target that ended before it was complete.
+    pub(crate) fn answer_ended(&self, cause: EndCause) {
+        let labels = [KeyValue::new("cause", cause.name())];
+        self.answers_ended.add(1, &labels);
+    }
+
+    /// Counts a target that was silent for so long that another one is asked.
+    pub(crate) fn silence(&self) {
+        self.silences.add(1, &[]);
+    }
+
     pub(crate) fn request(&self, kind: RouteKind, outcome: &'static str) {
         let kind = match kind {
             RouteKind::Idempotent => "safe",
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -1,202 +1,294 @@
-//! Relays an event stream, and resumes it at another target when it is
-//! interrupted.
+//! Relays an event stream, and goes on with the answer of another target when its own
+//! ends or is silent.
 //!
-//! The caller sees one stream: whole events, each id once, in order. When a
-//! target fails and the route allows it, the rest comes from another target
-//! after the last event sent to the caller. When the stream cannot be resumed,
-//! the caller's connection is aborted: an answer that ended early must not look
-//! complete.
+//! The caller sees one stream: whole events, each id once, in order. A target that is
+//! silent keeps its answer until another one has brought the next event. When no answer
+//! is open and none can be had, the caller's connection is aborted: an answer that ended
+//! early must not look complete.
 
 use std::{collections::VecDeque, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use comfreyhall_domain::Outcome;
-use comfreyhall_relay::{Event, EventSplitter};
+use comfreyhall_relay::{EndCause, Event, Merge, Next, SeekPolicy};
 use comfreyhall_routing::StreamSample;
-use futures::StreamExt;
 
 use crate::{
     active_send::ActiveSend,
     fleet::updates::StreamReport,
-    ports::{Body, Framing, Response},
+    ports::BodyError,
     quarantine,
-    serve::{ActiveRequest, EventStream},
+    serve::{ActiveRequest, EventStream, beside::Elsewhere, exchange::Exchanged},
+    source::{EventSource, Item, StreamStart},
 };
 
-/// Gap between events after which the target counts as hung, in ms. Callers
-/// count gaps over some 400 ms as late and leave after seconds; steps take 10
-/// to 50 ms, so a second without one is no ordinary load.
-const MAX_EVENT_GAP_MS: u64 = 1_200;
-
-/// Maximum number of resumptions of one stream.
-const MAX_RESUMES: u32 = 3;
-
 /// A stream from one target after another.
 pub(crate) struct Relay {
-    body: Body,
-    framing: Framing,
-    splitter: EventSplitter,
+    source: EventSource,
+    merge: Merge,
     pending: VecDeque<Event>,
-    /// Id of the last event sent to the caller.
-    last_event: Option<u64>,
-    pub(crate) send: ActiveSend,
+    send: ActiveSend,
+    /// Why the last answer that ended early did.
+    why: String,
     events_sent: u64,
-    resumes: u32,
     /// Time when events were first sent to the caller; 0 for never.
     first_sent_ms: u64,
     /// Time when events were last sent to the caller; 0 for never.
     last_sent_ms: u64,
     /// Longest gap between events so far, in ms.
     max_pause_ms: u64,
-    /// Whether the target closed the connection before the end.
-    pub(crate) connection_closed: bool,
 }
 
-/// What the current target delivered next.
-enum Step {
-    Events,
-    End,
-    Broken(String),
+/// How the stream goes on.
+enum Progress {
+    /// Events may be pending.
+    Going,
+    Complete {
+        /// Whether that is certain.
+        proven: bool,
+    },
+    GivenUp(EndCause),
 }
 
-/// Whether a stream that has ended is complete.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Ending {
-    Complete,
-    /// As far as can be told: its target does not say whether it has crashed.
-    Unproven,
-    TargetEnded,
+/// What came first while another answer was sought.
+enum Found {
+    /// Events of the open answer.
+    Events,
+    /// The end of the open answer.
+    End,
+    Other(Elsewhere),
+    Deadline,
 }
 
 impl Relay {
-    /// Relays the body of `response`; `last_event` is the last event that the caller has.
-    pub(crate) fn new(response: Response, send: ActiveSend, last_event: Option<u64>) -> Self {
+    /// Relays `start`, whose first events came at `now`.
+    pub(crate) fn new(start: StreamStart, send: ActiveSend, policy: SeekPolicy, now: u64) -> Self {
         Self {
-            body: response.body,
-            framing: response.framing,
-            splitter: EventSplitter::default(),
-            pending: VecDeque::new(),
-            last_event,
+            source: start.source,
+            merge: Merge::new(start.order, policy, now),
+            pending: start.events.into(),
             send,
+            why: String::new(),
             events_sent: 0,
-            resumes: 0,
             first_sent_ms: 0,
             last_sent_ms: 0,
             max_pause_ms: 0,
-            connection_closed: false,
         }
     }
 
-    /// Waits for the first event.
-    pub(crate) async fn first_event(&mut self, limit: Duration) -> Result<(), String> {
-        match tokio::time::timeout(limit, self.step()).await {
-            Ok(Step::Events) => {
-                self.send.record_first_event();
-                Ok(())
-            }
-            Ok(Step::End) => {
-                self.connection_closed = self.framing == Framing::UntilClose;
-                Err("the stream ended without an event".to_string())
+    /// The stream for the caller.
+    pub(crate) fn run(self, request: ActiveRequest) -> EventStream {
+        let state = Some((self, request));
+        Box::pin(futures::stream::unfold(state, |state| async {
+            let (mut relay, mut request) = state?;
+            match relay.next(&mut request).await {
+                Some(Ok(bytes)) => Some((Ok(bytes), Some((relay, request)))),
+                Some(Err(why)) => Some((Err(why), None)),
+                None => None,
             }
-            Ok(Step::Broken(why)) => Err(why),
-            Err(_) => Err("no first event in time".to_string()),
-        }
+        }))
     }
 
-    /// The next events of the current target, or its end.
-    async fn step(&mut self) -> Step {
+    async fn next(&mut self, request: &mut ActiveRequest) -> Option<Result<Bytes, String>> {
         loop {
-            while let Some(event) = self.splitter.take_event() {
-                if let Err(why) = self.accept(event) {
-                    return Step::Broken(why);
-                }
+            self.take_ready(request);
+            if let Some(bytes) = self.take_pending() {
+                self.record_pause(request.node.now());
+                request.report_going_on(&self.send);
+                return Some(Ok(bytes));
             }
-            if !self.pending.is_empty() {
-                return Step::Events;
+            match self.advance(request).await {
+                Progress::Going => {}
+                Progress::Complete { proven } => {
+                    self.finish(request, proven);
+                    return None;
+                }
+                Progress::GivenUp(cause) => {
+                    self.give_up(request, cause);
+                    return Some(Err(std::mem::take(&mut self.why)));
+                }
             }
-            match self.body.next().await {
-                Some(Ok(bytes)) => self.splitter.push(&bytes),
-                Some(Err(error)) => {
-                    self.connection_closed = error.cause.may_be_target_end();
-                    return Step::Broken(error.reason);
+        }
+    }
+
+    /// Waits for the open answer, or seeks another one.
+    async fn advance(&mut self, request: &mut ActiveRequest) -> Progress {
+        let now = request.node.now();
+        match self.merge.next(now, request.deadline_ms) {
+            Next::GiveUp(cause) => Progress::GivenUp(cause),
+            Next::Seek => self.seek(request).await,
+            Next::Wait { until_ms } => {
+                let limit = Duration::from_millis(until_ms.saturating_sub(now));
+                if !self.merge.is_open() {
+                    tokio::time::sleep(limit).await;
+                    return Progress::Going;
                 }
-                None if self.splitter.has_partial() => {
-                    self.connection_closed = true;
-                    return Step::Broken("the stream ended in the middle of an event".to_string());
+                let Ok(item) = tokio::time::timeout(limit, self.source.next()).await else {
+                    return Progress::Going;
+                };
+                match item {
+                    Item::Event(event) => self.take_event(request, event),
+                    Item::End => return self.end(request).await,
+                    Item::Broken(error) => self.break_off(request, &error),
                 }
-                None => return Step::End,
+                Progress::Going
             }
         }
     }
 
-    /// Whether the stream of the current target, which has ended, is complete.
-    async fn ending(&mut self, request: &ActiveRequest) -> Ending {
-        if self.framing == Framing::Explicit {
-            return Ending::Complete;
+    /// Seeks another answer beside the open one, if that is open.
+    async fn seek(&mut self, request: &mut ActiveRequest) -> Progress {
+        if self.merge.is_open() && self.merge.is_first_seek() {
+            request.record_silent(&self.send);
         }
-        match quarantine::has_ended(&request.node, &self.send.target).await {
-            Some(true) => Ending::TargetEnded,
-            Some(false) => Ending::Complete,
-            None => Ending::Unproven,
+        self.merge.seek_began();
+        let left = Duration::from_millis(request.remaining_ms());
+        let node = request.node.clone();
+        let mut broken = None;
+        let sends = request.sends();
+        let found = {
+            let asking = request.answer_elsewhere(self.merge.last());
+            let deadline = tokio::time::sleep(left);
+            tokio::pin!(asking, deadline);
+            loop {
+                tokio::select! {
+                    biased;
+                    item = self.source.next(), if self.merge.is_open() => match item {
+                        Item::Event(event) => match self.merge.event(&event, node.now()) {
+                            Ok(true) => {
+                                self.pending.push_back(event);
+                                break Found::Events;
+                            }
+                            Ok(false) => {}
+                            Err(why) => {
+                                self.merge.ended(EndCause::Broken, node.now());
+                                broken = Some(BodyError {
+                                    reason: why.to_string(),
+                                    cause: EndCause::Broken,
+                                });
+                            }
+                        },
+                        Item::End => break Found::End,
+                        Item::Broken(error) => {
+                            self.merge.ended(error.cause, node.now());
+                            broken = Some(error);
+                        }
+                    },
+                    other = &mut asking => break Found::Other(other),
+                    () = &mut deadline => break Found::Deadline,
+                }
+            }
+        };
+        if let Some(error) = broken {
+            self.break_off(request, &error);
+        }
+        match found {
+            Found::Events | Found::Deadline => request.record_cancelled(sends),
+            Found::End => {
+                request.record_cancelled(sends);
+                return self.end(request).await;
+            }
+            Found::Other(Ok(answer)) => match *answer {
+                (exchange, Exchanged::Stream(start)) => self.switch(request, exchange.send, start),
+                _ => self.fail_seek(request, "the other answer is no stream"),
+            },
+            Found::Other(Err(why)) => self.fail_seek(request, why),
         }
+        Progress::Going
     }
 
-    /// Queues an event that is in order; skips those that the caller has.
-    fn accept(&mut self, event: Event) -> Result<(), String> {
-        let newest = self.pending.back().and_then(|e| e.id).or(self.last_event);
-        match (event.id, newest) {
-            (Some(id), Some(last)) if id <= last => return Ok(()),
-            (Some(id), Some(last)) if id > last + 1 => {
-                return Err(format!("event {id} came after {last}"));
-            }
-            _ => {}
+    fn fail_seek(&mut self, request: &ActiveRequest, why: &'static str) {
+        request.log_not_asked(why);
+        self.merge.seek_failed(request.node.now());
+    }
+
+    /// Goes on with the answer `start`, whose first events are the next ones.
+    fn switch(&mut self, request: &mut ActiveRequest, mut send: ActiveSend, start: StreamStart) {
+        if self.merge.is_open() {
+            request.record_superseded(&self.send);
         }
-        self.pending.push_back(event);
-        Ok(())
+        send.record_first_event();
+        log::info!(target: "serve", id:% = request.client_request.id, target_id:% = send.target, software = request.software(), listed = request.targets_age_ms, last:? = self.merge.last(), resumes = self.merge.switches() + 1; "stream resumed");
+        self.merge.switch(start.order, request.node.now());
+        self.pending.extend(start.events);
+        // Dropping the former source cancels its run.
+        self.source = start.source;
+        self.send = send;
     }
 
-    /// The stream for the caller.
-    pub(crate) fn run(self, request: ActiveRequest) -> EventStream {
-        let state = Some((self, request));
-        Box::pin(futures::stream::unfold(state, |state| async {
-            let (mut relay, mut request) = state?;
-            match relay.next(&mut request).await {
-                Some(Ok(bytes)) => Some((Ok(bytes), Some((relay, request)))),
-                Some(Err(why)) => Some((Err(why), None)),
-                None => None,
+    /// Takes an event of the open answer.
+    fn take_event(&mut self, request: &mut ActiveRequest, event: Event) {
+        match self.merge.event(&event, request.node.now()) {
+            Ok(true) => self.pending.push_back(event),
+            Ok(false) => {}
+            Err(why) => {
+                let error = BodyError {
+                    reason: why.to_string(),
+                    cause: EndCause::Broken,
+                };
+                self.break_off(request, &error);
             }
-        }))
+        }
     }
 
-    async fn next(&mut self, request: &mut ActiveRequest) -> Option<Result<Bytes, String>> {
-        loop {
-            if let Some(bytes) = self.take_pending() {
-                self.record_pause(request.node.now());
-                request.report_going_on(&self.send);
-                return Some(Ok(bytes));
+    /// Takes the events of the open answer that have arrived whole.
+    fn take_ready(&mut self, request: &mut ActiveRequest) {
+        while self.merge.is_open()
+            && let Some(event) = self.source.take_ready()
+        {
+            self.take_event(request, event);
+        }
+    }
+
+    /// The open answer has ended; it is complete unless its target has ended with it.
+    async fn end(&mut self, request: &mut ActiveRequest) -> Progress {
+        if self.source.has_explicit_end() {
+            return Progress::Complete { proven: true };
+        }
+        match quarantine::has_ended(&request.node, &self.send.target).await {
+            Some(true) => {
+                let error = BodyError {
+                    reason: "the target ended with its stream".to_string(),
+                    cause: EndCause::TargetEnded,
+                };
+                self.break_off(request, &error);
+                Progress::Going
             }
-            let pause = MAX_EVENT_GAP_MS.min(request.remaining_ms());
-            let why = match tokio::time::timeout(Duration::from_millis(pause), self.step()).await {
-                Ok(Step::Events) => continue,
-                Ok(Step::End) => match self.ending(request).await {
-                    Ending::TargetEnded => {
-                        self.connection_closed = true;
-                        "the target ended with its stream".to_string()
-                    }
-                    ending => {
-                        self.finish(request, ending == Ending::Complete);
-                        return None;
-                    }
-                },
-                Ok(Step::Broken(why)) => why,
-                Err(_) if request.remaining_ms() == 0 => "the deadline has passed".to_string(),
-                Err(_) if !request.route.repeatable() => continue,
-                Err(_) => "no event within the maximum gap".to_string(),
+            known => Progress::Complete {
+                proven: known.is_some(),
+            },
+        }
+    }
+
+    /// The open answer has ended early.
+    fn break_off(&mut self, request: &mut ActiveRequest, error: &BodyError) {
+        let cause = error.cause;
+        self.merge.ended(cause, request.node.now());
+        self.source.close();
+        self.send.record_outcome(false, 1.0);
+        if cause.may_be_target_end() {
+            request.report_closed(&self.send);
+        }
+        request.history.record(Outcome::Broken);
+        request.node.metrics.answer_ended(cause);
+        self.why = error.reason.clone();
+        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, fingerprint:% = request.fingerprint(), segments = request.client_request.segment_ids(), target_id:% = self.send.target, software = request.software(), events = self.events_sent, cause = cause.name(), why = self.why, left = request.remaining_ms(); "stream broke off");
+    }
+
+    fn give_up(&mut self, request: &mut ActiveRequest, cause: EndCause) {
+        if self.merge.is_open() {
+            let error = BodyError {
+                reason: "the deadline has passed".to_string(),
+                cause,
             };
-            if let Err(why) = self.resume(request, why).await {
-                return Some(Err(why));
-            }
+            self.break_off(request, &error);
         }
+        request.finished = true;
+        request
+            .node
+            .metrics
+            .request(request.route.kind, "broken_off");
+        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, cause = cause.name(), last:? = self.merge.last(), resumes = self.merge.switches(); "stream given up");
     }
 
     /// Records the end of the stream; `proven`: it is certain that it is complete.
@@ -209,12 +301,12 @@
         request.finished = true;
         request.node.metrics.request(request.route.kind, "answered");
         let (config, bound) = request.settings_bound();
-        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, target_id:% = self.send.target, software = request.software(), listed = request.targets_age_ms, adapter:% = request.adapter(), events = self.events_sent, resumes = self.resumes, first = request.first_event_ms, stall = request.load_wait_ms, pause = self.max_pause_ms, aim = request.route.objective_ms, sends = request.history.sends, ms = self.send.elapsed_ms(), config, bound, age = request.settings_age_ms; "streamed");
+        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, target_id:% = self.send.target, software = request.software(), listed = request.targets_age_ms, adapter:% = request.adapter(), events = self.events_sent, resumes = self.merge.switches(), first = request.first_event_ms, stall = request.load_wait_ms, pause = self.max_pause_ms, aim = request.route.objective_ms, sends = request.history.sends, ms = self.send.elapsed_ms(), config, bound, age = request.settings_age_ms; "streamed");
     }
 
     /// Reports how fast the target streamed; a resumed stream had two targets.
     fn report_pace(&self, request: &ActiveRequest) {
-        if self.resumes > 0 || self.events_sent == 0 {
+        if self.merge.switches() > 0 || self.events_sent == 0 {
             return;
         }
         let events = self.events_sent as u32;
@@ -245,57 +337,15 @@
     /// All queued events in one chunk.
     fn take_pending(&mut self) -> Option<Bytes> {
         let first = self.pending.pop_front()?;
-        self.last_event = first.id.or(self.last_event);
         self.events_sent += 1;
         if self.pending.is_empty() {
             return Some(first.bytes);
         }
         let mut all = BytesMut::from(&first.bytes[..]);
         while let Some(event) = self.pending.pop_front() {
-            self.last_event = event.id.or(self.last_event);
             self.events_sent += 1;
             all.extend_from_slice(&event.bytes);
         }
         Some(all.freeze())
     }
-
-    /// Resumes at another target after the last event sent to the caller.
-    async fn resume(&mut self, request: &mut ActiveRequest, why: String) -> Result<(), String> {
-        self.send.record_outcome(false, 1.0);
-        if std::mem::take(&mut self.connection_closed) {
-            request.report_closed(&self.send);
-        }
-        request.history.record(Outcome::Broken);
-        let last = self.last_event;
-        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, fingerprint:% = request.fingerprint(), segments = request.client_request.segment_ids(), target_id:% = self.send.target, software = request.software(), events = self.events_sent, why, left = request.remaining_ms(); "stream broke off");
-        // The old run must be cancelled before the new one begins.
-        self.body = Box::pin(futures::stream::empty());
-        self.splitter = EventSplitter::default();
-        while request.route.repeatable() && last.is_some() && self.resumes < MAX_RESUMES {
-            self.resumes += 1;
-            let (response, send) = match request.resume_elsewhere(last).await {
-                Ok(resumed) => resumed,
-                Err(refused) => {
-                    log::info!(target: "serve", id:% = request.client_request.id, refused, resumes = self.resumes, left = request.remaining_ms(); "stream not resumed");
-                    break;
-                }
-            };
-            if response.refusal.is_some() || !response.status.is_success() || !response.event_stream
-            {
-                continue;
-            }
-            log::info!(target: "serve", id:% = request.client_request.id, target_id:% = send.target, software = request.software(), listed = request.targets_age_ms, last:? = last, resumes = self.resumes; "stream resumed");
-            self.body = response.body;
-            self.framing = response.framing;
-            self.send = send;
-            return Ok(());
-        }
-        request.finished = true;
-        request
-            .node
-            .metrics
-            .request(request.route.kind, "broken_off");
-        log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, last:? = last, resumes = self.resumes; "stream given up");
-        Err(why)
-    }
 }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -5,9 +5,11 @@
 //! `answer_for` alone chooses the answer. A request that fails early is answered at
 //! once.
 
+pub(crate) mod beside;
 mod caller;
 mod counting;
 mod entry;
+pub(crate) mod exchange;
 mod give_up;
 mod pass_on;
 mod place;
@@ -28,6 +30,7 @@
 use bytes::Bytes;
 use comfreyhall_domain::{Caller, ClientRequest, Config, EngineConfig, Name, Route, SendHistory};
 use comfreyhall_quarantine::Feature;
+use comfreyhall_relay::EndCause;
 use comfreyhall_routing::admission;
 use comfreyhall_slots::SlotShare;
 use http::{HeaderMap, StatusCode};
@@ -146,6 +149,7 @@
         if !self.finished {
             let held = self.node.now().saturating_sub(self.began_ms);
             self.node.metrics.request(self.route.kind, "caller_left");
+            self.node.metrics.answer_ended(EndCause::CallerLeft);
             log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, held, stall = self.load_wait_ms, first = self.first_event_ms, sends = self.history.sends; "caller left");
         }
     }
@@ -343,12 +347,11 @@
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
             let last_event = self.client_request.last_event_id;
-            match self.send(&mut plan, permit, last_event).await {
-                Ok((response, send)) => match self.handle_response(response, send, plan).await {
-                    Next::Reply(reply) => return reply,
-                    Next::Retry => self = self.next_seed(),
-                },
-                Err(()) => self = self.next_seed(),
+            let exchange = self.begin_send(plan, permit, last_event);
+            let (exchange, outcome) = self.await_outcome(exchange).await;
+            match self.conclude(exchange, outcome) {
+                Next::Reply(reply) => return reply,
+                Next::Retry => self = self.next_seed(),
             }
             if !self.history.may_send(self.route.repeatable(), u32::MAX) {
                 return self.give_up("it may have run", 0.0);
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -1,88 +1,62 @@
 //! Answers that are not streams: read to their end, checked and passed on.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use comfreyhall_domain::{Outcome, RouteKind};
+use comfreyhall_domain::{Outcome, RouteKind, Target};
 use futures::StreamExt;
-use http::{HeaderMap, StatusCode};
 
 use super::{
     ActiveRequest, complete_reply,
+    exchange::WholeAnswer,
     send::{FAILED_WEIGHT, Next},
 };
 use crate::{
     active_send::ActiveSend,
-    ports::{Body, BodyError, EndCause, Framing, Response},
+    node::Node,
+    ports::{Body, BodyError, EndCause, Framing},
     quarantine,
 };
 
-impl ActiveRequest {
-    /// Reads the body of a response and turns it into the caller's answer, or decides to
-    /// retry.
-    pub(super) async fn handle_plain(&mut self, response: Response, mut send: ActiveSend) -> Next {
-        let (status, headers, framing) = (response.status, response.headers, response.framing);
-        let left = Duration::from_millis(self.remaining_ms());
-        let body = match tokio::time::timeout(left, collect(response.body)).await {
-            Ok(Ok(body)) => Ok(self.check_ending(framing, body, &send).await),
-            failed => failed.map(|body| body.map(|body| (body, true))),
-        };
-        match body {
-            Ok(Ok((body, proven))) => {
-                send.record_first_event();
-                self.handle_complete(status, headers, body, proven, send)
-            }
-            failed => {
-                let why = match failed {
-                    Ok(Err(failed)) => {
-                        if failed.cause.may_be_target_end() {
-                            self.report_closed(&send);
-                        }
-                        failed.reason
-                    }
-                    _ => "the deadline has passed".to_string(),
-                };
-                self.history.record(Outcome::Broken);
-                send.record_outcome(false, FAILED_WEIGHT);
-                self.log_send(&send.target, "broken off", &why);
-                Next::Retry
-            }
-        }
+/// Reads the body of an answer to its end; returns with it whether it is certain that it
+/// is complete.
+///
+/// # Errors
+///
+/// The answer ended early.
+pub(super) async fn read(
+    node: &Arc<Node>,
+    target: &Target,
+    framing: Framing,
+    body: Body,
+) -> Result<(Bytes, bool), BodyError> {
+    let body = collect(body).await?;
+    if framing == Framing::Explicit {
+        return Ok((body, true));
     }
-
-    /// Checks whether a body that has ended is complete; returns with it whether that is
-    /// certain.
-    async fn check_ending(
-        &self,
-        framing: Framing,
-        body: Bytes,
-        send: &ActiveSend,
-    ) -> Result<(Bytes, bool), BodyError> {
-        if framing == Framing::Explicit {
-            return Ok((body, true));
-        }
-        let has_ended = match body.is_empty() {
-            true => Some(true),
-            false => quarantine::has_ended(&self.node, &send.target).await,
-        };
-        match has_ended {
-            Some(true) => Err(BodyError {
-                reason: "the target ended with its answer".to_string(),
-                cause: EndCause::TargetEnded,
-            }),
-            known => Ok((body, known.is_some())),
-        }
+    let has_ended = match body.is_empty() {
+        true => Some(true),
+        false => quarantine::has_ended(node, &target.id).await,
+    };
+    match has_ended {
+        Some(true) => Err(BodyError {
+            reason: "the target ended with its answer".to_string(),
+            cause: EndCause::TargetEnded,
+        }),
+        known => Ok((body, known.is_some())),
     }
+}
 
-    /// Handles a complete response; `proven`: it is certain that it is.
-    pub(super) fn handle_complete(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: Bytes,
-        proven: bool,
-        send: ActiveSend,
-    ) -> Next {
+impl ActiveRequest {
+    /// Turns a whole answer into the caller's, or decides to retry.
+    pub(super) fn handle_whole(&mut self, answer: WholeAnswer, mut send: ActiveSend) -> Next {
+        let WholeAnswer {
+            status,
+            headers,
+            body,
+            proven,
+        } = answer;
+        send.record_first_event();
         let now = self.node.now();
         let ok = !status.is_server_error();
         send.record_outcome(ok, FAILED_WEIGHT);
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -1,26 +1,28 @@
 //! Sending a request once, and evaluating the response.
 
-use std::time::Duration;
-
 use comfreyhall_domain::{Name, Outcome, Refusal};
 use comfreyhall_routing::Presence;
 
-use super::{ActiveRequest, Reply, place::BindOutcome, renew::Renewal};
+use super::{
+    ActiveRequest, Reply,
+    exchange::{Exchange, Exchanged},
+};
 use crate::{
     active_send::{ActiveSend, RunHandle},
-    choose::{self, Plan},
+    choose::Plan,
     outbound::{self, Permit, UnavailableTargets},
-    ports::{Response, SendError, SendOptions},
+    ports::{BodyError, SendError, SendOptions},
     relay::Relay,
+    source::StreamStart,
 };
 
 /// How long a target that could not be reached is excluded, in ms.
 pub(super) const UNREACHABLE_MS: u64 = 700;
 
-/// Minimum time after which a missing first event means a hung target, in ms,
-/// and the factor on the estimate: the estimate is off by a prompt or two, and
-/// the longest prompts take over a second. Giving up on a target too early
-/// wastes its prefill and one of two attempts.
+/// Minimum time without a first event after which another target is asked beside the
+/// silent one, in ms, and the factor on the estimate: the estimate is off by a prompt or
+/// two, and the longest prompts take over a second. Asking too early wastes a prefill
+/// and one of two attempts.
 const MIN_FIRST_EVENT_MS: u64 = 1_200;
 
 const FIRST_EVENT_FACTOR: f64 = 2.5;
@@ -30,10 +32,6 @@
 
 const UNREACHABLE_WEIGHT: f64 = 2.0;
 
-/// Targets considered for the rest of a stream: each one lengthens the pause
-/// that the caller sees.
-const MAX_RESUME_CHOICES: u32 = 3;
-
 /// What follows after a send.
 pub(super) enum Next {
     Reply(Reply),
@@ -41,15 +39,13 @@
 }
 
 impl ActiveRequest {
-    /// How long to wait for the first event before another target is tried.
-    pub(super) fn first_event_timeout_ms(&self, plan: &Plan) -> u64 {
-        let tries = self.tried.len() as u32 + 1;
-        let may_abandon = self.node.policies().abandon_silent;
-        if !may_abandon || !choose::repeatable(&self.route) || tries >= self.route.max_attempts {
+    /// How long the target of `plan` may be silent before another one is asked beside it.
+    pub(super) fn silence_limit_ms(&self, plan: &Plan) -> u64 {
+        if !self.may_ask_beside() || self.only_tried() {
             return self.remaining_ms();
         }
-        let timeout_ms = MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64;
-        timeout_ms.min(self.remaining_ms())
+        let limit_ms = MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64;
+        limit_ms.min(self.remaining_ms())
     }
 
     /// Asks for permission to send to the plan's target now; a target that takes
@@ -84,13 +80,14 @@
         log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, targets, left_out; "targets take nothing");
     }
 
-    /// Sends it; an error has already been added to the verdict.
-    pub(crate) async fn send(
+    /// Sends it to the target of `plan`. The target counts as tried from now on, whatever
+    /// becomes of the send.
+    pub(super) fn begin_send(
         &mut self,
-        plan: &mut Plan,
+        mut plan: Plan,
         permit: Permit,
         last_event: Option<u64>,
-    ) -> Result<(Response, ActiveSend), ()> {
+    ) -> Exchange {
         let options = SendOptions {
             timeout_ms: self.remaining_ms(),
             required_version: plan.required_version,
@@ -113,7 +110,7 @@
             .adapter
             .clone()
             .filter(|_| self.engine.is_some());
-        let run_handle = self.run_handle(plan);
+        let run_handle = self.run_handle(&mut plan);
         let send = ActiveSend::begin(
             &self.node,
             &plan.target,
@@ -121,50 +118,9 @@
             plan.unread_tokens,
             run_handle,
         );
-        let patience = Duration::from_millis(self.first_event_timeout_ms(plan));
-        let client_request = self.client_request.clone();
-        match outbound::send(
-            &self.node,
-            &plan.target,
-            permit,
-            client_request,
-            options,
-            patience,
-        )
-        .await
-        {
-            Ok(response) => {
-                self.mark_delivered(&plan.target.id);
-                Ok((response, send))
-            }
-            Err(SendError::NotSent(why)) => {
-                self.unreached += 1;
-                self.history.record(Outcome::NotSent);
-                send.record_outcome(false, UNREACHABLE_WEIGHT);
-                let until_ms = self.node.now() + UNREACHABLE_MS;
-                self.node
-                    .view()
-                    .unavailable_until
-                    .insert(plan.target.id.clone(), until_ms);
-                self.log_send(&plan.target.id, "not sent", &why);
-                Err(())
-            }
-            Err(SendError::ConnectionClosed(why)) => {
-                self.mark_delivered(&plan.target.id);
-                self.history.record(Outcome::Indeterminate);
-                send.record_outcome(false, FAILED_WEIGHT);
-                self.report_closed(&send);
-                self.log_send(&plan.target.id, "in doubt", &why);
-                Err(())
-            }
-            Err(SendError::Indeterminate(why)) => {
-                self.mark_delivered(&plan.target.id);
-                self.history.record(Outcome::Indeterminate);
-                send.record_outcome(false, FAILED_WEIGHT);
-                self.log_send(&plan.target.id, "in doubt", &why);
-                Err(())
-            }
-        }
+        self.mark_delivered(&plan.target.id);
+        let request = self.client_request.clone();
+        Exchange::begin(&self.node, plan, send, permit, request, options)
     }
 
     /// The handle under which this run is reported: the holder's, or a new one if
@@ -179,13 +135,19 @@
         Some(plan.run_handle.take().unwrap_or_else(new_handle))
     }
 
-    pub(super) fn mark_delivered(&mut self, target: &Name) {
+    fn mark_delivered(&mut self, target: &Name) {
         self.deliveries += 1;
         if !self.tried.contains(target) {
             self.tried.push(target.clone());
         }
     }
 
+    /// Takes back what [`Self::mark_delivered`] noted, as nothing reached the target.
+    fn mark_undelivered(&mut self, target: &Name) {
+        self.deliveries = self.deliveries.saturating_sub(1);
+        self.tried.retain(|t| t != target);
+    }
+
     pub(super) fn log_send(&self, target: &Name, outcome: &'static str, why: &str) {
         self.node.metrics.send(outcome);
         let left = self.remaining_ms();
@@ -193,31 +155,64 @@
         log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, fingerprint:%, segments = self.client_request.segment_ids(), target_id:% = target, software = self.software(), listed = self.targets_age_ms, outcome, why, left, config = self.config_version, bound = self.bound_after_ms, age = self.settings_age_ms; "send");
     }
 
-    /// Turns a target's response into the caller's answer, or decides to retry.
-    pub(super) async fn handle_response(
-        &mut self,
-        response: Response,
-        send: ActiveSend,
-        plan: Plan,
-    ) -> Next {
-        if let Some(refusal) = response.refusal {
-            self.handle_refusal(refusal, &send, &plan);
-            return Next::Retry;
+    /// Turns what came of a send into the caller's answer, or decides to retry.
+    pub(super) fn conclude(&mut self, exchange: Exchange, outcome: Exchanged) -> Next {
+        let Exchange { plan, send, .. } = exchange;
+        match outcome {
+            Exchanged::Stream(start) => return self.begin_relay(start, send, &plan),
+            Exchanged::Whole(answer) => return self.handle_whole(answer, send),
+            Exchanged::Refused(refusal) => self.handle_refusal(refusal, &send, &plan),
+            Exchanged::Unverified => {
+                self.history.record(Outcome::Indeterminate);
+                send.record_outcome(false, FAILED_WEIGHT);
+                let why = "the response lacks the marker of a target";
+                self.log_send(&send.target, "in doubt", why);
+            }
+            Exchanged::Broken(error) => self.handle_broken(&error, &send),
+            Exchanged::Failed(error) => self.handle_failed(error, &send),
         }
-        if response.status.is_success() && !response.verified {
-            self.history.record(Outcome::Indeterminate);
-            send.record_outcome(false, FAILED_WEIGHT);
-            self.log_send(
-                &send.target,
-                "in doubt",
-                "the response lacks the marker of a target",
-            );
-            return Next::Retry;
+        Next::Retry
+    }
+
+    /// Records an answer that ended before the caller got any of it.
+    fn handle_broken(&mut self, error: &BodyError, send: &ActiveSend) {
+        if error.cause.may_be_target_end() {
+            self.report_closed(send);
         }
-        if response.status.is_success() && response.event_stream {
-            return self.relay(response, send, plan).await;
+        self.history.record(Outcome::Broken);
+        send.record_outcome(false, FAILED_WEIGHT);
+        self.node.metrics.answer_ended(error.cause);
+        self.log_send(&send.target, error.cause.name(), &error.reason);
+    }
+
+    /// Records a send without an answer.
+    fn handle_failed(&mut self, error: SendError, send: &ActiveSend) {
+        let target = &send.target;
+        match error {
+            SendError::NotSent(why) => {
+                self.mark_undelivered(target);
+                self.unreached += 1;
+                self.history.record(Outcome::NotSent);
+                send.record_outcome(false, UNREACHABLE_WEIGHT);
+                let until_ms = self.node.now() + UNREACHABLE_MS;
+                self.node
+                    .view()
+                    .unavailable_until
+                    .insert(target.clone(), until_ms);
+                self.log_send(target, "not sent", &why);
+            }
+            SendError::ConnectionClosed(why) => {
+                self.history.record(Outcome::Indeterminate);
+                send.record_outcome(false, FAILED_WEIGHT);
+                self.report_closed(send);
+                self.log_send(target, "in doubt", &why);
+            }
+            SendError::Indeterminate(why) => {
+                self.history.record(Outcome::Indeterminate);
+                send.record_outcome(false, FAILED_WEIGHT);
+                self.log_send(target, "in doubt", &why);
+            }
         }
-        self.handle_plain(response, send).await
     }
 
     pub(super) fn handle_refusal(&mut self, refusal: Refusal, send: &ActiveSend, plan: &Plan) {
@@ -256,47 +251,27 @@
         log::debug!(target: "serve", id:% = self.client_request.id, expect:? = plan.required_version, load = plan.needs_load; "target refused the request");
     }
 
-    pub(super) async fn relay(&mut self, response: Response, send: ActiveSend, plan: Plan) -> Next {
-        let (status, headers) = (response.status, response.headers.clone());
-        let patience = self
-            .first_event_timeout_ms(&plan)
-            .saturating_sub(send.elapsed_ms())
-            .max(1);
-        let mut relay = Relay::new(response, send, self.client_request.last_event_id);
-        let first = relay.first_event(Duration::from_millis(patience)).await;
-        match first {
-            Ok(()) => {
-                if let Some(adapter) = &self.client_request.adapter {
-                    let now = self.node.now();
-                    let mut view = self.node.view();
-                    let target = &plan.target.id;
-                    view.prefixes.record(
-                        adapter,
-                        &self.client_request.prompt_segments,
-                        target,
-                        now,
-                    );
-                }
-                self.stream_began(&plan.target);
-                let request = self.detach();
-                self.node.metrics.first_event(request.first_event_ms);
-                let body = relay.run(request);
-                Next::Reply(Reply::Stream {
-                    status,
-                    headers,
-                    body,
-                })
-            }
-            Err(why) => {
-                if relay.connection_closed {
-                    self.report_closed(&relay.send);
-                }
-                self.history.record(Outcome::Broken);
-                relay.send.record_outcome(false, FAILED_WEIGHT);
-                self.log_send(&plan.target.id, "broken off before its first event", &why);
-                Next::Retry
-            }
+    /// Relays a stream whose first event has arrived.
+    fn begin_relay(&mut self, start: StreamStart, mut send: ActiveSend, plan: &Plan) -> Next {
+        send.record_first_event();
+        if let Some(adapter) = &self.client_request.adapter {
+            let now = self.node.now();
+            let mut view = self.node.view();
+            let target = &plan.target.id;
+            view.prefixes
+                .record(adapter, &self.client_request.prompt_segments, target, now);
         }
+        self.stream_began(&plan.target);
+        let (status, headers) = (start.status, start.headers.clone());
+        let request = self.detach();
+        self.node.metrics.first_event(request.first_event_ms);
+        let relay = Relay::new(start, send, request.seek_policy(), self.node.now());
+        let body = relay.run(request);
+        Next::Reply(Reply::Stream {
+            status,
+            headers,
+            body,
+        })
     }
 
     /// Moves the request into its stream.
@@ -340,59 +315,4 @@
             finished: false,
         }
     }
-
-    /// Chooses a target for the rest of an interrupted stream and sends it there; an
-    /// error says why no target was asked, or that the asked one did not answer.
-    pub(crate) async fn resume_elsewhere(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<(Response, ActiveSend), &'static str> {
-        if let Some(why) = self.cannot_resume() {
-            return Err(why);
-        }
-        if self.quarantined().await.is_some() {
-            return Err("it is quarantined");
-        }
-        if !self.take_retry() {
-            return Err("the retry budget is spent");
-        }
-        for _ in 0..MAX_RESUME_CHOICES {
-            if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
-                return Err("its settings have changed");
-            }
-            let mut plan = self.choose().ok_or("no target can take it")?;
-            if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
-                return Err("no engine is bound");
-            }
-            let Some(permit) = self.permit(&plan).await else {
-                continue;
-            };
-            if self.quarantined().await.is_some() {
-                return Err("it is quarantined");
-            }
-            if !self.target_still_accepts(&plan) {
-                return Err("the target takes no more work");
-            }
-            if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
-                return Err("its settings have changed");
-            }
-            let sent = self.send(&mut plan, permit, last_event).await;
-            return sent.map_err(|()| "the target did not answer");
-        }
-        Err("its targets take no more now")
-    }
-
-    /// Why the rest of its stream may not be sent to another target.
-    fn cannot_resume(&self) -> Option<&'static str> {
-        if !self.history.may_send(self.route.repeatable(), u32::MAX) {
-            return Some("it may run only once");
-        }
-        if self.tried.len() as u32 >= self.route.max_attempts {
-            return Some("its attempts are spent");
-        }
-        if !self.may_change_target() {
-            return Some("its version is not known");
-        }
-        (self.remaining_ms() == 0).then_some("its deadline has passed")
-    }
 }
--- /dev/null
+++ b/crates/comfreyhall-node/src/source.rs
@@ -0,0 +1,117 @@
+//! The events of one answer as they arrive from its target.
+
+use bytes::Bytes;
+use comfreyhall_relay::{EndCause, Event, EventOrder, EventSplitter};
+use futures::StreamExt;
+use http::{HeaderMap, StatusCode};
+
+use crate::ports::{Body, BodyError, Framing};
+
+/// What an answer brings next.
+pub(crate) enum Item {
+    /// A whole event.
+    Event(Event),
+    /// Its end; complete unless its framing leaves that open.
+    End,
+    /// It ended early.
+    Broken(BodyError),
+}
+
+/// The body of one answer, split into events. Dropping it cancels the run.
+pub(crate) struct EventSource {
+    body: Body,
+    framing: Framing,
+    splitter: EventSplitter,
+}
+
+/// A stream whose first new events have arrived.
+pub(crate) struct StreamStart {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) source: EventSource,
+    /// The order after `events`.
+    pub(crate) order: EventOrder,
+    pub(crate) events: Vec<Event>,
+}
+
+impl EventSource {
+    pub(crate) fn new(body: Body, framing: Framing) -> Self {
+        Self {
+            body,
+            framing,
+            splitter: EventSplitter::default(),
+        }
+    }
+
+    /// Whether its end shows that it is complete.
+    pub(crate) fn has_explicit_end(&self) -> bool {
+        self.framing == Framing::Explicit
+    }
+
+    /// The next event or the end. Nothing is lost if the future is dropped.
+    pub(crate) async fn next(&mut self) -> Item {
+        loop {
+            if let Some(event) = self.splitter.take_event() {
+                return Item::Event(event);
+            }
+            match self.body.next().await {
+                Some(Ok(bytes)) => self.push(&bytes),
+                Some(Err(error)) => return Item::Broken(error),
+                None if self.splitter.has_partial() => {
+                    return Item::Broken(BodyError {
+                        reason: "the stream ended in the middle of an event".to_string(),
+                        cause: EndCause::ConnectionClosed,
+                    });
+                }
+                None => return Item::End,
+            }
+        }
+    }
+
+    fn push(&mut self, bytes: &Bytes) {
+        self.splitter.push(bytes);
+    }
+
+    /// Cancels the run.
+    pub(crate) fn close(&mut self) {
+        self.body = Box::pin(futures::stream::empty());
+        self.splitter = EventSplitter::default();
+    }
+
+    /// The next event that has arrived whole.
+    pub(crate) fn take_ready(&mut self) -> Option<Event> {
+        self.splitter.take_event()
+    }
+
+    /// Reads up to the first event that `order` accepts.
+    ///
+    /// # Errors
+    ///
+    /// The stream ended before it.
+    pub(crate) async fn first_event(&mut self, order: &mut EventOrder) -> Result<Event, BodyError> {
+        loop {
+            match self.next().await {
+                Item::Event(event) => match order.accept(&event) {
+                    Ok(true) => return Ok(event),
+                    Ok(false) => {}
+                    Err(why) => {
+                        return Err(BodyError {
+                            reason: why.to_string(),
+                            cause: EndCause::Broken,
+                        });
+                    }
+                },
+                Item::End => {
+                    return Err(BodyError {
+                        reason: "the stream ended without an event".to_string(),
+                        cause: match self.has_explicit_end() {
+                            true => EndCause::Broken,
+                            false => EndCause::ConnectionClosed,
+                        },
+                    });
+                }
+                Item::Broken(error) => return Err(error),
+            }
+        }
+    }
+}
--- a/crates/comfreyhall-relay/src/lib.rs
+++ b/crates/comfreyhall-relay/src/lib.rs
@@ -5,10 +5,14 @@
 
 mod cause;
 mod events;
+mod merge;
+mod order;
 
 pub use crate::{
     cause::EndCause,
     events::{Event, EventSplitter},
+    merge::{Merge, Next, SeekPolicy},
+    order::{EventOrder, OrderError},
 };
 
 #[cfg(test)]
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -140,10 +140,10 @@
     pub prefer_local: bool,
     /// Loads from the weight store are limited by how fast it serves them.
     pub load_window: bool,
-    /// A request to a target that stays silent for long is abandoned for another
-    /// target.
+    /// Another target is asked beside one that is silent for long; off: the request
+    /// waits for the silent one.
     #[serde(rename = "patience")]
-    pub abandon_silent: bool,
+    pub ask_beside: bool,
     /// Scarce adapter slots are shared among workspaces, or among route
     /// priorities where there are none, by max-min fairness; off: by priority and
     /// arrival.
@@ -179,7 +179,7 @@
             outliers: true,
             prefer_local: true,
             load_window: true,
-            abandon_silent: true,
+            ask_beside: true,
             fair_slots: true,
             engine_pace: false,
             weight_affinity: true,
--- a/crates/comfreyhall-settings/src/tests.rs
+++ b/crates/comfreyhall-settings/src/tests.rs
@@ -64,7 +64,7 @@
     let all = node_settings("").unwrap().policies;
     assert_eq!(all, crate::Policies::default());
     let without_admission = node_settings("policies: { admission: false }").unwrap();
-    assert!(!without_admission.policies.admission && without_admission.policies.abandon_silent);
+    assert!(!without_admission.policies.admission && without_admission.policies.ask_beside);
     let unknown = node_settings("policies: { admision: false }").unwrap_err();
     assert!(unknown.to_string().contains("admision"), "{unknown}");
 }
