Links: an answer that a daemon passes on outlasts a peer that is silent for seconds

Callers of a daemon that reaches no target saw: a stream that ends after two seconds of a silent peer, or 502 for a request that the peer has run.

Cause: HTTP/2 pings each second, from both ends, ended a connection after one second without an answer, with all calls on it.

Evidence: serve_passed_on_stream_survives_silent_peer and serve_passed_on_answer_survives_silent_peer (a path that carries nothing for 3 s) failed before: Stream([1, 2, 3, 4], false) of ten events, and Unknown. Both pass, and tests/forward.rs and tests/reach.rs.

Requests passed on have a connection of their own, whose pings may wait for 10 s, as those of the receiving end; calls with short timeouts keep theirs, where a dead connection is noticed as soon as before. When gossip with the peer fails, the next request gets a new connection and the old one stays until its answers have ended, so that no later request is sent on a dead one.

--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -91,6 +91,10 @@
     let answer = tokio::time::timeout(EXCHANGE_TIMEOUT, client.exchange(gossip)).await;
     if let Some(peer) = node.fleet.state().peers.get_mut(&addr) {
         peer.calling = false;
+        if !matches!(answer, Ok(Ok(_))) {
+            // The next requests get a new connection; answers on this one go on.
+            peer.answer_client = None;
+        }
     }
     match answer {
         Ok(Ok(reply)) => node
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -44,6 +44,8 @@
 
 pub(super) struct Peer {
     pub(super) client: FleetClient<Channel>,
+    /// Used for requests that are passed on, once there was one.
+    pub(super) answer_client: Option<FleetClient<Channel>>,
     pub(super) seed: bool,
     pub(super) daemon: Option<Daemon>,
     /// When its address became known.
@@ -189,6 +191,7 @@
         let untold_from = state.next_placement;
         state.peers.entry(addr.into()).or_insert_with(|| Peer {
             client: FleetClient::new(link::channel(addr)),
+            answer_client: None,
             seed,
             daemon: None,
             met_at_ms: clock::now(),
@@ -331,6 +334,14 @@
         self.state().peers.get(peer).map(|p| p.client.clone())
     }
 
+    /// A client for calls whose answers take as long as callers wait.
+    pub(crate) fn answer_client(&self, addr: &str) -> Option<FleetClient<Channel>> {
+        let mut state = self.state();
+        let peer = state.peers.get_mut(addr)?;
+        let open = || FleetClient::new(link::answer_channel(addr));
+        Some(peer.answer_client.get_or_insert_with(open).clone())
+    }
+
     /// Clients of up to `most` peers seen recently, drawn at random.
     pub(crate) fn some_clients(&self, most: usize, now: u64) -> Vec<FleetClient<Channel>> {
         let state = self.state();
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -56,7 +56,7 @@
     left_ms: u64,
 ) -> Result<Reply, Status> {
     let unreachable = || Status::unavailable("the daemon is not known any more");
-    let mut client = node.fleet.client(peer).ok_or_else(unreachable)?;
+    let mut client = node.fleet.answer_client(peer).ok_or_else(unreachable)?;
     let call = wire::encode_request(&node.settings().id, request, left_ms);
     log::info!(target: "forward", id:% = request.id, to:% = peer, left = left_ms; "request passed on");
     let answer = async {
--- a/crates/comfreyhall-node/src/peer_service.rs
+++ b/crates/comfreyhall-node/src/peer_service.rs
@@ -1,12 +1,13 @@
 //! The service that answers the other daemons.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use comfreyhall_protocol::{
     BindReply, BindRequest, CapCall, CapReply, ForwardRequest, News, ProgressReply, ProgressReport,
     ReachQuery, ReachReply, SettingsAsk, StreamFinding, StreamQuery, StreamRecordBatch,
     StreamRecordReply,
     fleet_server::{self, FleetServer},
+    link,
 };
 use tokio::net::TcpListener;
 use tonic::{Request, Response, Status};
@@ -86,8 +87,8 @@
 pub async fn serve_peers(node: Arc<Node>, listener: TcpListener) -> eyre::Result<()> {
     let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
     tonic::transport::Server::builder()
-        .http2_keepalive_interval(Some(Duration::from_secs(1)))
-        .http2_keepalive_timeout(Some(Duration::from_secs(1)))
+        .http2_keepalive_interval(Some(link::PING_INTERVAL))
+        .http2_keepalive_timeout(Some(link::ANSWER_SILENCE))
         .add_service(FleetServer::new(PeerService(node)))
         .serve_with_incoming(incoming)
         .await?;
