Own daemon: what may not be repeated outlasts a target that is silent for seconds

Callers saw 502 with an unknown outcome: for an answer that may run only once when its engine was silent for two seconds, and for any plain call when services were.

Cause: pings of the connection, unanswered for one second, ended all runs on it; and a plain call was cut after two seconds and sent to the next service, or given up if it may not be repeated.

A plain call that may be repeated goes to the next service after two seconds beside the first one, and the first answer is taken; any other waits until its deadline.

--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -24,8 +24,8 @@
 use tonic::transport::Channel;
 
 use crate::{
-    demand::DemandCounter, engines, member::Members, metrics::Metrics, outbound::Outbound,
-    quarantine::SharedQuarantine, stats::Counters, stuck::StuckLoads,
+    answer_link::AnswerLink, demand::DemandCounter, engines, member::Members, metrics::Metrics,
+    outbound::Outbound, quarantine::SharedQuarantine, stats::Counters, stuck::StuckLoads,
 };
 
 /// The account of an engine's slots, by `adapter@version`.
@@ -46,7 +46,9 @@
     pub(crate) objects: ObjectsClient<Channel>,
     pub(crate) instance_list: InstancesClient<Channel>,
     pub(crate) engine_clients: Vec<EngineClient<Channel>>,
-    pub(crate) service_clients: Vec<PlainClient<Channel>>,
+    /// The same engines, for runs that may not be repeated.
+    pub(crate) run_links: Vec<AnswerLink<EngineClient<Channel>>>,
+    pub(crate) service_links: Vec<AnswerLink<PlainClient<Channel>>>,
     /// The lease on load commands.
     pub(crate) lease: Lease,
     /// All other daemons, by instance id.
@@ -90,11 +92,10 @@
             .iter()
             .map(|e| EngineClient::new(link::channel(&e.listen)))
             .collect();
-        let service_clients = settings
-            .services
-            .iter()
-            .map(|s| PlainClient::new(link::channel(&s.listen)))
-            .collect();
+        let engines = settings.engines.iter();
+        let run_links = engines.map(|e| AnswerLink::new(&e.listen, EngineClient::new));
+        let services = settings.services.iter();
+        let service_links = services.map(|s| AnswerLink::new(&s.listen, PlainClient::new));
         let peers = settings
             .instances
             .iter()
@@ -115,7 +116,8 @@
                 objects: ObjectsClient::new(link::channel(&settings.platform.objects)),
                 instance_list: InstancesClient::new(link::channel(&settings.platform.instances)),
                 engine_clients,
-                service_clients,
+                run_links: run_links.collect(),
+                service_links: service_links.collect(),
                 lease,
                 peers,
                 labels,
--- a/crates/comfreyhall-daemon/src/engines.rs
+++ b/crates/comfreyhall-daemon/src/engines.rs
@@ -112,6 +112,9 @@
         if up != was_up {
             log::warn!(target: "engines", "engine {} is {}", engine.id, if up { "back" } else { "not answering" });
             was_up = up;
+            if !up {
+                app.inner.run_links[index].renew();
+            }
         }
         if let Some(status) = &status {
             app.inner.metrics.record_engine(&engine.id, status);
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -12,6 +12,7 @@
     CallRequest, IDEMPOTENCY_HEADER, NON_IDEMPOTENT_HEADER, REQUEST_ID_HEADER, proves_not_run,
 };
 use comfreyhall_quarantine::Fingerprint;
+use futures::{StreamExt, stream::FuturesUnordered};
 use rand::seq::SliceRandom;
 
 use super::{admit, header, request_id};
@@ -26,7 +27,8 @@
 /// Targets at which one call is attempted.
 const MAX_TRIES: usize = 3;
 
-/// Timeout of one attempt; a service answers in tens of milliseconds.
+/// Time without an answer after which a call that may be repeated is sent to another service
+/// too; a service answers in tens of milliseconds.
 const TRY_TIMEOUT: Duration = Duration::from_secs(2);
 
 pub(super) async fn call(
@@ -86,62 +88,69 @@
     }
 }
 
+/// How an attempt ended.
+enum Ended {
+    Answered(Vec<u8>),
+    NotRun,
+    MayHaveRun(String),
+}
+
 /// Sends the call to services in turn, those in this failure domain first.
 ///
-/// An attempt that is not proved "not run" ends a call that may not be
-/// repeated; for any other call it leaves the outcome unknown unless a later
-/// attempt succeeds.
+/// A silent service may still answer, so its attempt goes on beside the next one, and the
+/// first answer is taken. A call that may not be repeated waits for its one service until the
+/// deadline. An attempt that is not proved "not run" ends such a call; for any other it leaves
+/// the outcome unknown unless another attempt succeeds.
 async fn send(app: &App, request: &CallRequest, repeatable: bool) -> Result<Vec<u8>, RouteError> {
     let services = &app.inner.settings.services;
     let mut candidates: Vec<usize> = (0..services.len()).collect();
     candidates.shuffle(&mut rand::rng());
     candidates.sort_by_key(|i| services[*i].domain != app.instance.domain);
+    let mut candidates = candidates.into_iter();
     let default_timeout = Duration::from_millis(app.inner.settings.tuning.deadline_ms);
     let deadline = Instant::now() + default_timeout;
     let fingerprint = Fingerprint::of([request.method.as_bytes(), &request.body]);
+    let mut attempts = FuturesUnordered::new();
     let mut may_have_run = None;
     let mut rejections = Vec::new();
     let mut tries = 0;
-    for index in candidates {
-        if tries == MAX_TRIES {
-            break;
+    loop {
+        let next = match tries < MAX_TRIES {
+            true => next_admitted(app, &mut candidates, &mut rejections),
+            false => None,
+        };
+        if let Some(index) = next {
+            tries += 1;
+            match quarantine::admit(app, &fingerprint, may_have_run.is_some()) {
+                Ok(()) => attempts.push(attempt(app, index, request, fingerprint)),
+                Err(e) if attempts.is_empty() => return Err(e),
+                Err(_) => tries = MAX_TRIES,
+            }
         }
-        if let Err(reason) = outbound::admit(app, Target::Service(index)) {
-            rejections.push(reason);
-            continue;
+        if attempts.is_empty() {
+            break;
         }
-        tries += 1;
         let remaining = deadline.saturating_duration_since(Instant::now());
-        quarantine::admit(app, &fingerprint, may_have_run.is_some())?;
-        let mut client = app.inner.service_clients[index].clone();
-        let sent_at_ms = app.now_ms();
-        let call = client.call(request.clone());
-        let answer = tokio::time::timeout(remaining.min(TRY_TIMEOUT), call).await;
-        let reason = match answer
-            .map(|a| outbound::record_answer(app, Target::Service(index), Some(sent_at_ms), a))
-        {
-            Ok(Ok(reply)) if reply.get_ref().request_id == request.request_id => {
+        let pause = match repeatable && tries < MAX_TRIES {
+            true => remaining.min(TRY_TIMEOUT),
+            false => remaining,
+        };
+        match tokio::time::timeout(pause, attempts.next()).await {
+            Ok(Some(Ended::Answered(body))) => {
                 quarantine::record_completed(app, fingerprint);
-                return Ok(reply.into_inner().body);
+                return Ok(body);
             }
-            Ok(Ok(_)) => "the answer is another request's".to_string(),
-            Ok(Err(s)) if proves_not_run(&s) => continue,
-            Ok(Err(s)) => {
-                quarantine::record_broken_run(
-                    app,
-                    SuspectTarget::Service(index),
-                    fingerprint,
-                    true,
-                );
-                s.message().to_string()
+            Ok(Some(Ended::MayHaveRun(reason))) if !repeatable => {
+                return Err(RouteError::OutcomeUnknown(reason));
             }
-            Err(_) => "no answer in time".to_string(),
-        };
-        log::warn!(target: "call", "{} at {}: {reason}", request.request_id, services[index].id);
-        if !repeatable {
-            return Err(RouteError::OutcomeUnknown(reason));
+            Ok(Some(Ended::MayHaveRun(reason))) => may_have_run = Some(reason),
+            Ok(Some(Ended::NotRun) | None) => {}
+            Err(_) if Instant::now() >= deadline => {
+                may_have_run = Some("no answer in time".to_string());
+                break;
+            }
+            Err(_) => {}
         }
-        may_have_run = Some(reason);
     }
     let all = (0..services.len()).map(Target::Service);
     match (may_have_run, outbound::all_unavailable_ms(app, all)) {
@@ -150,3 +159,56 @@
         (None, _) => Err(RouteError::Exhausted(MAX_TRIES as u32)),
     }
 }
+
+/// The next service that may be called; adds why others may not.
+fn next_admitted(
+    app: &App,
+    candidates: &mut impl Iterator<Item = usize>,
+    rejections: &mut Vec<RouteError>,
+) -> Option<usize> {
+    candidates.find(
+        |index| match outbound::admit(app, Target::Service(*index)) {
+            Ok(()) => true,
+            Err(reason) => {
+                rejections.push(reason);
+                false
+            }
+        },
+    )
+}
+
+/// Sends the call to one service and waits for its answer.
+async fn attempt(
+    app: &App,
+    index: usize,
+    request: &CallRequest,
+    fingerprint: Fingerprint,
+) -> Ended {
+    let link = &app.inner.service_links[index];
+    let mut client = link.client();
+    let sent_at_ms = app.now_ms();
+    let mut call = std::pin::pin!(client.call(request.clone()));
+    let answer = match tokio::time::timeout(TRY_TIMEOUT, &mut call).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            link.renew();
+            call.await
+        }
+    };
+    let target = Target::Service(index);
+    let reason = match outbound::record_answer(app, target, Some(sent_at_ms), answer) {
+        Ok(reply) if reply.get_ref().request_id == request.request_id => {
+            return Ended::Answered(reply.into_inner().body);
+        }
+        Ok(_) => "the answer is another request's".to_string(),
+        Err(s) if proves_not_run(&s) => return Ended::NotRun,
+        Err(s) => {
+            let at = SuspectTarget::Service(index);
+            quarantine::record_broken_run(app, at, fingerprint, true);
+            s.message().to_string()
+        }
+    };
+    let service = &app.inner.settings.services[index].id;
+    log::warn!(target: "call", "{} at {service}: {reason}", request.request_id);
+    Ended::MayHaveRun(reason)
+}
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 //! The daemon stores nothing on disk. Durable state (catalog, membership) is
 //! kept in the platform's table service.
 
+mod answer_link;
 mod app;
 mod claims;
 mod demand;
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -26,7 +26,7 @@
 /// Delay before checking for an unpinned slot again.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(25);
 
-/// Longest time an engine may take to accept a request.
+/// Longest time an engine may take to accept a request that may be repeated elsewhere.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Timeout of a cancel command, which is best effort.
@@ -189,13 +189,19 @@
 }
 
 /// Makes one attempt to start the request on `engine`.
+///
+/// Silence proves nothing. A request that may be repeated is sent elsewhere after some of it;
+/// any other waits until its deadline, as to give up would only make its outcome unknown.
 async fn send(
     app: &App,
     engine: usize,
     request: &RoutedRequest,
 ) -> Result<Streaming<GenerateChunk>, StartError> {
-    let mut client = app.inner.engine_clients[engine].clone();
-    let timeout = request.remaining().min(ACCEPT_TIMEOUT);
+    let (mut client, timeout) = match request.repeatable {
+        true => (app.inner.engine_clients[engine].clone(), ACCEPT_TIMEOUT),
+        false => (app.inner.run_links[engine].client(), request.remaining()),
+    };
+    let timeout = request.remaining().min(timeout);
     let sent_at_ms = app.now_ms();
     let answer = tokio::time::timeout(timeout, client.generate(request.command.clone())).await;
     match answer.map(|a| outbound::record_answer(app, Target::Engine(engine), Some(sent_at_ms), a))
