Planned stop: the rest of an answer reaches a caller that reads slowly

A caller that reads nothing for some seconds around a planned stop got 3.9 MB of a body of 6 MB and then the end of its connection.

Cause: a request counts as done when its answer is handed to the HTTP library, and the process ended 300 ms after the last one.

Evidence: stop_waits_for_slow_caller (SIGTERM to the daemon, a caller that reads after 3.8 s) failed before with '3904956 bytes, Ok(3904956)', and passes; crates/comfreyhall-node/tests/stop.rs passes.

The process waits until all connections of callers are closed, for what is left of the grace. Idle ones have been closed by then, and the others close after their answer.

--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -51,12 +51,12 @@
 }
 
 /// Drains the daemon; returns once nothing is in progress or the time limit is
-/// reached.
+/// reached, with the time that is left until then.
 ///
 /// `close_idle` is called when callers have had time to learn of the stop: it
 /// should accept no new connections from then on and close idle ones; those in
 /// use end on their own.
-pub async fn drain(node: &Arc<Node>, close_idle: impl Fn()) {
+pub async fn drain(node: &Arc<Node>, close_idle: impl Fn()) -> Duration {
     let began = node.now();
     node.set_drain_began(began);
     node.life.handle(Event::Stop);
@@ -75,6 +75,8 @@
     }
     node.life.handle(Event::Drained);
     log::info!(target: "stop", in_flight = node.in_flight(); "stopped");
+    let used_ms = node.now().saturating_sub(began);
+    Duration::from_millis(grace_ms(node).saturating_sub(used_ms))
 }
 
 /// Waits until nothing is in progress, at most until the bound.
