An event that never ends is refused at a bound

Callers of a stream whose target sends an event without its end waited until the deadline, and the daemon collected the event for as long as it arrived.

Cause: EventSplitter::push appended without a bound.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -115,7 +115,11 @@
                 return Step::Events;
             }
             match self.body.next().await {
-                Some(Ok(bytes)) => self.splitter.push(&bytes),
+                Some(Ok(bytes)) => {
+                    if let Err(oversize) = self.splitter.push(&bytes) {
+                        return Step::Broken(oversize.to_string());
+                    }
+                }
                 Some(Err(error)) => {
                     self.connection_closed = error.cause.may_be_target_end();
                     return Step::Broken(error.reason);
--- a/crates/comfreyhall-relay/src/lib.rs
+++ b/crates/comfreyhall-relay/src/lib.rs
@@ -1,14 +1,16 @@
-//! What may end an answer that a target has begun, and how the events of targets become
-//! one stream.
+//! What may end an answer that a target has begun, how the events of targets become
+//! one stream, and how many bytes may be held.
 //!
 //! Pure: times and bytes come from the caller, and nothing here waits or sends.
 
+mod budget;
 mod cause;
 mod events;
 
 pub use crate::{
+    budget::{ByteBudget, Full, HolderId},
     cause::EndCause,
-    events::{Event, EventSplitter},
+    events::{Event, EventSplitter, MAX_EVENT_BYTES, Oversize},
 };
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -0,0 +1,306 @@
+//! Bounds on bytes: a daemon process of the platform whose targets, store or callers send
+//! bytes without end, with the memory that it takes meanwhile.
+
+mod support;
+
+#[path = "../../../platform/tests/emulator/mod.rs"]
+mod emulator;
+
+use std::{
+    process::{Child, Command},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use emulator::{
+    Store, Target,
+    caller::{Caller, Kind, Outcome},
+    config, start_store, start_target, target_entry,
+};
+use serde_json::json;
+use support::free_port;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Most memory that the daemon may take under any fault here, in MB.
+const MAX_MEMORY_MB: u64 = 160;
+
+/// Bytes after which a target stops sending, so that a daemon without a bound does not
+/// exhaust the machine.
+const MOST_SENT: u64 = 400 << 20;
+
+/// Length of each piece that a target sends.
+const PIECE_BYTES: usize = 64 << 10;
+
+/// Most MB of framing that a target may send on one connection: what the sockets hold, and
+/// what the daemon reads.
+const MAX_FRAMING_MB: u64 = 10;
+
+/// What a target sends without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Endless {
+    Chunks,
+    Length,
+    UntilClose,
+    Head,
+    Interim,
+    ChunkSizes,
+    Trailers,
+    Event,
+    Report,
+}
+
+impl Endless {
+    /// What its answer begins with.
+    fn beginning(self) -> &'static str {
+        match self {
+            Endless::Chunks => {
+                "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
+            }
+            Endless::Length | Endless::Report => {
+                "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-length: 99999999999\r\n\r\n"
+            }
+            Endless::UntilClose => "HTTP/1.1 200 OK\r\nx-response-seal: s\r\n\r\n",
+            Endless::Head => "HTTP/1.1 200 OK\r\nx-long: ",
+            Endless::Interim => "",
+            Endless::ChunkSizes => {
+                "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n5"
+            }
+            Endless::Trailers => {
+                "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx: "
+            }
+            Endless::Event => {
+                "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-type: text/event-stream\r\n\r\nid: 1\ndata: "
+            }
+        }
+    }
+
+    /// What it repeats.
+    fn piece(self) -> Vec<u8> {
+        match self {
+            Endless::Chunks => format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES)).into(),
+            Endless::Interim => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(PIECE_BYTES / 27),
+            Endless::ChunkSizes => vec![b' '; PIECE_BYTES],
+            _ => vec![b'x'; PIECE_BYTES],
+        }
+    }
+}
+
+/// A target that sends bytes without end.
+struct BadTarget {
+    addr: String,
+    sent: Arc<AtomicU64>,
+    connections: Arc<AtomicU64>,
+}
+
+impl BadTarget {
+    async fn start(endless: Endless) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let sent = Arc::new(AtomicU64::new(0));
+        let connections = Arc::new(AtomicU64::new(0));
+        let counts = (sent.clone(), connections.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                counts.1.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(serve_endless(stream, endless, counts.0.clone()));
+            }
+        });
+        Self {
+            addr,
+            sent,
+            connections,
+        }
+    }
+
+    /// MB that it has sent.
+    fn sent_mb(&self) -> u64 {
+        self.sent.load(Ordering::SeqCst) >> 20
+    }
+}
+
+/// Reads the head of a request; `None` if the connection ends.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+async fn serve_endless(mut stream: TcpStream, endless: Endless, sent: Arc<AtomicU64>) {
+    let piece = endless.piece();
+    while let Some(head) = read_head(&mut stream).await {
+        if head.contains("/-/report") && endless != Endless::Report {
+            let report = json!({"stage": "both", "coming": [], "busy": false, "sequence": 0,
+                "models": [{"name": "m", "version": 1, "adapters": ["a7@1"]}]});
+            let report = report.to_string();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{report}",
+                report.len()
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let _ = stream.write_all(endless.beginning().as_bytes()).await;
+        while sent.load(Ordering::SeqCst) < MOST_SENT {
+            if stream.write_all(&piece).await.is_err() {
+                return;
+            }
+            sent.fetch_add(piece.len() as u64, Ordering::SeqCst);
+        }
+        std::future::pending::<()>().await;
+    }
+}
+
+/// A daemon process.
+struct Daemon {
+    child: Child,
+    front: String,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    fn start(test: &str, store: &str) -> Self {
+        let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
+        let addr = |i: usize| format!("127.0.0.1:{}", ports[i]);
+        let settings = json!({"id": "n1", "domain": "z",
+            "listen": {"front": addr(0), "ready": addr(1), "directory": addr(2), "peers": addr(3)},
+            "seeds": [], "store": store, "cores": 0.25,
+            "bounds": {"grace_s": 8, "drain_ms": 2000, "lease_ms": 3000, "apply_ms": 2000, "version_ms": 5000,
+                "address_s": 5, "retry_ratio": 0.2, "retry_allowance": 54, "retry_s": 10,
+                "fencing": true, "return_s": 2}});
+        let name = format!("comfreyhall-bytes-{test}-{}.jsonc", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let log = std::fs::File::create(path.with_extension("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_comfreyhalld"))
+            .arg("--platform")
+            .env("COMFREYHALL_NODE_FILE", &path)
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let front = addr(0);
+        Self { child, front }
+    }
+
+    /// Most memory that it has taken so far, in MB.
+    fn peak_mb(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(status).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+        let kb: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+        kb >> 10
+    }
+
+    /// Waits until it answers a safe request.
+    async fn wait_serving(&self) {
+        let started = Instant::now();
+        let mut caller = Caller::default();
+        while caller.send(&self.front, Kind::Safe, "first", "").await != Outcome::Answered {
+            assert!(started.elapsed() < Duration::from_secs(20));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends the head of a request; its answer and body follow on the connection.
+    async fn open(&self, head: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(&self.front).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream
+    }
+
+    /// Sends a request and returns the status of its answer.
+    async fn status_of(&self, head: &str) -> String {
+        let mut stream = self.open(head).await;
+        let head = read_head(&mut stream).await.unwrap_or_default();
+        head.split(' ').nth(1).unwrap_or("none").to_string()
+    }
+}
+
+/// A store with a configuration, and the address that daemons use for it.
+async fn setup_store() -> (Arc<Store>, String) {
+    let store = Arc::new(Store::default());
+    let addr = start_store(store.clone()).await;
+    store.put("op", "config", &config(3, "/g/"));
+    (store, addr)
+}
+
+/// A daemon that has served a request of a sound plain target.
+async fn setup(test: &str) -> (Daemon, Arc<Store>, Arc<Target>) {
+    let (store, addr) = setup_store().await;
+    let sound = Target::new("sound", Arc::new(Mutex::new(0)));
+    let sound_addr = start_target(sound.clone()).await;
+    store.put(
+        "servers",
+        "sound",
+        &target_entry("app", &sound_addr, "ready"),
+    );
+    let daemon = Daemon::start(test, &addr);
+    daemon.wait_serving().await;
+    (daemon, store, sound)
+}
+
+/// Replaces the sound target by a bad one, and waits until the daemon knows.
+async fn replace_by(store: &Store, endless: Endless) -> BadTarget {
+    let bad = BadTarget::start(endless).await;
+    store.remove("servers", "sound");
+    store.put("servers", "bad", &target_entry("app", &bad.addr, "ready"));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    bad
+}
+
+const SAFE_HEAD: &str =
+    "GET /p/x HTTP/1.1\r\nhost: h\r\nx-request-id: r1\r\nx-deadline-milliseconds: 3000\r\n\r\n";
+
+/// Sends a safe request to a target that is bad so; returns the status, the daemon's peak
+/// memory and what the target has sent on each connection, both in MB.
+async fn ask_bad(test: &str, endless: Endless) -> (String, u64, u64) {
+    let (daemon, store, _sound) = setup(test).await;
+    let bad = replace_by(&store, endless).await;
+    let status = daemon.status_of(SAFE_HEAD).await;
+    let connections = bad.connections.load(Ordering::SeqCst).max(1);
+    let (peak_mb, sent_mb) = (daemon.peak_mb(), bad.sent_mb());
+    println!("{endless:?}: {status}, peak {peak_mb} MB, sent {sent_mb} MB on {connections}");
+    (status, peak_mb, sent_mb / connections)
+}
+
+/// Guards against an event without end, which is collected until memory is exhausted.
+#[tokio::test]
+async fn push_endless_event() {
+    let (daemon, store, _sound) = setup("event").await;
+    let bad = BadTarget::start(Endless::Event).await;
+    let mut entry = target_entry("llm", &bad.addr, "ready");
+    entry["models"] = json!([{"name": "m", "version": 1, "adapters": ["a7@1"]}]);
+    store.put("servers", "bad", &entry);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let head = "GET /g/x HTTP/1.1\r\nhost: h\r\nx-request-id: r1\r\nx-model: m/a7\r\n\
+        x-token-counts: 100,20\r\nx-deadline-milliseconds: 4500\r\n\r\n";
+    let started = Instant::now();
+    while bad.sent_mb() == 0 && started.elapsed() < Duration::from_secs(10) {
+        let mut stream = daemon.open(head).await;
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        println!("answer: {} bytes", answer.len());
+    }
+    let (peak_mb, sent_mb) = (daemon.peak_mb(), bad.sent_mb());
+    println!("event: peak {peak_mb} MB, sent {sent_mb} MB");
+    assert!(sent_mb > 0, "the stream has begun");
+    assert!(peak_mb < 48, "{peak_mb} MB");
+}
