Answers that are read whole have bounds, each and all together

Callers of a route whose answers are read whole got 504 while their target sent a body without end, and the daemon held all of it; callers beside them timed out as well.

Cause: collect() in serve/plain.rs appended until the deadline.

An answer may have 16 MB, and all answers of the process 48 MB until their callers have read them. When that is spent the longest answer that is still being read ends, also while it is silent: its connection is closed, its target is judged as for a broken answer, and the request is repeated elsewhere or its caller gets 502. The accounting is a pure type of comfreyhall-relay.

--- /dev/null
+++ b/crates/comfreyhall-node/src/collect.rs
@@ -0,0 +1,200 @@
+//! Collects bodies that are read whole, within bounds.
+//!
+//! Bodies of one kind share a [`Budget`]. The bytes of a collected body count until the
+//! last copy of it is dropped, so a request that is still served and an answer that its
+//! caller reads slowly count too. When the budget is spent, the longest body that is still
+//! being read ends, even if its sender sends nothing at that time.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::{Bytes, BytesMut};
+use comfreyhall_domain::Map;
+pub use comfreyhall_relay::Full;
+use comfreyhall_relay::{ByteBudget, HolderId};
+use futures::{Stream, StreamExt};
+use thiserror::Error;
+use tokio::sync::Notify;
+
+/// Longest answer of a target that is read whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Most bytes of all such answers together.
+const MAX_ANSWERS_BYTES: usize = 48 << 20;
+
+/// Most bytes of all requests' bodies together; the configuration bounds each.
+const MAX_REQUESTS_BYTES: usize = 48 << 20;
+
+struct State {
+    bytes: ByteBudget,
+    /// Notified when their holder has to end.
+    ends: Map<HolderId, Arc<Notify>>,
+}
+
+/// What bodies of one kind may hold; clones share it.
+#[derive(Clone)]
+pub struct Budget(Arc<Mutex<State>>);
+
+impl Budget {
+    /// A budget of `max_total` bytes, of which one body may have `max_each`.
+    pub fn new(max_each: usize, max_total: usize) -> Self {
+        Self(Arc::new(Mutex::new(State {
+            bytes: ByteBudget::new(max_each, max_total),
+            ends: Map::default(),
+        })))
+    }
+
+    /// For answers of targets.
+    pub(crate) fn for_answers() -> Self {
+        Self::new(MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES)
+    }
+
+    /// For bodies of requests.
+    pub(crate) fn for_requests() -> Self {
+        Self::new(MAX_REQUESTS_BYTES, MAX_REQUESTS_BYTES)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no holder of this lock panics")
+    }
+
+    fn open(&self) -> Holding {
+        let end = Arc::new(Notify::new());
+        let mut state = self.lock();
+        let id = state.bytes.open();
+        state.ends.insert(id, end.clone());
+        drop(state);
+        Holding {
+            budget: self.clone(),
+            id,
+            end,
+        }
+    }
+
+    /// Starts to collect a body.
+    pub fn collector(&self) -> Collector {
+        Collector {
+            buffer: BytesMut::new(),
+            holding: self.open(),
+        }
+    }
+
+    /// Counts a body that has already been read.
+    pub fn hold(&self, body: Bytes) -> Result<Bytes, Full> {
+        let holding = self.open();
+        holding.grow(body.len())?;
+        Ok(holding.attach(body))
+    }
+
+    /// Bytes that are held now.
+    pub fn held(&self) -> usize {
+        self.lock().bytes.total()
+    }
+}
+
+/// The share of one body; given back when dropped.
+struct Holding {
+    budget: Budget,
+    id: HolderId,
+    end: Arc<Notify>,
+}
+
+impl Holding {
+    fn grow(&self, bytes: usize) -> Result<(), Full> {
+        let mut ended = Vec::new();
+        let mut state = self.budget.lock();
+        let grown = state.bytes.grow(self.id, bytes, &mut ended);
+        for id in ended {
+            if let Some(end) = state.ends.get(&id) {
+                end.notify_one();
+            }
+        }
+        grown
+    }
+
+    /// The body with its share, which it gives back with its last copy.
+    fn attach(self, body: Bytes) -> Bytes {
+        self.budget.lock().bytes.complete(self.id);
+        Bytes::from_owner(HeldBody {
+            body,
+            _holding: self,
+        })
+    }
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        let mut state = self.budget.lock();
+        state.bytes.close(self.id);
+        state.ends.remove(&self.id);
+    }
+}
+
+struct HeldBody {
+    body: Bytes,
+    _holding: Holding,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+/// A body that is being read.
+pub struct Collector {
+    buffer: BytesMut,
+    holding: Holding,
+}
+
+impl Collector {
+    /// Appends a piece; after an error the body may not be read any further.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), Full> {
+        self.holding.grow(piece.len())?;
+        self.buffer.extend_from_slice(piece);
+        Ok(())
+    }
+
+    /// Resolves when the body has to end so that others can be read.
+    pub async fn ended(&self) -> Full {
+        self.holding.end.notified().await;
+        Full::Spent
+    }
+
+    /// The body, which has ended.
+    pub fn finish(self) -> Bytes {
+        self.holding.attach(self.buffer.freeze())
+    }
+}
+
+/// Why a body was not collected.
+#[derive(Debug, Error)]
+pub enum CollectError<E> {
+    /// It is longer than it may be.
+    #[error("{0}")]
+    Full(Full),
+    /// It ended early.
+    #[error("{0}")]
+    Body(E),
+}
+
+/// Reads a body to its end.
+pub async fn collect<E>(
+    budget: &Budget,
+    mut pieces: impl Stream<Item = Result<Bytes, E>> + Unpin,
+) -> Result<Bytes, CollectError<E>> {
+    let mut collector = budget.collector();
+    loop {
+        let piece = tokio::select! {
+            piece = pieces.next() => piece,
+            full = collector.ended() => return Err(CollectError::Full(full)),
+        };
+        match piece {
+            Some(Ok(piece)) => collector.push(&piece).map_err(CollectError::Full)?,
+            Some(Err(error)) => return Err(CollectError::Body(error)),
+            None => return Ok(collector.finish()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod bind;
 mod choose;
 mod clock;
+pub mod collect;
 mod criteria;
 mod departed;
 mod engine_control;
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     clock,
+    collect::Budget,
     engine_control::controllers::EngineControllers,
     fleet::state::Fleet,
     leases::state::Leases,
@@ -49,6 +50,9 @@
     pub(crate) log_limits: LogLimits,
     pub(crate) outbound: Outbound,
     pub(crate) streams: Arc<Streams>,
+    /// What answers that are read whole may hold.
+    pub(crate) answer_budget: Budget,
+    request_budget: Budget,
     /// Wakes background tasks when settings or targets change.
     pub(crate) changed: Notify,
     view: Mutex<View>,
@@ -90,6 +94,8 @@
             log_limits: LogLimits::default(),
             outbound: Outbound::default(),
             streams: Arc::default(),
+            answer_budget: Budget::for_answers(),
+            request_budget: Budget::for_requests(),
             changed: Notify::new(),
             view: Mutex::new(view),
             started_ms: clock::now(),
@@ -125,6 +131,11 @@
         *current = Arc::new(settings);
     }
 
+    /// What the bodies of requests may hold.
+    pub fn request_budget(&self) -> &Budget {
+        &self.request_budget
+    }
+
     /// The quotas of one kind.
     pub(crate) fn quotas_of(&self, of: QuotaKind) -> &Quotas {
         match of {
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use comfreyhall_domain::{Outcome, RouteKind};
-use futures::StreamExt;
 use http::{HeaderMap, StatusCode};
 
 use super::{
@@ -13,7 +12,8 @@
 };
 use crate::{
     active_send::ActiveSend,
-    ports::{Body, BodyError, EndCause, Framing, Response},
+    collect::{CollectError, collect},
+    ports::{BodyError, EndCause, Framing, Response},
     quarantine,
 };
 
@@ -23,9 +23,11 @@
     pub(super) async fn handle_plain(&mut self, response: Response, mut send: ActiveSend) -> Next {
         let (status, headers, framing) = (response.status, response.headers, response.framing);
         let left = Duration::from_millis(self.remaining_ms());
-        let body = match tokio::time::timeout(left, collect(response.body)).await {
+        let body = collect(&self.node.answer_budget, response.body);
+        let body = match tokio::time::timeout(left, body).await {
             Ok(Ok(body)) => Ok(self.check_ending(framing, body, &send).await),
-            failed => failed.map(|body| body.map(|body| (body, true))),
+            Ok(Err(failed)) => Ok(Err(body_error(failed))),
+            Err(late) => Err(late),
         };
         match body {
             Ok(Ok((body, proven))) => {
@@ -114,11 +116,13 @@
     }
 }
 
-/// Reads a body to its end.
-async fn collect(mut body: Body) -> Result<Bytes, BodyError> {
-    let mut out = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        out.extend_from_slice(&chunk?);
+/// Why the body of a target's answer was not read.
+fn body_error(error: CollectError<BodyError>) -> BodyError {
+    match error {
+        CollectError::Body(error) => error,
+        CollectError::Full(full) => BodyError {
+            reason: full.to_string(),
+            cause: EndCause::TooLarge,
+        },
     }
-    Ok(out.freeze())
 }
--- a/crates/comfreyhall-relay/src/budget.rs
+++ b/crates/comfreyhall-relay/src/budget.rs
@@ -78,7 +78,8 @@
         bytes: usize,
         ended: &mut Vec<HolderId>,
     ) -> Result<(), Full> {
-        let held = self.holders.get(&id).map_or(0, |h| h.bytes);
+        // Another one has ended it.
+        let held = self.holders.get(&id).ok_or(Full::Spent)?.bytes;
         let wanted = held.saturating_add(bytes);
         if wanted > self.max_each {
             self.close(id);
@@ -101,12 +102,10 @@
                 }
             }
         }
-        match self.holders.get_mut(&id) {
-            Some(holder) => holder.bytes = wanted,
-            // Another one has ended it.
-            None => return Err(Full::Spent),
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.bytes = wanted;
+            self.total += bytes;
         }
-        self.total += bytes;
         Ok(())
     }
 
--- a/crates/comfreyhall-relay/src/tests.rs
+++ b/crates/comfreyhall-relay/src/tests.rs
@@ -133,6 +133,7 @@
                 for other in &ended {
                     let (bytes_held, other_complete) = model.remove(other).unwrap();
                     prop_assert!(!other_complete && bytes_held > held);
+                    prop_assert_eq!(budget.grow(*other, 1, &mut Vec::new()), Err(Full::Spent));
                 }
                 let most = model.iter().filter(|(other, h)| **other != id && !h.1).map(|(_, h)| h.0).max();
                 match granted {
--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -281,6 +281,44 @@
     (status, peak_mb, sent_mb / connections)
 }
 
+/// Guards against a plain answer that is collected until memory is exhausted.
+#[tokio::test]
+async fn collect_endless_body() {
+    for endless in [Endless::Chunks, Endless::Length, Endless::UntilClose] {
+        let (status, peak_mb, _) = ask_bad("body", endless).await;
+        assert!(peak_mb < MAX_MEMORY_MB, "{endless:?}: {peak_mb} MB");
+        assert_eq!(status, "502", "{endless:?}");
+    }
+}
+
+/// Guards against sound answers that end since many without end have spent the budget: all
+/// requests that may be repeated are answered by the sound target.
+#[tokio::test]
+async fn collect_sound_beside_endless() {
+    let (daemon, store, _sound) = setup("beside").await;
+    let bad = BadTarget::start(Endless::Chunks).await;
+    store.put("servers", "bad", &target_entry("app", &bad.addr, "ready"));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let callers = (0..24).map(|i| {
+        let front = daemon.front.clone();
+        tokio::spawn(async move {
+            let id = format!("c{i}");
+            Caller::default().send(&front, Kind::Safe, &id, "").await
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut answered = 0;
+    for caller in callers {
+        let outcome = caller.await.unwrap();
+        answered += u32::from(outcome == Outcome::Answered);
+    }
+    let (peak_mb, sent_mb) = (daemon.peak_mb(), bad.sent_mb());
+    println!("beside: {answered} answered, peak {peak_mb} MB, sent {sent_mb} MB");
+    assert!(sent_mb > 0, "the bad target was asked");
+    assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
+    assert_eq!(answered, 24);
+}
+
 /// Guards against an event without end, which is collected until memory is exhausted.
 #[tokio::test]
 async fn push_endless_event() {
