What a target sends besides bodies, and its control answers, have bounds

A target that sent interim answers, or spaces in the size of a chunk, without end kept its caller until the deadline (504), one core busy. The report of an engine without end was collected for as long as the call may take, by every command and probe.

Cause: the HTTP library bounds a head, trailers and chunk extensions, but not these two; control_call collected its answer without a bound.

An answer may have any number of pieces: collect_long_sound_answers has 100,000 of one byte, and one of 12 MB.

--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -319,6 +319,79 @@
     assert_eq!(answered, 24);
 }
 
+/// Guards against framing without end, which is read until the deadline.
+#[tokio::test]
+async fn send_endless_framing() {
+    for endless in [
+        Endless::Head,
+        Endless::Trailers,
+        Endless::Interim,
+        Endless::ChunkSizes,
+    ] {
+        let (status, peak_mb, sent_mb) = ask_bad("framing", endless).await;
+        assert!(sent_mb < MAX_FRAMING_MB, "{endless:?}: {sent_mb} MB");
+        assert!(peak_mb < MAX_MEMORY_MB, "{endless:?}: {peak_mb} MB");
+        assert_eq!(status, "502", "{endless:?}");
+    }
+}
+
+/// A chunked body of `len` bytes in chunks of one byte.
+fn single_bytes(len: usize) -> Vec<u8> {
+    let mut body = b"1\r\nx\r\n".repeat(len);
+    body.extend_from_slice(b"0\r\n\r\n");
+    body
+}
+
+/// Starts a target that answers each request with `answer`; returns its address.
+async fn start_answering(answer: Vec<u8>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                while read_head(&mut stream).await.is_some() {
+                    let _ = stream.write_all(&answer).await;
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against a bound that a sound answer meets: a long one, and one whose framing is
+/// several times as long as its body.
+#[tokio::test]
+async fn collect_long_sound_answers() {
+    let sealed = "HTTP/1.1 200 OK\r\nx-response-seal: s\r\n";
+    let long = 12 << 20;
+    let long_answer = format!("{sealed}content-length: {long}\r\n\r\n{}", "x".repeat(long));
+    let pieces = 100_000;
+    let head = format!("{sealed}transfer-encoding: chunked\r\n\r\n");
+    let split_answer = [head.as_bytes(), &single_bytes(pieces)].concat();
+    for (answer, len) in [(long_answer.into_bytes(), long), (split_answer, pieces)] {
+        let (daemon, store, _sound) = setup("sound").await;
+        let addr = start_answering(answer).await;
+        store.remove("servers", "sound");
+        store.put("servers", "long", &target_entry("app", &addr, "ready"));
+        let mut patient = config(4, "/g/");
+        patient["routes"][0]["timeout-ms"] = json!(20_000);
+        store.put("op", "config", &patient);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let head = SAFE_HEAD.replace("3000", "20000");
+        let mut stream = daemon.open(&head).await;
+        let head = read_head(&mut stream).await.unwrap();
+        assert!(head.starts_with("HTTP/1.1 200"), "{len}: {head}");
+        assert!(
+            head.contains(&format!("content-length: {len}\r\n")),
+            "{head}"
+        );
+        let mut body = vec![0; len];
+        stream.read_exact(&mut body).await.unwrap();
+        assert!(body.iter().all(|b| *b == b'x'));
+    }
+}
+
 /// Guards against an event without end, which is collected until memory is exhausted.
 #[tokio::test]
 async fn push_endless_event() {
@@ -342,3 +415,19 @@
     assert!(sent_mb > 0, "the stream has begun");
     assert!(peak_mb < 48, "{peak_mb} MB");
 }
+
+/// Guards against an engine's report without end, which is read until its time limit.
+#[tokio::test]
+async fn report_endless() {
+    let (daemon, store, _sound) = setup("report").await;
+    let bad = BadTarget::start(Endless::Report).await;
+    store.put("servers", "bad", &target_entry("llm", &bad.addr, "ready"));
+    let started = Instant::now();
+    while bad.sent_mb() < MOST_SENT >> 20 && started.elapsed() < Duration::from_secs(8) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let (peak_mb, sent_mb) = (daemon.peak_mb(), bad.sent_mb());
+    println!("report: peak {peak_mb} MB, sent {sent_mb} MB");
+    assert!(sent_mb > 0, "a report was asked for");
+    assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
+}
