--- a/crates/comfreyhall-node/src/collect.rs
+++ b/crates/comfreyhall-node/src/collect.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyhall_domain::Map;
-pub use comfreyhall_relay::Full;
+pub use comfreyhall_relay::Exceeded;
 use comfreyhall_relay::{ByteBudget, HolderId};
 use futures::{Stream, StreamExt};
 use thiserror::Error;
@@ -57,6 +57,11 @@
         self.0.lock().expect("no holder of this lock panics")
     }
 
+    /// A share for what is kept elsewhere.
+    pub fn share(&self) -> Share {
+        Share(self.open())
+    }
+
     fn open(&self) -> Holding {
         let end = Arc::new(Notify::new());
         let mut state = self.lock();
@@ -79,7 +84,7 @@
     }
 
     /// Counts a body that has already been read.
-    pub fn hold(&self, body: Bytes) -> Result<Bytes, Full> {
+    pub fn hold(&self, body: Bytes) -> Result<Bytes, Exceeded> {
         let holding = self.open();
         holding.grow(body.len())?;
         Ok(holding.attach(body))
@@ -99,7 +104,7 @@
 }
 
 impl Holding {
-    fn grow(&self, bytes: usize) -> Result<(), Full> {
+    fn grow(&self, bytes: usize) -> Result<(), Exceeded> {
         let mut ended = Vec::new();
         let mut state = self.budget.lock();
         let grown = state.bytes.grow(self.id, bytes, &mut ended);
@@ -129,6 +134,16 @@
     }
 }
 
+/// A share of a budget; given back when dropped.
+pub struct Share(Holding);
+
+impl Share {
+    /// Counts `bytes` more.
+    pub fn grow(&self, bytes: usize) -> Result<(), Exceeded> {
+        self.0.grow(bytes)
+    }
+}
+
 struct HeldBody {
     body: Bytes,
     _holding: Holding,
@@ -148,16 +163,16 @@
 
 impl Collector {
     /// Appends a piece; after an error the body may not be read any further.
-    pub fn push(&mut self, piece: &[u8]) -> Result<(), Full> {
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), Exceeded> {
         self.holding.grow(piece.len())?;
         self.buffer.extend_from_slice(piece);
         Ok(())
     }
 
     /// Resolves when the body has to end so that others can be read.
-    pub async fn ended(&self) -> Full {
+    pub async fn ended(&self) -> Exceeded {
         self.holding.end.notified().await;
-        Full::Spent
+        Exceeded::Spent
     }
 
     /// The body, which has ended.
@@ -171,7 +186,7 @@
 pub enum CollectError<E> {
     /// It is longer than it may be.
     #[error("{0}")]
-    Full(Full),
+    Exceeded(Exceeded),
     /// It ended early.
     #[error("{0}")]
     Body(E),
@@ -186,10 +201,10 @@
     loop {
         let piece = tokio::select! {
             piece = pieces.next() => piece,
-            full = collector.ended() => return Err(CollectError::Full(full)),
+            exceeded = collector.ended() => return Err(CollectError::Exceeded(exceeded)),
         };
         match piece {
-            Some(Ok(piece)) => collector.push(&piece).map_err(CollectError::Full)?,
+            Some(Ok(piece)) => collector.push(&piece).map_err(CollectError::Exceeded)?,
             Some(Err(error)) => return Err(CollectError::Body(error)),
             None => return Ok(collector.finish()),
         }
--- a/crates/comfreyhall-node/src/collect/tests.rs
+++ b/crates/comfreyhall-node/src/collect/tests.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures::{StreamExt, channel::mpsc};
 
-use super::{Budget, CollectError, Full, collect};
+use super::{Budget, CollectError, Exceeded, collect};
 
 type Piece = Result<Bytes, Infallible>;
 
@@ -25,11 +25,17 @@
     assert_eq!((copy.len(), budget.held()), (100, 100));
     // What was read whole is not ended for another.
     let second = collect(&budget, body(1, 60)).await;
-    assert!(matches!(second, Err(CollectError::Full(Full::Spent))));
+    assert!(matches!(
+        second,
+        Err(CollectError::Exceeded(Exceeded::Spent))
+    ));
     drop(copy);
     assert_eq!(budget.held(), 0);
     let long = collect(&budget, body(101, 1)).await;
-    assert!(matches!(long, Err(CollectError::Full(Full::TooLong))));
+    assert!(matches!(
+        long,
+        Err(CollectError::Exceeded(Exceeded::TooLong))
+    ));
     assert_eq!(budget.held(), 0);
 }
 
@@ -55,6 +61,9 @@
     }
     let ended = tokio::time::timeout(Duration::from_secs(2), long).await;
     let ended = ended.unwrap().unwrap();
-    assert!(matches!(ended, Err(CollectError::Full(Full::Spent))));
+    assert!(matches!(
+        ended,
+        Err(CollectError::Exceeded(Exceeded::Spent))
+    ));
     assert_eq!(budget.held(), 120);
 }
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -120,8 +120,8 @@
 fn body_error(error: CollectError<BodyError>) -> BodyError {
     match error {
         CollectError::Body(error) => error,
-        CollectError::Full(full) => BodyError {
-            reason: full.to_string(),
+        CollectError::Exceeded(exceeded) => BodyError {
+            reason: exceeded.to_string(),
             cause: EndCause::TooLarge,
         },
     }
--- a/crates/comfreyhall-relay/src/budget.rs
+++ b/crates/comfreyhall-relay/src/budget.rs
@@ -11,23 +11,25 @@
 
 /// A body may not have more bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Full {
+pub enum Exceeded {
     /// It is longer than one may be.
     TooLong,
     /// All together hold too much, and no other that grows holds more.
     Spent,
 }
 
-impl fmt::Display for Full {
+impl fmt::Display for Exceeded {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Full::TooLong => "the body is longer than one may be",
-            Full::Spent => "all bodies together are longer than they may be, and it is the longest",
+            Exceeded::TooLong => "the body is longer than one may be",
+            Exceeded::Spent => {
+                "all bodies together are longer than they may be, and it is the longest"
+            }
         })
     }
 }
 
-impl std::error::Error for Full {}
+impl std::error::Error for Exceeded {}
 
 #[derive(Debug, Clone, Copy)]
 struct Holder {
@@ -77,13 +79,13 @@
         id: HolderId,
         bytes: usize,
         ended: &mut Vec<HolderId>,
-    ) -> Result<(), Full> {
+    ) -> Result<(), Exceeded> {
         // Another one has ended it.
-        let held = self.holders.get(&id).ok_or(Full::Spent)?.bytes;
+        let held = self.holders.get(&id).ok_or(Exceeded::Spent)?.bytes;
         let wanted = held.saturating_add(bytes);
         if wanted > self.max_each {
             self.close(id);
-            return Err(Full::TooLong);
+            return Err(Exceeded::TooLong);
         }
         while self.total.saturating_add(bytes) > self.max_total {
             let others = self
@@ -98,7 +100,7 @@
                 }
                 _ => {
                     self.close(id);
-                    return Err(Full::Spent);
+                    return Err(Exceeded::Spent);
                 }
             }
         }
--- a/crates/comfreyhall-relay/src/lib.rs
+++ b/crates/comfreyhall-relay/src/lib.rs
@@ -8,7 +8,7 @@
 mod events;
 
 pub use crate::{
-    budget::{ByteBudget, Full, HolderId},
+    budget::{ByteBudget, Exceeded, HolderId},
     cause::EndCause,
     events::{Event, EventSplitter, MAX_EVENT_BYTES, Oversize},
 };
--- a/crates/comfreyhall-relay/src/tests.rs
+++ b/crates/comfreyhall-relay/src/tests.rs
@@ -2,7 +2,7 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 
-use crate::{ByteBudget, Event, EventSplitter, Full, HolderId, MAX_EVENT_BYTES};
+use crate::{ByteBudget, Event, EventSplitter, Exceeded, HolderId, MAX_EVENT_BYTES};
 
 #[test]
 fn take_event_returns_whole_events_only() {
@@ -133,16 +133,16 @@
                 for other in &ended {
                     let (bytes_held, other_complete) = model.remove(other).unwrap();
                     prop_assert!(!other_complete && bytes_held > held);
-                    prop_assert_eq!(budget.grow(*other, 1, &mut Vec::new()), Err(Full::Spent));
+                    prop_assert_eq!(budget.grow(*other, 1, &mut Vec::new()), Err(Exceeded::Spent));
                 }
                 let most = model.iter().filter(|(other, h)| **other != id && !h.1).map(|(_, h)| h.0).max();
                 match granted {
                     Ok(()) => model.insert(id, (held + bytes, false)),
-                    Err(Full::TooLong) => {
+                    Err(Exceeded::TooLong) => {
                         prop_assert!(held + bytes > max_each);
                         model.remove(&id)
                     }
-                    Err(Full::Spent) => {
+                    Err(Exceeded::Spent) => {
                         prop_assert!(most.unwrap_or(0) <= held + bytes);
                         model.remove(&id)
                     }
--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -342,21 +342,25 @@
     body
 }
 
-/// Starts a target that answers each request with `answer`; returns its address.
-async fn start_answering(answer: Vec<u8>) -> String {
+/// Starts a server that answers each request with `answer`; returns its address and the
+/// number of requests.
+async fn start_answering(answer: Vec<u8>) -> (String, Arc<AtomicU64>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap().to_string();
+    let requests = Arc::new(AtomicU64::new(0));
+    let count = requests.clone();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let answer = answer.clone();
+            let (answer, count) = (answer.clone(), count.clone());
             tokio::spawn(async move {
                 while read_head(&mut stream).await.is_some() {
+                    count.fetch_add(1, Ordering::SeqCst);
                     let _ = stream.write_all(&answer).await;
                 }
             });
         }
     });
-    addr
+    (addr, requests)
 }
 
 /// Guards against a bound that a sound answer meets: a long one, and one whose framing is
@@ -371,7 +375,7 @@
     let split_answer = [head.as_bytes(), &single_bytes(pieces)].concat();
     for (answer, len) in [(long_answer.into_bytes(), long), (split_answer, pieces)] {
         let (daemon, store, _sound) = setup("sound").await;
-        let addr = start_answering(answer).await;
+        let (addr, _) = start_answering(answer).await;
         store.remove("servers", "sound");
         store.put("servers", "long", &target_entry("app", &addr, "ready"));
         let mut patient = config(4, "/g/");
@@ -431,3 +435,36 @@
     assert!(sent_mb > 0, "a report was asked for");
     assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
 }
+
+/// Guards against an answer of the store without end, which is collected for up to 20 s.
+#[tokio::test]
+async fn read_endless_store_answer() {
+    let store = BadTarget::start(Endless::Length).await;
+    let daemon = Daemon::start("store", &store.addr);
+    let started = Instant::now();
+    while store.sent_mb() < MOST_SENT >> 20 && started.elapsed() < Duration::from_secs(8) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let (peak_mb, sent_mb) = (daemon.peak_mb(), store.sent_mb());
+    println!("store: peak {peak_mb} MB, sent {sent_mb} MB");
+    assert!(sent_mb > 0, "the store was asked");
+    assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
+}
+
+/// Guards against pages of the store without end, of which each is short.
+#[tokio::test]
+async fn read_endless_store_pages() {
+    let value = "A".repeat(100_000);
+    let row = json!({"table": "op", "part": "", "key": "k", "value": value, "record-version": 1});
+    let rows = vec![row; 20];
+    let page = json!({"rows": rows, "has-more": true, "record-version": 1}).to_string();
+    let len = page.len();
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {len}\r\n\r\n{page}");
+    let (store, asked) = start_answering(answer.into_bytes()).await;
+    let daemon = Daemon::start("pages", &store);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let (peak_mb, asked) = (daemon.peak_mb(), asked.load(Ordering::SeqCst));
+    println!("pages of {len} bytes: {asked} read, peak {peak_mb} MB");
+    assert!(asked > 30, "{asked} pages");
+    assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
+}
