--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -189,7 +189,7 @@
                 return self.end(request).await;
             }
             Found::Other(Ok(answer)) => match *answer {
-                (exchange, Exchanged::Stream(start)) => self.switch(request, exchange.send, start),
+                (exchange, Exchanged::Stream(start)) => self.switch(request, exchange.send, *start),
                 _ => self.fail_seek(request, "the other answer is no stream"),
             },
             Found::Other(Err(why)) => self.fail_seek(request, why),
--- a/crates/comfreyhall-node/src/serve/exchange.rs
+++ b/crates/comfreyhall-node/src/serve/exchange.rs
@@ -29,7 +29,7 @@
     /// The answer ended before it was whole, or before its first event.
     Broken(BodyError),
     /// A stream has begun.
-    Stream(StreamStart),
+    Stream(Box<StreamStart>),
     /// A whole answer that is no stream.
     Whole(WholeAnswer),
 }
@@ -139,13 +139,13 @@
 async fn begin_stream(response: Response, mut order: EventOrder) -> Exchanged {
     let mut source = EventSource::new(response.body, response.framing);
     match source.first_event(&mut order).await {
-        Ok(event) => Exchanged::Stream(StreamStart {
+        Ok(event) => Exchanged::Stream(Box::new(StreamStart {
             status: response.status,
             headers: response.headers,
             source,
             order,
             events: vec![event],
-        }),
+        })),
         Err(why) => Exchanged::Broken(why),
     }
 }
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use comfreyhall_domain::{Outcome, RouteKind, Target};
-use futures::StreamExt;
 
 use super::{
     ActiveRequest, complete_reply,
@@ -13,6 +12,7 @@
 };
 use crate::{
     active_send::ActiveSend,
+    collect::{CollectError, collect},
     node::Node,
     ports::{Body, BodyError, EndCause, Framing},
     quarantine,
@@ -30,7 +30,8 @@
     framing: Framing,
     body: Body,
 ) -> Result<(Bytes, bool), BodyError> {
-    let body = collect(body).await?;
+    let body = collect(&node.answer_budget, body).await;
+    let body = body.map_err(body_error)?;
     if framing == Framing::Explicit {
         return Ok((body, true));
     }
@@ -88,11 +89,13 @@
     }
 }
 
-/// Reads a body to its end.
-async fn collect(mut body: Body) -> Result<Bytes, BodyError> {
-    let mut out = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        out.extend_from_slice(&chunk?);
+/// Why the body of a target's answer was not read.
+fn body_error(error: CollectError<BodyError>) -> BodyError {
+    match error {
+        CollectError::Body(error) => error,
+        CollectError::Exceeded(exceeded) => BodyError {
+            reason: exceeded.to_string(),
+            cause: EndCause::TooLarge,
+        },
     }
-    Ok(out.freeze())
 }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -159,7 +159,7 @@
     pub(super) fn conclude(&mut self, exchange: Exchange, outcome: Exchanged) -> Next {
         let Exchange { plan, send, .. } = exchange;
         match outcome {
-            Exchanged::Stream(start) => return self.begin_relay(start, send, &plan),
+            Exchanged::Stream(start) => return self.begin_relay(*start, send, &plan),
             Exchanged::Whole(answer) => return self.handle_whole(answer, send),
             Exchanged::Refused(refusal) => self.handle_refusal(refusal, &send, &plan),
             Exchanged::Unverified => {
--- a/crates/comfreyhall-node/src/source.rs
+++ b/crates/comfreyhall-node/src/source.rs
@@ -1,6 +1,5 @@
 //! The events of one answer as they arrive from its target.
 
-use bytes::Bytes;
 use comfreyhall_relay::{EndCause, Event, EventOrder, EventSplitter};
 use futures::StreamExt;
 use http::{HeaderMap, StatusCode};
@@ -55,7 +54,14 @@
                 return Item::Event(event);
             }
             match self.body.next().await {
-                Some(Ok(bytes)) => self.push(&bytes),
+                Some(Ok(bytes)) => {
+                    if let Err(oversize) = self.splitter.push(&bytes) {
+                        return Item::Broken(BodyError {
+                            reason: oversize.to_string(),
+                            cause: EndCause::TooLarge,
+                        });
+                    }
+                }
                 Some(Err(error)) => return Item::Broken(error),
                 None if self.splitter.has_partial() => {
                     return Item::Broken(BodyError {
@@ -68,10 +74,6 @@
         }
     }
 
-    fn push(&mut self, bytes: &Bytes) {
-        self.splitter.push(bytes);
-    }
-
     /// Cancels the run.
     pub(crate) fn close(&mut self) {
         self.body = Box::pin(futures::stream::empty());
