Node: plain types and periods below the state; a circle of 13 files opened

Types and functions that other modules need import no part of the node any more than they need: fleet::periods (gossip periods, fan-out, report period), fleet::kept_fetch, bind::params, engine_control::candidate, engine_control::estimate; the proof times of streams are in streams::versions, the slot waits in slots::waiting. weights takes the policy and the view in place of the node.

Files in one strongly connected component, by use and in-code paths: fetch, kept, roster, rows, state, follow, targets, node, records with controllers, job, ticket, weights (14 with fleet/mod.rs): now none. bind, choose, slots, request: 7, now none.

--- a/crates/comfreyhall-node/src/bind/local.rs
+++ b/crates/comfreyhall-node/src/bind/local.rs
@@ -5,7 +5,7 @@
 use comfreyhall_domain::{EngineConfig, Name};
 use comfreyhall_routing::admission;
 
-use super::{BindError, BindParams, Binding};
+use super::params::{BindError, BindParams, Binding};
 use crate::{
     active_send::PendingLoad,
     adapter_key::adapter_key,
--- a/crates/comfreyhall-node/src/bind/wire.rs
+++ b/crates/comfreyhall-node/src/bind/wire.rs
@@ -7,7 +7,10 @@
 use comfreyhall_slots::SlotShare;
 use comfreyhall_streams::{Software, SoftwareRule};
 
-use super::{BindError, BindParams, Binding, local};
+use super::{
+    local,
+    params::{BindError, BindParams, Binding},
+};
 use crate::{criteria::Requirements, fleet::Run, node::Node};
 
 /// The request that the daemon at `from` sends.
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -12,10 +12,10 @@
 use crate::{
     active_send::RunHandle,
     criteria::{Criteria, Requirements},
-    engine_control::EngineCandidate,
+    engine_control::{candidate::EngineCandidate, estimate_load},
     node::Node,
     outbound::{self, UnavailableTargets},
-    paces,
+    paces, slots,
     view::View,
     weights,
 };
@@ -54,10 +54,6 @@
 /// the engines that had the adapter first.
 const REMOTE_DOMAIN_COST_MS: f64 = 150.0;
 
-/// Expected wait for a slot where all are in use, in ms: a request holds its
-/// slot for about a second, and several of them end in that time.
-pub(crate) const FULL_ENGINE_WAIT_MS: f64 = 250.0;
-
 /// The chosen target of a request, and what is expected there.
 pub(crate) struct Plan {
     pub(crate) target: Arc<Target>,
@@ -287,7 +283,7 @@
         if !held_lease && node.fleet.holder(&t.failure_domain, now).is_none() {
             continue;
         }
-        let estimate = weights::estimate(node, view, adapter, &t.id, now);
+        let estimate = estimate_load(node, view, adapter, &t.id, now);
         let cached = estimate.cached;
         choice.load_ms = estimate.load_ms;
         // A copy of a hot adapter serves many requests, not one.
@@ -299,7 +295,7 @@
         let reported = used.get(&t.id).copied().unwrap_or(0);
         let full = known.max(reported) >= engine.adapter_slots;
         if full {
-            choice.load_ms += FULL_ENGINE_WAIT_MS;
+            choice.load_ms += slots::FULL_ENGINE_WAIT_MS;
         }
         // An engine that has the adapter cached loads it fastest, whatever its
         // rank; a home without a free slot comes after those with one.
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -226,8 +226,9 @@
             return Some("engine");
         }
         let cached = {
+            let affinity = self.node.policies().weight_affinity;
             let view = self.node.view();
-            weights::is_cached(&self.node, &view, &job.adapter, &self.target.id, now)
+            weights::is_cached(affinity, &view, &job.adapter, &self.target.id, now)
         };
         // Cached weights do not come from the weight store.
         if cached {
@@ -256,6 +257,7 @@
 
     pub(super) async fn load(&mut self, job: Job) -> Option<Job> {
         let now = self.node.now();
+        let affinity = self.node.policies().weight_affinity;
         let (version, cached, age, origin) = {
             let view = self.node.view();
             let named = view
@@ -263,7 +265,7 @@
                 .get(&job.adapter)
                 .map_or(0, |n| n.version);
             let id = &self.target.id;
-            let cached = weights::is_cached(&self.node, &view, &job.adapter, id, now);
+            let cached = weights::is_cached(affinity, &view, &job.adapter, id, now);
             let age = view.residency.load_age(&job.adapter, id);
             let origin = match job.is_recovery() {
                 true => LoadOrigin::Lost,
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -13,9 +13,11 @@
 //! frees the requests that wait for it, and goes on after a report.
 
 mod affinity;
+pub(crate) mod candidate;
 mod command;
 pub(crate) mod controllers;
 mod copies;
+mod estimate;
 mod job;
 mod load;
 mod report;
@@ -29,14 +31,12 @@
 use comfreyhall_domain::{AdapterRef, Map, Target};
 use tokio::sync::mpsc;
 
-use self::{
-    job::Job,
-    ticket::{Ticket, Waiter},
-};
 pub(crate) use self::{
-    request::{EngineCandidate, PlacementRequest, place_adapter},
+    estimate::estimate_load,
+    request::{PlacementRequest, place_adapter},
     ticket::{Placed, PlacementError},
 };
+use self::{job::Job, ticket::Waiter};
 use crate::{node::Node, weights::LoadOrigin};
 
 /// Jobs that may be queued for one engine.
--- a/crates/comfreyhall-node/src/engine_control/request.rs
+++ b/crates/comfreyhall-node/src/engine_control/request.rs
@@ -6,18 +6,12 @@
 use comfreyhall_slots::SlotWaiter;
 use tokio::sync::oneshot;
 
-use super::{Job, Placed, PlacementError, Ticket, ticket::GoneEngines};
-use crate::{node::Node, slots::WaitingSlot, weights};
-
-/// An engine that may load an adapter.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct EngineCandidate {
-    pub(crate) target: Name,
-    /// Additional latency in ms compared with the best candidate: the engine
-    /// loads the adapter only after that time has passed without a free slot
-    /// elsewhere.
-    pub(crate) extra_ms: u64,
-}
+use super::{
+    candidate::EngineCandidate,
+    job::Job,
+    ticket::{GoneEngines, Placed, PlacementError, Ticket},
+};
+use crate::{node::Node, slots::waiting::WaitingSlot, weights};
 
 /// A request to have an adapter loaded on one of the engines of a lease group.
 #[derive(Debug, Clone)]
@@ -51,7 +45,10 @@
         .iter()
         .map(|p| p.target.clone())
         .collect();
-    let cached = weights::cached_among(node, &request.adapter, &targets);
+    let cached = match node.policies().weight_affinity {
+        true => weights::cached_among(&node.view(), &request.adapter, &targets),
+        false => Vec::new(),
+    };
     let gone = GoneEngines::default();
     let ticket = Ticket::new(waiter, targets, gone.clone()).with_cached(cached);
     let ticket = Arc::new(ticket);
--- a/crates/comfreyhall-node/src/engine_control/request/tests.rs
+++ b/crates/comfreyhall-node/src/engine_control/request/tests.rs
@@ -4,7 +4,7 @@
 use comfreyhall_slots::{SlotShare, SlotWaiter};
 use tokio::sync::mpsc;
 
-use super::{EngineCandidate, PlacementRequest, place_adapter};
+use super::{super::candidate::EngineCandidate, PlacementRequest, place_adapter};
 use crate::test_node::node;
 
 /// Guards against requests that keep asking for an engine that is gone. Its
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -7,9 +7,10 @@
 use rand::Rng;
 
 use super::{
-    Fleet, GOSSIP_PERIOD_MS, Origin, State, roster,
+    Origin,
+    periods::{self, GOSSIP_PERIOD_MS},
     rows::{ReportedVersions, add_rows},
-    state::FORGET_MS,
+    state::{FORGET_MS, Fleet, State},
 };
 use crate::node::Node;
 
@@ -48,7 +49,7 @@
         p.seed || now.saturating_sub(last) < FORGET_MS
     });
     let holding = node.leases.holds_any(node.settings().bounds.fencing);
-    let out = if roster::is_large(state.peers.len()) {
+    let out = if periods::is_large(state.peers.len()) {
         state.due_in_large(holding, now)
     } else {
         state.due_small(me, now)
@@ -121,7 +122,7 @@
     let now = node.now();
     let addrs: Vec<Name> = {
         let state = node.fleet.state();
-        let large = roster::is_large(state.peers.len());
+        let large = periods::is_large(state.peers.len());
         let heard = state.alive_peers(now).filter(|(_, p)| !large || p.holds());
         heard.map(|(a, _)| a.clone()).collect()
     };
@@ -136,7 +137,7 @@
 /// one by chance, seconds later; until then they know no holder and place no
 /// adapter there. In a small fleet the next period reaches everyone.
 pub(crate) async fn announce_lease(node: Arc<Node>) {
-    let large = roster::is_large(node.fleet.state().peers.len());
+    let large = periods::is_large(node.fleet.state().peers.len());
     if large {
         notify_all(&node).await;
     }
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -28,7 +28,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tonic::{Status, transport::Channel};
 
-use super::{Fleet, rows};
+use super::{rows, state::Fleet};
 use crate::{
     follow,
     node::Node,
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -10,7 +10,11 @@
 use rand::seq::IteratorRandom;
 
 use super::{
-    Fleet, Peer, State, histories::apply_histories, kept, roster, rows::from_wire, runs::Runs,
+    histories::apply_histories,
+    kept, periods,
+    rows::from_wire,
+    runs::Runs,
+    state::{Fleet, Peer, State},
 };
 use crate::adapter_key::parse_adapter_key;
 use crate::{
@@ -40,13 +44,13 @@
         let mut state = self.state();
         let known = state.alive_peers(now).filter(|(a, _)| &***a != addr);
         let known = known.map(|(a, _)| a.to_string());
-        gossip.peers = if roster::is_large(state.peers.len()) {
+        gossip.peers = if periods::is_large(state.peers.len()) {
             // The rosters name the rest.
             known.choose_multiple(&mut rand::rng(), NAMED_PEERS)
         } else {
             known.collect()
         };
-        if roster::is_large(state.peers.len()) {
+        if periods::is_large(state.peers.len()) {
             gossip.holders = state.holders(now);
         }
         gossip.runs = state.runs_for(addr, now);
@@ -390,7 +394,7 @@
     /// engines of its groups, and those of groups without a known holder.
     fn runs_for(&self, addr: &str, now: u64) -> Vec<EngineRun> {
         let all = self.runs.iter();
-        if !roster::is_large(self.peers.len()) {
+        if !periods::is_large(self.peers.len()) {
             return all.map(|(id, run)| run.to_wire(id, now)).collect();
         }
         let holds = |p: &Peer, group: &Name| p.holdings.iter().any(|(g, _)| g == group);
--- a/crates/comfreyhall-node/src/fleet/histories.rs
+++ b/crates/comfreyhall-node/src/fleet/histories.rs
@@ -6,7 +6,7 @@
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::{Holding, LoadHistory};
 
-use super::Fleet;
+use super::state::Fleet;
 use crate::{node::Node, view::View};
 
 /// Load histories in one message: about 1 KB, so that a daemon that starts in a
--- a/crates/comfreyhall-node/src/fleet/holders.rs
+++ b/crates/comfreyhall-node/src/fleet/holders.rs
@@ -5,7 +5,10 @@
 use comfreyhall_routing::selection::rendezvous_rank;
 use tonic::transport::Channel;
 
-use super::{Fleet, State, roster};
+use super::{
+    periods,
+    state::{Fleet, State},
+};
 
 /// Processor needed to hold leases in a large fleet, in thousandths of a core:
 /// the reports of 88 daemons and the commands to thirty engines took 59 to 69
@@ -34,7 +37,7 @@
     /// Ready peers that may continue `group`, the best first: those that reach its
     /// engines, then those in its domain.
     fn ranked_successors(&self, group: &str, now: u64) -> Vec<Name> {
-        let large = roster::is_large(self.peers.len());
+        let large = periods::is_large(self.peers.len());
         let ready = self.alive_peers(now).filter_map(|(addr, peer)| {
             let about = peer.daemon.as_ref().filter(|a| a.ready)?;
             let weak = large && about.millicores < MIN_HOLDER_MILLICORES;
@@ -113,14 +116,14 @@
     /// Whether this daemon has too little processor to hold leases in a large
     /// fleet while others can.
     pub(crate) fn is_underpowered(&self) -> bool {
-        roster::is_large(self.state().peers.len()) && self.me.millicores < MIN_HOLDER_MILLICORES
+        periods::is_large(self.state().peers.len()) && self.me.millicores < MIN_HOLDER_MILLICORES
     }
 
     /// Whether the peer at `addr` is better placed for the lease of `group`
     /// than this daemon: in its domain, and not weaker.
     pub(crate) fn is_better_placed(&self, group: &str, addr: &str) -> bool {
         let state = self.state();
-        let large = roster::is_large(state.peers.len());
+        let large = periods::is_large(state.peers.len());
         let strong = |d: &Daemon| !large || d.millicores >= MIN_HOLDER_MILLICORES;
         let about = state.peers.get(addr).and_then(|p| p.daemon.as_ref());
         let near = about.is_some_and(|d| {
@@ -139,7 +142,7 @@
     /// whether this one does not.
     pub(crate) fn precedence(&self, group: &str, loses_group: bool, now: u64) -> Precedence {
         let state = self.state();
-        let large = roster::is_large(state.peers.len());
+        let large = periods::is_large(state.peers.len());
         let class = |d: &Daemon, reaches: bool| {
             (
                 reaches,
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -15,8 +15,9 @@
 use rand::seq::IteratorRandom;
 
 use super::{
-    FANOUT, Fleet, GOSSIP_PERIOD_MS, Peer, State,
-    roster::{Roster, Summary, is_large, report_period_ms},
+    periods::{FANOUT, GOSSIP_PERIOD_MS, is_large, report_period_ms},
+    roster::{Roster, Summary},
+    state::{Fleet, Peer, State},
 };
 use crate::{node::Node, reach};
 
--- a/crates/comfreyhall-node/src/fleet/members.rs
+++ b/crates/comfreyhall-node/src/fleet/members.rs
@@ -9,7 +9,7 @@
 use comfreyhall_domain::Name;
 use comfreyhall_routing::selection::rendezvous_rank;
 
-use super::{Fleet, holders::MIN_HOLDER_MILLICORES, roster};
+use super::{holders::MIN_HOLDER_MILLICORES, periods, state::Fleet};
 
 impl Fleet {
     /// Records that the member list was read from the store.
@@ -70,7 +70,7 @@
     /// its lease; daemons with enough processor come first.
     pub(crate) fn preferred_daemon(&self, group: &str, now: u64) -> Option<Name> {
         let state = self.state();
-        let large = roster::is_large(state.peers.len());
+        let large = periods::is_large(state.peers.len());
         let weak = |millicores: u32| large && millicores < MIN_HOLDER_MILLICORES;
         let alive = state.alive_peers(now).filter_map(|(addr, peer)| {
             let about = peer.daemon.as_ref().filter(|a| a.ready)?;
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -15,9 +15,11 @@
 mod holders;
 mod hub;
 mod kept;
+mod kept_fetch;
 mod members;
 mod pace_log;
 mod paces;
+mod periods;
 mod progress;
 mod roster;
 mod rows;
@@ -41,7 +43,7 @@
 use comfreyhall_domain::Name;
 use rand::seq::IteratorRandom;
 
-use self::state::{FANOUT, Fleet, GOSSIP_PERIOD_MS, Peer, State};
+use self::state::Fleet;
 use crate::node::Node;
 
 /// Maximum number of addresses in one answer that callers accept.
--- a/crates/comfreyhall-node/src/fleet/paces.rs
+++ b/crates/comfreyhall-node/src/fleet/paces.rs
@@ -10,7 +10,7 @@
 use comfreyhall_protocol::News;
 use comfreyhall_routing::Pace;
 
-use super::{Fleet, State};
+use super::state::{Fleet, State};
 use crate::node::Node;
 
 impl Fleet {
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Fleet,
+    state::Fleet,
     updates::{RunChange, RunUpdate, StreamReport},
 };
 use crate::{
--- a/crates/comfreyhall-node/src/fleet/roster.rs
+++ b/crates/comfreyhall-node/src/fleet/roster.rs
@@ -6,23 +6,6 @@
 use comfreyhall_protocol::{Daemon, TargetTotal};
 use rustc_hash::FxHasher;
 
-use super::state::{FANOUT, GOSSIP_PERIOD_MS};
-
-/// Calls that a holder answers per second: at 0.2 ms each (processor time over
-/// calls with 89 daemons, including all other work) this takes 4% of a core,
-/// which is below the limit for control traffic.
-const REPORTS_PER_S: u64 = 200;
-
-/// Whether a fleet of `peers` reports to holders.
-pub(super) fn is_large(peers: usize) -> bool {
-    peers > FANOUT
-}
-
-/// Interval in ms between two reports to the same holder in a fleet of `peers`.
-pub(super) fn report_period_ms(peers: usize) -> u64 {
-    (peers as u64 * 1_000 / REPORTS_PER_S).max(GOSSIP_PERIOD_MS)
-}
-
 /// Live daemons, as reported by a holder.
 #[derive(Debug, Default)]
 pub(super) struct Roster {
--- a/crates/comfreyhall-node/src/fleet/rows.rs
+++ b/crates/comfreyhall-node/src/fleet/rows.rs
@@ -3,7 +3,7 @@
 use comfreyhall_domain::Revision;
 use comfreyhall_protocol::{News, TargetsProof};
 
-use super::{Fleet, roster};
+use super::{periods, state::Fleet};
 use crate::{
     node::Node,
     ports::{Record, Topic},
@@ -29,7 +29,7 @@
             let Some(peer) = state.peers.get(addr) else {
                 return;
             };
-            if roster::is_large(state.peers.len()) && !peer.holds() {
+            if periods::is_large(state.peers.len()) && !peer.holds() {
                 return;
             }
             let new = peer.daemon.is_none();
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -15,23 +15,16 @@
 use tonic::transport::Channel;
 
 use super::{
-    kept::KeptFetch,
+    kept_fetch::KeptFetch,
     pace_log::PaceLog,
-    roster::{Roster, Summary, report_period_ms},
+    periods::report_period_ms,
+    roster::{Roster, Summary},
     runs::Runs,
     sender::SettingsSender,
     updates::{RunUpdate, UPDATE_QUEUE_LEN},
 };
 use crate::{adapter_key::adapter_key, clock};
 
-/// Gossip period in ms. It keeps the wait estimate at most a quarter of a
-/// second old, about the duration of one prompt.
-pub(super) const GOSSIP_PERIOD_MS: u64 = 250;
-
-/// Peers called in one period. With more daemons than this, gossip goes through
-/// the lease holders, which keeps the cost of a daemon constant.
-pub(super) const FANOUT: usize = 16;
-
 /// Missing reports after which a peer's address is no longer given to callers,
 /// so that a few lost calls do not exclude it.
 const ALIVE_PERIODS: u64 = 4;
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -254,7 +254,8 @@
     };
     node.fleet
         .apply_gossip(&node, reported, super::Origin::Call);
-    let late = node.now() + super::roster::report_period_ms(194) + super::GOSSIP_PERIOD_MS;
+    let late =
+        node.now() + super::periods::report_period_ms(194) + super::periods::GOSSIP_PERIOD_MS;
     assert_eq!(
         node.view()
             .board
--- a/crates/comfreyhall-node/src/fleet/versions.rs
+++ b/crates/comfreyhall-node/src/fleet/versions.rs
@@ -2,7 +2,7 @@
 
 use comfreyhall_protocol::ServiceVersion;
 
-use super::{Fleet, Peer};
+use super::state::{Fleet, Peer};
 use crate::{node::Node, streams};
 
 /// Messages that tell a new process of all software versions: one may get lost.
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -27,7 +27,7 @@
     quarantine::state::QuarantineTracker,
     quotas::state::{QuotaKind, Quotas},
     slots::state::SlotLedgers,
-    streams::{self, Streams},
+    streams::{state::Streams, versions},
     view::View,
 };
 
@@ -106,7 +106,7 @@
 
     /// Which software versions of `service` may begin a stream that can be resumed.
     pub(crate) fn begin_rule(&self, service: &str) -> SoftwareRule {
-        let timing = streams::timing(self.settings().bounds.drain_ms);
+        let timing = versions::timing(self.settings().bounds.drain_ms);
         let now = self.now();
         let view = self.view();
         let history = view.versions.get(service);
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -19,7 +19,7 @@
     node::Node,
     ports::{Decoded, Record, RecordBatch, Topic},
     rows::{KeptRows, Provenance},
-    streams::{self, versions},
+    streams::versions,
     view::{NamedVersion, View},
 };
 
@@ -143,7 +143,7 @@
 
 /// Records the software versions of the known targets.
 fn observe_versions(node: &Node) {
-    let timing = streams::timing(node.settings().bounds.drain_ms);
+    let timing = versions::timing(node.settings().bounds.drain_ms);
     let now = node.now();
     let mixed = versions::observe(&mut node.view(), &timing, now);
     for service in mixed {
@@ -154,7 +154,7 @@
 /// Records that the known targets were complete up to row `version` at `as_of_ms`.
 pub(crate) fn prove_targets(node: &Node, version: Revision, as_of_ms: u64) {
     observe_versions(node);
-    let timing = streams::timing(node.settings().bounds.drain_ms);
+    let timing = versions::timing(node.settings().bounds.drain_ms);
     let mut view = node.view();
     view.records.targets.prove(version, as_of_ms);
     versions::confirm(&mut view, &timing, as_of_ms);
--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -5,26 +5,22 @@
 
 mod refresh;
 pub(crate) mod state;
-mod waiting;
+pub(crate) mod waiting;
 
 use std::sync::Arc;
 
 use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_slots::{ShareUse, SlotWaiter};
 
-use self::state::SlotCaller;
-pub(crate) use self::waiting::WaitingSlot;
-use crate::{adapter_key::adapter_key, bind::BindParams, choose, node::Node};
+use self::{
+    state::SlotCaller,
+    waiting::{LATE_MARGIN, SLOT_WAIT_MS, WaitingSlot},
+};
+use crate::{adapter_key::adapter_key, bind::params::BindParams, node::Node};
 
-/// How long a request waits for a slot in one group of engines before it
-/// chooses again, in ms, if the holder expects a slot for it: another group may
-/// have one by then.
-pub(crate) const SLOT_WAIT_MS: u64 = 250;
-
-/// How many times the expected wait a request must have left to wait for a slot
-/// beyond its latency objective: requests that arrive meanwhile and can be in
-/// time go first.
-const LATE_MARGIN: u64 = 2;
+/// Expected wait for a slot where all are in use, in ms: a request holds its
+/// slot for about a second, and several of them end in that time.
+pub(crate) const FULL_ENGINE_WAIT_MS: f64 = 250.0;
 
 /// Whether a request may wait for a slot.
 pub(crate) enum SlotDecision {
@@ -84,7 +80,7 @@
     let expected_ms = node.slots.expected_ms(&pool, &waiter, now);
     if expected_ms > 0 {
         // The choice has counted a wait for a full engine.
-        let own_ms = first_event_ms.saturating_sub(choose::FULL_ENGINE_WAIT_MS as u64);
+        let own_ms = first_event_ms.saturating_sub(FULL_ENGINE_WAIT_MS as u64);
         waiter.start_by_ms = now + left_ms.saturating_sub(own_ms);
     }
     let in_time_ms = waiter.start_by_ms - now;
--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -4,9 +4,22 @@
 
 use comfreyhall_slots::SlotWaiter;
 
-use super::{LATE_MARGIN, SLOT_WAIT_MS, SlotCaller, state::PoolKey};
+use super::{
+    refresh::refresh,
+    state::{PoolKey, SlotCaller},
+};
 use crate::node::Node;
 
+/// How long a request waits for a slot in one group of engines before it
+/// chooses again, in ms, if the holder expects a slot for it: another group may
+/// have one by then.
+pub(super) const SLOT_WAIT_MS: u64 = 250;
+
+/// How many times the expected wait a request must have left to wait for a slot
+/// beyond its latency objective: requests that arrive meanwhile and can be in
+/// time go first.
+pub(super) const LATE_MARGIN: u64 = 2;
+
 /// How many times the wait that is left the expected one may be before the
 /// request is rejected: the expectation varies as runs end.
 const DOUBT_MARGIN: f64 = 1.5;
@@ -106,7 +119,7 @@
         }
         let left_ms = self.limit_ms.saturating_sub(waited_ms);
         let late = now > self.waiter.start_by_ms;
-        super::refresh::refresh(node, &place.pool.0, Some(&place.pool.1));
+        refresh(node, &place.pool.0, Some(&place.pool.1));
         let expected_ms = node.slots.expected_ms(&place.pool, &self.waiter, now);
         let hopeless = match late {
             true => LATE_MARGIN * expected_ms > left_ms,
--- a/crates/comfreyhall-node/src/streams/find.rs
+++ b/crates/comfreyhall-node/src/streams/find.rs
@@ -7,7 +7,7 @@
 use comfreyhall_streams::{Answer, Evidence, Proof, conclude};
 use futures::{StreamExt, stream::FuturesUnordered};
 
-use super::{timing, wire};
+use super::{versions, wire};
 use crate::node::Node;
 
 /// Daemons that are asked: the ones that were sent the record, and those that follow
@@ -57,7 +57,7 @@
             age_ms,
         };
     }
-    let timing = timing(node.settings().bounds.drain_ms);
+    let timing = versions::timing(node.settings().bounds.drain_ms);
     let view = node.view();
     let history = view.versions.get(service);
     let only = history.and_then(|h| Some((h, h.only_version(&timing, now)?)));
--- a/crates/comfreyhall-node/src/streams/mod.rs
+++ b/crates/comfreyhall-node/src/streams/mod.rs
@@ -8,7 +8,7 @@
 
 mod find;
 mod share;
-mod state;
+pub(crate) mod state;
 pub(crate) mod stored;
 pub(crate) mod versions;
 mod wire;
@@ -16,18 +16,13 @@
 pub(crate) use self::{
     find::{answer, find_version},
     share::{receive, spawn},
-    state::{RunningStream, Streams},
+    state::RunningStream,
     wire::{decode_version, encode_version},
 };
 
-use comfreyhall_streams::Timing;
-
 /// Daemons that a record is sent to.
 const OWNERS: usize = 2;
 
-/// How long a version that left may have streams that callers resume, in ms.
-const HORIZON_MS: u64 = 60_000;
-
 /// Longest time for which a record is kept, in ms.
 const MAX_RECORD_MS: u64 = 600_000;
 
@@ -38,11 +33,3 @@
 pub(crate) fn expiry_ms(deadline_ms: u64, now: u64) -> u64 {
     (deadline_ms + RESUME_SLACK_MS).min(now + MAX_RECORD_MS)
 }
-
-/// The times that proofs depend on, for this bound on new work at draining targets.
-pub(crate) fn timing(drain_ms: u64) -> Timing {
-    Timing {
-        horizon_ms: HORIZON_MS,
-        max_age_ms: drain_ms,
-    }
-}
--- a/crates/comfreyhall-node/src/streams/versions.rs
+++ b/crates/comfreyhall-node/src/streams/versions.rs
@@ -5,6 +5,17 @@
 
 use crate::view::View;
 
+/// How long a version that left may have streams that callers resume, in ms.
+const HORIZON_MS: u64 = 60_000;
+
+/// The times that proofs depend on, for this bound on new work at draining targets.
+pub(crate) fn timing(drain_ms: u64) -> Timing {
+    Timing {
+        horizon_ms: HORIZON_MS,
+        max_age_ms: drain_ms,
+    }
+}
+
 /// Records the versions of the known targets; returns the services of which several
 /// may have streams.
 pub(crate) fn observe(view: &mut View, timing: &Timing, now: u64) -> Vec<Name> {
--- a/crates/comfreyhall-node/src/weights/mod.rs
+++ b/crates/comfreyhall-node/src/weights/mod.rs
@@ -10,16 +10,7 @@
     recovery::recovery_order,
     store::{CallerCounts, StoreQueue, StoreState, StoreWait},
 };
-use crate::{node::Node, view::View};
-
-/// What loading an adapter on an engine takes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct LoadEstimate {
-    /// Expected duration of the load, in ms.
-    pub(crate) load_ms: f64,
-    /// Whether the engine has the weights cached.
-    pub(crate) cached: bool,
-}
+use crate::view::View;
 
 /// Why a load came from the weight store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,46 +46,27 @@
     }
 }
 
-/// Whether `target` has the weights of `adapter` cached.
+/// Whether `target` has the weights of `adapter` cached, with weight affinity
+/// (`affinity`) or without.
 pub(crate) fn is_cached(
-    node: &Node,
+    affinity: bool,
     view: &View,
     adapter: &AdapterRef,
     target: &Name,
     now: u64,
 ) -> bool {
-    match node.policies().weight_affinity {
+    match affinity {
         true => view.residency.at_hand(adapter, target),
         false => view.residency.likely_cached(adapter, target, now),
     }
 }
 
 /// Those of `targets` that have the weights of `adapter` cached.
-pub(crate) fn cached_among(node: &Node, adapter: &AdapterRef, targets: &[Name]) -> Vec<Name> {
-    if !node.policies().weight_affinity {
-        return Vec::new();
-    }
-    let view = node.view();
+pub(crate) fn cached_among(view: &View, adapter: &AdapterRef, targets: &[Name]) -> Vec<Name> {
     let cached = |t: &&Name| view.residency.at_hand(adapter, t);
     targets.iter().filter(cached).cloned().collect()
 }
 
-/// Estimates a load of `adapter` on `target`.
-pub(crate) fn estimate(
-    node: &Node,
-    view: &View,
-    adapter: &AdapterRef,
-    target: &Name,
-    now: u64,
-) -> LoadEstimate {
-    let cached = is_cached(node, view, adapter, target, now);
-    let mut load_ms = node.controllers.expected_load_ms(cached);
-    if !cached && node.policies().weight_affinity {
-        load_ms += node.controllers.store_state().wait_ms();
-    }
-    LoadEstimate { load_ms, cached }
-}
-
 /// Keeps the engines, best first, that an adapter that is not hot may be loaded
 /// on.
 ///
