Own daemon: the state kept in App below it; a circle of 7 files opened

member::list (Members), outbound::state (Outbound, Target), quarantine::state (SharedQuarantine, PeerSync) and engine_view (EngineAccount, the view of an engine from its status) import no part of the daemon; app imports these, and member, outbound, quarantine and engines import app.

member_tests.rs -> member/tests.rs, unchanged, beside the list that it tests.

Files in one strongly connected component: app, engines, member, outbound, quarantine, confirm, exchange, 7; now quarantine with exchange, 2, and http with call and complete, 3.

--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -8,7 +8,6 @@
     time::{Duration, Instant},
 };
 
-use comfreyhall_capacity::SlotAccount;
 use comfreyhall_catalog::{Catalog, Follower, Labels, Table};
 use comfreyhall_lease::Lease;
 use comfreyhall_life::{Lifecycle, Stage};
@@ -24,13 +23,16 @@
 use tonic::transport::Channel;
 
 use crate::{
-    demand::DemandCounter, engines, member::Members, metrics::Metrics, outbound::Outbound,
-    quarantine::SharedQuarantine, stats::Counters, stuck::StuckLoads,
+    demand::DemandCounter,
+    engine_view::{EngineAccount, empty_view},
+    member::list::Members,
+    metrics::Metrics,
+    outbound::state::Outbound,
+    quarantine::state::SharedQuarantine,
+    stats::Counters,
+    stuck::StuckLoads,
 };
 
-/// The account of an engine's slots, by `adapter@version`.
-pub(crate) type EngineAccount = SlotAccount<Arc<str>>;
-
 /// Shared daemon state; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct App {
@@ -101,7 +103,7 @@
             .filter(|i| i.id != instance.id)
             .map(|i| (i.id.clone(), PeerClient::new(link::channel(&i.listen))))
             .collect();
-        let view = settings.engines.iter().map(engines::empty_view).collect();
+        let view = settings.engines.iter().map(empty_view).collect();
         let accounts = settings.engines.iter();
         let accounts = accounts.map(|_| EngineAccount::unsequenced()).collect();
         let term = Duration::from_millis(settings.tuning.lease_ms);
--- a/crates/comfreyhall-daemon/src/engines.rs
+++ b/crates/comfreyhall-daemon/src/engines.rs
@@ -1,84 +1,19 @@
 //! Engine status polls, which keep the placement view current.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::atomic::Ordering, time::Duration};
 
-use comfreyhall_capacity::Snapshot;
-use comfreyhall_placement::{EngineView, SlotView};
-use comfreyhall_protocol::{EngineStatus, Slot, StatusQuery};
-use comfreyhall_settings::Engine;
+use comfreyhall_protocol::StatusQuery;
 use prost::Message;
 
 use crate::{
-    app::{App, EngineAccount},
+    app::App,
+    engine_view::{EngineAccount, apply_status, view_of},
     outbound::{self, Target},
 };
 
 /// Timeout of a status poll, after which the engine counts as down.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The view of an engine before its first poll: up and empty.
-pub(crate) fn empty_view(engine: &Engine) -> EngineView {
-    EngineView {
-        id: engine.id.clone(),
-        slots: Vec::new(),
-        capacity: engine.slots,
-        requests: 0,
-        batch_width: engine.width,
-        up: true,
-    }
-}
-
-/// Takes an engine's status, asked for at `asked_ms`, into its account.
-fn apply_status(account: &mut EngineAccount, status: &EngineStatus, asked_ms: u64) {
-    let keys = |loading: bool| {
-        let slots = status.slots.iter().filter(move |s| s.loading == loading);
-        slots.map(|s| (slot_key(s), 0)).collect()
-    };
-    account.apply(
-        Snapshot {
-            sequence: 0,
-            held: keys(false),
-            loading: keys(true),
-        },
-        asked_ms,
-    );
-}
-
-fn slot_key(slot: &Slot) -> Arc<str> {
-    format!("{}@{}", slot.adapter, slot.version).into()
-}
-
-/// Builds an engine's view from its status reply, and the loads that may be on their way
-/// to it.
-fn view_of(engine: &Engine, status: &EngineStatus, account: &EngineAccount) -> EngineView {
-    let unknown = account.unknown().map(|key| SlotView {
-        key: key.clone(),
-        pins: 0,
-        loading: true,
-    });
-    let slots = status
-        .slots
-        .iter()
-        .map(|slot| SlotView {
-            key: slot_key(slot),
-            pins: slot.pins,
-            loading: slot.loading,
-        })
-        .chain(unknown)
-        .collect();
-    EngineView {
-        id: engine.id.clone(),
-        slots,
-        capacity: engine.slots,
-        requests: status.queued + status.active,
-        batch_width: status.width,
-        up: true,
-    }
-}
-
 /// Starts one poll task per engine.
 pub(crate) fn spawn_polls(app: &App) {
     for index in 0..app.inner.engine_clients.len() {
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod app;
 mod claims;
 mod demand;
+mod engine_view;
 mod engines;
 mod error;
 mod http;
--- a/crates/comfreyhall-daemon/src/member.rs
+++ b/crates/comfreyhall-daemon/src/member.rs
@@ -18,105 +18,21 @@
 //!   instance list says so some time later, even if the instance could not
 //!   write its row. Either is enough to stop giving out its address.
 
-use std::{
-    sync::{Mutex, MutexGuard},
-    time::{Duration, Instant},
-};
+pub(crate) mod list;
+
+use std::time::{Duration, Instant};
 
 use comfreyhall_catalog::{CatalogError, Rows, put};
 use comfreyhall_life::{Event, Stage};
-use comfreyhall_protocol::{ListQuery, Map, api::Addresses};
+use comfreyhall_protocol::{ListQuery, api::Addresses};
 use prost::Message;
-use serde::{Deserialize, Serialize};
 
+use self::list::Member;
 use crate::app::App;
 
 /// Timeout of a read of the platform's instance list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A member row.
-#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
-pub(crate) struct Member {
-    pub(crate) id: String,
-    pub(crate) domain: String,
-    pub(crate) address: String,
-    pub(crate) leaving: bool,
-    /// Random id of the process, so that a restart shows as a change.
-    pub(crate) boot: u64,
-    /// Heartbeats that this process has written.
-    pub(crate) beat: u64,
-}
-
-/// A member as this daemon last read it.
-struct ObservedMember {
-    member: Member,
-    /// When the row last changed, by this daemon's monotonic clock.
-    changed_at: Instant,
-}
-
-/// All members that this daemon has read.
-#[derive(Default)]
-pub(crate) struct Members {
-    state: Mutex<State>,
-}
-
-#[derive(Default)]
-struct State {
-    boot: u64,
-    beat: u64,
-    observed: Map<String, ObservedMember>,
-    /// Ids that the platform lists as draining.
-    leaving: Vec<String>,
-    /// Time of the last successful scan.
-    last_scan: Option<Instant>,
-}
-
-impl Members {
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of this lock panics")
-    }
-
-    /// Records the rows of a scan made at `now`.
-    fn record_scan(&self, rows: Vec<Member>, now: Instant, lease: Duration) {
-        let mut state = self.state();
-        let last = state.last_scan.replace(now);
-        let after_gap =
-            last.is_some_and(|previous| now.saturating_duration_since(previous) >= lease);
-        state
-            .observed
-            .retain(|id, _| rows.iter().any(|member| member.id == *id));
-        for member in rows {
-            let changed_at = match state.observed.get(&member.id) {
-                Some(old) if old.member == member && !after_gap => old.changed_at,
-                _ => now,
-            };
-            state
-                .observed
-                .insert(member.id.clone(), ObservedMember { member, changed_at });
-        }
-    }
-
-    /// Live members that are not draining, as of the last scan.
-    fn live(&self, lease: Duration) -> Vec<Member> {
-        let state = self.state();
-        let Some(last_scan) = state.last_scan else {
-            return Vec::new();
-        };
-        let is_live =
-            |entry: &&ObservedMember| last_scan.saturating_duration_since(entry.changed_at) < lease;
-        let accepts_requests =
-            |member: &Member| !member.leaving && !state.leaving.contains(&member.id);
-        let live = state
-            .observed
-            .values()
-            .filter(is_live)
-            .map(|entry| &entry.member);
-        live.filter(|member| accepts_requests(member))
-            .cloned()
-            .collect()
-    }
-}
-
 /// Writes this instance's member row once.
 pub(crate) async fn write_heartbeat(app: &App) -> Result<(), CatalogError> {
     let row = {
@@ -232,7 +148,3 @@
         ttl_ms: tuning.address_ttl_ms,
     }
 }
-
-#[cfg(test)]
-#[path = "member_tests.rs"]
-mod tests;
--- a/crates/comfreyhall-daemon/src/outbound.rs
+++ b/crates/comfreyhall-daemon/src/outbound.rs
@@ -5,48 +5,23 @@
 //! to a target is checked before it is made, and its answer is read for
 //! notices. A limit is divided equally among all instances in the settings.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+pub(crate) mod state;
 
-use comfreyhall_backpressure::{
-    Change, LimitShares, Notice, TargetSignals, parse_cooldown, parse_draining, parse_limit,
-};
+use std::sync::Arc;
+
+use comfreyhall_backpressure::{Change, Notice, parse_cooldown, parse_draining, parse_limit};
 use comfreyhall_placement::EngineView;
 use comfreyhall_protocol::notice::{COOLDOWN, DRAINING, LIMIT, values};
 use tonic::{Response, Status, metadata::MetadataMap};
 
+use self::state::State;
+pub(crate) use self::state::Target;
 use crate::{app::App, error::RouteError};
 
 /// Retry delay while all targets drain, in ms: replacements start within some
 /// seconds.
 const DRAINING_RETRY_MS: u64 = 1_000;
 
-/// A target that this daemon calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Target {
-    /// The engine with this index.
-    Engine(usize),
-    /// The plain service with this index.
-    Service(usize),
-}
-
-/// Notices received from targets.
-#[derive(Default)]
-pub(crate) struct Outbound {
-    state: Mutex<State>,
-}
-
-#[derive(Default)]
-struct State {
-    signals: TargetSignals,
-    shares: LimitShares,
-}
-
-impl Outbound {
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of this lock panics")
-    }
-}
-
 /// Name of the current boot (one start of the process) of `target`; a plain
 /// service does not distinguish its boots.
 fn boot_name(app: &App, target: Target) -> Arc<str> {
--- a/crates/comfreyhall-daemon/src/quarantine/exchange.rs
+++ b/crates/comfreyhall-daemon/src/quarantine/exchange.rs
@@ -7,20 +7,12 @@
 use comfreyhall_quarantine::{Evidence, SyncPosition, process_time};
 use rand::seq::IteratorRandom;
 
-use super::{record, report_change};
+use super::{record, report_change, state::PeerSync};
 use crate::app::App;
 
 /// Timeout of one exchange of evidence.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 
-#[derive(Default, Clone, Copy)]
-pub(super) struct PeerSync {
-    /// Position in the peer's evidence up to which it was received here.
-    received: SyncPosition,
-    /// Serial of the last evidence of ours that the peer has acknowledged.
-    acknowledged_serial: u64,
-}
-
 /// Starts the periodic exchange of evidence with one random peer.
 pub(crate) fn spawn(app: &App) {
     let app = app.clone();
--- a/crates/comfreyhall-daemon/src/quarantine/mod.rs
+++ b/crates/comfreyhall-daemon/src/quarantine/mod.rs
@@ -8,24 +8,19 @@
 
 mod confirm;
 mod exchange;
+pub(crate) mod state;
 
 pub(crate) use self::{
     confirm::{SuspectTarget, answer},
     exchange::{merge_evidence, spawn, unseen_evidence},
 };
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use comfreyhall_protocol::Map;
 use comfreyhall_quarantine::{
     Change, Evidence, Feature, Fingerprint, Observation, Quarantine, Status, process_time,
 };
-use rand::Rng;
 
-use self::exchange::PeerSync;
 use crate::{app::App, error::RouteError};
 
 /// Minimum time between two trials of a request by this daemon: longer than an
@@ -35,35 +30,6 @@
 /// A run that breaks off within this time of its first token counts as early.
 pub(crate) const EARLY_WINDOW: Duration = Duration::from_millis(300);
 
-/// This daemon's quarantine and its exchange with other daemons.
-pub(crate) struct SharedQuarantine {
-    boot: u64,
-    state: Mutex<State>,
-}
-
-#[derive(Default)]
-struct State {
-    quarantine: Quarantine,
-    /// Exchange progress with each peer.
-    peer_syncs: Map<Arc<str>, PeerSync>,
-    trials: Map<Fingerprint, Instant>,
-}
-
-impl Default for SharedQuarantine {
-    fn default() -> Self {
-        Self {
-            boot: rand::rng().random(),
-            state: Mutex::default(),
-        }
-    }
-}
-
-impl SharedQuarantine {
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of this lock panics")
-    }
-}
-
 /// Checks that `fingerprint` may be sent now. `may_have_run`: an earlier send
 /// of this attempt may have run.
 pub(crate) fn admit(
