Joined: the fields of a settlement call, the pools of a group

Three limiters wrote the same five fields of a SettleRequest; SettleRequest::without_share does now. SlotLedgers found the pools of a group twice; State::pools does now. No behaviour changes.

--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -68,6 +68,12 @@
 }
 
 impl State {
+    /// The pools of `group`.
+    fn pools(&self, group: &Name) -> impl Iterator<Item = &Pool> {
+        let group = self.groups.get(group);
+        group.into_iter().flat_map(|g| g.pools.values())
+    }
+
     /// The group, which begins with the slot time of this daemon's own runs.
     pub(super) fn group(&mut self, group: &Name, now: u64) -> &mut GroupUse {
         self.groups.entry(group.clone()).or_insert_with(|| {
@@ -172,23 +178,15 @@
     /// Requests that wait for a slot of `group`.
     pub(super) fn waiting(&self, group: &Name) -> usize {
         let state = self.state();
-        let pools = state
-            .groups
-            .get(group)
-            .into_iter()
-            .flat_map(|g| g.pools.values());
-        pools.map(|p| p.list.iter().count()).sum()
+        state.pools(group).map(|p| p.list.iter().count()).sum()
     }
 
     /// Free slots of `group`, and those in use.
     pub(super) fn slots(&self, group: &Name) -> (usize, usize) {
         let state = self.state();
-        let pools = state
-            .groups
-            .get(group)
-            .into_iter()
-            .flat_map(|g| g.pools.values());
-        let both = pools.map(|p| (p.schedule.free(), p.schedule.in_use()));
+        let both = state
+            .pools(group)
+            .map(|p| (p.schedule.free(), p.schedule.in_use()));
         both.fold((0, 0), |sum, each| (sum.0 + each.0, sum.1 + each.1))
     }
 
--- a/crates/comfreyhall-workspace/src/granting/mod.rs
+++ b/crates/comfreyhall-workspace/src/granting/mod.rs
@@ -238,14 +238,7 @@
         link.called_at_ms = now;
         link.in_flight = true;
         link.urgent = false;
-        SettleRequest {
-            from: self.local.peer_addr.to_string(),
-            boot: self.local.boot,
-            serial: link.serial,
-            group: group.to_string(),
-            lines,
-            ..SettleRequest::default()
-        }
+        SettleRequest::without_share(&self.local, link.serial, group, lines)
     }
 
     fn handle_settle(
--- a/crates/comfreyhall-workspace/src/lending/limits.rs
+++ b/crates/comfreyhall-workspace/src/lending/limits.rs
@@ -220,15 +220,11 @@
             false => 0,
         };
         SettleRequest {
-            from: self.local.peer_addr.to_string(),
-            boot: self.local.boot,
-            serial: link.serial,
-            group: group.to_string(),
             share: if assigns { share } else { 0.0 },
             as_of: last_clock.map_or(0, |c| c.clock_ms),
             term_ms: SHARE_TERM_MS,
             unlent_ms: known_unlent_ms(unlent_ms, self.started_at_ms, now),
-            lines,
+            ..SettleRequest::without_share(&self.local, link.serial, group, lines)
         }
     }
 
--- a/crates/comfreyhall-workspace/src/lending/mod.rs
+++ b/crates/comfreyhall-workspace/src/lending/mod.rs
@@ -111,15 +111,11 @@
         };
         link.serial += 1;
         let request = SettleRequest {
-            from: self.local.peer_addr.to_string(),
-            boot: self.local.boot,
-            serial: link.serial,
-            group: group.to_string(),
             share: if assigns { share } else { 0.0 },
             as_of: now,
             term_ms: SHARE_TERM_MS,
             unlent_ms: known_unlent_ms(unlent_ms, self.started_at_ms, now),
-            lines,
+            ..SettleRequest::without_share(&self.local, link.serial, group, lines)
         };
         let reply = self.settle_with_ledger(&request, self.started_at_ms, now);
         self.apply_reply(group, &reply, now);
--- a/crates/comfreyhall-workspace/src/limiter.rs
+++ b/crates/comfreyhall-workspace/src/limiter.rs
@@ -100,6 +100,26 @@
     pub lines: Vec<UsageLine>,
 }
 
+impl SettleRequest {
+    /// The call numbered `serial` of `local` to the coordinator of `group`, which may
+    /// lend no share on its behalf.
+    pub(crate) fn without_share(
+        local: &PeerProcess,
+        serial: u64,
+        group: &Name,
+        lines: Vec<UsageLine>,
+    ) -> Self {
+        Self {
+            from: local.peer_addr.to_string(),
+            boot: local.boot,
+            serial,
+            group: group.to_string(),
+            lines,
+            ..Self::default()
+        }
+    }
+}
+
 /// One workspace's part of a [`SettleReply`].
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct GrantLine {
--- a/crates/comfreyhall-workspace/src/sharing.rs
+++ b/crates/comfreyhall-workspace/src/sharing.rs
@@ -239,14 +239,7 @@
         let link = self.links.entry(group.clone()).or_default();
         link.serial += 1;
         link.called_at_ms = now;
-        SettleRequest {
-            from: self.local.peer_addr.to_string(),
-            boot: self.local.boot,
-            serial: link.serial,
-            group: group.to_string(),
-            lines,
-            ..SettleRequest::default()
-        }
+        SettleRequest::without_share(&self.local, link.serial, group, lines)
     }
 
     fn handle_settle(
