Node: figurative names reworded

Fields of fleet::state::Peer: untold_from -> unsent_from, use_told -> use_sent, versions_told -> versions_sent, paces_told -> paces_sent, findings_heard -> findings_received, vouched_at_ms -> reported_at_ms, met_at_ms -> added_at_ms, heard_at_ms -> gossip_at_ms; heard_recently -> recent_peers. pace_log: Told -> SentPace, MAX_TOLD -> MAX_SENT, MIN_TOLD_MS -> MIN_REPEAT_MS. engine_control: GoneEngines -> RefusingEngines, note_gone -> record_refusal, home -> preferred, the local keeper -> controller. choose: MIN_NEW_HOMES -> MIN_NEW_ENGINES. quotas: own_home -> own_process. leases::reach: hand_on -> transfer.

Names only; wire, log and metrics names stay.

--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -40,7 +40,7 @@
 /// adapter that has become hot double within the time of a load. With 1, an
 /// adapter waits for that engine however long its queue is; with many, it is
 /// loaded from the weight store to engines that have not cached it.
-const MIN_NEW_HOMES: usize = 2;
+const MIN_NEW_ENGINES: usize = 2;
 
 /// Maximum number of engines that share a placement request. A dozen of them
 /// free a slot every 30 ms when all are in use. With every engine of a group of
@@ -307,10 +307,10 @@
         loaders.push((full && !cached, rank, choice));
     }
     loaders.sort_by_key(|(full, rank, _)| (*full, *rank));
-    let homes = if criteria.only_tried {
+    let engines = if criteria.only_tried {
         loaders.len()
     } else {
-        out.len().max(MIN_NEW_HOMES)
+        out.len().max(MIN_NEW_ENGINES)
     };
     let mut loaders: Vec<Candidate> = loaders.into_iter().map(|(_, _, c)| c).collect();
     if held_late_ms.is_finite() {
@@ -328,7 +328,7 @@
         };
         loaders = weights::keep_affine(loaders, criteria.objective_ms as f64, group_of);
     }
-    out.extend(loaders.iter().take(homes).cloned());
+    out.extend(loaders.iter().take(engines).cloned());
     EngineChoices {
         eligible: out,
         loaders,
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -105,7 +105,7 @@
     let lost = lost.map(|a| (a.clone(), view.demand.score(&adapter_key(&a), now)));
     let wanted = recovery_order(lost.collect()).into_iter();
     let copies = wanted.filter_map(|adapter| {
-        let target = home(view, &adapter, uses_paces)?;
+        let target = preferred(view, &adapter, uses_paces)?;
         Some(MissingCopy { target, adapter })
     });
     let due: Vec<MissingCopy> = copies.filter(|c| owns(&c.target)).take(room).collect();
@@ -116,17 +116,17 @@
 }
 
 /// The engine on which all daemons load `adapter` where none holds it.
-fn home(view: &View, adapter: &AdapterRef, uses_paces: bool) -> Option<Arc<Target>> {
+fn preferred(view: &View, adapter: &AdapterRef, uses_paces: bool) -> Option<Arc<Target>> {
     let key = adapter_key(adapter);
     let ready = view
         .targets
         .values()
         .filter(|t| t.stage == Stage::Ready && t.has_model(&adapter.model));
-    let home = ready.min_by_key(|t| {
+    let preferred = ready.min_by_key(|t| {
         let at_hand = view.residency.at_hand(adapter, &t.id);
         (!at_hand, paces::home_rank(view, uses_paces, &key, &t.id))
     });
-    home.cloned()
+    preferred.cloned()
 }
 
 /// An adapter copy to be loaded on an engine.
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -320,7 +320,7 @@
             }
             CommandReply::OtherBoot | CommandReply::NotSent(_) => {
                 if let Some(ticket) = &job.ticket {
-                    ticket.note_gone(&target);
+                    ticket.record_refusal(&target);
                 }
                 job.yield_to_others(waiter);
                 None
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -109,7 +109,7 @@
     let (send, receive) = mpsc::channel(JOB_QUEUE_LEN);
     jobs.insert(target.id.clone(), send);
     drop(jobs);
-    let keeper = EngineController {
+    let controller = EngineController {
         node: node.clone(),
         target: target.clone(),
         account: SlotAccount::default(),
@@ -121,7 +121,7 @@
         model_due_ms: 0,
         slots_full: false,
     };
-    tokio::spawn(keeper.run(receive));
+    tokio::spawn(controller.run(receive));
 }
 
 /// A load that is watched for its end.
--- a/crates/comfreyhall-node/src/engine_control/request.rs
+++ b/crates/comfreyhall-node/src/engine_control/request.rs
@@ -9,7 +9,7 @@
 use super::{
     candidate::EngineCandidate,
     job::Job,
-    ticket::{GoneEngines, Placed, PlacementError, Ticket},
+    ticket::{Placed, PlacementError, RefusingEngines, Ticket},
 };
 use crate::{node::Node, slots::waiting::WaitingSlot, weights};
 
@@ -49,7 +49,7 @@
         true => weights::cached_among(&node.view(), &request.adapter, &targets),
         false => Vec::new(),
     };
-    let gone = GoneEngines::default();
+    let gone = RefusingEngines::default();
     let ticket = Ticket::new(waiter, targets, gone.clone()).with_cached(cached);
     let ticket = Arc::new(ticket);
     let now = node.now();
@@ -114,7 +114,7 @@
     ended.unwrap_or_else(|_| Err(placement_error("no engine could take it", &gone)))
 }
 
-fn placement_error(why: &str, gone: &GoneEngines) -> PlacementError {
+fn placement_error(why: &str, gone: &RefusingEngines) -> PlacementError {
     PlacementError {
         why: why.to_string(),
         gone: gone.snapshot(),
--- a/crates/comfreyhall-node/src/engine_control/request/tests.rs
+++ b/crates/comfreyhall-node/src/engine_control/request/tests.rs
@@ -19,7 +19,7 @@
     tokio::spawn(async move {
         let job = jobs.recv().await.unwrap();
         let waiter = job.claim();
-        job.ticket.as_ref().unwrap().note_gone(&"e".into());
+        job.ticket.as_ref().unwrap().record_refusal(&"e".into());
         job.yield_to_others(waiter);
     });
     let request = PlacementRequest {
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -107,7 +107,7 @@
     pub(super) fn release_jobs(&mut self) {
         for job in &self.queue {
             if let Some(ticket) = &job.ticket {
-                ticket.note_gone(&self.target.id);
+                ticket.record_refusal(&self.target.id);
             }
         }
         self.abandon_jobs();
--- a/crates/comfreyhall-node/src/engine_control/ticket.rs
+++ b/crates/comfreyhall-node/src/engine_control/ticket.rs
@@ -48,9 +48,9 @@
 /// Engines found to take no commands. It outlives the ticket, so that the
 /// request learns of them even after all controllers have dropped it.
 #[derive(Clone, Default)]
-pub(super) struct GoneEngines(Arc<Mutex<Vec<Name>>>);
+pub(super) struct RefusingEngines(Arc<Mutex<Vec<Name>>>);
 
-impl GoneEngines {
+impl RefusingEngines {
     fn engines(&self) -> MutexGuard<'_, Vec<Name>> {
         self.0.lock().expect("no holder of this lock panics")
     }
@@ -68,7 +68,7 @@
     candidates: Vec<Name>,
     /// Those of them that have the weights cached.
     cached: Vec<Name>,
-    gone: GoneEngines,
+    gone: RefusingEngines,
     /// What the first candidate last waited for.
     wait_reason: Mutex<&'static str>,
     /// Set once it has waited for the weight store.
@@ -78,7 +78,7 @@
 impl Ticket {
     /// Creates a ticket for `done` that the engines `among` may serve; engines
     /// found to be gone are recorded in `gone`.
-    pub(super) fn new(waiter: Waiter, engines: Vec<Name>, gone: GoneEngines) -> Self {
+    pub(super) fn new(waiter: Waiter, engines: Vec<Name>, gone: RefusingEngines) -> Self {
         Self {
             waiter: Mutex::new(Some(waiter)),
             candidates: engines,
@@ -149,7 +149,7 @@
     }
 
     /// Records an engine that takes no commands.
-    pub(super) fn note_gone(&self, target: &Name) {
+    pub(super) fn record_refusal(&self, target: &Name) {
         self.gone.engines().push(target.clone());
     }
 }
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -45,7 +45,7 @@
     let mut state = node.fleet.state();
     let me = node.fleet.me.peer.as_str();
     state.peers.retain(|_, p| {
-        let last = p.heard_at_ms.max(p.vouched_at_ms).max(p.met_at_ms);
+        let last = p.gossip_at_ms.max(p.reported_at_ms).max(p.added_at_ms);
         p.seed || now.saturating_sub(last) < FORGET_MS
     });
     let holding = node.leases.holds_any(node.settings().bounds.fencing);
@@ -69,10 +69,10 @@
     fn due_small(&self, me: &str, now: u64) -> Vec<Name> {
         let limit = Fleet::alive_ms(self.peers.len());
         let due = self.peers.iter().filter(|(addr, peer)| {
-            let silence_ms = now.saturating_sub(peer.heard_at_ms);
+            let silence_ms = now.saturating_sub(peer.gossip_at_ms);
             // One call per pair, made by the daemon with the lower address.
             let is_caller = me < &***addr || silence_ms > SILENT_MS;
-            let unreachable = peer.heard_at_ms == 0 || silence_ms > limit;
+            let unreachable = peer.gossip_at_ms == 0 || silence_ms > limit;
             let early = unreachable
                 && now.saturating_sub(peer.called_at_ms) < UNREACHABLE_PAUSE_MS
                 && peer.called_at_ms > 0;
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -276,11 +276,11 @@
         let now = node.now();
         let state = self.state();
         let newest = state
-            .heard_recently(now)
+            .recent_peers(now)
             .map(|(_, p)| p.settings_version)
             .max()?;
         let sources = state
-            .heard_recently(now)
+            .recent_peers(now)
             .filter(|(_, p)| p.settings_version == newest && newest > known);
         sources.map(|(a, _)| a.clone()).choose(&mut rand::rng())
     }
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -56,8 +56,8 @@
         gossip.runs = state.runs_for(addr, now);
         if let Some(peer) = state.peers.get(addr) {
             (gossip.evidence, gossip.told_serial) = wire::findings_since(node, peer.findings_acked);
-            gossip.heard_boot = peer.findings_heard.boot;
-            gossip.heard_serial = peer.findings_heard.serial;
+            gossip.heard_boot = peer.findings_received.boot;
+            gossip.heard_serial = peer.findings_received.serial;
             gossip.echoed_at = peer.clock_ms;
         }
         let State {
@@ -82,11 +82,11 @@
         if let Some(peer) = peers.get_mut(addr) {
             gossip.slot_use = slot_use_for(node, peer, now);
             gossip.versions = Self::versions_for(node, peer, now);
-            let untold = placements
+            let unsent = placements
                 .iter()
-                .filter(|(serial, _)| *serial >= peer.untold_from);
-            gossip.placed = untold.map(|(_, p)| p.clone()).collect();
-            peer.untold_from = *next_placement;
+                .filter(|(serial, _)| *serial >= peer.unsent_from);
+            gossip.placed = unsent.map(|(_, p)| p.clone()).collect();
+            peer.unsent_from = *next_placement;
             let demands = std::mem::take(&mut peer.demands);
             gossip.demands = demands
                 .into_iter()
@@ -322,7 +322,7 @@
         if !peer.is_seen(now, limit) {
             log::info!(target: "fleet", peer:% = from.id, addr:% = from.peer; "peer heard");
         }
-        peer.heard_at_ms = now;
+        peer.gossip_at_ms = now;
         peer.holder_hint = false;
         peer.settings_version = Revision::from_wire(gossip.settings_version);
         peer.targets_complete = Revision::from_wire(gossip.targets_complete);
@@ -340,19 +340,19 @@
             // The runs of an earlier process are gone.
             peer.runs = Runs::default();
             peer.histories_sent = 0;
-            peer.paces_told = 0;
-            peer.use_told.clear();
-            peer.versions_told = 0;
+            peer.paces_sent = 0;
+            peer.use_sent.clear();
+            peer.versions_sent = 0;
         }
         let held = &peer.holdings;
-        peer.use_told
+        peer.use_sent
             .retain(|group, _| held.iter().any(|(g, _)| g == group));
         peer.daemon = Some(from.clone());
         peer.findings_acked = match gossip.heard_boot == self.me.boot {
             true => gossip.heard_serial,
             false => 0,
         };
-        peer.findings_heard = SyncPosition {
+        peer.findings_received = SyncPosition {
             boot: from.boot,
             serial: gossip.told_serial,
         };
@@ -380,9 +380,9 @@
 fn slot_use_for(node: &Node, peer: &mut Peer, now: u64) -> Vec<SlotUse> {
     let mut out = Vec::new();
     for (group, _) in &peer.holdings {
-        let told = peer.use_told.entry(group.clone()).or_default();
-        if *told < SLOT_USE_MESSAGES {
-            *told += 1;
+        let sent = peer.use_sent.entry(group.clone()).or_default();
+        if *sent < SLOT_USE_MESSAGES {
+            *sent += 1;
             out.extend(node.slots.own_use(group, now));
         }
     }
@@ -401,7 +401,7 @@
         let peer = self.peers.get(addr);
         let is_recipient = |group: &Name| {
             peer.is_some_and(|p| holds(p, group))
-                || !self.heard_recently(now).any(|(_, p)| holds(p, group))
+                || !self.recent_peers(now).any(|(_, p)| holds(p, group))
         };
         let concerned = all.filter(|(_, run)| is_recipient(&run.group));
         concerned.map(|(id, run)| run.to_wire(id, now)).collect()
--- a/crates/comfreyhall-node/src/fleet/holders.rs
+++ b/crates/comfreyhall-node/src/fleet/holders.rs
@@ -56,7 +56,7 @@
     pub(crate) fn holder(&self, group: &str, now: u64) -> Option<Name> {
         let state = self.state();
         let answering = state
-            .heard_recently(now)
+            .recent_peers(now)
             .filter(|(_, p)| now >= p.suspended_until_ms);
         let held = answering.filter_map(|(addr, peer)| {
             let holding = peer.holdings.iter().find(|(g, _)| &**g == group)?;
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -73,7 +73,7 @@
 
     /// Addresses of the holders seen recently.
     pub(super) fn holders(&self, now: u64) -> Vec<String> {
-        let holders = self.heard_recently(now).filter(|(_, p)| p.holds());
+        let holders = self.recent_peers(now).filter(|(_, p)| p.holds());
         holders.map(|(a, _)| a.to_string()).collect()
     }
 
@@ -88,9 +88,7 @@
 
     /// Live daemons, including `me`.
     fn roster(&self, me: Daemon, now: u64) -> Roster {
-        let heard = self
-            .heard_recently(now)
-            .filter_map(|(_, p)| p.daemon.clone());
+        let heard = self.recent_peers(now).filter_map(|(_, p)| p.daemon.clone());
         let mut members: Vec<Daemon> = heard.chain([me]).collect();
         members.sort_by(|a, b| a.peer.cmp(&b.peer));
         Roster::from_members(members)
@@ -110,7 +108,7 @@
         let state = self.state();
         is_large(state.peers.len())
             && !holding
-            && state.heard_recently(node.now()).any(|(_, p)| p.holds())
+            && state.recent_peers(node.now()).any(|(_, p)| p.holds())
     }
 
     /// Adds a holder's totals to the answer for the daemon `asker` in a large
@@ -256,10 +254,10 @@
 impl Peer {
     /// Records that a holder has seen it recently.
     fn confirm_alive(&mut self, member: &Daemon, now: u64) {
-        self.vouched_at_ms = now;
+        self.reported_at_ms = now;
         let known = self.daemon.as_ref();
         // Its own report is newer than a roster of the same process.
-        let newer = now.saturating_sub(self.heard_at_ms) > GOSSIP_PERIOD_MS;
+        let newer = now.saturating_sub(self.gossip_at_ms) > GOSSIP_PERIOD_MS;
         if known.is_none_or(|k| k.boot != member.boot) || newer {
             self.daemon = Some(member.clone());
         }
--- a/crates/comfreyhall-node/src/fleet/members.rs
+++ b/crates/comfreyhall-node/src/fleet/members.rs
@@ -22,7 +22,7 @@
     pub(crate) fn members(&self, now: u64) -> Option<usize> {
         let state = self.state();
         let reported = state
-            .heard_recently(now)
+            .recent_peers(now)
             .map(|(_, p)| p.members)
             .max()
             .unwrap_or(0);
@@ -63,7 +63,7 @@
 
     /// When the daemon at `peer` became known.
     pub(crate) fn known_since_ms(&self, peer: &str) -> Option<u64> {
-        self.state().peers.get(peer).map(|p| p.met_at_ms)
+        self.state().peers.get(peer).map(|p| p.added_at_ms)
     }
 
     /// The first live daemon in the order for `group`, used while nobody holds
--- a/crates/comfreyhall-node/src/fleet/pace_log.rs
+++ b/crates/comfreyhall-node/src/fleet/pace_log.rs
@@ -8,13 +8,13 @@
 
 /// Engines told in one message: 56 entries of 66 bytes, twice a second from each
 /// of three holders, are 22 KB/s.
-pub(super) const MAX_TOLD: usize = 56;
+pub(super) const MAX_SENT: usize = 56;
 
 /// Interval between two looks at all engines, in ms.
 const UPDATE_MS: u64 = 200;
 
 /// Shortest time between two tellings of one engine, in ms.
-const MIN_TOLD_MS: u64 = 1_000;
+const MIN_REPEAT_MS: u64 = 1_000;
 
 /// Time after which an engine that differs from the mean is told again, in ms.
 pub(super) const RENEW_MS: u64 = 10_000;
@@ -27,17 +27,17 @@
 
 /// What was last told of an engine.
 #[derive(Debug, Clone, Copy)]
-struct Told {
+struct SentPace {
     serial: u64,
     pace: Pace,
     at_ms: u64,
 }
 
-impl Told {
+impl SentPace {
     /// Whether `pace` is to be told.
     fn is_due(&self, pace: Pace, now: u64) -> bool {
         let age_ms = now.saturating_sub(self.at_ms);
-        age_ms >= RENEW_MS || (age_ms >= MIN_TOLD_MS && differ(self.pace, pace))
+        age_ms >= RENEW_MS || (age_ms >= MIN_REPEAT_MS && differ(self.pace, pace))
     }
 }
 
@@ -53,7 +53,7 @@
 /// The paces that this holder tells.
 #[derive(Debug, Default)]
 pub(super) struct PaceLog {
-    told: Map<Name, Told>,
+    sent: Map<Name, SentPace>,
     by_serial: BTreeMap<u64, Name>,
     next_serial: u64,
     updated_ms: u64,
@@ -73,11 +73,11 @@
         now: u64,
     ) -> Vec<Pace> {
         self.updated_ms = now;
-        let mut before = std::mem::take(&mut self.told);
+        let mut before = std::mem::take(&mut self.sent);
         let mut changed = Vec::new();
         for (target, pace) in paces {
-            let told = match before.remove(&target) {
-                Some(told) if !told.is_due(pace, now) => told,
+            let sent = match before.remove(&target) {
+                Some(sent) if !sent.is_due(pace, now) => sent,
                 None if !differ(pace, Pace::default()) => continue,
                 known => {
                     if let Some(known) = known {
@@ -86,14 +86,14 @@
                     self.next_serial += 1;
                     self.by_serial.insert(self.next_serial, target.clone());
                     changed.push(pace);
-                    Told {
+                    SentPace {
                         serial: self.next_serial,
                         pace,
                         at_ms: now,
                     }
                 }
             };
-            self.told.insert(target, told);
+            self.sent.insert(target, sent);
         }
         for gone in before.values() {
             self.by_serial.remove(&gone.serial);
@@ -101,13 +101,13 @@
         changed
     }
 
-    /// The next entries after the serial `told`, which is advanced.
-    pub(super) fn next(&self, told: &mut u64) -> Vec<EnginePace> {
-        let untold = self.by_serial.range(*told + 1..).take(MAX_TOLD);
+    /// The next entries after the serial `after`, which is advanced.
+    pub(super) fn next(&self, after: &mut u64) -> Vec<EnginePace> {
+        let unsent = self.by_serial.range(*after + 1..).take(MAX_SENT);
         let mut out = Vec::new();
-        for (serial, target) in untold {
-            *told = *serial;
-            if let Some(known) = self.told.get(target) {
+        for (serial, target) in unsent {
+            *after = *serial;
+            if let Some(known) = self.sent.get(target) {
                 out.push(to_wire(target, known.pace));
             }
         }
--- a/crates/comfreyhall-node/src/fleet/paces.rs
+++ b/crates/comfreyhall-node/src/fleet/paces.rs
@@ -34,7 +34,7 @@
         }
         let State { peers, paces, .. } = &mut *state;
         if let Some(peer) = peers.get_mut(addr) {
-            gossip.paces = paces.next(&mut peer.paces_told);
+            gossip.paces = paces.next(&mut peer.paces_sent);
         }
         gossip.event_wait_ms = view.paces.event_wait_ms();
     }
--- a/crates/comfreyhall-node/src/fleet/paces/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/paces/tests.rs
@@ -2,7 +2,7 @@
 use comfreyhall_protocol::{Daemon, EnginePace, Holding, News};
 use comfreyhall_routing::Pace;
 
-use crate::fleet::pace_log::{MAX_TOLD, PaceLog, RENEW_MS};
+use crate::fleet::pace_log::{MAX_SENT, PaceLog, RENEW_MS};
 use crate::test_node::{node, target};
 
 fn slow(read: f64) -> Pace {
@@ -36,7 +36,7 @@
             break;
         }
         // Two messages a second from each of three holders within 24 KB/s.
-        assert!(next.len() <= MAX_TOLD && size(&next) * 6 <= 24 * 1_024);
+        assert!(next.len() <= MAX_SENT && size(&next) * 6 <= 24 * 1_024);
         seen += next.len();
         messages += 1;
     }
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -40,10 +40,10 @@
     pub(super) seed: bool,
     pub(super) daemon: Option<Daemon>,
     /// When its address became known.
-    pub(super) met_at_ms: u64,
-    pub(super) heard_at_ms: u64,
+    pub(super) added_at_ms: u64,
+    pub(super) gossip_at_ms: u64,
     /// When a lease holder last reported it as alive.
-    pub(super) vouched_at_ms: u64,
+    pub(super) reported_at_ms: u64,
     pub(super) called_at_ms: u64,
     pub(super) calling: bool,
     /// Reported to hold a lease, and not called yet.
@@ -68,19 +68,19 @@
     pub(super) members: usize,
     pub(super) demands: Map<Name, u32>,
     /// How often it was told of the slots used in each group that it holds.
-    pub(super) use_told: Map<Name, u8>,
+    pub(super) use_sent: Map<Name, u8>,
     /// How many messages told it of all software versions.
-    pub(super) versions_told: u8,
+    pub(super) versions_sent: u8,
     /// First placement not sent to it yet.
-    pub(super) untold_from: u64,
+    pub(super) unsent_from: u64,
     /// Load histories sent to it, in order of their targets.
     pub(super) histories_sent: usize,
     /// Serial of the last pace of an engine that it was told.
-    pub(super) paces_told: u64,
+    pub(super) paces_sent: u64,
     /// Serial of the last finding it has received from this daemon.
     pub(super) findings_acked: u64,
     /// Its findings that this daemon has received.
-    pub(super) findings_heard: SyncPosition,
+    pub(super) findings_received: SyncPosition,
     /// Its clock in its last gossip message.
     pub(super) clock_ms: u64,
 }
@@ -179,14 +179,14 @@
             return;
         }
         let mut state = self.state();
-        let untold_from = state.next_placement;
+        let unsent_from = state.next_placement;
         state.peers.entry(addr.into()).or_insert_with(|| Peer {
             client: FleetClient::new(link::channel(addr)),
             seed,
             daemon: None,
-            met_at_ms: clock::now(),
-            heard_at_ms: 0,
-            vouched_at_ms: 0,
+            added_at_ms: clock::now(),
+            gossip_at_ms: 0,
+            reported_at_ms: 0,
             called_at_ms: 0,
             calling: false,
             holder_hint: false,
@@ -200,13 +200,13 @@
             cut_off: false,
             members: 0,
             demands: Map::default(),
-            use_told: Map::default(),
-            versions_told: 0,
-            untold_from,
+            use_sent: Map::default(),
+            versions_sent: 0,
+            unsent_from,
             histories_sent: 0,
-            paces_told: 0,
+            paces_sent: 0,
             findings_acked: 0,
-            findings_heard: SyncPosition::default(),
+            findings_received: SyncPosition::default(),
             clock_ms: 0,
         });
     }
@@ -216,7 +216,7 @@
     pub(crate) fn is_lost(&self, addr: &str, now: u64) -> bool {
         let state = self.state();
         state.peers.get(addr).is_some_and(|p| {
-            let last = p.heard_at_ms.max(p.vouched_at_ms).max(p.met_at_ms);
+            let last = p.gossip_at_ms.max(p.reported_at_ms).max(p.added_at_ms);
             now.saturating_sub(last) >= FORGET_MS / 2
         })
     }
@@ -348,13 +348,13 @@
 
     /// Adapters in use at targets; the same one may be listed several times.
     pub(super) fn uses(&self, now: u64) -> impl Iterator<Item = (&Name, &AdapterRef)> {
-        let theirs = self.heard_recently(now).flat_map(|(_, p)| p.runs.uses());
+        let theirs = self.recent_peers(now).flat_map(|(_, p)| p.runs.uses());
         let waiting = self.pins.keys().map(|(target, adapter)| (target, adapter));
         waiting.chain(self.runs.uses()).chain(theirs)
     }
 
     /// Peers that this daemon received gossip from recently.
-    pub(super) fn heard_recently(&self, now: u64) -> impl Iterator<Item = (&Name, &Peer)> {
+    pub(super) fn recent_peers(&self, now: u64) -> impl Iterator<Item = (&Name, &Peer)> {
         let limit = Fleet::alive_ms(self.peers.len());
         self.peers.iter().filter(move |(_, p)| p.alive(now, limit))
     }
@@ -362,12 +362,12 @@
 
 impl Peer {
     pub(super) fn alive(&self, now: u64, limit: u64) -> bool {
-        is_recent(self.heard_at_ms, now, limit)
+        is_recent(self.gossip_at_ms, now, limit)
     }
 
     /// Whether it was seen recently, by this daemon or by a lease holder.
     pub(super) fn is_seen(&self, now: u64, limit: u64) -> bool {
-        self.alive(now, limit) || is_recent(self.vouched_at_ms, now, limit)
+        self.alive(now, limit) || is_recent(self.reported_at_ms, now, limit)
     }
 }
 
--- a/crates/comfreyhall-node/src/fleet/usage.rs
+++ b/crates/comfreyhall-node/src/fleet/usage.rs
@@ -47,7 +47,7 @@
     /// Calls `visit` with each run known here, of any daemon.
     pub(crate) fn visit_runs(&self, now: u64, mut visit: impl FnMut(&Run)) {
         let state = self.state();
-        let theirs = state.heard_recently(now).map(|(_, p)| &p.runs);
+        let theirs = state.recent_peers(now).map(|(_, p)| &p.runs);
         for runs in std::iter::once(&state.runs).chain(theirs) {
             runs.iter().for_each(|(_, run)| visit(run));
         }
@@ -74,7 +74,7 @@
     pub(crate) fn reported_in_use(&self, now: u64) -> Map<Name, u32> {
         let state = self.state();
         let reported = state
-            .heard_recently(now)
+            .recent_peers(now)
             .flat_map(|(_, p)| p.reported_use.iter());
         reported.map(|(t, n)| (t.clone(), *n)).collect()
     }
--- a/crates/comfreyhall-node/src/fleet/versions.rs
+++ b/crates/comfreyhall-node/src/fleet/versions.rs
@@ -11,8 +11,8 @@
 impl Fleet {
     /// Software versions for a message to `peer`.
     pub(super) fn versions_for(node: &Node, peer: &mut Peer, now: u64) -> Vec<ServiceVersion> {
-        let new = peer.versions_told < VERSION_MESSAGES;
-        peer.versions_told = peer.versions_told.saturating_add(1);
+        let new = peer.versions_sent < VERSION_MESSAGES;
+        peer.versions_sent = peer.versions_sent.saturating_add(1);
         let view = node.view();
         let told = view.versions.iter().filter(|(_, h)| new || h.is_mixed());
         let versions = told.flat_map(|(service, history)| {
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -62,7 +62,7 @@
                             handed_on.remove(&group);
                         }
                     }
-                    Some(lease) if reach::hand_on(&node, &group).await => {
+                    Some(lease) if reach::transfer(&node, &group).await => {
                         if !release_group(&node, &group, lease, term).await {
                             handed_on.insert(group);
                         }
--- a/crates/comfreyhall-node/src/leases/reach.rs
+++ b/crates/comfreyhall-node/src/leases/reach.rs
@@ -37,7 +37,7 @@
 
 /// If this daemon commands `group`, has lost its engines and another daemon reaches them,
 /// stops commanding it and names the other one; returns whether it did.
-pub(super) async fn hand_on(node: &Arc<Node>, group: &Name) -> bool {
+pub(super) async fn transfer(node: &Arc<Node>, group: &Name) -> bool {
     if node.token(group).is_none() || !node.loses_group(group) {
         return false;
     }
--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -89,7 +89,7 @@
         return;
     }
     let limiter = state.limiter.get_or_insert_with(|| {
-        let me = own_home(node);
+        let me = own_process(node);
         Box::new(GrantingLimiter::new(me))
     });
     limiter.set_quotas(limits.clone(), &groups, now);
@@ -128,7 +128,7 @@
 }
 
 /// This process, as a quota coordinator.
-fn own_home(node: &Node) -> PeerProcess {
+fn own_process(node: &Node) -> PeerProcess {
     PeerProcess {
         peer_addr: node.fleet.peer_addr().into(),
         boot: node.fleet.boot(),
@@ -142,7 +142,7 @@
         overshoot: settings.quotas.overshoot,
         slack: settings.quotas.slack,
     };
-    let me = own_home(node);
+    let me = own_process(node);
     match settings.quotas.mode {
         QuotaMode::Lending => {
             let limiter = LendingLimiter::new(me, tolerance, clock::now());
--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -5,7 +5,7 @@
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_workspace::{FleetView, PeerProcess, SettleRequest};
 
-use super::{QuotaKind, Quotas, own_home, refresh, wire};
+use super::{QuotaKind, Quotas, own_process, refresh, wire};
 use crate::{leases, node::Node, outbound};
 
 /// Interval between checks which coordinators are due.
@@ -93,12 +93,12 @@
         None => (kind == QuotaKind::Targets).then(|| node.fleet.peer_addr().into()),
     };
     let coordinator = |group: &Name| match node.token(group) {
-        Some(_) => Some(own_home(node)),
+        Some(_) => Some(own_process(node)),
         None => {
             let peer = node.fleet.holder(group, now);
             let peer = peer.or_else(|| first(group).filter(|_| stands_in))?;
             if *peer == *node.fleet.peer_addr() {
-                return Some(own_home(node));
+                return Some(own_process(node));
             }
             let boot = node.fleet.boot_of(&peer)?;
             Some(PeerProcess {
@@ -150,7 +150,7 @@
     let Some(coordinator) = current
         .by_group
         .remove(&group)
-        .filter(|h| *h != own_home(node))
+        .filter(|h| *h != own_process(node))
     else {
         return;
     };
--- a/crates/comfreyhall-node/src/weights/mod.rs
+++ b/crates/comfreyhall-node/src/weights/mod.rs
@@ -83,10 +83,10 @@
     let cheapest = cached
         .map(|c| c.cost_ms(retry_cost_ms))
         .min_by(f64::total_cmp);
-    let home = loaders.first().and_then(|c| group_of(&c.id)).cloned();
+    let preferred = loaders.first().and_then(|c| group_of(&c.id)).cloned();
     let keep = |c: &Candidate| match cheapest {
         Some(cost_ms) => !c.from_store || c.cost_ms(retry_cost_ms) < cost_ms,
-        None => group_of(&c.id) == home.as_ref(),
+        None => group_of(&c.id) == preferred.as_ref(),
     };
     loaders.into_iter().filter(keep).collect()
 }
