--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -302,7 +302,7 @@
         let rank = if cached {
             0
         } else {
-            paces::home_rank(view, criteria.uses_paces, &key, &t.id)
+            paces::adapter_rank(view, criteria.uses_paces, &key, &t.id)
         };
         loaders.push((full && !cached, rank, choice));
     }
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -124,7 +124,7 @@
         .filter(|t| t.stage == Stage::Ready && t.has_model(&adapter.model));
     let preferred = ready.min_by_key(|t| {
         let at_hand = view.residency.at_hand(adapter, &t.id);
-        (!at_hand, paces::home_rank(view, uses_paces, &key, &t.id))
+        (!at_hand, paces::adapter_rank(view, uses_paces, &key, &t.id))
     });
     preferred.cloned()
 }
@@ -164,7 +164,10 @@
             .map(|t| {
                 let used = in_use.get(&t.id).map_or(0, Vec::len);
                 let full = used as u32 >= view.adapter_slots(t);
-                ((full, paces::home_rank(view, uses_paces, &key, &t.id)), t)
+                (
+                    (full, paces::adapter_rank(view, uses_paces, &key, &t.id)),
+                    t,
+                )
             })
             .collect();
         engines.sort_by_key(|(rank, _)| *rank);
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -73,9 +73,9 @@
 
 /// Rank of `target` as a home of the adapter `key`, where engines differ in pace if
 /// `uses_paces`; the lowest is preferred.
-pub(crate) fn home_rank(view: &View, uses_paces: bool, key: &str, target: &Name) -> u64 {
+pub(crate) fn adapter_rank(view: &View, uses_paces: bool, key: &str, target: &Name) -> u64 {
     match uses_paces {
-        true => selection::weighted_rank(key, target, view.paces.home_weight(target)),
+        true => selection::weighted_rank(key, target, view.paces.rank_weight(target)),
         false => selection::rendezvous_rank(key, target),
     }
 }
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     average::{Average, Span},
-    home_class::HomeClass,
+    pace_class::PaceClass,
 };
 
 /// What an engine is by nature: long against a demand wave of some seconds.
@@ -153,7 +153,7 @@
     short: Average,
     gap: Average,
     late: Average,
-    home: HomeClass,
+    class: PaceClass,
 }
 
 impl Engine {
@@ -234,8 +234,8 @@
         let steady = ratio.clamp(known / MAX_STEP, known * MAX_STEP);
         engine.read.record(LONG, steady, now);
         let known = engine.read.weight(LONG, now) >= MIN_HOME_SAMPLES;
-        let changed = known && engine.home.update(engine.long_read(now), now);
-        changed.then(|| engine.home.weight())
+        let changed = known && engine.class.update(engine.long_read(now), now);
+        changed.then(|| engine.class.weight())
     }
 
     /// Takes over what the lease holder of `target` says of it.
@@ -252,7 +252,7 @@
         engine
             .late
             .set(LATE, pace.late_gaps, assumed_late, REPORT_EVENTS, now);
-        engine.home.update(long_read, now);
+        engine.class.update(long_read, now);
     }
 
     /// The pace of `target` as of `now`.
@@ -284,9 +284,9 @@
     }
 
     /// Weight of `target` as a home of adapters; 1 is the mean.
-    pub fn home_weight(&self, target: &Name) -> f64 {
+    pub fn rank_weight(&self, target: &Name) -> f64 {
         let engine = self.engines.get(target);
-        engine.map_or(1.0, |e| e.home.weight())
+        engine.map_or(1.0, |e| e.class.weight())
     }
 
     /// Drops engines for which `keep` is false.
--- a/crates/comfreyhall-routing/src/home_class.rs
+++ b/crates/comfreyhall-routing/src/pace_class.rs
@@ -19,13 +19,13 @@
 
 /// The class of one engine.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct HomeClass {
+pub(crate) struct PaceClass {
     class: i32,
     /// When it was first seen outside of its class; `None` if it is inside.
     outside_since: Option<u64>,
 }
 
-impl HomeClass {
+impl PaceClass {
     /// The class of an engine of `pace`.
     pub(crate) fn of(pace: f64) -> Self {
         Self {
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -127,11 +127,11 @@
         table.record_first(&engine, 1_000.0, 250.0, now);
     }
     assert!(table.current(&engine, 10_500).read > 1.8);
-    assert_eq!(table.home_weight(&engine), 1.0);
+    assert_eq!(table.rank_weight(&engine), 1.0);
     // Just now has passed; by nature it is about as before.
     assert!(table.current(&engine, 20_000).read < 1.5);
     first_events(&mut table, &engine, 1.0, 20_000, 30_000);
-    assert_eq!(table.home_weight(&engine), 1.0);
+    assert_eq!(table.rank_weight(&engine), 1.0);
 }
 
 /// An engine that is slow by nature becomes the home of fewer adapters.
@@ -141,17 +141,17 @@
     for (i, pace) in [0.7, 0.7, 1.7].iter().enumerate() {
         first_events(&mut table, &name(i), *pace, 0, 30_000);
     }
-    let mut homes = [0_u32; 3];
+    let mut first_ranked = [0_u32; 3];
     for key in 0..6_000 {
         let key = format!("m/a{key}");
         let rank = |i: &usize| {
             let engine = name(*i);
-            selection::weighted_rank(&key, &engine, table.home_weight(&engine))
+            selection::weighted_rank(&key, &engine, table.rank_weight(&engine))
         };
-        homes[(0..3).min_by_key(rank).unwrap()] += 1;
+        first_ranked[(0..3).min_by_key(rank).unwrap()] += 1;
     }
-    let ratio = f64::from(homes[2]) / f64::from(homes[0]);
-    assert!((0.3..0.55).contains(&ratio), "{homes:?}");
+    let ratio = f64::from(first_ranked[2]) / f64::from(first_ranked[0]);
+    assert!((0.3..0.55).contains(&ratio), "{first_ranked:?}");
 }
 
 /// Guards against homes that move to and fro with demand that swings between two
@@ -189,7 +189,7 @@
     successor.record_first(&engine, 250.0, 250.0, 30_100);
     assert!((successor.current(&engine, 30_100).long_read - told.long_read).abs() < 0.05);
     successor.set(&engine, told, 35_000);
-    assert_eq!(successor.home_weight(&engine), holder.home_weight(&engine));
+    assert_eq!(successor.rank_weight(&engine), holder.rank_weight(&engine));
 }
 
 /// An engine that nobody has heard of counts as the mean, and one that was slow
