--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -123,8 +123,11 @@
         .values()
         .filter(|t| t.stage == Stage::Ready && t.has_model(&adapter.model));
     let preferred = ready.min_by_key(|t| {
-        let at_hand = view.residency.at_hand(adapter, &t.id);
-        (!at_hand, paces::adapter_rank(view, uses_paces, &key, &t.id))
+        let has_cached = view.residency.has_cached(adapter, &t.id);
+        (
+            !has_cached,
+            paces::adapter_rank(view, uses_paces, &key, &t.id),
+        )
     });
     preferred.cloned()
 }
--- a/crates/comfreyhall-node/src/fleet/histories/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/histories/tests.rs
@@ -38,7 +38,7 @@
         apply_histories(&mut successor.view(), message);
     }
     let view = successor.view();
-    let known = |e: &&Name| view.residency.at_hand(&adapter(e), e);
+    let known = |e: &&Name| view.residency.has_cached(&adapter(e), e);
     assert_eq!(engines.iter().filter(known).count(), engines.len());
     assert!(holder.fleet.next_histories(&holder, &[], addr).is_empty());
 }
--- a/crates/comfreyhall-node/src/weights/mod.rs
+++ b/crates/comfreyhall-node/src/weights/mod.rs
@@ -27,7 +27,7 @@
 
 impl LoadOrigin {
     pub(crate) fn of(residency: &Residency, adapter: &AdapterRef) -> Self {
-        if residency.at_hand_anywhere(adapter) {
+        if residency.cached_anywhere(adapter) {
             LoadOrigin::Full
         } else if residency.was_lost(adapter) {
             LoadOrigin::Lost
@@ -56,14 +56,14 @@
     now: u64,
 ) -> bool {
     match affinity {
-        true => view.residency.at_hand(adapter, target),
+        true => view.residency.has_cached(adapter, target),
         false => view.residency.likely_cached(adapter, target, now),
     }
 }
 
 /// Those of `targets` that have the weights of `adapter` cached.
 pub(crate) fn cached_among(view: &View, adapter: &AdapterRef, targets: &[Name]) -> Vec<Name> {
-    let cached = |t: &&Name| view.residency.at_hand(adapter, t);
+    let cached = |t: &&Name| view.residency.has_cached(adapter, t);
     targets.iter().filter(cached).cloned().collect()
 }
 
--- a/crates/comfreyhall-routing/src/cache/tests.rs
+++ b/crates/comfreyhall-routing/src/cache/tests.rs
@@ -71,12 +71,12 @@
     }
     new.record(&adapter(30), &engine, Presence::Held(1), 60_000);
     new.merge_loads(&engine, &old.last_loads(&engine, 40));
-    assert!((0..20).all(|id| new.at_hand(&adapter(id), &engine)));
+    assert!((0..20).all(|id| new.has_cached(&adapter(id), &engine)));
     assert_eq!(new.load_age(&adapter(30), &engine), Some(0));
     assert_eq!(new.load_age(&adapter(19), &engine), Some(1));
     new.merge_loads(&engine, &[cache_id(&adapter(40))]);
     assert!(
-        !new.at_hand(&adapter(40), &engine),
+        !new.has_cached(&adapter(40), &engine),
         "a peer that knows less"
     );
 }
@@ -93,7 +93,7 @@
     r.record(&adapter(3), &a, Presence::Absent, 1_500);
     r.remove(&a, 2_000);
     assert_eq!(r.lost(2_100), [adapter(1)]);
-    assert!(!r.at_hand(&adapter(1), &a));
+    assert!(!r.has_cached(&adapter(1), &a));
     r.record(&adapter(1), &b, Presence::Held(1), 2_200);
     assert!(r.lost(2_300).is_empty());
 }
--- a/crates/comfreyhall-routing/src/residency.rs
+++ b/crates/comfreyhall-routing/src/residency.rs
@@ -151,7 +151,7 @@
     }
 
     /// Whether `target` has the weights of `adapter` by the order of its loads.
-    pub fn at_hand(&self, adapter: &AdapterRef, target: &Name) -> bool {
+    pub fn has_cached(&self, adapter: &AdapterRef, target: &Name) -> bool {
         let depth = self.cache_depth(&adapter.model);
         self.load_age(adapter, target).is_some_and(|a| a < depth)
     }
@@ -163,8 +163,8 @@
     }
 
     /// Whether any target has the weights of `adapter`.
-    pub fn at_hand_anywhere(&self, adapter: &AdapterRef) -> bool {
-        self.load_orders.keys().any(|t| self.at_hand(adapter, t))
+    pub fn cached_anywhere(&self, adapter: &AdapterRef) -> bool {
+        self.load_orders.keys().any(|t| self.has_cached(adapter, t))
     }
 
     /// The last loads of `target`, at most `count`, for a peer.
--- a/crates/comfreyhall-workspace/src/lending/limits.rs
+++ b/crates/comfreyhall-workspace/src/lending/limits.rs
@@ -212,7 +212,7 @@
             link.revoked = Some((coordinator.clone(), now));
         }
         let from_ms = match &last_clock {
-            Some(clock) if self.handover => clock.heard_at_ms,
+            Some(clock) if self.handover => clock.received_at_ms,
             _ => now,
         };
         let unlent_ms = match assigns {
@@ -282,7 +282,7 @@
         link.last_clock = Some(ClockReading {
             coordinator: coordinator.clone(),
             clock_ms: reply.clock_ms,
-            heard_at_ms: now,
+            received_at_ms: now,
         });
         self.apply_reply(group, reply, now);
     }
--- a/crates/comfreyhall-workspace/src/lending/link.rs
+++ b/crates/comfreyhall-workspace/src/lending/link.rs
@@ -29,7 +29,7 @@
     /// What it reported.
     pub(super) clock_ms: u64,
     /// When the report arrived.
-    pub(super) heard_at_ms: u64,
+    pub(super) received_at_ms: u64,
 }
 
 /// State of one group, as seen by a borrower.
@@ -122,7 +122,7 @@
     pub(super) fn can_assign(&self, now: u64) -> bool {
         let clock = self.last_clock.as_ref();
         let has_clock = |c: &PeerProcess| {
-            clock.is_some_and(|k| k.coordinator == *c && now < k.heard_at_ms + SHARE_TERM_MS)
+            clock.is_some_and(|k| k.coordinator == *c && now < k.received_at_ms + SHARE_TERM_MS)
         };
         let coordinator = self.coordinator.as_ref().filter(|c| has_clock(c));
         coordinator.is_some_and(|c| !self.is_assigned_to(c) && self.may_assign_to(c, now))
