--- a/crates/comfreyhall-capacity/src/account.rs
+++ b/crates/comfreyhall-capacity/src/account.rs
@@ -198,7 +198,7 @@
     pub fn settle(&mut self, order: Order<K>, outcome: Outcome, now: u64) {
         let key = order.key;
         match (order.action, outcome) {
-            // Whatever the engine was told before, it still does.
+            // The engine still carries out earlier commands.
             (_, Outcome::NotSent) => {}
             (_, Outcome::OutOfSequence | Outcome::Unanswered | Outcome::Rejected) => {
                 self.confirmed = false;
--- a/crates/comfreyhall-cli/src/account.rs
+++ b/crates/comfreyhall-cli/src/account.rs
@@ -32,7 +32,7 @@
     /// The caller disconnected.
     #[serde(rename = "left")]
     Disconnected,
-    /// No line shows its end: its daemon died, or lines are missing.
+    /// No line shows its end: its daemon crashed, or lines are missing.
     Unfinished,
 }
 
--- a/crates/comfreyhall-cli/src/bench/oracle.rs
+++ b/crates/comfreyhall-cli/src/bench/oracle.rs
@@ -1,4 +1,4 @@
-//! Compares what callers were told with what the stand-ins ran.
+//! Compares the answers to callers with what the stand-ins ran.
 
 use std::time::Duration;
 
--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -70,7 +70,7 @@
     /// Whether a background copy is in flight.
     pub(crate) copy_in_flight: AtomicBool,
     view: Mutex<Vec<EngineView>>,
-    /// What each engine holds and was told to load.
+    /// What each engine holds, and which loads it was sent.
     accounts: Mutex<Vec<EngineAccount>>,
     policy: Mutex<Box<dyn Policy>>,
     in_flight: AtomicUsize,
--- a/crates/comfreyhall-daemon/src/http/mod.rs
+++ b/crates/comfreyhall-daemon/src/http/mod.rs
@@ -61,8 +61,8 @@
 /// Waits for a planned stop and drains the requests in progress.
 ///
 /// Even when idle, the daemon keeps running for as long as callers may cache an
-/// address answer, so that a caller with an old answer is told where to go
-/// instead of finding nothing there.
+/// address answer, so that a caller with an old answer gets the addresses of
+/// other instances instead of finding nothing there.
 pub(crate) async fn stop_task(app: App) {
     tokio::spawn({
         let app = app.clone();
--- a/crates/comfreyhall-daemon/src/member.rs
+++ b/crates/comfreyhall-daemon/src/member.rs
@@ -11,8 +11,8 @@
 //! - Clocks differ between machines, so a timestamp written by one machine is
 //!   of little use to another. A member is live while its count changed within
 //!   the lease by the reader's own monotonic clock.
-//! - While the table is down no count changes, and every member would look
-//!   dead. Members are judged only by scans that succeeded. Between scans the
+//! - While the table is down no count changes, and every member would seem
+//!   to have crashed. Members are judged only by scans that succeeded. Between scans the
 //!   last answer stands, and the first scan after a gap restarts every lease.
 //! - An instance is draining: its own row says so at once, and the platform's
 //!   instance list says so some time later, even if the instance could not
--- a/crates/comfreyhall-daemon/src/orders/mod.rs
+++ b/crates/comfreyhall-daemon/src/orders/mod.rs
@@ -12,7 +12,7 @@
 //! engines that do not check, such a command can at worst waste a load: a slot
 //! in use is pinned, whoever sends the command.
 //!
-//! Failure case: the table service is down and the holder dies. No new holder
+//! Failure case: the table service is down and the holder crashes. No new holder
 //! can be elected, and adapters that are not resident would be rejected until
 //! the outage ends. A daemon that has not reached the table for longer than the
 //! lease term therefore commands loads itself, under the highest token it has
--- a/crates/comfreyhall-daemon/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-daemon/src/quarantine/confirm.rs
@@ -82,7 +82,7 @@
     None
 }
 
-/// Whether the target refuses connections from everybody; `None` if no peer can tell.
+/// Whether the target refuses connections from everybody; `None` if no peer knows.
 /// Without peers nobody has another path to it.
 async fn ended_by_peers(app: &App, name: &str) -> Option<bool> {
     let peers = &app.inner.peers;
--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -17,7 +17,7 @@
 //!   [`Lease::token`] before each command, which compares the clock then;
 //!   commands that it had already sent are rejected by engines that check
 //!   tokens.
-//! - The holder's process dies and its instance starts another: the new one
+//! - The holder's process ends and its instance starts another: the new one
 //!   acquires the lease at once, under a new token, because an instance never
 //!   runs two. Otherwise every restart would stop commands for one term.
 //! - The answer to a renewal or acquisition is lost. The row is read at the
@@ -336,7 +336,7 @@
             return allowed.then_some((next, *version));
         }
         // The row may belong to the previous process of this instance. An
-        // instance runs one process, so that one is dead, and nothing sends
+        // instance runs one process, so that one has ended, and nothing sends
         // commands under its token any more.
         let former = record.owner == self.owner;
         let free = record.owner.is_empty() || unchanged;
--- a/crates/comfreyhall-node/src/bind/params.rs
+++ b/crates/comfreyhall-node/src/bind/params.rs
@@ -96,7 +96,7 @@
     NoEngine {
         /// Why none can.
         reason: String,
-        /// Engines that take no commands: they are gone, or have restarted.
+        /// Engines that take no commands: they have ended or restarted.
         gone: Vec<Name>,
     },
 }
--- a/crates/comfreyhall-node/src/choose.rs
+++ b/crates/comfreyhall-node/src/choose.rs
@@ -298,7 +298,7 @@
             choice.load_ms += slots::FULL_ENGINE_WAIT_MS;
         }
         // An engine that has the adapter cached loads it fastest, whatever its
-        // rank; a home without a free slot comes after those with one.
+        // rank; an engine without a free slot comes after those with one.
         let rank = if cached {
             0
         } else {
--- a/crates/comfreyhall-node/src/departed.rs
+++ b/crates/comfreyhall-node/src/departed.rs
@@ -1,8 +1,8 @@
-//! Boots of targets that are gone.
+//! Boots of targets that have ended.
 //!
 //! A store that comes back from a copy lists targets again that had left before. Such an
 //! entry counts only once its target has written it again: a live target does so within
-//! about a second, and the entry of one that is gone disappears.
+//! about a second, and the entry of one that has ended disappears.
 
 use std::collections::VecDeque;
 
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Whether `entry` is of a boot that was gone before the store came back from a
+    /// Whether `entry` is of a boot that had ended before the store came back from a
     /// copy, and has not been written again since.
     pub(crate) fn is_gone(&mut self, entry: &Target) -> bool {
         let Some(departure) = self.boots.get_mut(&entry.id) else {
--- a/crates/comfreyhall-node/src/engine_control/copies.rs
+++ b/crates/comfreyhall-node/src/engine_control/copies.rs
@@ -1,6 +1,6 @@
 //! Replicates hot adapters before requests queue for them.
 //!
-//! The holder of a group's lease is told of every request, so it knows the
+//! The holder of a group's lease is notified of every request, so it knows the
 //! request rate of an adapter over the whole fleet. All holders rank the
 //! engines for an adapter identically, and each requests the copies that fall
 //! on its own engines. No request waits for them.
@@ -69,7 +69,7 @@
     }
 }
 
-/// Orders the most wanted adapters of lost engines at their new homes, at the
+/// Requests the most used adapters of lost engines on the engines now ranked first, at the
 /// rate of the weight store and after those that requests wait for.
 fn restore_lost(node: &Node) {
     let now = node.now();
@@ -78,7 +78,7 @@
         return;
     }
     let unavailable = UnavailableTargets::current(node, now);
-    // An adapter whose home takes no loads now stays lost until it does.
+    // An adapter whose first engine takes no loads now stays lost until it does.
     let owns =
         |t: &Target| node.token(&t.failure_domain).is_some() && !unavailable.blocks_loads(&t.id);
     let uses_paces = node.policies().engine_pace;
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -9,7 +9,7 @@
 //! the engine's [`SlotAccount`].
 //!
 //! A command that cannot be sent proves nothing about the engine, which goes on
-//! with what it was told before. The controller leaves the engine alone for a while,
+//! with the commands it received before. The controller leaves the engine alone for a while,
 //! frees the requests that wait for it, and goes on after a report.
 
 mod affinity;
@@ -163,7 +163,7 @@
 /// Sends `result` to all waiting requests.
 fn finish(waiting: impl IntoIterator<Item = Waiter>, result: Result<Placed, PlacementError>) {
     for waiter in waiting {
-        // The receiver may be gone already.
+        // The receiver may have been dropped already.
         let _ = waiter.send(result.clone());
     }
 }
--- a/crates/comfreyhall-node/src/engine_control/request/tests.rs
+++ b/crates/comfreyhall-node/src/engine_control/request/tests.rs
@@ -7,10 +7,10 @@
 use super::{super::candidate::EngineCandidate, PlacementRequest, place_adapter};
 use crate::test_node::node;
 
-/// Guards against requests that keep asking for an engine that is gone. Its
+/// Guards against requests that keep asking for an engine that has ended. Its
 /// controller finds that it takes no commands and drops the request; if the
 /// record of that is lost with the request, the caller never learns which
-/// engine is gone.
+/// engine has ended.
 #[tokio::test]
 async fn place_adapter_reports_gone_engine() {
     let node = node();
--- a/crates/comfreyhall-node/src/engine_control/ticket.rs
+++ b/crates/comfreyhall-node/src/engine_control/ticket.rs
@@ -25,7 +25,7 @@
 #[error("{why}")]
 pub(crate) struct PlacementError {
     pub(crate) why: String,
-    /// Engines that take no commands: they are gone, or another boot is
+    /// Engines that take no commands: they have ended, or another boot is
     /// running.
     pub(crate) gone: Vec<Name>,
     /// Ms after which a slot is expected for it, if that was what it lacked.
@@ -76,8 +76,8 @@
 }
 
 impl Ticket {
-    /// Creates a ticket for `done` that the engines `among` may serve; engines
-    /// found to be gone are recorded in `gone`.
+    /// Creates a ticket for `waiter` that `engines` may serve; those that take no
+    /// commands are recorded in `gone`.
     pub(super) fn new(waiter: Waiter, engines: Vec<Name>, gone: RefusingEngines) -> Self {
         Self {
             waiter: Mutex::new(Some(waiter)),
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -20,7 +20,7 @@
 /// Interval between calls to a peer that does not answer, in ms.
 const UNREACHABLE_PAUSE_MS: u64 = 1_000;
 
-/// Silence after which a peer that should have called is called instead, in ms.
+/// Time without a call after which a peer that should have called is called instead, in ms.
 const SILENT_MS: u64 = 600;
 
 /// Starts the gossip task.
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -43,7 +43,7 @@
 /// Bytes in one chunk.
 const CHUNK_BYTES: usize = 16 << 10;
 
-/// Longest silence before a transfer begins and within it.
+/// Longest time without data before a transfer begins and within it.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Longest duration of one transfer.
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -30,7 +30,7 @@
 /// Peers named in one call of a large fleet.
 const NAMED_PEERS: usize = 3;
 
-/// Messages that tell a new holder of the slots used in its group: one may get
+/// Messages that report the slots used in its group to a new holder: one may get
 /// lost.
 const SLOT_USE_MESSAGES: u8 = 3;
 
@@ -209,7 +209,7 @@
         for placed in &gossip.placed {
             if let Some(adapter) = parse_adapter_key(&placed.adapter) {
                 let target: Name = placed.target.as_str().into();
-                // Of a boot that is gone, or not known yet, nothing would be
+                // Of a boot that has ended, or is not known yet, nothing would be
                 // removed again.
                 if !view.targets.contains_key(&target) {
                     continue;
@@ -337,7 +337,7 @@
             .map(|h| (h.group.as_str().into(), h.token))
             .collect();
         if peer.daemon.as_ref().is_none_or(|a| a.boot != from.boot) {
-            // The runs of an earlier process are gone.
+            // The runs of an earlier process have ended.
             peer.runs = Runs::default();
             peer.histories_sent = 0;
             peer.paces_sent = 0;
--- a/crates/comfreyhall-node/src/fleet/histories.rs
+++ b/crates/comfreyhall-node/src/fleet/histories.rs
@@ -1,4 +1,4 @@
-//! Which adapters engines have cached, told once to each peer.
+//! Which adapters engines have cached, sent once to each peer.
 //!
 //! Gossip of single loads reaches the daemons that run at the time. One that
 //! started later, and may hold the lease next, learns of earlier loads here.
@@ -13,7 +13,7 @@
 /// fleet of 60 groups receives 24 KB a second of them at most.
 const PER_MESSAGE: usize = 6;
 
-/// Loads told for each engine: what is likely to be still cached.
+/// Loads sent for each engine: what is likely to be still cached.
 const MAX_LOADS: usize = 40;
 
 /// Count of a peer that has received all histories.
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -36,7 +36,7 @@
 }
 
 impl State {
-    /// Peers to call in a large fleet; `holding` tells whether this daemon
+    /// Peers to call in a large fleet; `holding`: whether this daemon
     /// holds a lease itself.
     pub(super) fn due_in_large(&mut self, holding: bool, now: u64) -> Vec<Name> {
         let period_ms = report_period_ms(self.peers.len());
--- a/crates/comfreyhall-node/src/fleet/pace_log.rs
+++ b/crates/comfreyhall-node/src/fleet/pace_log.rs
@@ -1,4 +1,4 @@
-//! The paces of engines that this holder tells.
+//! The paces of engines that this holder reports.
 
 use std::collections::BTreeMap;
 
@@ -6,26 +6,26 @@
 use comfreyhall_protocol::EnginePace;
 use comfreyhall_routing::Pace;
 
-/// Engines told in one message: 56 entries of 66 bytes, twice a second from each
+/// Engines in one message: 56 entries of 66 bytes, twice a second from each
 /// of three holders, are 22 KB/s.
 pub(super) const MAX_SENT: usize = 56;
 
 /// Interval between two looks at all engines, in ms.
 const UPDATE_MS: u64 = 200;
 
-/// Shortest time between two tellings of one engine, in ms.
+/// Shortest time between two reports of one engine, in ms.
 const MIN_REPEAT_MS: u64 = 1_000;
 
-/// Time after which an engine that differs from the mean is told again, in ms.
+/// Time after which an engine that differs from the mean is reported again, in ms.
 pub(super) const RENEW_MS: u64 = 10_000;
 
-/// Relative difference of a pace that is told at once.
+/// Relative difference of a pace that is reported at once.
 const MIN_CHANGE: f64 = 0.1;
 
-/// Difference of the share of late events that is told at once.
+/// Difference of the share of late events that is reported at once.
 const MIN_LATE_CHANGE: f64 = 0.01;
 
-/// What was last told of an engine.
+/// What was last reported of an engine.
 #[derive(Debug, Clone, Copy)]
 struct SentPace {
     serial: u64,
@@ -34,7 +34,7 @@
 }
 
 impl SentPace {
-    /// Whether `pace` is to be told.
+    /// Whether `pace` is to be reported.
     fn is_due(&self, pace: Pace, now: u64) -> bool {
         let age_ms = now.saturating_sub(self.at_ms);
         age_ms >= RENEW_MS || (age_ms >= MIN_REPEAT_MS && differ(self.pace, pace))
@@ -50,7 +50,7 @@
         || (a.late_gaps - b.late_gaps).abs() > MIN_LATE_CHANGE
 }
 
-/// The paces that this holder tells.
+/// The paces that this holder reports.
 #[derive(Debug, Default)]
 pub(super) struct PaceLog {
     sent: Map<Name, SentPace>,
@@ -66,7 +66,7 @@
     }
 
     /// Updates the log with the current `paces` of all engines of held groups.
-    /// Returns those that are told anew.
+    /// Returns those that are to be reported.
     pub(super) fn update(
         &mut self,
         paces: impl Iterator<Item = (Name, Pace)>,
--- a/crates/comfreyhall-node/src/fleet/paces.rs
+++ b/crates/comfreyhall-node/src/fleet/paces.rs
@@ -1,10 +1,10 @@
-//! What a lease holder tells of the paces of its engines.
+//! What a lease holder reports of the paces of its engines.
 //!
-//! A holder hears of all streams of its group, another daemon of a few. So it
-//! tells the others, and its successor continues from what it told. Each engine
-//! that differs from the mean, or from what was told of it, gets a new serial;
-//! each peer is told the serials that it has not received yet, a bounded number
-//! in one message. A lost message is made good when the engine is told again.
+//! A holder learns of all streams of its group, another daemon of a few. So it
+//! sends reports to the others, and its successor continues from these. Each engine
+//! that differs from the mean, or from the last report on it, gets a new serial;
+//! each peer is sent the serials that it has not received yet, a bounded number
+//! in one message. The next report on the engine makes up for a lost message.
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::News;
@@ -39,7 +39,7 @@
         gossip.event_wait_ms = view.paces.event_wait_ms();
     }
 
-    /// Takes over what the holder that sent `gossip` tells of its engines.
+    /// Takes over what the holder that sent `gossip` reports of its engines.
     pub(super) fn learn_paces(&self, node: &Node, gossip: &News, now: u64) {
         let mut view = node.view();
         for told in &gossip.paces {
--- a/crates/comfreyhall-node/src/fleet/paces/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/paces/tests.rs
@@ -24,7 +24,7 @@
 }
 
 /// Guards against gossip that grows with the number of engines: each message has
-/// a bounded size, and all engines are told in turn.
+/// a bounded size, and all engines are reported in turn.
 #[test]
 fn next_many_engines_bounded_messages() {
     let mut log = PaceLog::default();
@@ -43,7 +43,7 @@
     assert_eq!((seen, messages), (740, 14));
 }
 
-/// Engines like the mean and those told of are not told again, except when they
+/// Engines like the mean and those reported before are not reported again, except when they
 /// change and now and then, in case a message was lost.
 #[test]
 fn update_tells_changes_and_renews() {
@@ -59,12 +59,12 @@
     assert_eq!(log.next(&mut told).len(), 5);
     log.update(engines(5, slow(1.2)), 6_000 + RENEW_MS);
     assert_eq!(log.next(&mut told).len(), 5);
-    // An engine of a group that is no longer held is not told.
+    // An engine of a group that is no longer held is not reported.
     log.update(engines(2, slow(2.0)), 30_000);
     assert_eq!(log.next(&mut 0).len(), 2);
 }
 
-/// Only the holder of an engine's group is believed.
+/// Only reports of the holder of an engine's group count.
 #[tokio::test]
 async fn learn_paces_only_from_holder() {
     let node = node();
--- a/crates/comfreyhall-node/src/fleet/runs/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/runs/tests.rs
@@ -46,7 +46,7 @@
     let totals = runs.work_by_target();
     let work = totals.get("t").unwrap();
     assert_eq!((work.prefill_tokens, work.requests), (150, 2));
-    // A message without either run, after the limit: both are gone.
+    // A message without either run, after the limit: both are removed.
     runs.reconcile(&[], 1_000 + UNREPORTED_MS);
     assert!(runs.work_by_target().is_empty());
 }
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -67,15 +67,15 @@
     /// know.
     pub(super) members: usize,
     pub(super) demands: Map<Name, u32>,
-    /// How often it was told of the slots used in each group that it holds.
+    /// How many messages reported to it the slots used in each group that it holds.
     pub(super) use_sent: Map<Name, u8>,
-    /// How many messages told it of all software versions.
+    /// How many messages sent it all software versions.
     pub(super) versions_sent: u8,
     /// First placement not sent to it yet.
     pub(super) unsent_from: u64,
     /// Load histories sent to it, in order of their targets.
     pub(super) histories_sent: usize,
-    /// Serial of the last pace of an engine that it was told.
+    /// Serial of the last pace of an engine that it was sent.
     pub(super) paces_sent: u64,
     /// Serial of the last finding it has received from this daemon.
     pub(super) findings_acked: u64,
@@ -103,13 +103,13 @@
     pub(super) runs: Runs,
     pub(super) placements: VecDeque<(u64, Placed)>,
     pub(super) next_placement: u64,
-    /// Groups that this daemon handed over, and until when peers are told.
+    /// Groups that this daemon handed over, and until when peers are notified.
     pub(super) handovers: Vec<(u64, Cession)>,
     /// Fetches of what the store has lost.
     pub(super) kept_fetch: KeptFetch,
     /// Cached part of the answers to daemons that report here.
     pub(super) summary: Summary,
-    /// What this holder tells of the paces of its engines.
+    /// What this holder reports of the paces of its engines.
     pub(super) paces: PaceLog,
     /// Whether this process has read the list of members from the store.
     pub(super) members_listed: bool,
@@ -125,7 +125,7 @@
     pub(super) next_run: AtomicU64,
     /// Transfers of settings to other daemons.
     pub(super) settings_sender: SettingsSender,
-    /// Wakes the task that fetches settings.
+    /// Notifies the task that fetches settings.
     pub(super) fetch_wanted: Notify,
     /// Queue of run updates to be reported to lease holders.
     pub(super) updates_tx: mpsc::Sender<RunUpdate>,
@@ -164,7 +164,7 @@
         fleet
     }
 
-    /// Longest silence of a live peer, in ms, in a fleet of `peers`.
+    /// Longest time without gossip from a live peer, in ms, in a fleet of `peers`.
     pub(super) fn alive_ms(peers: usize) -> u64 {
         ALIVE_PERIODS * report_period_ms(peers)
     }
@@ -212,7 +212,7 @@
     }
 
     /// Whether the peer at `addr` has not been seen by anybody for so long that
-    /// it counts as gone.
+    /// it counts as lost.
     pub(crate) fn is_lost(&self, addr: &str, now: u64) -> bool {
         let state = self.state();
         state.peers.get(addr).is_some_and(|p| {
@@ -259,12 +259,12 @@
         first.map(|(_, addr)| addr.clone()).collect()
     }
 
-    /// Wakes the task that fetches settings.
+    /// Notifies the task that fetches settings.
     pub(crate) fn wake_fetch(&self) {
         self.fetch_wanted.notify_one();
     }
 
-    /// Longest silence of a live daemon, in ms.
+    /// Longest time without gossip from a live daemon, in ms.
     pub(super) fn liveness_ms(&self) -> u64 {
         Self::alive_ms(self.state().peers.len())
     }
--- a/crates/comfreyhall-node/src/fleet/versions.rs
+++ b/crates/comfreyhall-node/src/fleet/versions.rs
@@ -5,7 +5,7 @@
 use super::state::{Fleet, Peer};
 use crate::{node::Node, streams};
 
-/// Messages that tell a new process of all software versions: one may get lost.
+/// Messages that send a new process all software versions: one may get lost.
 const VERSION_MESSAGES: u8 = 3;
 
 impl Fleet {
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -2,7 +2,7 @@
 //!
 //! Settings are followed through a feed that answers at the first change and
 //! costs next to nothing while nothing changes. A quiet feed is no proof that
-//! nothing has changed, though: the store may have gone silent and come back
+//! nothing has changed, though: the store may have stopped answering and come back
 //! without it. So when nobody in the fleet has had an answer about settings for
 //! a part of their bound, one daemon sends a probe, and a failed probe ends the
 //! feed. Meanwhile settings that the store does not provide are fetched from
@@ -51,7 +51,7 @@
 /// Longest pause of one of [`FEW_DAEMONS`] daemons, in ms. It grows in
 /// proportion to a larger fleet, so that a store that is down gets as many
 /// calls as from these few, some 25 a second, and its return is noticed as
-/// soon: the first daemon that reads it tells the others.
+/// soon: the first daemon that reads it notifies the others.
 const FEW_PAUSE_MS: u64 = 600;
 
 /// Daemons that may call a store that is down without longer pauses.
--- a/crates/comfreyhall-node/src/follow/targets.rs
+++ b/crates/comfreyhall-node/src/follow/targets.rs
@@ -5,8 +5,8 @@
 //! bound for draining targets. One read serves the fleet: the daemon with the
 //! oldest data reads, and the others get the changes with the next gossip.
 //!
-//! While the store is down, the entries of live targets expire. Taking these
-//! targets for gone would stop all service the moment the store is back, so
+//! While the store is down, the entries of live targets expire. Counting these
+//! targets as ended would stop all service the moment the store is back, so
 //! after an outage removals count only once a listing taken the return time
 //! after the store's return still lacks them.
 
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -60,10 +60,10 @@
     highest_seen: Mutex<Map<Name, u64>>,
     /// Time since which no holder is known, by group.
     vacant_since_ms: Mutex<Map<Name, u64>>,
-    /// Handovers to other daemons, by group: the token, and when it was first heard of.
+    /// Handovers to other daemons, by group: the token, and when it was first reported.
     ceded: Mutex<Map<Name, (u64, u64)>>,
     last_commands: Mutex<Map<Name, LastCommand>>,
-    /// Wakes the lease task when an engine is lost.
+    /// Notifies the lease task when an engine is lost.
     engine_lost: Notify,
 }
 
--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -3,7 +3,7 @@
 //! Each daemon writes one row when it starts and deletes it when it stops.
 //! Liveness is known from gossip, so nothing is written in between, except when other
 //! software versions of targets may have streams: the row names them. The rows of
-//! instances that died are deleted by one of the daemons that no longer see
+//! instances that crashed are deleted by one of the daemons that no longer see
 //! them. When the store comes back from a copy, each daemon writes its row again.
 
 use std::{sync::Arc, time::Duration};
@@ -118,7 +118,7 @@
 }
 
 /// Newest era of the store that this daemon or a peer has seen: one that calls the store
-/// seldom hears of it from others.
+/// seldom learns of it from others.
 pub(crate) fn newest_era<R: Rows>(node: &Node, rows: &R) -> u32 {
     rows.era().max(node.view().records.settings.version.era())
 }
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -284,7 +284,7 @@
         self.slot_wait.record(ms as f64 / 1_000.0, &labels);
     }
 
-    /// Records the pace of an engine that other daemons are told of.
+    /// Records the pace of an engine that is reported to other daemons.
     pub(crate) fn engine_pace(&self, pace: f64) {
         self.engine_pace.record(pace, &[]);
     }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -49,7 +49,7 @@
     pub(crate) log_limits: LogLimits,
     pub(crate) outbound: Outbound,
     pub(crate) streams: Arc<Streams>,
-    /// Wakes background tasks when settings or targets change.
+    /// Notifies background tasks when settings or targets change.
     pub(crate) changed: Notify,
     view: Mutex<View>,
     /// When this daemon started, in ms of its clock.
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -71,7 +71,7 @@
     view.run_times.output(criteria.route, expected).events
 }
 
-/// Rank of `target` as a home of the adapter `key`, where engines differ in pace if
+/// Rank of `target` for the adapter `key`, where engines differ in pace if
 /// `uses_paces`; the lowest is preferred.
 pub(crate) fn adapter_rank(view: &View, uses_paces: bool, key: &str, target: &Name) -> u64 {
     match uses_paces {
--- a/crates/comfreyhall-node/src/quarantine/reach.rs
+++ b/crates/comfreyhall-node/src/quarantine/reach.rs
@@ -21,7 +21,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Whether `target`, which refuses connections from here, refuses them from everybody.
-/// `None` if no peer can tell. Without peers nobody has another path to it.
+/// `None` if no peer knows. Without peers nobody has another path to it.
 pub(super) async fn is_refused_by_all(node: &Arc<Node>, target: &Name) -> Option<bool> {
     let clients = node.fleet.some_clients(MAX_ASKED, node.now());
     if clients.is_empty() {
--- a/crates/comfreyhall-node/src/quarantine/state.rs
+++ b/crates/comfreyhall-node/src/quarantine/state.rs
@@ -16,13 +16,13 @@
     empty: AtomicBool,
     /// Whether requests need not wait for what other daemons have stored.
     loaded: AtomicBool,
-    /// Wakes requests that wait until it is.
+    /// Notifies requests that wait until it is.
     pub(super) loading: Notify,
-    /// Wakes the task that stores evidence.
+    /// Notifies the task that stores evidence.
     pub(super) stored_changed: Notify,
-    /// Wakes the task that notifies the other daemons.
+    /// Notifies the task that sends to the other daemons.
     pub(super) found: Notify,
-    /// Wakes requests that wait to learn whether their target has ended.
+    /// Notifies requests that wait to learn whether their target has ended.
     pub(super) resolved: Notify,
 }
 
--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -6,7 +6,7 @@
 //! Each of its sends reserves credit of a limited target right before it
 //! ([`Credit`]). The decisions are made by a rate limiter
 //! (`comfreyhall-workspace`), one for workspaces and one for targets; this
-//! module tells the limiters which daemons there are, and carries their calls
+//! module gives the limiters the list of daemons, and carries their calls
 //! to the quota coordinators.
 
 mod settle;
@@ -119,7 +119,7 @@
     update_members(node, QuotaKind::Workspaces, &mut state);
 }
 
-/// Tells the limiter which daemons there are.
+/// Gives the limiter the list of daemons.
 fn update_members(node: &Node, kind: QuotaKind, state: &mut State) {
     let current = settle::coordinators(node, kind, &state.groups);
     if let Some(limiter) = &mut state.limiter {
--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -14,7 +14,7 @@
 /// Longest duration of one call: requests wait for it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Silence of the store, direct and through others, after which there may be
+/// Time without an answer of the store, direct or through others, after which there may be
 /// daemons that no reachable one knows, in ms.
 const STALE_MS: u64 = 10_000;
 
--- a/crates/comfreyhall-node/src/records/tests.rs
+++ b/crates/comfreyhall-node/src/records/tests.rs
@@ -240,8 +240,8 @@
     assert!(ready(&node).is_empty());
 }
 
-/// Guards against a target that has gone and is listed by the store's copy: only its own
-/// next entry shows that it lives.
+/// Guards against a target that has ended and is listed by the store's copy: only its own
+/// next entry shows that it runs.
 #[test]
 fn apply_copy_lists_gone_target() {
     let node = node();
--- a/crates/comfreyhall-node/src/rows.rs
+++ b/crates/comfreyhall-node/src/rows.rs
@@ -45,7 +45,7 @@
         self.proven_ms = self.proven_ms.max(at);
     }
 
-    /// Whether knowing that the rows were complete at `at` is news worth its work: a
+    /// Whether a proof that the rows were complete at `at` is new enough to process: a
     /// lease holder of a large fleet gets hundreds of such messages a second.
     pub(crate) fn is_newer_proof(&self, at: u64) -> bool {
         at >= self.proven_ms + MIN_PROOF_STEP_MS
--- a/crates/comfreyhall-node/src/slots/mod.rs
+++ b/crates/comfreyhall-node/src/slots/mod.rs
@@ -71,7 +71,7 @@
         let limit_ms = params.limit_ms().min(SLOT_WAIT_MS);
         return SlotDecision::Wait(Box::new(WaitingSlot::untracked(node, waiter, limit_ms)));
     }
-    // A request that was told by other groups to wait keeps its age.
+    // A request that other groups asked to wait keeps its age.
     waiter.arrived_ms = now.saturating_sub(params.elapsed_ms);
     let pool = (params.group.clone(), adapter.model.clone());
     let caller = SlotCaller::of(params);
--- a/crates/comfreyhall-node/src/streams/find.rs
+++ b/crates/comfreyhall-node/src/streams/find.rs
@@ -11,7 +11,7 @@
 use crate::node::Node;
 
 /// Daemons that are asked: the ones that were sent the record, and those that follow
-/// them in the order for its id, in case some were not known to be gone.
+/// them in the order for its id, in case some were not known to have ended.
 const ASKED: usize = 8;
 
 /// Longest wait for their answers: a few ms, and tens of ms on a busy core.
--- a/crates/comfreyhall-node/src/streams/state.rs
+++ b/crates/comfreyhall-node/src/streams/state.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Streams {
     table: Mutex<Table>,
-    /// Wakes the task that sends records.
+    /// Notifies the task that sends records.
     pub(super) queued: Notify,
 }
 
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -85,7 +85,7 @@
 fn end_handover_stops_commands() {
     let successor = Leases::default();
     successor.accept_handover("g", 2_001, 1_000);
-    // It is told again until the former holder ceases to.
+    // It is notified again until the former holder ceases to.
     successor.accept_handover("g", 2_001, 5_000);
     assert!(successor.took_over("g", 4_000, 4_500));
     assert!(!successor.took_over("g", 4_000, 5_500));
--- a/crates/comfreyhall-node/src/view.rs
+++ b/crates/comfreyhall-node/src/view.rs
@@ -51,11 +51,11 @@
     pub(crate) named_versions: Map<AdapterRef, NamedVersion>,
     /// Targets by the id of their boot (one start of a process).
     pub(crate) targets: Map<Name, Arc<Target>>,
-    /// Boots that are gone.
+    /// Boots that have ended.
     pub(crate) departed: DepartedBoots,
     /// Decoding errors of entries that describe no valid target.
     pub(crate) entry_errors: Map<Name, String>,
-    /// Until when targets are excluded that are known to be gone, restarted or
+    /// Until when targets are excluded that are known to have ended, restarted or become
     /// unreachable, though the store still lists them.
     pub(crate) unavailable_until: Map<Name, u64>,
     pub(crate) board: TargetStats,
--- a/crates/comfreyhall-node/src/weights/tests.rs
+++ b/crates/comfreyhall-node/src/weights/tests.rs
@@ -27,7 +27,7 @@
     }
 }
 
-/// Ratio of store loads to adapters where daemons that hear of each other's
+/// Ratio of store loads to adapters where daemons that learn of each other's
 /// choices late send 3,000 requests for 400 adapters to engines of three
 /// groups, a third of which are full at any time.
 fn store_loads_per_adapter(affine: bool) -> f64 {
--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -184,7 +184,7 @@
     assert_eq!(serve(&node, deadly("q")).await, CallerResult::Complete(200));
 }
 
-/// A rack without power answers nothing; its targets are gone, but a request
+/// A rack without power answers nothing; its targets have ended, but a request
 /// that waited there until its timeout did not end them.
 #[tokio::test]
 async fn serve_silent_targets_are_no_evidence() {
--- a/crates/comfreyhall-node/tests/serve.rs
+++ b/crates/comfreyhall-node/tests/serve.rs
@@ -87,7 +87,7 @@
     );
 }
 
-/// Guards against a request that runs twice because its caller was told that it
+/// Guards against a request that runs twice because its caller got the answer that it
 /// had not run: a target fails with a status that promises "not run" but
 /// without the proof, and the status must not be passed on.
 #[tokio::test]
--- a/crates/comfreyhall-once/src/lib.rs
+++ b/crates/comfreyhall-once/src/lib.rs
@@ -12,7 +12,7 @@
 //! - The claimer is paused, its lease expires, and it resumes: nobody takes
 //!   over a claim, so its late send is still the only one. This needs no
 //!   fencing token, and works with engines that ignore them.
-//! - The claimer crashes: the claim stays. A retry of the key is told that
+//! - The claimer crashes: the claim stays. A retry of the key gets the answer that
 //!   the outcome is unknown, never that the request did not run.
 //!
 //! A claimer that can prove that the request did not run releases the claim
@@ -180,7 +180,7 @@
     /// Releases the claim of a request that certainly did not run.
     ///
     /// A lost answer is harmless: a second delete of the same version
-    /// either applies or finds the row gone.
+    /// either applies or finds no such row.
     pub async fn release(&self, claim: &Claim) -> Result<(), CatalogError> {
         let checks = vec![check(&claim.key, claim.version)];
         match self.table.commit(checks, vec![delete(&claim.key)]).await {
--- a/crates/comfreyhall-once/tests/once_fuzz.rs
+++ b/crates/comfreyhall-once/tests/once_fuzz.rs
@@ -121,8 +121,8 @@
                     "an answer is recorded but the request did not run"
                 );
             }
-            // `HeldByOther`: the client is told "unknown". Errors: the
-            // client is told "not run", and indeed nothing was sent for
+            // `HeldByOther`: the answer is "unknown". Errors: the
+            // answer is "not run", and indeed nothing was sent for
             // this attempt.
             Ok(ClaimOutcome::Unconfirmed(claim, _)) => daemon_state.unconfirmed.push(claim),
             Ok(ClaimOutcome::HeldByOther) | Err(CatalogError::Unavailable { .. }) => {}
@@ -246,7 +246,7 @@
     // Guards against keys that stay held for good though nothing ran. The
     // claim is written, but its answer and the reads after it are lost, and
     // the attempt is refused as "not run". If nobody checks the row again,
-    // later attempts at the key are told "held" for ever.
+    // later attempts at the key are answered "held" for ever.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .unwrap();
--- a/crates/comfreyhall-protocol/src/outcome.rs
+++ b/crates/comfreyhall-protocol/src/outcome.rs
@@ -1,6 +1,6 @@
 //! Determines whether a refused or failed call certainly did not run.
 //!
-//! A caller that is told "not run" may send a billed request again, so the
+//! A caller that gets "not run" may send a billed request again, so the
 //! statement must be true. Two things prove it: the target itself says so, with
 //! the [`NOT_RUN`] metadata on its status, or no connection could be opened, so
 //! nothing was sent. After any other failure (a reset, a timeout, a lost answer)
--- a/crates/comfreyhall-quarantine/src/end_check.rs
+++ b/crates/comfreyhall-quarantine/src/end_check.rs
@@ -104,7 +104,7 @@
         self.reached
     }
 
-    /// Whether the target has ended; `None` if no peer can tell.
+    /// Whether the target has ended; `None` if no peer knows.
     pub fn ended(&self) -> Option<bool> {
         match (self.reached, self.refused) {
             (true, _) => Some(false),
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -98,7 +98,7 @@
 /// How much of another daemon's evidence a daemon has received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct SyncPosition {
-    /// Identifies the other process; evidence from an earlier process is gone.
+    /// Identifies the other process; evidence from an earlier process is lost.
     pub boot: u64,
     /// Sequence number of the last observation received.
     pub serial: u64,
--- a/crates/comfreyhall-quarantine/tests/model.rs
+++ b/crates/comfreyhall-quarantine/tests/model.rs
@@ -69,7 +69,7 @@
     /// How much it has received from each other daemon.
     received: [SyncPosition; DAEMONS],
     partitioned: bool,
-    /// Whether it was partitioned or started and has not yet heard from any
+    /// Whether it was partitioned or started and has not yet received anything from any
     /// daemon that was neither, so none could send it what the others know.
     behind: bool,
     /// Round since which it is connected.
--- a/crates/comfreyhall-routing/src/cache.rs
+++ b/crates/comfreyhall-routing/src/cache.rs
@@ -2,8 +2,8 @@
 //!
 //! An engine keeps the weights of the adapters that it loaded last. It
 //! publishes neither which these are nor how many. Both follow from its loads:
-//! their order tells how many others it has loaded since, and their durations
-//! tell up to how many it still had the weights.
+//! their order shows how many others it has loaded since, and their durations
+//! show up to how many it still had the weights.
 
 use std::{
     collections::VecDeque,
--- a/crates/comfreyhall-routing/src/cache/tests.rs
+++ b/crates/comfreyhall-routing/src/cache/tests.rs
@@ -60,7 +60,7 @@
 
 /// Guards against a successor of a lease holder that fetches from the store what
 /// its engines have cached: it has only the histories of its peers, and loads
-/// that it heard of since.
+/// reported to it since.
 #[test]
 fn merge_loads_tells_successor() {
     let (mut old, mut new) = (Residency::default(), Residency::default());
--- a/crates/comfreyhall-routing/src/duration.rs
+++ b/crates/comfreyhall-routing/src/duration.rs
@@ -1,6 +1,6 @@
 //! Average duration of plain requests, which expires.
 //!
-//! Only answers tell how long a request takes. After slow answers the estimate
+//! Only answers show how long a request takes. After slow answers the estimate
 //! can be so high that every request is rejected on arrival; then no answer
 //! comes any more, and without an expiry the daemon would reject for good.
 
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -1,12 +1,12 @@
 //! How fast each engine is, relative to the mean of all.
 //!
 //! Engines of one service differ in speed by nature, and any of them may be
-//! slow for a moment. Two spans tell these apart: the long one decides which
+//! slow for a moment. Two spans distinguish these: the long one decides which
 //! engine an adapter belongs to, the short one where a request goes now. A slow
 //! engine is not an unhealthy one.
 //!
 //! The time to read a prompt is compared with what its backlog lets expect, so
-//! it does not depend on the load, and neither do homes. The gaps between events
+//! it does not depend on the load, and neither does the ranking of engines. The gaps between events
 //! do depend on it.
 
 use comfreyhall_domain::{Map, Name};
@@ -64,7 +64,7 @@
 /// Bounds of a pace, so that no error idles or overloads an engine for good.
 const PACE_BOUNDS: (f64, f64) = (0.4, 4.0);
 
-/// Samples before an engine can leave the mean class of homes.
+/// Samples before an engine can leave the mean class of pace.
 const MIN_HOME_SAMPLES: f64 = 20.0;
 
 /// Assumed time between two events before any is known, in ms.
@@ -89,7 +89,7 @@
     (known * (QUANTILE_STEP * step).exp()).max(1.0)
 }
 
-/// What a stream that has ended tells of its engine.
+/// What a stream that has ended shows of its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamSample {
     /// Events received.
@@ -206,7 +206,7 @@
         let wait_ms = sample.longest_gap_ms as f64 / long_read;
         if let Some(objective_ms) = sample.gap_objective_ms {
             let is_late = sample.longest_gap_ms > objective_ms;
-            // Later events of a late stream tell nothing more; on average half
+            // Later events of a late stream show nothing more; on average half
             // of them came before the late one.
             let events = f64::from(sample.events - 1) * if is_late { 0.5 } else { 1.0 };
             let late = f64::from(u8::from(is_late));
@@ -219,7 +219,7 @@
 
     /// Records that the first event of `target` came after `waited_ms` where
     /// `expected_ms` are usual at the mean of all engines. Returns the new
-    /// weight as a home if it has changed.
+    /// ranking weight if it has changed.
     pub fn record_first(
         &mut self,
         target: &Name,
@@ -283,7 +283,7 @@
         self.wait_ms = wait_ms.max(1.0);
     }
 
-    /// Weight of `target` as a home of adapters; 1 is the mean.
+    /// Weight of `target` in the ranking of engines for adapters; 1 is the mean.
     pub fn rank_weight(&self, target: &Name) -> f64 {
         let engine = self.engines.get(target);
         engine.map_or(1.0, |e| e.class.weight())
--- a/crates/comfreyhall-routing/src/pace_class.rs
+++ b/crates/comfreyhall-routing/src/pace_class.rs
@@ -1,6 +1,6 @@
-//! Classes of pace that decide how many adapters an engine is the home of.
+//! Classes of pace that decide for how many adapters an engine is ranked first.
 //!
-//! Each change of a weight moves the homes of some adapters, which are then
+//! Each change of a weight changes the first engine of some adapters, which are then
 //! loaded elsewhere. So weights have few values, and an engine changes its class
 //! only if it has been well outside of it for several seconds. This answers
 //! engines that slow down for some hundred ms, and demand that swings between
@@ -49,7 +49,7 @@
         true
     }
 
-    /// Weight as a home: the share of work that takes an engine of this pace as
+    /// Weight in the ranking: the share of work that takes an engine of this pace as
     /// long as the mean.
     pub(crate) fn weight(self) -> f64 {
         STEP.powi(-self.class)
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -118,7 +118,7 @@
     assert!((0.3..0.55).contains(&ratio), "{:?}", load.prompts);
 }
 
-/// Guards against homes that move because an engine slows down for half a second.
+/// Guards against adapters that move because an engine slows down for half a second.
 #[test]
 fn home_weight_short_slowness_unchanged() {
     let (mut table, engine) = (PaceTable::default(), name(0));
@@ -134,7 +134,7 @@
     assert_eq!(table.rank_weight(&engine), 1.0);
 }
 
-/// An engine that is slow by nature becomes the home of fewer adapters.
+/// An engine that is slow by nature is ranked first for fewer adapters.
 #[test]
 fn home_weight_slow_engine_in_proportion() {
     let mut table = PaceTable::default();
@@ -154,7 +154,7 @@
     assert!((0.3..0.55).contains(&ratio), "{first_ranked:?}");
 }
 
-/// Guards against homes that move to and fro with demand that swings between two
+/// Guards against adapters that move to and fro with demand that swings between two
 /// domains: each engine reads a quarter slower while its domain is busy.
 #[test]
 fn home_weight_swinging_demand_steady() {
@@ -171,7 +171,7 @@
     assert!(changes <= 1, "{changes}");
 }
 
-/// A daemon that takes over as the holder continues from what it was told.
+/// A daemon that takes over as the holder continues from what was reported to it.
 #[test]
 fn set_successor_continues() {
     let (mut holder, engine) = (PaceTable::default(), name(0));
@@ -185,14 +185,14 @@
     let taken = successor.current(&engine, 30_000);
     let close = |a: f64, b: f64| (a - b).abs() < 0.01;
     assert!(close(taken.read, told.read) && close(taken.late_gaps, told.late_gaps));
-    // Its first own sample hardly moves it, and its weight as a home follows.
+    // Its first own sample hardly moves it, and its ranking weight follows.
     successor.record_first(&engine, 250.0, 250.0, 30_100);
     assert!((successor.current(&engine, 30_100).long_read - told.long_read).abs() < 0.05);
     successor.set(&engine, told, 35_000);
     assert_eq!(successor.rank_weight(&engine), holder.rank_weight(&engine));
 }
 
-/// An engine that nobody has heard of counts as the mean, and one that was slow
+/// An engine without reports counts as the mean, and one that was slow
 /// returns to it.
 #[test]
 fn current_without_samples_is_mean() {
--- a/crates/comfreyhall-routing/src/residency.rs
+++ b/crates/comfreyhall-routing/src/residency.rs
@@ -5,7 +5,7 @@
 //! proof. Newer direct evidence takes precedence over an older published list
 //! for [`EVIDENCE_TTL_MS`]; afterwards the list decides.
 //!
-//! The order of the loads that were seen tells what an engine still has cached
+//! The order of the loads that were seen shows what an engine still has cached
 //! (see [`CacheDepth`]).
 
 use comfreyhall_domain::{AdapterRef, Map, Name, Target};
--- a/crates/comfreyhall-settings/src/model.rs
+++ b/crates/comfreyhall-settings/src/model.rs
@@ -90,7 +90,7 @@
     pub policy: PolicyKind,
     /// Heartbeat period in ms.
     pub heartbeat_ms: u64,
-    /// Age of its last heartbeat after which a member counts as gone, in ms.
+    /// Age of its last heartbeat after which a member counts as lost, in ms.
     pub lease_ms: u64,
     /// How long callers may cache a list of addresses, in ms.
     pub address_ttl_ms: u64,
--- a/crates/comfreyhall-slots/src/tests.rs
+++ b/crates/comfreyhall-slots/src/tests.rs
@@ -112,7 +112,7 @@
 }
 
 /// Guards against a wait of unknown length where all slots are in use: their
-/// runs' ages and the usual duration tell when each becomes free.
+/// runs' ages and the usual duration show when each becomes free.
 #[test]
 fn wait_ms_all_slots_in_use() {
     let began = [500, 900, 700, 100];
--- a/crates/comfreyhall-standins/src/engine/mod.rs
+++ b/crates/comfreyhall-standins/src/engine/mod.rs
@@ -242,7 +242,7 @@
             return Ok(Response::new(self.wait_loaded(&order, &key, start).await));
         }
         // The load runs in its own task, because the call ends when its sender
-        // dies and closes the connection. A load that ended with the call would
+        // ends and closes the connection. A load that ended with the call would
         // stay pending forever, and so would every command that joined it.
         let engine = self.clone();
         let load = AcceptedLoad {
--- a/crates/comfreyhall-standins/src/table.rs
+++ b/crates/comfreyhall-standins/src/table.rs
@@ -47,7 +47,7 @@
         TableCopy(self.rows.lock().unwrap().clone())
     }
 
-    /// Comes back from `copy`, in the next era: what was written since is gone.
+    /// Comes back from `copy`, in the next era: what was written since is lost.
     pub fn restore(&self, copy: &TableCopy) {
         let mut rows = self.rows.lock().unwrap();
         let era = Revision::from_wire(rows.last_version).era() + 1;
--- a/crates/comfreyhall-standins/src/text.rs
+++ b/crates/comfreyhall-standins/src/text.rs
@@ -1,7 +1,7 @@
 //! The text an engine stand-in generates.
 //!
 //! The text is a pure function of adapter, version, prompt and token index.
-//! From the answer alone a test can therefore tell which adapter and version
+//! From the answer alone a test can therefore determine which adapter and version
 //! produced it, and whether a token is missing, duplicated or belongs to
 //! another request.
 
--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -35,7 +35,7 @@
     pub ready: bool,
 }
 
-/// What one daemon tells another of a version.
+/// What one daemon reports of a version to another.
 #[derive(Debug, Clone)]
 pub struct Reported {
     /// The version.
@@ -143,7 +143,7 @@
 
     /// Records that the list was complete at `as_of_ms`.
     ///
-    /// Between two lists that are far apart, a target may have come and gone.
+    /// Between two lists that are far apart, a target may have started and ended.
     pub fn confirm(&mut self, as_of_ms: u64, timing: &Timing) {
         let gap_ms = as_of_ms.saturating_sub(self.as_of_ms);
         match self.as_of_ms {
--- a/crates/comfreyhall-streams/src/tests.rs
+++ b/crates/comfreyhall-streams/src/tests.rs
@@ -100,7 +100,7 @@
     assert_eq!(only(&history, 9_000), None);
 }
 
-/// Guards against taking a gone version for one that has no streams any more.
+/// Guards against taking a version that has ended for one that has no streams any more.
 #[test]
 fn only_version_counts_gone_versions() {
     let mut history = history(true, &[("v1", true)], 100);
--- a/crates/comfreyhall-telemetry/src/json.rs
+++ b/crates/comfreyhall-telemetry/src/json.rs
@@ -32,7 +32,7 @@
 const MAX_KIND_LINES: u32 = 200;
 
 /// Messages that are never suppressed. They show how each request failed, which
-/// is needed to tell whether an at-most-once request has run.
+/// is needed to determine whether an at-most-once request has run.
 const UNLIMITED_MESSAGES: [&str; 4] = ["send", "given up", "stream broke off", "stream given up"];
 
 /// Limits the lines per second of each kind (target and message).
--- a/crates/comfreyhall-telemetry/src/lib.rs
+++ b/crates/comfreyhall-telemetry/src/lib.rs
@@ -68,7 +68,7 @@
 /// Makes a panic in any task abort the whole process.
 ///
 /// Otherwise the runtime catches the panic of a task that found a violated
-/// invariant, and the process continues with some of its tasks gone and its
+/// invariant, and the process continues with some of its tasks ended and its
 /// locks poisoned. Aborting is safe, because instances are replaced at any time,
 /// and operators notice it.
 pub fn abort_on_panic() {
@@ -120,7 +120,7 @@
 ///
 /// If each task began to watch its own signals, a SIGHUP during start-up would
 /// still have its default action and end the process, which operators would see
-/// as a daemon that is gone right after its start.
+/// as a daemon that ends right after its start.
 pub struct Signals {
     /// SIGINT and SIGTERM: a planned stop.
     pub stop: StopSignals,
--- a/crates/comfreyhall-workspace/src/granting/bucket.rs
+++ b/crates/comfreyhall-workspace/src/granting/bucket.rs
@@ -9,10 +9,10 @@
 const CAPACITY_S: f64 = 0.5;
 
 /// Spacing of retry times, as a fraction of the time between two requests at
-/// the quota's rate: some refused clients have gone elsewhere by then.
+/// the quota's rate: some refused clients use another service by then.
 const RETRY_SPACING: f64 = 0.7;
 
-/// Maximum delay that a refused request is told to wait, in ms.
+/// Maximum delay asked of a refused request, in ms.
 const MAX_RETRY_MS: f64 = 5_000.0;
 
 /// The token bucket of one quota, at its coordinator.
--- a/crates/comfreyhall-workspace/src/lending/credit.rs
+++ b/crates/comfreyhall-workspace/src/lending/credit.rs
@@ -29,7 +29,7 @@
     refused_until_ms: u64,
     /// When there will be more credit.
     retry_at_ms: u64,
-    /// Whether the coordinator believes that this daemon has credit or demand.
+    /// Whether the coordinator assumes that this daemon has credit or demand.
     reported: bool,
     /// Units lent to all daemons in the last window, as last reported by the
     /// coordinator.
--- a/crates/comfreyhall-workspace/src/lending/ledger.rs
+++ b/crates/comfreyhall-workspace/src/lending/ledger.rs
@@ -34,7 +34,7 @@
 /// the rate, in ms: its predecessor may have lent a burst within the window.
 const BONUS_DELAY_MS: u64 = 8_000;
 
-/// How long loans to a daemon that is no longer heard from count as unused, in
+/// How long loans to a daemon that sends nothing any more count as unused, in
 /// ms: it may be disconnected and still hold them.
 const FORGET_AFTER_MS: u64 = 60_000;
 
--- a/crates/comfreyhall-workspace/src/lending/limits.rs
+++ b/crates/comfreyhall-workspace/src/lending/limits.rs
@@ -252,7 +252,7 @@
         if self.handover && !is_current {
             // The share is free if this answers a revocation, or if the process that
             // had it has ended. The answer to a call from before the revocation does
-            // not prove that the coordinator has heard of it.
+            // not prove that the coordinator knows of it.
             let stale = reply.is_some() && std::mem::take(&mut link.stale_call);
             let revoked = !stale && link.is_revoking(coordinator, now);
             if reply.is_some_and(|r| revoked || r.boot != coordinator.boot) {
--- a/crates/comfreyhall-workspace/src/lending/link.rs
+++ b/crates/comfreyhall-workspace/src/lending/link.rs
@@ -1,7 +1,7 @@
 //! The borrower's side: to whom a daemon's share is assigned, and the calls to
 //! the coordinator of one group.
 //!
-//! A coordinator may lend a share until a term after the moment at which it told
+//! A coordinator may lend a share until a term after the moment at which it reported
 //! its clock. So a share that was assigned to a lost coordinator is free one
 //! term after the last reply, however often the coordinator was called since.
 
@@ -40,9 +40,9 @@
     pub(super) changed_at_ms: u64,
     pub(super) assigned: Option<ShareAssignment>,
     pub(super) last_clock: Option<ClockReading>,
-    /// The earlier coordinator that was told that its share ends, and when.
+    /// The earlier coordinator that was notified that its share ends, and when.
     pub(super) revoked: Option<(PeerProcess, u64)>,
-    /// Whether a call to an earlier coordinator, made before it was told that its
+    /// Whether a call to an earlier coordinator, made before it was notified that its
     /// share ends, is still unanswered.
     pub(super) stale_call: bool,
     /// Since when nobody may lend the share.
@@ -98,7 +98,7 @@
         assigned.is_some_and(|a| a.coordinator == *coordinator)
     }
 
-    /// An earlier coordinator that may still lend the share and can be told to
+    /// An earlier coordinator that may still lend the share and can be asked to
     /// stop.
     pub(super) fn to_revoke(&self, local: &PeerProcess, now: u64) -> Option<&PeerProcess> {
         let assigned = self.assigned.as_ref().filter(|a| {
@@ -109,7 +109,7 @@
         assigned.map(|a| &a.coordinator)
     }
 
-    /// Whether `coordinator` was told less than a call's timeout ago that its
+    /// Whether `coordinator` was notified less than a call's timeout ago that its
     /// share ends.
     pub(super) fn is_revoking(&self, coordinator: &PeerProcess, now: u64) -> bool {
         let revoked = self.revoked.as_ref();
--- a/crates/comfreyhall-workspace/src/limiter.rs
+++ b/crates/comfreyhall-workspace/src/limiter.rs
@@ -29,7 +29,7 @@
     /// through a peer that read it there.
     pub confirmed: bool,
     /// Whether there may be members that this daemon does not know of: nothing
-    /// has been heard from the platform's store for long, not even through
+    /// has come from the platform's store for long, not even through
     /// peers.
     pub stale: bool,
 }
--- a/crates/comfreyhall-workspace/tests/fleet/mod.rs
+++ b/crates/comfreyhall-workspace/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One [`World`] holds the actual state: which daemons are up, which can reach
 //! each other, who holds the lease of each group, which quota is active, and
-//! every run. Its daemons know only what their limiters were told.
+//! every run. Its daemons know only the input of their limiters.
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
@@ -19,7 +19,7 @@
 /// Length of a step of simulated time, in ms.
 pub const STEP_MS: u64 = 50;
 
-/// Time until a daemon that is not heard from counts as gone, in ms.
+/// Time until a daemon that sends nothing counts as lost, in ms.
 const PEER_TIMEOUT_MS: u64 = 1_400;
 
 /// Time until a started daemon reads the member list from the store, in ms.
@@ -96,9 +96,9 @@
     /// Whether the member list comes from the store, directly or through a
     /// peer.
     confirmed: bool,
-    /// When each other daemon was last heard from.
+    /// When each other daemon last sent something.
     heard_at: Map<usize, u64>,
-    /// When the store was last heard from, also through peers.
+    /// When the store last answered, also through peers.
     store_heard_at: u64,
     /// The configuration version that is known here, and the one that the
     /// limiter has.
--- a/crates/comfreyhall/tests/backpressure.rs
+++ b/crates/comfreyhall/tests/backpressure.rs
@@ -1,4 +1,4 @@
-//! Engines of the own protocol that name a limit, ask for rest, or leave.
+//! Engines of the own protocol that name a limit, ask for a cooldown, or drain.
 
 mod support;
 
@@ -51,7 +51,7 @@
     (answered, others)
 }
 
-/// Whether the caller was told that it has not run, and when to come back. Of
+/// Whether the answer says that it has not run, and when to come back. Of
 /// engines that the daemon has not asked for anything, it knows from another that
 /// they have no place.
 fn told(body: &Value) -> bool {
@@ -60,7 +60,7 @@
     why && error["outcome"] == "not_run" && error["retry_after_ms"].is_u64()
 }
 
-/// Guards against repeats and first sends to engines that asked for rest.
+/// Guards against repeats and first sends to engines that asked for a cooldown.
 #[test]
 fn resting_engines_are_left_alone() {
     let d = deployment("resting");
@@ -75,7 +75,7 @@
     }
 }
 
-/// Guards against callers that wait in vain where every engine is at rest.
+/// Guards against callers that wait in vain where every engine has a cooldown.
 #[test]
 fn resting_engines_all_is_told() {
     let d = deployment("resting-all");
--- a/crates/comfreyhall/tests/failures.rs
+++ b/crates/comfreyhall/tests/failures.rs
@@ -1,5 +1,5 @@
 //! What must always hold, with real processes that are killed, frozen and
-//! cut off. Each test tells its failure first.
+//! cut off. Each test describes its failure first.
 
 mod support;
 
@@ -60,7 +60,7 @@
     (status, serde_json::from_str(&text).unwrap_or_default())
 }
 
-/// Like [`once`], coming back as told while the request did not run.
+/// Like [`once`], coming back as asked while the request did not run.
 fn persist(addr: &str, id: &str, key: &str, tokens: u32) -> (u16, Value) {
     let mut n = 0;
     loop {
@@ -173,7 +173,7 @@
 
 #[test]
 fn loads_go_on_without_holder() {
-    // Symptom it must not have: once the daemon that orders loads is gone,
+    // Symptom it must not have: once the daemon that orders loads has ended,
     // adapters that are not resident get no service. Sequence: the holder
     // of the lease is killed; the other daemon needs a load at once. It
     // waits for the lease to lapse, takes it, and orders under a new token.
@@ -190,7 +190,7 @@
 #[test]
 fn loads_go_on_without_table() {
     // Symptom it must not have: with the table down and the holder of the
-    // lease dead, nobody can take the lease, and every adapter that is not
+    // lease crashed, nobody can take the lease, and every adapter that is not
     // resident is refused for as long as the outage lasts. A daemon out of
     // touch with the table orders under the last token it saw.
     let mut d = Deployment::start("no-holder", 2, 1, 1);
@@ -234,7 +234,7 @@
     // Symptom: a seller got two calls about the same ute. Sequence: the
     // application runs the enquiry and its answer is lost; the buyer's
     // browser asks again with the same key. Cause: nothing remembered the
-    // first call. The claim does: the second is told "unknown", not run.
+    // first call. The claim does: the second gets "unknown" and is not run.
     let d = Deployment::start("plain", 2, 1, 2);
     catalog(&d);
     d.cli_ok(&["fault", "s0", "--lose", "1"]);
@@ -306,7 +306,7 @@
     // Symptom: a request ran twice after a daemon woke up. Sequence: a
     // daemon is frozen with a claimed request in progress, long past every
     // lease; the caller asks another daemon with the same key; the first
-    // daemon wakes and goes on. Cause: a lapsed lease let the second daemon
+    // daemon resumes and goes on. Cause: a lapsed lease let the second daemon
     // take over. Claims are never taken over.
     let d = Deployment::start("frozen", 2, 1, 2);
     catalog(&d);
@@ -435,7 +435,7 @@
 fn rules_race_one_winner() {
     // Symptom: two operators changed the rules at once and the later write
     // silently undid the earlier. Each names the version it edited; one
-    // wins, the other is told so.
+    // wins, the other gets an error that says so.
     let d = Deployment::start("race", 1, 1, 1);
     catalog(&d);
     let files = [rules_file(&d, "ada", true), rules_file(&d, "bayo", false)];
@@ -597,7 +597,7 @@
         }
         thread::sleep(Duration::from_millis(100));
     }
-    // Every daemon knows, and tells the truth about an attempt that was not sent.
+    // Every daemon knows, and answers truthfully about an attempt that was not sent.
     for addr in &d.instances {
         wait_for("the request to be held back", || {
             held(&deadly(addr, "later"))
--- a/crates/comfreyhall/tests/long_run.rs
+++ b/crates/comfreyhall/tests/long_run.rs
@@ -1,9 +1,9 @@
 //! Randomised runs of a whole deployment under load.
 //!
 //! The load tool's callers behave as the brief's: they cache addresses, come
-//! back as told, ask again with the same key, and check every answer. Their
+//! back as asked, ask again with the same key, and check every answer. Their
 //! tool injects faults into the stand-ins while the test kills, freezes and
-//! stops daemons. Afterwards what callers were told is held against what the
+//! stops daemons. Afterwards the answers to callers are compared with what the
 //! stand-ins ran. The daemons and stand-ins assert their own invariants (no
 //! eviction of a slot in use) and would end, failing the run.
 
