Node: the settlement task stands above the settlement

quotas::settle::spawn -> quotas::task::spawn, with its loop, report and refresh_members: settle no longer imports outbound, which imports quotas.

--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -270,7 +270,7 @@
 #[tokio::test]
 async fn is_better_placed_in_group_domain() {
     let node = node();
-    let add_peer = |port, domain: &str, millicores| {
+    let receive_gossip = |port, domain: &str, millicores| {
         let heard = News {
             from: Some(Daemon {
                 domain: domain.into(),
@@ -281,8 +281,8 @@
         };
         node.fleet.apply_gossip(&node, heard, super::Origin::Call);
     };
-    add_peer(200, "e", 100);
-    add_peer(201, "f", 100);
+    receive_gossip(200, "e", 100);
+    receive_gossip(201, "f", 100);
     let now = node.now();
     assert_eq!(
         node.fleet.successor("e", now).as_deref(),
@@ -291,7 +291,7 @@
     assert!(node.fleet.is_better_placed("e", "127.0.0.1:200"));
     assert!(!node.fleet.is_better_placed("e", "127.0.0.1:201"));
     // It gives up the lease of its own domain to nobody.
-    add_peer(202, "d", 900);
+    receive_gossip(202, "d", 900);
     assert!(!node.fleet.is_better_placed("d", "127.0.0.1:202"));
     // In a large fleet a daemon with little processor is not better placed.
     for port in 300..320 {
--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -11,6 +11,7 @@
 
 mod settle;
 pub(crate) mod state;
+mod task;
 mod wire;
 
 use std::{sync::Arc, time::Duration};
@@ -24,8 +25,9 @@
 
 use self::state::State;
 pub(crate) use self::{
-    settle::{notify_coordinator, spawn},
+    settle::notify_coordinator,
     state::{QuotaKind, Quotas},
+    task::spawn,
     wire::answer,
 };
 use crate::{clock, leases, node::Node, outbound};
--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -5,11 +5,8 @@
 use comfreyhall_domain::{Map, Name};
 use comfreyhall_workspace::{FleetView, PeerProcess, SettleRequest};
 
-use super::{QuotaKind, Quotas, own_process, refresh, wire};
-use crate::{leases, node::Node, outbound};
-
-/// Interval between checks which coordinators are due.
-const POLL: Duration = Duration::from_millis(100);
+use super::{own_process, state::QuotaKind, wire};
+use crate::{leases, node::Node};
 
 /// Longest duration of one call: requests wait for it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -18,68 +15,12 @@
 /// daemons that no reachable one knows, in ms.
 const STALE_MS: u64 = 10_000;
 
-/// Starts the settlement task.
-pub(crate) fn spawn(node: &Arc<Node>) {
-    let node = node.clone();
-    tokio::spawn(async move {
-        loop {
-            outbound::sweep(&node);
-            for kind in [QuotaKind::Workspaces, QuotaKind::Targets] {
-                refresh(&node, kind);
-                let quotas = node.quotas_of(kind);
-                if quotas.in_use() {
-                    refresh_members(&node, quotas);
-                    report(&node, quotas);
-                    settle_due(&node, kind);
-                }
-            }
-            tokio::select! {
-                () = node.changed.notified() => {}
-                () = tokio::time::sleep(POLL) => {}
-            }
-        }
-    });
-}
-
-/// Logs and counts what this daemon does as a coordinator.
-fn report(node: &Node, quotas: &Quotas) {
-    let Some(report) = quotas.state().limiter.as_mut().map(|l| l.take_report()) else {
-        return;
-    };
-    if quotas.kind != QuotaKind::Workspaces {
-        return;
-    }
-    for (group, start) in report.starts {
-        // Whether it lends what nobody lent before, or starts with nothing.
-        let how = match start.unlent_s > 0.0 {
-            true => "known",
-            false => "bounded",
-        };
-        node.metrics.quota_start(how);
-        let (lends, unlent_ms) = (
-            (start.share * 100.0) as u64,
-            (start.unlent_s * 1_000.0) as u64,
-        );
-        log::info!(target: "caps", group:%, how, lends, unlent_ms; "lending");
-    }
-    node.metrics.quota_credit(report.granted, report.held);
-}
-
 /// Coordinators and fleet size, as passed to the limiter.
 pub(super) struct Coordinators {
     pub(super) by_group: Map<Name, PeerProcess>,
     pub(super) fleet: FleetView,
 }
 
-fn refresh_members(node: &Node, quotas: &Quotas) {
-    let groups = quotas.state().groups.clone();
-    let current = coordinators(node, quotas.kind, &groups);
-    let now = node.now();
-    if let Some(limiter) = &mut quotas.state().limiter {
-        limiter.update_fleet(&current.by_group, current.fleet, now);
-    }
-}
-
 /// Returns the coordinators of `groups`: the holder of a group's lease, and
 /// while none is known, the first daemon in the order for the group.
 ///
--- a/crates/comfreyhall-node/src/quotas/wire.rs
+++ b/crates/comfreyhall-node/src/quotas/wire.rs
@@ -5,7 +5,7 @@
 use comfreyhall_protocol::{CapCall, CapLine, CapReply, CapSettled, CapsOf};
 use comfreyhall_workspace::{GrantLine, SettleReply, SettleRequest, UsageLine};
 
-use super::QuotaKind;
+use super::state::QuotaKind;
 use crate::{node::Node, outbound};
 
 fn kind_from_wire(kind: CapsOf) -> QuotaKind {
