--- a/crates/comfreyhall-backpressure/src/parse.rs
+++ b/crates/comfreyhall-backpressure/src/parse.rs
@@ -7,7 +7,7 @@
 use crate::{Anomaly, Rate};
 
 /// Longest cooldown that is honoured. A target that needs more is asked again
-/// after it, since one header must not exclude it for good.
+/// after it, since one header must not exclude it permanently.
 const MAX_COOLDOWN_MS: f64 = 300_000.0;
 
 /// Cooldown where the value is invalid.
@@ -48,7 +48,7 @@
     rate
 }
 
-/// The rejections a second that a target bears, from `values`, all of one answer;
+/// The rejections a second that a target tolerates, from `values`, all of one answer;
 /// invalid values are added to `anomalies`.
 pub fn parse_rejections<'a>(
     values: impl IntoIterator<Item = &'a [u8]>,
--- a/crates/comfreyhall-backpressure/src/signals.rs
+++ b/crates/comfreyhall-backpressure/src/signals.rs
@@ -5,7 +5,7 @@
 use crate::{Notice, Rate};
 
 /// How long a limit is kept after it was last reported. A daemon that gets no
-/// answers from a target would otherwise apply for good a limit that the target
+/// answers from a target would otherwise apply permanently a limit that the target
 /// may have lifted.
 const LIMIT_TTL_MS: u64 = 60_000;
 
@@ -20,7 +20,7 @@
     pub direct: bool,
 }
 
-/// How long a draining target is remembered: it may go on for as long as the
+/// How long a draining target is kept: it may go on for as long as the
 /// store, in which its end is recorded, is unreachable.
 const DRAINING_TTL_MS: u64 = 3_600_000;
 
--- a/crates/comfreyhall-backpressure/src/tests.rs
+++ b/crates/comfreyhall-backpressure/src/tests.rs
@@ -93,7 +93,7 @@
     assert_eq!(signals.limit("t@2", 100), None);
 }
 
-/// Guards against a target that is excluded for good by its last notice.
+/// Guards against a target that is excluded permanently by its last notice.
 #[test]
 fn limit_expires() {
     let mut signals = TargetSignals::default();
--- a/crates/comfreyhall-capacity/src/account.rs
+++ b/crates/comfreyhall-capacity/src/account.rs
@@ -51,7 +51,7 @@
     loading: Map<K, u64>,
     /// When the engine last accepted a command; 0 for never.
     accepted_ms: u64,
-    /// Whether the engine counts commands and carries out none that does not bear the
+    /// Whether the engine counts commands and carries out none that does not carry the
     /// number.
     sequenced: bool,
     /// Loads sent to an engine that does not, whose outcome is unknown, with the time of
--- a/crates/comfreyhall-capacity/tests/model.rs
+++ b/crates/comfreyhall-capacity/tests/model.rs
@@ -188,7 +188,7 @@
         }
     }
 
-    /// The controller of a boot that has ended goes on with the one that runs.
+    /// The controller of a boot that has ended continues with the one that runs.
     fn restart_account(&mut self, by: usize) {
         self.accounts[by] = SlotAccount::default();
         self.boots[by] = self.engine.boot;
--- a/crates/comfreyhall-catalog/src/table.rs
+++ b/crates/comfreyhall-catalog/src/table.rs
@@ -75,8 +75,8 @@
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Interval and timeout of HTTP/2 keepalive pings. A table connection can go
-/// silent permanently while new connections work, and without keepalive every
+/// Interval and timeout of HTTP/2 keepalive pings. A table connection can become
+/// unresponsive permanently while new connections work, and without keepalive every
 /// call on it would time out.
 const KEEPALIVE: Duration = Duration::from_secs(2);
 
--- a/crates/comfreyhall-daemon/src/peer.rs
+++ b/crates/comfreyhall-daemon/src/peer.rs
@@ -25,7 +25,7 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Timeout of a transfer of changes from the table or a peer. Connections that
-/// fall silent are detected by their keepalives.
+/// stop answering are detected by their keepalives.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Peers asked after each failed poll.
--- a/crates/comfreyhall-lease/tests/release.rs
+++ b/crates/comfreyhall-lease/tests/release.rs
@@ -15,7 +15,7 @@
     Lease::new(table.clone(), "g", Arc::from(owner), TERM)
 }
 
-/// Guards against a holder that goes on announcing a lease after it released
+/// Guards against a holder that continues announcing a lease after it released
 /// it: it serves on until its streams end, and announced the lease like one
 /// that had expired, so no other process acquired it until it had ended. In a
 /// series of planned stops no adapter was loaded in a failure domain for five
@@ -45,7 +45,7 @@
 }
 
 /// Guards against a foreign row in place of a lease, which stopped the loads of
-/// a failure domain for good: every step failed on the row that it could not
+/// a failure domain permanently: every step failed on the row that it could not
 /// decode. The next holder must not start at a token that engines have seen.
 #[tokio::test]
 async fn step_foreign_row_taken_after_term() {
--- a/crates/comfreyhall-node/src/departed.rs
+++ b/crates/comfreyhall-node/src/departed.rs
@@ -8,7 +8,7 @@
 
 use comfreyhall_domain::{Map, Name, Revision, Target};
 
-/// Boots remembered; the oldest is forgotten first.
+/// Boots kept; the oldest is dropped first.
 const MAX_BOOTS: usize = 4_096;
 
 /// A boot whose entry was removed.
--- a/crates/comfreyhall-node/src/engine_control/affinity.rs
+++ b/crates/comfreyhall-node/src/engine_control/affinity.rs
@@ -7,7 +7,7 @@
 
 impl EngineController {
     /// Whether a lost adapter is still to be loaded here: no engine has it or is
-    /// loading it, and there is a slot whose adapter is wanted less.
+    /// loading it, and there is a slot whose adapter is used less.
     pub(super) fn may_recover(&self, job: &Job) -> bool {
         if self.node.controllers.is_loading(&job.adapter) {
             return false;
--- a/crates/comfreyhall-node/src/engine_control/job.rs
+++ b/crates/comfreyhall-node/src/engine_control/job.rs
@@ -71,7 +71,7 @@
         self
     }
 
-    /// Whether it is still wanted here.
+    /// Whether it is still needed here.
     pub(super) fn is_open(&self) -> bool {
         self.ticket.as_ref().is_none_or(|t| t.is_open())
     }
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -8,9 +8,9 @@
 //! the next command. A slot is never assigned twice: commands are made only from
 //! the engine's [`SlotAccount`].
 //!
-//! A command that cannot be sent proves nothing about the engine, which goes on
+//! A command that cannot be sent proves nothing about the engine, which continues
 //! with the commands it received before. The controller leaves the engine alone for a while,
-//! frees the requests that wait for it, and goes on after a report.
+//! frees the requests that wait for it, and continues after a report.
 
 mod affinity;
 pub(crate) mod candidate;
@@ -53,7 +53,7 @@
 /// Interval between checks of a load that should have finished, in ms.
 const LOAD_POLL_MS: u64 = 15;
 
-/// Demand score below which an adapter is forgotten: some 40 s after its last
+/// Demand score below which an adapter is dropped: some 40 s after its last
 /// request. Without a limit memory would grow with every adapter ever
 /// requested.
 const MIN_DEMAND_SCORE: f64 = 0.01;
--- a/crates/comfreyhall-node/src/engine_control/request.rs
+++ b/crates/comfreyhall-node/src/engine_control/request.rs
@@ -29,7 +29,7 @@
     pub(crate) total_timeout: Duration,
 }
 
-/// Interval in ms at which a waiting request looks whether waiting on is of use:
+/// Interval in ms at which a waiting request looks whether it is useful to wait on:
 /// some slots of a group become free in that time.
 const CHECK_MS: u64 = 100;
 
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -121,8 +121,8 @@
         let kept = view.records.kept() as u32;
         // A daemon that has known of newer settings for one part of their bound
         // without having them counts as cut off; the other parts are left for a
-        // peer to learn of it and to send them. Otherwise, when the store goes
-        // silent in the middle of a feed call, which takes its 11 s to fail,
+        // peer to learn of it and to send them. Otherwise, when the store becomes
+        // unresponsive in the middle of a feed call, which takes its 11 s to fail,
         // the daemon does not know until then that it is cut off: routes were
         // denied 3 s after they were added, 17 times on a heavily loaded day of
         // 90 daemons.
--- a/crates/comfreyhall-node/src/fleet/members.rs
+++ b/crates/comfreyhall-node/src/fleet/members.rs
@@ -3,7 +3,7 @@
 //! Quotas are divided by this number, so it must not be too small: a daemon
 //! that knows few others would overestimate its share of a quota. It is certain
 //! only once the list was read from the store, here or by a peer that reports
-//! it. A known daemon counts until it is forgotten, even when it is
+//! it. A known daemon counts until it is dropped, even when it is
 //! unreachable: it may still serve requests.
 
 use comfreyhall_domain::Name;
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -29,10 +29,10 @@
 /// so that a few lost calls do not exclude it.
 const ALIVE_PERIODS: u64 = 4;
 
-/// Placements remembered for peers that have not received them yet.
+/// Placements kept for peers that have not received them yet.
 const MAX_PLACEMENTS: usize = 512;
 
-/// Time after which a peer that nobody has seen is forgotten, in ms.
+/// Time after which a peer that nobody has seen is dropped, in ms.
 pub(super) const FORGET_MS: u64 = 60_000;
 
 pub(super) struct Peer {
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -130,7 +130,7 @@
 }
 
 /// Guards against routes that are denied 3 s after they were added. The store
-/// goes silent in the middle of a feed call; it comes back, the others read a
+/// stops answering in the middle of a feed call; it comes back, the others read a
 /// larger configuration, and this daemon still waits for its call to fail. It
 /// must count as cut off, or nobody sends it the settings.
 #[tokio::test]
--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -24,7 +24,7 @@
 };
 
 /// Longest wait of one feed call. It is far shorter than the store allows, so
-/// that a silent connection is noticed.
+/// that a connection without answers is detected.
 const FEED_WAIT: Duration = Duration::from_secs(10);
 
 /// Parts that the bound for settings is divided into. In a large fleet only the
@@ -74,7 +74,7 @@
         let began = node.now();
         let read_result = match after {
             None => read(&node).await,
-            // A long poll would not distinguish a silent store from an idle
+            // A long poll would not distinguish an unresponsive store from an idle
             // one.
             Some(version) if link.down => probe(&node, version).await,
             Some(version) => {
@@ -179,7 +179,7 @@
 /// Waits for changes after `version`, and probes meanwhile whether the store
 /// still answers.
 ///
-/// Without probes, when the store goes silent within a feed call and comes
+/// Without probes, when the store stops answering within a feed call and comes
 /// back, no daemon learns of new changes before the call has reached its time
 /// limit.
 async fn feed(node: &Node, version: Revision) -> Result<StoreAnswer, SourceError> {
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -15,7 +15,7 @@
 use super::{Node, QuarantineTracker, is_staying, is_unresolved, reach, resolve, status, time};
 use crate::{outbound, ports::ProbeResult};
 
-/// How long to wait for the entry of a silent target to disappear, in ms: the
+/// How long to wait for the entry of an unresponsive target to disappear, in ms: the
 /// platform removes it after a few missed heartbeats.
 const ENTRY_TIMEOUT_MS: u64 = 5_000;
 
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -10,7 +10,7 @@
 //!
 //! Only a connection closed by the target counts, and only if the target has
 //! ended: callers that disconnect, timeouts, resets on the path and engines
-//! that go silent with their rack prove nothing about a request.
+//! that stop answering with their rack prove nothing about a request.
 
 mod confirm;
 mod log;
@@ -32,7 +32,7 @@
 pub(crate) use self::{confirm::has_ended, state::QuarantineTracker};
 use crate::{node::Node, outbound};
 
-/// How long a target that was found to have ended is remembered, in ms: the
+/// How long a target that was found to have ended is recorded, in ms: the
 /// connections of all its runs break within a few ms, and each daemon's core
 /// may be busy for a few hundred.
 const ENDED_TTL_MS: u64 = 10_000;
--- a/crates/comfreyhall-node/src/slots/state.rs
+++ b/crates/comfreyhall-node/src/slots/state.rs
@@ -138,7 +138,7 @@
     }
 
     /// Adds what the daemon `peer` reports of its runs before this daemon took
-    /// the lease, once for each lease, and forgets groups that are not held.
+    /// the lease, once for each lease, and drops groups that are not held.
     pub(crate) fn add_reported(
         &self,
         is_held: impl Fn(&Name) -> bool,
--- a/crates/comfreyhall-node/src/slots/state/tests.rs
+++ b/crates/comfreyhall-node/src/slots/state/tests.rs
@@ -57,7 +57,7 @@
     );
     let one = comfreyhall_slots::slot_time_ms(1_000);
     assert!((other_ms - 2.0 * one).abs() < 2.0, "{other_ms} {one}");
-    // Once it has lost the lease, it forgets them.
+    // Once it has lost the lease, it drops them.
     successor.add_reported(|_| false, &"n1".into(), &[], 1_000);
     assert_eq!(used_ms(successor, &rush, 1_000), 0.0);
 }
--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -100,7 +100,7 @@
         self.limit_ms
     }
 
-    /// Whether waiting on is of use, while the best engine waits for `reason`;
+    /// Whether it is useful to wait on, while the best engine waits for `reason`;
     /// otherwise the ms after which its caller should return, if it lacks a
     /// slot.
     pub(crate) fn check(&self, node: &Node, reason: &str) -> Result<(), Option<u64>> {
--- a/crates/comfreyhall-node/src/streams/stored.rs
+++ b/crates/comfreyhall-node/src/streams/stored.rs
@@ -72,7 +72,7 @@
 }
 
 /// Learns the versions in the values of all member rows, as a daemon that starts. A row
-/// without any, as other builds and young daemons write it, leaves open which versions
+/// without any, as other builds and recently started daemons write it, leaves open which versions
 /// its daemon has used; then nothing is learned.
 pub(crate) fn learn(view: &mut View, values: &[Vec<u8>], now: u64) {
     let decoded = values.iter().map(|v| serde_json::from_slice(v));
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -78,7 +78,7 @@
     assert_eq!(leases(None, Some(2)).hand_over("g", false), None);
 }
 
-/// Guards against two holders: a daemon that has released its lease goes on under the older
+/// Guards against two holders: a daemon that has released its lease continues under the older
 /// token that a former holder handed over to it; and against a group that is given away
 /// right after it was handed over.
 #[test]
--- a/crates/comfreyhall-node/tests/bind.rs
+++ b/crates/comfreyhall-node/tests/bind.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// Starts the silent holder; returns its address for peers.
+/// Starts the unresponsive holder; returns its address for peers.
 async fn silent(ends: bool) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer = listener.local_addr().unwrap().to_string();
--- a/crates/comfreyhall-node/tests/caller.rs
+++ b/crates/comfreyhall-node/tests/caller.rs
@@ -184,7 +184,7 @@
     );
 }
 
-/// Guards against keys that stay valid for good at a daemon that cannot learn
+/// Guards against keys that stay valid permanently at a daemon that cannot learn
 /// of their revocation, if the deployment sets a limit.
 #[tokio::test]
 async fn serve_keys_expire_without_store() {
--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -126,7 +126,7 @@
     assert_eq!(pair.peer_backend.sent.lock().unwrap().len(), 1);
 }
 
-/// Guards against passing on requests because one target is silent.
+/// Guards against passing on requests because one target does not answer.
 #[tokio::test]
 async fn serve_one_silent_target_keeps_requests() {
     let route = route(RouteKind::Idempotent, 3, false);
@@ -156,7 +156,7 @@
     assert_eq!(pair.peer_backend.sent.lock().unwrap().len(), 1);
 }
 
-/// Guards against a resumption that goes on at any version because it was passed on.
+/// Guards against a resumption that continues at any version because it was passed on.
 #[tokio::test]
 async fn serve_passed_on_resumption_keeps_version() {
     let stream = Behavior::Stream(vec![1, 2, 3], true);
--- a/crates/comfreyhall-node/tests/serve.rs
+++ b/crates/comfreyhall-node/tests/serve.rs
@@ -167,7 +167,7 @@
 }
 
 /// Guards against a target that fails because it is sent requests as fast as it
-/// rejects them, though it says how few rejections it bears.
+/// rejects them, though it says how few rejections it tolerates.
 #[tokio::test]
 async fn serve_brittle_targets_get_few_rejections() {
     let (node, backend) = start_node(route(RouteKind::Idempotent, 2, false), Vec::new()).await;
@@ -184,20 +184,20 @@
         calls += 1;
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
-    // Two targets that bear one rejection a second each.
+    // Two targets that tolerate one rejection a second each.
     let sent = backend.sent.lock().unwrap().len();
     assert!((2..=8).contains(&sent), "{sent} sends of {calls} requests");
 }
 
 /// Guards against many rejections in the first moment: requests that are on their way
-/// when a target first says how few it bears are not bounded.
+/// when a target first says how few it tolerates are not bounded.
 #[tokio::test]
 async fn serve_brittle_targets_first_moment() {
     let (node, backend) = start_node(route(RouteKind::Idempotent, 2, false), Vec::new()).await;
     *backend.default_behavior.lock().unwrap() = Some(Behavior::RefuseBrittle(5.0));
     let request = |i: usize| caller_result_of(node.clone(), ask(&format!("r{i}")));
     futures::future::join_all((0..60).map(request)).await;
-    // Two targets that bear five rejections a second each.
+    // Two targets that tolerate five rejections a second each.
     let sent = backend.sent.lock().unwrap().len();
     assert!(sent <= 10, "{sent} rejections at once");
 }
--- a/crates/comfreyhall-node/tests/streams.rs
+++ b/crates/comfreyhall-node/tests/streams.rs
@@ -115,7 +115,7 @@
     assert_eq!((result, daemon.sends()), (CallerResult::NotRun, 1));
 }
 
-/// Guards against a resumption that names no attempt and goes on at any version.
+/// Guards against a resumption that names no attempt and continues at any version.
 #[tokio::test]
 async fn serve_resumption_of_nothing_is_rejected() {
     let daemon = start(&FakeTable::default(), &[Some("v1"), Some("v2")], true).await;
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -36,7 +36,7 @@
     CloseConnection,
     /// Proves that the request did not run.
     Refuse(Refusal),
-    /// Is full, and bears this many such rejections a second.
+    /// Is full, and tolerates this many such rejections a second.
     RefuseBrittle(f64),
     /// A success without the marker of a target.
     UnverifiedSuccess,
--- a/crates/comfreyhall-once/src/lib.rs
+++ b/crates/comfreyhall-once/src/lib.rs
@@ -150,7 +150,7 @@
 
     /// Releases the key if an unconfirmed claim was written after all.
     ///
-    /// Without this, such a key would be reported as held for good, though
+    /// Without this, such a key would be reported as held permanently, though
     /// nothing ran. A claim that arrives even later is not found; its key
     /// is then reported as held, which is safe.
     pub async fn release_unconfirmed(
--- a/crates/comfreyhall-once/tests/once_fuzz.rs
+++ b/crates/comfreyhall-once/tests/once_fuzz.rs
@@ -49,7 +49,7 @@
 enum Action {
     /// Sends the request; it runs, and the answer is recorded.
     Run,
-    /// Sends the request; it runs, and the answer is lost for good.
+    /// Sends the request; it runs, and the answer is lost permanently.
     RunAnswerLost,
     /// The target proves that the request did not run; the claim is
     /// released.
@@ -243,7 +243,7 @@
 
 #[test]
 fn release_unconfirmed_frees_key() {
-    // Guards against keys that stay held for good though nothing ran. The
+    // Guards against keys that stay held permanently though nothing ran. The
     // claim is written, but its answer and the reads after it are lost, and
     // the attempt is refused as "not run". If nobody checks the row again,
     // later attempts at the key are answered "held" for ever.
--- a/crates/comfreyhall-placement/src/frequency.rs
+++ b/crates/comfreyhall-placement/src/frequency.rs
@@ -12,7 +12,7 @@
 
 /// One slot in this many may hold a copy beyond an adapter's first.
 ///
-/// Copies in every slot that happens to be free would stay for good: a hot
+/// Copies in every slot that happens to be free would stay permanently: a hot
 /// adapter's copy outranks the last copy of any cold one, so cold adapters then
 /// evict each other, and each pays for it with a load. With 40 adapters in 48
 /// slots that stalled 3% of answers for as long as it ran.
@@ -113,7 +113,7 @@
         }
         let copies = copy_counts(engines);
         // At the bound no copy is made, not even in place of another: copies
-        // that replaced each other kept the weight store busy for good, and
+        // that replaced each other kept the weight store busy permanently, and
         // stalled more than no bound at all (357 s against 134 s in 20 s of
         // load).
         if let Some(engine) = resident
--- a/crates/comfreyhall-quarantine/src/attribution.rs
+++ b/crates/comfreyhall-quarantine/src/attribution.rs
@@ -17,7 +17,7 @@
 //!   retries end targets is on all the ends of its segments, and a segment that
 //!   crashes targets is on all the ends of the one that many prompts begin with.
 //!
-//! A run that goes on clears its features, so a segment that other requests share is
+//! A run that continues clears its features, so a segment that other requests share is
 //! a suspect only until one of them answers. A segment needs an end more than a
 //! request, because many requests are rejected with it.
 //!
--- a/crates/comfreyhall-quarantine/src/moment.rs
+++ b/crates/comfreyhall-quarantine/src/moment.rs
@@ -31,7 +31,7 @@
 /// Features of one moment with a single end that are sent to other daemons.
 const MAX_SHARED_CASES: usize = 32;
 
-/// Targets remembered; the oldest are forgotten first.
+/// Targets kept; the oldest are dropped first.
 const MAX_TARGETS: usize = 1_024;
 
 /// When each target ended, whatever became of the requests that were there.
--- a/crates/comfreyhall-quarantine/src/tests.rs
+++ b/crates/comfreyhall-quarantine/src/tests.rs
@@ -191,7 +191,7 @@
         Status::Trial
     );
     quarantine.record(ended(fingerprint, "d", 31 * SECOND), 31 * SECOND);
-    // No further trial until it is forgotten.
+    // No further trial until it is dropped.
     assert_ne!(
         quarantine.status(&fingerprint, 0, 62 * SECOND),
         Status::Trial
--- a/crates/comfreyhall-quarantine/tests/mass_loss.rs
+++ b/crates/comfreyhall-quarantine/tests/mass_loss.rs
@@ -58,7 +58,7 @@
     matches!(status, Status::Quarantined { .. })
 }
 
-/// Records `found`; returns every request that was held back, at any time, and how
+/// Records `found`; returns every request that was quarantined, at any time, and how
 /// many became suspect.
 fn record_all(quarantine: &mut Quarantine, found: &[Evidence]) -> (BTreeSet<Fingerprint>, usize) {
     let (mut held, mut suspects) = (BTreeSet::new(), 0);
--- a/crates/comfreyhall-quarantine/tests/segments.rs
+++ b/crates/comfreyhall-quarantine/tests/segments.rs
@@ -30,7 +30,7 @@
 const LOST_SHARE: f64 = 0.05;
 
 /// When the first culprit arrives or engine ends, the pause between two ends without
-/// culprit, and how long either goes on.
+/// culprit, and how long either continues.
 const TROUBLE_MS: u64 = 3_000;
 const CRASH_INTERVAL_MS: u64 = 700;
 const TROUBLE_LENGTH_MS: u64 = 12_000;
--- a/crates/comfreyhall-routing/src/cache.rs
+++ b/crates/comfreyhall-routing/src/cache.rs
@@ -13,7 +13,7 @@
 use comfreyhall_domain::AdapterRef;
 use rustc_hash::FxHasher;
 
-/// Loads of an engine that are remembered. An engine that keeps more is used as
+/// Loads of an engine that are kept. An engine that keeps more is used as
 /// if it kept this many.
 const MAX_TRACKED: usize = 128;
 
--- a/crates/comfreyhall-routing/src/cache/tests.rs
+++ b/crates/comfreyhall-routing/src/cache/tests.rs
@@ -32,7 +32,7 @@
 }
 
 /// Guards against an assumed size of engines' caches: with a fixed one, an
-/// engine that keeps fewer is asked in vain, and what one with more has is
+/// engine that keeps fewer is asked without result, and what one with more has is
 /// fetched from the store.
 #[test]
 fn cache_depth_follows_engines() {
--- a/crates/comfreyhall-routing/src/duration.rs
+++ b/crates/comfreyhall-routing/src/duration.rs
@@ -2,7 +2,7 @@
 //!
 //! Only answers show how long a request takes. After slow answers the estimate
 //! can be so high that every request is rejected on arrival; then no answer
-//! comes any more, and without an expiry the daemon would reject for good.
+//! comes any more, and without an expiry the daemon would reject permanently.
 
 /// Weight of one sample in the moving average.
 const EWMA_WEIGHT: f64 = 0.1;
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -61,7 +61,7 @@
 /// little there, and an engine that stays slow is followed all the same.
 const MAX_STEP: f64 = 2.0;
 
-/// Bounds of a pace, so that no error idles or overloads an engine for good.
+/// Bounds of a pace, so that no error idles or overloads an engine permanently.
 const PACE_BOUNDS: (f64, f64) = (0.4, 4.0);
 
 /// Samples before an engine can leave the mean class of pace.
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -154,7 +154,7 @@
     assert!((0.3..0.55).contains(&ratio), "{first_ranked:?}");
 }
 
-/// Guards against adapters that move to and fro with demand that swings between two
+/// Guards against adapters that move back and forth with demand that swings between two
 /// domains: each engine reads a quarter slower while its domain is busy.
 #[test]
 fn home_weight_swinging_demand_steady() {
--- a/crates/comfreyhall-routing/src/reachability.rs
+++ b/crates/comfreyhall-routing/src/reachability.rs
@@ -2,7 +2,7 @@
 //!
 //! A daemon may lose its paths to all targets while callers, the store and other
 //! daemons still reach it. Its own evidence are the targets that it failed to reach
-//! since one last answered. One silent target proves nothing, and neither does a
+//! since one last answered. One unresponsive target proves nothing, and neither does a
 //! moment without an answer.
 
 use comfreyhall_domain::{Map, Name};
--- a/crates/comfreyhall-routing/src/residency.rs
+++ b/crates/comfreyhall-routing/src/residency.rs
@@ -61,7 +61,7 @@
 }
 
 /// How long an adapter counts as lost, in ms. Later its requests have shown
-/// whether it is still wanted.
+/// whether it is still needed.
 const LOST_TTL_MS: u64 = 20_000;
 
 impl Residency {
--- a/crates/comfreyhall-routing/src/tests.rs
+++ b/crates/comfreyhall-routing/src/tests.rs
@@ -418,7 +418,7 @@
     assert!((new - known).abs() < 0.1 * known, "{new} {known}");
 }
 
-/// Guards against a daemon that rejects plain requests for good after one slow
+/// Guards against a daemon that rejects plain requests permanently after one slow
 /// answer of each target.
 #[test]
 fn plain_ms_slow_answer_is_forgotten() {
@@ -434,7 +434,7 @@
     );
 }
 
-/// Guards against a daemon that takes one silent target, or a moment without an
+/// Guards against a daemon that takes one unresponsive target, or a moment without an
 /// answer, for the loss of all its paths.
 #[test]
 fn record_failure_one_silent_target_is_no_cut() {
--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -140,7 +140,7 @@
     pub prefer_local: bool,
     /// Loads from the weight store are limited by how fast it serves them.
     pub load_window: bool,
-    /// A request to a target that stays silent for long is abandoned for another
+    /// A request to a target that does not answer for long is abandoned for another
     /// target.
     #[serde(rename = "patience")]
     pub abandon_silent: bool,
@@ -160,7 +160,7 @@
     /// window, and then the burst too.
     pub quota_handover: bool,
     /// When many targets end at once, a bounded number of requests becomes suspect
-    /// and none is held back for it; off: each end counts in full.
+    /// and none is quarantined for it; off: each end counts in full.
     pub bounded_suspects: bool,
 }
 
--- a/crates/comfreyhall-slots/src/ledger.rs
+++ b/crates/comfreyhall-slots/src/ledger.rs
@@ -70,7 +70,7 @@
         self.used.get(share).map_or(0.0, |u| u.at(now))
     }
 
-    /// Each share with at least 1 ms of slot time left, and forgets the others.
+    /// Each share with at least 1 ms of slot time left, and drops the others.
     pub fn shares(&mut self, now: u64) -> impl Iterator<Item = (&SlotShare, f64)> {
         self.used.retain(|_, u| u.at(now) >= 1.0);
         self.used.iter().map(move |(share, u)| (share, u.at(now)))
--- a/crates/comfreyhall-slots/src/returns.rs
+++ b/crates/comfreyhall-slots/src/returns.rs
@@ -7,7 +7,7 @@
 
 use comfreyhall_protocol::Map;
 
-/// Return times remembered at most; further callers get an estimate only.
+/// Return times kept at most; further callers get an estimate only.
 const MAX_PROMISES: usize = 1_024;
 
 /// Earliest return time, in ms from now: a caller that comes sooner meets the
@@ -18,7 +18,7 @@
 /// differ by some ms.
 const EARLY_MS: u64 = 50;
 
-/// How long a return time is remembered after it has passed, in ms. A caller
+/// How long a return time is kept after it has passed, in ms. A caller
 /// that comes later has other reasons than the wait.
 const KEEP_MS: u64 = 2_000;
 
@@ -73,12 +73,12 @@
         self.promises.remove(&identity);
     }
 
-    /// Return times that are remembered.
+    /// Return times that are kept.
     pub fn len(&self) -> usize {
         self.promises.len()
     }
 
-    /// Whether none is remembered.
+    /// Whether none is kept.
     pub fn is_empty(&self) -> bool {
         self.promises.is_empty()
     }
--- a/crates/comfreyhall-slots/src/schedule.rs
+++ b/crates/comfreyhall-slots/src/schedule.rs
@@ -1,7 +1,7 @@
 //! When adapter slots of a group become free.
 //!
 //! With all slots in use, a request that waits at one group for a fixed time
-//! and then goes on to the next holds its caller for the sum of these waits and
+//! and then continues to the next holds its caller for the sum of these waits and
 //! is rejected in the end. The holder of the group knows when its runs began and
 //! how long runs last, so it can say at once when a slot is due.
 
--- a/crates/comfreyhall-standins/src/table.rs
+++ b/crates/comfreyhall-standins/src/table.rs
@@ -18,7 +18,7 @@
 struct Rows {
     rows: BTreeMap<String, (Vec<u8>, u64)>,
     /// Last version assigned. Versions increase across all keys and are never reused, not
-    /// even after the table has come back from a copy: they bear its era.
+    /// even after the table has come back from a copy: they carry its era.
     last_version: u64,
 }
 
--- a/crates/comfreyhall-streams/tests/model.rs
+++ b/crates/comfreyhall-streams/tests/model.rs
@@ -233,7 +233,7 @@
         self.send_records(d, begun);
     }
 
-    /// Resumes a stream; fails if it goes on at another version.
+    /// Resumes a stream; fails if it continues at another version.
     fn resume(&mut self, d: usize, index: usize, reached: u8) -> Result<(), TestCaseError> {
         let now = self.now_ms;
         let Some(stream) = self.streams.get(index % self.streams.len().max(1)) else {
--- a/crates/comfreyhall-workspace/src/lending/mod.rs
+++ b/crates/comfreyhall-workspace/src/lending/mod.rs
@@ -45,7 +45,7 @@
 pub struct LendingLimiter {
     local: PeerProcess,
     tolerance: Tolerance,
-    /// Whether a new coordinator goes on where the earlier one stopped.
+    /// Whether a new coordinator continues where the earlier one stopped.
     handover: bool,
     started_at_ms: u64,
     fleet: FleetView,
--- a/crates/comfreyhall-workspace/tests/limits.rs
+++ b/crates/comfreyhall-workspace/tests/limits.rs
@@ -25,7 +25,7 @@
 }
 
 /// Clients of all daemons request three times the limit `rate`; its coordinator
-/// is lost for good after `lost_ms`.
+/// is lost permanently after `lost_ms`.
 fn run_limit(
     policy: Policy,
     daemons: usize,
--- a/crates/comfreyhall-workspace/tests/rush.rs
+++ b/crates/comfreyhall-workspace/tests/rush.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// Units denied after the coordinators are lost for good; their successors are
+/// Units denied after the coordinators are lost permanently; their successors are
 /// known 1 s later.
 fn denied_after_loss(policy: Policy, seed: u64) -> (u64, u64) {
     let mut world = world(policy, seed);
--- a/crates/comfreyhall/tests/backpressure.rs
+++ b/crates/comfreyhall/tests/backpressure.rs
@@ -75,7 +75,7 @@
     }
 }
 
-/// Guards against callers that wait in vain where every engine has a cooldown.
+/// Guards against callers that wait without result where every engine has a cooldown.
 #[test]
 fn resting_engines_all_is_told() {
     let d = deployment("resting-all");
--- a/crates/comfreyhall/tests/cuts.rs
+++ b/crates/comfreyhall/tests/cuts.rs
@@ -36,7 +36,7 @@
     format!(r#"{{"model":"narrator@v1","prompt":"dawn","max_tokens":{tokens}{extra}}}"#)
 }
 
-/// Guards against requests that are held back because the paths to their engines were cut:
+/// Guards against requests that are delayed because the paths to their engines were cut:
 /// an engine that refuses connections from one daemon may be alive.
 #[test]
 fn cut_paths_make_no_suspects() {
--- a/crates/comfreyhall/tests/failures.rs
+++ b/crates/comfreyhall/tests/failures.rs
@@ -103,8 +103,8 @@
 #[test]
 fn stream_survives_silent_connection() {
     // Symptom: a listener waited until the deadline. Sequence: the
-    // connection to the engine goes silent for good while new ones work.
-    // Cause: nothing noticed; keepalives now do, and the answer goes on
+    // connection to the engine stops answering permanently while new ones work.
+    // Cause: nothing noticed; keepalives now do, and the answer continues
     // over a new connection.
     let mut wires = Vec::new();
     let d = Deployment::start_behind("silent", 1, 1, 2, |_, text| {
@@ -233,7 +233,7 @@
 fn once_plain_call_not_repeated() {
     // Symptom: a seller got two calls about the same ute. Sequence: the
     // application runs the enquiry and its answer is lost; the buyer's
-    // browser asks again with the same key. Cause: nothing remembered the
+    // browser asks again with the same key. Cause: nothing recorded the
     // first call. The claim does: the second gets "unknown" and is not run.
     let d = Deployment::start("plain", 2, 1, 2);
     catalog(&d);
@@ -306,7 +306,7 @@
     // Symptom: a request ran twice after a daemon woke up. Sequence: a
     // daemon is frozen with a claimed request in progress, long past every
     // lease; the caller asks another daemon with the same key; the first
-    // daemon resumes and goes on. Cause: a lapsed lease let the second daemon
+    // daemon resumes and continues. Cause: a lapsed lease let the second daemon
     // take over. Claims are never taken over.
     let d = Deployment::start("frozen", 2, 1, 2);
     catalog(&d);
@@ -336,7 +336,7 @@
     // Symptom: an answer changed voice. Sequence: the daemon that started a
     // request freezes; another daemon needs the slot for another adapter
     // and orders an eviction. Cause it must not have: the slot counts as
-    // unused because its daemon is silent. The engine holds the pin as long
+    // unused because its daemon sends nothing. The engine holds the pin as long
     // as the run lasts, and refuses.
     let d = Deployment::start("pinned", 2, 1, 1);
     catalog(&d);
@@ -587,7 +587,7 @@
     // Symptom: engine after engine ended, and answers of all callers with them.
     // Sequence: a prompt crashes the engine that begins it; the daemon starts
     // it at the next one, and its caller sends it again through other daemons.
-    // Cause: nobody remembered under which request engines had ended.
+    // Cause: nobody recorded under which request engines had ended.
     let d = Deployment::start("deadly", 3, 4, 2);
     catalog(&d);
     let held = |(_, v): &(u16, Value)| v["error"]["type"] == "quarantined";
