--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -84,7 +84,7 @@
         };
         let (answer, times) = match read_result {
             Ok(StoreAnswer { batch, times }) => (Ok(batch), times),
-            Err(e) => (Err(e), Times::now(&node)),
+            Err(e) => (Err(e), AnswerTimes::now(&node)),
         };
         link.note(&node, &answer, began);
         node.set_settings_unavailable(matches!(answer, Err(SourceError::Unavailable(_))));
@@ -113,11 +113,11 @@
 /// An answer about settings with its times.
 struct StoreAnswer {
     batch: RecordBatch,
-    times: Times,
+    times: AnswerTimes,
 }
 
 /// Times of an answer, by this daemon's clock.
-struct Times {
+struct AnswerTimes {
     /// When its content was requested, or began to arrive.
     asked: u64,
     /// Lower bound on the time at which the store made the answer. The time at
@@ -126,7 +126,7 @@
     as_of: u64,
 }
 
-impl Times {
+impl AnswerTimes {
     fn now(node: &Node) -> Self {
         let (asked, as_of) = (node.now(), node.now());
         Self { asked, as_of }
@@ -135,7 +135,7 @@
 
 /// Reads all settings.
 async fn read(node: &Node) -> Result<StoreAnswer, SourceError> {
-    let times = Times::now(node);
+    let times = AnswerTimes::now(node);
     let rest = node.source.read(Topic::Settings).await?;
     let batch = receive(node, rest).await?;
     Ok(StoreAnswer { batch, times })
@@ -143,7 +143,7 @@
 
 /// Reads the changes after `version`, without waiting for one.
 async fn probe(node: &Node, version: Revision) -> Result<StoreAnswer, SourceError> {
-    let times = Times::now(node);
+    let times = AnswerTimes::now(node);
     let source = &node.source;
     let answer = source.changes(Topic::Settings, version, Duration::ZERO);
     let batch = receive(node, answer.await?).await?;
@@ -172,7 +172,7 @@
         true => waited,
         false => began,
     };
-    let times = Times { asked, as_of };
+    let times = AnswerTimes { asked, as_of };
     Ok(StoreAnswer { batch, times })
 }
 
--- a/crates/comfreyhall-node/src/records.rs
+++ b/crates/comfreyhall-node/src/records.rs
@@ -45,14 +45,14 @@
                 .apply(record.version, source, *requested_at_ms, now);
         }
         let relevant = match apply_row(node, &mut view, topic, &record, now) {
-            Effect::Outdated => {
+            RowEffect::Outdated => {
                 went_back += 1;
                 if topic == Topic::Settings {
                     view.records.settings.kept.insert(record.key.clone());
                 }
                 continue;
             }
-            effect => effect == Effect::Relevant,
+            effect => effect == RowEffect::Relevant,
         };
         let kept = topic == Topic::Targets && keeps_leaving(&view, node, &record);
         let stored = view.records.topic_rows(topic);
@@ -116,7 +116,7 @@
         if known.is_none_or(|k| k.version.era() <= record.version.era()) {
             continue;
         }
-        if apply_row(node, &mut view, Topic::Settings, &record, now) == Effect::Relevant {
+        if apply_row(node, &mut view, Topic::Settings, &record, now) == RowEffect::Relevant {
             let stored = &mut view.records.settings;
             stored.kept.insert(record.key.clone());
             stored.rows.insert(record.key.clone(), record);
@@ -162,7 +162,7 @@
 
 /// What a newer row does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Effect {
+enum RowEffect {
     /// It changes something that peers have to know.
     Relevant,
     /// It changes nothing that peers have to know.
@@ -177,7 +177,7 @@
 /// in the adapters it holds, which its lease holder reports sooner. Gossip
 /// about each such row came to 1.7 GB between failure domains on a calm day of
 /// 89 daemons and 93 targets, which filled the smaller links.
-fn apply_row(node: &Node, view: &mut View, topic: Topic, record: &Record, now: u64) -> Effect {
+fn apply_row(node: &Node, view: &mut View, topic: Topic, record: &Record, now: u64) -> RowEffect {
     if record.value.is_none() {
         if topic == Topic::Targets {
             view.entry_errors.remove(&record.key);
@@ -186,7 +186,7 @@
                 remove_target(view, &known.id, now);
             }
         }
-        return Effect::Relevant;
+        return RowEffect::Relevant;
     }
     match node.source.decode(topic, record) {
         Ok(Decoded::Config { config, warnings }) => {
@@ -195,7 +195,7 @@
                 .as_ref()
                 .is_some_and(|c| c.version > config.version)
             {
-                return Effect::Outdated;
+                return RowEffect::Outdated;
             }
             for problem in warnings {
                 log::warn!(target: "follow", version = config.version, problem; "invalid setting replaced by a safe value");
@@ -209,8 +209,8 @@
         Ok(Decoded::Version(adapter, version)) => {
             let known = view.named_versions.get(&adapter);
             match known.map(|n| n.version.cmp(&version)) {
-                Some(Ordering::Greater) => return Effect::Outdated,
-                Some(Ordering::Equal) => return Effect::Irrelevant,
+                Some(Ordering::Greater) => return RowEffect::Outdated,
+                Some(Ordering::Equal) => return RowEffect::Irrelevant,
                 Some(Ordering::Less) | None => {}
             }
             let named = NamedVersion {
@@ -221,7 +221,7 @@
         }
         Ok(Decoded::Target(mut target)) => {
             if view.departed.has_ended(&target) {
-                return Effect::Outdated;
+                return RowEffect::Outdated;
             }
             view.entry_errors.remove(&record.key);
             // Another boot is searched for only when this one is not known: a
@@ -232,7 +232,7 @@
             {
                 if known.started_at_ms > target.started_at_ms {
                     log::info!(target: "follow", id:% = target.id, newer:% = known.id; "entry of an earlier boot ignored");
-                    return Effect::Irrelevant;
+                    return RowEffect::Irrelevant;
                 }
                 log::info!(target: "follow", id:% = known.id, next:% = target.id; "target restarted");
                 remove_target(view, &known.id, now);
@@ -257,8 +257,8 @@
             view.residency.apply_report(&target, now);
             view.targets.insert(target.id.clone(), Arc::new(target));
             return match relevant {
-                true => Effect::Relevant,
-                false => Effect::Irrelevant,
+                true => RowEffect::Relevant,
+                false => RowEffect::Irrelevant,
             };
         }
         Ok(Decoded::Other) => {}
@@ -271,7 +271,7 @@
             log::warn!(target: "follow", key:% = record.key, problem:%; "row refused; the last good one stays in force");
         }
     }
-    Effect::Relevant
+    RowEffect::Relevant
 }
 
 /// Keeps in the entry of a new era what the same boot had said before: the entry of the copy
--- a/crates/comfreyhall-node/src/slots/waiting.rs
+++ b/crates/comfreyhall-node/src/slots/waiting.rs
@@ -42,12 +42,13 @@
     waiter: SlotWaiter,
     began_ms: u64,
     limit_ms: u64,
-    /// Its place in the list; `None` where nothing is decided by it.
-    place: Option<Place>,
+    /// Its entry in the list; `None` where nothing is decided by it.
+    entry: Option<ListEntry>,
     outcome: &'static str,
 }
 
-struct Place {
+/// The entry of a request in the list of a pool.
+struct ListEntry {
     pool: PoolKey,
     number: u64,
     caller: SlotCaller,
@@ -61,7 +62,7 @@
             waiter,
             began_ms: node.now(),
             limit_ms,
-            place: None,
+            entry: None,
             outcome: "left",
         }
     }
@@ -76,7 +77,7 @@
     ) -> Self {
         let now = node.now();
         let number = node.slots.join(&pool, waiter.clone(), caller.identity, now);
-        let place = Place {
+        let entry = ListEntry {
             pool,
             number,
             caller,
@@ -86,7 +87,7 @@
             waiter,
             began_ms: node.now(),
             limit_ms,
-            place: Some(place),
+            entry: Some(entry),
             outcome: "left",
         }
     }
@@ -104,7 +105,7 @@
     /// otherwise the ms after which its caller should return, if it lacks a
     /// slot.
     pub(crate) fn check(&self, node: &Node, reason: &str) -> Result<(), Option<u64>> {
-        let Some(place) = &self.place else {
+        let Some(entry) = &self.entry else {
             return Ok(());
         };
         let now = node.now();
@@ -114,13 +115,13 @@
         }
         if reason != SLOT_REASON {
             // Another group may have what this one lacks.
-            let elsewhere = place.caller.patience_ms == 0 && waited_ms >= SLOT_WAIT_MS;
+            let elsewhere = entry.caller.patience_ms == 0 && waited_ms >= SLOT_WAIT_MS;
             return if elsewhere { Err(None) } else { Ok(()) };
         }
         let left_ms = self.limit_ms.saturating_sub(waited_ms);
         let late = now > self.waiter.start_by_ms;
-        refresh(node, &place.pool.0, Some(&place.pool.1));
-        let expected_ms = node.slots.expected_ms(&place.pool, &self.waiter, now);
+        refresh(node, &entry.pool.0, Some(&entry.pool.1));
+        let expected_ms = node.slots.expected_ms(&entry.pool, &self.waiter, now);
         let too_late = match late {
             true => LATE_MARGIN * expected_ms > left_ms,
             false => expected_ms as f64 > left_ms as f64 * ESTIMATE_MARGIN,
@@ -133,15 +134,15 @@
 
     /// Ms after which its caller should return, if it lacks a slot.
     pub(crate) fn return_ms(&self, node: &Node, reason: &str) -> Option<u64> {
-        let place = self.place.as_ref().filter(|_| reason == SLOT_REASON)?;
+        let entry = self.entry.as_ref().filter(|_| reason == SLOT_REASON)?;
         let now = node.now();
-        let expected_ms = node.slots.expected_ms(&place.pool, &self.waiter, now);
-        if place.caller.patience_ms == 0 {
+        let expected_ms = node.slots.expected_ms(&entry.pool, &self.waiter, now);
+        if entry.caller.patience_ms == 0 {
             return Some(expected_ms.max(1));
         }
         let return_ms =
             node.slots
-                .promise(&place.pool, place.caller, &self.waiter, expected_ms, now);
+                .promise(&entry.pool, entry.caller, &self.waiter, expected_ms, now);
         Some(return_ms.max(1))
     }
 
@@ -153,9 +154,9 @@
 
 impl Drop for WaitingSlot {
     fn drop(&mut self) {
-        if let Some(place) = &self.place {
+        if let Some(entry) = &self.entry {
             let waited_ms = self.node.now().saturating_sub(self.began_ms);
-            self.node.slots.leave(&place.pool, place.number);
+            self.node.slots.leave(&entry.pool, entry.number);
             self.node.metrics.slot_wait(self.outcome, waited_ms);
         }
     }
--- a/crates/comfreyhall-routing/src/pace_tests.rs
+++ b/crates/comfreyhall-routing/src/pace_tests.rs
@@ -120,7 +120,7 @@
 
 /// Guards against adapters that move because an engine slows down for half a second.
 #[test]
-fn home_weight_short_slowness_unchanged() {
+fn rank_weight_short_slowness_unchanged() {
     let (mut table, engine) = (PaceTable::default(), name(0));
     first_events(&mut table, &engine, 1.0, 0, 10_000);
     for now in (10_000..10_500).step_by(50) {
@@ -136,7 +136,7 @@
 
 /// An engine that is slow by nature is ranked first for fewer adapters.
 #[test]
-fn home_weight_slow_engine_in_proportion() {
+fn rank_weight_slow_engine_in_proportion() {
     let mut table = PaceTable::default();
     for (i, pace) in [0.7, 0.7, 1.7].iter().enumerate() {
         first_events(&mut table, &name(i), *pace, 0, 30_000);
@@ -157,7 +157,7 @@
 /// Guards against adapters that move back and forth with demand that swings between two
 /// domains: each engine reads a quarter slower while its domain is busy.
 #[test]
-fn home_weight_swinging_demand_steady() {
+fn rank_weight_swinging_demand_steady() {
     let mut table = PaceTable::default();
     let mut changes = 0;
     for now in (0..120_000_u64).step_by(100) {
