Node: settlement messages are encoded without the node

quotas::wire::call, reply and from_reply take the notices or leave them to the caller; the answer to other daemons is quotas::answer. wire imports only QuotaKind.

--- a/crates/comfreyhall-node/src/quotas/mod.rs
+++ b/crates/comfreyhall-node/src/quotas/mod.rs
@@ -9,6 +9,7 @@
 //! module gives the limiters the list of daemons, and carries their calls
 //! to the quota coordinators.
 
+mod answer;
 mod settle;
 pub(crate) mod state;
 mod task;
@@ -25,10 +26,10 @@
 
 use self::state::State;
 pub(crate) use self::{
+    answer::answer,
     settle::notify_coordinator,
     state::{QuotaKind, Quotas},
     task::spawn,
-    wire::answer,
 };
 use crate::{clock, leases, node::Node, outbound};
 
--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -6,7 +6,7 @@
 use comfreyhall_workspace::{FleetView, PeerProcess, SettleRequest};
 
 use super::{own_process, state::QuotaKind, wire};
-use crate::{leases, node::Node};
+use crate::{leases, node::Node, outbound};
 
 /// Longest duration of one call: requests wait for it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -114,13 +114,22 @@
 ) {
     let reply = match node.fleet.client(&coordinator.peer_addr) {
         Some(mut client) => {
-            let answer = client.settle(wire::call(&node, kind, &call));
+            // A call about targets includes the notices that they sent to this daemon.
+            let words = match kind {
+                QuotaKind::Workspaces => Vec::new(),
+                QuotaKind::Targets => outbound::own_notices(&node, &call.group),
+            };
+            let answer = client.settle(wire::call(kind, &call, words));
             tokio::time::timeout(CALL_TIMEOUT, answer).await
         }
         None => Ok(Err(tonic::Status::unavailable("the home is not known"))),
     };
     let (reply, ended) = match reply {
-        Ok(Ok(reply)) => (Some(wire::from_reply(&node, reply.into_inner())), false),
+        Ok(Ok(reply)) => {
+            let reply = reply.into_inner();
+            outbound::merge_notices(&node, &reply.words, "home");
+            (Some(wire::from_reply(reply)), false)
+        }
         Ok(Err(status)) => {
             log::debug!(target: "caps", peer:% = coordinator.peer_addr, group:%, error:% = status.message(); "quota coordinator unreachable");
             (None, connection_refused(&status))
--- a/crates/comfreyhall-node/src/quotas/wire.rs
+++ b/crates/comfreyhall-node/src/quotas/wire.rs
@@ -1,23 +1,20 @@
 //! Settlement messages between daemons.
 
-use std::sync::Arc;
-
-use comfreyhall_protocol::{CapCall, CapLine, CapReply, CapSettled, CapsOf};
+use comfreyhall_protocol::{CapCall, CapLine, CapReply, CapSettled, CapsOf, TargetWord};
 use comfreyhall_workspace::{GrantLine, SettleReply, SettleRequest, UsageLine};
 
 use super::state::QuotaKind;
-use crate::{node::Node, outbound};
 
-fn kind_from_wire(kind: CapsOf) -> QuotaKind {
+pub(super) fn kind_from_wire(kind: CapsOf) -> QuotaKind {
     match kind {
         CapsOf::Workspaces => QuotaKind::Workspaces,
         CapsOf::Targets => QuotaKind::Targets,
     }
 }
 
-/// Encodes a call about quotas of workspaces or targets. One about targets
-/// includes the notices that they sent to this daemon.
-pub(super) fn call(node: &Node, kind: QuotaKind, call: &SettleRequest) -> CapCall {
+/// Encodes a call about quotas of workspaces or targets, with the notices of targets
+/// in `words`.
+pub(super) fn call(kind: QuotaKind, call: &SettleRequest, words: Vec<TargetWord>) -> CapCall {
     let lines = call.lines.iter().map(|l| CapLine {
         workspace: l.workspace.clone(),
         held: l.balance,
@@ -43,14 +40,11 @@
             QuotaKind::Targets => CapsOf::Targets,
         }
         .into(),
-        words: match kind {
-            QuotaKind::Workspaces => Vec::new(),
-            QuotaKind::Targets => outbound::own_notices(node, &call.group),
-        },
+        words,
     }
 }
 
-fn from_call(call: CapCall) -> SettleRequest {
+pub(super) fn from_call(call: CapCall) -> SettleRequest {
     let lines = call.lines.into_iter().map(|l| UsageLine {
         workspace: l.workspace,
         balance: valid_units(l.held),
@@ -83,7 +77,8 @@
     }
 }
 
-fn reply(node: &Node, kind: QuotaKind, group: &str, reply: SettleReply) -> CapReply {
+/// Encodes an answer, with the notices of targets in `words`.
+pub(super) fn reply(reply: SettleReply, words: Vec<TargetWord>) -> CapReply {
     let lines = reply.lines.into_iter().map(|l| CapSettled {
         workspace: l.workspace,
         grant: l.grant,
@@ -96,15 +91,11 @@
         clock: reply.clock_ms,
         part: reply.lendable_share,
         lines: lines.collect(),
-        words: match kind {
-            QuotaKind::Workspaces => Vec::new(),
-            QuotaKind::Targets => outbound::notices(node, group),
-        },
+        words,
     }
 }
 
-pub(super) fn from_reply(node: &Node, reply: CapReply) -> SettleReply {
-    outbound::merge_notices(node, &reply.words, "home");
+pub(super) fn from_reply(reply: CapReply) -> SettleReply {
     let lines = reply.lines.into_iter().map(|l| GrantLine {
         workspace: l.workspace,
         grant: valid_units(l.grant),
@@ -119,22 +110,3 @@
         lines: lines.collect(),
     }
 }
-
-/// Answers a settlement call of another daemon.
-pub(crate) fn answer(node: &Arc<Node>, message: CapCall) -> CapReply {
-    let kind = kind_from_wire(message.of());
-    outbound::merge_notices(node, &message.words, &message.from);
-    super::refresh(node, kind);
-    let call = from_call(message);
-    let now = node.now();
-    let known_since = node.fleet.known_since_ms(&call.from).unwrap_or(now);
-    let answered = match &mut node.quotas_of(kind).state().limiter {
-        Some(limiter) => limiter.handle_settle(&call, known_since, now),
-        None => SettleReply {
-            boot: node.fleet.boot(),
-            clock_ms: now,
-            ..SettleReply::default()
-        },
-    };
-    reply(node, kind, &call.group, answered)
-}
