Soak: sound targets fall silent, which excuses nothing

Cause: the soak froze daemons and delayed, cut and silenced links, and saw no stream cut off by a silent target.

`SOAK_PROGRAM` names another build of the daemon.

--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -18,9 +18,13 @@
 //! From seed [`SEGMENTS_FROM`] on, requests of which no two are alike have a prompt segment
 //! that crashes engines, while daemons are killed: it soon reaches no engine any more.
 //!
+//! From seed [`silence::SILENCE_FROM`] on, sound targets fall silent and go on, which no
+//! stream may notice; [`silence`] says how to run them.
+//!
 //! CI runs [`SEEDS`]. To run others: `SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo
 //! test -p comfreyhall --test soak -- --nocapture`. A seed that has failed stays in
-//! [`SEEDS`], with a line on the cause.
+//! [`SEEDS`], with a line on the cause. `SOAK_PROGRAM` is the path of another build of the
+//! daemon.
 
 mod support;
 
@@ -36,6 +40,9 @@
 #[path = "soak/segments.rs"]
 mod segments;
 
+#[path = "soak/silence.rs"]
+mod silence;
+
 #[path = "soak/versions.rs"]
 mod versions;
 
@@ -140,6 +147,9 @@
 /// Pause between two attempts to send the poison request.
 const POISON_PAUSE: Duration = Duration::from_millis(200);
 
+/// Held by the test that runs: seeds at once would slow each other down.
+static ONE_RUN: Mutex<()> = Mutex::new(());
+
 /// One request of a caller and its outcome.
 struct Attempt {
     id: String,
@@ -165,7 +175,9 @@
             .append(true)
             .open(self.settings.with_extension("log"))
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_comfreyhalld"))
+        let program = std::env::var("SOAK_PROGRAM");
+        let program = program.unwrap_or(env!("CARGO_BIN_EXE_comfreyhalld").into());
+        let child = Command::new(program)
             .arg("--platform")
             .env("COMFREYHALL_NODE_FILE", &self.settings)
             .stdout(log.try_clone().unwrap())
@@ -239,6 +251,10 @@
     /// When unplanned faults were active.
     faults: Vec<Range<Instant>>,
     active_faults: Vec<ActiveFault>,
+    /// Daemons that were told to stop, and when.
+    stops: Vec<(usize, Instant)>,
+    /// The configuration of a version.
+    routes: fn(u64) -> serde_json::Value,
     /// Number of the latest configuration.
     version: u64,
     /// Whether the configuration changes in quick succession when the store is back.
@@ -248,7 +264,7 @@
 }
 
 impl Fleet {
-    async fn start(seed: u64) -> Self {
+    async fn start(seed: u64, daemons: usize) -> Self {
         let dir =
             std::env::temp_dir().join(format!("comfreyhall-soak-{seed}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
@@ -280,6 +296,7 @@
                 delay_ms: EVENT_INTERVAL_MS,
                 load_ms: if seed >= COPIES_FROM { LOAD_MS } else { 0 },
                 software: if rollout { software } else { Vec::new() },
+                tagged_events: silence::tagged_events(seed),
             };
             let mut wire = None;
             let host = Host::start_proxied(options, store.clone(), |addr| {
@@ -287,10 +304,14 @@
             });
             targets.push((host, wire.unwrap()));
         }
-        store.put("op", "config", &config(1, "/g/"));
+        let routes = match seed >= silence::SILENCE_FROM {
+            true => silence::config,
+            false => |version| config(version, "/g/"),
+        };
+        store.put("op", "config", &routes(1));
         let engines = targets.iter().map(|(host, _)| host.clone());
         let scene = versions::Scene {
-            up_since: (0..DAEMONS).map(|_| Mutex::default()).collect(),
+            up_since: (0..daemons).map(|_| Mutex::default()).collect(),
             engines: engines.filter(|h| h.is_engine()).collect(),
         };
         let mut fleet = Self {
@@ -303,12 +324,14 @@
             rng: StdRng::seed_from_u64(seed),
             faults: Vec::new(),
             active_faults: Vec::new(),
+            stops: Vec::new(),
+            routes,
             version: 1,
             burst_changes: seed >= SIGNALS_FROM,
             copies: copies::Copies::default(),
         };
-        let peers: Vec<String> = (0..DAEMONS).map(|_| addr()).collect();
-        for i in 0..DAEMONS {
+        let peers: Vec<String> = (0..daemons).map(|_| addr()).collect();
+        for i in 0..daemons {
             fleet.add_daemon(i, &peers, &store_addr);
         }
         for daemon in &fleet.daemons {
@@ -368,11 +391,12 @@
     /// Only daemons that are ready get signals: a process that has just been started
     /// may not have executed the daemon's program yet, and any signal would end it.
     async fn planned_work(&mut self) {
-        let i = self.rng.random_range(0..DAEMONS);
+        let i = self.rng.random_range(0..self.daemons.len());
         let up = self.is_idle(i) && is_ready(&self.daemons[i].ready).await;
         match self.rng.random_range(0..3) {
             0 if up => {
                 self.daemons[i].signal(Signal::SIGTERM);
+                self.stops.push((i, Instant::now()));
                 // Adds time for the machine to end the process.
                 self.begin_fault(
                     Instant::now(),
@@ -381,13 +405,17 @@
                 );
             }
             1 if up => self.daemons[i].signal(Signal::SIGHUP),
-            _ => {
-                self.version += 3;
-                self.store.put("op", "config", &config(self.version, "/g/"));
-            }
+            _ => self.change_config(),
         }
     }
 
+    /// Puts the next version of the configuration in force.
+    fn change_config(&mut self) {
+        self.version += 3;
+        let config = (self.routes)(self.version);
+        self.store.put("op", "config", &config);
+    }
+
     /// Injects an unplanned fault, which may overlap with others.
     fn inject_fault(&mut self) {
         let started_at = Instant::now();
@@ -530,8 +558,7 @@
     /// Makes three configuration changes at once, if the seed has such bursts.
     fn change_in_burst(&mut self) {
         for _ in 0..if self.burst_changes { 3 } else { 0 } {
-            self.version += 3;
-            self.store.put("op", "config", &config(self.version, "/g/"));
+            self.change_config();
         }
     }
 
@@ -670,7 +697,7 @@
 /// Runs `seed`; every third seed has planned work only.
 async fn run_seed(seed: u64, seconds: u64) {
     println!("seed {seed}");
-    let mut fleet = Fleet::start(seed).await;
+    let mut fleet = Fleet::start(seed, DAEMONS).await;
     let fronts: Vec<String> = fleet.daemons.iter().map(|d| d.front.clone()).collect();
     let (next_id, stop) = (
         Arc::new(AtomicU64::new(0)),
@@ -819,6 +846,7 @@
 
 #[test]
 fn run_seed_guarantees_hold() {
+    let _alone = ONE_RUN.lock().unwrap_or_else(|e| e.into_inner());
     let seconds = std::env::var("SOAK_SECONDS").map_or(FAULT_SECONDS, |s| s.parse().unwrap());
     for seed in seeds() {
         let runtime = tokio::runtime::Runtime::new().unwrap();
--- a/crates/comfreyhall/tests/support/wire.rs
+++ b/crates/comfreyhall/tests/support/wire.rs
@@ -20,8 +20,8 @@
     cut: AtomicBool,
     /// Ms that each piece is held up.
     delay: AtomicU64,
-    /// Whether nothing passes back from the target.
-    one_way: AtomicBool,
+    /// Whether bytes to the target, and those back from it, are held back.
+    held: [AtomicBool; 2],
     /// Whether nothing listens, so that new connections are refused.
     refuses: AtomicBool,
 }
@@ -30,6 +30,7 @@
 const REFUSE_POLL: Duration = Duration::from_millis(5);
 
 /// Forwards connections to one address until told otherwise.
+#[derive(Clone)]
 pub struct Wire {
     /// Where to connect to.
     pub addr: String,
@@ -88,7 +89,14 @@
 
     /// Lets nothing pass back from the target until the wire is mended.
     pub fn one_way(&self, one_way: bool) {
-        self.state.one_way.store(one_way, Ordering::SeqCst);
+        self.hold(false, one_way);
+    }
+
+    /// Holds bytes to the target back, and those from it, or lets all of them through
+    /// in their order. Connections open and stay open.
+    pub fn hold(&self, to: bool, from: bool) {
+        self.state.held[0].store(to, Ordering::SeqCst);
+        self.state.held[1].store(from, Ordering::SeqCst);
     }
 
     /// Closes every connection and refuses new ones, or mends the wire.
@@ -115,8 +123,8 @@
             if state.cut.load(Ordering::SeqCst) {
                 break;
             }
-            if back && state.one_way.load(Ordering::SeqCst) {
-                // Held up, not lost: a link that heals sends everything again.
+            if state.held[usize::from(back)].load(Ordering::SeqCst) {
+                // Held back, not lost: a link that heals sends everything again.
                 std::thread::sleep(Duration::from_millis(20));
                 continue;
             }
