Stand-ins and load tool: engines and plain services fall silent and go on

Cause: the stand-ins could be down, slow or lossy, and never silent for a time while their open answers wait.

Change: the fault switch `silent-ms`: calls, tokens and status refreshes wait until it ends. Answers to HTTP/2 pings do not wait: for those, the new tests stop the engine's process by signal.

--- a/crates/comfreyhall-cli/src/args.rs
+++ b/crates/comfreyhall-cli/src/args.rs
@@ -282,6 +282,9 @@
     /// an engine or service announces that it is draining
     #[argh(switch)]
     pub(crate) leaving: bool,
+    /// time for which an engine or service answers nothing and then goes on, in ms
+    #[argh(option, default = "0")]
+    pub(crate) silent_ms: u64,
 }
 
 /// Show the log lines about one request, or about one configuration, from the logs
--- a/crates/comfreyhall-cli/src/bench/faults.rs
+++ b/crates/comfreyhall-cli/src/bench/faults.rs
@@ -14,6 +14,9 @@
 /// Range of the duration of a fault, in ms.
 const DURATION_MS: std::ops::Range<u64> = 500..2_500;
 
+/// Range of the duration of a silence, in ms.
+const SILENCE_MS: std::ops::Range<u64> = 300..3_000;
+
 /// Pause between faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -138,6 +141,13 @@
     }
 }
 
+fn silent(silent_ms: u64) -> FaultOrder {
+    FaultOrder {
+        silent_ms,
+        ..FaultOrder::default()
+    }
+}
+
 fn restart() -> FaultOrder {
     FaultOrder {
         restart: true,
@@ -159,7 +169,8 @@
 fn target_fault(s: &Settings, rng: &mut StdRng) -> (StandIn, FaultOrder) {
     let engine = s.engines.choose(rng).expect("settings name an engine");
     let engine = StandIn::Engine(engine.listen.clone());
-    match rng.random_range(0..8) {
+    let silence = silent(rng.random_range(SILENCE_MS));
+    match rng.random_range(0..10) {
         0 => (engine, restart()),
         1 => (engine, lossy(0.5)),
         2 => (engine, down()),
@@ -167,6 +178,11 @@
         4 => (engine, failing(0.5)),
         5 => (engine, limited(rng.random_range(0.5..20.0))),
         6 => (engine, cooling_down(rng.random_range(0.5..3.0))),
+        7 => (engine, silence),
+        8 => match s.services.choose(rng) {
+            Some(v) => (StandIn::Plain(v.listen.clone()), silence),
+            None => (engine, silence),
+        },
         _ => match s.services.choose(rng) {
             Some(v) => (StandIn::Plain(v.listen.clone()), lossy(0.5)),
             None => (engine, restart()),
--- a/crates/comfreyhall-cli/src/instance.rs
+++ b/crates/comfreyhall-cli/src/instance.rs
@@ -174,6 +174,7 @@
         limit: cmd.limit,
         rest_s: cmd.rest_s,
         leaving: cmd.leaving,
+        silent_ms: cmd.silent_ms,
     };
     stand_in.set_faults(&s, command).await?;
     let done = serde_json::json!({ "target": cmd.target });
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -500,6 +500,9 @@
     /// Whether it says in all answers that it leaves.
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    /// Ms for which engines and plain services answer nothing and then go on.
+    #[prost(uint64, tag = "10")]
+    pub silent_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FaultReply {}
--- a/crates/comfreyhall-standins/src/engine/mod.rs
+++ b/crates/comfreyhall-standins/src/engine/mod.rs
@@ -126,6 +126,7 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tick.tick().await;
+        inner.faults.wait_heard().await;
         let mut state = inner.state.lock().unwrap();
         if step(&mut state, inner.width, &inner.runs, &inner.crash_prompt) {
             inner.faults.crash(CRASH_DOWNTIME);
--- a/crates/comfreyhall-standins/src/faults.rs
+++ b/crates/comfreyhall-standins/src/faults.rs
@@ -27,11 +27,16 @@
     fail_ppm: AtomicU64,
     /// When the process is back after its last crash.
     back_at: Mutex<Option<Instant>>,
+    /// When the last silence ends.
+    heard_at: Mutex<Option<Instant>>,
     notices: Mutex<Notices>,
     /// Calls rejected with a cooldown.
     rejected: AtomicU64,
 }
 
+/// Interval at which a silent stand-in looks whether it may go on.
+const SILENCE_POLL: Duration = Duration::from_millis(5);
+
 /// What the stand-in announces about itself in the metadata of its replies.
 #[derive(Clone, Copy, Default)]
 struct Notices {
@@ -72,6 +77,8 @@
         switches
             .fail_ppm
             .store(ppm(order.fail_share), Ordering::Relaxed);
+        let silence = Duration::from_millis(order.silent_ms);
+        *switches.heard_at.lock().unwrap() = Some(Instant::now() + silence);
         *switches.notices.lock().unwrap() = Notices {
             limit: order.limit,
             cooldown_s: order.rest_s,
@@ -90,8 +97,22 @@
         back_at.is_some_and(|at| Instant::now() < at)
     }
 
-    /// Waits for the configured delay, then fails if the stand-in is down.
+    /// Whether it answers nothing now, like a process that is stopped for a time.
+    pub fn is_silent(&self) -> bool {
+        let heard_at = *self.inner.heard_at.lock().unwrap();
+        heard_at.is_some_and(|at| Instant::now() < at)
+    }
+
+    /// Waits until it is no longer silent.
+    pub async fn wait_heard(&self) {
+        while self.is_silent() {
+            tokio::time::sleep(SILENCE_POLL).await;
+        }
+    }
+
+    /// Waits for a silence and the configured delay to end, then fails if the stand-in is down.
     pub async fn delay_or_fail(&self) -> Result<(), Status> {
+        self.wait_heard().await;
         if self.crashed() {
             // No process is listening, so the call has certainly not run.
             return Err(not_run(Status::unavailable("the process has crashed")));
--- a/crates/comfreyhall-standins/src/lib.rs
+++ b/crates/comfreyhall-standins/src/lib.rs
@@ -7,8 +7,8 @@
 //! behave as the real ones are specified: engines batch continuously and
 //! have a few adapter slots, the weight store allows a few loads per second,
 //! one at a time, and the table service commits conditionally. The `Fault`
-//! call of each stand-in makes it unavailable or slow, or makes it lose
-//! replies or fail loads, so that tests can inject failures.
+//! call of each stand-in makes it unavailable, slow or silent for a time, or makes it
+//! lose replies or fail loads, so that tests can inject failures.
 
 mod engine;
 mod faults;
--- a/crates/comfreyhall-standins/src/plain.rs
+++ b/crates/comfreyhall-standins/src/plain.rs
@@ -27,6 +27,7 @@
         let req = req.into_inner();
         self.runs.start(&req.request_id, false);
         tokio::time::sleep(CALL_DURATION).await;
+        self.faults.wait_heard().await;
         self.runs.end(&req.request_id);
         if self.faults.loses_reply() {
             return Err(Status::unavailable("answer lost by fault order"));
--- a/crates/comfreyhall/tests/failures.rs
+++ b/crates/comfreyhall/tests/failures.rs
@@ -124,6 +124,38 @@
     assert_eq!(last, "[DONE]");
 }
 
+/// Streams from the only engine while `silence` makes it silent.
+fn stream_over_silence(name: &str, silence: impl Fn(&Deployment)) {
+    let d = Deployment::start(name, 1, 1, 2);
+    catalog(&d);
+    let mut answer = stream(&d.instances[0], "h1");
+    let first = chunk_text(&answer.event().unwrap());
+    silence(&d);
+    let (text, last) = answer.finish(first);
+    assert_eq!(text, long_text());
+    assert_eq!(last, "[DONE]");
+}
+
+/// Guards against an answer that is given up because its engine was stopped for a time.
+#[test]
+fn stream_survives_stopped_engine() {
+    for (name, ms) in [("stopped-short", 1_500), ("stopped-long", 3_000)] {
+        stream_over_silence(name, |d| {
+            d.signal("e0", Signal::SIGSTOP);
+            thread::sleep(Duration::from_millis(ms));
+            d.signal("e0", Signal::SIGCONT);
+        });
+    }
+}
+
+/// Guards against an answer that is given up because its engine sent nothing for a time.
+#[test]
+fn stream_survives_silent_engine() {
+    stream_over_silence("silent-engine", |d| {
+        d.cli_ok(&["fault", "e0", "--silent-ms", "3000"]);
+    });
+}
+
 #[test]
 fn load_stuck_goes_elsewhere() {
     // Symptom: every request for one adapter waited until its deadline,
