Tests: claims when the own table service comes back from a copy

A claim had no test across a copy of the table. What holds, and has a test now: a claim or an answer in the copy holds; a claim that was not answered is not acquired; a claimer whose claim is lost neither releases nor completes the one made since, as the table never gives a version out again. What does not hold by design: the table is the only record of a claim, so a key whose claim the copy lacks is claimed again (claim_lost_with_copy_is_acquired_again).

--- a/crates/comfreyhall-once/tests/once_fuzz.rs
+++ b/crates/comfreyhall-once/tests/once_fuzz.rs
@@ -7,9 +7,11 @@
 
 use std::collections::BTreeMap;
 
-use comfreyhall_catalog::CatalogError;
+use comfreyhall_catalog::{CatalogError, Rows};
 use comfreyhall_fakes::{CallOutcome, FakeTable, StatelessReference, Steps, call_outcomes};
 use comfreyhall_once::{Claim, ClaimOutcome, IdempotencyClaims, UnconfirmedClaim};
+use comfreyhall_protocol::{Check, CommitRequest, Put, Row};
+use comfreyhall_standins::TableStandin;
 use proptest::prelude::*;
 use proptest_state_machine::{StateMachineTest, prop_state_machine};
 
@@ -272,3 +274,111 @@
     let free = runtime.block_on(second_once.claim("k", "a3")).unwrap();
     assert!(matches!(free, ClaimOutcome::Acquired(_)), "{free:?}");
 }
+
+/// A table in some era, and two daemons' claims in it.
+fn table_of_two() -> (FakeTable, [IdempotencyClaims<FakeTable>; 2]) {
+    let table = FakeTable::default();
+    table.restore(&table.copy());
+    let claims = ["d0", "d1"].map(|id| IdempotencyClaims::new(table.client(), id.into()));
+    (table, claims)
+}
+
+async fn acquired(claims: &IdempotencyClaims<FakeTable>, request: &str) -> Claim {
+    match claims.claim("k", request).await {
+        Ok(ClaimOutcome::Acquired(claim)) => claim,
+        other => panic!("not acquired: {other:?}"),
+    }
+}
+
+/// Guards against a claim or an answer that a copy of the table has and that is lost when
+/// the table comes back from it.
+#[tokio::test]
+async fn claim_in_copy_holds_after_restore() {
+    let (table, [first, second]) = table_of_two();
+    let claim = acquired(&first, "a1").await;
+    table.restore(&table.copy());
+    let held = second.claim("k", "a2").await;
+    assert!(matches!(held, Ok(ClaimOutcome::HeldByOther)), "{held:?}");
+    drop(claim);
+    let (table, [first, second]) = table_of_two();
+    let claim = acquired(&first, "a1").await;
+    first.record_answer(&claim, "answer").await.unwrap();
+    table.restore(&table.copy());
+    let done = second.claim("k", "a2").await;
+    let answer = matches!(&done, Ok(ClaimOutcome::Completed(at)) if at == "answer");
+    assert!(answer, "{done:?}");
+}
+
+/// The own table service: its versions are never given out again.
+#[derive(Clone, Default)]
+struct OwnTable(TableStandin);
+
+impl Rows for OwnTable {
+    async fn get(&self, key: &str) -> Result<Option<Row>, CatalogError> {
+        Ok(self.0.read(key))
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Row>, CatalogError> {
+        Ok(self.0.list(prefix, after, limit))
+    }
+
+    async fn commit(&self, checks: Vec<Check>, puts: Vec<Put>) -> Result<Vec<u64>, CatalogError> {
+        let reply = self.0.write(CommitRequest { checks, puts });
+        match reply.applied {
+            true => Ok(reply.versions),
+            false => Err(CatalogError::Conflict {
+                key: reply.conflict,
+            }),
+        }
+    }
+}
+
+/// Guards against a claimer whose claim the copy lacks and that releases, or completes, the
+/// claim which another daemon has made since.
+#[tokio::test]
+async fn release_of_lost_claim_keeps_next_claim() {
+    let table = OwnTable::default();
+    let [first, second] = ["d0", "d1"].map(|id| IdempotencyClaims::new(table.clone(), id.into()));
+    let copy = table.0.copy();
+    let Ok(ClaimOutcome::Acquired(lost)) = first.claim("k", "a1").await else {
+        panic!("not acquired");
+    };
+    table.0.restore(&copy);
+    let next = second.claim("k", "a2").await;
+    assert!(matches!(next, Ok(ClaimOutcome::Acquired(_))), "{next:?}");
+    first.release(&lost).await.unwrap();
+    first.record_answer(&lost, "answer").await.unwrap();
+    let held = second.claim("k", "a3").await;
+    assert!(matches!(held, Ok(ClaimOutcome::HeldByOther)), "{held:?}");
+}
+
+/// Guards against a claim whose answer got lost, and which the copy lacks, that is taken for
+/// made: its request must not be sent.
+#[tokio::test]
+async fn claim_unanswered_and_lost_is_not_acquired() {
+    let (table, [first, second]) = table_of_two();
+    let copy = table.copy();
+    let calls = table.client();
+    let late = IdempotencyClaims::new(calls.clone(), "d0".into());
+    // The commit arrives once the table has come back.
+    calls.script([CallOutcome::Delayed]);
+    let claimed = late.claim("k", "a1").await;
+    let unconfirmed = matches!(claimed, Ok(ClaimOutcome::Unconfirmed(..)));
+    assert!(unconfirmed, "{claimed:?}");
+    table.restore(&copy);
+    acquired(&second, "a2").await;
+    calls.deliver();
+    let held = first.claim("k", "a3").await;
+    assert!(matches!(held, Ok(ClaimOutcome::HeldByOther)), "{held:?}");
+}
+
+/// What does not hold: the table is the only record of a claim, so a key whose claim the
+/// copy lacks can be claimed again, and a retry that the caller sends then runs.
+#[tokio::test]
+async fn claim_lost_with_copy_is_acquired_again() {
+    let (table, [first, second]) = table_of_two();
+    let copy = table.copy();
+    acquired(&first, "a1").await;
+    table.restore(&copy);
+    acquired(&second, "a2").await;
+}
