Own daemon: a stream is started again until its deadline though a try's outcome is unknown

A caller's stream ended with 'a target may have run the request but its answer is lost' although it may be repeated: its engine had ended, and the one that took it over was silent for three seconds.

Cause: the resumption gave up on an unknown outcome as for a request that may not be repeated.

Evidence: stream_survives_kill_beside_stopped_engine failed before with that error in 2 of 2 runs, and passes. Only requests that may be repeated are resumed, so an unknown outcome of one try is no reason to stop; the deadline is.

--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -174,6 +174,8 @@
                 Err(RouteError::Expired) => return Err(RouteError::DeadlineExceeded),
                 // Its runs have ended engines: it is not retried.
                 Err(RouteError::Quarantined(_)) => return Err(RouteError::QuarantinedUnknown),
+                // An engine that is silent may be back, and this request may run again.
+                Err(RouteError::OutcomeUnknown(_)) => tokio::time::sleep(RESUME_RETRY_DELAY).await,
                 Err(e) if e.not_run() => tokio::time::sleep(RESUME_RETRY_DELAY).await,
                 Err(e) => return Err(e),
             }
--- a/crates/comfreyhall/tests/silence.rs
+++ b/crates/comfreyhall/tests/silence.rs
@@ -110,3 +110,38 @@
     assert_eq!(answers, (200, 200));
     assert_eq!(d.starts("p-once"), 1);
 }
+
+/// Guards against a stream that is given up as "unknown" because the engine that is to take it
+/// over is silent.
+#[test]
+fn stream_survives_kill_beside_stopped_engine() {
+    let mut d = Deployment::start("stopped-next", 1, 2, 2);
+    catalog(&d);
+    // Much demand has the adapter copied to the second engine.
+    let callers: Vec<_> = (0..24)
+        .map(|i| {
+            let addr = d.instances[0].clone();
+            thread::spawn(move || {
+                for j in 0..2 {
+                    let body =
+                        format!(r#"{{"model":"narrator@v1","prompt":"n{i}-{j}","max_tokens":30}}"#);
+                    let _ = http(&addr, "POST", "/v1/completions", &body, &[]);
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    let (first, answer) = begin(&d, "k1", "");
+    let engine = answer.header("x-comfreyhall-engine").unwrap().to_string();
+    let other = if engine == "e0" { "e1" } else { "e0" };
+    d.signal(other, Signal::SIGSTOP);
+    d.kill(&engine);
+    let rest = thread::spawn(move || answer.finish(first));
+    thread::sleep(SILENCE + Duration::from_millis(500));
+    d.signal(other, Signal::SIGCONT);
+    let (text, last) = rest.join().unwrap();
+    assert_eq!(last, "[DONE]");
+    assert_eq!(text, expected_text("narrator", "v1", "dawn", TOKENS));
+}
