Another answer is sought after half of the time for which callers wait

A fixed 1.2 s took up engines and attempts beside targets that were silent for 1.0 to 1.3 s, while callers of the routes concerned wait for 3.2 and 4 s.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyhall_domain::Outcome;
-use comfreyhall_relay::{EndCause, Event, Merge, Next, SeekPolicy};
+use comfreyhall_relay::{EndCause, Event, Merge, Next, silence_limit_ms};
 use comfreyhall_routing::StreamSample;
 
 use crate::{
@@ -61,11 +61,14 @@
 }
 
 impl Relay {
-    /// Relays `start`, whose first events came at `now`.
-    pub(crate) fn new(start: StreamStart, send: ActiveSend, policy: SeekPolicy, now: u64) -> Self {
+    /// Relays `start`, which has just begun, for `request`.
+    pub(crate) fn new(start: StreamStart, send: ActiveSend, request: &ActiveRequest) -> Self {
+        let route = &request.route;
+        let silent_ms = silence_limit_ms(route.objective_ms, route.gap_objective_ms);
+        let now = request.node.now();
         Self {
             source: start.source,
-            merge: Merge::new(start.order, policy, now),
+            merge: Merge::new(start.order, request.seek_policy(), silent_ms, now),
             pending: start.events.into(),
             send,
             why: String::new(),
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -168,7 +168,7 @@
     }
 
     /// When another answer may go on with its stream.
-    pub(super) fn seek_policy(&self) -> SeekPolicy {
+    pub(crate) fn seek_policy(&self) -> SeekPolicy {
         match (self.route.repeatable(), self.may_ask_beside()) {
             (false, _) => SeekPolicy::Never,
             (true, false) => SeekPolicy::AfterEnd,
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -265,7 +265,7 @@
         let (status, headers) = (start.status, start.headers.clone());
         let request = self.detach();
         self.node.metrics.first_event(request.first_event_ms);
-        let relay = Relay::new(start, send, request.seek_policy(), self.node.now());
+        let relay = Relay::new(start, send, &request);
         let body = relay.run(request);
         Next::Reply(Reply::Stream {
             status,
--- a/crates/comfreyhall-relay/src/merge.rs
+++ b/crates/comfreyhall-relay/src/merge.rs
@@ -7,10 +7,22 @@
 
 use crate::{EndCause, Event, EventOrder, OrderError};
 
-/// Time without an event after which another answer is sought beside the open one, in ms.
-/// Callers count gaps of some 400 ms as late and leave after seconds; steps take 10 to
-/// 50 ms.
-const SILENT_AFTER_MS: u64 = 1_200;
+/// Callers leave a stream after the longest of these gaps: a time, so many latency
+/// objectives, and so many gap objectives.
+const CALLER_GAP_MS: u64 = 2_000;
+const CALLER_GAP_OBJECTIVES: u64 = 4;
+const CALLER_GAP_PAUSES: u64 = 8;
+
+/// Time without an event after which another answer is sought beside the open one, in ms:
+/// half of the time after which callers leave, so that the other target has the second half
+/// to read the prompt.
+pub fn silence_limit_ms(objective_ms: u64, gap_objective_ms: Option<u64>) -> u64 {
+    let gap_ms = gap_objective_ms.unwrap_or(0) * CALLER_GAP_PAUSES;
+    let leave_ms = CALLER_GAP_MS
+        .max(objective_ms * CALLER_GAP_OBJECTIVES)
+        .max(gap_ms);
+    leave_ms / 2
+}
 
 /// Pause before another answer is sought again, in ms.
 const SEEK_PAUSE_MS: u64 = 400;
@@ -59,13 +71,15 @@
     /// Answers that went on after the first.
     switches: u32,
     policy: SeekPolicy,
+    silent_after_ms: u64,
     /// When another answer may be sought.
     seek_at_ms: u64,
 }
 
 impl Merge {
-    /// The stream after the events of `order`, the last of which came at `now`.
-    pub fn new(order: EventOrder, policy: SeekPolicy, now: u64) -> Self {
+    /// The stream after the events of `order`, the last of which came at `now`; an answer is
+    /// silent after `silent_after_ms` without one.
+    pub fn new(order: EventOrder, policy: SeekPolicy, silent_after_ms: u64, now: u64) -> Self {
         Self {
             order,
             ended: None,
@@ -73,7 +87,8 @@
             seeks: 0,
             switches: 0,
             policy,
-            seek_at_ms: now + SILENT_AFTER_MS,
+            silent_after_ms,
+            seek_at_ms: now + silent_after_ms,
         }
     }
 
@@ -108,7 +123,7 @@
         if accepted {
             self.seeking = false;
             self.seeks = 0;
-            self.seek_at_ms = now + SILENT_AFTER_MS;
+            self.seek_at_ms = now + self.silent_after_ms;
         }
         Ok(accepted)
     }
@@ -139,7 +154,7 @@
         self.seeking = false;
         self.seeks = 0;
         self.switches += 1;
-        self.seek_at_ms = now + SILENT_AFTER_MS;
+        self.seek_at_ms = now + self.silent_after_ms;
     }
 
     /// What to do at `now`, with the deadline of the request.
--- a/crates/comfreyhall-relay/tests/model.rs
+++ b/crates/comfreyhall-relay/tests/model.rs
@@ -12,6 +12,8 @@
 
 const DEADLINE_MS: u64 = 12_000;
 
+const SILENT_AFTER_MS: u64 = 1_200;
+
 /// Events of a whole stream.
 const EVENTS: u64 = 12;
 
@@ -158,7 +160,7 @@
 impl Relay {
     fn new(first: Vec<Act>, policy: SeekPolicy, others: Vec<Sought>) -> Self {
         Self {
-            merge: Merge::new(EventOrder::after(Some(1)), policy, 0),
+            merge: Merge::new(EventOrder::after(Some(1)), policy, SILENT_AFTER_MS, 0),
             now: 0,
             open: Some(Run::new(0, 2, first)),
             beside: None,
