A stream that was passed on is in progress until it ends

A stopping daemon ended before its grace was over and cut streams that it had passed on to other daemons: passing on returned the reply and dropped the request with its in-flight guard while the body went on. The guard ends with the body now.

--- a/crates/comfreyhall-node/src/serve/pass_on.rs
+++ b/crates/comfreyhall-node/src/serve/pass_on.rs
@@ -1,6 +1,7 @@
 //! Passing a request on to another daemon.
 
 use comfreyhall_domain::{Name, Stage};
+use futures::StreamExt;
 
 use super::{ActiveRequest, Reply};
 use crate::forward;
@@ -17,6 +18,26 @@
 const ALL_ISOLATED_RETRY_MS: f64 = 500.0;
 
 impl ActiveRequest {
+    /// Counts a stream that was passed on as in progress until it ends: a planned stop
+    /// waits for it.
+    fn keep_in_progress(&mut self, reply: Reply) -> Reply {
+        let in_flight = self.in_flight.take();
+        match reply {
+            Reply::Stream {
+                status,
+                headers,
+                body,
+            } => Reply::Stream {
+                status,
+                headers,
+                body: Box::pin(body.inspect(move |_| {
+                    let _ = &in_flight;
+                })),
+            },
+            reply => reply,
+        }
+    }
+
     /// Passes the request on if this daemon does not reach its targets, or has lost half
     /// of them to which another daemon has paths; `None` if it is to be served here. It
     /// has not run and holds no credit then.
@@ -46,7 +67,7 @@
         let reply = forward::pass_on(&self.node, &request, &peer, left_ms).await;
         self.finished = true;
         self.node.metrics.request(self.route.kind, "passed_on");
-        Some(reply)
+        Some(self.keep_in_progress(reply))
     }
 
     /// Share of targets, in percent, that a daemon may have lost that gets this request;
