--- a/crates/comfreyhall-node/src/collect.rs
+++ b/crates/comfreyhall-node/src/collect.rs
@@ -26,8 +26,54 @@
 
 struct State {
     bytes: ByteBudget,
-    /// Notified when their holder has to end.
-    ends: Map<HolderId, Arc<Notify>>,
+    slots: Map<HolderId, Arc<Slot>>,
+}
+
+/// Size of the blocks in which a body is kept while it is read. A buffer that grows is
+/// copied, and the memory that it leaves is in pieces of many sizes, which the allocator
+/// reuses badly.
+const BLOCK_BYTES: usize = 64 << 10;
+
+/// A body that is being read, where whoever ends it finds it.
+#[derive(Default)]
+struct Slot {
+    blocks: Mutex<Vec<BytesMut>>,
+    /// Notified when it has to end.
+    end: Notify,
+}
+
+impl Slot {
+    fn blocks(&self) -> MutexGuard<'_, Vec<BytesMut>> {
+        self.blocks.lock().expect("no holder of this lock panics")
+    }
+
+    fn append(&self, mut piece: &[u8]) {
+        let mut blocks = self.blocks();
+        while !piece.is_empty() {
+            let room = blocks.last().map_or(0, |last| BLOCK_BYTES - last.len());
+            match blocks.last_mut() {
+                Some(last) if room > 0 => {
+                    let (now, later) = piece.split_at(room.min(piece.len()));
+                    last.extend_from_slice(now);
+                    piece = later;
+                }
+                _ => blocks.push(BytesMut::new()),
+            }
+        }
+    }
+
+    /// All bytes, which leave the slot.
+    fn take(&self) -> Bytes {
+        let mut blocks = std::mem::take(&mut *self.blocks());
+        if blocks.len() < 2 {
+            return blocks.pop().unwrap_or_default().freeze();
+        }
+        let mut whole = BytesMut::with_capacity(blocks.iter().map(BytesMut::len).sum());
+        for block in blocks {
+            whole.extend_from_slice(&block);
+        }
+        whole.freeze()
+    }
 }
 
 /// What bodies of one kind may hold; clones share it.
@@ -39,7 +85,7 @@
     pub fn new(max_each: usize, max_total: usize) -> Self {
         Self(Arc::new(Mutex::new(State {
             bytes: ByteBudget::new(max_each, max_total),
-            ends: Map::default(),
+            slots: Map::default(),
         })))
     }
 
@@ -63,31 +109,28 @@
     }
 
     fn open(&self) -> Holding {
-        let end = Arc::new(Notify::new());
+        let slot = Arc::<Slot>::default();
         let mut state = self.lock();
         let id = state.bytes.open();
-        state.ends.insert(id, end.clone());
+        state.slots.insert(id, slot.clone());
         drop(state);
         Holding {
             budget: self.clone(),
             id,
-            end,
+            slot,
         }
     }
 
     /// Starts to collect a body.
     pub fn collector(&self) -> Collector {
-        Collector {
-            buffer: BytesMut::new(),
-            holding: self.open(),
-        }
+        Collector(self.open())
     }
 
     /// Counts a body that has already been read.
     pub fn hold(&self, body: Bytes) -> Result<Bytes, Exceeded> {
         let holding = self.open();
         holding.grow(body.len())?;
-        Ok(holding.attach(body))
+        holding.attach(body)
     }
 
     /// Bytes that are held now.
@@ -100,7 +143,7 @@
 struct Holding {
     budget: Budget,
     id: HolderId,
-    end: Arc<Notify>,
+    slot: Arc<Slot>,
 }
 
 impl Holding {
@@ -109,20 +152,22 @@
         let mut state = self.budget.lock();
         let grown = state.bytes.grow(self.id, bytes, &mut ended);
         for id in ended {
-            if let Some(end) = state.ends.get(&id) {
-                end.notify_one();
+            // Its memory is free at once, also if its task runs later.
+            if let Some(slot) = state.slots.remove(&id) {
+                slot.blocks().clear();
+                slot.end.notify_one();
             }
         }
         grown
     }
 
     /// The body with its share, which it gives back with its last copy.
-    fn attach(self, body: Bytes) -> Bytes {
-        self.budget.lock().bytes.complete(self.id);
-        Bytes::from_owner(HeldBody {
+    fn attach(self, body: Bytes) -> Result<Bytes, Exceeded> {
+        self.budget.lock().bytes.complete(self.id)?;
+        Ok(Bytes::from_owner(HeldBody {
             body,
             _holding: self,
-        })
+        }))
     }
 }
 
@@ -130,7 +175,7 @@
     fn drop(&mut self) {
         let mut state = self.budget.lock();
         state.bytes.close(self.id);
-        state.ends.remove(&self.id);
+        state.slots.remove(&self.id);
     }
 }
 
@@ -156,28 +201,26 @@
 }
 
 /// A body that is being read.
-pub struct Collector {
-    buffer: BytesMut,
-    holding: Holding,
-}
+pub struct Collector(Holding);
 
 impl Collector {
     /// Appends a piece; after an error the body may not be read any further.
     pub fn push(&mut self, piece: &[u8]) -> Result<(), Exceeded> {
-        self.holding.grow(piece.len())?;
-        self.buffer.extend_from_slice(piece);
+        self.0.grow(piece.len())?;
+        self.0.slot.append(piece);
         Ok(())
     }
 
     /// Resolves when the body has to end so that others can be read.
     pub async fn ended(&self) -> Exceeded {
-        self.holding.end.notified().await;
+        self.0.slot.end.notified().await;
         Exceeded::Spent
     }
 
     /// The body, which has ended.
-    pub fn finish(self) -> Bytes {
-        self.holding.attach(self.buffer.freeze())
+    pub fn finish(self) -> Result<Bytes, Exceeded> {
+        let body = self.0.slot.take();
+        self.0.attach(body)
     }
 }
 
@@ -206,7 +249,7 @@
         match piece {
             Some(Ok(piece)) => collector.push(&piece).map_err(CollectError::Exceeded)?,
             Some(Err(error)) => return Err(CollectError::Body(error)),
-            None => return Ok(collector.finish()),
+            None => return collector.finish().map_err(CollectError::Exceeded),
         }
     }
 }
--- a/crates/comfreyhall-relay/src/budget.rs
+++ b/crates/comfreyhall-relay/src/budget.rs
@@ -111,11 +111,12 @@
         Ok(())
     }
 
-    /// Marks `id` as read whole: it holds its bytes until it is closed.
-    pub fn complete(&mut self, id: HolderId) {
-        if let Some(holder) = self.holders.get_mut(&id) {
-            holder.growing = false;
-        }
+    /// Marks `id` as read whole: it holds its bytes until it is closed. An error says that
+    /// another one has ended it before.
+    pub fn complete(&mut self, id: HolderId) -> Result<(), Exceeded> {
+        let holder = self.holders.get_mut(&id).ok_or(Exceeded::Spent)?;
+        holder.growing = false;
+        Ok(())
     }
 
     /// Removes `id` with all its bytes.
--- a/crates/comfreyhall-relay/src/tests.rs
+++ b/crates/comfreyhall-relay/src/tests.rs
@@ -125,7 +125,7 @@
                 ids[at] = budget.open();
                 model.insert(ids[at], (0, false));
             } else if step == 1 {
-                budget.complete(id);
+                budget.complete(id).unwrap();
                 model.insert(id, (held, true));
             } else {
                 let mut ended = Vec::new();
--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -468,3 +468,62 @@
     assert!(asked > 30, "{asked} pages");
     assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
 }
+
+/// Guards against a caller's body in chunks of one byte, of which each was kept apart.
+#[tokio::test]
+async fn handle_body_of_single_bytes() {
+    let (daemon, _store, sound) = setup("single").await;
+    let head = "POST /p/x HTTP/1.1\r\nhost: h\r\nx-request-id: r2\r\ntransfer-encoding: chunked\r\n\
+        x-deadline-milliseconds: 2000\r\n\r\n";
+    let mut stream = daemon.open(head).await;
+    stream.write_all(&single_bytes(400_000)).await.unwrap();
+    let answer = read_head(&mut stream).await.unwrap_or_default();
+    let peak_mb = daemon.peak_mb();
+    println!(
+        "single bytes: peak {peak_mb} MB, {}",
+        answer.lines().next().unwrap_or("none")
+    );
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(sound.executed.lock().unwrap().len(), 2);
+    assert!(peak_mb < 28, "{peak_mb} MB");
+}
+
+/// Guards against callers whose bodies, each within its limit, exhaust memory together;
+/// those that are refused are told that they were not run, and small ones are served.
+#[tokio::test]
+async fn handle_many_bodies() {
+    let (daemon, _store, sound) = setup("many").await;
+    let body = Bytes::from(vec![b'x'; 4_000_000]);
+    let mut open = Vec::new();
+    for i in 0..100 {
+        let head = format!(
+            "POST /p/x HTTP/1.1\r\nhost: h\r\nx-request-id: b{i}\r\ncontent-length: 4000001\r\n\r\n"
+        );
+        let mut stream = daemon.open(&head).await;
+        let body = body.clone();
+        open.push(tokio::spawn(async move {
+            let _ = stream.write_all(&body).await;
+            stream
+        }));
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let mut caller = Caller::default();
+    let small = caller.send(&daemon.front, Kind::Safe, "small", "").await;
+    let peak_mb = daemon.peak_mb();
+    println!("many bodies: peak {peak_mb} MB, a small request: {small:?}");
+    assert_eq!(small, Outcome::Answered);
+    let mut refused = 0;
+    for stream in open {
+        let mut stream = stream.await.unwrap();
+        let head = tokio::time::timeout(Duration::from_millis(20), read_head(&mut stream)).await;
+        if let Ok(Some(head)) = head {
+            assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+            assert!(head.contains("retry-after: "), "{head}");
+            refused += 1;
+        }
+    }
+    println!("many bodies: {refused} refused");
+    assert!(refused > 0);
+    assert_eq!(sound.executed.lock().unwrap().len(), 2);
+    assert!(peak_mb < MAX_MEMORY_MB, "{peak_mb} MB");
+}
