Answers, settings and requests from other daemons have bounds

A request passed on whose answer, or whose own body, is longer than 4 MB got 502 though it had been answered, or had not run. An answer or settings that a daemon sends without end were collected for up to the deadline or 20 s.

Cause: a body was one message, and messages of gRPC have a limit of 4 MB; read_answer and read_chunks collected without a bound.

Answers passed back count among the answers, settings may have 40 MB.

--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -43,6 +43,9 @@
 /// Bytes in one chunk.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Longest transfer, in bytes: as long as a read of the store may be.
+const MAX_SETTINGS_BYTES: usize = 40 << 20;
+
 /// Longest silence before a transfer begins and within it.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -253,17 +256,26 @@
     let failed = |status: Status| FetchError::Failed(status.message().to_string());
     let begun = tokio::time::timeout(SILENCE_TIMEOUT, client.fetch(ask)).await;
     let begun = begun.map_err(|_| FetchError::Silent)?;
-    let mut pieces = begun.map_err(failed)?.into_inner();
+    join(begun.map_err(failed)?.into_inner()).await
+}
+
+/// Joins the chunks of a transfer.
+async fn join(
+    mut pieces: impl Stream<Item = Result<SettingsPart, Status>> + Unpin,
+) -> Result<Bytes, FetchError> {
     let mut whole = Vec::new();
     loop {
-        let part = tokio::time::timeout(SILENCE_TIMEOUT, pieces.message()).await;
-        let part = part.map_err(|_| FetchError::Silent)?.map_err(failed)?;
-        let Some(part) = part else {
+        let part = tokio::time::timeout(SILENCE_TIMEOUT, pieces.next()).await;
+        let Some(part) = part.map_err(|_| FetchError::Silent)? else {
             return Ok(whole.into());
         };
+        let part = part.map_err(|status| FetchError::Failed(status.message().to_string()))?;
         if part.piece.is_empty() {
             return Err(FetchError::Busy(part.others));
         }
+        if whole.len() + part.piece.len() > MAX_SETTINGS_BYTES {
+            return Err(FetchError::Unusable("they are longer than settings may be"));
+        }
         whole.extend_from_slice(&part.piece);
     }
 }
--- a/crates/comfreyhall-node/src/fleet/fetch/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch/tests.rs
@@ -1,7 +1,7 @@
 use comfreyhall_protocol::{SettingsAsk, SettingsPart};
 use futures::StreamExt;
 
-use super::send_settings;
+use super::{join, send_settings};
 use crate::fleet::sender::MAX_TRANSFERS;
 use crate::{
     node::Node,
@@ -73,3 +73,22 @@
     };
     assert!(send_settings(&node, &complete).is_err());
 }
+
+/// Guards against a daemon that sends settings without end, which are collected for the
+/// whole time of a transfer.
+#[tokio::test]
+async fn join_endless() {
+    let mut read = 0;
+    let piece = || {
+        read += 1;
+        (read < 200).then(|| {
+            Ok(SettingsPart {
+                piece: vec![0; 1 << 20],
+                others: Vec::new(),
+            })
+        })
+    };
+    let joined = join(futures::stream::iter(std::iter::from_fn(piece))).await;
+    assert!(joined.is_err());
+    assert!(read < 50, "{read} MB");
+}
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -13,17 +13,23 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use comfreyhall_domain::{Answer, ClientRequest, Name};
 use comfreyhall_protocol::{ForwardHead, ForwardOutcome, ForwardPart};
-use futures::StreamExt;
-use tonic::{Status, Streaming};
+use futures::{Stream, StreamExt};
+use tonic::Status;
 
 use crate::{
+    collect::Exceeded,
     node::Node,
     serve::{EventStream, Reply},
 };
 
+/// The parts of an answer as they arrive.
+trait Parts: Stream<Item = Result<ForwardPart, Status>> + Unpin + Send {}
+
+impl<S: Stream<Item = Result<ForwardPart, Status>> + Unpin + Send> Parts for S {}
+
 /// Passes `request`, which has `remaining_ms` left, on to the daemon at `peer`.
 ///
 /// It goes to one daemon only: after a call without an answer it may have run, so a
@@ -63,7 +69,7 @@
         let mut parts = client.forward(call).await?.into_inner();
         let head = next_part(&mut parts).await?.head;
         let head = head.ok_or_else(|| Status::data_loss("the answer has no head"))?;
-        read_answer(head, parts).await
+        read_answer(node, head, parts).await
     };
     match tokio::time::timeout(Duration::from_millis(left_ms), answer).await {
         Ok(answer) => answer,
@@ -71,31 +77,37 @@
     }
 }
 
-async fn next_part(parts: &mut Streaming<ForwardPart>) -> Result<ForwardPart, Status> {
-    let part = parts.message().await?;
-    part.ok_or_else(|| Status::data_loss("the answer ended early"))
+async fn next_part(parts: &mut (impl Parts + ?Sized)) -> Result<ForwardPart, Status> {
+    let part = parts.next().await;
+    part.unwrap_or_else(|| Err(Status::data_loss("the answer ended early")))
 }
 
 /// Reads the answer that follows `head`.
 async fn read_answer(
+    node: &Node,
     head: ForwardHead,
-    mut parts: Streaming<ForwardPart>,
+    mut parts: impl Parts + 'static,
 ) -> Result<Reply, Status> {
     match head.outcome() {
         ForwardOutcome::Answered => {
-            let mut body = BytesMut::new();
+            let mut collector = node.answer_budget.collector();
+            let too_long = |e: Exceeded| Status::resource_exhausted(e.to_string());
             loop {
-                let part = next_part(&mut parts).await?;
-                body.extend_from_slice(&part.data);
+                let part = tokio::select! {
+                    part = next_part(&mut parts) => part?,
+                    e = collector.ended() => return Err(too_long(e)),
+                };
+                collector.push(&part.data).map_err(too_long)?;
                 if part.last {
                     break;
                 }
             }
             let (status, headers) = wire::decode_head(&head)?;
+            let body = collector.finish().map_err(too_long)?;
             Ok(Reply::Complete {
                 status,
                 headers,
-                body: body.freeze(),
+                body,
             })
         }
         ForwardOutcome::Stream => {
@@ -112,7 +124,7 @@
 }
 
 /// The events of a stream, which ends with an error if its last part is missing.
-fn event_stream(parts: Streaming<ForwardPart>) -> EventStream {
+fn event_stream(parts: impl Parts + 'static) -> EventStream {
     let pieces = futures::stream::unfold(Some(parts), |parts| async {
         let mut parts = parts?;
         match next_part(&mut parts).await {
@@ -123,3 +135,6 @@
     });
     pieces.boxed()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comfreyhall-node/src/peer_service.rs
+++ b/crates/comfreyhall-node/src/peer_service.rs
@@ -20,6 +20,9 @@
     quotas, streams,
 };
 
+/// Longest message of another daemon, in bytes: a request that it passes on, with its body.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
 /// Answers the other daemons.
 struct PeerService(Arc<Node>);
 
@@ -84,11 +87,12 @@
 
 /// Answers the other daemons on `listener` for as long as the process runs.
 pub async fn serve_peers(node: Arc<Node>, listener: TcpListener) -> eyre::Result<()> {
+    let service = FleetServer::new(PeerService(node)).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
     tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(Duration::from_secs(1)))
         .http2_keepalive_timeout(Some(Duration::from_secs(1)))
-        .add_service(FleetServer::new(PeerService(node)))
+        .add_service(service)
         .serve_with_incoming(incoming)
         .await?;
     Ok(())
--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{ClientRequest, Route, RouteKind, Target};
-use comfreyhall_node::Node;
+use comfreyhall_node::{Node, Reply};
 use support::*;
 use tokio::net::TcpListener;
 
@@ -190,3 +190,21 @@
     let result = caller_result(pair.cut.serve(unknown).await).await;
     assert_eq!(result, CallerResult::NotRun);
 }
+
+/// Guards against an answer, or a request, that is lost on its way between daemons as it is
+/// longer than one message may be.
+#[tokio::test]
+async fn serve_passes_long_bodies_on() {
+    let text: &'static str = "x".repeat(6 << 20).leak();
+    let route = route(RouteKind::NonIdempotent, 2, false);
+    let pair = start_pair(route, Behavior::Unreachable, Behavior::Unframed(text)).await;
+    let reply = pair.cut.serve(ask("answer")).await;
+    let Reply::Complete { body, .. } = reply else {
+        panic!("the answer is passed back");
+    };
+    assert_eq!(body.len(), text.len());
+    let mut request = ask("request");
+    request.forwarded.body = text.into();
+    let result = caller_result(pair.cut.serve(request).await).await;
+    assert_eq!(result, CallerResult::Complete(200));
+}
