--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -53,6 +53,7 @@
     ChunkSizes,
     Trailers,
     Event,
+    Events,
     Report,
 }
 
@@ -75,7 +76,7 @@
             Endless::Trailers => {
                 "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx: "
             }
-            Endless::Event => {
+            Endless::Event | Endless::Events => {
                 "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-type: text/event-stream\r\n\r\nid: 1\ndata: "
             }
         }
@@ -87,6 +88,7 @@
             Endless::Chunks => format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES)).into(),
             Endless::Interim => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(PIECE_BYTES / 27),
             Endless::ChunkSizes => vec![b' '; PIECE_BYTES],
+            Endless::Events => b"x\n\ndata: ".repeat(PIECE_BYTES / 9),
             _ => vec![b'x'; PIECE_BYTES],
         }
     }
@@ -396,20 +398,42 @@
     }
 }
 
-/// Guards against an event without end, which is collected until memory is exhausted.
-#[tokio::test]
-async fn push_endless_event() {
-    let (daemon, store, _sound) = setup("event").await;
-    let bad = BadTarget::start(Endless::Event).await;
+/// A daemon with an engine that streams so.
+async fn setup_stream(test: &str, endless: Endless) -> (Daemon, BadTarget) {
+    let (daemon, store, _sound) = setup(test).await;
+    let bad = BadTarget::start(endless).await;
     let mut entry = target_entry("llm", &bad.addr, "ready");
     entry["models"] = json!([{"name": "m", "version": 1, "adapters": ["a7@1"]}]);
     store.put("servers", "bad", &entry);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let head = "GET /g/x HTTP/1.1\r\nhost: h\r\nx-request-id: r1\r\nx-model: m/a7\r\n\
-        x-token-counts: 100,20\r\nx-deadline-milliseconds: 4500\r\n\r\n";
+    (daemon, bad)
+}
+
+const STREAM_HEAD: &str = "GET /g/x HTTP/1.1\r\nhost: h\r\nx-request-id: r1\r\n\
+    x-model: m/a7\r\nx-token-counts: 100,20\r\nx-deadline-milliseconds: 4500\r\n\r\n";
+
+/// Guards against events of a stream that are kept for a caller who does not read.
+#[tokio::test]
+async fn run_caller_reads_nothing() {
+    let (daemon, bad) = setup_stream("slow", Endless::Events).await;
+    let mut callers = Vec::new();
+    for _ in 0..8 {
+        callers.push(daemon.open(STREAM_HEAD).await);
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let (peak_mb, sent_mb) = (daemon.peak_mb(), bad.sent_mb());
+    println!("slow: peak {peak_mb} MB, sent {sent_mb} MB");
+    assert!(sent_mb > 0, "a stream has begun");
+    assert!(peak_mb < 48, "{peak_mb} MB");
+}
+
+/// Guards against an event without end, which is collected until memory is exhausted.
+#[tokio::test]
+async fn push_endless_event() {
+    let (daemon, bad) = setup_stream("event", Endless::Event).await;
     let started = Instant::now();
     while bad.sent_mb() == 0 && started.elapsed() < Duration::from_secs(10) {
-        let mut stream = daemon.open(head).await;
+        let mut stream = daemon.open(STREAM_HEAD).await;
         let mut answer = Vec::new();
         let _ = stream.read_to_end(&mut answer).await;
         println!("answer: {} bytes", answer.len());
