Own daemon: an answer has no more tokens than asked for, none over 4 KB

An engine that goes on with tokens, or sends long ones, without end made the daemon collect the answer until the deadline.

Cause: check_chunk compared a chunk's index with the last one only.

A chunk beyond max_tokens or with more than 4 KB of text belongs to no answer: the run breaks off, counts against its engine and is resumed elsewhere. With at most 4,096 tokens an answer has 16 MB.

check_chunk_too_long before: such chunks were the next of the answer.

--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -24,6 +24,9 @@
 /// Times one answer may be resumed on another engine.
 const MAX_RESUMES: u32 = 8;
 
+/// Longest text of a token, in bytes.
+const MAX_TOKEN_BYTES: usize = 4 << 10;
+
 /// Delay before another attempt to resume an answer.
 const RESUME_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -56,7 +59,8 @@
     let same_answer = chunk.request_id == command.request_id
         && chunk.adapter == command.adapter
         && chunk.version == command.version;
-    if !same_answer || chunk.index > command.resume_from {
+    let too_long = chunk.text.len() > MAX_TOKEN_BYTES || chunk.index >= command.max_tokens;
+    if !same_answer || too_long || chunk.index > command.resume_from {
         ChunkCheck::Mismatch
     } else if chunk.index < command.resume_from {
         ChunkCheck::Duplicate
--- a/crates/comfreyhall-daemon/src/relay_tests.rs
+++ b/crates/comfreyhall-daemon/src/relay_tests.rs
@@ -30,6 +30,16 @@
     }
 }
 
+/// Guards against an answer without end, which is collected until memory is exhausted.
+#[test]
+fn check_chunk_too_long() {
+    let mut long = chunk("r", "v1", 3);
+    long.text = "x".repeat(MAX_TOKEN_BYTES + 1);
+    assert_eq!(check_chunk(&request(3), &long), ChunkCheck::Mismatch);
+    let tenth = chunk("r", "v1", 10);
+    assert_eq!(check_chunk(&request(10), &tenth), ChunkCheck::Mismatch);
+}
+
 #[test]
 fn check_chunk_next() {
     assert_eq!(
