Test: a stream that was passed on is in progress at the daemon that passed it on

`pass_on_if_unreached` returns the reply and drops the request with its in-flight guard, while the body goes on.

--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{ClientRequest, Route, RouteKind, Target};
-use comfreyhall_node::Node;
+use comfreyhall_node::{Node, Reply};
 use support::*;
 use tokio::net::TcpListener;
 
@@ -91,6 +91,23 @@
     assert_eq!(result, CallerResult::Stream(vec![1, 2, 3], true));
 }
 
+/// Guards against a planned stop that cuts off a stream which was passed on: the stop waits
+/// for requests in progress only.
+#[tokio::test]
+async fn serve_passed_on_stream_is_in_progress() {
+    let stream = Behavior::Stream(vec![1, 2, 3], true);
+    let route = route(RouteKind::Stream, 2, true);
+    let pair = start_pair(route, Behavior::Unreachable, stream).await;
+    for (node, what) in [(&pair.peer, "served"), (&pair.cut, "passed on")] {
+        let reply = node.serve(ask("r")).await;
+        assert!(matches!(reply, Reply::Stream { .. }));
+        assert_eq!(node.in_flight(), 1, "{what}");
+        let result = caller_result(reply).await;
+        assert_eq!(result, CallerResult::Stream(vec![1, 2, 3], true));
+        assert_eq!(node.in_flight(), 0);
+    }
+}
+
 /// Guards against requests that go back and forth while all daemons are isolated, and
 /// against callers who wait for nothing then.
 #[tokio::test]
