Emulator: a target can be a process of its own, which silences stop by signal

A stream that ran at a target and ended before its deadline with another status than a rejection counts as unanswered, as a plain request does.

--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -299,9 +299,11 @@
                 tagged_events: silence::tagged_events(seed),
             };
             let mut wire = None;
-            let host = Host::start_proxied(options, store.clone(), |addr| {
-                wire.insert(Wire::to(addr)).addr.clone()
-            });
+            let list = |addr: &str| wire.insert(Wire::to(addr)).addr.clone();
+            let host = match silence::is_process(seed, &options.name) {
+                true => Host::start_process(options, store.clone(), list, silence::PROCESS_TEST),
+                false => Host::start_proxied(options, store.clone(), list),
+            };
             targets.push((host, wire.unwrap()));
         }
         let routes = match seed >= silence::SILENCE_FROM {
@@ -633,6 +635,9 @@
                 let _ = child.wait();
             }
         }
+        for (host, _) in &self.targets {
+            host.end();
+        }
         // Keep the logs of a failed run for diagnosis.
         if !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.dir);
--- a/crates/comfreyhall/tests/soak/silence.rs
+++ b/crates/comfreyhall/tests/soak/silence.rs
@@ -27,6 +27,7 @@
         caller::{Caller, Kind, Outcome},
         config as short_config,
         host::Host,
+        process::serve_if_target,
         resume::{End, Reading, read_within},
     },
     support::Wire,
@@ -76,6 +77,14 @@
     }
 }
 
+/// The test that serves a target in a process of its own.
+pub const PROCESS_TEST: &str = "silence::serve_target_until_end";
+
+/// Whether the target `name` is a process of its own, which silences stop by signal.
+pub fn is_process(seed: u64, name: &str) -> bool {
+    seed >= SILENCE_FROM && ["e3", "s2"].contains(&name)
+}
+
 /// A configuration whose deadlines are longer than a silence. Each version has another
 /// idle limit.
 pub fn config(version: u64) -> Value {
@@ -283,8 +292,10 @@
         let ran = self.run_counts();
         for s in streams {
             let events = s.reading.events.len();
-            if s.reading.status == 0 && ran.contains_key(&s.id) && !s.is_late() {
-                out.push(format!("{}: ran, and got no answer", s.id));
+            let unanswered = !matches!(s.reading.status, 200 | 408 | 421 | 429 | 503);
+            if unanswered && ran.contains_key(&s.id) && !s.is_late() {
+                let status = s.reading.status;
+                out.push(format!("{}: ran, and its status is {status}", s.id));
             }
             if let Err(why) = s.runs() {
                 out.push(format!("{}: {why}", s.id));
@@ -413,6 +424,9 @@
     // Runs that are left behind are seen, and late ones as well.
     tokio::time::sleep(LEFT_BEHIND * 2).await;
     print_counts(&streamed, &attempts);
+    for (host, _) in &fleet.targets {
+        host.copy_runs().await;
+    }
     let mut violations = fleet.stream_violations(&streamed, &held);
     violations.extend(fleet.violations(&attempts));
     violations.extend(fleet.unanswered(&attempts));
@@ -433,6 +447,12 @@
     text.map_or(fallback, |t| t.parse().ok().expect("a number"))
 }
 
+/// Serves a target in a process that [`PROCESS_TEST`] started; does nothing in others.
+#[test]
+fn serve_target_until_end() {
+    serve_if_target();
+}
+
 /// Guards against a silent target being taken for one that has ended.
 #[test]
 fn run_seed_cuts_nothing() {
