--- a/crates/comfreyhall/tests/soak/silence.rs
+++ b/crates/comfreyhall/tests/soak/silence.rs
@@ -28,7 +28,7 @@
         config as short_config,
         host::Host,
         process::serve_if_target,
-        resume::{End, Reading, read_within},
+        resume::{End, Event, Reading, read_within},
     },
     support::Wire,
 };
@@ -451,6 +451,38 @@
     text.map_or(fallback, |t| t.parse().ok().expect("a number"))
 }
 
+/// Guards against an oracle that misses pieces of two runs joined.
+#[test]
+fn runs_joined_or_repeated() {
+    let stream = |events: &[(u64, &str)]| Streamed {
+        id: "r".into(),
+        daemon: 0,
+        sent: Instant::now(),
+        ended: Instant::now(),
+        limit: 0,
+        reading: Reading {
+            events: events
+                .iter()
+                .map(|(id, run)| Event {
+                    id: *id,
+                    software: String::new(),
+                    data: format!("r t{id} {run}"),
+                })
+                .collect(),
+            ..Reading::default()
+        },
+    };
+    let resumed = stream(&[(1, "a"), (2, "a"), (3, "b")]);
+    assert_eq!(resumed.runs(), Ok(vec!["a", "b"]));
+    for wrong in [
+        &[(1, "a"), (2, "b"), (3, "a")][..],
+        &[(1, "a"), (2, "b"), (2, "b")],
+        &[(1, "a"), (3, "a")],
+    ] {
+        assert!(stream(wrong).runs().is_err());
+    }
+}
+
 /// Serves a target in a process that [`PROCESS_TEST`] started; does nothing in others.
 #[test]
 fn serve_target_until_end() {
