A holder that starts again takes no turn with the daemon that went on

Cause: what a daemon remembers of its last commands ends with its process. A holder that stops as planned while the store is away hands its group to another daemon, but the store's row still names it; its next process took the lease back at once, before it had heard any peer, and commanded the group within a term of the last command of the one before, with the other holder's commands in between.

In a group that the process before held it sends no command until a lease term after its start, if another holder has been seen. A daemon that took a second group keeps it for a term before it leaves it to a better placed one, which may be the former holder.

The wait of a newly held group has no test.

--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -4,7 +4,7 @@
 
 use comfreyhall_domain::Name;
 use comfreyhall_protocol::News;
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 
 use super::{
     Fleet, GOSSIP_PERIOD_MS, Origin, State, roster,
@@ -114,6 +114,20 @@
     futures::future::join_all(calls).await;
 }
 
+/// Most peers that a daemon calls to learn who continues its former groups.
+const MAX_ASKED: usize = 16;
+
+/// Exchanges gossip with some peers, heard or not, as after a start.
+pub(crate) async fn hear_peers(node: &Arc<Node>) {
+    let addrs: Vec<Name> = {
+        let state = node.fleet.state();
+        let known = state.peers.keys().cloned();
+        known.choose_multiple(&mut rand::rng(), MAX_ASKED)
+    };
+    let calls = addrs.into_iter().map(|a| exchange_gossip(node.clone(), a));
+    futures::future::join_all(calls).await;
+}
+
 /// Calls the peers that must learn at once of a request that ends targets:
 /// everyone in a small fleet; in a large one the lease holders, who pass it on
 /// with their next answers.
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -29,7 +29,7 @@
 mod versions;
 
 pub(crate) use self::{
-    exchange::{announce_lease, answer, notify_all, notify_findings, spawn},
+    exchange::{announce_lease, answer, hear_peers, notify_all, notify_findings, spawn},
     fetch::{ChunkStream, send_settings},
     runs::Run,
     state::LoadTiming,
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -18,6 +18,7 @@
 use tokio::time::error::Elapsed;
 
 pub(crate) use self::groups::groups;
+use self::state::Former;
 use crate::{clock, fleet, node::Node};
 
 /// Renewals or checks within one lease term.
@@ -48,6 +49,19 @@
             () = node.life.wait_for_stage(comfreyhall_life::Stage::Leaving) => {}
         }
         let former = former_leases(&node, &rows).await;
+        let reclaimed = match &former {
+            Former::Groups(groups) => groups.clone(),
+            Former::Unknown => Set::default(),
+        };
+        if !node.settings().first_start {
+            node.leases.note_former(node.started_ms(), former);
+        }
+        if !reclaimed.is_empty() {
+            // Another daemon may continue a group that the store still has as this one's.
+            let limit = Duration::from_millis(node.settings().bounds.lease_ms);
+            let heard = fleet::hear_peers(&node);
+            let _ = tokio::time::timeout(limit / STEP_TIMEOUT_DIVISOR, heard).await;
+        }
         loop {
             let term = Duration::from_millis(node.settings().bounds.lease_ms);
             if node.draining() {
@@ -75,7 +89,8 @@
                         let id = node.settings().id.clone();
                         let lease = Arc::new(Lease::new(rows.clone(), &group, id, term));
                         node.leases.add(&group, lease.clone());
-                        if former.contains(&*group) {
+                        let continued = node.fleet.holder(&group, node.now()).is_some();
+                        if reclaimed.contains(&*group) && !continued {
                             reclaim(&node, &group, &lease, term).await;
                         }
                         run_step(&node, &group, &lease, term).await;
@@ -101,25 +116,26 @@
 }
 
 /// Leases that this instance held before its restart.
-async fn former_leases<R: Rows>(node: &Node, rows: &R) -> Set<String> {
+async fn former_leases<R: Rows>(node: &Node, rows: &R) -> Former {
     let settings = node.settings();
     if settings.first_start {
-        return Set::default();
+        return Former::Groups(Set::default());
     }
     let limit = Duration::from_millis(settings.bounds.lease_ms) / STEP_TIMEOUT_DIVISOR;
     let why =
         match tokio::time::timeout(limit, comfreyhall_lease::leases_held_by(rows, &settings.id))
             .await
         {
-            Ok(Ok(names)) => return names.into_iter().collect(),
+            Ok(Ok(names)) => return Former::Groups(names.into_iter().collect()),
             Ok(Err(e)) => e.to_string(),
             Err(_) => "no answer in time".to_string(),
         };
     log::warn!(target: "leases", why; "leases of the previous start not read; they can be acquired after a term");
-    Set::default()
+    Former::Unknown
 }
 
-/// Acquires the lease at once, as this instance held it before its restart.
+/// Acquires the lease at once, as this instance held it before its restart and no other
+/// daemon is known to continue the group.
 async fn reclaim<R: Rows>(node: &Arc<Node>, group: &Name, lease: &Lease<R>, term: Duration) {
     let call = tokio::time::timeout(term / STEP_TIMEOUT_DIVISOR, lease.reclaim(clock::instant));
     record_step(node, group, None, lease, call.await);
@@ -129,13 +145,17 @@
 ///
 /// Without it, a daemon that acquires a second group while no daemon of that
 /// domain is ready keeps it: it is responsible for twice as many engines, and
-/// its loads waited twice as long for the weight store.
+/// its loads waited twice as long for the weight store. It keeps the group for a term:
+/// the better placed one may be the former holder, which has just started again.
 fn yields_group(node: &Node, group: &Name) -> bool {
     let fencing = node.settings().bounds.fencing;
     let now = node.now();
     let kept_ms = HANDOVER_TERMS * node.settings().bounds.lease_ms;
     node.token(group).is_some()
         && !node.leases.took_over(group, kept_ms, now)
+        && !node
+            .leases
+            .is_newly_held(group, node.settings().bounds.lease_ms, now)
         && node.leases.held(fencing).len() > 1
         && node
             .fleet
@@ -227,6 +247,7 @@
         Err(_) => log::warn!(target: "leases", group:% = group; "lease step unanswered"),
     }
     let after = lease.token(clock::instant());
+    node.leases.note_held(group, after.is_some(), node.now());
     if before != after {
         node.metrics.lease_change(after.is_some());
         let era = node.view().records.settings.version.era();
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -1,12 +1,12 @@
 //! The leases that this daemon knows.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, OnceLock},
     time::Instant,
 };
 
 use comfreyhall_catalog::Rows;
-use comfreyhall_domain::{Map, Name};
+use comfreyhall_domain::{Map, Name, Set};
 use comfreyhall_lease::Lease;
 use tokio::sync::Notify;
 
@@ -49,6 +49,25 @@
     handed_over: bool,
 }
 
+/// The groups that the process before this one of the instance commanded.
+#[derive(Debug)]
+pub(crate) enum Former {
+    /// These, by the store.
+    Groups(Set<String>),
+    /// The store did not answer.
+    Unknown,
+}
+
+impl Former {
+    /// Whether it may have commanded `group`.
+    pub(super) fn contains(&self, group: &str) -> bool {
+        match self {
+            Former::Groups(groups) => groups.contains(group),
+            Former::Unknown => true,
+        }
+    }
+}
+
 /// Leases known to this daemon.
 #[derive(Default)]
 pub(crate) struct Leases {
@@ -63,6 +82,10 @@
     /// Handovers to other daemons, by group: the token, and when it was first heard of.
     ceded: Mutex<Map<Name, (u64, u64)>>,
     last_commands: Mutex<Map<Name, LastCommand>>,
+    /// When this process started, and the groups that the one before it commanded.
+    former: OnceLock<(u64, Former)>,
+    /// Since when this daemon has held each lease.
+    held_since_ms: Mutex<Map<Name, u64>>,
     /// Wakes the lease task when an engine is lost.
     engine_lost: Notify,
 }
@@ -136,6 +159,29 @@
         last.expect("no holder of this lock panics")
     }
 
+    /// Records that this process started at `at`, and what the one before commanded.
+    pub(crate) fn note_former(&self, at: u64, former: Former) {
+        self.former.get_or_init(|| (at, former));
+    }
+
+    /// Records whether this daemon holds the lease of `group`.
+    pub(super) fn note_held(&self, group: &Name, held: bool, now: u64) {
+        let held_since = self.held_since_ms.lock();
+        let mut held_since = held_since.expect("no holder of this lock panics");
+        match held {
+            true => _ = held_since.entry(group.clone()).or_insert(now),
+            false => _ = held_since.remove(group),
+        }
+    }
+
+    /// Whether this daemon has held the lease of `group` for less than `for_ms`.
+    pub(super) fn is_newly_held(&self, group: &str, for_ms: u64, now: u64) -> bool {
+        let held_since = self.held_since_ms.lock();
+        let held_since = held_since.expect("no holder of this lock panics");
+        let since = held_since.get(group);
+        since.is_some_and(|at| now.saturating_sub(*at) < for_ms)
+    }
+
     /// Records that a command is sent in `group` under `token`.
     pub(crate) fn record_command(&self, group: &str, token: u64, now: u64) {
         let command = LastCommand {
@@ -151,10 +197,13 @@
     /// If another holder has commanded the group since its own last command, a lease term
     /// `term_ms` passes first: two daemons that take turns look like two holders at once.
     pub(crate) fn command_pause_ms(&self, group: &str, token: u64, term_ms: u64, now: u64) -> u64 {
+        let highest_seen = self.highest_seen(group);
         let Some(last) = self.last_commands().get(group).copied() else {
-            return 0;
+            // The process before may have commanded the group until this one started.
+            let former = self.former.get().filter(|(_, f)| f.contains(group));
+            let former = former.filter(|_| highest_seen > 0);
+            return former.map_or(0, |(at, _)| (at + term_ms).saturating_sub(now));
         };
-        let highest_seen = self.highest_seen(group);
         let other_since = last.handed_over || highest_seen > last.token;
         match last.token != token && other_since {
             true => (last.sent_ms + term_ms).saturating_sub(now),
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -1,9 +1,9 @@
 use std::{sync::Arc, time::Instant};
 
-use comfreyhall_domain::AdapterRef;
+use comfreyhall_domain::{AdapterRef, Set};
 
 use crate::{
-    leases::state::{HeldLease, Leases},
+    leases::state::{Former, HeldLease, Leases},
     view::View,
 };
 
@@ -114,6 +114,29 @@
     assert_eq!(next.command_pause_ms("g", 2_000, term_ms, 200), 0);
 }
 
+/// Guards against a holder that starts again, does not know that it has just commanded a
+/// group, and takes turns with the daemon that went on for it.
+#[test]
+fn command_pause_ms_restarted_holder() {
+    let term_ms = 3_000;
+    let restarted = leases(Some(3), Some(3));
+    let groups = ["g".to_string()].into_iter().collect();
+    restarted.note_former(1_000, Former::Groups(groups));
+    let token = restarted.token("g", true).unwrap();
+    // Nobody else has commanded the group.
+    assert_eq!(restarted.command_pause_ms("g", token, term_ms, 1_100), 0);
+    restarted.observe_token("g", token - 999);
+    assert_eq!(
+        restarted.command_pause_ms("g", token, term_ms, 1_100),
+        2_900
+    );
+    assert_eq!(restarted.command_pause_ms("g", token, term_ms, 4_000), 0);
+    let first = leases(Some(3), Some(3));
+    first.note_former(1_000, Former::Groups(Set::default()));
+    first.observe_token("g", token - 999);
+    assert_eq!(first.command_pause_ms("g", token, term_ms, 1_100), 0);
+}
+
 /// Guards against callers of all five domains that queue at the engines of one
 /// domain while their own idle: a newly hot adapter has few engines, and
 /// daemons know the queues only as of a second ago.
--- a/crates/comfreyhall-node/tests/cuts.rs
+++ b/crates/comfreyhall-node/tests/cuts.rs
@@ -9,7 +9,7 @@
 };
 
 use comfreyhall_domain::{AdapterRef, ClientRequest, LoadedModel, Name, RouteKind, Set, Target};
-use comfreyhall_fakes::FakeTable;
+use comfreyhall_fakes::{CallOutcome, FakeTable};
 use comfreyhall_node::{Node, ports::*};
 use futures::{FutureExt, future::BoxFuture};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -206,6 +206,12 @@
     nodes: Vec<Arc<Node>>,
     paths: Vec<Arc<Paths>>,
     engines: Engines,
+    source: Arc<ScriptedSource>,
+    /// The rows of all daemons, and each one's calls for them.
+    table: FakeTable,
+    tables: Vec<FakeTable>,
+    /// The daemons' addresses for peers.
+    seeds: Vec<String>,
 }
 
 async fn start_fleet() -> Fleet {
@@ -235,34 +241,68 @@
         .iter()
         .map(|l| l.local_addr().unwrap().to_string());
     let seeds: Vec<String> = addrs.collect();
-    let (mut nodes, mut paths) = (Vec::new(), Vec::new());
+    let mut fleet = Fleet {
+        nodes: Vec::new(),
+        paths: Vec::new(),
+        engines,
+        source,
+        table,
+        tables: Vec::new(),
+        seeds,
+    };
     for (i, listener) in listeners.into_iter().enumerate() {
+        fleet.start_daemon(&format!("n{i}"), listener);
+    }
+    for node in &fleet.nodes {
+        while node.addresses().0.len() < DAEMONS {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    fleet
+}
+
+impl Fleet {
+    /// Starts the daemon `id`, which answers peers on `listener`.
+    fn start_daemon(&mut self, id: &str, listener: TcpListener) {
         let own = Arc::new(Paths {
-            engines: engines.clone(),
+            engines: self.engines.clone(),
             scripted: ScriptedBackend::default(),
             cuts: Mutex::default(),
         });
         *own.scripted.default_behavior.lock().unwrap() = Some(Behavior::Stream(vec![1], true));
-        let settings = settings_of(&format!("n{i}"), &seeds[i], &seeds, 0.25);
-        let node = Node::new(settings, source.clone(), own.clone());
+        let addr = listener.local_addr().unwrap().to_string();
+        let settings = settings_of(id, &addr, &self.seeds, 0.25);
+        let node = Node::new(settings, self.source.clone(), own.clone());
+        let table = self.table.client();
         comfreyhall_node::spawn(&node, table.clone());
         tokio::spawn(comfreyhall_node::serve_peers(node.clone(), listener));
-        nodes.push(node);
-        paths.push(own);
+        self.nodes.push(node);
+        self.paths.push(own);
+        self.tables.push(table);
     }
-    for node in &nodes {
-        while node.addresses().0.len() < DAEMONS {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+
+    /// Times at which holders took turns, over all engines.
+    fn turns(&self) -> usize {
+        let engines = self.engines.values();
+        engines.map(|e| e.lock().unwrap().turns()).sum()
     }
-    Fleet {
-        nodes,
-        paths,
-        engines,
+
+    /// Has all daemons but the one at `except` serve new adapters for this long.
+    async fn serve_new(&self, except: Option<usize>, name: &str, time: Duration) {
+        let began = Instant::now();
+        for i in 0.. {
+            let daemons = (0..self.nodes.len()).filter(|d| Some(*d) != except);
+            let sends = daemons.map(|d| {
+                let id = format!("{name}{i}-{d}");
+                self.serve(d, id.clone(), id)
+            });
+            let _ = tokio::time::timeout(time, futures::future::join_all(sends)).await;
+            if began.elapsed() >= time {
+                return;
+            }
+        }
     }
-}
 
-impl Fleet {
     async fn serve(&self, daemon: usize, id: String, adapter: String) -> bool {
         let request = ClientRequest {
             adapter: Some(AdapterRef {
@@ -344,15 +384,45 @@
             assert!(healed.elapsed() < HEALED_WITHIN, "daemon {daemon}");
         }
     }
-    let turns: usize = fleet
-        .engines
-        .values()
-        .map(|e| e.lock().unwrap().turns())
-        .sum();
-    assert_eq!(turns, 0, "holders took turns");
+    assert_eq!(fleet.turns(), 0, "holders took turns");
     let overfilled = |e: &Mutex<Engine>| e.lock().unwrap().overfilled;
     let overfilled: Vec<usize> = fleet.engines.values().map(overfilled).collect();
     assert_eq!(overfilled, [0; ENGINES]);
     let commands = fleet.engines.values().map(|e| e.lock().unwrap().sequence);
     assert!(commands.sum::<u64>() > 100);
 }
+
+/// Time in which a daemon that stops ends, and its successor begins to command the group.
+const STOP_TIME: Duration = Duration::from_millis(500);
+
+/// Calls that the store refuses to a daemon that stops.
+const REFUSED_CALLS: usize = 100;
+
+/// Guards against a holder that hands its group on when it stops, as the store is away,
+/// starts again and takes the group back within a lease term of its last command: it has
+/// forgotten that command.
+#[tokio::test]
+async fn serve_restarted_holder_takes_no_turn() {
+    let mut fleet = start_fleet().await;
+    fleet.serve_new(None, "first", STOP_TIME).await;
+    let holder = loop {
+        match fleet.holder() {
+            Some(holder) => break holder,
+            None => fleet.serve_new(None, "next", STOP_TIME).await,
+        }
+    };
+    let ids = fleet.nodes.iter().map(|n| n.settings().id.clone());
+    let stopping = ids.into_iter().position(|id| *id == *holder).unwrap();
+    let refused = std::iter::repeat_n(CallOutcome::Unsent, REFUSED_CALLS);
+    fleet.tables[stopping].script(refused);
+    let node = fleet.nodes[stopping].clone();
+    tokio::spawn(async move { comfreyhall_node::drain(&node, || {}).await });
+    fleet.serve_new(Some(stopping), "beside", STOP_TIME).await;
+    let successor = fleet.holder();
+    assert!(successor.is_some_and(|s| s != holder), "nobody went on");
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    fleet.start_daemon(&holder, listener);
+    let time = LEASE_TERM - STOP_TIME;
+    fleet.serve_new(Some(stopping), "again", time).await;
+    assert_eq!(fleet.turns(), 0, "holders took turns");
+}
