--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use comfreyhall_catalog::Rows;
 use comfreyhall_domain::{ClientRequest, Name, PromptSegment, RouteKind};
 use comfreyhall_fakes::FakeTable;
 use comfreyhall_node::Node;
@@ -378,3 +379,35 @@
     }
     assert_eq!(counted(&node, r#"quarantine_total{change="suspect""#), 0);
 }
+
+/// Rows of stored evidence in `table`.
+async fn evidence_rows(table: &FakeTable) -> usize {
+    table.scan("quarantine/", "", 0).await.unwrap().len()
+}
+
+/// Waits until the table has rows of evidence.
+async fn until_stored(table: &FakeTable) {
+    while evidence_rows(table).await == 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against evidence that the store has lost with its last seconds: after it came back
+/// from a copy a daemon that starts would send what has ended three targets.
+#[tokio::test]
+async fn start_on_copy_knows_evidence() {
+    let table = FakeTable::default();
+    table.restore(&table.copy());
+    let copy = table.copy();
+    let (node, script, _) = daemon_on(RouteKind::Idempotent, 2, table.client()).await;
+    always(&script, Behavior::Exit);
+    until_held(&node, &script).await;
+    until_stored(&table).await;
+    table.restore(&copy);
+    assert_eq!(evidence_rows(&table).await, 0);
+    until_stored(&table).await;
+    let (started, script, _) = daemon_on(RouteKind::Idempotent, 2, table.client()).await;
+    let outcome = serve(&started, deadly("again")).await;
+    assert_eq!(outcome, CallerResult::Quarantined(false));
+    assert!(script.sent.lock().unwrap().is_empty());
+}
