What the store has lost is fetched from a peer that keeps other rows, not more

Cause: gossip bore the number of rows of which a daemon has newer content than the store after it came back from a copy, and a daemon asked a peer only if that one kept more.

Change: gossip bears a digest of these rows in the same field; a daemon fetches if the peer's differs from its own, each digest once in an era, and at most every 500 ms. The comment in the generated code is changed by hand.

Fetches in large fleets were not counted.

--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -114,7 +114,7 @@
         let targets_complete = targets.complete_to.to_wire();
         let settings_age = view.records.settings_sync.age_ms(now);
         let settings_version = view.records.settings_sync.newest().to_wire();
-        let kept = view.records.kept() as u32;
+        let kept = view.records.kept_digest();
         // A daemon that has known of newer settings for one part of their bound
         // without having them counts as cut off; the other parts are left for a
         // peer to learn of it and to send them. Otherwise, when the store goes
--- a/crates/comfreyhall-node/src/fleet/kept.rs
+++ b/crates/comfreyhall-node/src/fleet/kept.rs
@@ -20,44 +20,65 @@
     rows::{KeptRows, Provenance},
 };
 
+/// Least time between the beginnings of two fetches, in ms: what daemons keep changes with
+/// each row that is written again.
+const MIN_PAUSE_MS: u64 = 500;
+
 /// Fetches of what the store has lost, one at a time.
 #[derive(Debug, Default)]
 pub(super) struct KeptFetch {
-    /// The era of the store and the number of rows, in progress.
+    /// The era of the store and the digest of the rows, in progress.
     running: Option<(u32, u32)>,
-    /// The same, completed. What was received once is not fetched again, even if this
-    /// daemon had no use for some rows.
-    done: (u32, u32),
+    /// The era and the digests of completed ones. What was received once is not fetched
+    /// again, even if this daemon had no use for some rows.
+    done: (u32, Vec<u32>),
+    /// When the next one may begin.
+    next_ms: u64,
 }
 
 impl KeptFetch {
-    /// Whether a fetch of `kept` rows begins now.
-    fn begin(&mut self, era: u32, kept: u32) -> bool {
-        if self.running.is_some() || self.done >= (era, kept) {
+    /// Whether a fetch of the rows with the digest `kept` begins at `now`.
+    fn begin(&mut self, era: u32, kept: u32, now: u64) -> bool {
+        let (done_era, done) = &self.done;
+        let is_done = *done_era > era || (*done_era == era && done.contains(&kept));
+        if self.running.is_some() || is_done || now < self.next_ms {
             return false;
         }
         self.running = Some((era, kept));
+        self.next_ms = now + MIN_PAUSE_MS;
         true
     }
 
+    /// Whether a fetch is in progress.
+    #[cfg(test)]
+    pub(super) fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
     fn end(&mut self, completed: bool) {
-        if let Some(running) = self.running.take().filter(|_| completed) {
-            self.done = running;
+        let Some((era, kept)) = self.running.take().filter(|_| completed) else {
+            return;
+        };
+        if self.done.0 < era {
+            self.done = (era, Vec::new());
         }
+        self.done.1.push(kept);
     }
 }
 
-/// Has what the store has lost fetched from the daemon at `addr`, which knows `kept` such
-/// rows, if this one knows fewer.
+/// Has what the store has lost fetched from the daemon at `addr`, whose rows of that kind
+/// have the digest `kept`, if this one knows others or none.
 ///
-/// It may have started after the store came back from a copy, and know only the copy.
+/// This one may have started after the store came back from a copy, or have missed a change
+/// before that.
 pub(super) fn request(node: &Arc<Node>, addr: &str, kept: u32) {
     let (own, era) = {
         let view = node.view();
         let era = view.records.settings.version.era();
-        (view.records.kept(), era)
+        (view.records.kept_digest(), era)
     };
-    if kept as usize <= own || !node.fleet.state().kept_fetch.begin(era, kept) {
+    let now = node.now();
+    if kept == 0 || kept == own || !node.fleet.state().kept_fetch.begin(era, kept, now) {
         return;
     }
     let (node, addr) = (node.clone(), addr.to_string());
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -1,5 +1,6 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use comfreyhall_domain::Revision;
 use comfreyhall_protocol::{Daemon, EngineRun, Holding, News};
 
 use super::rows::{ReportedVersions, add_rows};
@@ -381,3 +382,51 @@
     assert!(!view.records.targets.is_newer_proof(1_100));
     assert!(view.records.targets.is_newer_proof(1_250));
 }
+
+/// A daemon that knew `rows` of the targets' and settings' topics before the store came
+/// back from a copy, which has `copy` in their place.
+fn restored_node(
+    rows: &[(Topic, &str, &'static str)],
+    copy: &[(Topic, &str, &'static str)],
+) -> Arc<Node> {
+    let node = node();
+    let eras = [(1, 300, rows), (2, 200, copy)];
+    for (era, number, rows) in eras {
+        for (i, (topic, key, value)) in rows.iter().enumerate() {
+            let version = Revision::new(era, number + i as u64);
+            let record = Record {
+                key: (*key).into(),
+                value: Some(value.as_bytes().into()),
+                version,
+            };
+            let batch = RecordBatch {
+                rows: vec![record],
+                version,
+            };
+            records::apply(&node, *topic, batch, &Provenance::store(node.now()));
+        }
+    }
+    node
+}
+
+/// Guards against a daemon that never learns what the store has lost, as a peer keeps other
+/// rows, but no more than it does itself.
+#[tokio::test]
+async fn apply_gossip_fetches_other_kept_rows() {
+    let (settings, targets) = (Topic::Settings, Topic::Targets);
+    let versions = [(settings, "adapter/a", "3")];
+    let own = restored_node(&versions, &[(settings, "adapter/a", "2")]);
+    let leaving = [(targets, "t", "5 draining")];
+    let peer = restored_node(&leaving, &[(targets, "t", "5 ready")]);
+    let hear = |node: &Arc<Node>, from: &Arc<Node>| {
+        let gossip = News {
+            from: Some(daemon(100)),
+            ..from.fleet.own_gossip(from, from.now())
+        };
+        node.fleet.apply_gossip(node, gossip, super::Origin::Answer);
+        node.fleet.state().kept_fetch.is_running()
+    };
+    let equal = restored_node(&versions, &[(settings, "adapter/a", "2")]);
+    assert!(!hear(&equal, &own), "it knows the same");
+    assert!(hear(&own, &peer));
+}
--- a/crates/comfreyhall-node/src/rows.rs
+++ b/crates/comfreyhall-node/src/rows.rs
@@ -1,5 +1,7 @@
 //! The rows of the platform's store that this daemon knows.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use comfreyhall_domain::{Map, Name, Revision, Set};
 use comfreyhall_inforce::{SettingsTracker, Source};
 
@@ -70,6 +72,12 @@
     pub(crate) leaving: Vec<Name>,
 }
 
+fn digest(value: &impl Hash) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish() as u32
+}
+
 /// The rows of all topics.
 #[derive(Debug, Default)]
 pub(crate) struct RecordStore {
@@ -81,10 +89,28 @@
 
 impl RecordStore {
     /// Number of rows with newer content than the store has.
+    #[cfg(test)]
     pub(crate) fn kept(&self) -> usize {
         self.settings.kept.len() + self.targets.kept.len()
     }
 
+    /// Digest of the rows with newer content than the store has; 0 if there are none.
+    ///
+    /// Two daemons may keep as many rows and not the same ones.
+    pub(crate) fn kept_digest(&self) -> u32 {
+        let settings = self.settings.kept.iter().map(|key| {
+            let row = self.settings.rows.get(key);
+            digest(&(key, row.map(|r| r.version.to_wire())))
+        });
+        // A target's row may have been written again without what is kept of it.
+        let targets = self
+            .targets
+            .kept
+            .iter()
+            .map(|key| digest(&(key, "leaving")));
+        settings.chain(targets).fold(0, |all, one| all ^ one)
+    }
+
     pub(crate) fn topic_rows(&mut self, topic: Topic) -> &mut TopicRows {
         match topic {
             Topic::Settings => &mut self.settings,
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -788,8 +788,8 @@
     /// Version up to which the sender lacks no relevant change of targets.
     #[prost(uint64, tag = "37")]
     pub targets_complete: u64,
-    /// Rows of which the sender has newer content than the store, which came back from a
-    /// copy.
+    /// Digest of the rows of which the sender has newer content than the store, which came
+    /// back from a copy; 0 for none.
     #[prost(uint32, tag = "38")]
     pub kept: u32,
 }
