--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -787,6 +787,7 @@
     }
     let mut violations = fleet.violations(&attempts);
     violations.extend(late);
+    violations.extend(fleet.holder_problems());
     violations.extend(fleet.late_segments());
     for (host, _) in &fleet.targets {
         if host.overfilled() > 0 {
--- a/crates/comfreyhall/tests/soak/copies.rs
+++ b/crates/comfreyhall/tests/soak/copies.rs
@@ -12,13 +12,16 @@
     emulator::{
         Rows,
         caller::{Caller, PathOutcome},
-        config, safe_route,
+        commands, config, safe_route,
     },
 };
 
 /// Longest age of a copy.
 const MAX_AGE: Duration = Duration::from_secs(4);
 
+/// Lease term of the daemons.
+const LEASE_TERM: Duration = Duration::from_millis(3_000);
+
 /// Time in which a change is in force.
 const BOUND: Duration = Duration::from_secs(2);
 
@@ -55,6 +58,16 @@
         }
     }
 
+    /// What lease holders did to the engines that two holders at once do.
+    pub fn holder_problems(&self) -> Vec<String> {
+        let boots = self.targets.iter().flat_map(|(host, _)| host.boots());
+        let boots: Vec<_> = boots.collect();
+        let logs: Vec<_> = boots.iter().map(|b| b.commands.lock().unwrap()).collect();
+        let commands: usize = logs.iter().map(|l| l.len()).sum();
+        println!("{commands} commands to engines");
+        commands::holder_problems(logs.iter().map(|l| &**l), LEASE_TERM)
+    }
+
     /// Adds a route; says which daemons do not serve it in time.
     pub async fn late_daemons(&mut self) -> Vec<String> {
         self.version += 3;
