--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -165,7 +165,7 @@
     }
 
     /// Records whether this daemon holds the lease of `group`.
-    pub(super) fn note_held(&self, group: &Name, held: bool, now: u64) {
+    pub(crate) fn note_held(&self, group: &Name, held: bool, now: u64) {
         let held_since = self.held_since_ms.lock();
         let mut held_since = held_since.expect("no holder of this lock panics");
         match held {
@@ -175,7 +175,7 @@
     }
 
     /// Whether this daemon has held the lease of `group` for less than `for_ms`.
-    pub(super) fn is_newly_held(&self, group: &str, for_ms: u64, now: u64) -> bool {
+    pub(crate) fn is_newly_held(&self, group: &str, for_ms: u64, now: u64) -> bool {
         let held_since = self.held_since_ms.lock();
         let held_since = held_since.expect("no holder of this lock panics");
         let since = held_since.get(group);
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -137,6 +137,22 @@
     assert_eq!(first.command_pause_ms("g", token, term_ms, 1_100), 0);
 }
 
+/// Guards against a group that is left to its former holder, which has just started again,
+/// within a lease term of that one's last command.
+#[test]
+fn is_newly_held_for_term() {
+    let term_ms = 3_000;
+    let (leases, group) = (Leases::default(), "g".into());
+    leases.note_held(&group, true, 1_000);
+    // A renewal is no new start.
+    leases.note_held(&group, true, 2_000);
+    assert!(leases.is_newly_held("g", term_ms, 3_900));
+    assert!(!leases.is_newly_held("g", term_ms, 4_000));
+    leases.note_held(&group, false, 5_000);
+    leases.note_held(&group, true, 6_000);
+    assert!(leases.is_newly_held("g", term_ms, 8_900));
+}
+
 /// Guards against callers of all five domains that queue at the engines of one
 /// domain while their own idle: a newly hot adapter has few engines, and
 /// daemons know the queues only as of a second ago.
