--- a/crates/comfreyhall-node/src/fleet/kept.rs
+++ b/crates/comfreyhall-node/src/fleet/kept.rs
@@ -20,17 +20,19 @@
     rows::{KeptRows, Provenance},
 };
 
-/// Has what the store has lost fetched from the daemon at `addr`, which knows `kept` such
-/// rows, if this one knows fewer.
+/// Has what the store has lost fetched from the daemon at `addr`, whose rows of that kind
+/// have the digest `kept`, if this one knows others or none.
 ///
-/// It may have started after the store came back from a copy, and know only the copy.
+/// This one may have started after the store came back from a copy, or have missed a change
+/// before that.
 pub(super) fn request(node: &Arc<Node>, addr: &str, kept: u32) {
     let (own, era) = {
         let view = node.view();
         let era = view.records.settings.version.era();
-        (view.records.kept(), era)
+        (view.records.kept_digest(), era)
     };
-    if kept as usize <= own || !node.fleet.state().kept_fetch.begin(era, kept) {
+    let now = node.now();
+    if kept == 0 || kept == own || !node.fleet.state().kept_fetch.begin(era, kept, now) {
         return;
     }
     let (node, addr) = (node.clone(), addr.to_string());
