A silent answer ends once its target is proven to have ended

A stream or a late answer of a target that is listed no more, and that no probe finds, waited for its caller's deadline. While an answer is silent it is looked at each 500 ms whether its target is listed; if not, a probe that does not find it ends the answer as target_ended.

--- a/crates/comfreyhall-node/src/active_send.rs
+++ b/crates/comfreyhall-node/src/active_send.rs
@@ -10,6 +10,7 @@
     fleet::{Run, RunChange, RunUpdate, updates::StreamReport},
     node::Node,
     paces::{self, Prompt},
+    quarantine,
 };
 
 /// Time after its first event during which a run counts as just begun, in ms: a
@@ -103,6 +104,8 @@
 pub(crate) struct ActiveSend {
     node: Arc<Node>,
     pub(crate) target: Name,
+    /// The target as it was known when the send began; it may not be listed any more.
+    known: Arc<Target>,
     /// The run that the lease holder is notified of, if the target is an engine.
     run_handle: Option<RunHandle>,
     /// Prompt tokens still counted as backlog.
@@ -119,7 +122,7 @@
     /// run, if the target is an engine.
     pub(crate) fn begin(
         node: &Arc<Node>,
-        target: &Target,
+        target: &Arc<Target>,
         adapter: Option<AdapterRef>,
         tokens: u64,
         run_handle: Option<RunHandle>,
@@ -145,6 +148,7 @@
         Self {
             node: node.clone(),
             target: target.id.clone(),
+            known: target.clone(),
             run_handle,
             unread_tokens: tokens,
             backlog: ahead,
@@ -194,6 +198,11 @@
         !self.first_event_ms.is_some_and(answered)
     }
 
+    /// Whether its target, which is silent, is proven to have ended.
+    pub(crate) async fn is_target_ended(&self) -> bool {
+        quarantine::is_proven_ended(&self.node, &self.known).await
+    }
+
     /// Ms since the send.
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.node.now().saturating_sub(self.began_ms)
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -9,7 +9,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_domain::Name;
+use comfreyhall_domain::{Name, Target};
 use comfreyhall_quarantine::{EndCheck, Feature, Finding, Status};
 
 use super::{Node, QuarantineTracker, is_staying, is_unresolved, reach, resolve, status, time};
@@ -78,6 +78,18 @@
     }
 }
 
+/// Whether `target`, which is silent, is proven to have ended: it is listed no more, has
+/// not announced that it drains, and a probe does not find it.
+pub(crate) async fn is_proven_ended(node: &Arc<Node>, target: &Arc<Target>) -> bool {
+    if node.view().targets.contains_key(&target.id) {
+        return false;
+    }
+    if outbound::unavailable(node, &target.id).is_some() {
+        return false;
+    }
+    outbound::probe(node, target).await != ProbeResult::Alive
+}
+
 impl QuarantineTracker {
     /// Waits for a limited time until it is known whether targets that closed
     /// connections of runs with doubtful ones of `features` have ended, as the next
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -29,7 +29,10 @@
 };
 
 use self::state::ClosedRun;
-pub(crate) use self::{confirm::has_ended, state::QuarantineTracker};
+pub(crate) use self::{
+    confirm::{has_ended, is_proven_ended},
+    state::QuarantineTracker,
+};
 use crate::{node::Node, outbound};
 
 /// How long a target that was found to have ended is recorded, in ms: the
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -22,6 +22,17 @@
     source::{EventSource, Item, StreamStart},
 };
 
+/// Pause between checks whether a silent target has ended.
+pub(crate) const END_CHECK_PERIOD: Duration = Duration::from_millis(500);
+
+/// The end of an answer whose target is proven to have ended.
+pub(crate) fn target_ended() -> BodyError {
+    BodyError {
+        reason: "the target has ended".to_string(),
+        cause: EndCause::TargetEnded,
+    }
+}
+
 /// A stream from one target after another.
 pub(crate) struct Relay {
     source: EventSource,
@@ -126,7 +137,15 @@
                     tokio::time::sleep(limit).await;
                     return Progress::Going;
                 }
+                let is_silent = self.merge.is_silent(now);
+                let limit = match is_silent {
+                    true => limit.min(END_CHECK_PERIOD),
+                    false => limit,
+                };
                 let Ok(item) = tokio::time::timeout(limit, self.source.next()).await else {
+                    if is_silent && self.send.is_target_ended().await {
+                        self.break_off(request, &target_ended());
+                    }
                     return Progress::Going;
                 };
                 match item {
@@ -250,11 +269,7 @@
         }
         match quarantine::has_ended(&request.node, &self.send.target).await {
             Some(true) => {
-                let error = BodyError {
-                    reason: "the target ended with its stream".to_string(),
-                    cause: EndCause::TargetEnded,
-                };
-                self.break_off(request, &error);
+                self.break_off(request, &target_ended());
                 Progress::Going
             }
             known => Progress::Complete {
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -16,7 +16,10 @@
     renew::Renewal,
     send::FAILED_WEIGHT,
 };
-use crate::active_send::ActiveSend;
+use crate::{
+    active_send::ActiveSend,
+    relay::{END_CHECK_PERIOD, target_ended},
+};
 
 /// Times that another target is sought beside a silent one.
 const MAX_SEEKS: u32 = 3;
@@ -36,6 +39,19 @@
     Other(Elsewhere),
 }
 
+/// Awaits the outcome of `exchange`, whose target is silent, or the proof that it has ended.
+async fn outcome_or_end(exchange: &mut Exchange) -> Exchanged {
+    loop {
+        match tokio::time::timeout(END_CHECK_PERIOD, exchange.outcome()).await {
+            Ok(outcome) => return outcome,
+            Err(_) if exchange.send.is_target_ended().await => {
+                return Exchanged::Broken(target_ended());
+            }
+            Err(_) => {}
+        }
+    }
+}
+
 impl ActiveRequest {
     /// Awaits the outcome of `first`, or of a send to another target if `first` is silent
     /// and the other one answers before it.
@@ -63,7 +79,7 @@
                 return (first, outcome);
             }
         }
-        let outcome = first.outcome().await;
+        let outcome = outcome_or_end(&mut first).await;
         (first, outcome)
     }
 
--- a/crates/comfreyhall-relay/src/merge.rs
+++ b/crates/comfreyhall-relay/src/merge.rs
@@ -72,6 +72,8 @@
     switches: u32,
     policy: SeekPolicy,
     silent_after_ms: u64,
+    /// When the last event came.
+    heard_ms: u64,
     /// When another answer may be sought.
     seek_at_ms: u64,
 }
@@ -88,6 +90,7 @@
             switches: 0,
             policy,
             silent_after_ms,
+            heard_ms: now,
             seek_at_ms: now + silent_after_ms,
         }
     }
@@ -107,6 +110,11 @@
         self.seeks == 0
     }
 
+    /// Whether the open answer is silent at `now`.
+    pub fn is_silent(&self, now: u64) -> bool {
+        self.is_open() && now >= self.heard_ms + self.silent_after_ms
+    }
+
     /// Whether the answer that brought the last event is still open.
     pub fn is_open(&self) -> bool {
         self.ended.is_none()
@@ -123,6 +131,7 @@
         if accepted {
             self.seeking = false;
             self.seeks = 0;
+            self.heard_ms = now;
             self.seek_at_ms = now + self.silent_after_ms;
         }
         Ok(accepted)
@@ -154,6 +163,7 @@
         self.seeking = false;
         self.seeks = 0;
         self.switches += 1;
+        self.heard_ms = now;
         self.seek_at_ms = now + self.silent_after_ms;
     }
 
