Review of the fix: ten faults of answers beside silent ones

Found by reading, by one who had not seen the work; serve_silent_target_is_asked_once and serve_slow_caller_is_no_silence are new, the others have no test of their own. - A quarantine trial could go to a second target: its open send was not counted. - The silent target could be asked beside itself when others were full; a send that did not reach a target made the request forget that it had been there before. - Newer settings by which a route runs once were not looked at before the second send. - An unframed end cancelled the sought answer before it was known what the end meant. - Three seeks in vain forbade a resumption after a real end: they count anew, and while an answer is open the pause doubles instead. - A slow caller's or the daemon's own pause counted as the target's silence. - A first target's failure was lost when the other one succeeded. - A seek could shorten the deadline of the open answer, and kept what earlier ones excluded. - The budget of bytes counted against the target whose answer it ended. - A stream that was passed on had no deadline here; in the own daemon a cancelled request went on being resumed.

--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -130,7 +130,11 @@
                 Some(Err(status)) => status.message().to_string(),
                 None => "the stream ended early".to_string(),
             };
-            self.resume(reason).await?;
+            let cancelled = self.cancelled.clone();
+            tokio::select! {
+                resumed = self.resume(reason) => resumed?,
+                () = cancelled.cancelled() => return self.abort(RouteError::Cancelled),
+            }
         }
     }
 
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -17,6 +17,7 @@
 use comfreyhall_domain::{Answer, ClientRequest, Name};
 use comfreyhall_protocol::{ForwardHead, ForwardOutcome, ForwardPart};
 use futures::{Stream, StreamExt};
+use tokio::time::Instant;
 use tonic::Status;
 
 use crate::{
@@ -71,12 +72,34 @@
         let head = head.ok_or_else(|| Status::data_loss("the answer has no head"))?;
         read_answer(node, head, parts).await
     };
-    match tokio::time::timeout(Duration::from_millis(left_ms), answer).await {
+    let deadline = Instant::now() + Duration::from_millis(left_ms);
+    match tokio::time::timeout_at(deadline, answer).await {
+        Ok(Ok(Reply::Stream {
+            status,
+            headers,
+            body,
+        })) => Ok(Reply::Stream {
+            status,
+            headers,
+            body: until(deadline, body),
+        }),
         Ok(answer) => answer,
         Err(_) => Err(Status::deadline_exceeded("no answer in time")),
     }
 }
 
+/// The events of `body` until `deadline`.
+fn until(deadline: Instant, body: EventStream) -> EventStream {
+    let pieces = futures::stream::unfold(Some(body), move |body| async move {
+        let mut body = body?;
+        match tokio::time::timeout_at(deadline, body.next()).await {
+            Ok(piece) => piece.map(|piece| (piece, Some(body))),
+            Err(_) => Some((Err("the deadline has passed".to_string()), None)),
+        }
+    });
+    pieces.boxed()
+}
+
 async fn next_part(parts: &mut (impl Parts + ?Sized)) -> Result<ForwardPart, Status> {
     let part = parts.next().await;
     part.unwrap_or_else(|| Err(Status::data_loss("the answer ended early")))
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -18,7 +18,11 @@
     fleet::updates::StreamReport,
     ports::BodyError,
     quarantine,
-    serve::{ActiveRequest, EventStream, beside::Elsewhere, exchange::Exchanged},
+    serve::{
+        ActiveRequest, EventStream,
+        beside::{ARRIVED_WAIT, Elsewhere},
+        exchange::Exchanged,
+    },
     source::{EventSource, Item, StreamStart},
 };
 
@@ -37,6 +41,8 @@
 pub(crate) struct Relay {
     source: EventSource,
     merge: Merge,
+    /// Deadline on this daemon's clock, which newer settings do not change.
+    deadline_ms: u64,
     pending: VecDeque<Event>,
     send: ActiveSend,
     /// Why the last answer that ended early did.
@@ -65,8 +71,8 @@
 enum Found {
     /// Events of the open answer.
     Events,
-    /// The end of the open answer.
-    End,
+    /// The end of the open answer, which is complete; whether that is certain.
+    Complete(bool),
     Other(Elsewhere),
     Deadline,
 }
@@ -80,6 +86,7 @@
         Self {
             source: start.source,
             merge: Merge::new(start.order, request.seek_policy(), silent_ms, now),
+            deadline_ms: request.deadline_ms,
             pending: start.events.into(),
             send,
             why: String::new(),
@@ -104,6 +111,7 @@
     }
 
     async fn next(&mut self, request: &mut ActiveRequest) -> Option<Result<Bytes, String>> {
+        self.merge.wait_began(request.node.now());
         loop {
             self.take_ready(request);
             if let Some(bytes) = self.take_pending() {
@@ -128,9 +136,16 @@
     /// Waits for the open answer, or seeks another one.
     async fn advance(&mut self, request: &mut ActiveRequest) -> Progress {
         let now = request.node.now();
-        match self.merge.next(now, request.deadline_ms) {
+        match self.merge.next(now, self.deadline_ms) {
             Next::GiveUp(cause) => Progress::GivenUp(cause),
-            Next::Seek => self.seek(request).await,
+            Next::Seek => {
+                if self.merge.is_open()
+                    && let Ok(item) = tokio::time::timeout(ARRIVED_WAIT, self.source.next()).await
+                {
+                    return self.take(request, item).await;
+                }
+                self.seek(request).await
+            }
             Next::Wait { until_ms } => {
                 let limit = Duration::from_millis(until_ms.saturating_sub(now));
                 if !self.merge.is_open() {
@@ -148,28 +163,34 @@
                     }
                     return Progress::Going;
                 };
-                match item {
-                    Item::Event(event) => self.take_event(request, event),
-                    Item::End => return self.end(request).await,
-                    Item::Broken(error) => self.break_off(request, &error),
-                }
-                Progress::Going
+                self.take(request, item).await
             }
         }
     }
 
+    /// Takes what the open answer brings.
+    async fn take(&mut self, request: &mut ActiveRequest, item: Item) -> Progress {
+        match item {
+            Item::Event(event) => self.take_event(request, event),
+            Item::End => return self.end(request).await,
+            Item::Broken(error) => self.break_off(request, &error),
+        }
+        Progress::Going
+    }
+
     /// Seeks another answer beside the open one, if that is open.
     async fn seek(&mut self, request: &mut ActiveRequest) -> Progress {
         if self.merge.is_open() && self.merge.is_first_seek() {
             request.record_silent(&self.send);
         }
         self.merge.seek_began();
-        let left = Duration::from_millis(request.remaining_ms());
+        let left = Duration::from_millis(self.deadline_ms.saturating_sub(request.node.now()));
         let node = request.node.clone();
         let mut broken = None;
         let sends = request.sends();
         let found = {
-            let asking = request.answer_elsewhere(self.merge.last());
+            let open = self.merge.is_open().then_some(&self.send.target);
+            let asking = request.answer_elsewhere(self.merge.last(), open);
             let deadline = tokio::time::sleep(left);
             tokio::pin!(asking, deadline);
             loop {
@@ -184,15 +205,28 @@
                             Ok(false) => {}
                             Err(why) => {
                                 self.merge.ended(EndCause::Broken, node.now());
+                                self.source.close();
                                 broken = Some(BodyError {
                                     reason: why.to_string(),
                                     cause: EndCause::Broken,
                                 });
                             }
                         },
-                        Item::End => break Found::End,
+                        Item::End if self.source.has_explicit_end() => {
+                            break Found::Complete(true);
+                        }
+                        // The other answer is kept until it is known what the end means.
+                        Item::End => match quarantine::has_ended(&node, &self.send.target).await {
+                            Some(true) => {
+                                self.merge.ended(EndCause::TargetEnded, node.now());
+                                self.source.close();
+                                broken = Some(target_ended());
+                            }
+                            known => break Found::Complete(known.is_some()),
+                        },
                         Item::Broken(error) => {
                             self.merge.ended(error.cause, node.now());
+                            self.source.close();
                             broken = Some(error);
                         }
                     },
@@ -206,9 +240,9 @@
         }
         match found {
             Found::Events | Found::Deadline => request.record_cancelled(sends),
-            Found::End => {
+            Found::Complete(proven) => {
                 request.record_cancelled(sends);
-                return self.end(request).await;
+                return Progress::Complete { proven };
             }
             Found::Other(Ok(answer)) => match *answer {
                 (exchange, Exchanged::Stream(start)) => self.switch(request, exchange.send, *start),
@@ -283,7 +317,9 @@
         let cause = error.cause;
         self.merge.ended(cause, request.node.now());
         self.source.close();
-        self.send.record_outcome(false, 1.0);
+        if cause.is_target_failure() {
+            self.send.record_outcome(false, 1.0);
+        }
         if cause.may_be_target_end() {
             request.report_closed(&self.send);
         }
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use comfreyhall_domain::{Outcome, RouteKind};
+use comfreyhall_domain::{Name, Outcome, RouteKind};
 use comfreyhall_relay::{EndCause, SeekPolicy};
 
 use super::{
@@ -27,18 +27,16 @@
 /// Pause before another target is sought again.
 const SEEK_PAUSE: Duration = Duration::from_millis(400);
 
+/// Wait for what has arrived while this process was stopped or busy, before its target
+/// counts as silent.
+pub(crate) const ARRIVED_WAIT: Duration = Duration::from_millis(20);
+
 /// Targets considered each time: each one lengthens the pause that the caller sees.
 const MAX_CHOICES: u32 = 3;
 
 /// The success of a send to another target, or why there is none.
 pub(crate) type Elsewhere = Result<Box<(Exchange, Exchanged)>, &'static str>;
 
-/// Which of two targets answered.
-enum Answer {
-    First(Exchanged),
-    Other(Elsewhere),
-}
-
 /// Awaits the outcome of `exchange`, whose target is silent, or the proof that it has ended.
 async fn outcome_or_end(exchange: &mut Exchange) -> Exchanged {
     loop {
@@ -57,8 +55,10 @@
     /// and the other one answers before it.
     pub(super) async fn await_outcome(&mut self, mut first: Exchange) -> (Exchange, Exchanged) {
         let limit = Duration::from_millis(self.silence_limit_ms(&first.plan));
-        if let Ok(outcome) = tokio::time::timeout(limit, first.outcome()).await {
-            return (first, outcome);
+        for wait in [limit, ARRIVED_WAIT] {
+            if let Ok(outcome) = tokio::time::timeout(wait, first.outcome()).await {
+                return (first, outcome);
+            }
         }
         if self.remaining_ms() > 0 {
             self.record_silent(&first.send);
@@ -68,12 +68,20 @@
                 break;
             }
             match self.ask_beside(&mut first).await {
-                Answer::First(outcome) => return (first, outcome),
-                Answer::Other(Ok(answer)) => {
+                (Some(outcome), None) => return (first, outcome),
+                (Some(outcome), Some(Err(why))) => {
+                    self.log_not_asked(why);
+                    return (first, outcome);
+                }
+                (Some(failed), Some(Ok(answer))) => {
+                    self.record_failure(first, failed);
+                    return *answer;
+                }
+                (None, Some(Ok(answer))) => {
                     self.record_superseded(&first.send);
                     return *answer;
                 }
-                Answer::Other(Err(why)) => self.log_not_asked(why),
+                (None, other) => self.log_not_asked(other.and_then(Result::err).unwrap_or("")),
             }
             if let Ok(outcome) = tokio::time::timeout(SEEK_PAUSE, first.outcome()).await {
                 return (first, outcome);
@@ -83,13 +91,15 @@
         (first, outcome)
     }
 
-    /// Sends the request to another target, and waits for that one and for `first`.
-    async fn ask_beside(&mut self, first: &mut Exchange) -> Answer {
+    /// Sends the request to another target, and waits for that one and for `first`; returns
+    /// the outcomes of both as far as they are known.
+    async fn ask_beside(&mut self, first: &mut Exchange) -> (Option<Exchanged>, Option<Elsewhere>) {
         let last_event = self.client_request.last_event_id;
         let mut first_outcome = None;
         let sends = self.deliveries;
         let other = {
-            let asking = self.answer_elsewhere(last_event);
+            let open = first.plan.target.id.clone();
+            let asking = self.answer_elsewhere(last_event, Some(&open));
             tokio::pin!(asking);
             loop {
                 tokio::select! {
@@ -106,48 +116,56 @@
                 }
             }
         };
-        match (first_outcome, other) {
-            (Some(outcome), None) => {
-                self.record_cancelled(sends);
-                Answer::First(outcome)
-            }
-            (Some(outcome), Some(Err(why))) => {
-                self.log_not_asked(why);
-                Answer::First(outcome)
-            }
-            (_, Some(other)) => Answer::Other(other),
-            (None, None) => unreachable!("one of the two ended the wait"),
+        if other.is_none() {
+            self.record_cancelled(sends);
         }
+        (first_outcome, other)
     }
 
     /// Sends the request, or the rest of its stream after `last_event`, to another target
-    /// and awaits a success; an error says why there is none.
-    pub(crate) async fn answer_elsewhere(&mut self, last_event: Option<u64>) -> Elsewhere {
-        let mut exchange = self.send_elsewhere(last_event).await?;
+    /// than `open`, whose answer is open, and awaits a success; an error says why there is
+    /// none.
+    pub(crate) async fn answer_elsewhere(
+        &mut self,
+        last_event: Option<u64>,
+        open: Option<&Name>,
+    ) -> Elsewhere {
+        let mut exchange = self.send_elsewhere(last_event, open).await?;
         let outcome = exchange.outcome().await;
         if outcome.is_success() {
             return Ok(Box::new((exchange, outcome)));
         }
+        self.record_failure(exchange, outcome);
+        Err("the other target did not answer")
+    }
+
+    /// Records a send that failed while another one may succeed.
+    fn record_failure(&mut self, exchange: Exchange, outcome: Exchanged) {
         if let Exchanged::Whole(answer) = outcome {
-            // The failure of one target is no answer while another may succeed.
             self.history.record(Outcome::Answered);
             exchange.send.record_outcome(false, FAILED_WEIGHT);
             let answer = (answer.status, answer.headers, answer.body);
             self.fallback.get_or_insert(answer);
-            return Err("the other target failed");
+        } else {
+            self.conclude(exchange, outcome);
         }
-        self.conclude(exchange, outcome);
-        Err("the other target did not answer")
     }
 
     /// Chooses another target and sends the request there.
-    async fn send_elsewhere(&mut self, last_event: Option<u64>) -> Result<Exchange, &'static str> {
+    async fn send_elsewhere(
+        &mut self,
+        last_event: Option<u64>,
+        open: Option<&Name>,
+    ) -> Result<Exchange, &'static str> {
         if let Some(why) = self.cannot_ask_another() {
             return Err(why);
         }
         if self.quarantined().await.is_some() {
             return Err("it is quarantined");
         }
+        // What was excluded at an earlier time may take it now.
+        self.unavailable.clear();
+        self.unavailable.extend(open.cloned());
         for _ in 0..MAX_CHOICES {
             if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
                 return Err("its settings have changed");
@@ -156,6 +174,9 @@
             if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
                 return Err("no engine is bound");
             }
+            if open == Some(&plan.target.id) {
+                return Err("no other target can take it");
+            }
             let Some(permit) = self.permit(&plan).await else {
                 continue;
             };
@@ -168,11 +189,13 @@
             if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
                 return Err("its settings have changed");
             }
+            // The settings in force now may say otherwise.
+            if let Some(why) = self.cannot_ask_another() {
+                return Err(why);
+            }
             if !self.take_retry() {
                 return Err("the retry budget is spent");
             }
-            // It may be cancelled before its outcome is known.
-            self.history.may_have_run = true;
             return Ok(self.begin_send(plan, permit, last_event));
         }
         Err("its targets take no more now")
--- a/crates/comfreyhall-node/src/serve/exchange.rs
+++ b/crates/comfreyhall-node/src/serve/exchange.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Exchange {
     pub(crate) plan: Plan,
     pub(crate) send: ActiveSend,
+    /// Whether it is the first send of the request to this target.
+    pub(super) is_first: bool,
     outcome: BoxFuture<'static, Exchanged>,
 }
 
@@ -86,6 +88,7 @@
         Self {
             plan,
             send,
+            is_first: true,
             outcome: outcome.boxed(),
         }
     }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -343,6 +343,10 @@
                 Step::ChooseAgain => continue,
                 Step::End(reply) => return reply,
             }
+            if !self.history.may_send(self.route.repeatable(), u32::MAX) {
+                // Newer settings may say that it runs once.
+                return self.give_up("it may have run", 0.0);
+            }
             if self.deliveries > 0 && !self.take_retry() {
                 return self.give_up("the retry budget is spent", plan.wait_ms);
             }
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     active_send::ActiveSend,
-    collect::{CollectError, collect},
+    collect::{CollectError, Exceeded, collect},
     node::Node,
     ports::{Body, BodyError, EndCause, Framing},
     quarantine,
@@ -95,7 +95,10 @@
         CollectError::Body(error) => error,
         CollectError::Exceeded(exceeded) => BodyError {
             reason: exceeded.to_string(),
-            cause: EndCause::TooLarge,
+            cause: match exceeded {
+                Exceeded::TooLong => EndCause::TooLarge,
+                Exceeded::Spent => EndCause::OutOfMemory,
+            },
         },
     }
 }
--- a/crates/comfreyhall-node/src/serve/quarantine.rs
+++ b/crates/comfreyhall-node/src/serve/quarantine.rs
@@ -82,7 +82,7 @@
         node.quarantine.await_verdict(&node, self.features()).await;
         if let Some(trial) = &self.trial {
             // A trial allows one send.
-            return (self.history.sends > 0).then_some(Rejection {
+            return (self.deliveries > 0).then_some(Rejection {
                 feature: trial.feature,
                 retry_ms: quarantine::TRIAL_RETRY_MS,
             });
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -118,9 +118,11 @@
             plan.unread_tokens,
             run_handle,
         );
-        self.mark_delivered(&plan.target.id);
+        let is_first = self.mark_delivered(&plan.target.id);
         let request = self.client_request.clone();
-        Exchange::begin(&self.node, plan, send, permit, request, options)
+        let mut exchange = Exchange::begin(&self.node, plan, send, permit, request, options);
+        exchange.is_first = is_first;
+        exchange
     }
 
     /// The handle under which this run is reported: the holder's, or a new one if
@@ -135,17 +137,23 @@
         Some(plan.run_handle.take().unwrap_or_else(new_handle))
     }
 
-    fn mark_delivered(&mut self, target: &Name) {
+    /// Notes a send to `target`; returns whether it is the first one there.
+    fn mark_delivered(&mut self, target: &Name) -> bool {
         self.deliveries += 1;
-        if !self.tried.contains(target) {
+        let is_first = !self.tried.contains(target);
+        if is_first {
             self.tried.push(target.clone());
         }
+        is_first
     }
 
-    /// Takes back what [`Self::mark_delivered`] noted, as nothing reached the target.
-    fn mark_undelivered(&mut self, target: &Name) {
+    /// Takes back what [`Self::mark_delivered`] noted, as nothing reached the target. One
+    /// that had received the request before stays tried.
+    fn mark_undelivered(&mut self, target: &Name, is_first: bool) {
         self.deliveries = self.deliveries.saturating_sub(1);
-        self.tried.retain(|t| t != target);
+        if is_first {
+            self.tried.retain(|t| t != target);
+        }
     }
 
     pub(super) fn log_send(&self, target: &Name, outcome: &'static str, why: &str) {
@@ -157,7 +165,12 @@
 
     /// Turns what came of a send into the caller's answer, or decides to retry.
     pub(super) fn conclude(&mut self, exchange: Exchange, outcome: Exchanged) -> Next {
-        let Exchange { plan, send, .. } = exchange;
+        let Exchange {
+            plan,
+            send,
+            is_first,
+            ..
+        } = exchange;
         match outcome {
             Exchanged::Stream(start) => return self.begin_relay(*start, send, &plan),
             Exchanged::Whole(answer) => return self.handle_whole(answer, send),
@@ -169,7 +182,7 @@
                 self.log_send(&send.target, "in doubt", why);
             }
             Exchanged::Broken(error) => self.handle_broken(&error, &send),
-            Exchanged::Failed(error) => self.handle_failed(error, &send),
+            Exchanged::Failed(error) => self.handle_failed(error, &send, is_first),
         }
         Next::Retry
     }
@@ -180,17 +193,19 @@
             self.report_closed(send);
         }
         self.history.record(Outcome::Broken);
-        send.record_outcome(false, FAILED_WEIGHT);
+        if error.cause.is_target_failure() {
+            send.record_outcome(false, FAILED_WEIGHT);
+        }
         self.node.metrics.answer_ended(error.cause);
         self.log_send(&send.target, error.cause.name(), &error.reason);
     }
 
     /// Records a send without an answer.
-    fn handle_failed(&mut self, error: SendError, send: &ActiveSend) {
+    fn handle_failed(&mut self, error: SendError, send: &ActiveSend, is_first: bool) {
         let target = &send.target;
         match error {
             SendError::NotSent(why) => {
-                self.mark_undelivered(target);
+                self.mark_undelivered(target, is_first);
                 self.unreached += 1;
                 self.history.record(Outcome::NotSent);
                 send.record_outcome(false, UNREACHABLE_WEIGHT);
--- a/crates/comfreyhall-node/src/source.rs
+++ b/crates/comfreyhall-node/src/source.rs
@@ -93,6 +93,8 @@
     pub(crate) async fn first_event(&mut self, order: &mut EventOrder) -> Result<Event, BodyError> {
         loop {
             match self.next().await {
+                // The caller has events with ids: one without is not the next of them.
+                Item::Event(event) if event.id.is_none() && order.last().is_some() => {}
                 Item::Event(event) => match order.accept(&event) {
                     Ok(true) => return Ok(event),
                     Ok(false) => {}
--- a/crates/comfreyhall-node/tests/silence.rs
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -52,6 +52,36 @@
     assert_eq!(result, CallerResult::Stream(vec![1, 2, 3, 4], true));
 }
 
+/// Guards against a request that is sent again to the target that is silent, beside its
+/// open answer.
+#[tokio::test]
+async fn serve_silent_target_is_asked_once() {
+    for (kind, first) in [
+        (RouteKind::Stream, pausing()),
+        (RouteKind::Idempotent, Behavior::Answer(200, SILENCE_MS)),
+    ] {
+        let (node, backend) = start_node(route_with_time(kind), vec![first]).await;
+        *backend.default_behavior.lock().unwrap() = Some(Behavior::Refuse(Refusal::Full));
+        caller_result(node.serve(patient("r")).await).await;
+        let sent = backend.sent.lock().unwrap();
+        let again = sent.iter().filter(|s| s.target == sent[0].target);
+        assert_eq!(again.count(), 1, "{kind:?}");
+    }
+}
+
+/// Guards against a silence that is taken for one of the target while the caller does not
+/// read.
+#[tokio::test]
+async fn serve_slow_caller_is_no_silence() {
+    let stream = Behavior::Stream(vec![1, 2, 3], true);
+    let (node, backend) = start_node(route_with_time(RouteKind::Stream), vec![stream]).await;
+    let reply = node.serve(patient("r")).await;
+    tokio::time::sleep(std::time::Duration::from_millis(SILENCE_MS)).await;
+    let result = caller_result(reply).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2, 3], true));
+    assert_eq!(backend.sent.lock().unwrap().len(), 1);
+}
+
 /// Guards against a stream that is given up before its first event, which comes late.
 #[tokio::test]
 async fn serve_late_first_event_is_awaited() {
--- a/crates/comfreyhall-relay/src/cause.rs
+++ b/crates/comfreyhall-relay/src/cause.rs
@@ -14,6 +14,9 @@
     TargetEnded,
     /// The target sent more bytes than an answer may have.
     TooLarge,
+    /// The answers that this process holds take all the memory that they may, and this one
+    /// most of it.
+    OutOfMemory,
     /// The deadline of the request has passed.
     DeadlinePassed,
     /// Another answer to the same request went on.
@@ -30,12 +33,18 @@
             EndCause::Broken => "broken",
             EndCause::TargetEnded => "target_ended",
             EndCause::TooLarge => "too_large",
+            EndCause::OutOfMemory => "out_of_memory",
             EndCause::DeadlinePassed => "deadline_passed",
             EndCause::Superseded => "superseded",
             EndCause::CallerLeft => "caller_left",
         }
     }
 
+    /// Whether it counts against the target.
+    pub fn is_target_failure(self) -> bool {
+        !matches!(self, EndCause::OutOfMemory | EndCause::CallerLeft)
+    }
+
     /// Whether it is evidence that the target may have ended under its request.
     pub fn may_be_target_end(self) -> bool {
         matches!(self, EndCause::ConnectionClosed | EndCause::TargetEnded)
--- a/crates/comfreyhall-relay/src/merge.rs
+++ b/crates/comfreyhall-relay/src/merge.rs
@@ -24,10 +24,12 @@
     leave_ms / 2
 }
 
-/// Pause before another answer is sought again, in ms.
+/// Pause before another answer is sought again, in ms. It doubles so many times in one
+/// silence.
 const SEEK_PAUSE_MS: u64 = 400;
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
 
-/// Maximum number of answers that are sought in one silence.
+/// Maximum number of answers that are sought in vain once none is open.
 const MAX_SEEKS: u32 = 3;
 
 /// Maximum number of answers that one stream goes on with after the first.
@@ -137,9 +139,18 @@
         Ok(accepted)
     }
 
+    /// The caller asks for more at `now`: what passed before was not the target's silence.
+    pub fn wait_began(&mut self, now: u64) {
+        if self.is_open() {
+            self.heard_ms = now;
+            self.seek_at_ms = now + self.silent_after_ms;
+        }
+    }
+
     /// The open answer has ended early.
     pub fn ended(&mut self, cause: EndCause, now: u64) {
         self.ended = Some(cause);
+        self.seeks = 0;
         self.seek_at_ms = self.seek_at_ms.min(now);
     }
 
@@ -152,7 +163,8 @@
     /// No other answer was found.
     pub fn seek_failed(&mut self, now: u64) {
         self.seeking = false;
-        self.seek_at_ms = now + SEEK_PAUSE_MS;
+        let doublings = self.seeks.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
+        self.seek_at_ms = now + (SEEK_PAUSE_MS << doublings);
     }
 
     /// The sought answer has brought the next events, the last of `order`: it goes on, and
@@ -178,7 +190,7 @@
             SeekPolicy::BesideSilent => true,
         };
         let may_seek = allowed
-            && self.seeks < MAX_SEEKS
+            && (self.is_open() || self.seeks < MAX_SEEKS)
             && self.switches < MAX_SWITCHES
             && self.order.last().is_some();
         match (self.ended, self.seeking) {
