--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -512,6 +512,23 @@
     assert!(peak_mb < 28, "{peak_mb} MB");
 }
 
+/// Guards against a caller whose framing has no end, which is read until the time limit.
+#[tokio::test]
+async fn handle_endless_framing() {
+    let (daemon, _store, _sound) = setup("caller").await;
+    let head = "POST /p/x HTTP/1.1\r\nhost: h\r\nx-request-id: r2\r\n\
+        transfer-encoding: chunked\r\n\r\n5";
+    let mut stream = daemon.open(head).await;
+    let spaces = vec![b' '; PIECE_BYTES];
+    let mut sent = 0;
+    while sent < 60 << 20 && stream.write_all(&spaces).await.is_ok() {
+        sent += spaces.len();
+    }
+    let sent_mb = sent as u64 >> 20;
+    println!("caller: sent {sent_mb} MB, peak {} MB", daemon.peak_mb());
+    assert!(sent_mb < MAX_FRAMING_MB, "{sent_mb} MB");
+}
+
 /// Guards against callers whose bodies, each within its limit, exhaust memory together;
 /// those that are refused are told that they were not run, and small ones are served.
 #[tokio::test]
