Moves: a request and its state stand below sending, answers and the relay

serve/mod.rs -> serve/request.rs (ActiveRequest, its constants, StreamVersion), Next -> reply.rs, WholeAnswer -> plain.rs, the end of a target -> source.rs. No change of behaviour.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -23,20 +23,9 @@
         beside::{ARRIVED_WAIT, Elsewhere},
         exchange::Exchanged,
     },
-    source::{EventSource, Item, StreamStart},
+    source::{END_CHECK_PERIOD, EventSource, Item, StreamStart, target_ended},
 };
 
-/// Pause between checks whether a silent target has ended.
-pub(crate) const END_CHECK_PERIOD: Duration = Duration::from_millis(500);
-
-/// The end of an answer whose target is proven to have ended.
-pub(crate) fn target_ended() -> BodyError {
-    BodyError {
-        reason: "the target has ended".to_string(),
-        cause: EndCause::TargetEnded,
-    }
-}
-
 /// A stream from one target after another.
 pub(crate) struct Relay {
     source: EventSource,
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -14,11 +14,11 @@
     exchange::{Exchange, Exchanged},
     place::BindOutcome,
     renew::Renewal,
-    send::FAILED_WEIGHT,
+    request::FAILED_WEIGHT,
 };
 use crate::{
     active_send::ActiveSend,
-    relay::{END_CHECK_PERIOD, target_ended},
+    source::{END_CHECK_PERIOD, target_ended},
 };
 
 /// Times that another target is sought beside a silent one.
--- a/crates/comfreyhall-node/src/serve/caller.rs
+++ b/crates/comfreyhall-node/src/serve/caller.rs
@@ -3,7 +3,7 @@
 use comfreyhall_domain::{Allowance, Answer, Caller, ClientRequest, Config, Revision, Route};
 use comfreyhall_inforce::{AppliedVersion, Freshness, SettingsTracker, Verdict};
 
-use super::{ActiveRequest, NOT_READY_RETRY_MS, Reply};
+use super::{ActiveRequest, Reply, request::NOT_READY_RETRY_MS};
 use crate::{
     node::Node,
     quotas::{self, QuotaError, QuotaKind},
--- a/crates/comfreyhall-node/src/serve/entry.rs
+++ b/crates/comfreyhall-node/src/serve/entry.rs
@@ -4,7 +4,11 @@
 
 use comfreyhall_domain::{Answer, ClientRequest, RouteKind};
 
-use super::{ActiveRequest, NOT_READY_RETRY_MS, Origin, Reply, caller, caller::SettingsBasis};
+use super::{
+    ActiveRequest, Reply, caller,
+    caller::SettingsBasis,
+    request::{NOT_READY_RETRY_MS, Origin},
+};
 use crate::{node::Node, stop};
 
 impl Node {
--- a/crates/comfreyhall-node/src/serve/exchange.rs
+++ b/crates/comfreyhall-node/src/serve/exchange.rs
@@ -2,13 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use comfreyhall_domain::{ClientRequest, Refusal, Target};
 use comfreyhall_relay::{EndCause, EventOrder};
 use futures::{FutureExt, future::BoxFuture};
-use http::{HeaderMap, StatusCode};
 
-use super::plain;
+use super::plain::{self, WholeAnswer};
 use crate::{
     active_send::ActiveSend,
     choose::Plan,
@@ -34,15 +32,6 @@
     Whole(WholeAnswer),
 }
 
-/// An answer that is no stream.
-pub(crate) struct WholeAnswer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    /// Whether it is certain that the body is complete.
-    pub(crate) proven: bool,
-}
-
 impl Exchanged {
     /// Whether the caller's answer can be made of it.
     pub(super) fn is_success(&self) -> bool {
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -5,7 +5,10 @@
 use comfreyhall_domain::{AdapterRef, Name};
 use comfreyhall_routing::Presence;
 
-use super::{ActiveRequest, RECHECK_MS, send::UNREACHABLE_MS};
+use super::{
+    ActiveRequest,
+    request::{RECHECK_MS, UNREACHABLE_MS},
+};
 use crate::{
     active_send::RunHandle,
     adapter_key::adapter_key,
--- a/crates/comfreyhall-node/src/serve/plain.rs
+++ b/crates/comfreyhall-node/src/serve/plain.rs
@@ -4,12 +4,9 @@
 
 use bytes::Bytes;
 use comfreyhall_domain::{Outcome, RouteKind, Target};
+use http::{HeaderMap, StatusCode};
 
-use super::{
-    ActiveRequest, complete_reply,
-    exchange::WholeAnswer,
-    send::{FAILED_WEIGHT, Next},
-};
+use super::{ActiveRequest, reply::Next, reply::complete_reply, request::FAILED_WEIGHT};
 use crate::{
     active_send::ActiveSend,
     collect::{CollectError, Exceeded, collect},
@@ -18,6 +15,15 @@
     quarantine,
 };
 
+/// An answer that is no stream.
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Whether it is certain that the body is complete.
+    pub(crate) proven: bool,
+}
+
 /// Reads the body of an answer to its end; returns with it whether it is certain that it
 /// is complete.
 ///
--- a/crates/comfreyhall-node/src/serve/renew.rs
+++ b/crates/comfreyhall-node/src/serve/renew.rs
@@ -9,8 +9,9 @@
 use comfreyhall_inforce::Verdict;
 
 use super::{
-    ActiveRequest, NOT_READY_RETRY_MS, RECHECK_MS, Reply,
+    ActiveRequest, Reply,
     caller::{self, Rejection},
+    request::{NOT_READY_RETRY_MS, RECHECK_MS},
 };
 
 /// What the active settings mean for a request that waited.
--- a/crates/comfreyhall-node/src/serve/reply.rs
+++ b/crates/comfreyhall-node/src/serve/reply.rs
@@ -44,6 +44,12 @@
     },
 }
 
+/// What follows after a send.
+pub(super) enum Next {
+    Reply(Reply),
+    Retry,
+}
+
 /// Passes on a target's own answer. An error whose status would tell the caller
 /// "not run" without the target's proof becomes one that promises nothing.
 pub(super) fn complete_reply(status: StatusCode, headers: HeaderMap, body: Bytes) -> Reply {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -6,6 +6,8 @@
 use super::{
     ActiveRequest, Reply,
     exchange::{Exchange, Exchanged},
+    reply::Next,
+    request::{FAILED_WEIGHT, UNREACHABLE_MS},
 };
 use crate::{
     active_send::{ActiveSend, RunHandle},
@@ -16,9 +18,6 @@
     source::StreamStart,
 };
 
-/// How long a target that could not be reached is excluded, in ms.
-pub(super) const UNREACHABLE_MS: u64 = 700;
-
 /// Minimum time without a first event after which another target is asked beside the
 /// silent one, in ms, and the factor on the estimate: the estimate is off by a prompt or
 /// two, and the longest prompts take over a second. Asking too early wastes a prefill
@@ -27,17 +26,8 @@
 
 const FIRST_EVENT_FACTOR: f64 = 2.5;
 
-/// How much a failure counts against a target; an answer counts 1.
-pub(super) const FAILED_WEIGHT: f64 = 1.0;
-
 const UNREACHABLE_WEIGHT: f64 = 2.0;
 
-/// What follows after a send.
-pub(super) enum Next {
-    Reply(Reply),
-    Retry,
-}
-
 impl ActiveRequest {
     /// How long the target of `plan` may be silent before another one is asked beside it.
     pub(super) fn silence_limit_ms(&self, plan: &Plan) -> u64 {
--- a/crates/comfreyhall-node/src/serve/version.rs
+++ b/crates/comfreyhall-node/src/serve/version.rs
@@ -4,23 +4,12 @@
 //! that its caller gets. Until then it may be sent to targets of any version, except
 //! those that may not begin streams yet.
 
-use comfreyhall_domain::{Name, RouteKind, Stage, Target};
+use comfreyhall_domain::{RouteKind, Stage, Target};
 use comfreyhall_streams::{Proof, SoftwareRule, StreamRecord};
 
-use super::{ActiveRequest, Reply};
+use super::{ActiveRequest, Reply, request::StreamVersion};
 use crate::streams;
 
-/// The software version of a request's stream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum StreamVersion {
-    /// Its caller has no event yet.
-    Unbound,
-    /// Its caller has events of this version of the service.
-    Bound { service: Name, software: Name },
-    /// Its caller has events of a target that reports no version.
-    Unknown,
-}
-
 impl ActiveRequest {
     /// Which software versions may receive it now.
     pub(super) fn software_rule(&self) -> SoftwareRule {
--- a/crates/comfreyhall-node/src/source.rs
+++ b/crates/comfreyhall-node/src/source.rs
@@ -1,11 +1,24 @@
 //! The events of one answer as they arrive from its target.
 
+use std::time::Duration;
+
 use comfreyhall_relay::{EndCause, Event, EventOrder, EventSplitter};
 use futures::StreamExt;
 use http::{HeaderMap, StatusCode};
 
 use crate::ports::{Body, BodyError, Framing};
 
+/// Pause between checks whether a silent target has ended.
+pub(crate) const END_CHECK_PERIOD: Duration = Duration::from_millis(500);
+
+/// The end of an answer whose target is proven to have ended.
+pub(crate) fn target_ended() -> BodyError {
+    BodyError {
+        reason: "the target has ended".to_string(),
+        cause: EndCause::TargetEnded,
+    }
+}
+
 /// What an answer brings next.
 pub(crate) enum Item {
     /// A whole event.
