Tests of bounds measure one daemon at a time

With all tests at once on a busy machine collect_endless_body got 504, as twelve sends did not fit into the deadline, and handle_body_of_single_bytes got 408, as its debug build took over 10 s. The bad targets are asked with a request that runs at most once, and one daemon runs at a time; the assertions are the same.

--- a/crates/comfreyhall/tests/bytes.rs
+++ b/crates/comfreyhall/tests/bytes.rs
@@ -9,7 +9,7 @@
 use std::{
     process::{Child, Command},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -163,10 +163,14 @@
     }
 }
 
+/// Held while a daemon runs: memory and time are measured of one at a time.
+static ONE_DAEMON: Mutex<()> = Mutex::new(());
+
 /// A daemon process.
 struct Daemon {
     child: Child,
     front: String,
+    _only: MutexGuard<'static, ()>,
 }
 
 impl Drop for Daemon {
@@ -179,6 +183,7 @@
 impl Daemon {
     /// Starts a daemon.
     fn start(test: &str, store: &str) -> Self {
+        let only = ONE_DAEMON.lock().unwrap_or_else(PoisonError::into_inner);
         let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
         let addr = |i: usize| format!("127.0.0.1:{}", ports[i]);
         let settings = json!({"id": "n1", "domain": "z",
@@ -199,7 +204,11 @@
             .spawn()
             .unwrap();
         let front = addr(0);
-        Self { child, front }
+        Self {
+            child,
+            front,
+            _only: only,
+        }
     }
 
     /// Most memory that it has taken so far, in MB.
@@ -271,12 +280,13 @@
 const SAFE_HEAD: &str =
     "GET /p/x HTTP/1.1\r\nhost: h\r\nx-request-id: r1\r\nx-deadline-milliseconds: 3000\r\n\r\n";
 
-/// Sends a safe request to a target that is bad so; returns the status, the daemon's peak
+/// Sends a request that runs at most once to a target that is bad so; returns the status, the daemon's peak
 /// memory and what the target has sent on each connection, both in MB.
 async fn ask_bad(test: &str, endless: Endless) -> (String, u64, u64) {
     let (daemon, store, _sound) = setup(test).await;
     let bad = replace_by(&store, endless).await;
-    let status = daemon.status_of(SAFE_HEAD).await;
+    let head = SAFE_HEAD.replace("/p/", "/o/");
+    let status = daemon.status_of(&head).await;
     let connections = bad.connections.load(Ordering::SeqCst).max(1);
     let (peak_mb, sent_mb) = (daemon.peak_mb(), bad.sent_mb());
     println!("{endless:?}: {status}, peak {peak_mb} MB, sent {sent_mb} MB on {connections}");
