--- a/crates/comfreyhall/tests/support/wire.rs
+++ b/crates/comfreyhall/tests/support/wire.rs
@@ -40,7 +40,12 @@
 impl Wire {
     /// A wire to `target`.
     pub fn to(target: &str) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", super::free_port())).unwrap();
+        // Another process may take a free port before it is bound.
+        let listener = loop {
+            if let Ok(bound) = TcpListener::bind(("127.0.0.1", super::free_port())) {
+                break bound;
+            }
+        };
         let addr = listener.local_addr().unwrap().to_string();
         let state = Arc::new(State::default());
         let wire = state.clone();
