Answers passed on, unmarked and repeated events name the cause of their end

A stream that was passed on ended without a line or a count, an answer without the marker of a target without a count, and one that sends known events without end counted as broken and not as too large. Logs, counters and the name of a cause only; tests of forward, silence, links and the model pass.

--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -16,9 +16,10 @@
 use bytes::Bytes;
 use comfreyhall_domain::{Answer, ClientRequest, Name};
 use comfreyhall_protocol::{ForwardHead, ForwardOutcome, ForwardPart};
+use comfreyhall_relay::EndCause;
 use futures::{Stream, StreamExt};
 use tokio::time::Instant;
-use tonic::Status;
+use tonic::{Code, Status};
 
 use crate::{
     collect::Exceeded,
@@ -49,7 +50,13 @@
         }
         Err(e) => {
             node.metrics.forward("failed");
-            log::info!(target: "forward", id:% = request.id, to:% = peer, error = e.message(); "request passed on without an answer");
+            let cause = match e.code() {
+                Code::DeadlineExceeded => EndCause::DeadlinePassed,
+                Code::ResourceExhausted => EndCause::TooLarge,
+                _ => EndCause::ConnectionClosed,
+            };
+            node.metrics.answer_ended(cause);
+            log::info!(target: "forward", id:% = request.id, to:% = peer, cause = cause.name(), error = e.message(); "request passed on without an answer");
             Reply::Unanswered(Answer::Unknown)
         }
     }
@@ -81,20 +88,31 @@
         })) => Ok(Reply::Stream {
             status,
             headers,
-            body: until(deadline, body),
+            body: until(deadline, node.clone(), request.id.clone(), body),
         }),
         Ok(answer) => answer,
         Err(_) => Err(Status::deadline_exceeded("no answer in time")),
     }
 }
 
-/// The events of `body` until `deadline`.
-fn until(deadline: Instant, body: EventStream) -> EventStream {
-    let pieces = futures::stream::unfold(Some(body), move |body| async move {
-        let mut body = body?;
-        match tokio::time::timeout_at(deadline, body.next()).await {
-            Ok(piece) => piece.map(|piece| (piece, Some(body))),
-            Err(_) => Some((Err("the deadline has passed".to_string()), None)),
+/// The events of `body` until `deadline`, for the request `id`.
+fn until(deadline: Instant, node: Arc<Node>, id: Name, body: EventStream) -> EventStream {
+    let pieces = futures::stream::unfold(Some(body), move |body| {
+        let (node, id) = (node.clone(), id.clone());
+        async move {
+            let mut body = body?;
+            let (cause, why) = match tokio::time::timeout_at(deadline, body.next()).await {
+                Ok(Some(Ok(bytes))) => return Some((Ok(bytes), Some(body))),
+                Ok(None) => return None,
+                Ok(Some(Err(why))) => (EndCause::ConnectionClosed, why),
+                Err(_) => (
+                    EndCause::DeadlinePassed,
+                    "the deadline has passed".to_string(),
+                ),
+            };
+            node.metrics.answer_ended(cause);
+            log::info!(target: "forward", id:%, cause = cause.name(), why; "stream that was passed on broke off");
+            Some((Err(why), None))
         }
     });
     pieces.boxed()
--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -193,11 +193,11 @@
                             }
                             Ok(false) => {}
                             Err(why) => {
-                                self.merge.ended(EndCause::Broken, node.now());
+                                self.merge.ended(why.cause(), node.now());
                                 self.source.close();
                                 broken = Some(BodyError {
                                     reason: why.to_string(),
-                                    cause: EndCause::Broken,
+                                    cause: why.cause(),
                                 });
                             }
                         },
@@ -269,7 +269,7 @@
             Err(why) => {
                 let error = BodyError {
                     reason: why.to_string(),
-                    cause: EndCause::Broken,
+                    cause: why.cause(),
                 };
                 self.break_off(request, &error);
             }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -1,6 +1,7 @@
 //! Sending a request once, and evaluating the response.
 
 use comfreyhall_domain::{Name, Outcome, Refusal};
+use comfreyhall_relay::EndCause;
 use comfreyhall_routing::Presence;
 
 use super::{
@@ -168,6 +169,7 @@
             Exchanged::Unverified => {
                 self.history.record(Outcome::Indeterminate);
                 send.record_outcome(false, FAILED_WEIGHT);
+                self.node.metrics.answer_ended(EndCause::Broken);
                 let why = "the response lacks the marker of a target";
                 self.log_send(&send.target, "in doubt", why);
             }
--- a/crates/comfreyhall-node/src/source.rs
+++ b/crates/comfreyhall-node/src/source.rs
@@ -114,7 +114,7 @@
                     Err(why) => {
                         return Err(BodyError {
                             reason: why.to_string(),
-                            cause: EndCause::Broken,
+                            cause: why.cause(),
                         });
                     }
                 },
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -16,7 +16,7 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 
 /// Time before the platform kills the process at which remaining requests are abandoned, in
-/// ms: the process still ends by itself, which takes some 200 ms on a weak machine.
+/// ms, so that the process still ends by itself.
 const STOP_MARGIN_MS: u64 = 400;
 
 /// Interval between checks.
--- a/crates/comfreyhall-relay/src/order.rs
+++ b/crates/comfreyhall-relay/src/order.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::Event;
+use crate::{EndCause, Event};
 
 /// Most bytes of events that the caller already has, before the next new one: a target
 /// that resumes a stream sends none, or few.
@@ -22,6 +22,16 @@
     TooManyKnown,
 }
 
+impl OrderError {
+    /// The cause for which the answer ends.
+    pub fn cause(self) -> EndCause {
+        match self {
+            OrderError::Missing { .. } => EndCause::Broken,
+            OrderError::TooManyKnown => EndCause::TooLarge,
+        }
+    }
+}
+
 impl fmt::Display for OrderError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
