Test: a superseded run is cancelled, and no events of two runs are joined

At the level of one daemon with scripted targets, before and after the first event; until now only the soak's oracle looked for runs left behind.

--- a/crates/comfreyhall-node/tests/silence.rs
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
+
 use comfreyhall_domain::{ClientRequest, Refusal, RouteKind};
 use support::*;
 
@@ -52,6 +54,21 @@
     assert_eq!(result, CallerResult::Stream(vec![1, 2, 3, 4], true));
 }
 
+/// Guards against a run that goes on at a silent target after another one has answered,
+/// and against events of both in one stream.
+#[tokio::test]
+async fn serve_superseded_run_is_cancelled() {
+    let endless = Behavior::PausingStream(vec![1, 2], 60_000, vec![3]);
+    for (first, rest) in [(endless, vec![3, 4]), (Behavior::Hang, vec![1, 2, 3, 4])] {
+        let (node, backend) = start_node(route_with_time(RouteKind::Stream), vec![first]).await;
+        *backend.default_behavior.lock().unwrap() = Some(Behavior::Stream(rest, true));
+        let result = caller_result(node.serve(patient("r")).await).await;
+        assert_eq!(result, CallerResult::Stream(vec![1, 2, 3, 4], true));
+        assert_eq!(backend.sent.lock().unwrap().len(), 2);
+        assert_eq!(backend.silent_runs.load(Ordering::SeqCst), 0);
+    }
+}
+
 /// Guards against a request that is sent again to the target that is silent, beside its
 /// open answer.
 #[tokio::test]
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -85,6 +85,8 @@
     pub cut_targets: Mutex<Vec<Name>>,
     /// Targets that have exited.
     pub exited_targets: Mutex<Vec<Name>>,
+    /// Silent runs that have not been cancelled.
+    pub silent_runs: Arc<std::sync::atomic::AtomicUsize>,
     /// Reports requested so far.
     pub report_count: std::sync::atomic::AtomicUsize,
 }
@@ -95,6 +97,22 @@
     }
 }
 
+/// A silent run, counted until it is dropped.
+struct SilentRun(Arc<std::sync::atomic::AtomicUsize>);
+
+impl SilentRun {
+    fn begin(count: &Arc<std::sync::atomic::AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count.clone())
+    }
+}
+
+impl Drop for SilentRun {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn event(id: u64) -> Bytes {
     format!("id: {id}\ndata: t{id}\n\n").into()
 }
@@ -140,6 +158,8 @@
         if matches!(behavior, Behavior::Exit | Behavior::UnframedStream(_, true)) {
             self.exited_targets.lock().unwrap().push(target.id.clone());
         }
+        let is_silent = matches!(behavior, Behavior::Hang | Behavior::PausingStream(..));
+        let run = is_silent.then(|| SilentRun::begin(&self.silent_runs));
         async move {
             match behavior {
                 Behavior::Answer(status, ms) => {
@@ -152,7 +172,10 @@
                     tokio::time::sleep(CLOSE_DELAY).await;
                     Err(SendError::ConnectionClosed("scripted".into()))
                 }
-                Behavior::Hang => std::future::pending().await,
+                Behavior::Hang => {
+                    let _run = run;
+                    std::future::pending().await
+                }
                 Behavior::Refuse(refusal) => Ok(Response {
                     refusal: Some(refusal),
                     verified: false,
@@ -193,6 +216,7 @@
                 Behavior::PausingStream(before, ms, after) => {
                     let pause = async move {
                         tokio::time::sleep(Duration::from_millis(ms)).await;
+                        drop(run);
                         None
                     };
                     let paced = stream::iter(before.into_iter().map(Some))
