--- a/crates/comfreyhall-node/tests/silence.rs
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -97,6 +97,9 @@
     let result = caller_result(reply).await;
     assert_eq!(result, CallerResult::Stream(vec![1, 2, 3], true));
     assert_eq!(backend.sent.lock().unwrap().len(), 1);
+    let metrics = node.metrics_text();
+    let mut samples = metrics.lines().filter(|l| !l.starts_with('#'));
+    assert!(!samples.any(|l| l.contains("silences")), "{metrics}");
 }
 
 /// Guards against a stream that is given up before its first event, which comes late.
