Test of changing cuts prints the commands with which holders took turns

Each turn is now shown with its three commands: holder, token, and when each was sent and arrived. What counts as a turn is unchanged.

--- a/crates/comfreyhall-node/tests/cuts.rs
+++ b/crates/comfreyhall-node/tests/cuts.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -54,12 +55,30 @@
     token: u64,
     /// Loads that were ordered without a slot for them.
     overfilled: usize,
-    /// Who sent the commands that it accepted, and when.
-    holders: Vec<(Name, Instant)>,
+    /// The commands that it accepted.
+    accepted: Vec<Accepted>,
+}
+
+/// A command that an engine accepted.
+#[derive(Clone)]
+struct Accepted {
+    holder: Name,
+    token: u64,
+    sent: Instant,
+    arrived: Instant,
+}
+
+impl fmt::Debug for Accepted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let late = self.arrived - self.sent;
+        write!(f, "{} under {}, ", self.holder, self.token)?;
+        write!(f, "arrived {late:?} after it was sent, ")?;
+        write!(f, "{:?} before the test ended", self.arrived.elapsed())
+    }
 }
 
 impl Engine {
-    fn command(&mut self, command: &Command) -> CommandReply {
+    fn command(&mut self, command: &Command, sent: Instant) -> CommandReply {
         if command.token < self.token {
             return CommandReply::Fenced;
         }
@@ -80,19 +99,28 @@
             }
         }
         self.sequence += 1;
-        self.holders.push((command.holder.clone(), Instant::now()));
+        self.accepted.push(Accepted {
+            holder: command.holder.clone(),
+            token: command.token,
+            sent,
+            arrived: Instant::now(),
+        });
         CommandReply::Accepted
     }
 
-    /// Times at which a holder commanded it again less than a lease term after a command
-    /// of its own, with another holder's in between.
-    fn turns(&self) -> usize {
-        let mut turns = 0;
-        for (i, (holder, at)) in self.holders.iter().enumerate() {
-            let between = self.holders[..i].iter().rev();
-            let mut others = between.take_while(|(_, earlier)| *at - *earlier < LEASE_TERM);
-            let others_first = others.find(|(h, _)| h != holder).is_some();
-            turns += usize::from(others_first && others.any(|(h, _)| h == holder));
+    /// Commands of a holder that came less than a lease term after one of its own, with
+    /// another holder's in between: each with the two before it.
+    fn turns(&self) -> Vec<[Accepted; 3]> {
+        let mut turns = Vec::new();
+        for (i, last) in self.accepted.iter().enumerate() {
+            let between = self.accepted[..i].iter().rev();
+            let mut recent = between.take_while(|e| last.arrived - e.arrived < LEASE_TERM);
+            let Some(other) = recent.find(|e| e.holder != last.holder) else {
+                continue;
+            };
+            if let Some(first) = recent.find(|e| e.holder == last.holder) {
+                turns.push([first, other, last].map(Accepted::clone));
+            }
         }
         turns
     }
@@ -114,11 +142,11 @@
 type Engines = Arc<BTreeMap<Name, Mutex<Engine>>>;
 
 /// Executes a command, and ends the load that it begins.
-fn execute(engines: &Engines, target: &Name, command: &Command) -> CommandReply {
+fn execute(engines: &Engines, target: &Name, command: &Command, sent: Instant) -> CommandReply {
     let (reply, begun) = {
         let mut engine = engines[target].lock().unwrap();
         let before = engine.sequence;
-        let reply = engine.command(command);
+        let reply = engine.command(command, sent);
         (reply, engine.sequence > before)
     };
     if begun && command.action == Action::Load {
@@ -165,13 +193,14 @@
         command: Command,
     ) -> BoxFuture<'static, TargetReply<CommandReply>> {
         let engines = self.engines.clone();
+        let sent = Instant::now();
         let reply = match self.cut(&target) {
-            None => execute(&engines, &target.id, &command),
+            None => execute(&engines, &target.id, &command, sent),
             Some(Cut::Refused) => CommandReply::NotSent("refused".into()),
             Some(Cut::Hung) => {
                 tokio::spawn(async move {
                     tokio::time::sleep(2 * LOAD_TIME).await;
-                    execute(&engines, &target.id, &command);
+                    execute(&engines, &target.id, &command, sent);
                 });
                 CommandReply::Silent("hung".into())
             }
@@ -281,10 +310,14 @@
         self.tables.push(table);
     }
 
-    /// Times at which holders took turns, over all engines.
-    fn turns(&self) -> usize {
-        let engines = self.engines.values();
-        engines.map(|e| e.lock().unwrap().turns()).sum()
+    /// Commands with which holders took turns, by engine.
+    fn turns(&self) -> Vec<(Name, [Accepted; 3])> {
+        let engines = self.engines.iter();
+        let turns = engines.flat_map(|(id, e)| {
+            let turns = e.lock().unwrap().turns().into_iter();
+            turns.map(|t| (id.clone(), t))
+        });
+        turns.collect()
     }
 
     /// Has all daemons but the one at `except` serve new adapters for this long.
@@ -319,9 +352,9 @@
     /// The daemon whose command an engine accepted last.
     fn holder(&self) -> Option<Name> {
         let engines = self.engines.values().map(|e| e.lock().unwrap());
-        let last = engines.filter_map(|e| e.holders.last().cloned());
-        let last = last.max_by_key(|(_, at)| *at);
-        last.map(|(holder, _)| holder)
+        let last = engines.filter_map(|e| e.accepted.last().cloned());
+        let last = last.max_by_key(|a| a.arrived);
+        last.map(|a| a.holder)
     }
 
     /// Changes the paths of all daemons: most engines are cut off, or none. The holder
@@ -384,7 +417,8 @@
             assert!(healed.elapsed() < HEALED_WITHIN, "daemon {daemon}");
         }
     }
-    assert_eq!(fleet.turns(), 0, "holders took turns");
+    let turns = fleet.turns();
+    assert!(turns.is_empty(), "holders took turns: {turns:#?}");
     let overfilled = |e: &Mutex<Engine>| e.lock().unwrap().overfilled;
     let overfilled: Vec<usize> = fleet.engines.values().map(overfilled).collect();
     assert_eq!(overfilled, [0; ENGINES]);
@@ -424,5 +458,6 @@
     fleet.start_daemon(&holder, listener);
     let time = LEASE_TERM - STOP_TIME;
     fleet.serve_new(Some(stopping), "again", time).await;
-    assert_eq!(fleet.turns(), 0, "holders took turns");
+    let turns = fleet.turns();
+    assert!(turns.is_empty(), "holders took turns: {turns:#?}");
 }
