The lease term between two holders counts from when a command arrives

Cause: sending was taken for arrival; an attempt without an answer says nothing of when the command arrives.

Change: the term counts from the answer; after a command without one, from 600 ms after its last attempt (two lost packets in a row, at 200 and 400 ms).

--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -28,6 +28,10 @@
 /// adapters a second instead of 110.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Longest time after the last attempt until a command that got no answer arrives, in ms:
+/// two losses in a row on its path delay it by so much.
+const LATE_ARRIVAL_MS: u64 = 600;
+
 /// Doublings of the pause after failed calls.
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
@@ -96,6 +100,12 @@
             .leases
             .record_command(group, token, self.node.now());
         let reply = self.send_with_retries(command).await;
+        let delay_ms = match reply {
+            CommandReply::Silent(_) => LATE_ARRIVAL_MS,
+            _ => 0,
+        };
+        let arrived_ms = self.node.now() + delay_ms;
+        self.node.leases.record_arrival(group, arrived_ms);
         log::debug!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), action:? = order.action(), version = order.version(), expected = order.sequence(), token, reply:? = reply; "order");
         self.node.metrics.command(reply.name());
         match &reply {
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -44,7 +44,8 @@
 #[derive(Debug, Clone, Copy)]
 struct LastCommand {
     token: u64,
-    sent_ms: u64,
+    /// Time by which it has arrived.
+    arrived_ms: u64,
     /// Whether it has handed the group to another daemon since.
     handed_over: bool,
 }
@@ -186,16 +187,24 @@
     pub(crate) fn record_command(&self, group: &str, token: u64, now: u64) {
         let command = LastCommand {
             token,
-            sent_ms: now,
+            arrived_ms: now,
             handed_over: false,
         };
         self.last_commands().insert(group.into(), command);
     }
 
+    /// Records that the commands sent in `group` until now have arrived by `at`.
+    pub(crate) fn record_arrival(&self, group: &str, at: u64) {
+        if let Some(last) = self.last_commands().get_mut(group) {
+            last.arrived_ms = last.arrived_ms.max(at);
+        }
+    }
+
     /// How long this daemon is to send no command in `group` under `token`, in ms.
     ///
     /// If another holder has commanded the group since its own last command, a lease term
-    /// `term_ms` passes first: two daemons that take turns look like two holders at once.
+    /// `term_ms` passes after that one's arrival: two daemons that take turns look like two
+    /// holders at once.
     pub(crate) fn command_pause_ms(&self, group: &str, token: u64, term_ms: u64, now: u64) -> u64 {
         let highest_seen = self.highest_seen(group);
         let Some(last) = self.last_commands().get(group).copied() else {
@@ -206,7 +215,7 @@
         };
         let other_since = last.handed_over || highest_seen > last.token;
         match last.token != token && other_since {
-            true => (last.sent_ms + term_ms).saturating_sub(now),
+            true => (last.arrived_ms + term_ms).saturating_sub(now),
             false => 0,
         }
     }
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -114,6 +114,24 @@
     assert_eq!(next.command_pause_ms("g", 2_000, term_ms, 200), 0);
 }
 
+/// Guards against a holder whose command arrives late, as its path was hung, and that
+/// commands the group again less than a term after that arrival.
+#[test]
+fn command_pause_ms_late_arrival() {
+    let term_ms = 3_000;
+    let first = leases(Some(1), Some(1));
+    let token = first.token("g", true).unwrap();
+    first.record_command("g", token, 1_000);
+    first.record_arrival("g", 1_780);
+    // An answer to an earlier command does not bring the arrival forward.
+    first.record_arrival("g", 1_100);
+    let ceded = first.hand_over("g", true).unwrap();
+    first.accept_handover("g", ceded + 1, 1_500);
+    let back = first.token("g", true).unwrap();
+    assert_eq!(first.command_pause_ms("g", back, term_ms, 4_000), 780);
+    assert_eq!(first.command_pause_ms("g", back, term_ms, 4_780), 0);
+}
+
 /// Guards against a holder that starts again, does not know that it has just commanded a
 /// group, and takes turns with the daemon that went on for it.
 #[test]
