Each engine command is checked against the pause after another holder

Found by reading: the pause was asked for once a round of the engine's task. A round awaits reports and answers in between; if the group had passed to another holder and back by then, the next command went out under the new token at once, and its record ended the pause for the group's other engines too.

Change: begin_command checks the pause and records the command in one step, before each command.

Test: begin_command_after_return (new with the fix; the code before has no such step). No run has shown the fault.

--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -94,11 +94,13 @@
         if self.node.draining() {
             return CommandReply::Fenced;
         }
-        let command = Command::new(order, self.node.settings().id.clone(), token);
         let group = &self.target.failure_domain;
-        self.node
-            .leases
-            .record_command(group, token, self.node.now());
+        let term_ms = self.node.settings().bounds.lease_ms;
+        let leases = &self.node.leases;
+        if !leases.begin_command(group, token, term_ms, self.node.now()) {
+            return CommandReply::Fenced;
+        }
+        let command = Command::new(order, self.node.settings().id.clone(), token);
         let reply = self.send_with_retries(command).await;
         let delay_ms = match reply {
             CommandReply::Silent(_) => LATE_ARRIVAL_MS,
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -183,8 +183,20 @@
         since.is_some_and(|at| now.saturating_sub(*at) < for_ms)
     }
 
-    /// Records that a command is sent in `group` under `token`.
-    pub(crate) fn record_command(&self, group: &str, token: u64, now: u64) {
+    /// Records that a command is sent in `group` under `token`, unless this daemon is to
+    /// pause there; returns whether it may be sent.
+    ///
+    /// The group may have passed to another holder and back while the caller awaited
+    /// something, so this is asked for each command.
+    pub(crate) fn begin_command(&self, group: &str, token: u64, term_ms: u64, now: u64) -> bool {
+        if self.command_pause_ms(group, token, term_ms, now) > 0 {
+            return false;
+        }
+        self.record_command(group, token, now);
+        true
+    }
+
+    fn record_command(&self, group: &str, token: u64, now: u64) {
         let command = LastCommand {
             token,
             arrived_ms: now,
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -99,7 +99,7 @@
     let term_ms = 3_000;
     let first = leases(Some(1), Some(1));
     let token = first.token("g", true).unwrap();
-    first.record_command("g", token, 1_000);
+    first.begin_command("g", token, term_ms, 1_000);
     assert_eq!(first.command_pause_ms("g", token, term_ms, 1_100), 0);
     let ceded = first.hand_over("g", true).unwrap();
     // The group comes back from its next holder.
@@ -110,7 +110,7 @@
     // Its own next token after a handover is no turn.
     let next = leases(Some(2), Some(2));
     next.accept_handover("g", 1_001, 0);
-    next.record_command("g", 1_001, 100);
+    next.begin_command("g", 1_001, term_ms, 100);
     assert_eq!(next.command_pause_ms("g", 2_000, term_ms, 200), 0);
 }
 
@@ -121,7 +121,7 @@
     let term_ms = 3_000;
     let first = leases(Some(1), Some(1));
     let token = first.token("g", true).unwrap();
-    first.record_command("g", token, 1_000);
+    first.begin_command("g", token, term_ms, 1_000);
     first.record_arrival("g", 1_780);
     // An answer to an earlier command does not bring the arrival forward.
     first.record_arrival("g", 1_100);
@@ -132,6 +132,23 @@
     assert_eq!(first.command_pause_ms("g", back, term_ms, 4_780), 0);
 }
 
+/// Guards against a command that is sent at once under a new token, as its sender awaited
+/// something while the group passed to another holder and back.
+#[test]
+fn begin_command_after_return() {
+    let term_ms = 3_000;
+    let first = leases(Some(1), Some(1));
+    let token = first.token("g", true).unwrap();
+    assert!(first.begin_command("g", token, term_ms, 1_000));
+    let ceded = first.hand_over("g", true).unwrap();
+    first.accept_handover("g", ceded + 1, 1_500);
+    let back = first.token("g", true).unwrap();
+    assert!(!first.begin_command("g", back, term_ms, 1_600));
+    // The refused command leaves the pause as it is.
+    assert_eq!(first.command_pause_ms("g", back, term_ms, 1_700), 2_300);
+    assert!(first.begin_command("g", back, term_ms, 4_000));
+}
+
 /// Guards against a holder that starts again, does not know that it has just commanded a
 /// group, and takes turns with the daemon that went on for it.
 #[test]
