Bytes between daemons are counted by kind of content

Cause: what daemons tell each other grows with the square of the fleet (71 MB/s at the busiest of 301 daemons), and nothing shows which content it is.

Change: the sender of each message between daemons counts its encoded length: gossip by its parts (roster, peers, totals, work, settings, targets, evidence, notices, paces, adapters, versions, leases, head), other calls and their answers as one kind each (progress, bind, quotas, reach, versions, settings, forwarded). Metrics peer_messages_total{call} and peer_bytes_total{kind}. The parts of gossip are a pure function that tests use without a metric. No logic changes; processor time by kind is not counted.

--- a/crates/comfreyhall-node/src/bind/mod.rs
+++ b/crates/comfreyhall-node/src/bind/mod.rs
@@ -22,7 +22,7 @@
     params::{BindError, BindParams, Binding},
     wire::answer,
 };
-use crate::node::Node;
+use crate::{node::Node, traffic::Kind};
 
 /// Timeout of a holder's answer if no load has to come first, in ms: it takes a
 /// few ms, and some tens of ms on a busy core. A request that has waited this
@@ -45,7 +45,8 @@
         true => params.limit_ms() + RETURN_ALLOWANCE_MS,
         false => ANSWER_TIMEOUT_MS,
     };
-    let call = client.bind(wire::ask(node.fleet.peer_addr(), &params));
+    let ask = wire::ask(node.fleet.peer_addr(), &params);
+    let call = client.bind(node.metrics.peer_sent(Kind::Bind, ask));
     let why = match tokio::time::timeout(Duration::from_millis(limit), call).await {
         Ok(Ok(reply)) => return wire::reply(reply.into_inner()),
         Ok(Err(status)) => status.message().to_string(),
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -82,13 +82,20 @@
     }
 }
 
+/// The gossip of a call to the peer at `addr`.
+pub(super) fn call_for(node: &Node, addr: &str) -> News {
+    let mut gossip = node.fleet.gossip_for(node, addr);
+    node.fleet.push_rows(node, addr, &mut gossip);
+    node.fleet.add_known_roster(addr, &mut gossip);
+    node.metrics.gossip_sent(&gossip);
+    gossip
+}
+
 async fn exchange_gossip(node: Arc<Node>, addr: Name) {
     let Some(mut client) = node.fleet.client(&addr) else {
         return;
     };
-    let mut gossip = node.fleet.gossip_for(&node, &addr);
-    node.fleet.push_rows(&node, &addr, &mut gossip);
-    node.fleet.add_known_roster(&addr, &mut gossip);
+    let gossip = call_for(&node, &addr);
     let answer = tokio::time::timeout(EXCHANGE_TIMEOUT, client.exchange(gossip)).await;
     if let Some(peer) = node.fleet.state().peers.get_mut(&addr) {
         peer.calling = false;
@@ -174,5 +181,6 @@
     if let Some(asker) = asker {
         node.fleet.add_totals(node, &asker, roster, &mut gossip);
     }
+    node.metrics.gossip_sent(&gossip);
     gossip
 }
--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -35,6 +35,7 @@
     ports::{Record, RecordBatch, Topic},
     records,
     rows::Provenance,
+    traffic::Kind,
 };
 
 /// Recipients named to daemons that cannot be served now.
@@ -254,6 +255,7 @@
 async fn read_chunks(node: &Node, addr: &str, ask: SettingsAsk) -> Result<Bytes, FetchError> {
     let mut client = node.fleet.client_at(addr);
     let failed = |status: Status| FetchError::Failed(status.message().to_string());
+    let ask = node.metrics.peer_sent(Kind::Settings, ask);
     let begun = tokio::time::timeout(SILENCE_TIMEOUT, client.fetch(ask)).await;
     let begun = begun.map_err(|_| FetchError::Silent)?;
     join(begun.map_err(failed)?.into_inner()).await
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -32,7 +32,7 @@
 
 pub(crate) use self::{
     exchange::{announce_lease, answer, hear_peers, notify_all, notify_findings, spawn},
-    fetch::{ChunkStream, send_settings},
+    fetch::send_settings,
     runs::Run,
     state::LoadTiming,
     updates::{RunChange, RunUpdate},
--- a/crates/comfreyhall-node/src/fleet/progress.rs
+++ b/crates/comfreyhall-node/src/fleet/progress.rs
@@ -20,6 +20,7 @@
 use crate::{
     node::Node,
     paces::{self, Prompt},
+    traffic::Kind,
 };
 
 /// Delay that batches updates into one call, in ms: short against the 100 ms or
@@ -123,6 +124,7 @@
         from: node.fleet.me.peer.clone(),
         events,
     };
+    let report = node.metrics.peer_sent(Kind::Progress, report);
     let answer = tokio::time::timeout(CALL_TIMEOUT, client.progress(report)).await;
     if !matches!(answer, Ok(Ok(_))) {
         log::debug!(target: "fleet", peer:% = holder; "progress not reported; the next gossip message covers it");
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -9,7 +9,7 @@
 mod receive;
 mod wire;
 
-pub(crate) use self::receive::{PartStream, receive};
+pub(crate) use self::receive::receive;
 
 use std::{sync::Arc, time::Duration};
 
@@ -25,6 +25,7 @@
     collect::Exceeded,
     node::Node,
     serve::{EventStream, Reply},
+    traffic::Kind,
 };
 
 /// The parts of an answer as they arrive.
@@ -72,6 +73,7 @@
     let unreachable = || Status::unavailable("the daemon is not known any more");
     let mut client = node.fleet.answer_client(peer).ok_or_else(unreachable)?;
     let call = wire::encode_request(&node.settings().id, request, left_ms);
+    let call = node.metrics.peer_sent(Kind::Forwarded, call);
     log::info!(target: "forward", id:% = request.id, to:% = peer, left = left_ms; "request passed on");
     let answer = async {
         let mut parts = client.forward(call).await?.into_inner();
--- a/crates/comfreyhall-node/src/leases/reach.rs
+++ b/crates/comfreyhall-node/src/leases/reach.rs
@@ -12,7 +12,7 @@
 use tonic::transport::Channel;
 
 use super::VACANT_TERMS;
-use crate::{fleet, node::Node};
+use crate::{fleet, metrics::Metrics, node::Node, traffic::Kind};
 
 /// Peers that are asked whether they reach the lost engines.
 const MAX_ASKED: usize = 6;
@@ -68,7 +68,7 @@
     let asked = node.fleet.reaching_successors(group, MAX_ASKED, node.now());
     let calls = asked.into_iter().map(|(addr, client)| {
         let probed = &probed;
-        async move { (addr, count_alive(client, probed).await) }
+        async move { (addr, count_alive(&node.metrics, client, probed).await) }
     });
     let answers = futures::future::join_all(calls).await;
     let reaching = answers.into_iter().find(|(_, alive)| *alive >= needed);
@@ -76,12 +76,13 @@
 }
 
 /// How many of `targets` the daemon behind `client` reaches.
-async fn count_alive(client: FleetClient<Channel>, targets: &[&Name]) -> usize {
+async fn count_alive(metrics: &Metrics, client: FleetClient<Channel>, targets: &[&Name]) -> usize {
     let calls = targets.iter().map(|target| {
         let mut client = client.clone();
         let query = ReachQuery {
             target: target.to_string(),
         };
+        let query = metrics.peer_sent(Kind::Reach, query);
         async move {
             match tokio::time::timeout(ANSWER_TIMEOUT, client.reach(query)).await {
                 Ok(Ok(reply)) => reply.into_inner().reach() == Reach::Alive,
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -40,6 +40,7 @@
 mod source;
 mod stop;
 mod streams;
+mod traffic;
 mod view;
 mod weights;
 
--- a/crates/comfreyhall-node/src/metrics.rs
+++ b/crates/comfreyhall-node/src/metrics.rs
@@ -6,12 +6,16 @@
 use std::sync::Mutex;
 
 use comfreyhall_domain::{RouteKind, Set};
+use comfreyhall_protocol::News;
 use comfreyhall_relay::EndCause;
 use comfreyhall_telemetry::Exposition;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
+use prost::Message;
+
+use crate::traffic::{self, Kind};
 
 /// Histogram boundaries for times to a first event and for load stalls, in
 /// seconds; the latency objectives of the deployments served are 0.15 to 1 s.
@@ -57,6 +61,8 @@
     load_stall: Histogram<f64>,
     slot_wait: Histogram<f64>,
     engine_pace: Histogram<f64>,
+    peer_messages: Counter<u64>,
+    peer_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -163,6 +169,14 @@
                 .with_description("time to read a prompt relative to the mean, of engines told of")
                 .with_boundaries(BUCKETS_PACE.to_vec())
                 .build(),
+            peer_messages: counter(
+                "peer_messages",
+                "messages sent to other daemons, answers included, by call",
+            ),
+            peer_bytes: counter(
+                "peer_bytes",
+                "bytes of messages sent to other daemons, by kind of content",
+            ),
             exposition,
         }
     }
@@ -311,6 +325,29 @@
         self.engine_pace.record(pace, &[]);
     }
 
+    /// Counts a gossip message to another daemon.
+    pub(crate) fn gossip_sent(&self, gossip: &News) {
+        self.peer_messages
+            .add(1, &[KeyValue::new("call", "gossip")]);
+        let sent = traffic::parts(gossip);
+        for (kind, bytes) in sent.into_iter().filter(|(_, bytes)| *bytes > 0) {
+            self.peer_bytes(kind, bytes);
+        }
+    }
+
+    /// Counts another message to a daemon, which holds one kind of content; returns it.
+    pub(crate) fn peer_sent<M: Message>(&self, kind: Kind, message: M) -> M {
+        let labels = [KeyValue::new("call", kind.name())];
+        self.peer_messages.add(1, &labels);
+        self.peer_bytes(kind, message.encoded_len());
+        message
+    }
+
+    fn peer_bytes(&self, kind: Kind, bytes: usize) {
+        let labels = [KeyValue::new("kind", kind.name())];
+        self.peer_bytes.add(bytes as u64, &labels);
+    }
+
     pub(crate) fn text(&self) -> String {
         self.exposition.text()
     }
--- a/crates/comfreyhall-node/src/quarantine/reach.rs
+++ b/crates/comfreyhall-node/src/quarantine/reach.rs
@@ -11,7 +11,7 @@
 use comfreyhall_quarantine::{PeerAnswers, ProbeResult};
 use futures::{StreamExt, stream::FuturesUnordered};
 
-use crate::{node::Node, outbound};
+use crate::{node::Node, outbound, traffic::Kind};
 
 /// Peers that are asked: with paths to a target cut for half of all daemons, all of these are
 /// cut off once in 64 times.
@@ -31,7 +31,7 @@
         target: target.to_string(),
     };
     let calls = clients.into_iter().map(|mut client| {
-        let query = query.clone();
+        let query = node.metrics.peer_sent(Kind::Reach, query.clone());
         async move { client.reach(query).await }
     });
     let mut replies: FuturesUnordered<_> = calls.collect();
--- a/crates/comfreyhall-node/src/quotas/settle.rs
+++ b/crates/comfreyhall-node/src/quotas/settle.rs
@@ -6,7 +6,7 @@
 use comfreyhall_workspace::{FleetView, PeerProcess, SettleRequest};
 
 use super::{own_process, state::QuotaKind, wire};
-use crate::{leases, node::Node, outbound};
+use crate::{leases, node::Node, outbound, traffic::Kind};
 
 /// Longest duration of one call: requests wait for it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -119,7 +119,8 @@
                 QuotaKind::Workspaces => Vec::new(),
                 QuotaKind::Targets => outbound::own_notices(&node, &call.group),
             };
-            let answer = client.settle(wire::call(kind, &call, words));
+            let call = wire::call(kind, &call, words);
+            let answer = client.settle(node.metrics.peer_sent(Kind::Quotas, call));
             tokio::time::timeout(CALL_TIMEOUT, answer).await
         }
         None => Ok(Err(tonic::Status::unavailable("the home is not known"))),
--- a/crates/comfreyhall-node/src/streams/find.rs
+++ b/crates/comfreyhall-node/src/streams/find.rs
@@ -8,7 +8,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 
 use super::{versions, wire};
-use crate::node::Node;
+use crate::{node::Node, traffic::Kind};
 
 /// Daemons that are asked: the ones that were sent the record, and those that follow
 /// them in the order for its id, in case some were not known to have ended.
@@ -110,6 +110,7 @@
         service: service.to_string(),
         id: id.to_string(),
     };
+    let query = node.metrics.peer_sent(Kind::Versions, query);
     match client.find_stream(query).await {
         Ok(finding) => wire::decode_answer(finding.get_ref()),
         Err(status) => {
--- a/crates/comfreyhall-node/src/streams/share.rs
+++ b/crates/comfreyhall-node/src/streams/share.rs
@@ -7,7 +7,7 @@
 use comfreyhall_streams::StreamRecord;
 
 use super::{MAX_RECORD_MS, OWNERS, wire};
-use crate::node::Node;
+use crate::{node::Node, traffic::Kind};
 
 /// Delay that batches records into one call: short against the time after which a
 /// caller resumes a stream.
@@ -58,6 +58,7 @@
     let Some(mut client) = node.fleet.client(&owner) else {
         return;
     };
+    let batch = node.metrics.peer_sent(Kind::Versions, batch);
     let call = tokio::time::timeout(CALL_TIMEOUT, client.record_streams(batch)).await;
     let why = match call {
         Ok(Ok(_)) => {
