A holder sends the rows of its roster that changed, not the list

Cause: a holder's roster had a hash as its version, so one daemon that lost a target, was isolated or became ready made every holder send every daemon the list of all daemons: bytes of daemons squared for each change.

Change: fleet::roster keeps the version at which each row last changed, and the last 64 removals. A call names the process and version of the roster that the caller has (roster_boot, new); the answer has the rows that changed since (roster_since, new) and the daemons that are gone (roster_removed, new). The full list goes to a caller without one, with one of another process of the holder or from before the removals that are kept, and to a peer of an older build, which names no process. Versions begin at a number of the process, as older peers compare only them. A caller that cannot apply an answer keeps its list, renews nobody by it, and names its true version in the next call. Rows that a caller knows are not copied again with each answer.

The tests' fleet has real gossip, encoded and decoded, without sockets; the clock of such a test is simulated.

--- a/crates/comfreyhall-node/src/clock.rs
+++ b/crates/comfreyhall-node/src/clock.rs
@@ -35,6 +35,10 @@
 /// Time in ms since the first call in this process, including suspended time;
 /// never 0.
 pub(crate) fn now() -> u64 {
+    #[cfg(test)]
+    if let Some(ms) = crate::test_node::simulated_ms() {
+        return ms;
+    }
     elapsed().as_millis() as u64 + 1
 }
 
--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -9,6 +9,7 @@
 use super::{
     Origin,
     periods::{self, GOSSIP_PERIOD_MS},
+    roster::ListVersion,
     rows::{ReportedVersions, add_rows},
     state::{FORGET_MS, Fleet, State},
 };
@@ -174,7 +175,10 @@
     let addr = addr.unwrap_or_default();
     let versions = ReportedVersions::from(&asked);
     let asker = asked.from.clone();
-    let roster = asked.roster_version;
+    let roster = ListVersion {
+        boot: asked.roster_boot,
+        version: asked.roster_version,
+    };
     node.fleet.apply_gossip(node, asked, Origin::Call);
     let mut gossip = node.fleet.gossip_for(node, &addr);
     add_rows(node, versions, &mut gossip);
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -154,15 +154,6 @@
         }
     }
 
-    /// Adds the version of the roster known from the peer at `addr` to a call.
-    /// An answer carries the sender's own version: with this one in it, an
-    /// answer of a holder that still regards its fleet as small would renew an
-    /// old roster.
-    pub(super) fn add_known_roster(&self, addr: &str, gossip: &mut News) {
-        let state = self.state();
-        gossip.roster_version = state.peers.get(addr).map_or(0, |p| p.roster.version());
-    }
-
     /// Applies a peer's gossip message.
     pub(crate) fn apply_gossip(&self, node: &Arc<Node>, gossip: News, arrival: super::Origin) {
         let Some(from) = gossip.from.clone() else {
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -16,7 +16,7 @@
 
 use super::{
     periods::{FANOUT, GOSSIP_PERIOD_MS, is_large, report_period_ms},
-    roster::{Roster, Summary},
+    roster::{Changes, ListVersion, Roster},
     state::{Fleet, Peer, State},
 };
 use crate::{node::Node, reach};
@@ -28,6 +28,27 @@
 /// reports, so that ten are made per second instead of one for each call.
 const SUMMARY_TTL_MS: u64 = 100;
 
+/// The part of a holder's answers that is the same for all daemons, before each
+/// daemon's own work is subtracted.
+#[derive(Debug, Default)]
+pub(super) struct Summary {
+    /// When it was made; 0 for never.
+    made_at_ms: u64,
+    roster: Roster,
+    /// Work of all daemons at the targets of the held groups.
+    totals: Vec<(Name, TargetTotal)>,
+}
+
+impl Summary {
+    /// The empty summary of the process `boot`.
+    pub(super) fn new(boot: u64) -> Self {
+        Self {
+            roster: Roster::new(boot),
+            ..Self::default()
+        }
+    }
+}
+
 impl Peer {
     /// Whether it holds a lease.
     pub(super) fn holds(&self) -> bool {
@@ -86,12 +107,13 @@
         out
     }
 
-    /// Live daemons, including `me`.
-    fn roster(&self, me: Daemon, now: u64) -> Roster {
-        let recent = self.recent_peers(now).filter_map(|(_, p)| p.daemon.clone());
-        let mut members: Vec<Daemon> = recent.chain([me]).collect();
-        members.sort_by(|a, b| a.peer.cmp(&b.peer));
-        Roster::from_members(members)
+    /// Updates the list of live daemons, including `me`.
+    fn update_roster(&mut self, me: &Daemon, now: u64) {
+        let mut roster = std::mem::take(&mut self.summary.roster);
+        let recent = self.recent_peers(now);
+        let recent = recent.filter_map(|(_, p)| p.daemon.as_ref());
+        roster.update(recent.chain([me]));
+        self.summary.roster = roster;
     }
 }
 
@@ -111,24 +133,44 @@
             && state.recent_peers(node.now()).any(|(_, p)| p.holds())
     }
 
+    /// Adds the version of the roster known from the peer at `addr` to a call.
+    /// An answer carries the sender's own version: with this one in it, an
+    /// answer of a holder that still regards its fleet as small would renew an
+    /// old roster.
+    pub(super) fn add_known_roster(&self, addr: &str, gossip: &mut News) {
+        let state = self.state();
+        if let Some(peer) = state.peers.get(addr) {
+            let ListVersion { boot, version } = peer.roster.list();
+            gossip.roster_version = version;
+            gossip.roster_boot = boot;
+        }
+    }
+
     /// Adds a holder's totals to the answer for the daemon `asker` in a large
-    /// fleet; `known` is the version of the roster that it has.
-    pub(super) fn add_totals(&self, node: &Node, asker: &Daemon, known: u64, gossip: &mut News) {
+    /// fleet; `known` is the roster that it has.
+    pub(super) fn add_totals(
+        &self,
+        node: &Node,
+        asker: &Daemon,
+        known: ListVersion,
+        gossip: &mut News,
+    ) {
         if !self.is_large() || gossip.holdings.is_empty() {
             return;
         }
         let now = node.now();
         if now.saturating_sub(self.state().summary.made_at_ms) > SUMMARY_TTL_MS {
-            let summary = self.summarize(node, gossip, now);
-            self.state().summary = summary;
+            self.summarize(node, gossip, now);
         }
         // Lock order: the view before the state.
         let view = node.view();
         let state = self.state();
         let Summary { roster, totals, .. } = &state.summary;
-        gossip.roster_version = roster.version;
-        if roster.version != known {
-            gossip.roster = roster.members.clone();
+        gossip.roster_version = roster.version();
+        if let Some(changes) = roster.changes_since(known) {
+            gossip.roster_since = changes.since;
+            gossip.roster = changes.rows;
+            gossip.roster_removed = changes.removed;
         }
         let without_own = |(id, total): &(Name, TargetTotal)| {
             let own = view.board.peer_work(id, &asker.id, now);
@@ -142,14 +184,11 @@
         gossip.totals = totals.iter().map(without_own).collect();
     }
 
-    fn summarize(&self, node: &Node, gossip: &News, now: u64) -> Summary {
+    fn summarize(&self, node: &Node, gossip: &News, now: u64) {
         let mut me = self.me.clone();
         me.ready = node.ready();
         reach::describe(node, &mut me);
-        let (roster, in_use) = {
-            let state = self.state();
-            (state.roster(me, now), state.adapters_in_use(now))
-        };
+        let in_use = self.state().adapters_in_use(now);
         let view = node.view();
         let held = |domain: &str| gossip.holdings.iter().any(|h| h.group == domain);
         let targets = view.targets.values().filter(|t| held(&t.failure_domain));
@@ -165,11 +204,11 @@
             };
             (work != Work::default() || adapters > 0).then(|| (t.id.clone(), total))
         });
-        Summary {
-            made_at_ms: now,
-            roster,
-            totals: totals.collect(),
-        }
+        let totals = totals.collect();
+        let mut state = self.state();
+        state.update_roster(&me, now);
+        state.summary.made_at_ms = now;
+        state.summary.totals = totals;
     }
 
     /// Adds the daemons that are reported to hold leases in a large fleet.
@@ -219,20 +258,26 @@
         holder.reported_use = in_use
             .map(|t| (t.target.as_str().into(), t.adapters))
             .collect();
-        if gossip.roster_version != holder.roster.version && !gossip.roster.is_empty() {
-            holder.roster = Roster {
-                version: gossip.roster_version,
-                members: gossip.roster.clone(),
-            };
+        let list = ListVersion {
+            boot: from.boot,
+            version: gossip.roster_version,
+        };
+        let changes = Changes {
+            since: gossip.roster_since,
+            rows: gossip.roster.clone(),
+            removed: gossip.roster_removed.clone(),
+        };
+        if !holder.roster.apply(list, changes) {
+            return;
         }
-        let members = std::mem::take(&mut holder.roster.members);
-        for member in &members {
+        let roster = std::mem::take(&mut holder.roster);
+        for member in roster.members() {
             if let Some(peer) = state.peers.get_mut(member.peer.as_str()) {
                 peer.confirm_alive(member, now);
             }
         }
         if let Some(holder) = state.peers.get_mut(from.peer.as_str()) {
-            holder.roster.members = members;
+            holder.roster = roster;
         }
     }
 }
@@ -258,7 +303,7 @@
         let known = self.daemon.as_ref();
         // Its own report is newer than a roster of the same process.
         let newer = now.saturating_sub(self.gossip_at_ms) > GOSSIP_PERIOD_MS;
-        if known.is_none_or(|k| k.boot != member.boot) || newer {
+        if known.is_none_or(|k| k.boot != member.boot || newer && k != member) {
             self.daemon = Some(member.clone());
         }
     }
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -15,10 +15,11 @@
 use tonic::transport::Channel;
 
 use super::{
+    hub::Summary,
     kept_fetch::KeptFetch,
     pace_log::PaceLog,
     periods::report_period_ms,
-    roster::{Roster, Summary},
+    roster::KnownRoster,
     runs::Runs,
     sender::SettingsSender,
     updates::{RunUpdate, UPDATE_QUEUE_LEN},
@@ -50,7 +51,8 @@
     pub(super) calling: bool,
     /// Reported to hold a lease, and not called yet.
     pub(super) holder_hint: bool,
-    pub(super) roster: Roster,
+    /// The live daemons as it last reported them.
+    pub(super) roster: KnownRoster,
     /// Adapters in use by others at targets of its groups, if it reported them.
     pub(super) reported_use: Map<Name, u32>,
     pub(super) holdings: Vec<(Name, u64)>,
@@ -148,10 +150,14 @@
             lost_groups: Vec::new(),
             millicores: (settings.cores * 1_000.0) as u32,
         };
+        let state = Mutex::new(State {
+            summary: Summary::new(me.boot),
+            ..State::default()
+        });
         let (updates_tx, updates_rx) = mpsc::channel(UPDATE_QUEUE_LEN);
         let fleet = Self {
             me,
-            state: Mutex::default(),
+            state,
             // After a restart the numbers must not overlap with earlier ones:
             // holders still know some of those runs.
             next_run: AtomicU64::new(rand::rng().random::<u64>() >> 1),
@@ -193,7 +199,7 @@
             called_at_ms: 0,
             calling: false,
             holder_hint: false,
-            roster: Roster::default(),
+            roster: KnownRoster::default(),
             reported_use: Map::default(),
             holdings: Vec::new(),
             runs: Runs::default(),
--- a/crates/comfreyhall-node/src/fleet/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/tests.rs
@@ -1,3 +1,6 @@
+mod daemons;
+mod large;
+
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::Revision;
--- a/crates/comfreyhall-node/src/test_node.rs
+++ b/crates/comfreyhall-node/src/test_node.rs
@@ -1,6 +1,6 @@
 //! A daemon for tests, on a platform that never answers.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::Cell, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use comfreyhall_domain::{
@@ -188,14 +188,36 @@
     }
 }
 
+thread_local! {
+    /// Time of all daemons of the test that runs in this thread, if it is simulated.
+    static TIME_MS: Cell<Option<u64>> = const { Cell::new(None) };
+}
+
+/// Time in ms, if it is simulated.
+pub(crate) fn simulated_ms() -> Option<u64> {
+    TIME_MS.get()
+}
+
+/// Simulates the time in this thread from now on.
+pub(crate) fn set_time(ms: u64) {
+    TIME_MS.set(Some(ms));
+}
+
 /// A daemon without any data yet.
 pub(crate) fn node() -> Arc<Node> {
+    node_at("n", "127.0.0.1:1")
+}
+
+/// A daemon without any data yet that answers its peers at `peers`.
+pub(crate) fn node_at(id: &str, peers: &str) -> Arc<Node> {
     let text = r#"{
       id: "n", domain: "d", seeds: [], store: "127.0.0.1:1", cores: 0.1,
       listen: { front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:1", peers: "127.0.0.1:1" },
       bounds: { grace_s: 8, drain_ms: 2000, lease_ms: 3000, apply_ms: 2000, version_ms: 5000, address_s: 5,
                 retry_ratio: 0.2, retry_allowance: 54, retry_s: 10, fencing: true, return_s: 2 },
     }"#;
-    let settings = NodeSettings::parse(text, "test").unwrap();
+    let mut settings = NodeSettings::parse(text, "test").unwrap();
+    settings.id = id.into();
+    settings.listen.peers = peers.parse().unwrap();
     Node::new(settings, Arc::new(Unresponsive), Arc::new(Unresponsive))
 }
--- a/crates/comfreyhall-node/src/traffic.rs
+++ b/crates/comfreyhall-node/src/traffic.rs
@@ -78,7 +78,11 @@
     let rows = message::encoded_len_repeated::<comfreyhall_protocol::Fact>;
     let proof = g.targets_proof.as_ref();
     let mut parts = [
-        (Kind::Roster, message::encoded_len_repeated(17, &g.roster)),
+        (
+            Kind::Roster,
+            message::encoded_len_repeated(17, &g.roster)
+                + string::encoded_len_repeated(41, &g.roster_removed),
+        ),
         (
             Kind::Peers,
             string::encoded_len_repeated(12, &g.peers)
--- a/crates/comfreyhall-node/src/traffic/tests.rs
+++ b/crates/comfreyhall-node/src/traffic/tests.rs
@@ -37,6 +37,7 @@
     }
     let cases = [
         row!(Roster, roster, Daemon { id }),
+        field!(Roster, roster_removed, long.clone()),
         field!(Peers, peers, long.clone()),
         field!(Peers, holders, long.clone()),
         row!(Totals, totals, TargetTotal { target }),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -723,7 +723,8 @@
     #[prost(message, repeated, tag = "15")]
     pub totals: ::prost::alloc::vec::Vec<TargetTotal>,
     /// In a call: the receiver's roster as the sender has it. In an answer: the
-    /// sender's roster; its members follow if the caller has another.
+    /// sender's roster; if the caller has another, `roster` has what it lacks, or all
+    /// members if `roster_since` is 0.
     #[prost(uint64, tag = "16")]
     pub roster_version: u64,
     #[prost(message, repeated, tag = "17")]
@@ -795,6 +796,17 @@
     /// back from a copy; 0 for none.
     #[prost(uint32, tag = "38")]
     pub kept: u32,
+    /// In a call: the process of the receiver that made the roster `roster_version`. 0 if
+    /// the sender has none, or takes each roster for all members.
+    #[prost(uint64, tag = "39")]
+    pub roster_boot: u64,
+    /// In an answer: the version whose members `roster` and `roster_removed` change; 0 if
+    /// `roster` has all members.
+    #[prost(uint64, tag = "40")]
+    pub roster_since: u64,
+    /// Peer addresses of the members that are no longer alive.
+    #[prost(string, repeated, tag = "41")]
+    pub roster_removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
