A holder names each target once to a caller, and sends totals as columns

Change: fleet::totals. A holder's process numbers the targets that it reports on. A call says up to which number the caller knows them (numbers_known, new); the answer names those beyond (target_numbers, new), busy or not, and has the totals as columns in the order of the numbers (total_columns, new). A lost answer is made up for by the next one. A caller that meets a number that it does not know takes no totals from the answer and has all targets named again. Totals are exact as before. A peer of an older build, or that has not heard this process yet, gets them by name. The generated code was edited by hand in prost's shape.

--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -8,8 +8,8 @@
 
 use super::{
     Origin,
+    hub::KnownSummary,
     periods::{self, GOSSIP_PERIOD_MS},
-    roster::ListVersion,
     rows::{ReportedVersions, add_rows},
     state::{FORGET_MS, Fleet, State},
 };
@@ -175,15 +175,12 @@
     let addr = addr.unwrap_or_default();
     let versions = ReportedVersions::from(&asked);
     let asker = asked.from.clone();
-    let roster = ListVersion {
-        boot: asked.roster_boot,
-        version: asked.roster_version,
-    };
+    let known = KnownSummary::from(&asked);
     node.fleet.apply_gossip(node, asked, Origin::Call);
     let mut gossip = node.fleet.gossip_for(node, &addr);
     add_rows(node, versions, &mut gossip);
     if let Some(asker) = asker {
-        node.fleet.add_totals(node, &asker, roster, &mut gossip);
+        node.fleet.add_totals(node, &asker, known, &mut gossip);
     }
     node.metrics.gossip_sent(&gossip);
     gossip
--- a/crates/comfreyhall-node/src/fleet/hub.rs
+++ b/crates/comfreyhall-node/src/fleet/hub.rs
@@ -18,6 +18,7 @@
     periods::{FANOUT, GOSSIP_PERIOD_MS, is_large, report_period_ms},
     roster::{Changes, ListVersion, Roster},
     state::{Fleet, Peer, State},
+    totals::{self, TargetNumbers},
 };
 use crate::{node::Node, reach};
 
@@ -35,8 +36,38 @@
     /// When it was made; 0 for never.
     made_at_ms: u64,
     roster: Roster,
-    /// Work of all daemons at the targets of the held groups.
-    totals: Vec<(Name, TargetTotal)>,
+    numbers: TargetNumbers,
+    /// What all daemons have at the targets of the held groups, by number.
+    totals: Vec<Total>,
+}
+
+/// What all daemons together have at a target.
+#[derive(Debug)]
+struct Total {
+    number: u32,
+    target: Name,
+    work: Work,
+    adapters: u32,
+}
+
+/// What a caller has of earlier answers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownSummary {
+    roster: ListVersion,
+    /// Up to which number it knows the targets.
+    numbers: u32,
+}
+
+impl From<&News> for KnownSummary {
+    fn from(call: &News) -> Self {
+        Self {
+            roster: ListVersion {
+                boot: call.roster_boot,
+                version: call.roster_version,
+            },
+            numbers: call.numbers_known,
+        }
+    }
 }
 
 impl Summary {
@@ -133,7 +164,7 @@
             && state.recent_peers(node.now()).any(|(_, p)| p.holds())
     }
 
-    /// Adds the version of the roster known from the peer at `addr` to a call.
+    /// Adds what is known of the answers of the peer at `addr` to a call.
     /// An answer carries the sender's own version: with this one in it, an
     /// answer of a holder that still regards its fleet as small would renew an
     /// old roster.
@@ -143,16 +174,17 @@
             let ListVersion { boot, version } = peer.roster.list();
             gossip.roster_version = version;
             gossip.roster_boot = boot;
+            gossip.numbers_known = peer.numbers.until(boot);
         }
     }
 
     /// Adds a holder's totals to the answer for the daemon `asker` in a large
-    /// fleet; `known` is the roster that it has.
+    /// fleet; `known` is what it has of earlier ones.
     pub(super) fn add_totals(
         &self,
         node: &Node,
         asker: &Daemon,
-        known: ListVersion,
+        known: KnownSummary,
         gossip: &mut News,
     ) {
         if !self.is_large() || gossip.holdings.is_empty() {
@@ -165,23 +197,39 @@
         // Lock order: the view before the state.
         let view = node.view();
         let state = self.state();
-        let Summary { roster, totals, .. } = &state.summary;
+        let Summary {
+            roster,
+            numbers,
+            totals,
+            ..
+        } = &state.summary;
         gossip.roster_version = roster.version();
-        if let Some(changes) = roster.changes_since(known) {
+        if let Some(changes) = roster.changes_since(known.roster) {
             gossip.roster_since = changes.since;
             gossip.roster = changes.rows;
             gossip.roster_removed = changes.removed;
         }
-        let without_own = |(id, total): &(Name, TargetTotal)| {
-            let own = view.board.peer_work(id, &asker.id, now);
+        let without_own = |total: &Total| {
+            let own = view.board.peer_work(&total.target, &asker.id, now);
             TargetTotal {
-                prefill: total.prefill.saturating_sub(own.prefill_tokens),
-                waiting: total.waiting.saturating_sub(own.waiting_tokens),
-                running: total.running.saturating_sub(own.requests),
-                ..total.clone()
+                target: String::new(),
+                prefill: total.work.prefill_tokens.saturating_sub(own.prefill_tokens),
+                waiting: total.work.waiting_tokens.saturating_sub(own.waiting_tokens),
+                running: total.work.requests.saturating_sub(own.requests),
+                adapters: total.adapters,
             }
         };
-        gossip.totals = totals.iter().map(without_own).collect();
+        if known.roster.boot == self.me.boot {
+            let rows = totals.iter().map(|t| (t.number, without_own(t)));
+            gossip.total_columns = Some(totals::encode(rows));
+            gossip.target_numbers = numbers.after(known.numbers);
+        } else {
+            let rows = totals.iter().map(|t| TargetTotal {
+                target: t.target.to_string(),
+                ..without_own(t)
+            });
+            gossip.totals = rows.collect();
+        }
     }
 
     fn summarize(&self, node: &Node, gossip: &News, now: u64) {
@@ -195,20 +243,22 @@
         let totals = targets.filter_map(|t| {
             let work = view.board.reported_work(&t.id, now);
             let adapters = in_use.get(&t.id).copied().unwrap_or(0);
-            let total = TargetTotal {
-                target: t.id.to_string(),
-                prefill: work.prefill_tokens,
-                waiting: work.waiting_tokens,
-                running: work.requests,
-                adapters,
-            };
-            (work != Work::default() || adapters > 0).then(|| (t.id.clone(), total))
+            (work != Work::default() || adapters > 0).then(|| (t.id.clone(), work, adapters))
         });
-        let totals = totals.collect();
+        let totals: Vec<(Name, Work, u32)> = totals.collect();
         let mut state = self.state();
         state.update_roster(&me, now);
-        state.summary.made_at_ms = now;
-        state.summary.totals = totals;
+        let summary = &mut state.summary;
+        summary.made_at_ms = now;
+        summary.numbers.retain(|id| view.targets.contains_key(id));
+        let numbered = totals.into_iter().map(|(target, work, adapters)| Total {
+            number: summary.numbers.number(&target),
+            target,
+            work,
+            adapters,
+        });
+        summary.totals = numbered.collect();
+        summary.totals.sort_unstable_by_key(|t| t.number);
     }
 
     /// Adds the daemons that are reported to hold leases in a large fleet.
@@ -226,15 +276,16 @@
         }
         let until = now + 2 * report_period_ms(self.state().peers.len()) + GOSSIP_PERIOD_MS;
         self.learn_roster(from, gossip, now);
+        let Some(totals) = self.read_totals(from, gossip) else {
+            log::info!(target: "fleet", peer:% = from.id; "totals with unknown targets; asking for their names");
+            return;
+        };
         let mut view = node.view();
         let held = |domain: &str| gossip.holdings.iter().any(|h| h.group == domain);
         let targets = view.targets.values().filter(|t| held(&t.failure_domain));
         let targets: Vec<Name> = targets.map(|t| t.id.clone()).collect();
-        let totals: Map<&str, &TargetTotal> = gossip
-            .totals
-            .iter()
-            .map(|t| (t.target.as_str(), t))
-            .collect();
+        let totals: Map<&str, &TargetTotal> =
+            totals.iter().map(|t| (t.target.as_str(), t)).collect();
         for id in targets {
             let work = totals.get(&*id).map_or(Work::default(), |t| Work {
                 prefill_tokens: t.prefill,
@@ -245,6 +296,24 @@
         }
     }
 
+    /// The totals in a holder's answer; `None` if it names targets by unknown numbers.
+    fn read_totals(&self, from: &Daemon, gossip: &News) -> Option<Vec<TargetTotal>> {
+        let mut state = self.state();
+        let holder = state.peers.get_mut(from.peer.as_str())?;
+        let totals = match &gossip.total_columns {
+            Some(columns) => {
+                let numbers = &gossip.target_numbers;
+                holder.numbers.decode(from.boot, numbers, columns)?
+            }
+            None => gossip.totals.clone(),
+        };
+        let in_use = totals.iter();
+        holder.reported_use = in_use
+            .map(|t| (t.target.as_str().into(), t.adapters))
+            .collect();
+        Some(totals)
+    }
+
     /// Marks the members of a holder's roster as alive.
     fn learn_roster(&self, from: &Daemon, gossip: &News, now: u64) {
         for member in &gossip.roster {
@@ -254,10 +323,6 @@
         let Some(holder) = state.peers.get_mut(from.peer.as_str()) else {
             return;
         };
-        let in_use = gossip.totals.iter();
-        holder.reported_use = in_use
-            .map(|t| (t.target.as_str().into(), t.adapters))
-            .collect();
         let list = ListVersion {
             boot: from.boot,
             version: gossip.roster_version,
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod runs;
 mod sender;
 pub(crate) mod state;
+mod totals;
 pub(crate) mod updates;
 mod usage;
 mod versions;
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -22,6 +22,7 @@
     roster::KnownRoster,
     runs::Runs,
     sender::SettingsSender,
+    totals::KnownNumbers,
     updates::{RunUpdate, UPDATE_QUEUE_LEN},
 };
 use crate::{adapter_key::adapter_key, clock};
@@ -53,6 +54,8 @@
     pub(super) holder_hint: bool,
     /// The live daemons as it last reported them.
     pub(super) roster: KnownRoster,
+    /// Its numbers of targets.
+    pub(super) numbers: KnownNumbers,
     /// Adapters in use by others at targets of its groups, if it reported them.
     pub(super) reported_use: Map<Name, u32>,
     pub(super) holdings: Vec<(Name, u64)>,
@@ -200,6 +203,7 @@
             calling: false,
             holder_hint: false,
             roster: KnownRoster::default(),
+            numbers: KnownNumbers::default(),
             reported_use: Map::default(),
             holdings: Vec::new(),
             runs: Runs::default(),
--- a/crates/comfreyhall-node/src/fleet/tests/daemons.rs
+++ b/crates/comfreyhall-node/src/fleet/tests/daemons.rs
@@ -3,14 +3,15 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::Map;
+use comfreyhall_domain::{Map, Target};
 use comfreyhall_protocol::{Daemon, News};
+use comfreyhall_slots::SlotShare;
 use prost::Message;
 
-use super::super::{Origin, exchange};
+use super::super::{Origin, Run, exchange};
 use crate::{
     node::Node,
-    test_node::{node_at, set_time},
+    test_node::{node_at, set_time, target},
     traffic,
 };
 
@@ -67,6 +68,48 @@
         }
     }
 
+    /// Gives holders `targets` engines each, and each daemon `runs` runs there.
+    pub(super) fn start_runs(&self, targets: usize, runs: usize) {
+        let engine = |holder: usize, i: usize| format!("engine-{holder}-{i}@1764800000000");
+        for (holder, node) in self.nodes[..self.holders].iter().enumerate() {
+            for i in 0..targets {
+                let target = Target {
+                    failure_domain: format!("d{holder}").as_str().into(),
+                    ..target(&engine(holder, i))
+                };
+                let mut view = node.view();
+                view.targets.insert(target.id.clone(), target.into());
+            }
+        }
+        for (index, node) in self.nodes.iter().enumerate() {
+            for i in 0..runs {
+                let at = index * runs + i;
+                let (holder, target) = (at % self.holders, at / self.holders % targets);
+                let run = Run {
+                    target: engine(holder, target).as_str().into(),
+                    group: format!("d{holder}").as_str().into(),
+                    share: SlotShare::priority(0),
+                    adapter: None,
+                    unread_tokens: 500,
+                    queued_tokens: 500,
+                    bound_at_ms: self.now,
+                    began_at_ms: self.now,
+                };
+                node.fleet.start_run(node.fleet.next_run_id(), run);
+            }
+        }
+    }
+
+    /// Own runs of the daemon at `index` at `target`.
+    pub(super) fn runs_at(&self, index: usize, target: &str) -> usize {
+        let state = self.nodes[index].fleet.state();
+        state
+            .runs
+            .iter()
+            .filter(|(_, r)| *r.target == *target)
+            .count()
+    }
+
     /// Lets each daemon but those in `silent` exchange gossip with each holder.
     pub(super) fn round(&mut self, silent: &[usize]) {
         self.advance(300);
--- a/crates/comfreyhall-node/src/fleet/tests/large.rs
+++ b/crates/comfreyhall-node/src/fleet/tests/large.rs
@@ -2,6 +2,7 @@
 
 use comfreyhall_domain::{EngineConfig, Name};
 use comfreyhall_protocol::Daemon;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::daemons::Daemons;
 use crate::{
@@ -11,6 +12,9 @@
 
 const HOLDERS: usize = 3;
 
+/// Mean bytes of a target's total, names included.
+const TOTAL_BYTES: usize = 8;
+
 /// A change of a daemon, with its name.
 type Change = (&'static str, fn(&Node));
 
@@ -182,3 +186,121 @@
         assert_eq!((answer.roster_since, answer.roster.len()), (0, 20));
     }
 }
+
+/// Daemons of [`exchange_bytes_follow_changes`], unless the environment names another
+/// number for a measurement.
+fn fleet_size() -> usize {
+    let size = std::env::var("FLEET_DAEMONS").ok();
+    size.and_then(|n| n.parse().ok()).unwrap_or(24)
+}
+
+/// Guards against rosters whose bytes grow with daemons times daemons, and against totals
+/// that name their targets again, under churn: daemons that lose targets and reach them again, are silent for a
+/// while, or start again. Prints bytes by kind of content.
+#[tokio::test]
+async fn exchange_bytes_follow_changes() {
+    const ROUNDS: usize = 40;
+    let count = fleet_size();
+    let mut fleet = Daemons::new(count, HOLDERS);
+    let engines = 5 * count / HOLDERS;
+    fleet.start_runs(engines, 10);
+    for node in &fleet.nodes {
+        set_engines(node);
+    }
+    for _ in 0..3 {
+        fleet.round(&[]);
+    }
+    fleet.take_sent();
+    let (mut changes, mut restarts) = (0, 0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut silent = Vec::new();
+    for round in 0..ROUNDS {
+        let index = rng.random_range(HOLDERS..count);
+        let node = &fleet.nodes[index];
+        match round % 4 {
+            0 | 1 => {
+                lose(node, rng.random_range(1..5));
+                changes += 1;
+            }
+            2 if silent.is_empty() => {
+                silent.push(index);
+                // It goes and comes back.
+                changes += 2;
+            }
+            2 => silent.clear(),
+            _ => {
+                fleet.restart(index);
+                set_engines(&fleet.nodes[index]);
+                restarts += 1;
+            }
+        }
+        fleet.round(&silent);
+    }
+    let sent = fleet.take_sent();
+    let mut table: Vec<_> = sent.iter().collect();
+    table.sort();
+    println!("{count} daemons, {changes} changes, {restarts} restarts, {ROUNDS} rounds");
+    for (kind, bytes) in table {
+        println!(
+            "{kind}: {} bytes a daemon and round",
+            bytes / count / ROUNDS
+        );
+    }
+    let row = row_bytes(&fleet.own(0)) + ROW_BYTES;
+    // A daemon that starts again is a change to the others, and has no list itself.
+    let rows = (changes + restarts) * count + restarts * count;
+    assert!(sent["roster"] <= HOLDERS * rows * row, "{sent:?}");
+    let totals = HOLDERS * engines * count * ROUNDS;
+    assert!(sent["totals"] <= totals * TOTAL_BYTES, "{sent:?}");
+}
+
+/// Gives the daemon at `to` the targets that the one at `from` knows.
+fn copy_targets(fleet: &Daemons, from: usize, to: usize) {
+    let targets = fleet.nodes[from].view().targets.clone();
+    fleet.nodes[to].view().targets = targets;
+}
+
+/// Asserts that the daemon at `caller` counts the runs of all others but the holder's,
+/// whose board is empty.
+fn assert_others_runs(fleet: &Daemons, caller: usize) {
+    let now = fleet.nodes[caller].now();
+    let targets = fleet.nodes[caller].view().targets.clone();
+    assert!(!targets.is_empty());
+    for target in targets.keys() {
+        let others = (1..fleet.nodes.len()).filter(|i| *i != caller);
+        let runs = others.map(|i| fleet.runs_at(i, target)).sum::<usize>();
+        let known = fleet.nodes[caller].view().board.total_work(target, now);
+        assert_eq!(known.requests as usize, runs, "{target}");
+        assert_eq!(known.prefill_tokens as usize, 500 * runs, "{target}");
+    }
+}
+
+/// Guards against targets that look idle, or as busy as others, to a daemon of either
+/// build, and after their holder has started again.
+#[tokio::test]
+async fn exchange_totals_of_each_target() {
+    let mut fleet = Daemons::new(20, 1);
+    fleet.start_runs(30, 4);
+    let (caller, older) = (18, 19);
+    for index in [caller, older] {
+        copy_targets(&fleet, 0, index);
+    }
+    for restart in [false, true] {
+        if restart {
+            fleet.restart(0);
+            copy_targets(&fleet, caller, 0);
+        }
+        for _ in 0..3 {
+            fleet.round(&[older]);
+            let answer = fleet.exchange(older, 0, |call| call.roster_boot = 0);
+            assert!(answer.total_columns.is_none());
+        }
+        // The others report between its calls as well.
+        fleet.advance(300);
+        let answer = fleet.exchange(caller, 0, |_| {});
+        assert!(answer.totals.is_empty() && answer.target_numbers.is_empty());
+        assert_eq!(answer.total_columns.map_or(0, |c| c.steps.len()), 30);
+        assert_others_runs(&fleet, caller);
+        assert_others_runs(&fleet, older);
+    }
+}
--- a/crates/comfreyhall-node/src/traffic.rs
+++ b/crates/comfreyhall-node/src/traffic.rs
@@ -77,6 +77,7 @@
     let g = gossip;
     let rows = message::encoded_len_repeated::<comfreyhall_protocol::Fact>;
     let proof = g.targets_proof.as_ref();
+    let columns = g.total_columns.as_ref();
     let mut parts = [
         (
             Kind::Roster,
@@ -88,7 +89,12 @@
             string::encoded_len_repeated(12, &g.peers)
                 + string::encoded_len_repeated(14, &g.holders),
         ),
-        (Kind::Totals, message::encoded_len_repeated(15, &g.totals)),
+        (
+            Kind::Totals,
+            message::encoded_len_repeated(15, &g.totals)
+                + columns.map_or(0, |c| message::encoded_len(42, c))
+                + message::encoded_len_repeated(43, &g.target_numbers),
+        ),
         (
             Kind::Work,
             message::encoded_len_repeated(2, &g.work)
--- a/crates/comfreyhall-node/src/traffic/tests.rs
+++ b/crates/comfreyhall-node/src/traffic/tests.rs
@@ -1,6 +1,7 @@
 use comfreyhall_protocol::{
     Cession, Daemon, Demand, EnginePace, EngineRun, Evidence, Fact, Holding, LoadHistory, Placed,
-    ServiceVersion, SlotUse, TargetTotal, TargetWord, TargetWork, TargetsProof,
+    ServiceVersion, SlotUse, TargetNumber, TargetTotal, TargetWord, TargetWork, TargetsProof,
+    TotalColumns,
 };
 
 use super::*;
@@ -41,6 +42,16 @@
         field!(Peers, peers, long.clone()),
         field!(Peers, holders, long.clone()),
         row!(Totals, totals, TargetTotal { target }),
+        row!(Totals, target_numbers, TargetNumber { target }),
+        (
+            Kind::Totals,
+            one(&|g| {
+                g.total_columns = Some(TotalColumns {
+                    steps: vec![1; 200],
+                    ..TotalColumns::default()
+                })
+            }),
+        ),
         row!(Work, work, TargetWork { target }),
         row!(Work, runs, EngineRun { target }),
         row!(Work, slot_use, SlotUse { group }),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -807,6 +807,15 @@
     /// Peer addresses of the members that are no longer alive.
     #[prost(string, repeated, tag = "41")]
     pub roster_removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// In an answer to a caller with a `roster_boot`: the totals, instead of `totals`, and
+    /// the numbers of targets that the caller does not know.
+    #[prost(message, optional, tag = "42")]
+    pub total_columns: ::core::option::Option<TotalColumns>,
+    #[prost(message, repeated, tag = "43")]
+    pub target_numbers: ::prost::alloc::vec::Vec<TargetNumber>,
+    /// In a call: up to which number the sender knows those of the process `roster_boot`.
+    #[prost(uint32, tag = "44")]
+    pub numbers_known: u32,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -884,6 +893,29 @@
     #[prost(uint64, tag = "5")]
     pub waiting: u64,
 }
+/// The number of a target at a holder's process.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetNumber {
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+}
+/// Totals of targets in the order of their numbers, one item of each field a target.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TotalColumns {
+    /// The number, less the one before it.
+    #[prost(uint32, repeated, tag = "1")]
+    pub steps: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint64, repeated, tag = "2")]
+    pub prefill: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub waiting: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    pub running: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "5")]
+    pub adapters: ::prost::alloc::vec::Vec<u32>,
+}
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PromptPart {
