The share of lost targets that peers are told has slack below its step

Cause: a daemon tells its share of lost targets in tens of percent, rounded down. One that moves around a step, as under overload, changed with each move, and each change goes to the whole fleet.

Change: routing::LostShare keeps the told share until the share is more than half a step below it; what is lost in addition is told at once, and none lost is told as 0. What a daemon compares with its peers is the told share, as before.

Test on the code before: describe_flicker_is_told_once, 9 and 18 percent in turn: left: [0, 10, 0, 10, 0] right: [0, 10, 10, 10, 10]

--- a/crates/comfreyhall-node/src/reach.rs
+++ b/crates/comfreyhall-node/src/reach.rs
@@ -27,10 +27,6 @@
 const EXPLORING_GROWTH: usize = 2;
 const GROWTH_PERIODS: usize = 10;
 
-/// Step of the published share of lost targets, in percent: each new value makes
-/// holders of large fleets send the list of daemons again.
-const LOST_PERCENT_STEP: usize = 10;
-
 /// Maximum number of lost targets named in one log line.
 const MAX_LISTED_TARGETS: usize = 8;
 
@@ -121,11 +117,11 @@
 /// Adds to `about`, which describes this daemon, what it does not reach.
 pub(crate) fn describe(node: &Node, about: &mut Daemon) {
     about.isolated = node.is_isolated();
-    let view = node.view();
+    let mut view = node.view();
+    about.lost_percent = lost_percent(&mut view);
     if view.contacts.reaches_all() {
         return;
     }
-    about.lost_percent = lost_percent(&view);
     let groups = engines(&view).map(|t| t.failure_domain.clone());
     let mut groups: Vec<Name> = groups.collect();
     groups.sort();
@@ -134,12 +130,11 @@
     about.lost_groups = lost.map(|g| g.to_string()).collect();
 }
 
-/// Share of targets that are lost, in percent, rounded down to [`LOST_PERCENT_STEP`].
-fn lost_percent(view: &View) -> u32 {
+/// Share of targets that are lost, in percent, as peers are told.
+fn lost_percent(view: &mut View) -> u32 {
     let lost = view.contacts.lost();
     let lost = lost.filter(|id| view.targets.contains_key(*id)).count();
-    let percent = 100 * lost / view.targets.len().max(1);
-    (percent / LOST_PERCENT_STEP * LOST_PERCENT_STEP) as u32
+    view.lost_share.update(lost, view.targets.len())
 }
 
 /// Known engines.
@@ -204,7 +199,7 @@
 
     /// Share of targets that are lost, in percent, as peers are told.
     pub(crate) fn lost_percent(&self) -> u32 {
-        lost_percent(&self.view())
+        lost_percent(&mut self.view())
     }
 
     /// Records that `target` answered.
@@ -262,3 +257,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comfreyhall-node/src/view.rs
+++ b/crates/comfreyhall-node/src/view.rs
@@ -7,7 +7,8 @@
 use comfreyhall_domain::{AdapterRef, Config, Map, Name, PriorityTable, Target};
 use comfreyhall_placement::{Demand, HoldTime, engines_needed};
 use comfreyhall_routing::{
-    Contacts, PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes, TargetStats,
+    Contacts, LostShare, PaceTable, PrefixIndex, Reachability, Residency, RetryBudget, RunTimes,
+    TargetStats,
 };
 use comfreyhall_streams::{ListTimes, VersionHistory};
 
@@ -63,6 +64,8 @@
     pub(crate) reachability: Reachability,
     /// Which single targets can be reached.
     pub(crate) contacts: Contacts,
+    /// Share of them that is lost, as told to peers.
+    pub(crate) lost_share: LostShare,
     pub(crate) residency: Residency,
     pub(crate) prefixes: PrefixIndex,
     /// How fast each engine is.
@@ -102,6 +105,7 @@
             board: TargetStats::default(),
             reachability: Reachability::default(),
             contacts: Contacts::default(),
+            lost_share: LostShare::default(),
             residency: Residency::default(),
             prefixes: PrefixIndex::default(),
             paces: PaceTable::default(),
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -616,7 +616,8 @@
     /// Whether it reaches no target.
     #[prost(bool, tag = "8")]
     pub isolated: bool,
-    /// Targets that it does not reach, in percent of all, rounded down to tens.
+    /// Targets that it does not reach, in percent of all, in tens. A fall of less than half
+    /// of that is not told.
     #[prost(uint32, tag = "9")]
     pub lost_percent: u32,
     /// Failure domains in which it does not reach half of the engines or more.
