--- a/crates/comfreyhall-node/src/fleet/tests/large.rs
+++ b/crates/comfreyhall-node/src/fleet/tests/large.rs
@@ -304,3 +304,34 @@
         assert_others_runs(&fleet, older);
     }
 }
+
+/// Guards against a roster that stands still, or is sent whole again, when two daemons
+/// hold a lease in turn: the list of the one that comes back is as old as its lease.
+#[tokio::test]
+async fn exchange_two_holders_in_turn() {
+    let mut fleet = Daemons::new(20, 2);
+    let (caller, changed) = (19, 18);
+    set_engines(&fleet.nodes[changed]);
+    for _ in 0..3 {
+        fleet.round(&[]);
+    }
+    let list_bytes = 20 * row_bytes(&fleet.own(0));
+    for turn in 1..6 {
+        let (holds, pauses) = (turn % 2, (turn + 1) % 2);
+        let group = |i: usize| format!("d{i}");
+        let now = fleet.nodes[0].now();
+        fleet.nodes[pauses].leases.end_handover(&group(pauses));
+        fleet.nodes[holds]
+            .leases
+            .accept_handover(&group(holds), 10 * turn as u64, now);
+        lose(&fleet.nodes[changed], turn);
+        fleet.take_sent();
+        for _ in 0..3 {
+            fleet.round(&[]);
+        }
+        assert_eq!(fleet.known(caller, changed), Some(fleet.own(changed)));
+        assert!((0..caller).all(|i| fleet.sees(caller, i)));
+        // A row to each daemon, as it changed, and a second one on the way.
+        assert!(fleet.take_sent()["roster"] < 3 * list_bytes, "turn {turn}");
+    }
+}
