--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -26,13 +26,14 @@
 pub(crate) mod runs;
 mod sender;
 pub(crate) mod state;
+mod totals;
 pub(crate) mod updates;
 mod usage;
 mod versions;
 
 pub(crate) use self::{
     exchange::{announce_lease, answer, hear_peers, notify_all, notify_findings, spawn},
-    fetch::{ChunkStream, send_settings},
+    fetch::send_settings,
     runs::Run,
     state::LoadTiming,
     updates::{RunChange, RunUpdate},
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -616,7 +616,8 @@
     /// Whether it reaches no target.
     #[prost(bool, tag = "8")]
     pub isolated: bool,
-    /// Targets that it does not reach, in percent of all, rounded down to tens.
+    /// Targets that it does not reach, in percent of all, in tens. A fall of less than half
+    /// of that is not told.
     #[prost(uint32, tag = "9")]
     pub lost_percent: u32,
     /// Failure domains in which it does not reach half of the engines or more.
@@ -723,7 +724,8 @@
     #[prost(message, repeated, tag = "15")]
     pub totals: ::prost::alloc::vec::Vec<TargetTotal>,
     /// In a call: the receiver's roster as the sender has it. In an answer: the
-    /// sender's roster; its members follow if the caller has another.
+    /// sender's roster; if the caller has another, `roster` has what it lacks, or all
+    /// members if `roster_since` is 0.
     #[prost(uint64, tag = "16")]
     pub roster_version: u64,
     #[prost(message, repeated, tag = "17")]
@@ -795,6 +797,26 @@
     /// back from a copy; 0 for none.
     #[prost(uint32, tag = "38")]
     pub kept: u32,
+    /// In a call: the process of the receiver that made the roster `roster_version`. 0 if
+    /// the sender has none, or takes each roster for all members.
+    #[prost(uint64, tag = "39")]
+    pub roster_boot: u64,
+    /// In an answer: the version whose members `roster` and `roster_removed` change; 0 if
+    /// `roster` has all members.
+    #[prost(uint64, tag = "40")]
+    pub roster_since: u64,
+    /// Peer addresses of the members that are no longer alive.
+    #[prost(string, repeated, tag = "41")]
+    pub roster_removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// In an answer to a caller with a `roster_boot`: the totals, instead of `totals`, and
+    /// the numbers of targets that the caller does not know.
+    #[prost(message, optional, tag = "42")]
+    pub total_columns: ::core::option::Option<TotalColumns>,
+    #[prost(message, repeated, tag = "43")]
+    pub target_numbers: ::prost::alloc::vec::Vec<TargetNumber>,
+    /// In a call: up to which number the sender knows those of the process `roster_boot`.
+    #[prost(uint32, tag = "44")]
+    pub numbers_known: u32,
 }
 /// Decayed slot time of one share of a group's adapter slots.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -872,6 +894,29 @@
     #[prost(uint64, tag = "5")]
     pub waiting: u64,
 }
+/// The number of a target at a holder's process.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetNumber {
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+}
+/// Totals of targets in the order of their numbers, one item of each field a target.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TotalColumns {
+    /// The number, less the one before it.
+    #[prost(uint32, repeated, tag = "1")]
+    pub steps: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint64, repeated, tag = "2")]
+    pub prefill: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub waiting: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    pub running: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "5")]
+    pub adapters: ::prost::alloc::vec::Vec<u32>,
+}
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PromptPart {
