A third target is asked while two are silent

Cause: `ask_beside` waited without an end for the second target, which was asked beside the first; only when it had answered or failed was another one considered. In a seek of the relay it was the same.

Change: `first_success` keeps a list of open sends. Whenever the one that was asked last has been silent for its limit, one more target is asked, within the attempts of the request and its retry budget; the first success goes on, all others are cancelled and recorded as superseded. `SeekTimer` (comfreyhall-relay) says when. The proof that a silent target has ended is looked for from the moment it counts as silent, of each open send, and no longer of the first one and after all seeks only. Cancelled sends are counted one by one.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -176,7 +176,7 @@
         let left = Duration::from_millis(self.deadline_ms.saturating_sub(request.node.now()));
         let node = request.node.clone();
         let mut broken = None;
-        let sends = request.sends();
+        let open_sends = request.open_sends();
         let found = {
             let open = self.merge.is_open().then_some(&self.send.target);
             let asking = request.answer_elsewhere(self.merge.last(), open);
@@ -224,18 +224,21 @@
                 }
             }
         };
+        if !matches!(found, Found::Other(_)) {
+            request.record_cancelled(open_sends);
+        }
         if let Some(error) = broken {
             self.break_off(request, &error);
         }
         match found {
-            Found::Events | Found::Deadline => request.record_cancelled(sends),
-            Found::Complete(proven) => {
-                request.record_cancelled(sends);
-                return Progress::Complete { proven };
-            }
+            Found::Events | Found::Deadline => {}
+            Found::Complete(proven) => return Progress::Complete { proven },
             Found::Other(Ok(answer)) => match *answer {
                 (exchange, Exchanged::Stream(start)) => self.switch(request, exchange.send, *start),
-                _ => self.fail_seek(request, "the other answer is no stream"),
+                _ => {
+                    request.history.record(Outcome::Answered);
+                    self.fail_seek(request, "the other answer is no stream");
+                }
             },
             Found::Other(Err(why)) => self.fail_seek(request, why),
         }
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use comfreyhall_domain::{Name, Outcome, RouteKind};
-use comfreyhall_relay::{EndCause, SeekPolicy};
+use comfreyhall_relay::{EndCause, SeekPolicy, SeekTimer};
+use futures::{FutureExt, future::select_all};
 
 use super::{
     ActiveRequest,
@@ -16,16 +17,7 @@
     renew::Renewal,
     request::FAILED_WEIGHT,
 };
-use crate::{
-    active_send::ActiveSend,
-    source::{END_CHECK_PERIOD, target_ended},
-};
-
-/// Times that another target is sought beside a silent one.
-const MAX_SEEKS: u32 = 3;
-
-/// Pause before another target is sought again.
-const SEEK_PAUSE: Duration = Duration::from_millis(400);
+use crate::active_send::ActiveSend;
 
 /// Wait for what has arrived while this process was stopped or busy, before its target
 /// counts as silent.
@@ -37,89 +29,129 @@
 /// The success of a send to another target, or why there is none.
 pub(crate) type Elsewhere = Result<Box<(Exchange, Exchanged)>, &'static str>;
 
-/// Awaits the outcome of `exchange`, whose target is silent, or the proof that it has ended.
-async fn outcome_or_end(exchange: &mut Exchange) -> Exchanged {
-    loop {
-        match tokio::time::timeout(END_CHECK_PERIOD, exchange.outcome()).await {
-            Ok(outcome) => return outcome,
-            Err(_) if exchange.send.is_target_ended().await => {
-                return Exchanged::Broken(target_ended());
-            }
-            Err(_) => {}
-        }
-    }
+/// A send whose outcome is known.
+type Ended = (Exchange, Exchanged);
+
+/// Awaits the first outcome of `open`, which is not empty, and removes that send. Nothing
+/// is lost if the future is dropped.
+async fn next_outcome(open: &mut Vec<Exchange>) -> Ended {
+    let outcomes = open.iter_mut().map(|e| e.outcome().boxed());
+    let (outcome, at, _) = select_all(outcomes).await;
+    (open.remove(at), outcome)
 }
 
 impl ActiveRequest {
-    /// Awaits the outcome of `first`, or of a send to another target if `first` is silent
-    /// and the other one answers before it.
-    pub(super) async fn await_outcome(&mut self, mut first: Exchange) -> (Exchange, Exchanged) {
-        let limit = Duration::from_millis(self.silence_limit_ms(&first.plan));
-        for wait in [limit, ARRIVED_WAIT] {
-            if let Ok(outcome) = tokio::time::timeout(wait, first.outcome()).await {
-                return (first, outcome);
+    /// Awaits the outcome of `first`, or of a send to another target that answers while
+    /// `first` is silent.
+    pub(super) async fn await_outcome(&mut self, first: Exchange) -> Ended {
+        let last_event = self.client_request.last_event_id;
+        self.first_success(first, last_event, None).await
+    }
+
+    /// Awaits the first success of `first` and of sends to other targets, each of which is
+    /// asked once those before it are silent; if none succeeds, returns the last failure.
+    /// The answer of the target `kept` is open besides.
+    async fn first_success(
+        &mut self,
+        first: Exchange,
+        last_event: Option<u64>,
+        kept: Option<&Name>,
+    ) -> Ended {
+        let mut timer = SeekTimer::new(first.silent_ms, self.node.now());
+        let mut open = vec![first];
+        loop {
+            let last = open.last().map(|e| e.plan.target.id.clone());
+            tokio::select! {
+                biased;
+                (exchange, outcome) = next_outcome(&mut open) => {
+                    if outcome.is_success() || open.is_empty() {
+                        return self.supersede(open, (exchange, outcome));
+                    }
+                    if last.as_ref() == Some(&exchange.plan.target.id) {
+                        timer.failed(self.node.now());
+                    }
+                    self.record_failure(exchange, outcome);
+                    continue;
+                }
+                () = self.silence(timer.due_ms()) => {}
             }
-        }
-        if self.remaining_ms() > 0 {
-            self.record_silent(&first.send);
-        }
-        for _ in 0..MAX_SEEKS {
+            self.note_silent(&mut open);
             if self.cannot_ask_another().is_some() {
-                break;
+                timer.not_asked(self.node.now());
+                continue;
             }
-            match self.ask_beside(&mut first).await {
-                (Some(outcome), None) => return (first, outcome),
-                (Some(outcome), Some(Err(why))) => {
-                    self.log_not_asked(why);
-                    return (first, outcome);
+            let mut failed = Vec::new();
+            let sent = {
+                let open_targets = open.iter().map(|e| &e.plan.target.id);
+                let open_targets: Vec<Name> = open_targets.chain(kept).cloned().collect();
+                let sending = self.send_elsewhere(last_event, &open_targets);
+                tokio::pin!(sending);
+                loop {
+                    tokio::select! {
+                        biased;
+                        ended = next_outcome(&mut open), if !open.is_empty() => {
+                            if ended.1.is_success() {
+                                break Err(ended);
+                            }
+                            // The other target may still answer.
+                            failed.push(ended);
+                        }
+                        sent = &mut sending => break Ok(sent),
+                    }
                 }
-                (Some(failed), Some(Ok(answer))) => {
-                    self.record_failure(first, failed);
-                    return *answer;
+            };
+            let last_failed = match &sent {
+                Ok(Err(_)) if open.is_empty() => failed.pop(),
+                _ => None,
+            };
+            for (exchange, outcome) in failed {
+                self.record_failure(exchange, outcome);
+            }
+            match sent {
+                Ok(Ok(exchange)) => {
+                    timer.asked(exchange.silent_ms, self.node.now());
+                    open.push(exchange);
                 }
-                (None, Some(Ok(answer))) => {
-                    self.record_superseded(&first.send);
-                    return *answer;
+                Ok(Err(why)) => {
+                    self.log_not_asked(why);
+                    if let Some(ended) = last_failed {
+                        return ended;
+                    }
+                    timer.not_asked(self.node.now());
                 }
-                (None, other) => self.log_not_asked(other.and_then(Result::err).unwrap_or("")),
-            }
-            if let Ok(outcome) = tokio::time::timeout(SEEK_PAUSE, first.outcome()).await {
-                return (first, outcome);
+                Err(ended) => return self.supersede(open, ended),
             }
         }
-        let outcome = outcome_or_end(&mut first).await;
-        (first, outcome)
     }
 
-    /// Sends the request to another target, and waits for that one and for `first`; returns
-    /// the outcomes of both as far as they are known.
-    async fn ask_beside(&mut self, first: &mut Exchange) -> (Option<Exchanged>, Option<Elsewhere>) {
-        let last_event = self.client_request.last_event_id;
-        let mut first_outcome = None;
-        let sends = self.deliveries;
-        let other = {
-            let open = first.plan.target.id.clone();
-            let asking = self.answer_elsewhere(last_event, Some(&open));
-            tokio::pin!(asking);
-            loop {
-                tokio::select! {
-                    biased;
-                    outcome = first.outcome(), if first_outcome.is_none() => {
-                        let succeeds = outcome.is_success();
-                        first_outcome = Some(outcome);
-                        if succeeds {
-                            break None;
-                        }
-                        // The other target may still answer.
-                    }
-                    other = &mut asking => break Some(other),
-                }
-            }
+    /// Waits until another target is to be sought at `due_ms`, and for what has arrived
+    /// meanwhile.
+    async fn silence(&self, due_ms: Option<u64>) {
+        let Some(due_ms) = due_ms else {
+            return std::future::pending().await;
+        };
+        let left_ms = due_ms.saturating_sub(self.node.now());
+        tokio::time::sleep(Duration::from_millis(left_ms)).await;
+        tokio::time::sleep(ARRIVED_WAIT).await;
+    }
+
+    /// Notes that the target that was asked last is silent.
+    fn note_silent(&self, open: &mut [Exchange]) {
+        let Some(last) = open.last_mut().filter(|e| !e.is_silent) else {
+            return;
         };
-        if other.is_none() {
-            self.record_cancelled(sends);
+        last.is_silent = true;
+        if self.remaining_ms() > 0 {
+            self.record_silent(&last.send);
         }
-        (first_outcome, other)
+    }
+
+    /// Cancels the sends `open`, as the one of `ended` goes on.
+    fn supersede(&mut self, open: Vec<Exchange>, ended: Ended) -> Ended {
+        for exchange in open {
+            self.record_superseded(&exchange.send);
+        }
+        ended
     }
 
     /// Sends the request, or the rest of its stream after `last_event`, to another target
@@ -130,8 +162,9 @@
         last_event: Option<u64>,
         open: Option<&Name>,
     ) -> Elsewhere {
-        let mut exchange = self.send_elsewhere(last_event, open).await?;
-        let outcome = exchange.outcome().await;
+        let open_targets: Vec<Name> = open.into_iter().cloned().collect();
+        let first = self.send_elsewhere(last_event, &open_targets).await?;
+        let (exchange, outcome) = self.first_success(first, last_event, open).await;
         if outcome.is_success() {
             return Ok(Box::new((exchange, outcome)));
         }
@@ -151,11 +184,11 @@
         }
     }
 
-    /// Chooses another target and sends the request there.
+    /// Chooses another target than those of `open` and sends the request there.
     async fn send_elsewhere(
         &mut self,
         last_event: Option<u64>,
-        open: Option<&Name>,
+        open: &[Name],
     ) -> Result<Exchange, &'static str> {
         if let Some(why) = self.cannot_ask_another() {
             return Err(why);
@@ -165,7 +198,7 @@
         }
         // What was excluded at an earlier time may take it now.
         self.unavailable.clear();
-        self.unavailable.extend(open.cloned());
+        self.unavailable.extend_from_slice(open);
         for _ in 0..MAX_CHOICES {
             if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
                 return Err("its settings have changed");
@@ -174,7 +207,7 @@
             if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
                 return Err("no engine is bound");
             }
-            if open == Some(&plan.target.id) {
+            if open.contains(&plan.target.id) {
                 return Err("no other target can take it");
             }
             let Some(permit) = self.permit(&plan).await else {
@@ -244,15 +277,14 @@
         self.log_send(&send.target, cause.name(), "another target answered first");
     }
 
-    /// Sends to targets so far.
-    pub(crate) fn sends(&self) -> u32 {
-        self.deliveries
+    /// Sends whose outcome is not recorded yet.
+    pub(crate) fn open_sends(&self) -> u32 {
+        self.deliveries.saturating_sub(self.history.sends)
     }
 
-    /// Records the send that was cancelled as the first target went on, if there was one
-    /// after the first `before`.
-    pub(crate) fn record_cancelled(&mut self, before: u32) {
-        if self.deliveries > before {
+    /// Records the sends that were cancelled as the first target went on: all but `open`.
+    pub(crate) fn record_cancelled(&mut self, open: u32) {
+        for _ in open..self.open_sends() {
             self.history.record(Outcome::Indeterminate);
             self.node.metrics.answer_ended(EndCause::Superseded);
         }
--- a/crates/comfreyhall-node/src/serve/exchange.rs
+++ b/crates/comfreyhall-node/src/serve/exchange.rs
@@ -13,7 +13,8 @@
     node::Node,
     outbound::{self, Permit},
     ports::{BodyError, Response, SendError, SendOptions},
-    source::{EventSource, StreamStart},
+    quarantine,
+    source::{END_CHECK_PERIOD, EventSource, StreamStart, target_ended},
 };
 
 /// What came of a send.
@@ -49,11 +50,17 @@
     pub(crate) send: ActiveSend,
     /// Whether it is the first send of the request to this target.
     pub(super) is_first: bool,
+    /// Ms without an answer after which its target is silent; `None` if that leads to
+    /// nothing.
+    pub(super) silent_ms: Option<u64>,
+    /// Whether its target was recorded as silent.
+    pub(super) is_silent: bool,
     outcome: BoxFuture<'static, Exchanged>,
 }
 
 impl Exchange {
-    /// Sends `request`; the outcome is due after `options.timeout_ms`.
+    /// Sends `request`; the outcome is due after `options.timeout_ms`, or once a target that
+    /// has been silent for `silent_ms` is proven to have ended.
     pub(super) fn begin(
         node: &Arc<Node>,
         plan: Plan,
@@ -61,23 +68,28 @@
         permit: Permit,
         request: Arc<ClientRequest>,
         options: SendOptions,
+        silent_ms: Option<u64>,
     ) -> Self {
         let (node, target) = (node.clone(), plan.target.clone());
         let limit = Duration::from_millis(options.timeout_ms);
         let outcome = async move {
             let running = run(&node, &target, permit, request, options);
-            match tokio::time::timeout(limit, running).await {
-                Ok(outcome) => outcome,
-                Err(_) => Exchanged::Broken(BodyError {
+            tokio::select! {
+                biased;
+                outcome = running => outcome,
+                () = tokio::time::sleep(limit) => Exchanged::Broken(BodyError {
                     reason: "the deadline has passed".to_string(),
                     cause: EndCause::DeadlinePassed,
                 }),
+                () = target_end(&node, &target, silent_ms) => Exchanged::Broken(target_ended()),
             }
         };
         Self {
             plan,
             send,
             is_first: true,
+            silent_ms,
+            is_silent: false,
             outcome: outcome.boxed(),
         }
     }
@@ -88,6 +100,20 @@
     }
 }
 
+/// Waits for the proof that `target`, which is silent after `silent_ms`, has ended.
+async fn target_end(node: &Arc<Node>, target: &Arc<Target>, silent_ms: Option<u64>) {
+    let Some(silent_ms) = silent_ms else {
+        return std::future::pending().await;
+    };
+    tokio::time::sleep(Duration::from_millis(silent_ms)).await;
+    loop {
+        tokio::time::sleep(END_CHECK_PERIOD).await;
+        if quarantine::is_proven_ended(node, target).await {
+            return;
+        }
+    }
+}
+
 async fn run(
     node: &Arc<Node>,
     target: &Arc<Target>,
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -30,13 +30,11 @@
 const UNREACHABLE_WEIGHT: f64 = 2.0;
 
 impl ActiveRequest {
-    /// How long the target of `plan` may be silent before another one is asked beside it.
-    pub(super) fn silence_limit_ms(&self, plan: &Plan) -> u64 {
-        if !self.may_ask_beside() || self.only_tried() {
-            return self.remaining_ms();
-        }
-        let limit_ms = MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64;
-        limit_ms.min(self.remaining_ms())
+    /// How long the target of `plan` may be silent before another one is asked beside it;
+    /// `None` if none may be.
+    fn silence_limit_ms(&self, plan: &Plan) -> Option<u64> {
+        let may_ask = self.may_ask_beside() && !self.only_tried();
+        may_ask.then_some(MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64)
     }
 
     /// Asks for permission to send to the plan's target now; a target that takes
@@ -111,7 +109,9 @@
         );
         let is_first = self.mark_delivered(&plan.target.id);
         let request = self.client_request.clone();
-        let mut exchange = Exchange::begin(&self.node, plan, send, permit, request, options);
+        let silent_ms = self.silence_limit_ms(&plan);
+        let node = &self.node;
+        let mut exchange = Exchange::begin(node, plan, send, permit, request, options, silent_ms);
         exchange.is_first = is_first;
         exchange
     }
--- a/crates/comfreyhall-node/tests/silence.rs
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::Ordering;
 
-use comfreyhall_domain::{ClientRequest, Refusal, RouteKind};
+use comfreyhall_domain::{ClientRequest, Refusal, Route, RouteKind};
 use support::*;
 
 /// Longer than any gap between events or wait for an answer after which other targets
@@ -19,8 +19,8 @@
     }
 }
 
-fn route_with_time(kind: RouteKind) -> comfreyhall_domain::Route {
-    comfreyhall_domain::Route {
+fn route_with_time(kind: RouteKind) -> Route {
+    Route {
         timeout_ms: 4_000,
         ..route(kind, 3, kind == RouteKind::Stream)
     }
@@ -119,3 +119,40 @@
     let result = result_of(RouteKind::Idempotent, first, other).await;
     assert_eq!(result, CallerResult::Complete(200));
 }
+
+/// Guards against a request that waits for two silent targets while a third one could
+/// answer, before its first event and after it.
+#[tokio::test]
+async fn serve_third_target_is_asked_beside_two() {
+    use RouteKind::{Idempotent, Stream};
+    let (all, rest) = (vec![1, 2, 3, 4], vec![3, 4]);
+    let begun = Behavior::PausingStream(vec![1, 2], 60_000, vec![3]);
+    let stream = |ids| Behavior::Stream(ids, true);
+    for (kind, first, third) in [
+        (Stream, begun, stream(rest)),
+        (Stream, Behavior::Hang, stream(all.clone())),
+        (Idempotent, Behavior::Hang, Behavior::Answer(200, 0)),
+    ] {
+        let behaviors = vec![first, Behavior::Hang, third];
+        let others = vec![target("c")];
+        let route = route_with_time(kind);
+        let (node, backend, _) = start_node_among(route, None, behaviors, others).await;
+        let result = caller_result(node.serve(patient("r")).await).await;
+        let expected = match kind {
+            Stream => CallerResult::Stream(all.clone(), true),
+            _ => CallerResult::Complete(200),
+        };
+        assert_eq!(result, expected);
+        let mut asked: Vec<_> = backend
+            .sent
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|s| s.target.clone())
+            .collect();
+        asked.sort();
+        asked.dedup();
+        assert_eq!(asked.len(), 3);
+        assert_eq!(backend.silent_runs.load(Ordering::SeqCst), 0);
+    }
+}
--- a/crates/comfreyhall-relay/src/lib.rs
+++ b/crates/comfreyhall-relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 mod merge;
 mod order;
+mod seek;
 
 pub use crate::{
     budget::{ByteBudget, Exceeded, HolderId},
@@ -15,6 +16,7 @@
     events::{Event, EventSplitter, MAX_EVENT_BYTES, Oversize},
     merge::{Merge, Next, SeekPolicy, silence_limit_ms},
     order::{EventOrder, OrderError},
+    seek::SeekTimer,
 };
 
 #[cfg(test)]
--- a/crates/comfreyhall-relay/src/tests.rs
+++ b/crates/comfreyhall-relay/src/tests.rs
@@ -2,7 +2,7 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 
-use crate::{ByteBudget, Event, EventSplitter, Exceeded, HolderId, MAX_EVENT_BYTES};
+use crate::{ByteBudget, Event, EventSplitter, Exceeded, HolderId, MAX_EVENT_BYTES, SeekTimer};
 
 #[test]
 fn take_event_returns_whole_events_only() {
@@ -20,6 +20,23 @@
     assert!(!events.has_partial());
 }
 
+/// Guards against targets that are sought without end or without a pause, and against a wait
+/// for the silence of one that has failed.
+#[test]
+fn due_ms_is_bounded() {
+    let mut timer = SeekTimer::new(Some(1_200), 100);
+    assert_eq!(timer.due_ms(), Some(1_300));
+    timer.asked(Some(1_500), 1_300);
+    assert_eq!(timer.due_ms(), Some(2_800));
+    timer.failed(1_400);
+    assert_eq!(timer.due_ms(), Some(1_800));
+    timer.not_asked(1_800);
+    assert_eq!(timer.due_ms(), Some(2_200));
+    timer.not_asked(2_200);
+    assert_eq!(timer.due_ms(), None);
+    assert_eq!(SeekTimer::new(None, 100).due_ms(), None);
+}
+
 /// Events of `bytes` pushed in pieces of these lengths, in turn, and whether all were taken.
 fn split(bytes: &[u8], lengths: &[usize]) -> (Vec<Event>, bool) {
     let mut splitter = EventSplitter::default();
