A search for another target binds a request only if it finds one

Cause: before a second target is asked beside a silent one, the request is bound to the settings in force. If none took it, or the first target went on meanwhile, the newer route, service, deadline and priority stayed: a stream whose first event came late ended at the deadline of settings under which it was never sent, and its log line named the wrong version.

Change: `Binding` is what a request is bound to. Each `Exchange` keeps the one under which it was sent; the answer that goes on restores its own, and a search in vain restores the one before it. As the binding is not left behind any more, a request without an event follows its moved route in the search itself (before: in the next one).

`serve_seek_in_vain_keeps_settings` before: left: Stream([1], false) right: Stream([1, 2], true) and after: ok. `serve_silent_request_follows_moved_route` is new and guards the second part.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -66,6 +66,13 @@
     Deadline,
 }
 
+impl Found {
+    /// Whether it is another answer that goes on.
+    fn is_stream(&self) -> bool {
+        matches!(self, Found::Other(Ok(answer)) if matches!(answer.1, Exchanged::Stream(_)))
+    }
+}
+
 impl Relay {
     /// Relays `start`, which has just begun, for `request`.
     pub(crate) fn new(start: StreamStart, send: ActiveSend, request: &ActiveRequest) -> Self {
@@ -176,7 +183,7 @@
         let left = Duration::from_millis(self.deadline_ms.saturating_sub(request.node.now()));
         let node = request.node.clone();
         let mut broken = None;
-        let open_sends = request.open_sends();
+        let (open_sends, binding) = (request.open_sends(), request.binding());
         let found = {
             let open = self.merge.is_open().then_some(&self.send.target);
             let asking = request.answer_elsewhere(self.merge.last(), open);
@@ -195,10 +202,7 @@
                             Err(why) => {
                                 self.merge.ended(why.cause(), node.now());
                                 self.source.close();
-                                broken = Some(BodyError {
-                                    reason: why.to_string(),
-                                    cause: why.cause(),
-                                });
+                                broken = Some(why.into());
                             }
                         },
                         Item::End if self.source.has_explicit_end() => {
@@ -227,6 +231,9 @@
         if !matches!(found, Found::Other(_)) {
             request.record_cancelled(open_sends);
         }
+        if !found.is_stream() {
+            request.restore(&binding);
+        }
         if let Some(error) = broken {
             self.break_off(request, &error);
         }
@@ -269,13 +276,7 @@
         match self.merge.event(&event, request.node.now()) {
             Ok(true) => self.pending.push_back(event),
             Ok(false) => {}
-            Err(why) => {
-                let error = BodyError {
-                    reason: why.to_string(),
-                    cause: why.cause(),
-                };
-                self.break_off(request, &error);
-            }
+            Err(why) => self.break_off(request, &why.into()),
         }
     }
 
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -81,6 +81,7 @@
                 continue;
             }
             let mut failed = Vec::new();
+            let before = self.binding();
             let sent = {
                 let open_targets = open.iter().map(|e| &e.plan.target.id);
                 let open_targets: Vec<Name> = open_targets.chain(kept).cloned().collect();
@@ -113,9 +114,10 @@
                     open.push(exchange);
                 }
                 Ok(Err(why)) => {
+                    self.restore(&before);
                     self.log_not_asked(why);
                     if let Some(ended) = last_failed {
-                        return ended;
+                        return self.supersede(open, ended);
                     }
                     timer.not_asked(self.node.now());
                 }
@@ -146,11 +148,13 @@
         }
     }
 
-    /// Cancels the sends `open`, as the one of `ended` goes on.
+    /// Cancels the sends `open`, as the one of `ended` goes on by the settings under which it
+    /// was sent.
     fn supersede(&mut self, open: Vec<Exchange>, ended: Ended) -> Ended {
         for exchange in open {
             self.record_superseded(&exchange.send);
         }
+        self.restore(&ended.0.binding);
         ended
     }
 
@@ -200,9 +204,13 @@
         self.unavailable.clear();
         self.unavailable.extend_from_slice(open);
         for _ in 0..MAX_CHOICES {
-            if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
+            if !matches!(self.renew(), Ok(Renewal::Unchanged | Renewal::Moved)) {
                 return Err("its settings have changed");
             }
+            // They may say otherwise.
+            if let Some(why) = self.cannot_ask_another() {
+                return Err(why);
+            }
             let mut plan = self.choose().ok_or("no target can take it")?;
             if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
                 return Err("no engine is bound");
--- a/crates/comfreyhall-node/src/serve/exchange.rs
+++ b/crates/comfreyhall-node/src/serve/exchange.rs
@@ -6,7 +6,11 @@
 use comfreyhall_relay::{EndCause, EventOrder};
 use futures::{FutureExt, future::BoxFuture};
 
-use super::plain::{self, WholeAnswer};
+use super::{
+    ActiveRequest,
+    plain::{self, WholeAnswer},
+    renew::Binding,
+};
 use crate::{
     active_send::ActiveSend,
     choose::Plan,
@@ -48,6 +52,8 @@
 pub(crate) struct Exchange {
     pub(crate) plan: Plan,
     pub(crate) send: ActiveSend,
+    /// The settings under which it was sent.
+    pub(super) binding: Binding,
     /// Whether it is the first send of the request to this target.
     pub(super) is_first: bool,
     /// Ms without an answer after which its target is silent; `None` if that leads to
@@ -62,15 +68,16 @@
     /// Sends `request`; the outcome is due after `options.timeout_ms`, or once a target that
     /// has been silent for `silent_ms` is proven to have ended.
     pub(super) fn begin(
-        node: &Arc<Node>,
         plan: Plan,
         send: ActiveSend,
         permit: Permit,
-        request: Arc<ClientRequest>,
+        request: &ActiveRequest,
         options: SendOptions,
         silent_ms: Option<u64>,
     ) -> Self {
-        let (node, target) = (node.clone(), plan.target.clone());
+        let (node, target) = (request.node.clone(), plan.target.clone());
+        let binding = request.binding();
+        let request = request.client_request.clone();
         let limit = Duration::from_millis(options.timeout_ms);
         let outcome = async move {
             let running = run(&node, &target, permit, request, options);
@@ -87,6 +94,7 @@
         Self {
             plan,
             send,
+            binding,
             is_first: true,
             silent_ms,
             is_silent: false,
--- a/crates/comfreyhall-node/src/serve/renew.rs
+++ b/crates/comfreyhall-node/src/serve/renew.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use comfreyhall_domain::{Caller, Config, Route, answer_for};
+use comfreyhall_domain::{Caller, Config, EngineConfig, Name, Route, answer_for};
 use comfreyhall_inforce::Verdict;
 
 use super::{
@@ -34,7 +34,56 @@
     End(Reply),
 }
 
+/// The settings that a request is bound to, and the state in which it was sent by them.
+#[derive(Clone)]
+pub(crate) struct Binding {
+    route: Route,
+    caller: Caller,
+    rank: u8,
+    config_version: u64,
+    bound_after_ms: u64,
+    deadline_ms: u64,
+    service: Name,
+    engine: Option<EngineConfig>,
+    software: Option<Name>,
+    settings_age_ms: u64,
+    targets_age_ms: u64,
+}
+
 impl ActiveRequest {
+    /// What it is bound to now.
+    pub(crate) fn binding(&self) -> Binding {
+        Binding {
+            route: self.route.clone(),
+            caller: self.caller.clone(),
+            rank: self.rank,
+            config_version: self.config_version,
+            bound_after_ms: self.bound_after_ms,
+            deadline_ms: self.deadline_ms,
+            service: self.service.clone(),
+            engine: self.engine.clone(),
+            software: self.software.clone(),
+            settings_age_ms: self.settings_age_ms,
+            targets_age_ms: self.targets_age_ms,
+        }
+    }
+
+    /// Binds it to `binding` again, by which the answer that goes on was asked for.
+    pub(crate) fn restore(&mut self, binding: &Binding) {
+        let bound = binding.clone();
+        self.route = bound.route;
+        self.caller = bound.caller;
+        self.rank = bound.rank;
+        self.config_version = bound.config_version;
+        self.bound_after_ms = bound.bound_after_ms;
+        self.deadline_ms = bound.deadline_ms;
+        self.service = bound.service;
+        self.engine = bound.engine;
+        self.software = bound.software;
+        self.settings_age_ms = bound.settings_age_ms;
+        self.targets_age_ms = bound.targets_age_ms;
+    }
+
     /// Binds the request to the active settings.
     pub(super) fn renew(&mut self) -> Result<Renewal, Rejection> {
         match self.node.settings_verdict() {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -108,10 +108,8 @@
             run_handle,
         );
         let is_first = self.mark_delivered(&plan.target.id);
-        let request = self.client_request.clone();
         let silent_ms = self.silence_limit_ms(&plan);
-        let node = &self.node;
-        let mut exchange = Exchange::begin(node, plan, send, permit, request, options, silent_ms);
+        let mut exchange = Exchange::begin(plan, send, permit, self, options, silent_ms);
         exchange.is_first = is_first;
         exchange
     }
--- a/crates/comfreyhall-node/src/source.rs
+++ b/crates/comfreyhall-node/src/source.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyhall_relay::{EndCause, Event, EventOrder, EventSplitter};
+use comfreyhall_relay::{EndCause, Event, EventOrder, EventSplitter, OrderError};
 use futures::StreamExt;
 use http::{HeaderMap, StatusCode};
 
@@ -19,6 +19,15 @@
     }
 }
 
+impl From<OrderError> for BodyError {
+    fn from(error: OrderError) -> Self {
+        Self {
+            reason: error.to_string(),
+            cause: error.cause(),
+        }
+    }
+}
+
 /// What an answer brings next.
 pub(crate) enum Item {
     /// A whole event.
@@ -111,12 +120,7 @@
                 Item::Event(event) => match order.accept(&event) {
                     Ok(true) => return Ok(event),
                     Ok(false) => {}
-                    Err(why) => {
-                        return Err(BodyError {
-                            reason: why.to_string(),
-                            cause: why.cause(),
-                        });
-                    }
+                    Err(why) => return Err(why.into()),
                 },
                 Item::End => {
                     return Err(BodyError {
--- a/crates/comfreyhall-node/tests/silence.rs
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::Ordering;
 
-use comfreyhall_domain::{ClientRequest, Refusal, Route, RouteKind};
+use comfreyhall_domain::{ClientRequest, Config, Refusal, Route, RouteKind};
 use support::*;
 
 /// Longer than any gap between events or wait for an answer after which other targets
@@ -156,3 +156,59 @@
         assert_eq!(backend.silent_runs.load(Ordering::SeqCst), 0);
     }
 }
+
+/// Guards against newer settings to which a search for another target has bound a request:
+/// if it finds none, the first answer goes on by those under which it was sent.
+#[tokio::test]
+async fn serve_seek_in_vain_keeps_settings() {
+    let first = Behavior::PausingStream(Vec::new(), SILENCE_MS, vec![1, 2]);
+    let route = route_with_time(RouteKind::Stream);
+    let (node, _, source) = start_node_with(route, None, vec![first]).await;
+    let shorter = Config {
+        version: 2,
+        routes: vec![Route {
+            timeout_ms: 1_000,
+            ..source.config.routes[0].clone()
+        }],
+        ..source.config.clone()
+    };
+    let publish = async {
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        source.publish(shorter);
+    };
+    let (reply, ()) = tokio::join!(node.serve(patient("r")), publish);
+    let result = caller_result(reply).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2], true));
+}
+
+/// Guards against a request that waits for a silent target of the service which its route
+/// has left.
+#[tokio::test]
+async fn serve_silent_request_follows_moved_route() {
+    let other = comfreyhall_domain::Target {
+        service: "t".into(),
+        ..target("c")
+    };
+    let route = route_with_time(RouteKind::Idempotent);
+    let (node, backend, source) =
+        start_node_among(route, None, vec![Behavior::Hang], vec![other]).await;
+    let mut moved = source.config.clone();
+    moved.version = 2;
+    moved.routes[0].shares[0].service = "t".into();
+    let mut service = moved.services["s"].clone();
+    service.name = "t".into();
+    moved.services.insert("t".into(), service);
+    let publish = async {
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        source.publish(moved);
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        // The retry budget of a service begins with its first request.
+        let other = node.serve(patient("other")).await;
+        assert_eq!(caller_result(other).await, CallerResult::Complete(200));
+    };
+    let (reply, ()) = tokio::join!(node.serve(patient("r")), publish);
+    assert_eq!(caller_result(reply).await, CallerResult::Complete(200));
+    let sent = backend.sent.lock().unwrap();
+    assert_eq!(sent.len(), 3);
+    assert!(sent[1..].iter().all(|s| &*s.target == "c"));
+}
