The end of a planned stop and callers of passed-on streams are counted

Cause: a request that was dropped was always taken for one whose caller had left, also when the process ended at the end of a planned stop's grace; and a caller who left a stream that this daemon had passed on was counted by the daemon alone that served it.

Change: `EndCause::GraceEnded` (`grace_ended`) with its place in the unit test of all causes and in the relay's model, which now drops requests at any time. `stop::cause_of_drop` tells the two apart by the time since the signal. An `OpenStream` that is dropped names its cause in the log and in `answers_ended`. `comfreyhall account` reads the new line "cut off by the stop".

Before: `serve_passed_on_stream_counts_caller_left` left: 0, right: 1; `drain_end_is_no_caller_that_left` left: 1, right: 0 callers that left. After: ok, with the model and the unit tests of comfreyhall-relay, -node, -cli.

--- a/crates/comfreyhall-cli/src/account.rs
+++ b/crates/comfreyhall-cli/src/account.rs
@@ -164,6 +164,10 @@
                 "within its stream".to_string(),
             ),
             "caller left" => (RequestOutcome::Disconnected, "before an answer".to_string()),
+            "cut off by the stop" => (
+                RequestOutcome::Failed,
+                "cut off by a planned stop".to_string(),
+            ),
             "no route" => (RequestOutcome::Refused, "no route".to_string()),
             refused if refused.starts_with("refused: ") => (
                 RequestOutcome::Refused,
--- a/crates/comfreyhall-cli/src/account_tests.rs
+++ b/crates/comfreyhall-cli/src/account_tests.rs
@@ -31,3 +31,14 @@
     assert_eq!(causes.map(|(_, n)| n).sum::<usize>(), 6);
     insta::assert_snapshot!(format_summary(&report));
 }
+
+/// Guards against an answer that a planned stop cut off and that counts as one whose caller
+/// left.
+#[test]
+fn summarize_stop_is_no_caller_that_left() {
+    let line = r#"0 a {"t":100,"part":"serve","msg":"cut off by the stop","id":"r1","route":"g","first":40,"cause":"grace_ended"}"#;
+    let report = summarize(&parse(line, "log"));
+    let outcomes = &report.routes[0].outcomes;
+    assert_eq!(outcomes.get(&RequestOutcome::Failed), Some(&1));
+    assert_eq!(outcomes.len(), 1);
+}
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -25,6 +25,7 @@
     collect::Exceeded,
     node::Node,
     serve::{EventStream, Reply},
+    stop,
 };
 
 /// The parts of an answer as they arrive.
@@ -88,32 +89,69 @@
         })) => Ok(Reply::Stream {
             status,
             headers,
-            body: until(deadline, node.clone(), request.id.clone(), body),
+            body: until(deadline, OpenStream::new(node, &request.id), body),
         }),
         Ok(answer) => answer,
         Err(_) => Err(Status::deadline_exceeded("no answer in time")),
     }
 }
 
-/// The events of `body` until `deadline`, for the request `id`.
-fn until(deadline: Instant, node: Arc<Node>, id: Name, body: EventStream) -> EventStream {
-    let pieces = futures::stream::unfold(Some(body), move |body| {
-        let (node, id) = (node.clone(), id.clone());
-        async move {
-            let mut body = body?;
-            let (cause, why) = match tokio::time::timeout_at(deadline, body.next()).await {
-                Ok(Some(Ok(bytes))) => return Some((Ok(bytes), Some(body))),
-                Ok(None) => return None,
-                Ok(Some(Err(why))) => (EndCause::ConnectionClosed, why),
-                Err(_) => (
-                    EndCause::DeadlinePassed,
-                    "the deadline has passed".to_string(),
-                ),
-            };
-            node.metrics.answer_ended(cause);
-            log::info!(target: "forward", id:%, cause = cause.name(), why; "stream that was passed on broke off");
-            Some((Err(why), None))
+/// A stream that was passed on and has not ended. Dropped as such, it ends for the reason
+/// of the drop.
+struct OpenStream {
+    node: Arc<Node>,
+    id: Name,
+    is_open: bool,
+}
+
+impl OpenStream {
+    fn new(node: &Arc<Node>, id: &Name) -> Self {
+        Self {
+            node: node.clone(),
+            id: id.clone(),
+            is_open: true,
+        }
+    }
+
+    /// It has been passed back whole.
+    fn complete(mut self) {
+        self.is_open = false;
+    }
+
+    /// It has ended early.
+    fn end(&mut self, cause: EndCause, why: &str) {
+        self.is_open = false;
+        self.node.metrics.answer_ended(cause);
+        log::info!(target: "forward", id:% = self.id, cause = cause.name(), why; "stream that was passed on broke off");
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.end(stop::cause_of_drop(&self.node), "it is read no more");
         }
+    }
+}
+
+/// The events of `body`, which is `open`, until `deadline`.
+fn until(deadline: Instant, open: OpenStream, body: EventStream) -> EventStream {
+    let pieces = futures::stream::unfold(Some((open, body)), move |rest| async move {
+        let (mut open, mut body) = rest?;
+        let (cause, why) = match tokio::time::timeout_at(deadline, body.next()).await {
+            Ok(Some(Ok(bytes))) => return Some((Ok(bytes), Some((open, body)))),
+            Ok(None) => {
+                open.complete();
+                return None;
+            }
+            Ok(Some(Err(why))) => (EndCause::ConnectionClosed, why),
+            Err(_) => (
+                EndCause::DeadlinePassed,
+                "the deadline has passed".to_string(),
+            ),
+        };
+        open.end(cause, &why);
+        Some((Err(why), None))
     });
     pieces.boxed()
 }
--- a/crates/comfreyhall-node/src/serve/request.rs
+++ b/crates/comfreyhall-node/src/serve/request.rs
@@ -16,6 +16,7 @@
     node::{InFlightGuard, Node},
     quarantine::Trial,
     quotas::Credit,
+    stop,
     streams::RunningStream,
 };
 
@@ -112,15 +113,20 @@
     pub(crate) finished: bool,
 }
 
-/// A request dropped before it finished was abandoned by its caller. This line
-/// keeps it from missing in the log and the metrics.
+/// A request dropped before it finished was abandoned by its caller, or cut off by a
+/// planned stop. This line keeps it from missing in the log and the metrics.
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         if !self.finished {
             let held = self.node.now().saturating_sub(self.began_ms);
-            self.node.metrics.request(self.route.kind, "caller_left");
-            self.node.metrics.answer_ended(EndCause::CallerLeft);
-            log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, held, stall = self.load_wait_ms, first = self.first_event_ms, sends = self.history.sends; "caller left");
+            let cause = stop::cause_of_drop(&self.node);
+            self.node.metrics.request(self.route.kind, cause.name());
+            self.node.metrics.answer_ended(cause);
+            let what = match cause {
+                EndCause::GraceEnded => "cut off by the stop",
+                _ => "caller left",
+            };
+            log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, cause = cause.name(), held, stall = self.load_wait_ms, first = self.first_event_ms, sends = self.history.sends; "{what}");
         }
     }
 }
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -8,6 +8,7 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_life::Event;
+use comfreyhall_relay::EndCause;
 
 use crate::{fleet, node::Node};
 
@@ -40,6 +41,15 @@
     limit < began + grace_ms(node)
 }
 
+/// Why a request that is dropped now ends before its answer is complete.
+pub(crate) fn cause_of_drop(node: &Node) -> EndCause {
+    let began = node.drain_began_ms();
+    match began > 0 && node.now() >= began + grace_ms(node) {
+        true => EndCause::GraceEnded,
+        false => EndCause::CallerLeft,
+    }
+}
+
 /// Time in ms after the signal at which the process ends at the latest.
 fn grace_ms(node: &Node) -> u64 {
     bound_ms(node.settings().bounds.grace_s)
--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -5,7 +5,8 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{ClientRequest, Route, RouteKind, Target};
-use comfreyhall_node::{Node, Reply};
+use comfreyhall_node::{Node, Reply, ports::EndCause};
+use futures::StreamExt;
 use support::*;
 use tokio::net::TcpListener;
 
@@ -108,6 +109,24 @@
     }
 }
 
+/// Guards against a caller who leaves a stream that was passed on and is counted by the
+/// daemon alone that serves it.
+#[tokio::test]
+async fn serve_passed_on_stream_counts_caller_left() {
+    let stream = Behavior::PausingStream(vec![1], 60_000, vec![2]);
+    let route = route(RouteKind::Stream, 2, true);
+    let pair = start_pair(route, Behavior::Unreachable, stream).await;
+    let Reply::Stream { mut body, .. } = pair.cut.serve(ask("r")).await else {
+        panic!("no stream");
+    };
+    assert!(body.next().await.unwrap().is_ok());
+    drop(body);
+    assert_eq!(answers_ended(&pair.cut, EndCause::CallerLeft), 1);
+    let whole = caller_result(pair.cut.serve(ask("s")).await).await;
+    assert!(matches!(whole, CallerResult::Stream(_, false)));
+    assert_eq!(answers_ended(&pair.cut, EndCause::CallerLeft), 1);
+}
+
 /// Guards against requests that go back and forth while all daemons are isolated, and
 /// against callers who wait for nothing then.
 #[tokio::test]
--- a/crates/comfreyhall-node/tests/stop.rs
+++ b/crates/comfreyhall-node/tests/stop.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use comfreyhall_domain::RouteKind;
-use comfreyhall_node::drain;
+use comfreyhall_node::{drain, ports::EndCause};
 use support::*;
 
 /// Guards against a connection that closes without an answer at the very end of
@@ -53,3 +53,24 @@
         CallerResult::NotRun
     );
 }
+
+/// Guards against an answer that the end of a planned stop cuts off and that is counted as
+/// one whose caller left.
+#[tokio::test]
+async fn drain_end_is_no_caller_that_left() {
+    let mut long = route(RouteKind::Stream, 1, false);
+    long.timeout_ms = 15_000;
+    let stream = Behavior::PausingStream(vec![1], 60_000, vec![2]);
+    let (node, _) = start_node(long, vec![stream]).await;
+    let mut settings = (*node.settings()).clone();
+    settings.bounds.grace_s = 3.0;
+    node.set_settings(settings);
+    let mut long = ask("r");
+    long.remaining_ms = Some(15_000);
+    let reply = node.serve(long).await;
+    drain(&node, || {}).await;
+    drop(reply);
+    assert_eq!(answers_ended(&node, EndCause::CallerLeft), 0);
+    let metrics = node.metrics_text();
+    assert!(metrics.contains("grace_ended"), "{metrics}");
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -672,3 +672,13 @@
         ..ask(id)
     }
 }
+
+/// How many answers of targets ended early for `cause`, as `node` has counted.
+pub fn answers_ended(node: &Node, cause: EndCause) -> u64 {
+    let metrics = node.metrics_text();
+    let label = format!("\"{}\"", cause.name());
+    let samples = metrics.lines().filter(|l| !l.starts_with('#'));
+    let mut counts = samples.filter(|l| l.contains("answers_ended") && l.contains(&label));
+    let count = counts.next().and_then(|l| l.rsplit(' ').next());
+    count.map_or(0, |c| c.parse().unwrap())
+}
--- a/crates/comfreyhall-relay/src/cause.rs
+++ b/crates/comfreyhall-relay/src/cause.rs
@@ -23,9 +23,24 @@
     Superseded,
     /// The caller closed its connection.
     CallerLeft,
+    /// The grace of a planned stop of this process has ended.
+    GraceEnded,
 }
 
 impl EndCause {
+    /// Every cause.
+    pub const ALL: [EndCause; 9] = [
+        EndCause::ConnectionClosed,
+        EndCause::Broken,
+        EndCause::TargetEnded,
+        EndCause::TooLarge,
+        EndCause::OutOfMemory,
+        EndCause::DeadlinePassed,
+        EndCause::Superseded,
+        EndCause::CallerLeft,
+        EndCause::GraceEnded,
+    ];
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -37,12 +52,16 @@
             EndCause::DeadlinePassed => "deadline_passed",
             EndCause::Superseded => "superseded",
             EndCause::CallerLeft => "caller_left",
+            EndCause::GraceEnded => "grace_ended",
         }
     }
 
     /// Whether it counts against the target.
     pub fn is_target_failure(self) -> bool {
-        !matches!(self, EndCause::OutOfMemory | EndCause::CallerLeft)
+        !matches!(
+            self,
+            EndCause::OutOfMemory | EndCause::CallerLeft | EndCause::GraceEnded
+        )
     }
 
     /// Whether it is evidence that the target may have ended under its request.
--- a/crates/comfreyhall-relay/src/tests.rs
+++ b/crates/comfreyhall-relay/src/tests.rs
@@ -2,7 +2,9 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 
-use crate::{ByteBudget, Event, EventSplitter, Exceeded, HolderId, MAX_EVENT_BYTES, SeekTimer};
+use crate::{
+    ByteBudget, EndCause, Event, EventSplitter, Exceeded, HolderId, MAX_EVENT_BYTES, SeekTimer,
+};
 
 #[test]
 fn take_event_returns_whole_events_only() {
@@ -20,6 +22,21 @@
     assert!(!events.has_partial());
 }
 
+/// Guards against a target that is judged by what its caller or this process did, and
+/// against causes that a counter cannot tell apart.
+#[test]
+fn cause_blames_targets_for_their_own_ends() {
+    use EndCause::*;
+    let (others, targets): (Vec<EndCause>, Vec<EndCause>) = EndCause::ALL
+        .into_iter()
+        .partition(|c| !c.is_target_failure());
+    assert_eq!(others, [OutOfMemory, CallerLeft, GraceEnded]);
+    assert_eq!(targets.len(), 6);
+    assert!(others.iter().all(|c| !c.may_be_target_end()));
+    let names: std::collections::HashSet<&str> = EndCause::ALL.iter().map(|c| c.name()).collect();
+    assert_eq!(names.len(), EndCause::ALL.len());
+}
+
 /// Guards against targets that are sought without end or without a pause, and against a wait
 /// for the silence of one that has failed.
 #[test]
--- a/crates/comfreyhall-relay/tests/model.rs
+++ b/crates/comfreyhall-relay/tests/model.rs
@@ -133,6 +133,10 @@
     ]
 }
 
+fn drop_cause() -> impl Strategy<Value = EndCause> {
+    prop::sample::select(vec![EndCause::CallerLeft, EndCause::GraceEnded])
+}
+
 fn sound_act() -> impl Strategy<Value = Act> {
     prop_oneof![3 => Just(Act::Event), 1 => (1..60u8).prop_map(Act::Silent)]
 }
@@ -155,6 +159,8 @@
     events: Vec<(u64, usize)>,
     /// Causes with which open answers ended.
     causes: Vec<EndCause>,
+    /// When the caller leaves or the process ends.
+    dropped: Option<(u64, EndCause)>,
 }
 
 impl Relay {
@@ -168,6 +174,7 @@
             tag: 0,
             events: vec![(1, 0)],
             causes: Vec::new(),
+            dropped: None,
         }
     }
 
@@ -175,6 +182,10 @@
     fn run(&mut self) -> Result<(), EndCause> {
         loop {
             self.now += STEP_MS;
+            if let Some((_, cause)) = self.dropped.filter(|(at, _)| *at <= self.now) {
+                // Dropped with all runs that are open.
+                return Err(cause);
+            }
             match self.merge.next(self.now, DEADLINE_MS) {
                 Next::GiveUp(cause) => return Err(cause),
                 Next::Seek => {
@@ -276,8 +287,10 @@
     fn merge_keeps_order_and_causes(
         first in prop::collection::vec(act(), 0..30),
         others in prop::collection::vec(sought(), 0..8),
+        dropped in prop::option::of((0..2 * DEADLINE_MS, drop_cause())),
     ) {
         let mut relay = Relay::new(first, SeekPolicy::BesideSilent, others);
+        relay.dropped = dropped;
         let end = relay.run();
         let ids: Vec<u64> = relay.events.iter().map(|e| e.0).collect();
         prop_assert_eq!(&ids, &(1..=ids.len() as u64).collect::<Vec<_>>());
@@ -285,6 +298,9 @@
         match end {
             Ok(()) => prop_assert_eq!(ids.len() as u64, EVENTS),
             Err(EndCause::DeadlinePassed) => {}
+            Err(cause) if dropped.is_some_and(|d| d.1 == cause) => {
+                prop_assert!(!cause.is_target_failure());
+            }
             Err(cause) => {
                 prop_assert_eq!(relay.causes.last(), Some(&cause));
                 prop_assert!(relay.open.is_none() && relay.beside.is_none(), "given up too early");
