A feed that answers at once without a change is called with pauses

Cause: `follow_settings` called the feed again as soon as it had an answer, also one without rows that came long before the end of its wait, or the word that the history is gone.

Change: `EarlyAnswers` counts consecutive answers without rows that took less than half of the wait; before the next call it pauses 20 ms, twice as long each time, up to a sixth of the bound for settings, spread over half to one and a half times that.

--- a/crates/comfreyhall-node/src/follow.rs
+++ b/crates/comfreyhall-node/src/follow.rs
@@ -8,14 +8,19 @@
 //! feed. Meanwhile settings that the store does not provide are fetched from
 //! other daemons ([`crate::fleet`]).
 
+mod early;
 mod targets;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use comfreyhall_domain::Revision;
 use comfreyhall_life::Event;
 use rand::Rng;
 
+use self::early::EarlyAnswers;
 use crate::{
     node::Node,
     ports::{PendingBatch, RecordBatch, SourceError, Topic},
@@ -70,6 +75,7 @@
 async fn follow_settings(node: Arc<Node>) {
     let mut after: Option<Revision> = None;
     let mut link = StoreLink::new("settings");
+    let mut early = EarlyAnswers::default();
     loop {
         let began = node.now();
         let read_result = match after {
@@ -78,8 +84,12 @@
             // one.
             Some(version) if link.down => probe(&node, version).await,
             Some(version) => {
+                pause_early(&node, &early).await;
                 await_stale(&node).await;
-                feed(&node, version).await
+                let (wait, asked) = (feed_wait(&node), Instant::now());
+                let answer = feed(&node, version, wait).await;
+                early.note(&answer, wait, asked.elapsed());
+                answer
             }
         };
         let (answer, times) = match read_result {
@@ -110,6 +120,13 @@
     }
 }
 
+/// Waits after feed calls that came back early.
+async fn pause_early(node: &Node, early: &EarlyAnswers) {
+    let bound_ms = node.settings().bounds.apply_ms;
+    let pause_ms = early.pause_ms(bound_ms, rand::rng().random());
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
 /// An answer about settings with its times.
 struct StoreAnswer {
     batch: RecordBatch,
@@ -176,14 +193,14 @@
     Ok(StoreAnswer { batch, times })
 }
 
-/// Waits for changes after `version`, and probes meanwhile whether the store
+/// Waits up to `wait` for changes after `version`, and probes meanwhile whether the store
 /// still answers.
 ///
 /// Without probes, when the store stops answering within a feed call and comes
 /// back, no daemon learns of new changes before the call has reached its time
 /// limit.
-async fn feed(node: &Node, version: Revision) -> Result<StoreAnswer, SourceError> {
-    let (wait, began) = (feed_wait(node), node.now());
+async fn feed(node: &Node, version: Revision, wait: Duration) -> Result<StoreAnswer, SourceError> {
+    let began = node.now();
     let feed = node.source.changes(Topic::Settings, version, wait);
     tokio::pin!(feed);
     loop {
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -332,6 +332,10 @@
     pub notify: Notify,
     /// Whether the store fails to answer for changes of the settings.
     pub unavailable: AtomicBool,
+    /// Whether feed calls are answered at once, without a wait for a change.
+    pub hasty: AtomicBool,
+    /// Feed calls so far.
+    pub feed_calls: std::sync::atomic::AtomicUsize,
     pub targets: Vec<Target>,
     /// Targets that are draining.
     pub draining: Mutex<Vec<Name>>,
@@ -362,6 +366,11 @@
         after: Revision,
         wait: Duration,
     ) -> BoxFuture<'_, Result<PendingBatch, SourceError>> {
+        self.feed_calls.fetch_add(1, Ordering::SeqCst);
+        let wait = match self.hasty.load(Ordering::SeqCst) {
+            true => Duration::ZERO,
+            false => wait,
+        };
         async move {
             let changed = self.changed(after);
             let facts = match tokio::time::timeout(wait, changed).await {
@@ -547,6 +556,8 @@
         published: Mutex::default(),
         notify: Notify::new(),
         unavailable: AtomicBool::new(false),
+        hasty: AtomicBool::new(false),
+        feed_calls: std::sync::atomic::AtomicUsize::new(0),
         targets,
         draining: Mutex::default(),
     })
