Own daemon: a silent run stays open until another one has begun

Cause: runs that may be repeated used the connections of short calls, whose pings give up after 2 s of silence; the relay took that for the end, cancelled the run and only then looked for an engine. An order without an answer was cancelled after 3 s in the same way. No end named its cause.

Change: all runs use the connections on which a silence is borne. When no token has come for a second, a status call on the same connection probes it; if that has no answer within another second, a run is started beside the open one (`relay/beside.rs`), and whichever brings the next token goes on. Orders without an answer stay open beside the next attempt (`route/attempt.rs`), until one is accepted or the deadline has passed. At the same engine the loser is not cancelled by its request id, which would end both.

--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -49,7 +49,7 @@
     pub(crate) objects: ObjectsClient<Channel>,
     pub(crate) instance_list: InstancesClient<Channel>,
     pub(crate) engine_clients: Vec<EngineClient<Channel>>,
-    /// The same engines, for runs that may not be repeated.
+    /// The same engines, for runs.
     pub(crate) run_links: Vec<AnswerLink<EngineClient<Channel>>>,
     pub(crate) service_links: Vec<AnswerLink<PlainClient<Channel>>>,
     /// The lease on load commands.
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -12,6 +12,7 @@
     CallRequest, IDEMPOTENCY_HEADER, NON_IDEMPOTENT_HEADER, REQUEST_ID_HEADER, proves_not_run,
 };
 use comfreyhall_quarantine::Fingerprint;
+use comfreyhall_relay::EndCause;
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::seq::SliceRandom;
 
@@ -19,6 +20,7 @@
 use crate::{
     app::App,
     claims::{self, ClaimedKey},
+    ends::{self, OpenAnswer},
     error::RouteError,
     outbound::{self, Target},
     quarantine::{self, SuspectTarget},
@@ -68,13 +70,19 @@
     admit(app)?;
     app.inner.counters.count_request();
     let Some(key) = key else {
-        return send(app, &request, true).await;
+        let mut open = OpenAnswer::new(app, &request.request_id);
+        let result = send(app, &request, true).await;
+        open.close();
+        return result;
     };
     let claim = match claims::claim(app, &key, &request.request_id).await? {
         ClaimedKey::Run(claim) => claim,
         ClaimedKey::Replay(stored) => return Ok(stored),
     };
-    match send(app, &request, false).await {
+    let mut open = OpenAnswer::new(app, &request.request_id);
+    let result = send(app, &request, false).await;
+    open.close();
+    match result {
         Ok(body) => {
             claims::store_answer(app, claim, &key, body.clone());
             Ok(body)
@@ -110,6 +118,11 @@
     let default_timeout = Duration::from_millis(app.inner.settings.tuning.deadline_ms);
     let deadline = Instant::now() + default_timeout;
     let fingerprint = Fingerprint::of([request.method.as_bytes(), &request.body]);
+    let end_all = |open: usize, cause| {
+        for _ in 0..open {
+            ends::record(app, &request.request_id, cause, "no answer yet");
+        }
+    };
     let mut attempts = FuturesUnordered::new();
     let mut may_have_run = None;
     let mut rejections = Vec::new();
@@ -138,6 +151,7 @@
         match tokio::time::timeout(pause, attempts.next()).await {
             Ok(Some(Ended::Answered(body))) => {
                 quarantine::record_completed(app, fingerprint);
+                end_all(attempts.len(), EndCause::Superseded);
                 return Ok(body);
             }
             Ok(Some(Ended::MayHaveRun(reason))) if !repeatable => {
@@ -146,6 +160,7 @@
             Ok(Some(Ended::MayHaveRun(reason))) => may_have_run = Some(reason),
             Ok(Some(Ended::NotRun) | None) => {}
             Err(_) if Instant::now() >= deadline => {
+                end_all(attempts.len(), EndCause::DeadlinePassed);
                 may_have_run = Some("no answer in time".to_string());
                 break;
             }
@@ -196,18 +211,22 @@
         }
     };
     let target = Target::Service(index);
-    let reason = match outbound::record_answer(app, target, Some(sent_at_ms), answer) {
+    let (cause, reason) = match outbound::record_answer(app, target, Some(sent_at_ms), answer) {
         Ok(reply) if reply.get_ref().request_id == request.request_id => {
             return Ended::Answered(reply.into_inner().body);
         }
-        Ok(_) => "the answer is another request's".to_string(),
+        Ok(_) => {
+            let reason = "the answer is another request's";
+            (EndCause::Broken, reason.to_string())
+        }
         Err(s) if proves_not_run(&s) => return Ended::NotRun,
         Err(s) => {
             let at = SuspectTarget::Service(index);
             quarantine::record_broken_run(app, at, fingerprint, true);
-            s.message().to_string()
+            (ends::cause_of(&s), s.message().to_string())
         }
     };
+    ends::record(app, &request.request_id, cause, &reason);
     let service = &app.inner.settings.services[index].id;
     log::warn!(target: "call", "{} at {service}: {reason}", request.request_id);
     Ended::MayHaveRun(reason)
--- a/crates/comfreyhall-daemon/src/http/complete.rs
+++ b/crates/comfreyhall-daemon/src/http/complete.rs
@@ -30,6 +30,7 @@
 use crate::{
     app::App,
     claims::{self, ClaimedKey},
+    ends::OpenAnswer,
     error::RouteError,
     relay::Relay,
     resolve::{Resolved, resolve},
@@ -115,6 +116,7 @@
         },
     };
     let (guard, cancelled) = app.register_cancel(&request.id);
+    let mut open = OpenAnswer::new(app, &request.id);
     let started = tokio::select! {
         started = route::start(app, &routed) => started,
         () = cancelled.cancelled() => Err(RouteError::Cancelled),
@@ -122,6 +124,7 @@
     let started = match started {
         Ok(started) => started,
         Err(e) => {
+            open.close();
             if let Some(claim) = claim.filter(|_| e.not_run()) {
                 claims::release(app, claim).await;
             }
@@ -132,7 +135,7 @@
         .metrics
         .record_stall(started.load_wait, resolved.stall_ms);
     let headers = answer_headers(app, &request.id, &started);
-    let relay = Relay::new(app, routed, started, cancelled, (tracked, guard));
+    let relay = Relay::new(app, routed, started, cancelled, open, (tracked, guard));
     let chunks: Chunks = match (claim, key) {
         (Some(claim), Some(key)) => run_claimed(app, relay, claim, key),
         _ => Box::pin(relay.chunks()),
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod app;
 mod claims;
 mod demand;
+mod ends;
 mod engine_view;
 mod engines;
 mod error;
--- a/crates/comfreyhall-daemon/src/metrics.rs
+++ b/crates/comfreyhall-daemon/src/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 
 use comfreyhall_protocol::{EngineStatus, Map};
+use comfreyhall_relay::EndCause;
 use comfreyhall_telemetry::Exposition;
 use opentelemetry::{
     KeyValue,
@@ -24,6 +25,7 @@
     requests: Counter<u64>,
     tokens: Counter<u64>,
     resumes: Counter<u64>,
+    ended: Counter<u64>,
     loads: Counter<u64>,
     quarantine: Counter<u64>,
     efficiency: Gauge<f64>,
@@ -58,6 +60,10 @@
                 .u64_counter("resumes")
                 .with_description("answers that went on at another engine")
                 .build(),
+            ended: meter
+                .u64_counter("answers_ended")
+                .with_description("answers of targets that ended before they were complete")
+                .build(),
             loads: meter
                 .u64_counter("load_orders")
                 .with_description("load orders sent to engines")
@@ -105,6 +111,11 @@
         self.resumes.add(1, &[]);
     }
 
+    /// Counts an answer of a target that ended before it was complete.
+    pub(crate) fn count_ended(&self, cause: EndCause) {
+        self.ended.add(1, &[KeyValue::new("cause", cause.name())]);
+    }
+
     /// Counts a load command sent to an engine.
     pub(crate) fn count_load(&self) {
         self.loads.add(1, &[]);
--- a/crates/comfreyhall-daemon/src/relay.rs
+++ b/crates/comfreyhall-daemon/src/relay.rs
@@ -6,16 +6,22 @@
 //! The relay checks every chunk against the request and forwards only chunks
 //! that match. A request that may be repeated is then resumed on another engine
 //! from the first token that the caller does not have; one that may not ends
-//! with an unknown outcome.
+//! with an unknown outcome. A run whose connection is silent stays open: another
+//! one is started beside it, and whichever brings the next token goes on.
+
+mod beside;
 
 use std::time::{Duration, Instant};
 
 use comfreyhall_protocol::GenerateChunk;
+use comfreyhall_relay::EndCause;
 use futures::{Stream, StreamExt};
 use tokio_util::sync::CancellationToken;
+use tonic::Status;
 
 use crate::{
     app::{App, CancelGuard, InFlightGuard},
+    ends::{self, OpenAnswer},
     error::RouteError,
     quarantine::{self, SuspectTarget},
     route::{self, RoutedRequest, StartedRun},
@@ -51,9 +57,16 @@
     finished: bool,
     /// When the first token of the current run arrived.
     first_token_at: Option<Instant>,
+    answer: OpenAnswer,
     _guards: (InFlightGuard, CancelGuard),
 }
 
+/// Why a run ended before the answer was complete.
+struct Break {
+    cause: EndCause,
+    reason: String,
+}
+
 fn check_chunk(request: &RoutedRequest, chunk: &GenerateChunk) -> ChunkCheck {
     let command = &request.command;
     let same_answer = chunk.request_id == command.request_id
@@ -69,12 +82,38 @@
     }
 }
 
+/// The next chunk of `request` in `item`, none if it is a known one, or why its run ended.
+fn check_item(
+    request: &RoutedRequest,
+    item: Option<Result<GenerateChunk, Status>>,
+) -> Result<Option<GenerateChunk>, Break> {
+    let (cause, reason) = match item {
+        Some(Ok(chunk)) => match check_chunk(request, &chunk) {
+            ChunkCheck::Next => return Ok(Some(chunk)),
+            ChunkCheck::Duplicate => return Ok(None),
+            ChunkCheck::Mismatch => (EndCause::Broken, "a chunk of another answer"),
+        },
+        Some(Err(status)) => {
+            return Err(Break {
+                cause: ends::cause_of(&status),
+                reason: status.message().to_string(),
+            });
+        }
+        None => (EndCause::ConnectionClosed, "the stream ended early"),
+    };
+    Err(Break {
+        cause,
+        reason: reason.to_string(),
+    })
+}
+
 impl Relay {
     pub(crate) fn new(
         app: &App,
         request: RoutedRequest,
         run: StartedRun,
         cancelled: CancellationToken,
+        answer: OpenAnswer,
         guards: (InFlightGuard, CancelGuard),
     ) -> Self {
         Self {
@@ -85,6 +124,7 @@
             cancelled,
             finished: false,
             first_token_at: None,
+            answer,
             _guards: guards,
         }
     }
@@ -101,6 +141,9 @@
                 Ok(chunk) => chunk.done,
                 Err(_) => true,
             };
+            if relay.finished {
+                relay.answer.close();
+            }
             Some((item, relay))
         })
     }
@@ -108,53 +151,122 @@
     async fn next(&mut self) -> Result<GenerateChunk, RouteError> {
         loop {
             let deadline = tokio::time::Instant::from_std(self.request.deadline);
+            let may_seek = self.request.repeatable && self.resumes < MAX_RESUMES;
+            let silence = beside::silence(&self.app, self.run.engine, self.run.client.clone());
             let item = tokio::select! {
                 item = self.run.stream.next() => item,
                 () = self.cancelled.cancelled() => return self.abort(RouteError::Cancelled),
                 () = tokio::time::sleep_until(deadline) => return self.abort(RouteError::DeadlineExceeded),
-            };
-            let reason = match item {
-                Some(Ok(chunk)) => match check_chunk(&self.request, &chunk) {
-                    ChunkCheck::Next => {
-                        self.request.command.resume_from += 1;
-                        self.first_token_at.get_or_insert_with(Instant::now);
-                        if chunk.done {
-                            quarantine::record_completed(&self.app, self.request.fingerprint);
-                        }
-                        self.app.inner.metrics.count_token();
-                        return Ok(chunk);
+                () = silence, if may_seek => {
+                    match self.seek().await? {
+                        Some(chunk) => return Ok(chunk),
+                        None => continue,
                     }
-                    ChunkCheck::Duplicate => continue,
-                    ChunkCheck::Mismatch => "a chunk of another answer".to_string(),
-                },
-                Some(Err(status)) => status.message().to_string(),
-                None => "the stream ended early".to_string(),
+                }
             };
-            let cancelled = self.cancelled.clone();
-            tokio::select! {
-                resumed = self.resume(reason) => resumed?,
-                () = cancelled.cancelled() => return self.abort(RouteError::Cancelled),
+            match check_item(&self.request, item) {
+                Ok(Some(chunk)) => return Ok(self.take(chunk)),
+                Ok(None) => {}
+                Err(ended) => self.resume(ended).await?,
             }
         }
     }
 
+    /// Takes the next chunk of the answer.
+    fn take(&mut self, chunk: GenerateChunk) -> GenerateChunk {
+        self.request.command.resume_from += 1;
+        self.first_token_at.get_or_insert_with(Instant::now);
+        if chunk.done {
+            quarantine::record_completed(&self.app, self.request.fingerprint);
+        }
+        self.app.inner.metrics.count_token();
+        chunk
+    }
+
     /// Ends the answer with `reason` and cancels the run at the engine.
-    fn abort(&self, reason: RouteError) -> Result<GenerateChunk, RouteError> {
-        route::cancel(&self.app, self.run.engine, &self.request.command.request_id);
+    fn abort<T>(&self, reason: RouteError) -> Result<T, RouteError> {
+        let id = &self.request.command.request_id;
+        let cause = match reason {
+            RouteError::DeadlineExceeded => EndCause::DeadlinePassed,
+            _ => EndCause::CallerLeft,
+        };
+        ends::record(&self.app, id, cause, &reason.to_string());
+        route::cancel(&self.app, self.run.engine, id);
         Err(reason)
     }
 
-    /// Resumes the answer on an engine after the stream broke off because of
-    /// `reason`.
-    async fn resume(&mut self, reason: String) -> Result<(), RouteError> {
+    /// Starts another run beside the open one, which is silent. Returns the next chunk from
+    /// whichever brings it first; the other one is cancelled. `None`: no other run began.
+    async fn seek(&mut self) -> Result<Option<GenerateChunk>, RouteError> {
+        let id = self.request.command.request_id.clone();
+        log::warn!(target: "relay", "{id} is silent at token {}", self.request.command.resume_from);
+        let cancelled = self.cancelled.clone();
+        let deadline = tokio::time::Instant::from_std(self.request.deadline);
+        let request = self.request.clone();
+        let mut ended = None;
+        let begun = {
+            let beside = beside::begin(&self.app, &request, self.run.engine);
+            tokio::pin!(beside);
+            loop {
+                tokio::select! {
+                    biased;
+                    item = self.run.stream.next(), if ended.is_none() => {
+                        match check_item(&request, item) {
+                            Ok(Some(chunk)) => break Err(Some(chunk)),
+                            Ok(None) => {}
+                            // The other run may still begin.
+                            Err(why) => ended = Some(why),
+                        }
+                    }
+                    begun = &mut beside => break begun.map_err(|e| {
+                        log::debug!(target: "relay", "no run beside the silent one of {id}: {e}");
+                        None
+                    }),
+                    () = cancelled.cancelled() => return self.abort(RouteError::Cancelled),
+                    () = tokio::time::sleep_until(deadline) => return self.abort(RouteError::DeadlineExceeded),
+                }
+            }
+        };
+        match (begun, ended) {
+            (Ok((run, chunk)), ended) => {
+                match ended {
+                    Some(ended) => self.record_break(&ended),
+                    None => {
+                        ends::record(&self.app, &id, EndCause::Superseded, "another run went on")
+                    }
+                }
+                // A cancel names the request: at the same engine it would end both runs.
+                if run.engine != self.run.engine {
+                    route::cancel(&self.app, self.run.engine, &id);
+                }
+                self.resumes += 1;
+                self.app.inner.metrics.count_resume();
+                self.first_token_at = None;
+                self.run = run;
+                Ok(Some(self.take(chunk)))
+            }
+            (Err(Some(chunk)), _) => Ok(Some(self.take(chunk))),
+            (Err(None), Some(ended)) => self.resume(ended).await.map(|()| None),
+            (Err(None), None) => Ok(None),
+        }
+    }
+
+    /// Records that the run ended early.
+    fn record_break(&mut self, ended: &Break) {
         let id = &self.request.command.request_id;
         let at = SuspectTarget::Engine(self.run.engine, self.run.boot);
         let first_token_at = self.first_token_at.take();
         let early = first_token_at.is_none_or(|at| at.elapsed() < quarantine::EARLY_WINDOW);
         quarantine::record_broken_run(&self.app, at, self.request.fingerprint, early);
-        log::warn!(target: "relay", "{id} broke off at token {}: {reason}", self.request.command.resume_from);
+        ends::record(&self.app, id, ended.cause, &ended.reason);
+        log::warn!(target: "relay", "{id} broke off at token {}: {}", self.request.command.resume_from, ended.reason);
+    }
+
+    /// Resumes the answer on an engine after its run has ended early.
+    async fn resume(&mut self, ended: Break) -> Result<(), RouteError> {
+        self.record_break(&ended);
         if !self.request.repeatable || self.resumes >= MAX_RESUMES {
-            return Err(RouteError::OutcomeUnknown(reason));
+            return Err(RouteError::OutcomeUnknown(ended.reason));
         }
         if Instant::now() >= self.request.deadline {
             return Err(RouteError::DeadlineExceeded);
@@ -162,8 +274,13 @@
         self.resumes += 1;
         self.app.inner.metrics.count_resume();
         // The previous run may still hold its slot.
+        let id = &self.request.command.request_id;
         route::cancel(&self.app, self.run.engine, id);
-        self.run = self.restart().await?;
+        let cancelled = self.cancelled.clone();
+        self.run = tokio::select! {
+            run = self.restart() => run?,
+            () = cancelled.cancelled() => return self.abort(RouteError::Cancelled),
+        };
         Ok(())
     }
 
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -1,16 +1,23 @@
 //! Routes one request: has its adapter placed on an engine and starts it there.
 
+mod attempt;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use comfreyhall_protocol::{CancelOrder, GenerateChunk, GenerateRequest, proves_not_run};
+use comfreyhall_protocol::{
+    CancelOrder, GenerateChunk, GenerateRequest, engine_client::EngineClient,
+};
 use comfreyhall_quarantine::Fingerprint;
-use tonic::{Code, Status, Streaming};
+use comfreyhall_relay::EndCause;
+use tonic::{Streaming, transport::Channel};
 
+use self::attempt::{Attempts, Ended, StartError};
 use crate::{
     app::App,
+    ends,
     error::RouteError,
     orders::{self, PlaceOutcome},
     outbound::{self, Target},
@@ -26,7 +33,8 @@
 /// Delay before checking for an unpinned slot again.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(25);
 
-/// Longest time an engine may take to accept a request that may be repeated elsewhere.
+/// Time without an answer to a request that may be repeated after which another engine is
+/// asked beside the silent one.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Timeout of a cancel command, which is best effort.
@@ -63,23 +71,29 @@
     pub(crate) boot: u64,
     /// Time spent waiting for an adapter load.
     pub(crate) load_wait: Duration,
+    /// A client on the connection of the run.
+    pub(crate) client: EngineClient<Channel>,
     /// The engine's chunks.
     pub(crate) stream: Streaming<GenerateChunk>,
 }
 
-/// Why an engine did not start a run.
-enum StartError {
-    /// The adapter is not resident there, and the request did not run.
-    NotResident,
-    /// The request did not run there.
-    NotRun(String),
-    /// The request may be running there.
-    MayRun {
-        reason: String,
-        /// Whether the call timed out. An engine whose process ended closes its
-        /// connections instead, so a timeout does not suggest that it ended.
-        timed_out: bool,
-    },
+/// The search for an engine that starts one request.
+struct Search<'a> {
+    app: &'a App,
+    request: &'a RoutedRequest,
+    key: Arc<str>,
+    attempts: Attempts,
+    load_wait: Duration,
+    /// Why it may have run, if it may.
+    may_run: Option<String>,
+    /// Why the last chosen engine could not be called.
+    unavailable: Option<RouteError>,
+}
+
+/// What a search comes to next.
+enum Found {
+    Place(PlaceOutcome),
+    Started(Box<StartedRun>),
 }
 
 /// Places the adapter of `request` and starts the request on an engine.
@@ -88,80 +102,179 @@
 /// attempts elsewhere then fail too, the outcome must not be reported as "not
 /// run", and a request that may not be repeated must not be sent elsewhere at
 /// all. So every failed attempt either proves that the request did not run or
-/// is recorded in `may_run` for the rest of the call.
+/// is recorded in `may_run` for the rest of the call. An engine that is silent
+/// may still answer: its attempt stays open beside the next one.
 pub(crate) async fn start(app: &App, request: &RoutedRequest) -> Result<StartedRun, RouteError> {
-    let key = request.key();
-    let mut load_wait = Duration::ZERO;
-    let mut may_run: Option<String> = None;
-    // Why the last chosen engine could not be called.
-    let mut unavailable: Option<RouteError> = None;
-    let fail = |may_run: &Option<String>, otherwise| match may_run {
-        Some(reason) => RouteError::OutcomeUnknown(reason.clone()),
-        None => otherwise,
-    };
+    let mut search = Search::new(app, request);
     for _ in 0..MAX_TRIES {
-        if request.remaining().is_zero() {
-            return Err(fail(&may_run, RouteError::Expired));
+        if request.remaining().is_zero() || (!request.repeatable && !search.attempts.is_empty()) {
+            return search.finish(RouteError::Expired).await;
         }
         let started_at = Instant::now();
-        let engine = match place(app, request, &key).await {
-            PlaceOutcome::Resident(engine) => engine,
-            PlaceOutcome::Loaded(engine) => {
-                load_wait += started_at.elapsed();
+        let engine = match search.place().await? {
+            Found::Started(run) => return Ok(*run),
+            Found::Place(PlaceOutcome::Resident(engine)) => engine,
+            Found::Place(PlaceOutcome::Loaded(engine)) => {
+                search.load_wait += started_at.elapsed();
                 engine
             }
-            PlaceOutcome::Failed => {
-                load_wait += started_at.elapsed();
+            Found::Place(PlaceOutcome::Failed) => {
+                search.load_wait += started_at.elapsed();
                 continue;
             }
-            PlaceOutcome::Busy => {
+            Found::Place(PlaceOutcome::Busy) => {
                 let reason = all_unavailable(app).unwrap_or(RouteError::Busy);
-                return Err(fail(&may_run, reason));
+                return search.finish(reason).await;
             }
         };
         if request.remaining().is_zero() {
-            return Err(fail(&may_run, RouteError::Expired));
+            return search.finish(RouteError::Expired).await;
+        }
+        let may_have_run = search.may_run.is_some() || !search.attempts.is_empty();
+        if let Err(e) = quarantine::admit(app, &request.fingerprint, may_have_run) {
+            return match search.attempts.is_empty() {
+                true => Err(e),
+                false => search.finish(e).await,
+            };
         }
-        quarantine::admit(app, &request.fingerprint, may_run.is_some())?;
         if let Err(reason) = outbound::admit(app, Target::Engine(engine)) {
-            unavailable = Some(reason);
+            search.unavailable = Some(reason);
             continue;
         }
-        let boot = app.boot(engine);
-        match send(app, engine, request).await {
+        search.attempts.begin(engine, request.command.clone());
+        if let Some(run) = search.await_answer(engine).await? {
+            return Ok(run);
+        }
+    }
+    let reason = search.unavailable.take();
+    search
+        .finish(reason.unwrap_or(RouteError::Exhausted(MAX_TRIES)))
+        .await
+}
+
+impl<'a> Search<'a> {
+    fn new(app: &'a App, request: &'a RoutedRequest) -> Self {
+        Self {
+            app,
+            request,
+            key: request.key(),
+            attempts: Attempts::new(app, &request.command.request_id),
+            load_wait: Duration::ZERO,
+            may_run: None,
+            unavailable: None,
+        }
+    }
+
+    /// Has the adapter placed, while open attempts may be answered.
+    async fn place(&mut self) -> Result<Found, RouteError> {
+        let (app, request, key) = (self.app, self.request, self.key.clone());
+        let placing = place(app, request, &key);
+        tokio::pin!(placing);
+        loop {
+            tokio::select! {
+                biased;
+                Some(ended) = self.attempts.next() => {
+                    if let Some(run) = self.note(ended)? {
+                        return Ok(Found::Started(Box::new(run)));
+                    }
+                }
+                placed = &mut placing => return Ok(Found::Place(placed)),
+            }
+        }
+    }
+
+    /// Awaits the answer of `engine`, for a limited time if the request may be repeated.
+    async fn await_answer(&mut self, engine: usize) -> Result<Option<StartedRun>, RouteError> {
+        let limit = match self.request.repeatable {
+            true => ACCEPT_TIMEOUT,
+            false => self.request.remaining(),
+        };
+        let until = Instant::now() + limit.min(self.request.remaining());
+        while self.attempts.includes(engine) {
+            let left = until.saturating_duration_since(Instant::now());
+            match self.attempts.next_within(left).await {
+                Ok(Some(ended)) => {
+                    if let Some(run) = self.note(ended)? {
+                        return Ok(Some(run));
+                    }
+                }
+                Ok(None) => break,
+                Err(()) => {
+                    let reason = "no answer to the order";
+                    log::warn!(target: "route", "engine {engine} may run {}: {reason}", self.request.command.request_id);
+                    self.app.view()[engine].up = false;
+                    // If it answers elsewhere, its connection alone is silent.
+                    self.app.inner.run_links[engine].renew();
+                    break;
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Notes how an attempt ended; returns its run if the engine has accepted it.
+    fn note(&mut self, ended: Ended) -> Result<Option<StartedRun>, RouteError> {
+        let (app, id) = (self.app, &self.request.command.request_id);
+        let engine = ended.engine;
+        match ended.result {
             Ok(stream) => {
-                return Ok(StartedRun {
+                self.attempts.end(EndCause::Superseded, Some(engine));
+                return Ok(Some(StartedRun {
                     engine,
-                    boot,
-                    load_wait,
+                    boot: ended.boot,
+                    load_wait: self.load_wait,
+                    client: ended.client,
                     stream,
-                });
+                }));
             }
             // The adapter left the slot between the status report and this
             // command (another daemon evicted it): remove it from the view and
             // place it again.
-            Err(StartError::NotResident) => orders::remove_from_view(app, engine, &key),
+            Err(StartError::NotResident) => orders::remove_from_view(app, engine, &self.key),
             Err(StartError::NotRun(reason)) => {
-                log::warn!(target: "route", "engine {engine} did not run {}: {reason}", request.command.request_id);
+                log::warn!(target: "route", "engine {engine} did not run {id}: {reason}");
                 app.view()[engine].up = false;
             }
-            Err(StartError::MayRun { reason, timed_out }) => {
-                if !timed_out {
-                    let at = SuspectTarget::Engine(engine, boot);
-                    quarantine::record_broken_run(app, at, request.fingerprint, true);
-                }
-                log::warn!(target: "route", "engine {engine} may run {}: {reason}", request.command.request_id);
+            Err(StartError::MayRun(status)) => {
+                let reason = status.message().to_string();
+                let at = SuspectTarget::Engine(engine, ended.boot);
+                quarantine::record_broken_run(app, at, self.request.fingerprint, true);
+                log::warn!(target: "route", "engine {engine} may run {id}: {reason}");
+                ends::record(app, id, ends::cause_of(&status), &reason);
                 app.view()[engine].up = false;
-                cancel(app, engine, &request.command.request_id);
-                if !request.repeatable {
+                if !self.attempts.includes(engine) {
+                    cancel(app, engine, id);
+                }
+                if !self.request.repeatable {
                     return Err(RouteError::OutcomeUnknown(reason));
                 }
-                may_run = Some(reason);
+                self.may_run = Some(reason);
+            }
+        }
+        Ok(None)
+    }
+
+    /// Awaits the attempts that are open, until the deadline; `otherwise` says why there are
+    /// no more.
+    async fn finish(&mut self, otherwise: RouteError) -> Result<StartedRun, RouteError> {
+        while !self.attempts.is_empty() {
+            match self.attempts.next_within(self.request.remaining()).await {
+                Ok(Some(ended)) => {
+                    if let Some(run) = self.note(ended)? {
+                        return Ok(run);
+                    }
+                }
+                _ => {
+                    self.attempts.end(EndCause::DeadlinePassed, None);
+                    self.may_run = Some("no answer to the order".to_string());
+                }
             }
         }
+        Err(match self.may_run.take() {
+            Some(reason) => RouteError::OutcomeUnknown(reason),
+            None => otherwise,
+        })
     }
-    let reason = unavailable.unwrap_or(RouteError::Exhausted(MAX_TRIES));
-    Err(fail(&may_run, reason))
 }
 
 /// The error to return if every engine is unavailable now.
@@ -188,45 +301,6 @@
     }
 }
 
-/// Makes one attempt to start the request on `engine`.
-///
-/// Silence proves nothing. A request that may be repeated is sent elsewhere after some of it;
-/// any other waits until its deadline, as to give up would only make its outcome unknown.
-async fn send(
-    app: &App,
-    engine: usize,
-    request: &RoutedRequest,
-) -> Result<Streaming<GenerateChunk>, StartError> {
-    let (mut client, timeout) = match request.repeatable {
-        true => (app.inner.engine_clients[engine].clone(), ACCEPT_TIMEOUT),
-        false => (app.inner.run_links[engine].client(), request.remaining()),
-    };
-    let timeout = request.remaining().min(timeout);
-    let sent_at_ms = app.now_ms();
-    let answer = tokio::time::timeout(timeout, client.generate(request.command.clone())).await;
-    match answer.map(|a| outbound::record_answer(app, Target::Engine(engine), Some(sent_at_ms), a))
-    {
-        Ok(Ok(reply)) => Ok(reply.into_inner()),
-        Ok(Err(s)) => Err(start_error(&s)),
-        Err(_) => Err(StartError::MayRun {
-            reason: "no answer to the order".into(),
-            timed_out: true,
-        }),
-    }
-}
-
-fn start_error(status: &Status) -> StartError {
-    let reason = status.message().to_string();
-    match (proves_not_run(status), status.code()) {
-        (true, Code::FailedPrecondition) => StartError::NotResident,
-        (true, _) => StartError::NotRun(reason),
-        (false, _) => StartError::MayRun {
-            reason,
-            timed_out: false,
-        },
-    }
-}
-
 /// Cancels the request `id` at `engine`, in the background.
 pub(crate) fn cancel(app: &App, engine: usize, id: &str) {
     if outbound::unavailable_ms(app, Target::Engine(engine)) > 0 {
@@ -236,7 +310,11 @@
     let command = CancelOrder {
         request_id: id.to_string(),
     };
-    tokio::spawn(async move {
+    // None while the process ends.
+    let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+        return;
+    };
+    runtime.spawn(async move {
         let _ = tokio::time::timeout(CANCEL_TIMEOUT, client.cancel(command)).await;
     });
 }
--- a/crates/comfreyhall/tests/silence.rs
+++ b/crates/comfreyhall/tests/silence.rs
@@ -65,12 +65,30 @@
 }
 
 /// Guards against a stream that is given up because no engine takes it over: all are silent
-/// together.
+/// together; and against a run that is given up before another one has begun.
 #[test]
 fn stream_survives_stopped_engines() {
     let d = Deployment::start("stopped-all", 1, 2, 2);
     catalog(&d);
     finish_over_silence(&d, &["e0", "e1"], "s1", "");
+    assert_eq!(d.resumes("s1"), 0);
+    assert_eq!(d.ended("superseded"), 0);
+}
+
+/// Guards against a stream that waits for its silent engine while another one could go on, and
+/// against a run that is left behind there.
+#[test]
+fn stream_goes_on_beside_stopped_engine() {
+    let d = Deployment::start("stopped-one", 1, 2, 2);
+    catalog(&d);
+    let (first, answer) = begin(&d, "b1", "");
+    let engine = answer.header("x-comfreyhall-engine").unwrap().to_string();
+    d.signal(&engine, Signal::SIGSTOP);
+    let (text, last) = answer.finish(first);
+    d.signal(&engine, Signal::SIGCONT);
+    assert_eq!(last, "[DONE]");
+    assert_eq!(text, expected_text("narrator", "v1", "dawn", TOKENS));
+    assert_eq!(d.ended("superseded"), 1);
 }
 
 /// Guards against a plain call whose answer is given up after two seconds of silence.
--- a/crates/comfreyhall/tests/support/mod.rs
+++ b/crates/comfreyhall/tests/support/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use comfreyhall_protocol::{
-    MarkOrder, RunsQuery, engine_client::EngineClient, instances_client::InstancesClient,
+    MarkOrder, Run, RunsQuery, engine_client::EngineClient, instances_client::InstancesClient,
     plain_client::PlainClient,
 };
 use nix::{
@@ -260,6 +260,15 @@
     /// Starts of `request` (a prefix of request ids) over every engine and
     /// service that is up.
     pub fn starts(&self, request: &str) -> u32 {
+        self.runs(request).iter().map(|r| r.starts).sum()
+    }
+
+    /// Times that `request` was resumed, over the same targets.
+    pub fn resumes(&self, request: &str) -> u32 {
+        self.runs(request).iter().map(|r| r.resumes).sum()
+    }
+
+    fn runs(&self, request: &str) -> Vec<Run> {
         let runtime = tokio::runtime::Runtime::new().unwrap();
         runtime.block_on(async {
             let mut runs = Vec::new();
@@ -273,11 +282,22 @@
                     runs.extend(c.runs(RunsQuery {}).await.unwrap().into_inner().runs);
                 }
             }
-            let ours = runs.iter().filter(|r| r.request_id.starts_with(request));
-            ours.map(|r| r.starts).sum()
+            runs.retain(|r| r.request_id.starts_with(request));
+            runs
         })
     }
 
+    /// How many answers ended early for the cause of this name, as the first daemon has
+    /// counted.
+    pub fn ended(&self, cause: &str) -> u64 {
+        let (_, metrics) = http(&self.instances[0], "GET", "/v1/metrics", "", &[]).unwrap();
+        let label = format!("\"{cause}\"");
+        let mut lines = metrics.lines().filter(|l| !l.starts_with('#'));
+        let line = lines.find(|l| l.contains("answers_ended") && l.contains(&label));
+        let count = line.and_then(|l| l.rsplit(' ').next());
+        count.map_or(0, |c| c.parse().unwrap())
+    }
+
     /// Requests that reached the engine `at`: those that it began, and those that
     /// it turned away with a rest.
     pub fn reached(&self, at: usize) -> (u32, u64) {
