A stream may go on at a target whose run for it was cancelled

Cause: a target that was asked beside a silent one counts as tried, also when its run was cancelled as the first one went on. That is right by the rule for `attempts`: the request did arrive there. But the relay refused any other send once the attempts were spent, also one to that same target, so a stream with two attempts was given up when its target ended after such a silence.

Change: `OpenSends` notes where runs are open and where one was cancelled. When no answer is open and the attempts are spent, the request may go to a target whose run was cancelled, which makes no more targets, and to no other. No attempt is given back.

--- a/crates/comfreyhall-node/src/relay.rs
+++ b/crates/comfreyhall-node/src/relay.rs
@@ -242,8 +242,9 @@
             Found::Complete(proven) => return Progress::Complete { proven },
             Found::Other(Ok(answer)) => match *answer {
                 (exchange, Exchanged::Stream(start)) => self.switch(request, exchange.send, *start),
-                _ => {
+                (exchange, _) => {
                     request.history.record(Outcome::Answered);
+                    request.settle(&exchange.send);
                     self.fail_seek(request, "the other answer is no stream");
                 }
             },
@@ -317,6 +318,7 @@
             request.report_closed(&self.send);
         }
         request.history.record(Outcome::Broken);
+        request.settle(&self.send);
         request.node.metrics.answer_ended(cause);
         self.why = error.reason.clone();
         log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name, fingerprint:% = request.fingerprint(), segments = request.client_request.segment_ids(), target_id:% = self.send.target, software = request.software(), events = self.events_sent, cause = cause.name(), why = self.why, left = request.remaining_ms(); "stream broke off");
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -180,6 +180,7 @@
     fn record_failure(&mut self, exchange: Exchange, outcome: Exchanged) {
         if let Exchanged::Whole(answer) = outcome {
             self.history.record(Outcome::Answered);
+            self.open_sends.settle(&exchange.send.target);
             exchange.send.record_outcome(false, FAILED_WEIGHT);
             let answer = (answer.status, answer.headers, answer.body);
             self.fallback.get_or_insert(answer);
@@ -203,6 +204,11 @@
         // What was excluded at an earlier time may take it now.
         self.unavailable.clear();
         self.unavailable.extend_from_slice(open);
+        if self.only_tried() {
+            let tried = self.tried.iter();
+            let failed = tried.filter(|t| !self.open_sends.may_repeat(t));
+            self.unavailable.extend(failed.cloned());
+        }
         for _ in 0..MAX_CHOICES {
             if !matches!(self.renew(), Ok(Renewal::Unchanged | Renewal::Moved)) {
                 return Err("its settings have changed");
@@ -215,7 +221,8 @@
             if !matches!(self.bind(&mut plan).await, BindOutcome::Engine) {
                 return Err("no engine is bound");
             }
-            if open.contains(&plan.target.id) {
+            let may_repeat = self.open_sends.may_repeat(&plan.target.id);
+            if open.contains(&plan.target.id) || (self.only_tried() && !may_repeat) {
                 return Err("no other target can take it");
             }
             let Some(permit) = self.permit(&plan).await else {
@@ -261,7 +268,7 @@
         if !self.route.repeatable() {
             return Some("it may run only once");
         }
-        if self.only_tried() {
+        if self.only_tried() && !self.open_sends.may_repeat_any() {
             return Some("its attempts are spent");
         }
         if !self.may_change_target() {
@@ -280,6 +287,7 @@
     /// Records that another answer went on in place of that of `send`.
     pub(crate) fn record_superseded(&mut self, send: &ActiveSend) {
         self.history.record(Outcome::Indeterminate);
+        self.open_sends.cancel(&send.target);
         let cause = EndCause::Superseded;
         self.node.metrics.answer_ended(cause);
         self.log_send(&send.target, cause.name(), "another target answered first");
@@ -287,12 +295,17 @@
 
     /// Sends whose outcome is not recorded yet.
     pub(crate) fn open_sends(&self) -> u32 {
-        self.deliveries.saturating_sub(self.history.sends)
+        self.open_sends.len()
+    }
+
+    /// Notes that the outcome of `send` is known.
+    pub(crate) fn settle(&mut self, send: &ActiveSend) {
+        self.open_sends.settle(&send.target);
     }
 
     /// Records the sends that were cancelled as the first target went on: all but `open`.
     pub(crate) fn record_cancelled(&mut self, open: u32) {
-        for _ in open..self.open_sends() {
+        for _ in 0..self.open_sends.cancel_after(open) {
             self.history.record(Outcome::Indeterminate);
             self.node.metrics.answer_ended(EndCause::Superseded);
         }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod entry;
 pub(crate) mod exchange;
 mod give_up;
+mod open_sends;
 mod pass_on;
 mod place;
 mod plain;
--- a/crates/comfreyhall-node/src/serve/request.rs
+++ b/crates/comfreyhall-node/src/serve/request.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
+use super::open_sends::OpenSends;
 use crate::{
     adapter_key::adapter_key,
     criteria::Requirements,
@@ -96,6 +97,8 @@
     pub(crate) history: SendHistory,
     /// Sends that reached a target.
     pub(super) deliveries: u32,
+    /// Sends whose outcome is not known yet.
+    pub(super) open_sends: OpenSends,
     /// Sends that did not.
     pub(super) unreached: u32,
     /// Whether it may be passed on to another daemon.
@@ -175,6 +178,7 @@
             full_refusals: 0,
             history: SendHistory::default(),
             deliveries: 0,
+            open_sends: OpenSends::default(),
             unreached: 0,
             may_pass_on: false,
             fallback: None,
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -129,6 +129,7 @@
     /// Notes a send to `target`; returns whether it is the first one there.
     fn mark_delivered(&mut self, target: &Name) -> bool {
         self.deliveries += 1;
+        self.open_sends.begin(target);
         let is_first = !self.tried.contains(target);
         if is_first {
             self.tried.push(target.clone());
@@ -160,6 +161,9 @@
             is_first,
             ..
         } = exchange;
+        if !matches!(outcome, Exchanged::Stream(_)) {
+            self.open_sends.settle(&send.target);
+        }
         match outcome {
             Exchanged::Stream(start) => return self.begin_relay(*start, send, &plan),
             Exchanged::Whole(answer) => return self.handle_whole(answer, send),
@@ -310,6 +314,7 @@
             full_refusals: self.full_refusals,
             history: self.history,
             deliveries: self.deliveries,
+            open_sends: self.open_sends.clone(),
             unreached: self.unreached,
             may_pass_on: false,
             fallback: None,
--- a/crates/comfreyhall-node/tests/silence.rs
+++ b/crates/comfreyhall-node/tests/silence.rs
@@ -212,3 +212,24 @@
     assert_eq!(sent.len(), 3);
     assert!(sent[1..].iter().all(|s| &*s.target == "c"));
 }
+
+/// Guards against a stream that is not resumed since its attempts are spent: another target
+/// was asked beside a silence that passed, and its run was cancelled. That target may have
+/// the request again; no third one may.
+#[tokio::test]
+async fn serve_cancelled_target_takes_rest() {
+    let route = Route {
+        max_attempts: 2,
+        ..route_with_time(RouteKind::Stream)
+    };
+    let first = Behavior::PausingBreak(vec![1, 2], SILENCE_MS, vec![3]);
+    let behaviors = vec![first, Behavior::Hang, Behavior::Stream(vec![4, 5], true)];
+    let others = vec![target("c")];
+    let (node, backend, _) = start_node_among(route, None, behaviors, others).await;
+    let result = caller_result(node.serve(patient("r")).await).await;
+    assert_eq!(result, CallerResult::Stream(vec![1, 2, 3, 4, 5], true));
+    let sent = backend.sent.lock().unwrap();
+    assert_eq!(sent.len(), 3);
+    assert_eq!(sent[2].target, sent[1].target);
+    assert_ne!(sent[1].target, sent[0].target);
+}
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -47,6 +47,8 @@
     Stream(Vec<u64>, bool),
     /// Streams these event ids, sends nothing for so many ms, then the others and its end.
     PausingStream(Vec<u64>, u64, Vec<u64>),
+    /// The same, but its connection closes in the middle of the event after the last one.
+    PausingBreak(Vec<u64>, u64, Vec<u64>),
     /// Streams these event ids and ends with the connection; the target exits with it
     /// if so asked.
     UnframedStream(Vec<u64>, bool),
@@ -158,7 +160,9 @@
         if matches!(behavior, Behavior::Exit | Behavior::UnframedStream(_, true)) {
             self.exited_targets.lock().unwrap().push(target.id.clone());
         }
-        let is_silent = matches!(behavior, Behavior::Hang | Behavior::PausingStream(..));
+        let breaks = matches!(behavior, Behavior::PausingBreak(..));
+        let pauses = breaks || matches!(behavior, Behavior::PausingStream(..));
+        let is_silent = pauses || matches!(behavior, Behavior::Hang);
         let run = is_silent.then(|| SilentRun::begin(&self.silent_runs));
         async move {
             match behavior {
@@ -213,7 +217,8 @@
                         ..respond(200, stream::iter(events).boxed())
                     })
                 }
-                Behavior::PausingStream(before, ms, after) => {
+                Behavior::PausingStream(before, ms, after)
+                | Behavior::PausingBreak(before, ms, after) => {
                     let pause = async move {
                         tokio::time::sleep(Duration::from_millis(ms)).await;
                         drop(run);
@@ -223,6 +228,13 @@
                         .chain(stream::once(pause))
                         .chain(stream::iter(after.into_iter().map(Some)));
                     let paced = paced.filter_map(|id| async move { id.map(|i| Ok(event(i))) });
+                    let end = breaks.then(|| {
+                        Err(BodyError {
+                            reason: "scripted break".into(),
+                            cause: EndCause::ConnectionClosed,
+                        })
+                    });
+                    let paced = paced.chain(stream::iter(end));
                     Ok(Response {
                         event_stream: true,
                         ..respond(200, paced.boxed())
