--- a/crates/comfreyhall-node/src/serve/request.rs
+++ b/crates/comfreyhall-node/src/serve/request.rs
@@ -10,12 +10,14 @@
 use http::{HeaderMap, StatusCode};
 use rand::Rng;
 
+use super::open_sends::OpenSends;
 use crate::{
     adapter_key::adapter_key,
     criteria::Requirements,
     node::{InFlightGuard, Node},
     quarantine::Trial,
     quotas::Credit,
+    stop,
     streams::RunningStream,
 };
 
@@ -95,6 +97,8 @@
     pub(crate) history: SendHistory,
     /// Sends that reached a target.
     pub(super) deliveries: u32,
+    /// Sends whose outcome is not known yet.
+    pub(super) open_sends: OpenSends,
     /// Sends that did not.
     pub(super) unreached: u32,
     /// Whether it may be passed on to another daemon.
@@ -112,15 +116,20 @@
     pub(crate) finished: bool,
 }
 
-/// A request dropped before it finished was abandoned by its caller. This line
-/// keeps it from missing in the log and the metrics.
+/// A request dropped before it finished was abandoned by its caller, or cut off by a
+/// planned stop. This line keeps it from missing in the log and the metrics.
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         if !self.finished {
             let held = self.node.now().saturating_sub(self.began_ms);
-            self.node.metrics.request(self.route.kind, "caller_left");
-            self.node.metrics.answer_ended(EndCause::CallerLeft);
-            log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, held, stall = self.load_wait_ms, first = self.first_event_ms, sends = self.history.sends; "caller left");
+            let cause = stop::cause_of_drop(&self.node);
+            self.node.metrics.request(self.route.kind, cause.name());
+            self.node.metrics.answer_ended(cause);
+            let what = match cause {
+                EndCause::GraceEnded => "cut off by the stop",
+                _ => "caller left",
+            };
+            log::info!(target: "serve", id:% = self.client_request.id, route:% = self.route.name, cause = cause.name(), held, stall = self.load_wait_ms, first = self.first_event_ms, sends = self.history.sends; "{what}");
         }
     }
 }
@@ -169,6 +178,7 @@
             full_refusals: 0,
             history: SendHistory::default(),
             deliveries: 0,
+            open_sends: OpenSends::default(),
             unreached: 0,
             may_pass_on: false,
             fallback: None,
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -30,13 +30,11 @@
 const UNREACHABLE_WEIGHT: f64 = 2.0;
 
 impl ActiveRequest {
-    /// How long the target of `plan` may be silent before another one is asked beside it.
-    pub(super) fn silence_limit_ms(&self, plan: &Plan) -> u64 {
-        if !self.may_ask_beside() || self.only_tried() {
-            return self.remaining_ms();
-        }
-        let limit_ms = MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64;
-        limit_ms.min(self.remaining_ms())
+    /// How long the target of `plan` may be silent before another one is asked beside it;
+    /// `None` if none may be.
+    fn silence_limit_ms(&self, plan: &Plan) -> Option<u64> {
+        let may_ask = self.may_ask_beside() && !self.only_tried();
+        may_ask.then_some(MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64)
     }
 
     /// Asks for permission to send to the plan's target now; a target that takes
@@ -110,8 +108,8 @@
             run_handle,
         );
         let is_first = self.mark_delivered(&plan.target.id);
-        let request = self.client_request.clone();
-        let mut exchange = Exchange::begin(&self.node, plan, send, permit, request, options);
+        let silent_ms = self.silence_limit_ms(&plan);
+        let mut exchange = Exchange::begin(plan, send, permit, self, options, silent_ms);
         exchange.is_first = is_first;
         exchange
     }
@@ -131,6 +129,7 @@
     /// Notes a send to `target`; returns whether it is the first one there.
     fn mark_delivered(&mut self, target: &Name) -> bool {
         self.deliveries += 1;
+        self.open_sends.begin(target);
         let is_first = !self.tried.contains(target);
         if is_first {
             self.tried.push(target.clone());
@@ -162,6 +161,9 @@
             is_first,
             ..
         } = exchange;
+        if !matches!(outcome, Exchanged::Stream(_)) {
+            self.open_sends.settle(&send.target);
+        }
         match outcome {
             Exchanged::Stream(start) => return self.begin_relay(*start, send, &plan),
             Exchanged::Whole(answer) => return self.handle_whole(answer, send),
@@ -312,6 +314,7 @@
             full_refusals: self.full_refusals,
             history: self.history,
             deliveries: self.deliveries,
+            open_sends: self.open_sends.clone(),
             unreached: self.unreached,
             may_pass_on: false,
             fallback: None,
--- a/crates/comfreyhall-node/tests/support/mod.rs
+++ b/crates/comfreyhall-node/tests/support/mod.rs
@@ -47,6 +47,8 @@
     Stream(Vec<u64>, bool),
     /// Streams these event ids, sends nothing for so many ms, then the others and its end.
     PausingStream(Vec<u64>, u64, Vec<u64>),
+    /// The same, but its connection closes in the middle of the event after the last one.
+    PausingBreak(Vec<u64>, u64, Vec<u64>),
     /// Streams these event ids and ends with the connection; the target exits with it
     /// if so asked.
     UnframedStream(Vec<u64>, bool),
@@ -158,7 +160,9 @@
         if matches!(behavior, Behavior::Exit | Behavior::UnframedStream(_, true)) {
             self.exited_targets.lock().unwrap().push(target.id.clone());
         }
-        let is_silent = matches!(behavior, Behavior::Hang | Behavior::PausingStream(..));
+        let breaks = matches!(behavior, Behavior::PausingBreak(..));
+        let pauses = breaks || matches!(behavior, Behavior::PausingStream(..));
+        let is_silent = pauses || matches!(behavior, Behavior::Hang);
         let run = is_silent.then(|| SilentRun::begin(&self.silent_runs));
         async move {
             match behavior {
@@ -213,7 +217,8 @@
                         ..respond(200, stream::iter(events).boxed())
                     })
                 }
-                Behavior::PausingStream(before, ms, after) => {
+                Behavior::PausingStream(before, ms, after)
+                | Behavior::PausingBreak(before, ms, after) => {
                     let pause = async move {
                         tokio::time::sleep(Duration::from_millis(ms)).await;
                         drop(run);
@@ -223,6 +228,13 @@
                         .chain(stream::once(pause))
                         .chain(stream::iter(after.into_iter().map(Some)));
                     let paced = paced.filter_map(|id| async move { id.map(|i| Ok(event(i))) });
+                    let end = breaks.then(|| {
+                        Err(BodyError {
+                            reason: "scripted break".into(),
+                            cause: EndCause::ConnectionClosed,
+                        })
+                    });
+                    let paced = paced.chain(stream::iter(end));
                     Ok(Response {
                         event_stream: true,
                         ..respond(200, paced.boxed())
@@ -332,6 +344,10 @@
     pub notify: Notify,
     /// Whether the store fails to answer for changes of the settings.
     pub unavailable: AtomicBool,
+    /// Whether feed calls are answered at once, without a wait for a change.
+    pub hasty: AtomicBool,
+    /// Feed calls so far.
+    pub feed_calls: std::sync::atomic::AtomicUsize,
     pub targets: Vec<Target>,
     /// Targets that are draining.
     pub draining: Mutex<Vec<Name>>,
@@ -362,6 +378,11 @@
         after: Revision,
         wait: Duration,
     ) -> BoxFuture<'_, Result<PendingBatch, SourceError>> {
+        self.feed_calls.fetch_add(1, Ordering::SeqCst);
+        let wait = match self.hasty.load(Ordering::SeqCst) {
+            true => Duration::ZERO,
+            false => wait,
+        };
         async move {
             let changed = self.changed(after);
             let facts = match tokio::time::timeout(wait, changed).await {
@@ -547,6 +568,8 @@
         published: Mutex::default(),
         notify: Notify::new(),
         unavailable: AtomicBool::new(false),
+        hasty: AtomicBool::new(false),
+        feed_calls: std::sync::atomic::AtomicUsize::new(0),
         targets,
         draining: Mutex::default(),
     })
@@ -672,3 +695,13 @@
         ..ask(id)
     }
 }
+
+/// How many answers of targets ended early for `cause`, as `node` has counted.
+pub fn answers_ended(node: &Node, cause: EndCause) -> u64 {
+    let metrics = node.metrics_text();
+    let label = format!("\"{}\"", cause.name());
+    let samples = metrics.lines().filter(|l| !l.starts_with('#'));
+    let mut counts = samples.filter(|l| l.contains("answers_ended") && l.contains(&label));
+    let count = counts.next().and_then(|l| l.rsplit(' ').next());
+    count.map_or(0, |c| c.parse().unwrap())
+}
