Segments under which two targets ended are probed one by one

What callers saw: a segment that ends engines ended five or six where four are needed to quarantine it, each with all that ran there.

Cause: up to the fourth end a suspect segment was sent like any other, at once to as many engines as requests came, by daemons that knew of some of the ends only.

Change: from two early ends that no run has cleared, requests with a segment wait 200 ms after each end, and each daemon then sends one in 500 ms. A run that clears the segment lets all go; after a second a request is sent anyway. The node holds no permit while a request waits, and wakes the waiting ones when a run clears a segment. A request that met the 200 ms before a quarantine between two checks is no longer rejected but waits.

The model was too kind: a sound request that would wait was sent at once, a culprit that would wait was rejected. Both wait now and are decided on again, and the tests bound how many sound ones wait and for how long.

Tests of the node: the requests of a segment's test wait now, so its daemon goes without any answer for more than 400 ms and takes its paths for cut. Others are answered in between, and the targets that ended are counted instead of all sends.

--- a/crates/comfreyhall-daemon/src/quarantine/mod.rs
+++ b/crates/comfreyhall-daemon/src/quarantine/mod.rs
@@ -43,7 +43,7 @@
         .quarantine
         .status(fingerprint, rank, process_time(app.now_ms()))
     {
-        Status::Allowed => return Ok(()),
+        Status::Allowed | Status::Probe { .. } => return Ok(()),
         Status::Quarantined { retry_ms } => retry_ms,
         Status::Pending { wait_ms } => wait_ms,
         Status::Trial => {
--- a/crates/comfreyhall-node/src/quarantine/confirm.rs
+++ b/crates/comfreyhall-node/src/quarantine/confirm.rs
@@ -10,9 +10,9 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_domain::{Name, Target};
-use comfreyhall_quarantine::{EndCheck, Feature, Finding, Status};
+use comfreyhall_quarantine::{EndCheck, Feature, Finding, Fingerprint};
 
-use super::{Node, QuarantineTracker, is_staying, is_unresolved, reach, resolve, status, time};
+use super::{Admission, Node, QuarantineTracker, admit, is_staying, is_unresolved, reach, resolve};
 use crate::{outbound, ports::ProbeResult};
 
 /// How long to wait for the entry of an unresponsive target to disappear, in ms: the
@@ -114,17 +114,27 @@
         };
         // After a timeout the request continues with what is known then.
         let _ = tokio::time::timeout(SETTLE_TIMEOUT, settled).await;
-        self.await_clearing(node, features).await;
     }
 
-    /// Waits while runs that clear one of `features` may still be reported.
-    async fn await_clearing(&self, node: &Node, features: &[Feature]) {
-        let pending_ms = |f: &Feature| match status(node, f, time(node)) {
-            Status::Pending { wait_ms } => Some(wait_ms),
-            _ => None,
-        };
-        while let Some(ms) = features.iter().filter_map(pending_ms).max() {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
+    /// Decides whether a request with these features may be sent, once it need not wait
+    /// for evidence any more. `own`: those of which it is the probe already.
+    pub(crate) async fn await_admission(
+        &self,
+        node: &Arc<Node>,
+        features: &[Feature],
+        own: &[Fingerprint],
+    ) -> Admission {
+        let began_ms = node.now();
+        loop {
+            let notified = self.resolved.notified();
+            let waited_ms = node.now() - began_ms;
+            let wait_ms = match admit(node, features, own, waited_ms) {
+                Ok(admission) => return admission,
+                Err(wait_ms) => wait_ms,
+            };
+            // A run that clears one of the features ends the wait.
+            let wait = Duration::from_millis(wait_ms);
+            let _ = tokio::time::timeout(wait, notified).await;
         }
     }
 
--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -25,7 +25,7 @@
 use comfreyhall_catalog::Rows;
 use comfreyhall_domain::{Name, Stage};
 use comfreyhall_quarantine::{
-    Change, Evidence, Feature, Fingerprint, Observation, Status, process_time,
+    Change, Evidence, Feature, Fingerprint, MAX_PROBE_WAIT_MS, Observation, Status, process_time,
 };
 
 use self::state::ClosedRun;
@@ -46,8 +46,8 @@
 
 /// Whether a request may be sent now.
 pub(crate) enum Admission {
-    /// Without restriction.
-    Allowed,
+    /// As the probe of these.
+    Allowed(Vec<Fingerprint>),
     /// Once, to test whether this feature is the cause.
     Trial(Trial),
     /// Not now.
@@ -95,28 +95,69 @@
     process_time(node.now())
 }
 
-/// Decides whether this daemon may send a request with these features now.
-pub(crate) fn admit(node: &Arc<Node>, features: &[Feature]) -> Admission {
+/// Decides whether this daemon may send a request with these features now, which has
+/// waited here for `waited_ms` and is the probe of `own` already; how long it has to
+/// wait, in ms, if that is open.
+fn admit(
+    node: &Arc<Node>,
+    features: &[Feature],
+    own: &[Fingerprint],
+    waited_ms: u64,
+) -> Result<Admission, u64> {
     let now = time(node);
     let mut trial = None;
+    let mut pending_ms = 0;
     for feature in features {
         match status(node, feature, now) {
-            Status::Allowed => {}
+            Status::Allowed | Status::Probe { .. } => {}
             Status::Trial if trial.is_none() => trial = Some(*feature),
-            Status::Trial => return rejected(*feature, TRIAL_RETRY_MS),
-            Status::Pending { wait_ms } => return rejected(*feature, wait_ms),
-            Status::Quarantined { retry_ms } => return rejected(*feature, retry_ms),
+            Status::Trial => return Ok(rejected(*feature, TRIAL_RETRY_MS)),
+            Status::Pending { wait_ms } => pending_ms = pending_ms.max(wait_ms),
+            Status::Quarantined { retry_ms } => return Ok(rejected(*feature, retry_ms)),
         }
     }
+    if pending_ms > 0 {
+        return Err(pending_ms);
+    }
     let Some(feature) = trial else {
-        return Admission::Allowed;
+        return start_probes(node, features, own, waited_ms);
     };
     let mut state = node.quarantine.state();
     if !state.trials.insert(feature.fingerprint) {
-        return rejected(feature, TRIAL_RETRY_MS);
+        return Ok(rejected(feature, TRIAL_RETRY_MS));
     }
     let node = node.clone();
-    Admission::Trial(Trial { node, feature })
+    Ok(Admission::Trial(Trial { node, feature }))
+}
+
+/// Makes a request the probe of its suspect features, if it is its turn for all of them
+/// or it has waited long enough.
+fn start_probes(
+    node: &Node,
+    features: &[Feature],
+    own: &[Fingerprint],
+    waited_ms: u64,
+) -> Result<Admission, u64> {
+    let now = time(node);
+    let mut state = node.quarantine.state();
+    let probes = state.known.probes(features, own, now);
+    let wait_ms = probes.iter().map(|(_, wait_ms)| *wait_ms).max();
+    if let Some(wait_ms) = wait_ms.filter(|ms| *ms > 0 && waited_ms < MAX_PROBE_WAIT_MS) {
+        return Err(wait_ms);
+    }
+    let probes: Vec<Fingerprint> = probes.into_iter().map(|(f, _)| f).collect();
+    for fingerprint in &probes {
+        state.known.start_probe(*fingerprint, now);
+    }
+    Ok(Admission::Allowed(probes))
+}
+
+/// Whether a request with these features has to wait for its turn as a probe.
+pub(crate) fn must_wait(node: &Node, features: &[Feature], own: &[Fingerprint]) -> bool {
+    let now = time(node);
+    let state = node.quarantine.state();
+    let probes = state.known.probes(features, own, now);
+    probes.iter().any(|(_, wait_ms)| *wait_ms > 0)
 }
 
 fn rejected(feature: Feature, retry_ms: u64) -> Admission {
@@ -126,9 +167,11 @@
 /// What may be done here with a request that has `feature`.
 fn status(node: &Node, feature: &Feature, now: u64) -> Status {
     let fingerprint = &feature.fingerprint;
-    if !node.quarantine.state().known.is_quarantined(fingerprint) {
-        return Status::Allowed;
+    let state = node.quarantine.state();
+    if !state.known.is_quarantined(fingerprint) {
+        return state.known.status(fingerprint, 0, now);
     }
+    drop(state);
     let rank = node.fleet.rank(&fingerprint.to_string(), node.now());
     node.quarantine.state().known.status(fingerprint, rank, now)
 }
@@ -257,6 +300,7 @@
     node.quarantine.update_empty(&state);
     drop(state);
     if new && evidence.observation == Observation::Completed {
+        node.quarantine.resolved.notify_waiters();
         // The daemon that stored the evidence deletes it.
         node.quarantine.mark_changed(evidence.feature);
     }
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -180,6 +180,9 @@
             let Some(permit) = self.permit(&plan).await else {
                 continue;
             };
+            if self.must_wait() {
+                return Err("others with a segment of its prompt run first");
+            }
             if self.quarantined().await.is_some() {
                 return Err("it is quarantined");
             }
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -130,6 +130,9 @@
                 self.skip_target(&plan.target.id);
                 continue;
             }
+            if self.must_wait() {
+                continue;
+            }
             if let Some(rejection) = self.quarantined().await {
                 return self.reject_quarantined(rejection);
             }
--- a/crates/comfreyhall-node/src/serve/quarantine.rs
+++ b/crates/comfreyhall-node/src/serve/quarantine.rs
@@ -87,8 +87,14 @@
                 retry_ms: quarantine::TRIAL_RETRY_MS,
             });
         }
-        match quarantine::admit(&self.node, self.features()) {
-            Admission::Allowed => None,
+        let admission = node
+            .quarantine
+            .await_admission(&node, self.features(), &self.probes);
+        match admission.await {
+            Admission::Allowed(probes) => {
+                self.probes.extend(probes);
+                None
+            }
             Admission::Quarantined(rejection) => Some(rejection),
             Admission::Trial(trial) => {
                 log::info!(target: "quarantine", id:% = self.client_request.id, fingerprint:% = trial.feature.fingerprint; "tried again");
@@ -98,6 +104,13 @@
         }
     }
 
+    /// Whether it has to wait until others with one of its segments have run; not for
+    /// what holds a permit.
+    pub(super) fn must_wait(&self) -> bool {
+        let is_empty = self.node.quarantine.is_empty();
+        !is_empty && quarantine::must_wait(&self.node, self.features(), &self.probes)
+    }
+
     /// The final answer to a quarantined request.
     pub(super) fn reject_quarantined(&mut self, rejection: Rejection) -> Reply {
         let Rejection { feature, retry_ms } = rejection;
--- a/crates/comfreyhall-node/src/serve/request.rs
+++ b/crates/comfreyhall-node/src/serve/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyhall_domain::{Caller, ClientRequest, Config, EngineConfig, Name, Route, SendHistory};
-use comfreyhall_quarantine::Feature;
+use comfreyhall_quarantine::{Feature, Fingerprint};
 use comfreyhall_relay::EndCause;
 use comfreyhall_slots::SlotShare;
 use http::{HeaderMap, StatusCode};
@@ -108,6 +108,8 @@
     pub(crate) first_event_ms: u64,
     /// Set while a quarantined request is tried once more.
     pub(super) trial: Option<Trial>,
+    /// Segments of which its next send is the probe.
+    pub(super) probes: Vec<Fingerprint>,
     /// Whether its outcome is logged, or a detached copy continues it.
     pub(crate) finished: bool,
 }
@@ -176,6 +178,7 @@
             load_wait_ms: 0,
             first_event_ms: 0,
             trial: None,
+            probes: Vec::new(),
             finished: false,
         })
     }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -131,6 +131,7 @@
     /// Notes a send to `target`; returns whether it is the first one there.
     fn mark_delivered(&mut self, target: &Name) -> bool {
         self.deliveries += 1;
+        self.probes.clear();
         let is_first = !self.tried.contains(target);
         if is_first {
             self.tried.push(target.clone());
@@ -319,6 +320,7 @@
             load_wait_ms: self.load_wait_ms,
             first_event_ms: self.node.now() - self.began_ms,
             trial: self.trial.take(),
+            probes: std::mem::take(&mut self.probes),
             finished: false,
         }
     }
--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -295,8 +295,14 @@
     ask
 }
 
+/// Targets that have ended.
+fn ended(script: &ScriptedBackend) -> usize {
+    script.exited_targets.lock().unwrap().len()
+}
+
 /// Sends `count` requests with the poison segment, no two alike; returns the last
-/// outcome.
+/// outcome. Others are answered in between: a daemon that none answers would take its
+/// paths for cut.
 async fn send_poison_segments(
     node: &Arc<Node>,
     script: &ScriptedBackend,
@@ -305,41 +311,82 @@
     let mut last = CallerResult::NotRun;
     for i in 0..count {
         let ask = with_segments(&format!("p{i}"), &[FIRST_SEGMENT, POISON_SEGMENT]);
+        always(script, Behavior::Exit);
         last = serve(node, ask).await;
         until_known(node, script).await;
+        always(script, Behavior::Answer(200, 0));
+        let other = keyed(&format!("o{i}"), "key of a");
+        assert_eq!(serve(node, other).await, CallerResult::Complete(200));
     }
+    always(script, Behavior::Exit);
     last
 }
 
 #[tokio::test]
 async fn serve_poison_segment_quarantined_after_four_targets() {
     let (node, script, _) = daemon(RouteKind::Idempotent, 1).await;
-    always(&script, Behavior::Exit);
     let last = send_poison_segments(&node, &script, 6).await;
     assert_eq!(last, CallerResult::Quarantined(false));
-    assert_eq!(script.sent.lock().unwrap().len(), 4);
+    assert_eq!(ended(&script), 4);
     // Neither the other segment nor the caller is the cause.
     always(&script, Behavior::Answer(200, 0));
     let sound = with_segments("s", &[FIRST_SEGMENT, 7]);
     assert_eq!(serve(&node, sound).await, CallerResult::Complete(200));
 }
 
+/// Guards against requests with a segment that ends targets of which many are sent at
+/// once before it is quarantined.
+#[tokio::test]
+async fn serve_poison_segment_at_once_ends_four_targets() {
+    let (node, script, _) = daemon(RouteKind::Idempotent, 1).await;
+    send_poison_segments(&node, &script, 2).await;
+    // Those that come now wait for no other evidence.
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let asks = (0..6).map(|i| {
+        let ask = with_segments(&format!("v{i}"), &[FIRST_SEGMENT, POISON_SEGMENT]);
+        let node = node.clone();
+        tokio::spawn(async move { serve(&node, ask).await })
+    });
+    for ask in asks.collect::<Vec<_>>() {
+        ask.await.unwrap();
+    }
+    assert_eq!(ended(&script), 4);
+}
+
+/// Guards against sound requests that wait longer than until a run clears the segments
+/// that they share with a suspect one.
+#[tokio::test]
+async fn serve_sound_segment_waits_until_cleared() {
+    let (node, script, _) = daemon(RouteKind::Idempotent, 1).await;
+    send_poison_segments(&node, &script, 3).await;
+    always(&script, Behavior::Answer(200, 0));
+    let began = std::time::Instant::now();
+    let asks = (0..6).map(|i| {
+        let ask = with_segments(&format!("s{i}"), &[FIRST_SEGMENT, 7]);
+        let node = node.clone();
+        tokio::spawn(async move { serve(&node, ask).await })
+    });
+    for ask in asks.collect::<Vec<_>>() {
+        assert_eq!(ask.await.unwrap(), CallerResult::Complete(200));
+    }
+    // One waits for its turn, its answer clears the segment for the others.
+    assert!(began.elapsed().as_millis() < 900, "{:?}", began.elapsed());
+}
+
 /// Guards against engines that are ended again after all daemons were lost at once.
 #[tokio::test]
 async fn serve_poison_segment_known_after_loss_of_all() {
     for count in [2, 6] {
         let table = FakeTable::default();
         let (node, script, _) = daemon_on(RouteKind::Idempotent, 1, table.client()).await;
-        always(&script, Behavior::Exit);
         send_poison_segments(&node, &script, count).await;
-        let before = script.sent.lock().unwrap().len();
+        let before = ended(&script);
         // The commit that stores the last end.
         tokio::time::sleep(std::time::Duration::from_millis(700)).await;
         let (other, script, _) = daemon_on(RouteKind::Idempotent, 1, table.client()).await;
-        always(&script, Behavior::Exit);
         let last = send_poison_segments(&other, &script, 6).await;
         assert_eq!(last, CallerResult::Quarantined(false));
-        assert_eq!(before + script.sent.lock().unwrap().len(), 4);
+        assert_eq!(before + ended(&script), 4);
     }
 }
 
--- a/crates/comfreyhall-quarantine/src/lib.rs
+++ b/crates/comfreyhall-quarantine/src/lib.rs
@@ -18,6 +18,7 @@
 mod end_times;
 mod feature;
 mod fingerprint;
+mod probe;
 mod quarantine;
 mod wire;
 
@@ -25,6 +26,7 @@
 pub use end_check::{EndCheck, Finding, PeerAnswers, ProbeResult};
 pub use feature::{Feature, FeatureKind};
 pub use fingerprint::Fingerprint;
+pub use probe::MAX_PROBE_WAIT_MS;
 pub use quarantine::{Change, Quarantine, Status, SyncPosition, process_time};
 
 #[cfg(test)]
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -7,6 +7,7 @@
     attribution::{self, REQUIRED_ENDS},
     case::{Case, Completion, Evidence, Observation, TargetEnd},
     end_times::EndTimes,
+    probe::{EVIDENCE_DELAY_MS, Probes},
 };
 
 /// How long evidence is kept after the last observation of a request. Such a
@@ -39,12 +40,9 @@
 /// Minimum retry delay for the caller of a quarantined request.
 const MIN_RETRY_MS: u64 = 5_000;
 
-/// How long requests with a segment wait after the end that quarantines it: a run that
-/// clears it may just have been observed by another daemon.
-const VERDICT_DELAY_MS: u64 = 200;
-
 /// Early ends of a feature that no more specific one can be the cause of, from which
-/// its requests wait for what is unresolved, and from which its evidence is stored.
+/// its requests wait for what is unresolved, those with a segment are probes, and its
+/// evidence is stored.
 const DOUBTFUL_ENDS: usize = 2;
 
 /// Maximum number of observations in one message.
@@ -60,6 +58,11 @@
         /// How long, in ms.
         wait_ms: u64,
     },
+    /// Requests with it may be sent one by one, as it may turn out to be the cause.
+    Probe {
+        /// How long until the next one may be sent, in ms.
+        wait_ms: u64,
+    },
     /// It may be sent once, to test whether it is the cause; not by two daemons
     /// at once.
     Trial,
@@ -115,6 +118,7 @@
     /// `None` if ends that many targets share count in full.
     times: Option<EndTimes>,
     left_out: u64,
+    probes: Probes,
 }
 
 impl Default for Quarantine {
@@ -136,6 +140,7 @@
             serial: 0,
             times: None,
             left_out: 0,
+            probes: Probes::default(),
         }
     }
 
@@ -288,15 +293,20 @@
     /// What may be done with `fingerprint` at the daemon that is the `rank`th
     /// to try it again; 0 is first.
     pub fn status(&self, fingerprint: &Fingerprint, rank: usize, now: u64) -> Status {
-        let Some(case) = self
-            .cases
-            .get(fingerprint)
-            .filter(|_| self.is_quarantined(fingerprint))
-        else {
+        let Some(case) = self.cases.get(fingerprint) else {
             return Status::Allowed;
         };
+        if !self.is_quarantined(fingerprint) {
+            let is_segment = !case.kind.is_request();
+            return match is_segment && self.lone_ends(case) >= DOUBTFUL_ENDS {
+                true => Status::Probe {
+                    wait_ms: self.probes.wait_ms(fingerprint, case.last_end_ms(), now),
+                },
+                false => Status::Allowed,
+            };
+        }
         let since = self.quarantined.get(fingerprint).copied().unwrap_or(now);
-        let decided_ms = since + VERDICT_DELAY_MS;
+        let decided_ms = since + EVIDENCE_DELAY_MS;
         if !case.kind.is_request() && now < decided_ms {
             return Status::Pending {
                 wait_ms: decided_ms - now,
@@ -312,6 +322,28 @@
         }
     }
 
+    /// Those of `features` of which a request with them is a probe, except `own`, and how
+    /// long it has to wait for each, in ms.
+    pub fn probes(
+        &self,
+        features: &[Feature],
+        own: &[Fingerprint],
+        now: u64,
+    ) -> Vec<(Fingerprint, u64)> {
+        let others = features.iter().map(|f| f.fingerprint);
+        let others = others.filter(|f| !own.contains(f));
+        let probes = others.filter_map(|f| match self.status(&f, 0, now) {
+            Status::Probe { wait_ms } => Some((f, wait_ms)),
+            _ => None,
+        });
+        probes.collect()
+    }
+
+    /// Records that this daemon sends a request with `fingerprint`, which is a probe.
+    pub fn start_probe(&mut self, fingerprint: Fingerprint, now: u64) {
+        self.probes.start(fingerprint, now);
+    }
+
     /// Evidence for a daemon that has received all observations up to `serial`,
     /// with the number of the last one returned.
     pub fn evidence_since(&self, serial: u64) -> (Vec<Evidence>, u64) {
--- a/crates/comfreyhall-quarantine/tests/segments.rs
+++ b/crates/comfreyhall-quarantine/tests/segments.rs
@@ -4,7 +4,9 @@
 
 use std::collections::BTreeMap;
 
-use comfreyhall_quarantine::{Evidence, Feature, Fingerprint, Observation, Quarantine, Status};
+use comfreyhall_quarantine::{
+    Evidence, Feature, Fingerprint, MAX_PROBE_WAIT_MS, Observation, Quarantine, Status,
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 
 const ENGINES: usize = 9;
@@ -83,6 +85,23 @@
     cleared: bool,
 }
 
+/// A request that waits at its daemon until evidence on its features has arrived.
+struct Waiting {
+    features: Vec<Feature>,
+    segments: Vec<u64>,
+    daemon: usize,
+    is_sound: bool,
+    arrived_ms: u64,
+}
+
+/// What a daemon does with a request: of several features the most restrictive decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Verdict {
+    Send,
+    Wait,
+    Reject,
+}
+
 /// The end of an engine under a culprit.
 #[derive(Clone, Copy)]
 struct End {
@@ -108,6 +127,9 @@
     rejected: u64,
     sharing: u64,
     sharing_rejected: u64,
+    /// Sound requests that waited, and the longest wait.
+    waited: u64,
+    longest_ms: u64,
     /// Series with at most four ends under the culprit, without those of runs that had
     /// begun when the fourth engine ended.
     within_four: u64,
@@ -128,6 +150,7 @@
     boots: [u64; ENGINES],
     up_at_ms: [u64; ENGINES],
     runs: Vec<Run>,
+    waiting: Vec<Waiting>,
     requests: u64,
     /// Ends under each culprit.
     ends: BTreeMap<u64, Vec<End>>,
@@ -145,6 +168,7 @@
             boots: [0; ENGINES],
             up_at_ms: [0; ENGINES],
             runs: Vec::new(),
+            waiting: Vec::new(),
             requests: 0,
             ends: BTreeMap::new(),
             now: TICK_MS,
@@ -170,39 +194,68 @@
             .collect()
     }
 
-    /// Whether `daemon` sends a request with `features`, as far as they decide; a
-    /// request that would wait is sent.
-    fn allowed(&self, daemon: usize, features: &[Feature]) -> bool {
-        let known = &self.daemons[daemon];
-        let status = |f: &Feature| known.status(&f.fingerprint, daemon, self.now);
-        !features
-            .iter()
-            .any(|f| matches!(status(f), Status::Quarantined { .. } | Status::Trial))
-    }
-
-    fn is_pending(&self, daemon: usize, features: &[Feature]) -> bool {
+    /// What `daemon` does with a request with `features` now.
+    fn verdict(&self, request: &Waiting) -> Verdict {
+        let Waiting {
+            daemon, arrived_ms, ..
+        } = *request;
         let known = &self.daemons[daemon];
         let status = |f: &Feature| known.status(&f.fingerprint, daemon, self.now);
-        features
-            .iter()
-            .any(|f| matches!(status(f), Status::Pending { .. }))
+        let verdicts = request.features.iter().map(|f| match status(f) {
+            Status::Allowed | Status::Probe { wait_ms: 0 } => Verdict::Send,
+            Status::Probe { .. } => match self.now - arrived_ms < MAX_PROBE_WAIT_MS {
+                true => Verdict::Wait,
+                false => Verdict::Send,
+            },
+            Status::Pending { .. } => Verdict::Wait,
+            Status::Quarantined { .. } | Status::Trial => Verdict::Reject,
+        });
+        verdicts.max().unwrap_or(Verdict::Send)
     }
 
     fn send(&mut self, segments: Vec<u64>, is_sound: bool) {
         let daemon = self.rng.random_range(0..DAEMONS);
         let features = self.features(&segments);
-        let allowed = self.allowed(daemon, &features);
-        if is_sound && self.now >= TROUBLE_MS {
+        self.decide(Waiting {
+            features,
+            segments,
+            daemon,
+            is_sound,
+            arrived_ms: self.now,
+        });
+    }
+
+    /// Sends, rejects or keeps a request.
+    fn decide(&mut self, request: Waiting) {
+        let verdict = self.verdict(&request);
+        if verdict == Verdict::Wait {
+            return self.waiting.push(request);
+        }
+        let allowed = verdict == Verdict::Send;
+        if request.is_sound && self.now >= TROUBLE_MS {
+            let waited_ms = self.now - request.arrived_ms;
             self.tally.sound += 1;
             self.tally.rejected += u64::from(!allowed);
-            if segments[0] == 0 {
+            self.tally.waited += u64::from(waited_ms > 0);
+            self.tally.longest_ms = self.tally.longest_ms.max(waited_ms);
+            if request.segments[0] == 0 {
                 self.tally.sharing += 1;
                 self.tally.sharing_rejected += u64::from(!allowed);
             }
         }
-        // A culprit that waits for the verdict is rejected after it.
-        if !allowed || (!is_sound && self.is_pending(daemon, &features)) {
-            return;
+        if allowed {
+            self.begin(request);
+        }
+    }
+
+    /// Sends a request to any engine that is up.
+    fn begin(&mut self, request: Waiting) {
+        let known = &mut self.daemons[request.daemon];
+        for feature in &request.features {
+            let status = known.status(&feature.fingerprint, request.daemon, self.now);
+            if matches!(status, Status::Probe { .. }) {
+                known.start_probe(feature.fingerprint, self.now);
+            }
         }
         let up = (0..ENGINES).filter(|e| self.up_at_ms[*e] <= self.now);
         let Some(engine) = up.choose(&mut self.rng) else {
@@ -210,10 +263,10 @@
         };
         let duration_ms = self.rng.random_range(RUN_MS / 2..RUN_MS * 3 / 2);
         self.runs.push(Run {
-            known: self.known_ends(daemon, &segments),
-            features,
-            segments,
-            daemon,
+            known: self.known_ends(request.daemon, &request.segments),
+            features: request.features,
+            segments: request.segments,
+            daemon: request.daemon,
             engine,
             answers_ms: self.now + FIRST_EVENT_MS,
             ends_ms: self.now + FIRST_EVENT_MS + duration_ms,
@@ -221,6 +274,13 @@
         });
     }
 
+    /// Decides again on the requests that wait.
+    fn end_waits(&mut self) {
+        for request in std::mem::take(&mut self.waiting) {
+            self.decide(request);
+        }
+    }
+
     /// Most ends that `daemon` knows under a culprit among `segments`.
     fn known_ends(&self, daemon: usize, segments: &[u64]) -> usize {
         let culprits = segments.iter().filter(|s| self.culprits().contains(s));
@@ -318,6 +378,7 @@
         let daemon = self.rng.random_range(0..DAEMONS);
         self.daemons[daemon] = Quarantine::default();
         self.runs.retain(|r| r.daemon != daemon);
+        self.waiting.retain(|w| w.daemon != daemon);
         for other in 0..DAEMONS {
             self.received[daemon][other] = 0;
             self.received[other][daemon] = 0;
@@ -357,6 +418,7 @@
             if self.now.is_multiple_of(EXCHANGE_MS) {
                 self.exchange();
             }
+            self.end_waits();
             if self.now.is_multiple_of(ARRIVAL_INTERVAL_MS) {
                 let first = self.rng.random_range(0..FIRST);
                 let middle = self.rng.random_range(0..MIDDLE) + FIRST;
@@ -404,6 +466,8 @@
         sum.rejected += tally.rejected;
         sum.sharing += tally.sharing;
         sum.sharing_rejected += tally.sharing_rejected;
+        sum.waited += tally.waited;
+        sum.longest_ms = sum.longest_ms.max(tally.longest_ms);
         sum.within_four += tally.within_four;
         sum.most_ends = sum.most_ends.max(tally.most_ends);
         sum.most_strict = sum.most_strict.max(tally.most_strict);
@@ -420,6 +484,14 @@
     assert!(sum.most_ends <= 5, "{sum:?}");
     assert!(sum.within_four * 100 >= sum.series * 95, "{sum:?}");
     assert!(sum.sharing_rejected * 20 <= sum.sharing, "{sum:?}");
+    waits_are_bounded(&sum);
+}
+
+/// Guards against more than one in twenty sound requests that wait, and against waits
+/// longer than for the turn of a probe.
+fn waits_are_bounded(sum: &Tally) {
+    assert!(sum.waited * 20 <= sum.sound, "{sum:?}");
+    assert!(sum.longest_ms <= MAX_PROBE_WAIT_MS + TICK_MS, "{sum:?}");
 }
 
 #[test]
@@ -455,6 +527,7 @@
     let sum = run_all(Cause::TwoSegments);
     assert!(sum.most_ends <= 5, "{sum:?}");
     assert!(sum.sharing_rejected * 20 <= sum.sharing, "{sum:?}");
+    waits_are_bounded(&sum);
 }
 
 /// Guards against rejecting the requests with a segment that was there when engines
@@ -464,6 +537,7 @@
     for cause in [Cause::Nothing, Cause::Racks] {
         let sum = run_all(cause);
         assert!(sum.rejected * 1_000 <= sum.sound, "{cause:?} {sum:?}");
+        waits_are_bounded(&sum);
     }
 }
 
