An end that two segments share counts for both

What callers saw: while two segments ended engines, the second one ended five or six before it was quarantined.

Cause: runs with either segment are on the same engine now and then. The first segment had five or six, was quarantined and explained the shared one; three were left, and four are needed.

Change: four ends as before, of which nothing else may explain three.

--- a/crates/comfreyhall-quarantine/src/attribution.rs
+++ b/crates/comfreyhall-quarantine/src/attribution.rs
@@ -58,8 +58,13 @@
 /// its time span: the pause between two crashes of a series.
 const TIME_MARGIN_MS: u64 = 1_000;
 
-/// Weight of unexplained ends from which a segment is quarantined.
+/// Weight from which a segment is quarantined, and how much of it must be of ends that
+/// nothing else explains.
+///
+/// Of two segments that end targets at the same time, requests with either run on the
+/// same target now and then: that end is evidence against both.
 const SEGMENT_WEIGHT: u32 = QUARANTINE_WEIGHT + EARLY_WEIGHT;
+const SEGMENT_OWN_WEIGHT: u32 = QUARANTINE_WEIGHT;
 
 /// Weight from which a segment is quarantined although other features explain all but
 /// one of its ends.
@@ -134,7 +139,7 @@
     let own_ends = fewest_own_ends(suspect, suspects);
     match suspect.weight >= CERTAIN_SEGMENT_WEIGHT {
         true => unexplained >= EARLY_WEIGHT && own_ends >= 1,
-        false => unexplained >= SEGMENT_WEIGHT && own_ends >= 2,
+        false => unexplained >= SEGMENT_OWN_WEIGHT && own_ends >= 2,
     }
 }
 
