--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -210,6 +210,10 @@
             self.unavailable.extend(failed.cloned());
         }
         for _ in 0..MAX_CHOICES {
+            // It may have to wait for its turn, which is no time to hold a permit.
+            if self.quarantined().await.is_some() {
+                return Err("it is quarantined");
+            }
             if !matches!(self.renew(), Ok(Renewal::Unchanged | Renewal::Moved)) {
                 return Err("its settings have changed");
             }
@@ -228,6 +232,9 @@
             let Some(permit) = self.permit(&plan).await else {
                 continue;
             };
+            if self.must_wait() {
+                continue;
+            }
             if self.quarantined().await.is_some() {
                 return Err("it is quarantined");
             }
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -130,6 +130,7 @@
     fn mark_delivered(&mut self, target: &Name) -> bool {
         self.deliveries += 1;
         self.open_sends.begin(target);
+        self.probes.clear();
         let is_first = !self.tried.contains(target);
         if is_first {
             self.tried.push(target.clone());
@@ -322,6 +323,7 @@
             load_wait_ms: self.load_wait_ms,
             first_event_ms: self.node.now() - self.began_ms,
             trial: self.trial.take(),
+            probes: std::mem::take(&mut self.probes),
             finished: false,
         }
     }
