Soak: revoked keys while the store comes back from copies

The oracle looked at the settings only in the end. A key that was revoked for longer than the bound is not accepted, except while the store has lost what revoked it and the operators have not written again; a process that has refused it after accepting it never goes back. Faults and their order are the same as before.

--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -13,7 +13,8 @@
 //!
 //! From seed [`COPIES_FROM`] on, the store comes back from copies some seconds old, paths to
 //! engines refuse connections and engines take time to load: none is ordered to load more
-//! than it has slots for, and in the end every daemon serves a new route in time.
+//! than it has slots for, and in the end every daemon serves a new route in time. Each
+//! configuration revokes the key of the one before, which [`keys`] sends on.
 //!
 //! From seed [`SEGMENTS_FROM`] on, requests of which no two are alike have a prompt segment
 //! that crashes engines, while daemons are killed: it soon reaches no engine any more.
@@ -37,6 +38,9 @@
 #[path = "soak/copies.rs"]
 mod copies;
 
+#[path = "soak/keys.rs"]
+mod keys;
+
 #[path = "soak/segments.rs"]
 mod segments;
 
@@ -166,10 +170,13 @@
     ready: String,
     settings: PathBuf,
     store: Wire,
+    /// When its processes started.
+    starts: Vec<Instant>,
 }
 
 impl Daemon {
     fn start(&mut self) {
+        self.starts.push(Instant::now());
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -261,6 +268,8 @@
     burst_changes: bool,
     scene: Arc<versions::Scene>,
     copies: copies::Copies,
+    /// The configurations written so far.
+    changes: Arc<Mutex<keys::Changes>>,
 }
 
 impl Fleet {
@@ -308,6 +317,7 @@
         }
         let routes = match seed >= silence::SILENCE_FROM {
             true => silence::config,
+            false if (COPIES_FROM..SEGMENTS_FROM).contains(&seed) => keys::config,
             false => |version| config(version, "/g/"),
         };
         store.put("op", "config", &routes(1));
@@ -331,6 +341,7 @@
             version: 1,
             burst_changes: seed >= SIGNALS_FROM,
             copies: copies::Copies::default(),
+            changes: Arc::default(),
         };
         let peers: Vec<String> = (0..daemons).map(|_| addr()).collect();
         for i in 0..daemons {
@@ -361,6 +372,7 @@
             ready,
             settings: path,
             store: wire,
+            starts: Vec::new(),
         };
         daemon.start();
         self.daemons.push(daemon);
@@ -414,8 +426,14 @@
     /// Puts the next version of the configuration in force.
     fn change_config(&mut self) {
         self.version += 3;
+        self.put_config();
+    }
+
+    /// Writes the configuration of the latest version.
+    fn put_config(&mut self) {
         let config = (self.routes)(self.version);
         self.store.put("op", "config", &config);
+        self.changes.lock().unwrap().add(self.version);
     }
 
     /// Injects an unplanned fault, which may overlap with others.
@@ -476,7 +494,8 @@
         let link = Link::Target(self.rng.random_range(0..ENGINES));
         match self.rng.random_range(0..3) {
             0 => {
-                if let Some(copy) = self.copies.take(&mut self.rng) {
+                if let Some((at, copy)) = self.copies.take(&mut self.rng) {
+                    self.changes.lock().unwrap().lose_since(at);
                     self.store.restore(copy);
                     self.begin_fault(started_at, duration, Recovery::WriteAgain);
                 }
@@ -731,6 +750,14 @@
         true => Some(tokio::spawn(segments::send_poison(fronts, stop.clone()))),
         false => (!planned_only).then(|| tokio::spawn(send_poison(fronts, stop.clone()))),
     };
+    let stop_keys = Arc::new(AtomicBool::new(false));
+    let keyed = if copies { &front_addrs[..] } else { &[] };
+    let key_callers = keyed.iter().enumerate().map(|(daemon, front)| {
+        let rng = StdRng::seed_from_u64(seed * 3_000 + daemon as u64);
+        let (changes, stop) = (fleet.changes.clone(), stop_keys.clone());
+        tokio::spawn(keys::send_keys(daemon, front.clone(), rng, changes, stop))
+    });
+    let key_callers: Vec<_> = key_callers.collect();
     let target_signals = (seed >= SIGNALS_FROM && !rollout && !copies && !segments).then(|| {
         let hosts = fleet.targets.iter().map(|(host, _)| host.clone()).collect();
         let rng = StdRng::seed_from_u64(seed);
@@ -813,12 +840,18 @@
         true => fleet.late_daemons().await,
         false => Vec::new(),
     };
+    stop_keys.store(true, Ordering::SeqCst);
+    let mut uses = Vec::new();
+    for caller in key_callers {
+        uses.extend(caller.await.unwrap());
+    }
     let tally = tally.lock().unwrap();
     if seed >= VERSIONS_FROM {
         println!("begun {:?}, resumed {:?}", tally.begins, tally.resumptions);
     }
     let mut violations = fleet.violations(&attempts);
     violations.extend(late);
+    violations.extend(fleet.revoked_uses(&uses));
     violations.extend(fleet.holder_problems());
     violations.extend(fleet.late_segments());
     for (host, _) in &fleet.targets {
--- a/crates/comfreyhall/tests/soak/copies.rs
+++ b/crates/comfreyhall/tests/soak/copies.rs
@@ -6,13 +6,14 @@
 };
 
 use rand::{Rng, rngs::StdRng};
+use serde_json::json;
 
 use super::{
     Fleet,
     emulator::{
         Rows,
         caller::{Caller, PathOutcome},
-        commands, config, safe_route,
+        commands, safe_route,
     },
 };
 
@@ -23,7 +24,10 @@
 const LEASE_TERM: Duration = Duration::from_millis(3_000);
 
 /// Time in which a change is in force.
-const BOUND: Duration = Duration::from_secs(2);
+pub const BOUND: Duration = Duration::from_secs(2);
+
+/// How long revoked keys are sent after the end.
+const KEYS_AFTER: Duration = Duration::from_millis(500);
 
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -40,10 +44,11 @@
         }
     }
 
-    /// Any of the copies; those that were made after it are gone with the store.
-    pub fn take(&mut self, rng: &mut StdRng) -> Option<Rows> {
+    /// Any of the copies, with its time; those that were made after it are gone with the
+    /// store.
+    pub fn take(&mut self, rng: &mut StdRng) -> Option<(Instant, Rows)> {
         let at = rng.random_range(0..self.0.len().max(1));
-        let (_, copy) = self.0.get(at)?.clone();
+        let copy = self.0.get(at)?.clone();
         self.0.truncate(at + 1);
         Some(copy)
     }
@@ -52,7 +57,7 @@
 impl Fleet {
     /// What the operators and the targets write again after the store came back.
     pub fn write_again(&mut self) {
-        self.store.put("op", "config", &config(self.version, "/g/"));
+        self.put_config();
         for (host, _) in &self.targets {
             host.write_entry_again();
         }
@@ -71,10 +76,13 @@
     /// Adds a route; says which daemons do not serve it in time.
     pub async fn late_daemons(&mut self) -> Vec<String> {
         self.version += 3;
-        let mut config = config(self.version, "/g/");
+        let mut config = (self.routes)(self.version);
         let routes = config["routes"].as_array_mut().unwrap();
-        routes.push(safe_route("last", "/last/", "app"));
+        let mut last = safe_route("last", "/last/", "app");
+        last["public"] = json!(true);
+        routes.push(last);
         self.store.put("op", "config", &config);
+        self.changes.lock().unwrap().add(self.version);
         tokio::time::sleep(BOUND).await;
         let mut late = Vec::new();
         for (i, daemon) in self.daemons.iter().enumerate() {
@@ -97,6 +105,8 @@
                 }
             }
         }
+        // The keys that the last configurations revoked are sent on.
+        tokio::time::sleep(KEYS_AFTER).await;
         late
     }
 }
