Evidence that the store has lost is stored by any daemon that knows it

After a step only daemons that had written or read a row wrote it again. If these are gone, a fleet that starts anew has to lose as many targets again. Now every daemon that knows enough evidence on a feature, from gossip too, looks for its row after a step: the home of the feature at once, those ranked after it 1 s later each, 3 s at most. A row that is missing, or holds fewer observations, is stored. A look that fails is repeated.

--- a/crates/comfreyhall-node/src/quarantine/mod.rs
+++ b/crates/comfreyhall-node/src/quarantine/mod.rs
@@ -14,6 +14,7 @@
 
 mod confirm;
 mod log;
+mod lost;
 pub(crate) mod reach;
 mod spread;
 pub(crate) mod state;
--- a/crates/comfreyhall-node/src/quarantine/store.rs
+++ b/crates/comfreyhall-node/src/quarantine/store.rs
@@ -5,7 +5,8 @@
 //! a later one stores all evidence on it, in one row for each feature, and a daemon that
 //! starts reads these rows before its first send. A row is deleted when its feature is
 //! cleared or its evidence has become too old. When the store comes back from a copy,
-//! the rows are written again.
+//! each daemon that knows enough evidence on a feature makes sure that its row exists
+//! ([`super::lost`]).
 
 use std::{
     sync::Arc,
@@ -18,10 +19,10 @@
 use comfreyhall_quarantine::{Evidence, Fingerprint};
 use prost::Message;
 
-use super::{Node, learn, time};
+use super::{Node, learn, lost::LostRows, time};
 use crate::{follow, members::newest_era};
 
-const PREFIX: &str = "quarantine/";
+pub(super) const PREFIX: &str = "quarantine/";
 
 /// How long after its start a daemon sends nothing while it reads the rows; then the
 /// store is slow or away.
@@ -57,6 +58,7 @@
     node.quarantine.mark_loaded();
     let mut failures = 0;
     let mut era = newest_era(&node, &rows);
+    let mut lost_rows = LostRows::default();
     loop {
         if failures == 0 {
             tokio::select! {
@@ -66,16 +68,14 @@
         }
         let newest_era = newest_era(&node, &rows);
         if newest_era != era {
-            if era > 0 && !stored.is_empty() {
-                log::info!(target: "quarantine", rows = stored.len(), from = era, to = newest_era; "the store came back from a copy; writing evidence again");
-                node.quarantine
-                    .state()
-                    .to_store
-                    .extend(stored.iter().copied());
+            if era > 0 {
+                lost_rows = LostRows::since_step(&node);
+                log::info!(target: "quarantine", rows = lost_rows.len(), from = era, to = newest_era; "the store came back from a copy; looking for stored evidence");
             }
             era = newest_era;
         }
-        match store_changed(&node, &rows, &mut stored).await {
+        let found = lost_rows.look_for(&node, &rows).await;
+        match found.and(store_changed(&node, &rows, &mut stored).await) {
             Ok(()) => failures = 0,
             Err(e) => {
                 failures += 1;
@@ -163,7 +163,7 @@
         return Ok(());
     }
     let puts = changes.iter().map(|(fingerprint, evidence)| {
-        let key = format!("{PREFIX}{}", fingerprint.to_hex());
+        let key = row_key(fingerprint);
         match evidence {
             Some(evidence) => put(&key, encode(evidence, now)),
             None => delete(&key),
@@ -181,6 +181,11 @@
     written.map(|_| ())
 }
 
+/// Key of the row of a feature.
+pub(super) fn row_key(fingerprint: &Fingerprint) -> String {
+    format!("{PREFIX}{}", fingerprint.to_hex())
+}
+
 fn encode(evidence: &[Evidence], now: u64) -> Vec<u8> {
     let row = StoredEvidence {
         stored_unix_ms: unix_ms(),
--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use comfreyhall_catalog::Rows;
 use comfreyhall_domain::{ClientRequest, Name, PromptSegment, RouteKind};
-use comfreyhall_fakes::FakeTable;
+use comfreyhall_fakes::{CallOutcome, FakeTable};
 use comfreyhall_node::Node;
 use support::*;
 
@@ -18,6 +18,9 @@
 /// machine.
 const PATIENT_MS: u64 = 60_000;
 
+/// Time in which evidence that the store has lost is in it again.
+const STORED_AGAIN: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// Starts a daemon with five targets.
 async fn daemon(
     kind: RouteKind,
@@ -32,12 +35,7 @@
     attempts: u32,
     table: FakeTable,
 ) -> (Arc<Node>, Arc<ScriptedBackend>, Arc<ScriptedSource>) {
-    let mut route = route(kind, attempts, kind == RouteKind::Stream);
-    route.timeout_ms = PATIENT_MS;
-    let mut world = scripted_source(route, None);
-    let plain = Arc::get_mut(&mut world).unwrap();
-    plain.targets.extend(["c", "d", "e"].map(target));
-    plain.config.workspaces = Some(workspaces(&["a", "b"]));
+    let world = five_targets(kind, attempts);
     let script = Arc::new(ScriptedBackend::default());
     let node = Node::new(
         settings_of("n", "127.0.0.1:1", &[], 0.25),
@@ -51,6 +49,33 @@
     (node, script, world)
 }
 
+/// Five targets behind a route of `kind`.
+fn five_targets(kind: RouteKind, attempts: u32) -> Arc<ScriptedSource> {
+    let mut route = route(kind, attempts, kind == RouteKind::Stream);
+    route.timeout_ms = PATIENT_MS;
+    let mut world = scripted_source(route, None);
+    let plain = Arc::get_mut(&mut world).unwrap();
+    plain.targets.extend(["c", "d", "e"].map(target));
+    plain.config.workspaces = Some(workspaces(&["a", "b"]));
+    world
+}
+
+/// Starts a daemon with five targets that is a peer of those at `seeds`.
+async fn peer_daemon(
+    seeds: &mut Vec<String>,
+    script: Arc<ScriptedBackend>,
+    table: FakeTable,
+) -> Arc<Node> {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let settings = settings_of(&format!("n{}", seeds.len()), &addr, seeds, 0.25);
+    let node = Node::new(settings, five_targets(RouteKind::Idempotent, 1), script);
+    comfreyhall_node::spawn(&node, table);
+    tokio::spawn(comfreyhall_node::serve_peers(node.clone(), listener));
+    seeds.push(addr);
+    node
+}
+
 fn always(script: &ScriptedBackend, act: Behavior) {
     *script.default_behavior.lock().unwrap() = Some(act);
 }
@@ -347,26 +372,10 @@
 /// paths from one daemon to its targets are cut with refused connections.
 #[tokio::test]
 async fn serve_cut_paths_quarantine_nothing() {
-    let mut cut_off = None;
     let mut seeds = Vec::new();
-    for i in 0..2 {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap().to_string();
-        let mut route = route(RouteKind::Idempotent, 1, false);
-        route.timeout_ms = PATIENT_MS;
-        let mut world = scripted_source(route, None);
-        let plain = Arc::get_mut(&mut world).unwrap();
-        plain.targets.extend(["c", "d", "e"].map(target));
-        plain.config.workspaces = Some(workspaces(&["a", "b"]));
-        let script = Arc::new(ScriptedBackend::default());
-        let settings = settings_of(&format!("n{i}"), &addr, &seeds, 0.25);
-        let node = Node::new(settings, world, script.clone());
-        comfreyhall_node::spawn(&node, FakeTable::default());
-        tokio::spawn(comfreyhall_node::serve_peers(node.clone(), listener));
-        seeds.push(addr);
-        cut_off = Some((node, script));
-    }
-    let (node, script) = cut_off.unwrap();
+    peer_daemon(&mut seeds, Arc::default(), FakeTable::default()).await;
+    let script = Arc::new(ScriptedBackend::default());
+    let node = peer_daemon(&mut seeds, script.clone(), FakeTable::default()).await;
     while !node.ready() || node.addresses().0.len() < 2 {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
@@ -411,3 +420,38 @@
     assert_eq!(outcome, CallerResult::Quarantined(false));
     assert!(script.sent.lock().unwrap().is_empty());
 }
+
+/// Guards against evidence that is lost with the store's last seconds, as the only daemon that
+/// had stored it does not reach the store any more: another one knows it from gossip.
+#[tokio::test]
+async fn evidence_lost_is_stored_by_peer() {
+    let table = FakeTable::default();
+    table.restore(&table.copy());
+    let copy = table.copy();
+    let (own, others) = (table.client(), table.client());
+    let script = Arc::new(ScriptedBackend::default());
+    let mut seeds = Vec::new();
+    let observer = peer_daemon(&mut seeds, script.clone(), own.clone()).await;
+    let other = peer_daemon(&mut seeds, script.clone(), others.clone()).await;
+    for node in [&observer, &other] {
+        while !node.ready() || node.addresses().0.len() < 2 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    }
+    always(&script, Behavior::Exit);
+    let is_held = |node: &Node| counted(node, r#"quarantine_total{change="held_back""#) > 0;
+    while !is_held(&observer) {
+        serve(&observer, deadly("q")).await;
+        until_known(&observer, &script).await;
+    }
+    while !is_held(&other) {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    until_stored(&table).await;
+    own.script(vec![CallOutcome::Unsent; 1_000]);
+    table.restore(&copy);
+    // Any answer of the store bears its era.
+    others.get("any").await.unwrap();
+    let stored = tokio::time::timeout(STORED_AGAIN, until_stored(&table)).await;
+    assert!(stored.is_ok(), "no daemon stores the evidence again");
+}
--- a/crates/comfreyhall-quarantine/src/quarantine.rs
+++ b/crates/comfreyhall-quarantine/src/quarantine.rs
@@ -189,6 +189,13 @@
         })
     }
 
+    /// All on which there is enough evidence for [`Self::evidence_to_store`].
+    pub fn known_to_store(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let enough = |case: &Case| self.lone_ends(case) >= DOUBTFUL_ENDS;
+        let cases = self.cases.iter();
+        cases.filter(move |(_, case)| enough(case)).map(|(f, _)| *f)
+    }
+
     /// Targets that ended early under a feature, not with many others.
     fn lone_ends(&self, case: &Case) -> usize {
         let is_shared = |e: &TargetEnd| {
