The catalog's epoch never goes back with the table

When the own table service comes back from a copy, its epoch row goes back, and daemons passed over all changes until the count had passed the old one: rules were acknowledged and not in force. The table now names its era in the header store-era of its answers, as the platform's store does; epochs given out after a step, and versions of rules with them, carry the era above the count, and a reader takes the epoch row for one of the table's era. What the copy lacks stays in force until it is written again. A commit that crosses the step counts as unanswered.

--- a/crates/comfreyhall-catalog/src/change.rs
+++ b/crates/comfreyhall-catalog/src/change.rs
@@ -4,10 +4,14 @@
 //! as each change. Changes therefore have a total order, the audit trail holds
 //! exactly the changes that took effect, and a reader that knows an epoch can
 //! read the changes after it.
+//!
+//! When the table comes back from a copy, its epoch row goes back too. Epochs
+//! therefore carry the table's era above the count, so that those given out
+//! after a step are higher than all of the ones before.
 
 use std::time::Duration;
 
-use comfreyhall_protocol::{Check, Put};
+use comfreyhall_protocol::{Check, Put, Revision};
 
 use crate::{
     Audit, Catalog, CatalogError, Rows,
@@ -27,6 +31,16 @@
 /// Prefix of audit entries.
 pub(crate) const AUDIT_PREFIX: &str = "audit/";
 
+/// Era of a table that has never come back from a copy; its epochs are plain counts.
+const FIRST_ERA: u32 = 1;
+
+/// The epoch in a row of the table, as one of the table's `era`.
+pub(crate) fn epoch_in(era: u32, stored: u64) -> u64 {
+    let step = era.saturating_sub(FIRST_ERA);
+    let known = Revision::from_wire(stored);
+    Revision::new(known.era().max(step), known.number()).to_wire()
+}
+
 /// Key of the audit entry of `epoch`.
 pub(crate) fn audit_key(epoch: u64) -> String {
     format!("{AUDIT_PREFIX}{epoch:020}")
@@ -87,7 +101,7 @@
             if *uncertain && let Some(committed) = self.find_change(id, base).await? {
                 return Ok(committed);
             }
-            let next = epoch + 1;
+            let next = epoch_in(self.rows().era(), epoch) + 1;
             let mut checks = change.checks.clone();
             checks.push(check(EPOCH_KEY, row));
             let mut puts = (change.puts)(next);
@@ -135,9 +149,16 @@
         })
     }
 
-    /// The epoch after `base` at which the change `id` took effect, if it did.
+    /// The epoch after `base` at which the change `id` took effect, if it did. Readers of a
+    /// later era pass over one from before the step, so it counts as unanswered.
     async fn find_change(&self, id: u64, base: u64) -> Result<Option<u64>, CatalogError> {
         for entry in self.audit_after(base).await? {
+            if entry.change == id && entry.epoch < epoch_in(self.rows().era(), entry.epoch) {
+                return Err(CatalogError::Unavailable {
+                    addr: "the table service".into(),
+                    detail: "it came back from a copy meanwhile; make the change again".into(),
+                });
+            }
             if entry.change == id {
                 return Ok(Some(entry.epoch));
             }
--- a/crates/comfreyhall-catalog/src/follow.rs
+++ b/crates/comfreyhall-catalog/src/follow.rs
@@ -18,6 +18,9 @@
 //! - This instance loses the connection to the table while others keep theirs,
 //!   and would keep an old configuration. It then fetches changes from its peers
 //!   ([`Follower::changes_since`] on the peer, [`Follower::apply_sync`] here).
+//! - The table comes back from a copy with a lower epoch, and changes made after that
+//!   would be passed over. Epochs are compared in the table's era ([`epoch_in`]); what
+//!   is cached and active stays until such a change replaces it.
 //! - The process restarts and has no configuration, so it must not serve before
 //!   the first poll has succeeded ([`Follower::synced`]).
 
@@ -31,7 +34,7 @@
 
 use crate::{
     Adapter, Catalog, CatalogError, Config, Customer, Rows, Table,
-    change::EPOCH_KEY,
+    change::{EPOCH_KEY, epoch_in},
     records::BULK_KEY,
     store::{CONFIG_KEY, adapter_key, decode},
 };
@@ -156,7 +159,8 @@
     /// it shows quickly whether the table is reachable.
     pub async fn check_epoch(&self) -> Result<Option<NewEpoch>, CatalogError> {
         let row = self.catalog.rows().get(EPOCH_KEY).await?;
-        let epoch: u64 = row.as_ref().map_or(Ok(0), decode)?;
+        let stored: u64 = row.as_ref().map_or(Ok(0), decode)?;
+        let epoch = epoch_in(self.catalog.rows().era(), stored);
         let mut state = self.state();
         state.last_answer = Some(Instant::now());
         let advanced = !state.synced || epoch > state.epoch;
--- a/crates/comfreyhall-catalog/src/table.rs
+++ b/crates/comfreyhall-catalog/src/table.rs
@@ -3,18 +3,21 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use comfreyhall_protocol::{
-    Check, CommitRequest, GetRequest, Put, Row, ScanRequest, proves_not_run,
+    Check, CommitRequest, GetRequest, Put, Row, STORE_ERA_HEADER, ScanRequest, proves_not_run,
     table_client::TableClient,
 };
 use prost::Message;
 use thiserror::Error;
-use tonic::transport::{Channel, Endpoint};
+use tonic::{
+    Response,
+    transport::{Channel, Endpoint},
+};
 
 /// Why a catalog call failed.
 #[derive(Debug, Error, PartialEq)]
@@ -154,6 +157,8 @@
     addr: String,
     client: TableClient<Channel>,
     traffic: Arc<Traffic>,
+    /// Newest era of an answer; 0 before any.
+    era: Arc<AtomicU32>,
 }
 
 impl Table {
@@ -173,6 +178,7 @@
             addr: addr.to_string(),
             client: TableClient::new(endpoint.connect_lazy()),
             traffic: Arc::default(),
+            era: Arc::default(),
         })
     }
 
@@ -198,6 +204,16 @@
             .fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
+    /// Takes the message out of an answer, and notes the era that it bears.
+    fn read_answer<T: Message>(&self, answer: Response<T>) -> T {
+        let era = answer.metadata().get(STORE_ERA_HEADER);
+        let era = era.and_then(|e| e.to_str().ok()?.parse().ok());
+        self.era.fetch_max(era.unwrap_or(0), Ordering::SeqCst);
+        let reply = answer.into_inner();
+        self.count_bytes(&reply);
+        reply
+    }
+
     fn call_error(&self, status: tonic::Status) -> CatalogError {
         let addr = self.addr.clone();
         if proves_not_run(&status) {
@@ -211,12 +227,15 @@
 }
 
 impl Rows for Table {
+    fn era(&self) -> u32 {
+        self.era.load(Ordering::SeqCst)
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Row>, CatalogError> {
         let req = GetRequest { key: key.into() };
         self.count_call(&req);
         let result = self.client.clone().get(req).await;
-        let reply = result.map_err(|s| self.call_error(s))?.into_inner();
-        self.count_bytes(&reply);
+        let reply = self.read_answer(result.map_err(|s| self.call_error(s))?);
         Ok(reply.row.filter(|_| reply.found))
     }
 
@@ -228,22 +247,28 @@
         };
         self.count_call(&req);
         let result = self.client.clone().scan(req).await;
-        let reply = result.map_err(|s| self.call_error(s))?.into_inner();
-        self.count_bytes(&reply);
+        let reply = self.read_answer(result.map_err(|s| self.call_error(s))?);
         Ok(reply.rows)
     }
 
     async fn commit(&self, checks: Vec<Check>, puts: Vec<Put>) -> Result<Vec<u64>, CatalogError> {
         let req = CommitRequest { checks, puts };
+        let known_era = self.era();
         self.count_call(&req);
         let result = self.client.clone().commit(req).await;
-        let reply = result.map_err(|s| self.call_error(s))?.into_inner();
-        self.count_bytes(&reply);
+        let reply = self.read_answer(result.map_err(|s| self.call_error(s))?);
         if !reply.applied {
             return Err(CatalogError::Conflict {
                 key: reply.conflict,
             });
         }
+        if known_era > 0 && self.era() != known_era {
+            // The copy may have been made before it was applied.
+            return Err(CatalogError::Unavailable {
+                addr: self.addr.clone(),
+                detail: "the table came back from a copy meanwhile".into(),
+            });
+        }
         Ok(reply.versions)
     }
 }
--- a/crates/comfreyhall-protocol/src/lib.rs
+++ b/crates/comfreyhall-protocol/src/lib.rs
@@ -32,6 +32,10 @@
 /// Hash set with the same hasher.
 pub type Set<K> = rustc_hash::FxHashSet<K>;
 
+/// Header of the table service's answers with its era, the first of which is 1. It rises by
+/// one when the service comes back from a copy.
+pub const STORE_ERA_HEADER: &str = "store-era";
+
 /// Header with the caller's request id, which every response repeats.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
--- a/crates/comfreyhall-standins/src/lib.rs
+++ b/crates/comfreyhall-standins/src/lib.rs
@@ -67,8 +67,16 @@
     addr: SocketAddr,
     stop: impl Future<Output = ()>,
 ) -> Result<(), tonic::transport::Error> {
-    let table = TableServer::new(TableStandin::default());
-    serve(addr, Routes::new(table), stop).await
+    serve_table_of(TableStandin::default(), addr, stop).await
+}
+
+/// The same for the rows of `table`.
+pub async fn serve_table_of(
+    table: TableStandin,
+    addr: SocketAddr,
+    stop: impl Future<Output = ()>,
+) -> Result<(), tonic::transport::Error> {
+    serve(addr, Routes::new(TableServer::new(table)), stop).await
 }
 
 /// Creates the servers of those stand-ins of a deployment whose names `wanted` accepts.
--- a/crates/comfreyhall-standins/src/table.rs
+++ b/crates/comfreyhall-standins/src/table.rs
@@ -8,7 +8,7 @@
 
 use comfreyhall_protocol::{
     CommitReply, CommitRequest, FaultOrder, FaultReply, GetReply, GetRequest, Revision, Row,
-    ScanReply, ScanRequest, table_server::Table,
+    STORE_ERA_HEADER, ScanReply, ScanRequest, table_server::Table,
 };
 use tonic::{Request, Response, Status};
 
@@ -61,6 +61,14 @@
         Revision::from_wire(self.rows.lock().unwrap().last_version).era()
     }
 
+    /// An answer that bears the era.
+    fn answer<T>(&self, reply: T) -> Result<Response<T>, Status> {
+        let mut response = Response::new(reply);
+        let era = u64::from(self.era()) + 1;
+        response.metadata_mut().insert(STORE_ERA_HEADER, era.into());
+        Ok(response)
+    }
+
     /// Reads one row, bypassing the fault switches.
     pub fn read(&self, key: &str) -> Option<Row> {
         let rows = self.rows.lock().unwrap();
@@ -125,17 +133,17 @@
     async fn get(&self, req: Request<GetRequest>) -> Result<Response<GetReply>, Status> {
         self.faults.delay_or_fail().await?;
         let found = self.read(&req.get_ref().key);
-        Ok(Response::new(GetReply {
+        self.answer(GetReply {
             found: found.is_some(),
             row: found,
-        }))
+        })
     }
 
     async fn scan(&self, req: Request<ScanRequest>) -> Result<Response<ScanReply>, Status> {
         self.faults.delay_or_fail().await?;
         let req = req.into_inner();
         let rows = self.list(&req.prefix, &req.after, req.limit);
-        Ok(Response::new(ScanReply { rows }))
+        self.answer(ScanReply { rows })
     }
 
     async fn commit(&self, req: Request<CommitRequest>) -> Result<Response<CommitReply>, Status> {
@@ -145,7 +153,7 @@
         if reply.applied && self.faults.loses_reply() {
             return Err(Status::unavailable("answer lost by fault order"));
         }
-        Ok(Response::new(reply))
+        self.answer(reply)
     }
 
     async fn fault(&self, req: Request<FaultOrder>) -> Result<Response<FaultReply>, Status> {
