A peer that nobody sees counts for shares until the store's list lacks it

A daemon forgot peers that it had not heard of for 60 s, and divided the retry allowance and quotas by the rest: after a cut each took the share of those it did not see, while they spent theirs. A dropped peer now counts until two listings of the members in a row lack its row; while the store is away it goes on counting. Two, since others may delete the row of one that serves, which then writes it again at its next listing.

members_cut_off_takes_no_larger_share failed before: three daemons cut off from each other took 96 retries, 54 are allowed.

--- a/crates/comfreyhall-node/src/fleet/exchange.rs
+++ b/crates/comfreyhall-node/src/fleet/exchange.rs
@@ -10,7 +10,7 @@
     Origin,
     periods::{self, GOSSIP_PERIOD_MS},
     rows::{ReportedVersions, add_rows},
-    state::{FORGET_MS, Fleet, State},
+    state::{Fleet, State},
 };
 use crate::node::Node;
 
@@ -44,10 +44,7 @@
     let now = node.now();
     let mut state = node.fleet.state();
     let me = node.fleet.me.peer.as_str();
-    state.peers.retain(|_, p| {
-        let last = p.gossip_at_ms.max(p.reported_at_ms).max(p.added_at_ms);
-        p.seed || now.saturating_sub(last) < FORGET_MS
-    });
+    state.forget_silent(now);
     let holding = node.leases.holds_any(node.settings().bounds.fencing);
     let out = if periods::is_large(state.peers.len()) {
         state.due_in_large(holding, now)
--- a/crates/comfreyhall-node/src/fleet/members.rs
+++ b/crates/comfreyhall-node/src/fleet/members.rs
@@ -3,18 +3,43 @@
 //! Quotas are divided by this number, so it must not be too small: a daemon
 //! that knows few others would overestimate its share of a quota. It is certain
 //! only once the list was read from the store, here or by a peer that reports
-//! it. A known daemon counts until it is dropped, even when it is
-//! unreachable: it may still serve requests.
+//! it. A known daemon counts until the store's list has lacked it for some time, even
+//! when nobody sees it: it may still serve requests, and this one may be cut off.
 
 use comfreyhall_domain::Name;
 use comfreyhall_routing::selection::rendezvous_rank;
 
-use super::{holders::MIN_HOLDER_MILLICORES, periods, state::Fleet};
+use super::{
+    holders::MIN_HOLDER_MILLICORES,
+    periods,
+    state::{FORGET_MS, Fleet, State},
+};
+
+/// Listings in a row without a dropped peer after which it counts no more: the row of one
+/// that still serves may be deleted by others, and it writes it again at its next listing.
+const ABSENT_LISTINGS: u32 = 2;
+
+impl State {
+    /// Drops the peers that nobody has seen for long.
+    pub(super) fn forget_silent(&mut self, now: u64) {
+        let silent = self.peers.extract_if(|_, p| {
+            let last = p.gossip_at_ms.max(p.reported_at_ms).max(p.added_at_ms);
+            !p.seed && now.saturating_sub(last) >= FORGET_MS
+        });
+        self.dropped.extend(silent.map(|(addr, _)| (addr, 0)));
+    }
+}
 
 impl Fleet {
-    /// Records that the member list was read from the store.
-    pub(crate) fn mark_members_listed(&self) {
-        self.state().members_listed = true;
+    /// Records that the member list was read from the store, and which addresses are
+    /// `listed`.
+    pub(crate) fn mark_members_listed(&self, listed: impl Fn(&str) -> bool) {
+        let mut state = self.state();
+        state.members_listed = true;
+        state.dropped.retain(|addr, absent| {
+            *absent = if listed(addr) { 0 } else { *absent + 1 };
+            *absent < ABSENT_LISTINGS
+        });
     }
 
     /// Daemons that may serve requests, including this one; `None` if there may
@@ -27,7 +52,7 @@
             .max()
             .unwrap_or(0);
         let certain = state.members_listed || reported > 0;
-        certain.then(|| reported.max(state.peers.len() + 1))
+        certain.then(|| reported.max(state.peers.len() + state.dropped.len() + 1))
     }
 
     /// The same for gossip, from the daemon's own knowledge; 0 if it is not
--- a/crates/comfreyhall-node/src/fleet/mod.rs
+++ b/crates/comfreyhall-node/src/fleet/mod.rs
@@ -102,5 +102,7 @@
     }
 }
 
+#[cfg(test)]
+mod members_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-node/src/fleet/state.rs
+++ b/crates/comfreyhall-node/src/fleet/state.rs
@@ -99,6 +99,9 @@
 pub(super) struct State {
     /// Keyed by peer address.
     pub(super) peers: Map<Name, Peer>,
+    /// Peers that were dropped because nobody saw them, each with the number of listings in a
+    /// row that lacked it: it may serve all the same.
+    pub(super) dropped: Map<Name, u32>,
     /// Requests that wait for an adapter at a target managed here.
     pub(super) pins: Map<(Name, AdapterRef), u32>,
     /// Runs of this daemon at engines.
@@ -182,6 +185,7 @@
         }
         let mut state = self.state();
         let unsent_from = state.next_placement;
+        state.dropped.remove(addr);
         state.peers.entry(addr.into()).or_insert_with(|| Peer {
             client: FleetClient::new(link::channel(addr)),
             answer_client: None,
--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -9,6 +9,7 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyhall_catalog::{CatalogError, Rows, delete, put};
+use comfreyhall_domain::Set;
 use rand::Rng;
 
 use crate::{
@@ -145,6 +146,7 @@
         write_own_row(node, rows, key, &own_value(node)).await?;
     }
     let now = node.now();
+    let listed: Set<String> = found.iter().map(|row| row.key.clone()).collect();
     for row in found {
         let addr = row.key.strip_prefix(PREFIX).unwrap_or_default();
         if node.fleet.is_lost(addr, now) && node.fleet.has_lowest_addr(now) {
@@ -154,7 +156,8 @@
             node.fleet.add_peer(addr, false);
         }
     }
-    node.fleet.mark_members_listed();
+    let is_listed = |addr: &str| listed.contains(&format!("{PREFIX}{addr}"));
+    node.fleet.mark_members_listed(is_listed);
     Ok(())
 }
 
