First requests to a target are bounded until its answers show that it has room

Cause: a target says how few rejections it bears in the first of them, when whatever is on its way arrives all the same.

Change: a daemon has its share of max_running, four at least, on its way to a target that has not answered yet. Each answer that is no rejection makes room for one more, from 64 on there is no bound; a rejection by a target that bears few leaves one. The others wait in the order of the target. An answer, a failed send or a cancelled one wakes as many as may go, a cooldown or a drain all of them. After half of what a request may be held, 250 ms at most, it is sent all the same, so none fails by the bound; a send beside a silent target, or for the rest of a stream, does not wait.

--- a/crates/comfreyhall-backpressure/src/tests.rs
+++ b/crates/comfreyhall-backpressure/src/tests.rs
@@ -260,3 +260,47 @@
     assert_eq!(parse(&["x"]), (Some(1.0), 1));
     assert_eq!(parse(&["6", "4"]), (Some(4.0), 1));
 }
+
+/// Guards against a target whose room is unknown and that gets all requests at once.
+#[test]
+fn try_begin_widens_with_answers() {
+    let mut windows = SendWindows::default();
+    let t = "t".into();
+    let first = first_requests(8, 7);
+    let mut sent: Vec<_> = std::iter::from_fn(|| windows.try_begin(&t, first)).collect();
+    assert_eq!(sent.len(), 4);
+    let room = windows.end(&t, sent.remove(0), FirstAnswer::Other);
+    assert_eq!(room, Room::Requests(1));
+    let room = windows.end(&t, sent.remove(0), FirstAnswer::Accepted);
+    assert_eq!(room, Room::Requests(3));
+    for _ in 0..100 {
+        let request = windows.begin(&t, first);
+        windows.end(&t, request, FirstAnswer::Accepted);
+    }
+    assert_eq!(
+        (0..100)
+            .filter_map(|_| windows.try_begin(&t, first))
+            .count(),
+        100
+    );
+}
+
+/// Guards against as many rejections after each pause as in the first moment.
+#[test]
+fn end_brittle_rejection_leaves_one() {
+    let mut windows = SendWindows::default();
+    let t = "t".into();
+    let sent: Vec<_> = (0..4).map(|_| windows.begin(&t, 4)).collect();
+    windows.end(&t, sent[0], FirstAnswer::RejectedBrittle);
+    // What was sent before shows nothing of the room since.
+    windows.end(&t, sent[1], FirstAnswer::Accepted);
+    windows.end(&t, sent[2], FirstAnswer::RejectedBrittle);
+    assert_eq!(
+        windows.end(&t, sent[3], FirstAnswer::Accepted),
+        Room::Requests(1)
+    );
+    let next = windows.begin(&t, 4);
+    assert!(windows.is_full("t"));
+    let room = windows.end(&t, next, FirstAnswer::Accepted);
+    assert_eq!(room, Room::Requests(2));
+}
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -177,7 +177,8 @@
             if open == Some(&plan.target.id) {
                 return Err("no other target can take it");
             }
-            let Some(permit) = self.permit(&plan).await else {
+            // Its caller has waited already, or lacks the rest of a stream.
+            let Some(permit) = self.permit(&plan, Duration::ZERO).await else {
                 continue;
             };
             if self.quarantined().await.is_some() {
