Test: a daemon that none answers takes its paths for cut, not a request for deadly

until_held of the node's quarantine tests sends a request that ends targets until it is quarantined. Another request is answered in between now, as in the tests of segments; the targets that ended under the deadly one are counted as before, by its own sends.

--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -118,17 +118,22 @@
 }
 
 /// Sends the deadly request until it is quarantined; returns the number of
-/// targets it ended.
+/// targets it ended. Others are answered in between: a daemon that none answers would
+/// take its paths for cut.
 async fn until_held(node: &Arc<Node>, script: &ScriptedBackend) -> usize {
     let before = script.sent.lock().unwrap().len();
     for i in 0..10 {
+        always(script, Behavior::Exit);
         let got = serve(node, deadly(&format!("q{i}"))).await;
         until_known(node, script).await;
         if got == CallerResult::Quarantined(false) {
             let seen = script.sent.lock().unwrap();
-            let targets: HashSet<&str> = seen[before..].iter().map(|s| &*s.target).collect();
+            let deadly = seen[before..].iter().filter(|s| s.request.starts_with('q'));
+            let targets: HashSet<&str> = deadly.map(|s| &*s.target).collect();
             return targets.len();
         }
+        always(script, Behavior::Answer(200, 0));
+        serve(node, keyed(&format!("o{i}"), "key of a")).await;
     }
     panic!("it is never held back");
 }
