--- a/crates/comfreyhall-backpressure/src/lib.rs
+++ b/crates/comfreyhall-backpressure/src/lib.rs
@@ -15,14 +15,12 @@
 mod rejections;
 mod shares;
 mod signals;
-mod windows;
 
 pub use notice::{Anomaly, Notice, Rate};
 pub use parse::{parse_cooldown, parse_draining, parse_limit, parse_rejections};
 pub use rejections::rejection_pause_ms;
 pub use shares::LimitShares;
 pub use signals::{Change, LimitReport, TargetSignals};
-pub use windows::{FirstAnswer, Room, SendWindows, Unanswered, first_requests};
 
 #[cfg(test)]
 mod tests;
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -6,19 +6,17 @@
 //! whatever its status and even if nobody waits for it any more.
 
 mod availability;
-mod first;
 mod limits;
 mod log;
 pub(crate) mod state;
 
 use std::{borrow::Cow, sync::Arc, time::Duration};
 
-use comfreyhall_backpressure::{Change, FirstAnswer, Notice, Rate, rejection_pause_ms};
+use comfreyhall_backpressure::{Change, Notice, rejection_pause_ms};
 use comfreyhall_domain::{ClientRequest, Refusal, Target};
 use rand::Rng;
 use tokio::time::timeout;
 
-use self::first::FirstSend;
 pub(crate) use self::{
     availability::{
         Unavailable, UnavailableTargets, describe_unavailable, is_draining, unavailable,
@@ -61,9 +59,6 @@
         .outbound
         .signals()
         .record_notice(&target.id, &notice, sent_ms, now);
-    if notice.cooldown_ms.is_some() || notice.draining {
-        node.outbound.first.wake_all(&target.id);
-    }
     // Most responses announce nothing new.
     if changes.is_empty() {
         return;
@@ -79,26 +74,12 @@
     }
 }
 
-/// The rejections that the target bears, if `response` is one for want of room.
-fn brittle_rejection(response: &Response) -> Option<Rate> {
-    let rejected = response.refusal == Some(Refusal::Full);
-    response.notice.max_rejections.filter(|_| rejected)
-}
-
-/// What `response` says of the room of its target.
-fn first_answer(response: &Response) -> FirstAnswer {
-    match response.refusal {
-        None if response.verified => FirstAnswer::Accepted,
-        Some(_) if brittle_rejection(response).is_some() => FirstAnswer::RejectedBrittle,
-        _ => FirstAnswer::Other,
-    }
-}
-
 /// The notice of `response`, with a cooldown if the target rejected the request for
 /// want of room and bears few such rejections.
 fn with_rejection_pause<'a>(node: &Node, response: &'a Response) -> Cow<'a, Notice> {
     let notice = &response.notice;
-    let Some(most) = brittle_rejection(response) else {
+    let rejected = response.refusal == Some(Refusal::Full);
+    let Some(most) = notice.max_rejections.filter(|_| rejected) else {
         return Cow::Borrowed(notice);
     };
     let now = node.now();
@@ -112,14 +93,9 @@
     })
 }
 
-/// Drops announcements that have expired, and targets that have ended.
+/// Drops announcements that have expired.
 pub(crate) fn sweep(node: &Node) {
     let now = node.now();
-    {
-        let view = node.view();
-        let targets = &view.targets;
-        node.outbound.first.retain(|id| targets.contains_key(id));
-    }
     let ended = node.outbound.signals().expire(now);
     for (target, change) in ended {
         log::log_change(node, &target, change, "time", 0);
@@ -132,33 +108,37 @@
     /// The part of the target's limit that the send takes; returned if this is
     /// dropped.
     credit: Option<Credit>,
-    /// Its place among the unanswered requests to the target.
-    first: FirstSend,
 }
 
-/// Asks for permission to send a request to `target` now, after a wait of `patience` at
-/// most for answers to the first ones; `granted`: the holder of its group's lease has
-/// already granted it a part of the target's limit.
+impl Permit {
+    /// Returns the credit, since nothing reached the target.
+    fn refund(self) {
+        if let Some(credit) = self.credit {
+            credit.refund();
+        }
+    }
+}
+
+/// Asks for permission to send a request to `target` now; `granted`: the holder
+/// of its group's lease has already granted it a part of the target's limit.
 pub(crate) async fn permit(
     node: &Arc<Node>,
     target: &Target,
     granted: bool,
-    patience: Duration,
 ) -> Result<Permit, Unavailable> {
     if let Some(blocked) = unavailable(node, &target.id) {
         return Err(blocked);
     }
-    let first = FirstSend::begin(node, target, patience).await?;
     if granted {
         let credit = Some(Credit::granted(node, &target.id));
-        return Ok(Permit { credit, first });
+        return Ok(Permit { credit });
     }
     let credit = limits::reserve(node, target).await.map_err(|refused| {
         let (QuotaError::Exceeded { retry_ms } | QuotaError::Unknown { retry_ms }) = refused;
         let why = "its limit is used up";
         Unavailable { why, retry_ms }
     })?;
-    Ok(Permit { credit, first })
+    Ok(Permit { credit })
 }
 
 /// Sends a request; without an answer within `patience` its outcome is
@@ -166,7 +146,7 @@
 pub(crate) async fn send(
     node: &Arc<Node>,
     target: &Arc<Target>,
-    permit: Permit,
+    mut permit: Permit,
     request: Arc<ClientRequest>,
     options: SendOptions,
     patience: Duration,
@@ -176,8 +156,7 @@
         return Err(SendError::NotSent(blocked.why.into()));
     }
     // From here on the request may arrive, even if nobody waits for it any more.
-    let Permit { mut credit, first } = permit;
-    if let Some(credit) = &mut credit {
+    if let Some(credit) = &mut permit.credit {
         credit.mark_sent();
     }
     let sent_ms = node.now();
@@ -191,14 +170,10 @@
             node.record_reached(&target.id);
             let notice = with_rejection_pause(node, response);
             observe(node, target, &notice, Some(sent_ms));
-            first.answered(first_answer(response));
         }
         Err(SendError::NotSent(_)) => {
             node.record_unsent(&target.id);
-            // Nothing reached the target.
-            if let Some(credit) = credit {
-                credit.refund();
-            }
+            permit.refund();
         }
         Err(_) => node.record_unreached(&target.id),
     }
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -229,8 +229,7 @@
             if open.contains(&plan.target.id) || (self.only_tried() && !may_repeat) {
                 return Err("no other target can take it");
             }
-            // Its caller has waited already, or lacks the rest of a stream.
-            let Some(permit) = self.permit(&plan, Duration::ZERO).await else {
+            let Some(permit) = self.permit(&plan).await else {
                 continue;
             };
             if self.must_wait() {
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -124,7 +124,7 @@
                     continue;
                 }
             }
-            let Some(permit) = self.permit(&plan, self.first_wait()).await else {
+            let Some(permit) = self.permit(&plan).await else {
                 continue;
             };
             if !self.target_still_accepts(&plan) {
--- a/crates/comfreyhall-node/src/serve/send.rs
+++ b/crates/comfreyhall-node/src/serve/send.rs
@@ -1,7 +1,5 @@
 //! Sending a request once, and evaluating the response.
 
-use std::time::Duration;
-
 use comfreyhall_domain::{Name, Outcome, Refusal};
 use comfreyhall_relay::EndCause;
 use comfreyhall_routing::Presence;
@@ -31,11 +29,6 @@
 
 const UNREACHABLE_WEIGHT: f64 = 2.0;
 
-/// Bounds of the wait for answers to the first requests to a target, in ms: a rejection
-/// takes some ms, and up to a tenth of a second on a busy core. A lease holder forgets
-/// runs that are not reported for half a second.
-const FIRST_WAIT_MS: (u64, u64) = (50, 250);
-
 impl ActiveRequest {
     /// How long the target of `plan` may be silent before another one is asked beside it;
     /// `None` if none may be.
@@ -44,18 +37,10 @@
         may_ask.then_some(MIN_FIRST_EVENT_MS + (plan.wait_ms * FIRST_EVENT_FACTOR) as u64)
     }
 
-    /// How long it waits for answers to the first requests to its target.
-    pub(super) fn first_wait(&self) -> Duration {
-        let (least, most) = FIRST_WAIT_MS;
-        let wait_ms = (self.hold_left_ms() / 2).clamp(least, most);
-        Duration::from_millis(wait_ms.min(self.remaining_ms() / 2))
-    }
-
-    /// Asks for permission to send to the plan's target now, with a wait of `patience` at
-    /// most for answers to the first requests there; a target that takes nothing is
-    /// excluded from the next choices.
-    pub(super) async fn permit(&mut self, plan: &Plan, patience: Duration) -> Option<Permit> {
-        match outbound::permit(&self.node, &plan.target, plan.granted, patience).await {
+    /// Asks for permission to send to the plan's target now; a target that takes
+    /// nothing is excluded from the next choices.
+    pub(super) async fn permit(&mut self, plan: &Plan) -> Option<Permit> {
+        match outbound::permit(&self.node, &plan.target, plan.granted).await {
             Ok(permit) => Some(permit),
             Err(blocked) => {
                 log::debug!(target: "serve", id:% = self.client_request.id, target_id:% = plan.target.id, why = blocked.why, retry_ms = blocked.retry_ms; "not sent");
