Reachability counts from the daemon's start, not from the start of its clock

Found as serve_silent_targets_are_no_evidence failed on the merged code in 7 of 7 runs of its file, and passed alone: a daemon counts as isolated after 400 ms without an answer from any target while three of them fail. Before its first answer that time counted from zero of the process's clock, so a daemon made later in a process (as in tests) was isolated by its first three failures: NotRun for Unknown.

Change: it counts from the daemon's start. The daemon's process starts with its clock, so only the first answers of a process are concerned there.

Tests: the file passes; all of comfreyhall-node and comfreyhall-routing pass but for the known red one.

--- a/crates/comfreyhall-node/src/view.rs
+++ b/crates/comfreyhall-node/src/view.rs
@@ -12,7 +12,7 @@
 };
 use comfreyhall_streams::{ListTimes, VersionHistory};
 
-use crate::{departed::DepartedBoots, rows::RecordStore};
+use crate::{clock, departed::DepartedBoots, rows::RecordStore};
 
 /// Half-life of the demand for an adapter, in ms: popularity in the deployments
 /// served changes within some seconds, and a slot that keeps a formerly popular
@@ -103,7 +103,7 @@
             entry_errors: Map::default(),
             unavailable_until: Map::default(),
             board: TargetStats::default(),
-            reachability: Reachability::default(),
+            reachability: Reachability::new(clock::now()),
             contacts: Contacts::default(),
             lost_share: LostShare::default(),
             residency: Residency::default(),
--- a/crates/comfreyhall-routing/src/reachability.rs
+++ b/crates/comfreyhall-routing/src/reachability.rs
@@ -19,7 +19,7 @@
 /// Contacts with targets.
 #[derive(Debug, Default)]
 pub struct Reachability {
-    /// When a target last answered.
+    /// When a target last answered, or the daemon started.
     last_answer_ms: u64,
     /// Targets that could not be reached since then, and when.
     failures: Map<Name, u64>,
@@ -36,6 +36,14 @@
 }
 
 impl Reachability {
+    /// That of a daemon that starts at `now`.
+    pub fn new(now: u64) -> Self {
+        Self {
+            last_answer_ms: now,
+            ..Self::default()
+        }
+    }
+
     /// A target answered.
     pub fn record_answer(&mut self, now: u64) -> Option<ReachChange> {
         self.last_answer_ms = now;
