--- a/crates/comfreyhall-catalog/src/table.rs
+++ b/crates/comfreyhall-catalog/src/table.rs
@@ -204,7 +204,7 @@
             .fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    /// Takes the message out of an answer, and notes the era that it bears.
+    /// Takes the message out of an answer, and notes the era that it carries.
     fn read_answer<T: Message>(&self, answer: Response<T>) -> T {
         let era = answer.metadata().get(STORE_ERA_HEADER);
         let era = era.and_then(|e| e.to_str().ok()?.parse().ok());
--- a/crates/comfreyhall-node/src/fleet/tests/large.rs
+++ b/crates/comfreyhall-node/src/fleet/tests/large.rs
@@ -92,7 +92,7 @@
             change(&fleet.nodes[changed]);
             let after = fleet.own(changed);
             assert_ne!(after, before, "{what}");
-            // Holders hear of it in the first round, in which some daemons have called
+            // Holders learn of it in the first round, in which some daemons have called
             // already.
             fleet.round(&[]);
             fleet.round(&[]);
@@ -115,7 +115,7 @@
 }
 
 /// Guards against a daemon that misses changes: one that was away while another lost its
-/// targets, a holder that starts again, and holders that a daemon hears in turn.
+/// targets, a holder that starts again, and holders that a daemon calls in turn.
 #[tokio::test]
 async fn exchange_daemons_know_missed_changes() {
     let mut fleet = Daemons::new(20, 2);
@@ -136,7 +136,7 @@
     assert_eq!(fleet.known(away, changed), Some(after));
     let list_bytes = 20 * row_bytes(&fleet.own(0));
     assert!(fleet.take_sent()["roster"] < list_bytes);
-    // The first holder starts again: it knows nobody, and is the only one to hear of a
+    // The first holder starts again: it knows nobody, and is the only one to learn of a
     // change.
     fleet.restart(0);
     let versions = |fleet: &Daemons| fleet.roster_versions(away);
--- a/crates/comfreyhall-node/src/fleet/totals.rs
+++ b/crates/comfreyhall-node/src/fleet/totals.rs
@@ -9,7 +9,7 @@
 use comfreyhall_protocol::{TargetNumber, TargetTotal, TotalColumns};
 
 /// Names that a caller keeps for one holder. Beyond that it forgets all of them, and is
-/// told those that are in use.
+/// given those that are in use.
 const MAX_KNOWN: usize = 8_192;
 
 /// The numbers of a holder's process; the first one is 1.
--- a/crates/comfreyhall-node/src/fleet/totals/tests.rs
+++ b/crates/comfreyhall-node/src/fleet/totals/tests.rs
@@ -45,7 +45,7 @@
     let more = [total("c", 1), total("a", 3)];
     let (lost, _) = answer(&mut numbers, &more, known.until(7));
     assert_eq!(lost.len(), 1);
-    // `c` is idle again, and its number is told all the same: the next ones count on it.
+    // `c` is idle again, and its number is reported all the same: the next ones count on it.
     let later = [total("d", 4), total("a", 3)];
     let (told, columns) = answer(&mut numbers, &later, known.until(7));
     assert_eq!(told.len(), 2);
--- a/crates/comfreyhall-node/src/reach.rs
+++ b/crates/comfreyhall-node/src/reach.rs
@@ -130,7 +130,7 @@
     about.lost_groups = lost.map(|g| g.to_string()).collect();
 }
 
-/// Share of targets that are lost, in percent, as peers are told.
+/// Share of targets that are lost, in percent, as reported to peers.
 fn lost_percent(view: &mut View) -> u32 {
     let lost = view.contacts.lost();
     let lost = lost.filter(|id| view.targets.contains_key(*id)).count();
@@ -197,7 +197,7 @@
         in_group.cloned().collect()
     }
 
-    /// Share of targets that are lost, in percent, as peers are told.
+    /// Share of targets that are lost, in percent, as reported to peers.
     pub(crate) fn lost_percent(&self) -> u32 {
         lost_percent(&mut self.view())
     }
--- a/crates/comfreyhall-node/src/reach/tests.rs
+++ b/crates/comfreyhall-node/src/reach/tests.rs
@@ -4,9 +4,9 @@
 use crate::test_node::{node, target};
 
 /// Guards against gossip about a daemon whose share of lost targets goes up and down
-/// around a step, as under overload: each change is told to the whole fleet.
+/// around a step, as under overload: each change is reported to the whole fleet.
 #[tokio::test]
-async fn describe_flicker_is_told_once() {
+async fn describe_flicker_is_reported_once() {
     let node = node();
     let ids: Vec<Name> = (0..11).map(|i| format!("t{i}").as_str().into()).collect();
     for id in &ids {
@@ -28,7 +28,7 @@
     // 9 and 18 percent.
     let told = [1, 2, 1, 2, 1].map(lose);
     assert_eq!(told, [0, 10, 10, 10, 10]);
-    // 36 and 27 percent: what was lost in addition is told at once.
+    // 36 and 27 percent: what was lost in addition is reported at once.
     let told = [4, 3, 4, 0, 1].map(lose);
     assert_eq!(told, [30, 30, 30, 0, 0]);
 }
--- a/crates/comfreyhall-node/src/view.rs
+++ b/crates/comfreyhall-node/src/view.rs
@@ -64,7 +64,7 @@
     pub(crate) reachability: Reachability,
     /// Which single targets can be reached.
     pub(crate) contacts: Contacts,
-    /// Share of them that is lost, as told to peers.
+    /// Share of them that is lost, as reported to peers.
     pub(crate) lost_share: LostShare,
     pub(crate) residency: Residency,
     pub(crate) prefixes: PrefixIndex,
--- a/crates/comfreyhall-node/tests/quarantine.rs
+++ b/crates/comfreyhall-node/tests/quarantine.rs
@@ -502,7 +502,7 @@
     until_stored(&table).await;
     own.script(vec![CallOutcome::Unsent; 1_000]);
     table.restore(&copy);
-    // Any answer of the store bears its era.
+    // Any answer of the store carries its era.
     others.get("any").await.unwrap();
     let stored = tokio::time::timeout(STORED_AGAIN, until_stored(&table)).await;
     assert!(stored.is_ok(), "no daemon stores the evidence again");
--- a/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
+++ b/crates/comfreyhall-protocol/src/gen/comfreyhall.v1.rs
@@ -617,7 +617,7 @@
     #[prost(bool, tag = "8")]
     pub isolated: bool,
     /// Targets that it does not reach, in percent of all, in tens. A fall of less than half
-    /// of that is not told.
+    /// of that is not reported.
     #[prost(uint32, tag = "9")]
     pub lost_percent: u32,
     /// Failure domains in which it does not reach half of the engines or more.
--- a/crates/comfreyhall-routing/src/lost_share/tests.rs
+++ b/crates/comfreyhall-routing/src/lost_share/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Guards against a share that is told again and again while it moves around a step, and
+/// Guards against a share that is reported again and again while it moves around a step, and
 /// against one that stays too high.
 #[test]
 fn update_told_in_steps_with_slack() {
--- a/crates/comfreyhall-standins/src/table.rs
+++ b/crates/comfreyhall-standins/src/table.rs
@@ -61,7 +61,7 @@
         Revision::from_wire(self.rows.lock().unwrap().last_version).era()
     }
 
-    /// An answer that bears the era.
+    /// An answer that carries the era.
     fn answer<T>(&self, reply: T) -> Result<Response<T>, Status> {
         let mut response = Response::new(reply);
         let era = u64::from(self.era()) + 1;
