Test of named causes: an engine that is killed may end two sends

Its log: the stream broke off when the engine was killed, the rest was sent to the same engine 1 ms later, before its end was known, and that send ended with a closed connection, too ('operation was canceled'). Two sends ended, each with its cause.

The test now asks for as many in the counter as in the log, one or two.

--- a/crates/comfreyhall/tests/ends.rs
+++ b/crates/comfreyhall/tests/ends.rs
@@ -40,6 +40,10 @@
     d.kill(&engine);
     let (_, last) = answer.finish(first);
     assert_eq!(last, "[DONE]");
-    assert_eq!(d.ended("connection_closed"), 1);
+    // The rest may have been sent to the same engine once more before its end was known.
+    let log = d.log_of("d0");
+    let named = log.matches("ended early (connection_closed)").count() as u64;
+    assert!((1..=2).contains(&named), "{log}");
+    assert_eq!(d.ended("connection_closed"), named);
     assert_eq!((d.ended("broken"), d.ended("superseded")), (0, 0));
 }
