Review, case 1: late orders of a restarted holder, two holders in turn

An order lies at an engine that is silent for a second, or behind a cut, when its daemon is stopped as planned. It is carried out once another daemon has the lease; the first one starts again, gets the lease back and orders at once.

--- a/review/standins/src/case1.rs
+++ b/review/standins/src/case1.rs
@@ -23,12 +23,12 @@
 const LEASE_MS: u64 = 3_000;
 
 /// How long the server is silent, and when in that time its holder is stopped.
-const SILENCE: Duration = Duration::from_millis(1_500);
+const SILENCE: Duration = Duration::from_millis(1_300);
 const STOP_AFTER: Duration = Duration::from_millis(150);
 /// When the platform starts an ended process again.
 const RESTART: Duration = Duration::from_millis(100);
-const ROUNDS: usize = 8;
-const ROUND: Duration = Duration::from_secs(12);
+const ROUNDS: usize = 9;
+const ROUND: Duration = Duration::from_secs(10);
 
 pub fn main(folder: &str) -> i32 {
     let record = Record::new();
