A daemon with a shorter term waits for the term that the holder trusts

What callers saw: nothing yet; two daemons could command the engines of a group at once while the lease term is being shortened.

Cause: a holder trusts its lease for the term that it was started with, and another daemon takes the lease after its own term without a change of the row. While a fleet is restarted with a shorter term, the one ends before the other.

Change: the row names the term of its holder, and the longer one counts. Rows of earlier releases have none; there only the own term counts, as before.

Test: step_waits_for_longer_term_of_holder; on the code before it the second daemon holds the lease while the first still trusts it.

--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -66,6 +66,10 @@
     /// Era of the table in which it was written; 0 if unknown.
     #[serde(default)]
     era: u32,
+    /// How long its holder trusts a renewal, in ms; 0 if unknown. Another daemon may have
+    /// been started with a shorter term.
+    #[serde(default)]
+    term_ms: u64,
     /// Random id of the write. Otherwise two renewals in a row would be equal,
     /// and finding the earlier one would be taken for the later one, which
     /// trusts the lease longer than other daemons wait.
@@ -134,6 +138,7 @@
             token: first_token(Revision::from_wire(row.version).era())
                 + Revision::from_wire(row.version).number(),
             era: 0,
+            term_ms: 0,
             write: 0,
         }
     })
@@ -309,11 +314,14 @@
             boot: self.boot,
             token: token.max(lowest(version)),
             era,
+            term_ms: self.term.as_millis() as u64,
             write: rand::random(),
         };
+        let trusted_ms = state.row.as_ref().map_or(0, |(r, _)| r.term_ms);
+        let term = self.term.max(Duration::from_millis(trusted_ms));
         let unchanged = state
             .changed_at
-            .is_some_and(|at| now.saturating_duration_since(at) >= self.term);
+            .is_some_and(|at| now.saturating_duration_since(at) >= term);
         let Some((record, version)) = &state.row else {
             let certain = unchanged || era <= FIRST_ERA;
             return (certain && acquire == Acquire::Free).then(|| (new_record(1, 0), 0));
--- a/crates/comfreyhall-lease/tests/release.rs
+++ b/crates/comfreyhall-lease/tests/release.rs
@@ -63,6 +63,25 @@
     assert!(next.token(later).unwrap() > token);
 }
 
+/// Guards against two holders when the term gets shorter: a daemon with the new one takes
+/// the lease of one that trusts it for longer.
+#[tokio::test]
+async fn step_waits_for_longer_term_of_holder() {
+    let table = FakeTable::default();
+    let old = Lease::new(table.clone(), "g", Arc::from("old"), 2 * TERM);
+    let next = lease(&table, "next");
+    let began = Instant::now();
+    old.step(|| began, true).await.unwrap();
+    next.step(|| began, true).await.unwrap();
+    let later = began + TERM;
+    assert!(old.token(later).is_some());
+    next.step(|| later, true).await.unwrap();
+    assert_eq!(next.token(later), None);
+    let lapsed = began + 2 * TERM;
+    next.step(|| lapsed, true).await.unwrap();
+    assert!(next.token(lapsed).is_some());
+}
+
 /// Guards against a gap after a power loss: the holder starts again beside an
 /// instance that is better suited, leaves the lease to it, and that one waits
 /// for a term because the holder might still be alive. No adapter was loaded in
