--- a/crates/comfreyhall-capacity/src/account.rs
+++ b/crates/comfreyhall-capacity/src/account.rs
@@ -185,6 +185,16 @@
         }
     }
 
+    /// Whether the engine's number of accepted commands changes with `order`. A load of what
+    /// it holds or is loading only asks for the outcome.
+    pub fn advances(&self, order: &Order<K>) -> bool {
+        let held = self.held.contains_key(&order.key);
+        match order.action {
+            Action::Load => !held && !self.loading.contains_key(&order.key),
+            Action::Unload => held,
+        }
+    }
+
     fn order(&self, action: Action, key: &K, version: u64) -> Order<K> {
         Order {
             action,
--- a/crates/comfreyhall-lease/src/lib.rs
+++ b/crates/comfreyhall-lease/src/lib.rs
@@ -27,6 +27,12 @@
 //!   for a term after it first saw the new era, or a row that was written in an earlier
 //!   one, as the row may name a former holder or none. Tokens of each era begin above
 //!   all of the ones before.
+//! - A command of a former holder is carried out late, when that instance holds the
+//!   lease again. The row therefore names the holders whose commands may still matter
+//!   ([`Succession`]), and [`Turns`] says when the present one may command.
+
+mod succession;
+mod turns;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -37,6 +43,11 @@
 use comfreyhall_protocol::{Revision, Row};
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    succession::Succession,
+    turns::{Turns, Wait},
+};
+
 /// Owner of a row that does not contain a lease; not the id of any instance.
 const UNKNOWN_OWNER: &str = "(unknown)";
 
@@ -66,6 +77,9 @@
     /// Era of the table in which it was written; 0 if unknown.
     #[serde(default)]
     era: u32,
+    /// Its last holder, and those before; unknown in rows of earlier releases.
+    #[serde(default)]
+    succession: Succession,
     /// How long its holder trusts a renewal, in ms; 0 if unknown. Another daemon may have
     /// been started with a shorter term.
     #[serde(default)]
@@ -138,21 +152,39 @@
             token: first_token(Revision::from_wire(row.version).era())
                 + Revision::from_wire(row.version).number(),
             era: 0,
+            succession: Succession::unknown(),
             term_ms: 0,
             write: 0,
         }
     })
 }
 
-/// Names of the leases in `table` whose last holder is `owner`, in one call.
+/// A lease of which an instance was a holder, as its row says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FormerLease {
+    /// Its name.
+    pub name: String,
+    /// Whether the instance still holds it.
+    pub held: bool,
+}
+
+/// The leases in `table` under which commands of `owner` may still be carried out, in one
+/// call.
 ///
 /// Reading them one by one, the starts of 195 instances cost the table 975
 /// calls for five leases.
-pub async fn leases_held_by<R: Rows>(table: &R, owner: &str) -> Result<Vec<String>, CatalogError> {
+pub async fn former_leases<R: Rows>(
+    table: &R,
+    owner: &str,
+) -> Result<Vec<FormerLease>, CatalogError> {
     let rows = table.scan(KEY_PREFIX, "", 0).await?;
-    let held = rows.iter().filter(|r| *decode(&r.key, r).owner == *owner);
-    let names = held.filter_map(|r| r.key.strip_prefix(KEY_PREFIX));
-    Ok(names.map(str::to_string).collect())
+    let named = rows.iter().filter_map(|row| {
+        let record = decode(&row.key, row);
+        let held = *record.owner == *owner;
+        let name = row.key.strip_prefix(KEY_PREFIX)?.to_string();
+        (held || record.succession.names(owner)).then_some(FormerLease { name, held })
+    });
+    Ok(named.collect())
 }
 
 impl<R: Rows> Lease<R> {
@@ -199,6 +231,14 @@
         self.state().row.as_ref().map_or(0, |r| r.0.token)
     }
 
+    /// Whether another instance may have held the lease since this one last did, and
+    /// commands of this one from before may still matter. True if that is unknown.
+    pub fn is_return(&self) -> bool {
+        let state = self.state();
+        let record = state.row.as_ref().map(|r| &r.0);
+        record.is_none_or(|r| !self.is_ours(r) || r.succession.is_return())
+    }
+
     /// Who holds the lease at `now`.
     pub fn status(&self, now: Instant) -> LeaseStatus {
         if let Some(token) = self.token(now) {
@@ -309,11 +349,12 @@
             true => 0,
             false => first_token(era) + Revision::from_wire(version).number(),
         };
-        let new_record = |token: u64, version: u64| Record {
+        let new_record = |token: u64, version: u64, succession: Succession| Record {
             owner: self.owner.clone(),
             boot: self.boot,
             token: token.max(lowest(version)),
             era,
+            succession,
             term_ms: self.term.as_millis() as u64,
             write: rand::random(),
         };
@@ -324,8 +365,19 @@
             .is_some_and(|at| now.saturating_duration_since(at) >= term);
         let Some((record, version)) = &state.row else {
             let certain = unchanged || era <= FIRST_ERA;
-            return (certain && acquire == Acquire::Free).then(|| (new_record(1, 0), 0));
+            let succession = match era <= FIRST_ERA {
+                true => Succession::first(self.owner.clone()),
+                false => Succession::unknown().acquired_by(self.owner.clone()),
+            };
+            let allowed = certain && acquire == Acquire::Free;
+            return allowed.then(|| (new_record(1, 0, succession), 0));
+        };
+        // A row of an earlier era may lack the last holders.
+        let known = match record.era >= era || era <= FIRST_ERA {
+            true => &record.succession,
+            false => &Succession::unknown(),
         };
+        let succession = known.acquired_by(self.owner.clone());
         // A row of an earlier era may name a holder that has been replaced.
         let certain = unchanged || record.era >= era;
         if self.is_ours(record) {
@@ -338,7 +390,7 @@
                     write: rand::random(),
                     ..record.clone()
                 },
-                false => new_record(record.token + 1, *version),
+                false => new_record(record.token + 1, *version, succession),
             };
             let allowed = held || (certain && acquire == Acquire::Free);
             return allowed.then_some((next, *version));
@@ -353,7 +405,7 @@
             Acquire::Former => certain && former,
             Acquire::Free => certain && (free || former),
         };
-        allowed.then(|| (new_record(record.token + 1, *version), *version))
+        allowed.then(|| (new_record(record.token + 1, *version, succession), *version))
     }
 
     async fn write(&self, next: Record, version: u64, sent: Instant) -> Result<(), CatalogError> {
@@ -381,6 +433,19 @@
 
     /// Releases the lease, so that another process need not wait a term.
     pub async fn release(&self) -> Result<(), CatalogError> {
+        self.release_as(Succession::clone).await
+    }
+
+    /// Releases the lease of a group where this holder has outlasted the commands of all
+    /// before it ([`Turns::is_settled`]): they may command again at once.
+    pub async fn release_settled(&self) -> Result<(), CatalogError> {
+        self.release_as(Succession::settled).await
+    }
+
+    async fn release_as(
+        &self,
+        left: impl FnOnce(&Succession) -> Succession,
+    ) -> Result<(), CatalogError> {
         let held = {
             let mut state = self.state();
             state.trusted_until = None;
@@ -391,6 +456,7 @@
             return Ok(());
         };
         record.owner = "".into();
+        record.succession = left(&record.succession);
         let value = serde_json::to_vec(&record).expect("lease records serialise");
         let checks = vec![check(&self.key, version)];
         match self.table.commit(checks, vec![put(&self.key, value)]).await {
--- a/crates/comfreyhall-lease/tests/release.rs
+++ b/crates/comfreyhall-lease/tests/release.rs
@@ -7,7 +7,7 @@
 
 use comfreyhall_catalog::{Rows, put};
 use comfreyhall_fakes::{CallOutcome, FakeTable};
-use comfreyhall_lease::{Lease, leases_held_by};
+use comfreyhall_lease::{FormerLease, Lease, former_leases};
 
 const TERM: Duration = Duration::from_millis(1_000);
 
@@ -103,12 +103,47 @@
 /// each of which checked whether a lease was its own, cost the table 975 calls
 /// for five leases.
 #[tokio::test]
-async fn leases_held_by_returns_own() {
+async fn former_leases_returns_own() {
     let table = FakeTable::default();
     for (name, owner) in [("a", "old"), ("b", "other"), ("c", "old")] {
         let lease = Lease::new(table.clone(), name, Arc::from(owner), TERM);
         lease.step(Instant::now, true).await.unwrap();
     }
-    assert_eq!(leases_held_by(&table, "old").await.unwrap(), ["a", "c"]);
-    assert!(leases_held_by(&table, "new").await.unwrap().is_empty());
+    let held = |name: &str| FormerLease {
+        name: name.into(),
+        held: true,
+    };
+    assert_eq!(
+        former_leases(&table, "old").await.unwrap(),
+        [held("a"), held("c")]
+    );
+    assert!(former_leases(&table, "new").await.unwrap().is_empty());
+}
+
+/// Guards against a restarted holder that finds its lease with another instance, or
+/// without a holder, and does not know that commands of its former process may follow.
+#[tokio::test]
+async fn former_leases_names_outlasted_holder() {
+    let table = FakeTable::default();
+    let (old, next) = (lease(&table, "old"), lease(&table, "next"));
+    let named = [FormerLease {
+        name: "g".into(),
+        held: false,
+    }];
+    old.step(Instant::now, true).await.unwrap();
+    assert!(!old.is_return());
+    old.release().await.unwrap();
+    assert_eq!(former_leases(&table, "old").await.unwrap(), named);
+    next.step(Instant::now, true).await.unwrap();
+    assert!(!next.is_return());
+    next.release().await.unwrap();
+    assert_eq!(former_leases(&table, "old").await.unwrap(), named);
+    let back = lease(&table, "old");
+    back.step(Instant::now, true).await.unwrap();
+    assert!(back.is_return());
+    back.release_settled().await.unwrap();
+    assert!(former_leases(&table, "next").await.unwrap().is_empty());
+    let third = lease(&table, "next");
+    third.step(Instant::now, true).await.unwrap();
+    assert!(!third.is_return());
 }
--- a/crates/comfreyhall-node/src/clock.rs
+++ b/crates/comfreyhall-node/src/clock.rs
@@ -42,6 +42,11 @@
     elapsed().as_millis() as u64 + 1
 }
 
+/// The same time as a duration.
+pub(crate) fn time() -> Duration {
+    Duration::from_millis(now())
+}
+
 /// The same time as an `Instant`, for leases.
 pub(crate) fn instant() -> Instant {
     let since = elapsed();
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -4,13 +4,16 @@
 
 use comfreyhall_capacity::Order;
 use comfreyhall_domain::{AdapterRef, Name, Stage};
+use comfreyhall_lease::{Turns, Wait};
 use comfreyhall_routing::Presence;
 
 use super::{EngineController, IDLE_POLL_MS, MAX_REPORT_PAUSE_MS, REPORT_DELAY};
 use crate::{
     adapter_key::adapter_key,
     fleet::LoadTiming,
-    leases, outbound,
+    leases::{self, state::Outgoing},
+    node::Node,
+    outbound,
     ports::{Command, CommandReply},
 };
 
@@ -18,6 +21,10 @@
 /// that leaves commands unanswered must not delay the next one.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Longest time until a command leaves the process. It is longer than [`COMMAND_TIMEOUT`], as
+/// a connection that opens slowly is no sign of a cut.
+const SEND_LIMIT: Duration = Duration::from_millis(70);
+
 /// Attempts to send a command that gets no answer. Each attempt carries the
 /// same count of accepted commands, so the engine executes at most one of them
 /// and rejects late ones.
@@ -28,10 +35,6 @@
 /// adapters a second instead of 110.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Longest time after the last attempt until a command that got no answer arrives, in ms:
-/// two losses in a row on its path delay it by so much.
-const LATE_ARRIVAL_MS: u64 = 600;
-
 /// Doublings of the pause after failed calls.
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
@@ -87,67 +90,113 @@
 
     /// Sends the command of `order` under the current lease.
     async fn send_order(&mut self, order: &Order<AdapterRef>) -> CommandReply {
-        let adapter = order.key();
         let Some(token) = self.node.token(&self.target.failure_domain) else {
             return CommandReply::Fenced;
         };
         if self.node.draining() {
             return CommandReply::Fenced;
         }
-        let group = &self.target.failure_domain;
-        let term_ms = self.node.settings().bounds.lease_ms;
+        let advances = self.account.advances(order);
+        let outgoing = Outgoing {
+            target: self.target.id.clone(),
+            token,
+            sequence: order.sequence(),
+            advances,
+        };
+        let (term, now) = (self.node.lease_term(), self.node.time());
         let leases = &self.node.leases;
-        if !leases.begin_command(group, token, term_ms, self.node.now()) {
-            return CommandReply::Fenced;
+        match leases.begin_command(&self.target.failure_domain, &outgoing, term, now) {
+            Ok(()) => {}
+            Err(Wait::Pause(_)) => return CommandReply::Fenced,
+            Err(Wait::Unsealed) => return CommandReply::Withheld,
         }
-        let command = Command::new(order, self.node.settings().id.clone(), token);
+        let holder = self.node.settings().id.clone();
+        let command = Command::new(order, holder, token, SEND_LIMIT);
         let reply = self.send_with_retries(command).await;
-        let delay_ms = match reply {
-            CommandReply::Silent(_) => LATE_ARRIVAL_MS,
-            _ => 0,
+        self.record_reply(&outgoing, &reply);
+        self.log_reply(order, token, &reply);
+        self.react(token, &reply);
+        reply
+    }
+
+    /// Records what `reply` says of the commands in flight.
+    fn record_reply(&self, sent: &Outgoing, reply: &CommandReply) {
+        let (id, now) = (&sent.target, self.node.time());
+        let update = |turns: &mut Turns| match reply {
+            CommandReply::Accepted if sent.advances => {
+                turns.accept(id, sent.token, sent.sequence, now)
+            }
+            CommandReply::OtherBoot => turns.restart(id, now),
+            CommandReply::NotSent(_) | CommandReply::Withheld => turns.unsend(id),
+            CommandReply::Silent(_) => {}
+            _ => turns.reject(id, now),
         };
-        let arrived_ms = self.node.now() + delay_ms;
-        self.node.leases.record_arrival(group, arrived_ms);
-        log::debug!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter), action:? = order.action(), version = order.version(), expected = order.sequence(), token, reply:? = reply; "order");
+        let group = &self.target.failure_domain;
+        self.node.leases.update_turns(group, update);
+    }
+
+    fn log_reply(&self, order: &Order<AdapterRef>, token: u64, reply: &CommandReply) {
+        let (id, adapter) = (&self.target.id, adapter_key(order.key()));
+        log::debug!(target: "keeper", id:%, adapter:%, action:? = order.action(), version = order.version(), expected = order.sequence(), token, reply:?; "order");
         self.node.metrics.command(reply.name());
-        match &reply {
-            CommandReply::Accepted | CommandReply::Holds | CommandReply::Withheld => {}
+        match reply {
+            CommandReply::Silent(_) => {
+                log::info!(target: "keeper", id:%, token, expected = order.sequence(); "command unanswered; it may still be carried out")
+            }
+            CommandReply::Fenced => {
+                log::warn!(target: "keeper", id:%, token; "engine has seen a higher token; giving it no more orders under this one")
+            }
+            CommandReply::OtherBoot => {
+                log::info!(target: "keeper", id:%, adapter:%; "another boot answered; the engine has ended")
+            }
+            CommandReply::Invalid => {
+                log::warn!(target: "keeper", id:%, adapter:%; "command rejected as invalid")
+            }
+            _ => {}
+        }
+    }
+
+    /// Does what `reply` calls for, besides the account of the engine.
+    fn react(&mut self, token: u64, reply: &CommandReply) {
+        let now = self.node.now();
+        match reply {
             CommandReply::Conflict | CommandReply::Silent(_) => {
-                self.report_after_ms = self.node.now() + REPORT_DELAY.as_millis() as u64;
+                self.report_after_ms = now + REPORT_DELAY.as_millis() as u64;
             }
             CommandReply::Fenced => {
-                log::warn!(target: "keeper", id:% = self.target.id, token; "engine has seen a higher token; giving it no more orders under this one");
-                self.node
-                    .leases
-                    .observe_token(&self.target.failure_domain, token);
+                let group = &self.target.failure_domain;
+                self.node.leases.observe_token(group, token + 1);
             }
-            CommandReply::NotSent(_) => {}
             CommandReply::OtherBoot => {
-                log::info!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter); "another boot answered; the engine has ended");
-                let until = self.node.now() + IDLE_POLL_MS;
+                let until = now + IDLE_POLL_MS;
                 let mut view = self.node.view();
                 view.unavailable_until.insert(self.target.id.clone(), until);
             }
-            CommandReply::Invalid => {
-                log::warn!(target: "keeper", id:% = self.target.id, adapter:% = adapter_key(adapter); "command rejected as invalid");
-            }
+            _ => {}
         }
-        reply
     }
 
     /// Sends `order`, and repeats it while there is no answer.
     async fn send_with_retries(&self, order: Command) -> CommandReply {
+        let group = &self.target.failure_domain;
         let mut reply = CommandReply::NotSent("the lease has ended".into());
-        for _ in 0..MAX_ATTEMPTS {
+        for attempt in 1..=MAX_ATTEMPTS {
             // The lease may have expired while waiting for an answer.
-            if self.node.token(&self.target.failure_domain) != Some(order.token) {
+            if self.node.token(group) != Some(order.token) {
                 break;
             }
-            let target = &self.target;
-            let next = outbound::command(&self.node, target, order.clone(), COMMAND_TIMEOUT).await;
+            if attempt > 1 {
+                self.node.leases.update_turns(group, |t| {
+                    t.repeat(&self.target.id, order.expected_sequence)
+                });
+            }
+            let next = self.send_once(order.clone()).await;
             let unsent = matches!(next, CommandReply::NotSent(_) | CommandReply::Withheld);
             if unsent && matches!(reply, CommandReply::Silent(_)) {
                 // An earlier attempt may still be carried out.
+                self.node
+                    .leases
+                    .update_turns(group, |t| t.unsend(&self.target.id));
                 break;
             }
             reply = next;
@@ -158,6 +207,24 @@
         reply
     }
 
+    /// Sends `order`; an answer that comes later is recorded.
+    async fn send_once(&self, order: Command) -> CommandReply {
+        let group = self.target.failure_domain.clone();
+        let (id, sequence) = (self.target.id.clone(), order.expected_sequence);
+        let late = move |node: &Node, reply: CommandReply| {
+            if matches!(reply, CommandReply::Silent(_)) {
+                return;
+            }
+            log::info!(target: "keeper", id:%, expected = sequence, reply:?; "late answer to a command");
+            let now = node.time();
+            node.leases
+                .update_turns(&group, |t| t.answer_late(&id, sequence, now));
+        };
+        let (node, target) = (&self.node, &self.target);
+        let watch = node.lease_term();
+        outbound::command(node, target, order, COMMAND_TIMEOUT, watch, late).await
+    }
+
     pub(super) async fn unload(&mut self, adapter: &AdapterRef) -> bool {
         let Ok(order) = self.account.unload(adapter) else {
             return false;
@@ -180,7 +247,8 @@
     /// Loads a model on an engine that has none, as after a restart.
     pub(super) async fn load_model(&mut self) {
         let now = self.node.now();
-        let empty = self.target.loaded.is_empty() && self.account.occupied() == 0;
+        let reported = !self.target.loaded.is_empty() || self.has_model;
+        let empty = !reported && self.account.occupied() == 0;
         if !empty || now < self.model_due_ms || self.target.stage != Stage::Ready {
             return;
         }
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -5,7 +5,8 @@
 use comfreyhall_routing::Presence;
 
 use super::{
-    EngineController, Job, LOAD_POLL_MS, PendingLoad, Placed, finish, job::STALLED_LOAD_MS,
+    EngineController, Job, LOAD_POLL_MS, PendingLoad, Placed, REPORT_DELAY, finish,
+    job::STALLED_LOAD_MS,
 };
 use crate::{
     adapter_key::adapter_key,
@@ -38,6 +39,9 @@
         let now = self.node.now();
         let due = self.pending.iter().filter(|(_, c)| c.poll_at_ms <= now);
         let due: Vec<AdapterRef> = due.map(|(a, _)| a.clone()).collect();
+        if !due.is_empty() && !self.is_sealed() {
+            return self.poll_by_report(&due);
+        }
         let slots = self.slots();
         for adapter in due {
             let version = self.account.loading_version(&adapter).unwrap_or(0);
@@ -64,6 +68,25 @@
         }
     }
 
+    /// Whether no command of an earlier holder can be carried out at the engine any more.
+    fn is_sealed(&self) -> bool {
+        let (group, id) = (&self.target.failure_domain, &self.target.id);
+        let leases = &self.node.leases;
+        leases.update_turns(group, |t| t.is_sealed(id))
+    }
+
+    /// Has a report show what became of the loads in `due`, which an earlier holder began:
+    /// a repeated command would not change the engine's number.
+    fn poll_by_report(&mut self, due: &[AdapterRef]) {
+        let next_ms = self.node.now() + REPORT_DELAY.as_millis() as u64;
+        for adapter in due {
+            if let Some(loading) = self.pending.get_mut(adapter) {
+                loading.poll_at_ms = next_ms;
+            }
+        }
+        self.account.require_report();
+    }
+
     pub(super) fn check_stalled(&mut self, adapter: &AdapterRef) {
         let now = self.node.now();
         let Some(loading) = self.pending.get_mut(adapter) else {
--- a/crates/comfreyhall-node/src/engine_control/mod.rs
+++ b/crates/comfreyhall-node/src/engine_control/mod.rs
@@ -119,6 +119,7 @@
         unreachable: false,
         queue: Vec::new(),
         model_due_ms: 0,
+        has_model: false,
         slots_full: false,
     };
     tokio::spawn(controller.run(receive));
@@ -156,6 +157,8 @@
     queue: Vec<Job>,
     /// Earliest time of the next command to load a model.
     model_due_ms: u64,
+    /// Whether it had a model by its last report.
+    has_model: bool,
     /// Whether all slots were found in use in this pass.
     slots_full: bool,
 }
--- a/crates/comfreyhall-node/src/engine_control/report.rs
+++ b/crates/comfreyhall-node/src/engine_control/report.rs
@@ -46,7 +46,13 @@
             // A single lost answer is no cut.
             ReportError::NoAnswer(_) if self.failed_calls == 0 => self.failed_calls = 1,
             ReportError::NoAnswer(why) => self.lose_contact(why),
-            ReportError::Restarted => self.account = SlotAccount::default(),
+            ReportError::Restarted => {
+                self.account = SlotAccount::default();
+                self.has_model = false;
+                let (id, time) = (&self.target.id, self.node.time());
+                let leases = &self.node.leases;
+                leases.update_turns(&self.target.failure_domain, |t| t.restart(id, time));
+            }
         }
         if *why == ReportError::Restarted {
             // Without this, requests to the previous boot would be rejected one
@@ -60,6 +66,12 @@
     /// Takes in a report that was asked for at `asked`; false if it is too old.
     pub(super) fn apply_report(&mut self, report: Report, asked: u64) -> bool {
         let now = self.node.now();
+        let (id, time) = (&self.target.id, self.node.time());
+        let leases = &self.node.leases;
+        leases.update_turns(&self.target.failure_domain, |t| {
+            t.report(id, report.sequence, time)
+        });
+        self.has_model = !report.loaded.is_empty();
         let held = report.loaded.iter().flat_map(|model| {
             let adapters = model.adapters.iter();
             adapters.map(|(name, version)| {
--- a/crates/comfreyhall-node/src/engine_control/task.rs
+++ b/crates/comfreyhall-node/src/engine_control/task.rs
@@ -54,10 +54,10 @@
             self.abandon_jobs();
             return now + closed.retry_ms;
         }
-        let pause_ms = self.command_pause_ms(now);
-        if pause_ms > 0 {
+        let pause = self.command_pause();
+        if !pause.is_zero() {
             self.abandon_jobs();
-            return now + pause_ms;
+            return self.await_turn(pause).await;
         }
         self.drop_expired(now);
         if !self.account.is_confirmed() && !self.fetch_report().await {
@@ -90,16 +90,31 @@
         next_poll.into_iter().chain(blocked).min().unwrap_or(idle)
     }
 
-    /// How long this daemon is to send the engine no command, as another holder has just
-    /// commanded it.
-    fn command_pause_ms(&self, now: u64) -> u64 {
+    /// How long this daemon is to send the engine no command, as another holder may have
+    /// commanded it since this instance did.
+    fn command_pause(&self) -> Duration {
         let group = &self.target.failure_domain;
-        let term_ms = self.node.settings().bounds.lease_ms;
-        let token = self.node.token(group);
-        token.map_or(0, |t| {
-            let leases = &self.node.leases;
-            leases.command_pause_ms(group, t, term_ms, now)
-        })
+        let (term, now) = (self.node.lease_term(), self.node.time());
+        let leases = &self.node.leases;
+        leases.begin_tenure(group, self.node.settings().bounds.fencing, now);
+        leases.command_pause(group, &self.target.id, term, now)
+    }
+
+    /// Has the engine report once, so that a late command of a former holder shows;
+    /// returns when to run again.
+    async fn await_turn(&mut self, pause: Duration) -> u64 {
+        let (group, id) = (&self.target.failure_domain, &self.target.id);
+        let leases = &self.node.leases;
+        let reported = leases.update_turns(group, |t| t.has_reported(id));
+        if !reported {
+            log::info!(target: "keeper", id:%, ms = pause.as_millis() as u64; "no command until a former holder's turn is past");
+        }
+        if !reported && !self.fetch_report().await {
+            return self.node.now() + REPORT_DELAY.as_millis() as u64;
+        }
+        self.account.require_report();
+        // Whole ms are less than the pause.
+        self.node.now() + pause.as_millis() as u64 + 1
     }
 
     /// Drops all jobs, as the engine cannot be reached: other engines may serve them,
--- a/crates/comfreyhall-node/src/fleet/gossip.rs
+++ b/crates/comfreyhall-node/src/fleet/gossip.rs
@@ -176,6 +176,8 @@
             let (group, token) = (&cession.group, cession.token);
             if cession.to == self.me.peer {
                 node.leases.accept_handover(group, token, now);
+                let fencing = node.settings().bounds.fencing;
+                node.leases.begin_tenure(group, fencing, node.time());
                 node.changed.notify_waiters();
             } else {
                 node.leases.note_ceded(group, token, now);
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -14,7 +14,7 @@
 
 use comfreyhall_catalog::{CatalogError, Rows};
 use comfreyhall_domain::{Map, Name, Set};
-use comfreyhall_lease::Lease;
+use comfreyhall_lease::{Lease, former_leases};
 use tokio::time::error::Elapsed;
 
 pub(crate) use self::groups::groups;
@@ -27,6 +27,13 @@
 /// Divisor of the lease term that gives the longest duration of one step.
 const STEP_TIMEOUT_DIVISOR: u32 = 3;
 
+/// Divisor of the lease term that gives the longest wait of a stopping holder for answers: it
+/// ends before the lease does.
+const ANSWER_WAIT_DIVISOR: u32 = 2;
+
+/// Interval between checks for such answers.
+const ANSWER_POLL: Duration = Duration::from_millis(10);
+
 /// Terms without a holder after which any daemon acquires a lease: better
 /// placed daemons have had time for a takeover by then.
 const VACANT_TERMS: u64 = 2;
@@ -38,6 +45,9 @@
 /// Starts the lease task.
 pub(crate) fn spawn<R: Rows>(node: &Arc<Node>, rows: R) {
     let node = node.clone();
+    if !node.settings().first_start {
+        node.leases.set_former(Former::Unknown);
+    }
     tokio::spawn(async move {
         let mut leases: Map<Name, Arc<Lease<R>>> = Map::default();
         // Groups that another daemon continues, but whose leases the store still has as
@@ -48,14 +58,7 @@
             () = node.life.wait_for_stage(comfreyhall_life::Stage::Serving) => {}
             () = node.life.wait_for_stage(comfreyhall_life::Stage::Leaving) => {}
         }
-        let former = former_leases(&node, &rows).await;
-        let reclaimed = match &former {
-            Former::Groups(groups) => groups.clone(),
-            Former::Unknown => Set::default(),
-        };
-        if !node.settings().first_start {
-            node.leases.note_former(node.started_ms(), former);
-        }
+        let reclaimed = read_former(&node, &rows).await;
         if !reclaimed.is_empty() {
             // Another daemon may continue a group that the store still has as this one's.
             let limit = Duration::from_millis(node.settings().bounds.lease_ms);
@@ -65,7 +68,8 @@
         loop {
             let term = Duration::from_millis(node.settings().bounds.lease_ms);
             if node.draining() {
-                let kept = release_all(&leases, term).await;
+                await_answers(&node, term).await;
+                let kept = release_all(&node, &leases, term).await;
                 hand_over_groups(&node, &kept).await;
                 return;
             }
@@ -113,25 +117,34 @@
     pub(crate) fn token(&self, group: &str) -> Option<u64> {
         self.leases.token(group, self.settings().bounds.fencing)
     }
+
+    /// The lease term.
+    pub(crate) fn lease_term(&self) -> Duration {
+        Duration::from_millis(self.settings().bounds.lease_ms)
+    }
 }
 
-/// Leases that this instance held before its restart.
-async fn former_leases<R: Rows>(node: &Node, rows: &R) -> Former {
+/// Reads where earlier processes of this instance may have commands in flight; returns
+/// the groups whose leases are still this instance's.
+async fn read_former<R: Rows>(node: &Node, rows: &R) -> Set<String> {
     let settings = node.settings();
     if settings.first_start {
-        return Former::Groups(Set::default());
+        return Set::default();
     }
     let limit = Duration::from_millis(settings.bounds.lease_ms) / STEP_TIMEOUT_DIVISOR;
-    let why =
-        match tokio::time::timeout(limit, comfreyhall_lease::leases_held_by(rows, &settings.id))
-            .await
-        {
-            Ok(Ok(names)) => return Former::Groups(names.into_iter().collect()),
-            Ok(Err(e)) => e.to_string(),
-            Err(_) => "no answer in time".to_string(),
-        };
+    let why = match tokio::time::timeout(limit, former_leases(rows, &settings.id)).await {
+        Ok(Ok(former)) => {
+            let held = former.iter().filter(|f| f.held);
+            let held = held.map(|f| f.name.clone()).collect();
+            let names = former.into_iter().map(|f| f.name);
+            node.leases.set_former(Former::Groups(names.collect()));
+            return held;
+        }
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => "no answer in time".to_string(),
+    };
     log::warn!(target: "leases", why; "leases of the previous start not read; they can be acquired after a term");
-    Former::Unknown
+    Set::default()
 }
 
 /// Acquires the lease at once, as this instance held it before its restart and no other
@@ -145,17 +158,17 @@
 ///
 /// Without it, a daemon that acquires a second group while no daemon of that
 /// domain is ready keeps it: it is responsible for twice as many engines, and
-/// its loads waited twice as long for the weight store. It keeps the group for a term:
-/// the better placed one may be the former holder, which has just started again.
+/// its loads waited twice as long for the weight store. The better placed one may be the
+/// former holder, which has just started again, so it keeps the group until that one's
+/// commands are outlasted.
 fn yields_group(node: &Node, group: &Name) -> bool {
-    let fencing = node.settings().bounds.fencing;
+    let settings = node.settings();
+    let (fencing, term_ms) = (settings.bounds.fencing, settings.bounds.lease_ms);
     let now = node.now();
-    let kept_ms = HANDOVER_TERMS * node.settings().bounds.lease_ms;
+    let kept_ms = HANDOVER_TERMS * term_ms;
     node.token(group).is_some()
         && !node.leases.took_over(group, kept_ms, now)
-        && !node
-            .leases
-            .is_newly_held(group, node.settings().bounds.lease_ms, now)
+        && is_yieldable(node, group)
         && node.leases.held(fencing).len() > 1
         && node
             .fleet
@@ -163,6 +176,18 @@
             .is_some_and(|to| node.fleet.is_better_placed(group, &to))
 }
 
+/// Whether a former holder may continue `group` at once, or has waited long enough for
+/// an engine that does not answer.
+fn is_yieldable(node: &Node, group: &Name) -> bool {
+    let term = node.lease_term();
+    let longest = term * HANDOVER_TERMS as u32;
+    let now = node.time();
+    node.leases.update_turns(group, |turns| {
+        let settled = turns.is_settled(term, now) && !turns.is_awaiting();
+        settled || !turns.is_new(longest, now)
+    })
+}
+
 /// Releases `group` for another daemon; returns whether the store has confirmed it.
 async fn release_group<R: Rows>(
     node: &Arc<Node>,
@@ -171,8 +196,7 @@
     term: Duration,
 ) -> bool {
     node.leases.end_handover(group);
-    let call = tokio::time::timeout(term / STEP_TIMEOUT_DIVISOR, lease.release());
-    match call.await {
+    match release(node, group, lease, term).await {
         Ok(Ok(())) => {
             log::info!(target: "leases", group:% = group; "lease released for another daemon");
             node.changed.notify_waiters();
@@ -190,6 +214,28 @@
     }
 }
 
+/// Stops commands in `group` and releases its lease.
+async fn release<R: Rows>(
+    node: &Node,
+    group: &Name,
+    lease: &Lease<R>,
+    term: Duration,
+) -> Result<Result<(), CatalogError>, Elapsed> {
+    node.leases.close(group);
+    let settled = node
+        .leases
+        .is_settled(group, node.lease_term(), node.time());
+    log::info!(target: "leases", group:% = group, settled; "releasing the lease");
+    let limit = term / STEP_TIMEOUT_DIVISOR;
+    let released = match settled {
+        true => tokio::time::timeout(limit, lease.release_settled()).await,
+        false => tokio::time::timeout(limit, lease.release()).await,
+    };
+    // Without the store, a holder whose commands engines check continues.
+    node.leases.reopen(group);
+    released
+}
+
 /// Returns how long this daemon leaves a lease without a holder to others, in
 /// ms.
 ///
@@ -247,7 +293,8 @@
         Err(_) => log::warn!(target: "leases", group:% = group; "lease step unanswered"),
     }
     let after = lease.token(clock::instant());
-    node.leases.note_held(group, after.is_some(), node.now());
+    let fencing = node.settings().bounds.fencing;
+    node.leases.begin_tenure(group, fencing, node.time());
     if before != after {
         node.metrics.lease_change(after.is_some());
         let era = node.view().records.settings.version.era();
@@ -259,13 +306,31 @@
     }
 }
 
+/// Waits until no command of this daemon is in flight, for a while.
+///
+/// Otherwise what lies at a silent engine is carried out under the next holder, which has to
+/// find out whether it was.
+async fn await_answers(node: &Node, term: Duration) {
+    let ends = node.time() + term / ANSWER_WAIT_DIVISOR;
+    while node.leases.is_awaiting() {
+        if node.time() >= ends {
+            log::warn!(target: "leases", waited_ms = (term / ANSWER_WAIT_DIVISOR).as_millis() as u64; "commands are still unanswered; the next holder goes on beside them");
+            return;
+        }
+        tokio::time::sleep(ANSWER_POLL).await;
+    }
+}
+
 /// Releases all leases; returns the groups for which that failed.
-async fn release_all<R: Rows>(leases: &Map<Name, Arc<Lease<R>>>, term: Duration) -> Vec<Name> {
+async fn release_all<R: Rows>(
+    node: &Node,
+    leases: &Map<Name, Arc<Lease<R>>>,
+    term: Duration,
+) -> Vec<Name> {
     let mut kept = Vec::new();
     let ours = leases.iter().filter(|(_, l)| l.lapsed_token().is_some());
     for (group, lease) in ours {
-        let call = tokio::time::timeout(term / STEP_TIMEOUT_DIVISOR, lease.release());
-        let why = match call.await {
+        let why = match release(node, group, lease, term).await {
             Ok(Ok(())) => {
                 log::info!(target: "leases", group:% = group; "lease given back");
                 continue;
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -1,13 +1,13 @@
-//! The leases that this daemon knows.
+//! The leases that this daemon knows, as one state for each group.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, OnceLock},
-    time::Instant,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
 };
 
 use comfreyhall_catalog::Rows;
 use comfreyhall_domain::{Map, Name, Set};
-use comfreyhall_lease::Lease;
+use comfreyhall_lease::{Lease, Turns, Wait};
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -21,6 +21,8 @@
 pub(crate) trait HeldLease: Send + Sync {
     fn token(&self, now: Instant) -> Option<u64>;
     fn expired_token(&self) -> Option<u64>;
+    /// Whether another instance may have held it since this one last did.
+    fn is_return(&self) -> bool;
 }
 
 impl<R: Rows> HeldLease for Lease<R> {
@@ -31,6 +33,10 @@
     fn expired_token(&self) -> Option<u64> {
         self.lapsed_token()
     }
+
+    fn is_return(&self) -> bool {
+        Lease::is_return(self)
+    }
 }
 
 /// A group that its holder handed over to this daemon.
@@ -40,17 +46,7 @@
     accepted_ms: u64,
 }
 
-/// The last command that this daemon sent in a group.
-#[derive(Debug, Clone, Copy)]
-struct LastCommand {
-    token: u64,
-    /// Time by which it has arrived.
-    arrived_ms: u64,
-    /// Whether it has handed the group to another daemon since.
-    handed_over: bool,
-}
-
-/// The groups that the process before this one of the instance commanded.
+/// The groups in which earlier processes of the instance may have commands in flight.
 #[derive(Debug)]
 pub(crate) enum Former {
     /// These, by the store.
@@ -60,8 +56,8 @@
 }
 
 impl Former {
-    /// Whether it may have commanded `group`.
-    pub(super) fn contains(&self, group: &str) -> bool {
+    /// Whether one of them may have commanded `group`.
+    fn contains(&self, group: &str) -> bool {
         match self {
             Former::Groups(groups) => groups.contains(group),
             Former::Unknown => true,
@@ -69,29 +65,83 @@
     }
 }
 
-/// Leases known to this daemon.
+/// A command that is about to be sent to an engine.
+#[derive(Debug, Clone)]
+pub(crate) struct Outgoing {
+    pub(crate) target: Name,
+    pub(crate) token: u64,
+    /// Number of accepted commands that it names.
+    pub(crate) sequence: u64,
+    /// Whether it changes that number.
+    pub(crate) advances: bool,
+}
+
+/// What this daemon knows of one group.
 #[derive(Default)]
+struct Group {
+    lease: Option<Arc<dyn HeldLease>>,
+    /// Set while the lease is being released: no command is sent any more.
+    closed: bool,
+    /// Another holder's handover to this daemon.
+    handover: Option<Handover>,
+    /// A handover to another daemon: the token, and when it was first reported.
+    ceded: Option<(u64, u64)>,
+    /// Time since which no holder is known.
+    vacant_since_ms: Option<u64>,
+    turns: Turns,
+}
+
+impl Group {
+    /// The fencing token for a command, and whether another holder may have commanded
+    /// since this instance last did.
+    fn tenure(&self, fencing: bool) -> Option<(u64, bool)> {
+        let lease = self.lease.as_ref().filter(|_| !self.closed);
+        let own = lease.and_then(|lease| {
+            let expired = || lease.expired_token().filter(|_| fencing);
+            let token = lease.token(clock::instant()).or_else(expired)?;
+            Some((token * TOKEN_STRIDE, lease.is_return()))
+        });
+        let handover = self.handover.filter(|_| fencing).map(|h| (h.token, true));
+        let tenure = own.max(handover)?;
+        (tenure.0 > self.turns.highest_other()).then_some(tenure)
+    }
+
+    fn token(&self, fencing: bool) -> Option<u64> {
+        self.tenure(fencing).map(|(token, _)| token)
+    }
+}
+
+/// Leases known to this daemon.
 pub(crate) struct Leases {
-    held: Mutex<Map<Name, Arc<dyn HeldLease>>>,
-    /// Groups that other holders handed over to this daemon.
-    handed_over: Mutex<Map<Name, Handover>>,
-    /// Highest token of another holder by group, as reported by engines and
-    /// peers.
-    highest_seen: Mutex<Map<Name, u64>>,
-    /// Time since which no holder is known, by group.
-    vacant_since_ms: Mutex<Map<Name, u64>>,
-    /// Handovers to other daemons, by group: the token, and when it was first reported.
-    ceded: Mutex<Map<Name, (u64, u64)>>,
-    last_commands: Mutex<Map<Name, LastCommand>>,
-    /// When this process started, and the groups that the one before it commanded.
-    former: OnceLock<(u64, Former)>,
-    /// Since when this daemon has held each lease.
-    held_since_ms: Mutex<Map<Name, u64>>,
+    groups: Mutex<Map<Name, Group>>,
+    former: Mutex<Former>,
     /// Notifies the lease task when an engine is lost.
     engine_lost: Notify,
 }
 
+impl Default for Leases {
+    fn default() -> Self {
+        Self {
+            groups: Mutex::default(),
+            former: Mutex::new(Former::Groups(Set::default())),
+            engine_lost: Notify::default(),
+        }
+    }
+}
+
 impl Leases {
+    fn groups(&self) -> MutexGuard<'_, Map<Name, Group>> {
+        self.groups.lock().expect("no holder of this lock panics")
+    }
+
+    fn with<T>(&self, group: &str, action: impl FnOnce(&mut Group) -> T) -> T {
+        let mut groups = self.groups();
+        if let Some(known) = groups.get_mut(group) {
+            return action(known);
+        }
+        action(groups.entry(group.into()).or_default())
+    }
+
     /// Has the lease task check whether this daemon still reaches its engines.
     pub(crate) fn wake(&self) {
         self.engine_lost.notify_one();
@@ -102,6 +152,15 @@
         self.engine_lost.notified().await;
     }
 
+    pub(crate) fn add(&self, group: &Name, lease: Arc<dyn HeldLease>) {
+        self.with(group, |g| g.lease = Some(lease));
+    }
+
+    /// Records where earlier processes of the instance may have commands in flight.
+    pub(crate) fn set_former(&self, former: Former) {
+        *self.former.lock().expect("no holder of this lock panics") = former;
+    }
+
     /// Returns the fencing token for a command in `group`.
     ///
     /// While the store is down nobody can renew, and stopping all loads for the
@@ -111,16 +170,22 @@
     /// higher one: whoever acquires the lease gets a higher token, and engines
     /// reject the lower one from then on.
     pub(crate) fn token(&self, group: &str, fencing: bool) -> Option<u64> {
-        let lease = {
-            let held = self.held.lock().expect("no holder of this lock panics");
-            held.get(group).cloned()
-        };
-        let current = lease.as_ref().and_then(|l| l.token(clock::instant()));
-        let expired = lease.and_then(|l| l.expired_token().filter(|_| fencing));
-        let handed_over = self.handover(group).filter(|_| fencing).map(|h| h.token);
-        let own = current.or(expired).map(|t| t * TOKEN_STRIDE);
-        let token = own.max(handed_over)?;
-        (token > self.highest_seen(group)).then_some(token)
+        self.groups().get(group)?.token(fencing)
+    }
+
+    /// Begins a tenure of this daemon in `group`, if it has a new token.
+    pub(crate) fn begin_tenure(&self, group: &str, fencing: bool, now: Duration) {
+        self.with(group, |g| {
+            let Some((token, returning)) = g.tenure(fencing) else {
+                return;
+            };
+            let former = self.former.lock();
+            let former = former.expect("no holder of this lock panics");
+            let inherited = former.contains(group);
+            if g.turns.begin(token, returning, inherited, now) {
+                log::info!(target: "leases", group, token, returning, inherited; "tenure begins");
+            }
+        });
     }
 
     /// Stops commands in `group`; returns the token for a successor, if one may
@@ -131,207 +196,138 @@
     /// lease term has passed: 9 s in an incident with an outage of 8 s.
     pub(crate) fn hand_over(&self, group: &str, fencing: bool) -> Option<u64> {
         let token = self.token(group, fencing).filter(|_| fencing)?;
-        self.observe_token(group, token);
-        if let Some(last) = self.last_commands().get_mut(group) {
-            last.handed_over = true;
-        }
+        self.observe_token(group, token + 1);
         Some(token + 1)
     }
 
     /// Records that `group` was handed over under `token` to another daemon.
     pub(crate) fn note_ceded(&self, group: &str, token: u64, now: u64) {
-        let mut ceded = self.ceded.lock().expect("no holder of this lock panics");
-        let known = ceded.entry(group.into()).or_insert((token, now));
-        if known.0 < token {
-            *known = (token, now);
-        }
+        self.with(group, |g| {
+            if g.ceded.is_none_or(|(known, _)| known < token) {
+                g.ceded = Some((token, now));
+            }
+        });
     }
 
     /// Whether another daemon took over `group` less than `for_ms` ago, which may not be
     /// known as its holder yet.
     pub(super) fn is_ceded(&self, group: &str, for_ms: u64, now: u64) -> bool {
-        let ceded = self.ceded.lock().expect("no holder of this lock panics");
-        let reported = ceded.get(group).map(|(_, reported_ms)| *reported_ms);
-        reported.is_some_and(|at| now.saturating_sub(at) < for_ms)
+        let reported = self.groups().get(group).and_then(|g| g.ceded);
+        reported.is_some_and(|(_, at)| now.saturating_sub(at) < for_ms)
     }
 
-    fn last_commands(&self) -> MutexGuard<'_, Map<Name, LastCommand>> {
-        let last = self.last_commands.lock();
-        last.expect("no holder of this lock panics")
-    }
-
-    /// Records that this process started at `at`, and what the one before commanded.
-    pub(crate) fn note_former(&self, at: u64, former: Former) {
-        self.former.get_or_init(|| (at, former));
-    }
-
-    /// Records whether this daemon holds the lease of `group`.
-    pub(crate) fn note_held(&self, group: &Name, held: bool, now: u64) {
-        let held_since = self.held_since_ms.lock();
-        let mut held_since = held_since.expect("no holder of this lock panics");
-        match held {
-            true => _ = held_since.entry(group.clone()).or_insert(now),
-            false => _ = held_since.remove(group),
-        }
+    /// Records that `command` is sent in `group`, unless it has to wait.
+    ///
+    /// The group may have passed to another holder and back while the caller awaited
+    /// something, so this is asked for each command.
+    pub(crate) fn begin_command(
+        &self,
+        group: &str,
+        command: &Outgoing,
+        term: Duration,
+        now: Duration,
+    ) -> Result<(), Wait> {
+        self.with(group, |g| {
+            if g.closed || g.turns.token() != command.token {
+                return Err(Wait::Pause(term));
+            }
+            let (target, sequence) = (&command.target, command.sequence);
+            g.turns.send(target, sequence, command.advances, term, now)
+        })
     }
 
-    /// Whether this daemon has held the lease of `group` for less than `for_ms`.
-    pub(crate) fn is_newly_held(&self, group: &str, for_ms: u64, now: u64) -> bool {
-        let held_since = self.held_since_ms.lock();
-        let held_since = held_since.expect("no holder of this lock panics");
-        let since = held_since.get(group);
-        since.is_some_and(|at| now.saturating_sub(*at) < for_ms)
+    /// How long this daemon is to send `target` no command, as another holder may have
+    /// commanded it since this instance did.
+    pub(crate) fn command_pause(
+        &self,
+        group: &str,
+        target: &str,
+        term: Duration,
+        now: Duration,
+    ) -> Duration {
+        self.with(group, |g| g.turns.pause(target, term, now))
     }
 
-    /// Records that a command is sent in `group` under `token`, unless this daemon is to
-    /// pause there; returns whether it may be sent.
-    ///
-    /// The group may have passed to another holder and back while the caller awaited
-    /// something, so this is asked for each command.
-    pub(crate) fn begin_command(&self, group: &str, token: u64, term_ms: u64, now: u64) -> bool {
-        if self.command_pause_ms(group, token, term_ms, now) > 0 {
-            return false;
-        }
-        self.record_command(group, token, now);
-        true
+    /// Whether all commands of earlier holders in `group` came at least a `term` ago.
+    pub(crate) fn is_settled(&self, group: &str, term: Duration, now: Duration) -> bool {
+        let groups = self.groups();
+        groups
+            .get(group)
+            .is_some_and(|g| g.turns.is_settled(term, now))
     }
 
-    fn record_command(&self, group: &str, token: u64, now: u64) {
-        let command = LastCommand {
-            token,
-            arrived_ms: now,
-            handed_over: false,
-        };
-        self.last_commands().insert(group.into(), command);
+    /// Whether any command of this daemon is in flight.
+    pub(super) fn is_awaiting(&self) -> bool {
+        self.groups().values().any(|g| g.turns.is_awaiting())
     }
 
-    /// Records that the commands sent in `group` until now have arrived by `at`.
-    pub(crate) fn record_arrival(&self, group: &str, at: u64) {
-        if let Some(last) = self.last_commands().get_mut(group) {
-            last.arrived_ms = last.arrived_ms.max(at);
-        }
+    /// Sends no more commands in `group`, whose lease is to be released.
+    pub(crate) fn close(&self, group: &str) {
+        self.with(group, |g| g.closed = true);
     }
 
-    /// How long this daemon is to send no command in `group` under `token`, in ms.
-    ///
-    /// If another holder has commanded the group since its own last command, a lease term
-    /// `term_ms` passes after that one's arrival: two daemons that take turns look like two
-    /// holders at once.
-    pub(crate) fn command_pause_ms(&self, group: &str, token: u64, term_ms: u64, now: u64) -> u64 {
-        let highest_seen = self.highest_seen(group);
-        let Some(last) = self.last_commands().get(group).copied() else {
-            // The process before may have commanded the group until this one started.
-            let former = self.former.get().filter(|(_, f)| f.contains(group));
-            let former = former.filter(|_| highest_seen > 0);
-            return former.map_or(0, |(at, _)| (at + term_ms).saturating_sub(now));
-        };
-        let other_since = last.handed_over || highest_seen > last.token;
-        match last.token != token && other_since {
-            true => (last.arrived_ms + term_ms).saturating_sub(now),
-            false => 0,
-        }
+    /// Allows commands in `group` again, under whatever token this daemon has.
+    pub(crate) fn reopen(&self, group: &str) {
+        self.with(group, |g| g.closed = false);
     }
 
-    /// Highest token of another holder of `group`.
-    fn highest_seen(&self, group: &str) -> u64 {
-        let highest_seen = self.highest_seen.lock();
-        let highest_seen = highest_seen.expect("no holder of this lock panics");
-        highest_seen.get(group).copied().unwrap_or(0)
+    /// Updates what is known of the commands sent in `group`.
+    pub(crate) fn update_turns<T>(&self, group: &str, update: impl FnOnce(&mut Turns) -> T) -> T {
+        self.with(group, |g| update(&mut g.turns))
     }
 
     /// Continues `group` under `token` for a holder that stopped or has lost its engines.
     pub(crate) fn accept_handover(&self, group: &str, token: u64, now: u64) {
-        let known = self.handover(group);
-        if known.is_some_and(|k| k.token >= token) {
-            return;
-        }
-        // Its former holder commanded the group under the token before.
-        self.observe_token(group, token.saturating_sub(1));
-        let handover = Handover {
-            token,
-            accepted_ms: now,
-        };
-        let mut handed_over = self
-            .handed_over
-            .lock()
-            .expect("no holder of this lock panics");
-        handed_over.insert(group.into(), handover);
-    }
-
-    fn handover(&self, group: &str) -> Option<Handover> {
-        let handed_over = self
-            .handed_over
-            .lock()
-            .expect("no holder of this lock panics");
-        handed_over.get(group).copied()
+        self.with(group, |g| {
+            if g.handover.is_some_and(|known| known.token >= token) {
+                return;
+            }
+            // Its former holder commanded the group under the token before.
+            g.turns.observe_other(token.saturating_sub(1));
+            let accepted_ms = now;
+            g.handover = Some(Handover { token, accepted_ms });
+        });
     }
 
     /// Whether `group` was handed over to this daemon less than `for_ms` ago.
     pub(crate) fn took_over(&self, group: &str, for_ms: u64, now: u64) -> bool {
-        let handover = self.handover(group);
+        let handover = self.groups().get(group).and_then(|g| g.handover);
         handover.is_some_and(|h| now.saturating_sub(h.accepted_ms) < for_ms)
     }
 
     /// Continues `group` no longer for its former holder.
     pub(crate) fn end_handover(&self, group: &str) {
-        let mut handed_over = self
-            .handed_over
-            .lock()
-            .expect("no holder of this lock panics");
-        handed_over.remove(group);
+        self.with(group, |g| g.handover = None);
     }
 
     /// Groups held now, with their tokens.
     pub(crate) fn held(&self, fencing: bool) -> Vec<(Name, u64)> {
-        let groups: Vec<Name> = {
-            let held = self.held.lock().expect("no holder of this lock panics");
-            let handed_over = self
-                .handed_over
-                .lock()
-                .expect("no holder of this lock panics");
-            let mut groups: Vec<Name> = held.keys().chain(handed_over.keys()).cloned().collect();
-            groups.sort();
-            groups.dedup();
-            groups
-        };
-        let tokens = groups
-            .into_iter()
-            .map(|g| Some((g.clone(), self.token(&g, fencing)?)));
-        tokens.flatten().collect()
+        let groups = self.groups();
+        let held = groups.iter();
+        let held = held.filter_map(|(name, g)| Some((name.clone(), g.token(fencing)?)));
+        let mut held: Vec<(Name, u64)> = held.collect();
+        held.sort();
+        held
     }
 
     /// Returns for how long no holder of `group` has been known, in ms.
     pub(super) fn vacant_ms(&self, group: &str, held: bool, now: u64) -> u64 {
-        let mut vacant_since = self
-            .vacant_since_ms
-            .lock()
-            .expect("no holder of this lock panics");
-        if held {
-            vacant_since.remove(group);
-            return 0;
-        }
-        let since = vacant_since.entry(group.into()).or_insert(now);
-        now.saturating_sub(*since)
+        self.with(group, |g| {
+            if held {
+                g.vacant_since_ms = None;
+                return 0;
+            }
+            now.saturating_sub(*g.vacant_since_ms.get_or_insert(now))
+        })
     }
 
     /// Whether this daemon holds any group.
     pub(crate) fn holds_any(&self, fencing: bool) -> bool {
-        !self.held(fencing).is_empty()
+        self.groups().values().any(|g| g.token(fencing).is_some())
     }
 
-    /// Records a `token` of another holder of `group`, or one that an engine
-    /// rejected.
+    /// Records a `token` of another holder of `group`, or the lowest one that it can have.
     pub(crate) fn observe_token(&self, group: &str, token: u64) {
-        let mut highest_seen = self
-            .highest_seen
-            .lock()
-            .expect("no holder of this lock panics");
-        let highest = highest_seen.entry(group.into()).or_default();
-        *highest = token.max(*highest);
-    }
-
-    pub(crate) fn add(&self, group: &Name, lease: Arc<dyn HeldLease>) {
-        let mut held = self.held.lock().expect("no holder of this lock panics");
-        held.insert(group.clone(), lease);
+        self.with(group, |g| g.turns.observe_other(token));
     }
 }
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -235,6 +235,11 @@
     pub(crate) fn now(&self) -> u64 {
         clock::now()
     }
+
+    /// Time of the daemon's clock, exactly.
+    pub(crate) fn time(&self) -> Duration {
+        clock::time()
+    }
 }
 
 /// Counts a request in progress until it is dropped.
--- a/crates/comfreyhall-node/src/outbound/mod.rs
+++ b/crates/comfreyhall-node/src/outbound/mod.rs
@@ -180,20 +180,34 @@
     answer
 }
 
-/// Sends a command to an engine; waits for the reply for `patience`.
+/// Sends a command to an engine; waits for the reply for `patience`. A reply that comes
+/// later, within `watch`, goes to `late`.
 pub(crate) async fn command(
     node: &Arc<Node>,
     target: &Arc<Target>,
     command: Command,
     patience: Duration,
+    watch: Duration,
+    late: impl FnOnce(&Node, CommandReply) + Send + 'static,
 ) -> CommandReply {
     if unavailable(node, &target.id).is_some() {
         return CommandReply::Withheld;
     }
     let call = node.backend.command(target.clone(), command);
-    match timeout(patience, call).await {
-        Ok(reply) => observe_reply(node, target, reply),
-        Err(_) => CommandReply::Silent("no answer in time".into()),
+    let mut call = tokio::spawn(call);
+    match timeout(patience, &mut call).await {
+        Ok(Ok(reply)) => observe_reply(node, target, reply),
+        Ok(Err(e)) => CommandReply::Silent(e.to_string()),
+        Err(_) => {
+            let (node, target) = (node.clone(), target.clone());
+            tokio::spawn(async move {
+                match timeout(watch, &mut call).await {
+                    Ok(Ok(reply)) => late(&node, observe_reply(&node, &target, reply)),
+                    Ok(Err(_)) | Err(_) => call.abort(),
+                }
+            });
+            CommandReply::Silent("no answer in time".into())
+        }
     }
 }
 
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -206,11 +206,18 @@
     pub holder: Name,
     /// Fencing token of the lease.
     pub token: u64,
+    /// Time after which it may not leave the process any more: the lease may have ended.
+    pub send_within: Duration,
 }
 
 impl Command {
     /// The command for `order`, sent by `holder` under `token`.
-    pub(crate) fn new(order: &Order<AdapterRef>, holder: Name, token: u64) -> Self {
+    pub(crate) fn new(
+        order: &Order<AdapterRef>,
+        holder: Name,
+        token: u64,
+        send_within: Duration,
+    ) -> Self {
         Self {
             action: order.action(),
             adapter: order.key().clone(),
@@ -218,6 +225,7 @@
             expected_sequence: order.sequence(),
             holder,
             token,
+            send_within,
         }
     }
 }
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -1,9 +1,13 @@
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use comfreyhall_domain::{AdapterRef, Set};
+use comfreyhall_lease::Wait;
 
 use crate::{
-    leases::state::{Former, HeldLease, Leases},
+    leases::state::{Former, HeldLease, Leases, Outgoing},
     view::View,
 };
 
@@ -11,6 +15,7 @@
 struct StoredLease {
     token: Option<u64>,
     expired_token: Option<u64>,
+    is_return: bool,
 }
 
 impl HeldLease for StoredLease {
@@ -21,20 +26,62 @@
     fn expired_token(&self) -> Option<u64> {
         self.expired_token
     }
+
+    fn is_return(&self) -> bool {
+        self.is_return
+    }
+}
+
+/// Lease term of the tests.
+const TERM: Duration = Duration::from_millis(3_000);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
 }
 
 fn leases(token: Option<u64>, expired_token: Option<u64>) -> Leases {
     let leases = Leases::default();
-    leases.add(
-        &"g".into(),
-        Arc::new(StoredLease {
-            token,
-            expired_token,
-        }),
-    );
+    store(&leases, token, expired_token, false);
     leases
 }
 
+/// Replaces the lease of group `g` as `leases` knows it.
+fn store(leases: &Leases, token: Option<u64>, expired_token: Option<u64>, is_return: bool) {
+    let lease = StoredLease {
+        token,
+        expired_token,
+        is_return,
+    };
+    leases.add(&"g".into(), Arc::new(lease));
+}
+
+/// Begins the tenure that `leases` allows at `now`, and returns how long engine `e` is to be
+/// left alone.
+fn pause(leases: &Leases, now: Duration) -> Duration {
+    leases.begin_tenure("g", true, now);
+    leases.command_pause("g", "e", TERM, now)
+}
+
+/// Sends a command that changes the number of engine `e` at `now`.
+fn send(leases: &Leases, now: Duration) -> Result<(), Wait> {
+    let command = Outgoing {
+        target: "e".into(),
+        token: leases.token("g", true).expect("the group is held"),
+        sequence: 1,
+        advances: true,
+    };
+    leases.begin_tenure("g", true, now);
+    leases.begin_command("g", &command, TERM, now)
+}
+
+/// Records that the command to engine `e` was accepted.
+fn accept(leases: &Leases, now: Duration) {
+    leases.update_turns("g", |turns| {
+        let token = turns.token();
+        turns.accept(&"e".into(), token, 1, now);
+    });
+}
+
 /// Guards against loads that stop three seconds into an outage of the store:
 /// the lease expires and nobody can take it, but its holder may continue, since
 /// engines refuse its commands as soon as another holder takes over.
@@ -95,97 +142,120 @@
 
 /// Guards against two daemons that command a group in turn within a lease term.
 #[test]
-fn command_pause_ms_after_other_holder() {
-    let term_ms = 3_000;
+fn command_pause_after_other_holder() {
     let first = leases(Some(1), Some(1));
-    let token = first.token("g", true).unwrap();
-    first.begin_command("g", token, term_ms, 1_000);
-    assert_eq!(first.command_pause_ms("g", token, term_ms, 1_100), 0);
+    send(&first, ms(1_000)).unwrap();
+    accept(&first, ms(1_000));
+    assert_eq!(pause(&first, ms(1_100)), ms(0));
     let ceded = first.hand_over("g", true).unwrap();
     // The group comes back from its next holder.
     first.accept_handover("g", ceded + 1, 1_500);
-    let back = first.token("g", true).unwrap();
-    assert_eq!(first.command_pause_ms("g", back, term_ms, 1_500), 2_500);
-    assert_eq!(first.command_pause_ms("g", back, term_ms, 4_000), 0);
+    assert_eq!(pause(&first, ms(1_500)), ms(2_500));
+    assert_eq!(pause(&first, ms(4_000)), ms(0));
     // Its own next token after a handover is no turn.
     let next = leases(Some(2), Some(2));
     next.accept_handover("g", 1_001, 0);
-    next.begin_command("g", 1_001, term_ms, 100);
-    assert_eq!(next.command_pause_ms("g", 2_000, term_ms, 200), 0);
+    send(&next, ms(100)).unwrap();
+    accept(&next, ms(100));
+    assert_eq!(pause(&next, ms(200)), ms(0));
 }
 
-/// Guards against a holder whose command arrives late, as its path was hung, and that
-/// commands the group again less than a term after that arrival.
+/// Guards against a pause that ends a part of a ms early.
 #[test]
-fn command_pause_ms_late_arrival() {
-    let term_ms = 3_000;
+fn command_pause_is_exact() {
     let first = leases(Some(1), Some(1));
-    let token = first.token("g", true).unwrap();
-    first.begin_command("g", token, term_ms, 1_000);
-    first.record_arrival("g", 1_780);
-    // An answer to an earlier command does not bring the arrival forward.
-    first.record_arrival("g", 1_100);
+    let answered = Duration::from_micros(1_000_900);
+    send(&first, answered).unwrap();
+    accept(&first, answered);
     let ceded = first.hand_over("g", true).unwrap();
     first.accept_handover("g", ceded + 1, 1_500);
-    let back = first.token("g", true).unwrap();
-    assert_eq!(first.command_pause_ms("g", back, term_ms, 4_000), 780);
-    assert_eq!(first.command_pause_ms("g", back, term_ms, 4_780), 0);
+    assert_eq!(pause(&first, ms(4_000)), Duration::from_micros(900));
+}
+
+/// Guards against a holder whose command is carried out seconds after it was sent, while
+/// the next holder commands, and that commands the group again less than a term after that.
+#[test]
+fn command_pause_unanswered_command() {
+    let first = leases(Some(1), Some(1));
+    send(&first, ms(1_000)).unwrap();
+    let ceded = first.hand_over("g", true).unwrap();
+    first.accept_handover("g", ceded + 1, 60_000);
+    assert_eq!(pause(&first, ms(60_000)), ms(3_000));
+    // A report that comes later proves no more than that it has been carried out by now.
+    first.update_turns("g", |turns| turns.report(&"e".into(), 3, ms(61_000)));
+    assert_eq!(pause(&first, ms(62_000)), ms(1_000));
+    assert_eq!(pause(&first, ms(63_000)), ms(0));
 }
 
 /// Guards against a command that is sent at once under a new token, as its sender awaited
 /// something while the group passed to another holder and back.
 #[test]
 fn begin_command_after_return() {
-    let term_ms = 3_000;
     let first = leases(Some(1), Some(1));
-    let token = first.token("g", true).unwrap();
-    assert!(first.begin_command("g", token, term_ms, 1_000));
+    send(&first, ms(1_000)).unwrap();
+    accept(&first, ms(1_000));
     let ceded = first.hand_over("g", true).unwrap();
     first.accept_handover("g", ceded + 1, 1_500);
-    let back = first.token("g", true).unwrap();
-    assert!(!first.begin_command("g", back, term_ms, 1_600));
+    assert_eq!(send(&first, ms(1_600)), Err(Wait::Pause(ms(2_400))));
     // The refused command leaves the pause as it is.
-    assert_eq!(first.command_pause_ms("g", back, term_ms, 1_700), 2_300);
-    assert!(first.begin_command("g", back, term_ms, 4_000));
+    assert_eq!(pause(&first, ms(1_700)), ms(2_300));
+    assert_eq!(send(&first, ms(4_000)), Ok(()));
 }
 
 /// Guards against a holder that starts again, does not know that it has just commanded a
 /// group, and takes turns with the daemon that went on for it.
 #[test]
-fn command_pause_ms_restarted_holder() {
-    let term_ms = 3_000;
+fn command_pause_restarted_holder() {
     let restarted = leases(Some(3), Some(3));
     let groups = ["g".to_string()].into_iter().collect();
-    restarted.note_former(1_000, Former::Groups(groups));
+    restarted.set_former(Former::Groups(groups));
     let token = restarted.token("g", true).unwrap();
     // Nobody else has commanded the group.
-    assert_eq!(restarted.command_pause_ms("g", token, term_ms, 1_100), 0);
+    assert_eq!(pause(&restarted, ms(1_000)), ms(0));
     restarted.observe_token("g", token - 999);
-    assert_eq!(
-        restarted.command_pause_ms("g", token, term_ms, 1_100),
-        2_900
-    );
-    assert_eq!(restarted.command_pause_ms("g", token, term_ms, 4_000), 0);
+    assert_eq!(pause(&restarted, ms(1_100)), ms(2_900));
+    assert_eq!(pause(&restarted, ms(4_000)), ms(0));
     let first = leases(Some(3), Some(3));
-    first.note_former(1_000, Former::Groups(Set::default()));
+    first.set_former(Former::Groups(Set::default()));
     first.observe_token("g", token - 999);
-    assert_eq!(first.command_pause_ms("g", token, term_ms, 1_100), 0);
+    assert_eq!(pause(&first, ms(1_100)), ms(0));
+}
+
+/// Guards against a holder that stops as planned and releases its lease, starts again, gets
+/// the lease back from the next one, and does not know that it is no new holder.
+#[test]
+fn command_pause_returning_process() {
+    let restarted = Leases::default();
+    restarted.set_former(Former::Unknown);
+    store(&restarted, Some(3), Some(3), true);
+    assert_eq!(pause(&restarted, ms(1_000)), ms(3_000));
+    assert_eq!(send(&restarted, ms(3_999)), Err(Wait::Pause(ms(1))));
+    // The next one has outlasted its commands.
+    let settled = Leases::default();
+    settled.set_former(Former::Unknown);
+    store(&settled, Some(3), Some(3), false);
+    assert_eq!(pause(&settled, ms(1_000)), ms(0));
 }
 
 /// Guards against a group that is left to its former holder, which has just started again,
 /// within a lease term of that one's last command.
 #[test]
-fn is_newly_held_for_term() {
-    let term_ms = 3_000;
-    let (leases, group) = (Leases::default(), "g".into());
-    leases.note_held(&group, true, 1_000);
+fn is_settled_after_term() {
+    let leases = leases(Some(1), Some(1));
+    leases.begin_tenure("g", true, ms(1_000));
     // A renewal is no new start.
-    leases.note_held(&group, true, 2_000);
-    assert!(leases.is_newly_held("g", term_ms, 3_900));
-    assert!(!leases.is_newly_held("g", term_ms, 4_000));
-    leases.note_held(&group, false, 5_000);
-    leases.note_held(&group, true, 6_000);
-    assert!(leases.is_newly_held("g", term_ms, 8_900));
+    leases.begin_tenure("g", true, ms(2_000));
+    assert!(!leases.is_settled("g", TERM, ms(3_999)));
+    assert!(leases.is_settled("g", TERM, ms(4_000)));
+    // An engine that has not answered may carry out what the former holder sent.
+    send(&leases, ms(4_000)).unwrap();
+    assert!(!leases.is_settled("g", TERM, ms(9_000)));
+    accept(&leases, ms(9_000));
+    assert!(!leases.is_settled("g", TERM, ms(11_999)));
+    assert!(leases.is_settled("g", TERM, ms(12_000)));
+    store(&leases, Some(2), Some(2), false);
+    leases.begin_tenure("g", true, ms(13_000));
+    assert!(!leases.is_settled("g", TERM, ms(15_999)));
 }
 
 /// Guards against callers of all five domains that queue at the engines of one
