Pauses of a holder are counted exactly, not in whole ms

Cause: the time of the last answer and the time of the check were both cut to whole ms. An answer at 1,000.9 counted as 1,000, and a check at 4,000.0 found a pause of 3,000 ms that was 2,999.1.

Evidence: the difference seen lies within that ms, and the pause had been waited for in full by the numbers.

Tests: time_has_parts_of_ms fails before; command_pause_is_exact asks for the 900 us that were lost.

--- a/crates/comfreyhall-node/src/clock.rs
+++ b/crates/comfreyhall-node/src/clock.rs
@@ -42,9 +42,13 @@
     elapsed().as_millis() as u64 + 1
 }
 
-/// The same time as a duration.
+/// The same time, exactly: counted in whole ms, a pause may end up to a ms early.
 pub(crate) fn time() -> Duration {
-    Duration::from_millis(now())
+    #[cfg(test)]
+    if let Some(ms) = crate::test_node::simulated_ms() {
+        return Duration::from_millis(ms);
+    }
+    elapsed()
 }
 
 /// The same time as an `Instant`, for leases.
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -7,6 +7,7 @@
 use comfreyhall_lease::Wait;
 
 use crate::{
+    clock,
     leases::state::{Former, HeldLease, Leases, Outgoing},
     view::View,
 };
@@ -172,6 +173,13 @@
     assert_eq!(pause(&first, ms(4_000)), Duration::from_micros(900));
 }
 
+/// Guards against the same for times that are whole ms already when a pause is counted.
+#[test]
+fn time_has_parts_of_ms() {
+    let mut times = (0..1_000).map(|_| clock::time());
+    assert!(times.any(|t| t.subsec_nanos() % 1_000_000 != 0));
+}
+
 /// Guards against a holder whose command is carried out seconds after it was sent, while
 /// the next holder commands, and that commands the group again less than a term after that.
 #[test]
