A restarted holder does not wait for one that has outlasted it

Cause: any token of another holder below the own one counted as evidence that this instance had been followed. The next holder's token is always known, also if it has given the lease back as settled, so `returning: false` had no effect. Found by the gaps, then by the log: "tenure begins, returning false" followed by "no command until a former holder's turn is past, 2,999 ms" for each engine.

Change: only a token that was handed over counts, of which the lease's row knows nothing; all others stand in the row.

Test: command_pause_returning_process with the next holder's token known asked for 0 and got 3 s.

--- a/crates/comfreyhall-lease/src/turns.rs
+++ b/crates/comfreyhall-lease/src/turns.rs
@@ -73,12 +73,18 @@
     known: Set<Name>,
     /// Highest token of another holder.
     other: u64,
+    /// Highest of them that was handed over, of which the lease's row knows nothing.
+    handed_over: u64,
 }
 
 impl Turns {
-    /// Records that another holder has commanded under `token`.
-    pub fn observe_other(&mut self, token: u64) {
+    /// Records that another holder has commanded under `token`; `handed_over`: without the
+    /// lease's row.
+    pub fn observe_other(&mut self, token: u64, handed_over: bool) {
         self.other = self.other.max(token);
+        if handed_over {
+            self.handed_over = self.handed_over.max(token);
+        }
     }
 
     /// Highest token of another holder that was observed.
@@ -122,7 +128,7 @@
             return term;
         };
         let commanded = tenure.before > 0 || tenure.inherited;
-        let returning = tenure.returning || commanded && self.other > tenure.before;
+        let returning = tenure.returning || commanded && self.handed_over > tenure.before;
         if !returning {
             return Duration::ZERO;
         }
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -165,7 +165,7 @@
             }
             CommandReply::Fenced => {
                 let group = &self.target.failure_domain;
-                self.node.leases.observe_token(group, token + 1);
+                self.node.leases.observe_token(group, token);
             }
             CommandReply::OtherBoot => {
                 let until = now + IDLE_POLL_MS;
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -109,6 +109,11 @@
     fn token(&self, fencing: bool) -> Option<u64> {
         self.tenure(fencing).map(|(token, _)| token)
     }
+
+    fn observe_token(&mut self, token: u64) {
+        let handed_over = !token.is_multiple_of(TOKEN_STRIDE);
+        self.turns.observe_other(token, handed_over);
+    }
 }
 
 /// Leases known to this daemon.
@@ -283,7 +288,7 @@
                 return;
             }
             // Its former holder commanded the group under the token before.
-            g.turns.observe_other(token.saturating_sub(1));
+            g.observe_token(token.saturating_sub(1));
             let accepted_ms = now;
             g.handover = Some(Handover { token, accepted_ms });
         });
@@ -328,6 +333,6 @@
 
     /// Records a `token` of another holder of `group`, or the lowest one that it can have.
     pub(crate) fn observe_token(&self, group: &str, token: u64) {
-        self.with(group, |g| g.turns.observe_other(token));
+        self.with(group, |g| g.observe_token(token));
     }
 }
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -241,6 +241,7 @@
     // The next one has outlasted its commands.
     let settled = Leases::default();
     settled.set_former(Former::Unknown);
+    settled.observe_token("g", 2_000);
     store(&settled, Some(3), Some(3), false);
     assert_eq!(pause(&settled, ms(1_000)), ms(0));
 }
