Soak: holders end in series while engines are silent, and take no turns

From seed 2000 on, two daemons command engines that check no tokens, one of them a process that SIGSTOP and SIGCONT stop. Engines are silent for 0.7 to 2.5 s, their holder is stopped or killed meanwhile, and when it runs again the next holder mostly ends at once. The oracle is that of lease holders.

--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -22,6 +22,9 @@
 //! From seed [`silence::SILENCE_FROM`] on, sound targets fall silent and go on, which no
 //! stream may notice; [`silence`] says how to run them.
 //!
+//! From seed [`turns::TURNS_FROM`] on, holders of the lease on commands are stopped or killed
+//! in series while engines are silent; engines check no tokens, and no two holders take turns.
+//!
 //! CI runs [`SEEDS`]. To run others: `SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo
 //! test -p comfreyhall --test soak -- --nocapture`. A seed that has failed stays in
 //! [`SEEDS`], with a line on the cause. `SOAK_PROGRAM` is the path of another build of the
@@ -47,6 +50,9 @@
 #[path = "soak/silence.rs"]
 mod silence;
 
+#[path = "soak/turns.rs"]
+mod turns;
+
 #[path = "soak/versions.rs"]
 mod versions;
 
@@ -270,6 +276,8 @@
     copies: copies::Copies,
     /// The configurations written so far.
     changes: Arc<Mutex<keys::Changes>>,
+    /// Whether engines check fencing tokens.
+    fencing: bool,
 }
 
 impl Fleet {
@@ -302,10 +310,11 @@
                 name: id,
                 service,
                 stream_breaks: stream_breaks.clone(),
-                delay_ms: EVENT_INTERVAL_MS,
+                delay_ms: turns::event_interval_ms(seed),
                 load_ms: if seed >= COPIES_FROM { LOAD_MS } else { 0 },
                 software: if rollout { software } else { Vec::new() },
                 tagged_events: silence::tagged_events(seed),
+                unfenced: seed >= turns::TURNS_FROM,
             };
             let mut wire = None;
             let list = |addr: &str| wire.insert(Wire::to(addr)).addr.clone();
@@ -342,6 +351,7 @@
             burst_changes: seed >= SIGNALS_FROM,
             copies: copies::Copies::default(),
             changes: Arc::default(),
+            fencing: seed < turns::TURNS_FROM,
         };
         let peers: Vec<String> = (0..daemons).map(|_| addr()).collect();
         for i in 0..daemons {
@@ -363,7 +373,7 @@
             "seeds": peers, "store": wire.addr, "cores": 0.25,
             "bounds": {"grace_s": GRACE.as_secs(), "drain_ms": 2000, "lease_ms": 3000, "apply_ms": 2000,
                 "version_ms": 5000, "address_s": 5, "retry_ratio": 0.2, "retry_allowance": 54,
-                "retry_s": 10, "fencing": true, "return_s": 2}});
+                "retry_s": 10, "fencing": self.fencing, "return_s": 2}});
         let path = self.dir.join(format!("n{i}.jsonc"));
         std::fs::write(&path, settings.to_string()).unwrap();
         let mut daemon = Daemon {
--- a/crates/comfreyhall/tests/soak/silence.rs
+++ b/crates/comfreyhall/tests/soak/silence.rs
@@ -31,6 +31,7 @@
         resume::{End, Event, Reading, read_within},
     },
     support::Wire,
+    turns::TURNS_FROM,
 };
 
 /// From this seed on, targets fall silent.
@@ -74,7 +75,7 @@
 
 /// Events of streams of `seed` that name their run; 0 for the usual streams.
 pub fn tagged_events(seed: u64) -> u64 {
-    if seed >= SILENCE_FROM {
+    if (SILENCE_FROM..TURNS_FROM).contains(&seed) {
         STREAM_EVENTS
     } else {
         0
@@ -446,7 +447,8 @@
     );
 }
 
-fn number<T: std::str::FromStr>(name: &str, fallback: T) -> T {
+/// The number in the variable `name`, if it is set.
+pub fn number<T: std::str::FromStr>(name: &str, fallback: T) -> T {
     let text = std::env::var(name).ok();
     text.map_or(fallback, |t| t.parse().ok().expect("a number"))
 }
