--- a/crates/comfreyhall-lease/src/succession.rs
+++ b/crates/comfreyhall-lease/src/succession.rs
@@ -14,8 +14,8 @@
 pub struct Succession {
     /// The last holder; the present one while the lease is held.
     last: Arc<str>,
-    /// Instances that held it before, as far as no later holder has outlasted their
-    /// commands; `None` if that is unknown.
+    /// Instances that held it before and may have commands in flight, or have had some less
+    /// than a term ago; `None` if that is unknown.
     former: Option<Vec<Arc<str>>>,
 }
 
@@ -49,20 +49,20 @@
         }
     }
 
-    /// The succession once its last holder has outlasted the commands of all before it.
+    /// The succession once all before its last holder need not wait any more.
     #[must_use]
     pub fn settled(&self) -> Self {
         Self::first(self.last.clone())
     }
 
-    /// Whether the last holder may have held the lease before another one that has not
-    /// outlasted its commands.
+    /// Whether the last holder has held the lease before, with another one in between, and
+    /// may have to wait for a turn.
     pub fn is_return(&self) -> bool {
         let former = self.former.as_ref();
         former.is_none_or(|former| former.contains(&self.last))
     }
 
-    /// Whether `instance` may have sent commands that no holder has outlasted.
+    /// Whether `instance` is the last holder, or one before it that may have to wait.
     pub fn names(&self, instance: &str) -> bool {
         let former = self.former.as_ref();
         *self.last == *instance
--- a/crates/comfreyhall-lease/src/turns.rs
+++ b/crates/comfreyhall-lease/src/turns.rs
@@ -17,11 +17,11 @@
 //!   all commands that earlier holders have in flight there. A query that changes
 //!   nothing decides nothing, and a command under a lower token could follow it.
 //! - A process does not know what an earlier process of its instance has in flight.
-//! - A holder has outlasted those before it a term after it has changed the number of each
-//!   engine that it commanded. It may pass the lease on as settled then.
+//! - A term after a holder has changed the number of each engine that it commanded, no
+//!   former holder needs to wait any more. It may release the lease as settled then.
 //!
 //! Pure: all functions take the time as an argument, as a duration since any fixed moment
-//! of the process. Durations are exact: counted in whole ms, a pause ended up to a ms early.
+//! of the process. It is exact: in whole ms, a pause would end up to a ms early.
 
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
     /// A former holder's turn is not past; wait for this long.
     Pause(Duration),
     /// The first command to an engine has to change its number of accepted commands.
-    Unsealed,
+    Undecided,
 }
 
 /// The present tenure of a process.
@@ -52,11 +52,11 @@
     /// Engines where the tenures before have commands in flight.
     open: Set<Name>,
     /// Engines where nothing of an earlier holder can be carried out any more.
-    sealed: Set<Name>,
+    decided: Set<Name>,
     /// Other engines that were sent a command.
-    unsealed: Set<Name>,
-    /// When the last engine was sealed.
-    sealed_at: Duration,
+    undecided: Set<Name>,
+    /// When the last of them came to be decided.
+    decided_at: Duration,
     /// Number of accepted commands that was last reported, and when it changed.
     seen: Map<Name, (u64, Option<Duration>)>,
 }
@@ -114,9 +114,9 @@
             before: self.token(),
             answered: self.answered,
             open: in_flight.cloned().collect(),
-            sealed: Set::default(),
-            unsealed: Set::default(),
-            sealed_at: now,
+            decided: Set::default(),
+            undecided: Set::default(),
+            decided_at: now,
             seen: Map::default(),
         });
         true
@@ -143,9 +143,9 @@
     }
 
     /// Whether no command of an earlier holder can be carried out at `target` any more.
-    pub fn is_sealed(&self, target: &str) -> bool {
+    pub fn is_decided(&self, target: &str) -> bool {
         let tenure = self.tenure.as_ref();
-        tenure.is_some_and(|t| t.sealed.contains(target))
+        tenure.is_some_and(|t| t.decided.contains(target))
     }
 
     /// Records that a command that names `sequence` is sent to `target`, unless it has to
@@ -163,13 +163,13 @@
             return Err(Wait::Pause(pause));
         }
         let Some(tenure) = &mut self.tenure else {
-            return Err(Wait::Unsealed);
+            return Err(Wait::Undecided);
         };
-        if !tenure.sealed.contains(target) {
+        if !tenure.decided.contains(target) {
             if !advances {
-                return Err(Wait::Unsealed);
+                return Err(Wait::Undecided);
             }
-            tenure.unsealed.insert(target.clone());
+            tenure.undecided.insert(target.clone());
         }
         self.repeat(target, sequence);
         Ok(())
@@ -186,7 +186,7 @@
         if self.pop(target)
             && let Some(tenure) = &mut self.tenure
         {
-            tenure.unsealed.remove(target);
+            tenure.undecided.remove(target);
         }
     }
 
@@ -196,7 +196,7 @@
         self.answer(now);
         self.decide(target, sequence + 1, now);
         if self.token() == token {
-            self.seal(target, now);
+            self.mark_decided(target, now);
         }
     }
 
@@ -233,7 +233,7 @@
     /// Records that another boot of `target` has answered.
     pub fn restart(&mut self, target: &Name, now: Duration) {
         self.decide(target, u64::MAX, now);
-        self.seal(target, now);
+        self.mark_decided(target, now);
     }
 
     /// Records that `target` has reported `sequence` accepted commands.
@@ -242,7 +242,7 @@
         let Some(tenure) = &mut self.tenure else {
             return;
         };
-        if tenure.sealed.contains(target) {
+        if tenure.decided.contains(target) {
             return;
         }
         let seen = tenure
@@ -257,14 +257,14 @@
     /// Whether `target` has reported in this tenure.
     pub fn has_reported(&self, target: &str) -> bool {
         let tenure = self.tenure.as_ref();
-        tenure.is_some_and(|t| t.seen.contains_key(target) || t.sealed.contains(target))
+        tenure.is_some_and(|t| t.seen.contains_key(target) || t.decided.contains(target))
     }
 
     /// Whether all commands of earlier holders came a term or more before now, wherever
     /// this holder has commanded.
     pub fn is_settled(&self, term: Duration, now: Duration) -> bool {
         let tenure = self.tenure.as_ref();
-        tenure.is_some_and(|t| t.unsealed.is_empty() && t.sealed_at + term <= now)
+        tenure.is_some_and(|t| t.undecided.is_empty() && t.decided_at + term <= now)
     }
 
     /// Whether the present tenure began less than `time` ago.
@@ -302,15 +302,15 @@
         }
     }
 
-    fn seal(&mut self, target: &Name, now: Duration) {
+    fn mark_decided(&mut self, target: &Name, now: Duration) {
         self.known.insert(target.clone());
         let Some(tenure) = &mut self.tenure else {
             return;
         };
-        tenure.unsealed.remove(target);
+        tenure.undecided.remove(target);
         tenure.seen.remove(target);
-        if tenure.sealed.insert(target.clone()) {
-            tenure.sealed_at = now;
+        if tenure.decided.insert(target.clone()) {
+            tenure.decided_at = now;
         }
     }
 }
--- a/crates/comfreyhall-node/src/engine_control/command.rs
+++ b/crates/comfreyhall-node/src/engine_control/command.rs
@@ -108,7 +108,7 @@
         match leases.begin_command(&self.target.failure_domain, &outgoing, term, now) {
             Ok(()) => {}
             Err(Wait::Pause(_)) => return CommandReply::Fenced,
-            Err(Wait::Unsealed) => return CommandReply::Withheld,
+            Err(Wait::Undecided) => return CommandReply::Withheld,
         }
         let holder = self.node.settings().id.clone();
         let command = Command::new(order, holder, token, SEND_LIMIT);
--- a/crates/comfreyhall-node/src/engine_control/load.rs
+++ b/crates/comfreyhall-node/src/engine_control/load.rs
@@ -39,7 +39,7 @@
         let now = self.node.now();
         let due = self.pending.iter().filter(|(_, c)| c.poll_at_ms <= now);
         let due: Vec<AdapterRef> = due.map(|(a, _)| a.clone()).collect();
-        if !due.is_empty() && !self.is_sealed() {
+        if !due.is_empty() && !self.is_decided() {
             return self.poll_by_report(&due);
         }
         let slots = self.slots();
@@ -69,10 +69,10 @@
     }
 
     /// Whether no command of an earlier holder can be carried out at the engine any more.
-    fn is_sealed(&self) -> bool {
+    fn is_decided(&self) -> bool {
         let (group, id) = (&self.target.failure_domain, &self.target.id);
         let leases = &self.node.leases;
-        leases.update_turns(group, |t| t.is_sealed(id))
+        leases.update_turns(group, |t| t.is_decided(id))
     }
 
     /// Has a report show what became of the loads in `due`, which an earlier holder began:
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -160,7 +160,7 @@
 /// domain is ready keeps it: it is responsible for twice as many engines, and
 /// its loads waited twice as long for the weight store. The better placed one may be the
 /// former holder, which has just started again, so it keeps the group until that one's
-/// commands are outlasted.
+/// turn is past.
 fn yields_group(node: &Node, group: &Name) -> bool {
     let settings = node.settings();
     let (fencing, term_ms) = (settings.bounds.fencing, settings.bounds.lease_ms);
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -238,7 +238,7 @@
     store(&restarted, Some(3), Some(3), true);
     assert_eq!(pause(&restarted, ms(1_000)), ms(3_000));
     assert_eq!(send(&restarted, ms(3_999)), Err(Wait::Pause(ms(1))));
-    // The next one has outlasted its commands.
+    // The next one has released it as settled.
     let settled = Leases::default();
     settled.set_former(Former::Unknown);
     settled.observe_token("g", 2_000);
