A stopping holder waits for engines that are listed, and of its own groups

Cause: a command stays in flight until its engine decides it, and one that has ended decides nothing. That is right for turns, and wrong as a reason to wait.

Change: only engines that are listed count, in groups that the daemon holds; the same where a group is left to a better placed daemon.

Test: is_awaiting_listed_engine; the check did not know of lists before.

--- a/crates/comfreyhall-lease/src/turns.rs
+++ b/crates/comfreyhall-lease/src/turns.rs
@@ -225,9 +225,10 @@
         }
     }
 
-    /// Whether any command is in flight.
-    pub fn is_awaiting(&self) -> bool {
-        !self.in_flight.is_empty()
+    /// Whether a command is in flight at an engine that is `listed`. One that has ended
+    /// answers no more.
+    pub fn is_awaiting(&self, listed: impl Fn(&str) -> bool) -> bool {
+        self.in_flight.keys().any(|target| listed(target))
     }
 
     /// Records that another boot of `target` has answered.
--- a/crates/comfreyhall-node/src/leases.rs
+++ b/crates/comfreyhall-node/src/leases.rs
@@ -68,7 +68,7 @@
         loop {
             let term = Duration::from_millis(node.settings().bounds.lease_ms);
             if node.draining() {
-                await_answers(&node, term).await;
+                await_answers(&node, &leases, term).await;
                 let kept = release_all(&node, &leases, term).await;
                 hand_over_groups(&node, &kept).await;
                 return;
@@ -182,10 +182,17 @@
     let term = node.lease_term();
     let longest = term * HANDOVER_TERMS as u32;
     let now = node.time();
-    node.leases.update_turns(group, |turns| {
-        let settled = turns.is_settled(term, now) && !turns.is_awaiting();
-        settled || !turns.is_new(longest, now)
-    })
+    let settled = node.leases.is_settled(group, term, now) && !is_awaiting(node, group);
+    settled
+        || node
+            .leases
+            .update_turns(group, |turns| !turns.is_new(longest, now))
+}
+
+/// Whether an engine of `group` owes this daemon an answer to a command.
+fn is_awaiting(node: &Node, group: &str) -> bool {
+    let listed: Set<Name> = node.view().targets.keys().cloned().collect();
+    node.leases.is_awaiting(group, |id| listed.contains(id))
 }
 
 /// Releases `group` for another daemon; returns whether the store has confirmed it.
@@ -306,13 +313,15 @@
     }
 }
 
-/// Waits until no command of this daemon is in flight, for a while.
+/// Waits until no engine of the groups that this daemon holds owes it an answer, for a while.
 ///
 /// Otherwise what lies at a silent engine is carried out under the next holder, which has to
 /// find out whether it was.
-async fn await_answers(node: &Node, term: Duration) {
+async fn await_answers<R: Rows>(node: &Node, leases: &Map<Name, Arc<Lease<R>>>, term: Duration) {
     let ends = node.time() + term / ANSWER_WAIT_DIVISOR;
-    while node.leases.is_awaiting() {
+    let held = leases.iter().filter(|(_, l)| l.lapsed_token().is_some());
+    let held: Vec<&Name> = held.map(|(group, _)| group).collect();
+    while held.iter().any(|group| is_awaiting(node, group)) {
         if node.time() >= ends {
             log::warn!(target: "leases", waited_ms = (term / ANSWER_WAIT_DIVISOR).as_millis() as u64; "commands are still unanswered; the next holder goes on beside them");
             return;
--- a/crates/comfreyhall-node/src/leases/state.rs
+++ b/crates/comfreyhall-node/src/leases/state.rs
@@ -261,9 +261,13 @@
             .is_some_and(|g| g.turns.is_settled(term, now))
     }
 
-    /// Whether any command of this daemon is in flight.
-    pub(super) fn is_awaiting(&self) -> bool {
-        self.groups().values().any(|g| g.turns.is_awaiting())
+    /// Whether a command of this daemon is in flight in `group`, at an engine that is
+    /// `listed`.
+    pub(crate) fn is_awaiting(&self, group: &str, listed: impl Fn(&str) -> bool) -> bool {
+        let groups = self.groups();
+        groups
+            .get(group)
+            .is_some_and(|g| g.turns.is_awaiting(listed))
     }
 
     /// Sends no more commands in `group`, whose lease is to be released.
--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -246,6 +246,18 @@
     assert_eq!(pause(&settled, ms(1_000)), ms(0));
 }
 
+/// Guards against a holder that stops and keeps its lease for an answer of an engine that has
+/// ended.
+#[test]
+fn is_awaiting_listed_engine() {
+    let leases = leases(Some(1), Some(1));
+    send(&leases, ms(1_000)).unwrap();
+    assert!(leases.is_awaiting("g", |_| true));
+    assert!(!leases.is_awaiting("g", |id| id != "e"));
+    accept(&leases, ms(1_100));
+    assert!(!leases.is_awaiting("g", |_| true));
+}
+
 /// Guards against a group that is left to its former holder, which has just started again,
 /// within a lease term of that one's last command.
 #[test]
