--- a/crates/comfreyhall-node/src/tests.rs
+++ b/crates/comfreyhall-node/src/tests.rs
@@ -147,6 +147,8 @@
     let first = leases(Some(1), Some(1));
     send(&first, ms(1_000)).unwrap();
     accept(&first, ms(1_000));
+    // The time of an earlier answer does not bring the last one forward.
+    first.update_turns("g", |turns| turns.reject("e", ms(900)));
     assert_eq!(pause(&first, ms(1_100)), ms(0));
     let ceded = first.hand_over("g", true).unwrap();
     // The group comes back from its next holder.
