--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -21,6 +21,8 @@
         "crash" => crash(platform, trouble),
         "stop" => stop(platform, trouble),
         "header" => header(platform, trouble),
+        "spoilt" => spoilt(platform, trouble),
+        "extra" => extra(platform, trouble),
         _ => {
             eprintln!("no case {name}");
             None
@@ -37,6 +39,9 @@
         {"name": "r-scripts", "host": HOST, "prefix": "/scripts/", "kind": "streaming",
          "timeout-ms": 6000, "target-latency-ms": 1000, "target-gap-ms": 400, "priority": 1,
          "service": "app", "attempts": 1, "resumable": false},
+        {"name": "r-summaries", "host": HOST, "prefix": "/summaries/", "kind": "streaming",
+         "timeout-ms": 6000, "target-latency-ms": 1000, "target-gap-ms": 400, "priority": 1,
+         "service": "app", "attempts": 2, "resumable": true},
         {"name": "r-covers", "host": HOST, "prefix": "/covers/", "kind": "safe",
          "timeout-ms": 6000, "target-latency-ms": 3000, "priority": 1, "service": "app",
          "attempts": 2},
@@ -96,9 +101,20 @@
         0 => "tracks/open",
         _ => "scripts/events",
     };
+    send(platform, round, path, pieces, 100)
+}
+
+/// Sends a request in the background, by turns to each daemon.
+fn send(
+    platform: &Platform,
+    round: usize,
+    path: &'static str,
+    pieces: usize,
+    pause: usize,
+) -> JoinHandle<Sent> {
     let (to, id) = (platform.front(round % 2), format!("{:016x}", round + 1));
     let request = format!(
-        "POST /{path}/{pieces}/100 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
+        "POST /{path}/{pieces}/{pause} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
          X-Deadline-Milliseconds: 6000\r\nContent-Length: 0\r\n\r\n"
     );
     thread::spawn(move || Sent {
@@ -347,3 +363,72 @@
     }
     got
 }
+
+/// One worker spoils one byte in some of its streams for five seconds.
+fn spoilt(mut platform: Platform, trouble: bool) -> Option<bool> {
+    start(&mut platform, &PLAIN)?;
+    let mut sent = Vec::new();
+    for round in 0..800 {
+        if trouble && (round == 100 || round == 550) {
+            platform.mark(WORKERS[0], "spoiling", round == 100);
+        }
+        sent.push(send(&platform, round, "summaries/chunkev", 12, 20));
+        sleep_ms(10);
+    }
+    let (mut whole, mut twice) = (0, 0);
+    for request in sent.into_iter().map(|r| r.join().unwrap()) {
+        let ids = event_ids(&request.reply.body);
+        let again = ids.windows(2).any(|pair| pair[1] <= pair[0]);
+        whole += usize::from(request.reply.complete && ids.len() == 12 && !again);
+        twice += usize::from(again);
+        if again || !request.reply.complete {
+            let (text, again) = (request.describe(), if again { "  <- ORDER" } else { "" });
+            platform.note(&format!("consumer got {text}, events {ids:?}{again}"));
+        }
+    }
+    platform.record_runs();
+    platform.note(&format!(
+        "{whole} streams whole, {twice} with a piece twice (ORDER)"
+    ));
+    (whole > 0).then_some(twice > 0)
+}
+
+/// The ids of a stream's events.
+fn event_ids(body: &[u8]) -> Vec<u64> {
+    let lines = body.split(|b| *b == b'\n');
+    let ids = lines.filter_map(|l| std::str::from_utf8(l.strip_prefix(b"id: ")?).ok());
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+/// One worker sends a second answer after some of its answers, three times for four seconds.
+fn extra(mut platform: Platform, trouble: bool) -> Option<bool> {
+    start(&mut platform, &PLAIN)?;
+    let mut sent = Vec::new();
+    for round in 0..2_400 {
+        if trouble && [100, 500].contains(&(round % 800)) {
+            platform.mark(WORKERS[0], "extra", round % 800 == 100);
+        }
+        sent.push(send(&platform, round, "tracks/plain", 1, 50));
+        sleep_ms(10);
+    }
+    let (mut whole, mut foreign) = (0, 0);
+    for request in sent.into_iter().map(|r| r.join().unwrap()) {
+        let reply = &request.reply;
+        let success = reply.status == 200 && reply.complete;
+        let own = reply.body.starts_with(request.id.as_bytes());
+        whole += usize::from(success && own);
+        foreign += usize::from(success && !own);
+        if !success || !own {
+            let body = String::from_utf8_lossy(&reply.body);
+            let body = body.trim_end_matches(['.', '\n']);
+            let mark = if success { "  <- MIXED" } else { "" };
+            let text = request.describe();
+            platform.note(&format!("consumer got {text}: {body:?}{mark}"));
+        }
+    }
+    platform.record_runs();
+    platform.note(&format!(
+        "{whole} answers whole, {foreign} of another request (MIXED)"
+    ));
+    (whole > 0).then_some(foreign > 0)
+}
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -24,8 +24,11 @@
 /// Bytes of one piece.
 pub const PIECE: usize = 100;
 
-/// A faulty worker spoils one in so many of its answers.
-const SPOILT: usize = 34;
+/// A faulty worker spoils the head of one in so many of its answers.
+const SPOILT_HEADS: usize = 34;
+
+/// One that spoils bodies does so in one of so many answers.
+const SPOILT_BODIES: usize = 50;
 
 pub struct Worker {
     pub addr: SocketAddr,
@@ -52,6 +55,8 @@
     worker: Worker,
     /// Answers given while faulty.
     answers: AtomicUsize,
+    /// Answers given while some get a second one.
+    extras: AtomicUsize,
     engine: Engine,
     running: AtomicUsize,
     log: Mutex<File>,
@@ -78,6 +83,7 @@
         engine: Engine::new(worker.adapters, worker.born),
         worker,
         answers: AtomicUsize::new(0),
+        extras: AtomicUsize::new(0),
         running: AtomicUsize::new(0),
         log: Mutex::new(log),
     });
@@ -94,9 +100,15 @@
     stream.set_nodelay(true)?;
     let mut to = stream.try_clone()?;
     let mut from = BufReader::new(stream);
+    // A second answer that comes where the next one is expected.
+    let mut extra: Option<Vec<u8>> = None;
     while let Some(head) = http::read_head(&mut from)? {
         let mut body = Vec::new();
         http::read_body(&mut from, &head, &mut body)?;
+        if let Some(bytes) = extra.take() {
+            to.write_all(&bytes)?;
+        }
+        extra = extra_answer(shared, &head);
         if !answer(shared, &mut to, &head, &body)? {
             return Ok(());
         }
@@ -104,12 +116,36 @@
     Ok(())
 }
 
+/// A faulty worker's second answer to a request: in one of so many a whole one, in which one
+/// byte of the name `X-Request-Id` is wrong.
+fn extra_answer(shared: &Shared, head: &Head) -> Option<Vec<u8>> {
+    let worker = &shared.worker;
+    if !worker.is_marked("extra") {
+        shared.extras.store(0, Ordering::SeqCst);
+        return None;
+    }
+    let due = shared.extras.fetch_add(1, Ordering::SeqCst) % SPOILT_HEADS == 0;
+    due.then(|| {
+        let id = head.get("x-request-id").unwrap_or("");
+        note(shared, &format!("{id} gets a second answer"));
+        let (body, length) = (piece("plain", id, 1), PIECE);
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Request-Ad: {id}\r\n\
+             X-Response-Seal: {}.{length:x}\r\nContent-Length: {length}\r\n\r\n{body}",
+            worker.id, worker.id
+        )
+        .into_bytes()
+    })
+}
+
 /// Answers one request; returns whether the channel is kept.
 fn answer(shared: &Shared, to: &mut TcpStream, head: &Head, body: &[u8]) -> io::Result<bool> {
     let worker = &shared.worker;
     let id = head.get("x-request-id").unwrap_or("");
     let mut extra = format!("X-Instance-Id: {}\r\nX-Request-Id: {id}\r\n", worker.id);
-    if worker.is_marked("faulty") && shared.answers.fetch_add(1, Ordering::SeqCst) % SPOILT == 0 {
+    if worker.is_marked("faulty")
+        && shared.answers.fetch_add(1, Ordering::SeqCst) % SPOILT_HEADS == 0
+    {
         extra += "Keep-Alive: timeout=9223372036854775807\r\n";
     }
     if head
@@ -167,7 +203,24 @@
     }
     note(shared, &format!("{id} runs, {pieces} pieces"));
     extra += &format!("X-Response-Seal: {}.{:x}\r\n", worker.id, pieces * PIECE);
-    let sent = run_pieces(to, kind, id, &extra, pieces, pause);
+    let spoils = worker.is_marked("spoiling")
+        && shared.answers.fetch_add(1, Ordering::SeqCst) % SPOILT_BODIES == 0;
+    let last = head.get("last-event-id").and_then(|v| v.parse().ok());
+    let run = Run {
+        kind,
+        id,
+        first: last.map_or(1, |last: usize| last + 1),
+        pieces,
+        pause,
+        spoilt: spoils.then_some(pieces / 2),
+    };
+    if spoils {
+        note(
+            shared,
+            &format!("{id} spoilt, one byte of piece {}", pieces / 2),
+        );
+    }
+    let sent = run_pieces(to, &extra, &run);
     shared.running.fetch_sub(1, Ordering::SeqCst);
     note(
         shared,
@@ -177,40 +230,61 @@
     Ok(kind == "plain" || kind == "chunkev")
 }
 
-fn run_pieces(
-    to: &mut TcpStream,
-    kind: &str,
-    id: &str,
-    extra: &str,
+/// One answer.
+struct Run<'a> {
+    kind: &'a str,
+    id: &'a str,
+    /// The first piece that is sent, and how many there are in all.
+    first: usize,
     pieces: usize,
     pause: Duration,
-) -> io::Result<()> {
-    if kind == "chunkev" {
-        let content = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-        to.write_all(format!("HTTP/1.1 200 OK\r\n{extra}{content}\r\n").as_bytes())?;
-        for n in 1..=pieces {
-            std::thread::sleep(pause);
-            let event = piece("events", id, n);
-            to.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+    /// The piece of which one byte is wrong.
+    spoilt: Option<usize>,
+}
+
+impl Run<'_> {
+    fn piece(&self, n: usize) -> Vec<u8> {
+        let kind = if self.kind == "chunkev" {
+            "events"
+        } else {
+            self.kind
+        };
+        let mut piece = piece(kind, self.id, n).into_bytes();
+        if self.spoilt == Some(n) {
+            piece[PIECE / 2] = 0xff;
         }
-        return to.write_all(b"0\r\n\r\n");
+        piece
     }
-    if kind == "plain" {
-        std::thread::sleep(pause * pieces as u32);
-        let body: String = (1..=pieces).map(|n| piece(kind, id, n)).collect();
-        return http::respond(to, 200, extra, body.as_bytes());
+}
+
+fn run_pieces(to: &mut TcpStream, extra: &str, run: &Run<'_>) -> io::Result<()> {
+    let numbers = run.first..=run.pieces;
+    if run.kind == "plain" {
+        std::thread::sleep(run.pause * run.pieces as u32);
+        let body: Vec<u8> = numbers.flat_map(|n| run.piece(n)).collect();
+        return http::respond(to, 200, extra, &body);
     }
-    let content = match kind {
-        "events" => "Content-Type: text/event-stream\r\n",
-        _ => "",
+    let framing = match run.kind {
+        "chunkev" => "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+        "events" => "Content-Type: text/event-stream\r\nConnection: close\r\n",
+        _ => "Connection: close\r\n",
     };
-    let head = format!("HTTP/1.1 200 OK\r\n{extra}{content}Connection: close\r\n\r\n");
-    to.write_all(head.as_bytes())?;
-    for n in 1..=pieces {
-        std::thread::sleep(pause);
-        to.write_all(piece(kind, id, n).as_bytes())?;
+    to.write_all(format!("HTTP/1.1 200 OK\r\n{extra}{framing}\r\n").as_bytes())?;
+    for n in numbers {
+        std::thread::sleep(run.pause);
+        let piece = run.piece(n);
+        match run.kind {
+            "chunkev" => {
+                let size = format!("{:x}\r\n", piece.len());
+                to.write_all(&[size.as_bytes(), &piece, b"\r\n"].concat())?;
+            }
+            _ => to.write_all(&piece)?,
+        }
+    }
+    match run.kind {
+        "chunkev" => to.write_all(b"0\r\n\r\n"),
+        _ => Ok(()),
     }
-    Ok(())
 }
 
 fn note(shared: &Shared, what: &str) {
