A planned stop ends the waits of requests that are not sent

Cause: `stop::accepts` was asked once, at the entry, and accepts everything in the first 2.5 s. No wait after it and no send asked how much of the grace is left. Ruled out by the log (`cut off by the stop`, sends=0, no `given up`): an answer that was made and not written, and an idle connection closed with a request on it.

Change: `Grace` in comfreyhall-life says until when a request may be sent, by its deadline, its expected run and whether it may have run. All that comes before a send is one function (serve/prepare.rs), raced with that time; what is expected to outlast the process is not sent; a holder is told how long a request still waits; what has no answer 100 ms before the end gets one: "unknown" at a silent target and for a request that was passed on. Why it works: whatever a wait is for, the race ends it while "not run" is true and the caller has time elsewhere.

--- a/crates/comfreyhall-life/src/lib.rs
+++ b/crates/comfreyhall-life/src/lib.rs
@@ -5,6 +5,10 @@
 //! ignored, so a second stop, or a configuration read while draining, is
 //! harmless.
 
+mod grace;
+
+pub use grace::{Grace, LINGER_MS, SendTiming};
+
 use std::sync::Mutex;
 
 use comfreyhall_protocol::Map;
--- a/crates/comfreyhall-node/src/forward/mod.rs
+++ b/crates/comfreyhall-node/src/forward/mod.rs
@@ -54,6 +54,7 @@
             node.metrics.forward("failed");
             let cause = match e.code() {
                 Code::DeadlineExceeded => EndCause::DeadlinePassed,
+                Code::Cancelled => stop::cause_of_drop(node),
                 Code::ResourceExhausted => EndCause::TooLarge,
                 _ => EndCause::ConnectionClosed,
             };
@@ -83,18 +84,20 @@
         read_answer(node, head, parts).await
     };
     let deadline = Instant::now() + Duration::from_millis(left_ms);
-    match tokio::time::timeout_at(deadline, answer).await {
-        Ok(Ok(Reply::Stream {
+    let answer = tokio::time::timeout_at(deadline, answer);
+    match stop::before(stop::answer_due(node), answer).await {
+        Some(Ok(Ok(Reply::Stream {
             status,
             headers,
             body,
-        })) => Ok(Reply::Stream {
+        }))) => Ok(Reply::Stream {
             status,
             headers,
             body: until(deadline, OpenStream::new(node, &request.id), body),
         }),
-        Ok(answer) => answer,
-        Err(_) => Err(Status::deadline_exceeded("no answer in time")),
+        Some(Ok(answer)) => answer,
+        Some(Err(_)) => Err(Status::deadline_exceeded("no answer in time")),
+        None => Err(Status::cancelled("the stop is at its end")),
     }
 }
 
--- a/crates/comfreyhall-node/src/node.rs
+++ b/crates/comfreyhall-node/src/node.rs
@@ -3,17 +3,17 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use comfreyhall_domain::{Config, Name};
 use comfreyhall_inforce::Verdict;
-use comfreyhall_life::{Lifecycle, Stage};
+use comfreyhall_life::{Grace, Lifecycle, Stage};
 use comfreyhall_settings::{NodeSettings, Policies};
 use comfreyhall_streams::{ListTimes, SoftwareRule};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     clock,
@@ -59,8 +59,8 @@
     /// When this daemon started, in ms of its clock.
     started_ms: u64,
     in_flight: AtomicUsize,
-    /// When a planned stop began; 0 for not yet.
-    drain_began_ms: AtomicU64,
+    /// The time of a planned stop, once it has begun.
+    grace: watch::Sender<Option<Grace>>,
     /// Whether the settings in the store cannot be read.
     settings_unavailable: AtomicBool,
     /// Whether every request is refused because the process is about to end.
@@ -100,7 +100,7 @@
             view: Mutex::new(view),
             started_ms: clock::now(),
             in_flight: AtomicUsize::new(0),
-            drain_began_ms: AtomicU64::new(0),
+            grace: watch::Sender::new(None),
             settings_unavailable: AtomicBool::new(false),
             rejects_all: AtomicBool::new(false),
         })
@@ -193,9 +193,17 @@
         InFlightGuard(self.clone())
     }
 
-    /// When a planned stop began; 0 for not yet.
-    pub(crate) fn drain_began_ms(&self) -> u64 {
-        self.drain_began_ms.load(Ordering::SeqCst)
+    /// The time of a planned stop, once it has begun.
+    pub(crate) fn grace(&self) -> Option<Grace> {
+        *self.grace.borrow()
+    }
+
+    /// Waits for a planned stop to begin.
+    pub(crate) async fn stop_began(&self) -> Grace {
+        let mut grace = self.grace.subscribe();
+        let began = grace.wait_for(Option::is_some).await;
+        let began = began.ok().and_then(|grace| *grace);
+        began.expect("the sender lives as long as the node")
     }
 
     /// Whether every request is refused because the process is about to end.
@@ -217,8 +225,8 @@
         self.rejects_all.store(true, Ordering::SeqCst);
     }
 
-    pub(crate) fn set_drain_began(&self, now: u64) {
-        self.drain_began_ms.store(now, Ordering::SeqCst);
+    pub(crate) fn begin_stop(&self, grace: Grace) {
+        self.grace.send_replace(Some(grace));
     }
 
     /// When this daemon started, in ms of its clock.
--- a/crates/comfreyhall-node/src/paces.rs
+++ b/crates/comfreyhall-node/src/paces.rs
@@ -71,6 +71,14 @@
     view.run_times.output(criteria.route, expected).events
 }
 
+/// Expected time from the first event to the last at `target` of a stream on `route` whose
+/// caller expects `expected` events, in ms.
+pub(crate) fn stream_ms(node: &Node, target: &Name, route: &Name, expected: Option<u32>) -> f64 {
+    let view = node.view();
+    let event_ms = view.paces.event_ms(target, node.now());
+    view.run_times.run_ms(route, expected, 0.0, event_ms)
+}
+
 /// Rank of `target` for the adapter `key`, where engines differ in pace if
 /// `uses_paces`; the lowest is preferred.
 pub(crate) fn adapter_rank(view: &View, uses_paces: bool, key: &str, target: &Name) -> u64 {
--- a/crates/comfreyhall-node/src/serve/beside.rs
+++ b/crates/comfreyhall-node/src/serve/beside.rs
@@ -241,6 +241,9 @@
             if !self.target_still_accepts(&plan) {
                 return Err("the target takes no more work");
             }
+            if !self.stop_allows(&plan) {
+                return Err("its answer would outlast the stop");
+            }
             if !matches!(self.renew(), Ok(Renewal::Unchanged)) {
                 return Err("its settings have changed");
             }
@@ -281,6 +284,9 @@
         if !self.may_change_target() {
             return Some("its version is not known");
         }
+        if !self.stop_allows_send() {
+            return Some("the stop is near its end");
+        }
         (self.remaining_ms() == 0).then_some("its deadline has passed")
     }
 
--- a/crates/comfreyhall-node/src/serve/entry.rs
+++ b/crates/comfreyhall-node/src/serve/entry.rs
@@ -7,6 +7,7 @@
 use super::{
     ActiveRequest, Reply, caller,
     caller::SettingsBasis,
+    pass_on::Reach,
     request::{NOT_READY_RETRY_MS, Origin},
 };
 use crate::{node::Node, stop};
@@ -41,20 +42,20 @@
         else {
             return Reply::NoRoute;
         };
-        if !stop::accepts(self, request.deadline_ms) {
-            request.finished = true;
-            log::info!(target: "serve", id:% = request.client_request.id, route:% = request.route.name; "refused: the stop is near its end");
-            return Reply::NotReady {
-                retry_ms: NOT_READY_RETRY_MS,
-            };
-        }
         request.in_flight = Some(guard);
         request.may_pass_on = origin == Origin::Caller;
-        if let Some(reply) = request.pass_on_if_unreached().await {
-            return reply;
+        if !request.stop_allows_send() {
+            return request.reject_stopping();
+        }
+        match request.reach() {
+            Reach::Here => {}
+            Reach::Peer(peer) => return request.pass_on(peer).await,
+            Reach::Nowhere(reply) => return reply,
         }
-        if let Some(reply) = request.reserve_credit(&config).await {
-            return reply;
+        match stop::before(request.too_late(), request.reserve_credit(&config)).await {
+            Some(None) => {}
+            Some(Some(reply)) => return reply,
+            None => return request.reject_stopping(),
         }
         match request.route.kind {
             RouteKind::NonIdempotent => match tokio::spawn(request.run()).await {
--- a/crates/comfreyhall-node/src/serve/mod.rs
+++ b/crates/comfreyhall-node/src/serve/mod.rs
@@ -15,25 +15,29 @@
 mod pass_on;
 mod place;
 mod plain;
+mod prepare;
 mod quarantine;
 mod renew;
 mod reply;
 mod request;
 mod send;
+mod stopping;
 mod version;
 
 pub use self::reply::{EventStream, Reply};
 
 pub(crate) use self::request::ActiveRequest;
 
-use std::time::Duration;
-
 use comfreyhall_routing::admission;
 
-use self::{place::BindOutcome, renew::Step, reply::Next, request::RECHECK_MS};
+use self::{
+    prepare::{Again, Prepared},
+    reply::Next,
+};
 use crate::{
     choose::{self, Plan},
     criteria::Criteria,
+    stop,
 };
 
 /// Upper bound on rounds of placement and sending per request: a guard against
@@ -44,114 +48,36 @@
 /// objective: by then the targets that failed are known to be unhealthy.
 const EXHAUSTED_RETRY_SHARE: f64 = 0.5;
 
-/// Pause before a full target is asked again, in ms: in that time its queue
-/// advances by one prompt, and an adapter that is being replaced is available
-/// again. Without a pause some targets were asked every 7 ms, which used up the
-/// shared retry budget.
-const FULL_RETRY_MS: u64 = 100;
-
-/// Refusals by full targets after which the request fails.
-const MAX_FULL_REFUSALS: u32 = 3;
-
 impl ActiveRequest {
     async fn run(mut self) -> Reply {
         self.record_request();
-        if let Some(reply) = self.bind_version().await {
-            return reply;
+        match stop::before(self.too_late(), self.bind_version()).await {
+            Some(None) => {}
+            Some(Some(reply)) => return reply,
+            None => return self.reject_stopping(),
         }
         // Whether a lease holder has said that the wait in its group is too long.
         let mut too_long = false;
         for round in 0..MAX_ROUNDS {
-            if self.remaining_ms() == 0 {
-                return self.give_up("time is up", 0.0);
-            }
-            if let Some(rejection) = self.quarantined().await {
-                return self.reject_quarantined(rejection);
-            }
-            match self.check_settings().await {
-                Step::Proceed => {}
-                Step::ChooseAgain => continue,
-                Step::End(reply) => return reply,
-            }
-            if let Some(reply) = self.pass_on_if_unreached().await {
-                return reply;
-            }
-            if let Some(reply) = self.reject_gone_version() {
-                return reply;
-            }
-            let Some(mut plan) = self.choose() else {
-                if let Some(ms) = self
-                    .all_unavailable_ms()
-                    .filter(|ms| *ms > self.hold_left_ms())
-                {
-                    self.log_unavailable();
-                    return self.give_up("its targets take no more now", ms as f64);
-                }
-                if self.hold_expired() || self.full_refusals >= MAX_FULL_REFUSALS {
-                    return self.give_up("no target can take it", FULL_RETRY_MS as f64);
-                }
-                let pause_ms = if self.full_refusals > 0 {
-                    FULL_RETRY_MS
-                } else {
-                    RECHECK_MS
-                };
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                self.unavailable.clear();
-                continue;
-            };
             let check_wait = round == 0 || too_long;
-            if check_wait && self.node.policies().admission && self.wait_too_long(plan.wait_ms) {
-                return self.give_up("the wait is too long", plan.wait_ms / 2.0);
-            }
-            match self.bind(&mut plan).await {
-                BindOutcome::Engine => {}
-                BindOutcome::None if self.hold_expired() => {
-                    return self.give_up("its adapter has no place", plan.wait_ms);
-                }
-                BindOutcome::None => continue,
-                BindOutcome::NoSlot { return_ms } => {
-                    if self.no_slot_anywhere(&plan, return_ms) {
-                        let retry_ms = return_ms.min(self.remaining_ms() / 3);
-                        return self.give_up_until("no slot in time", retry_ms);
-                    }
-                    continue;
-                }
-                BindOutcome::TooLong(ms) => {
-                    too_long = true;
-                    if self.choose().is_none() {
-                        return self.give_up("the wait is too long", ms as f64 / 2.0);
-                    }
+            let too_late = self.too_late();
+            let (plan, permit) = match stop::before(too_late, self.prepare(check_wait)).await {
+                Some(Prepared::Send(plan, permit)) => (*plan, permit),
+                Some(Prepared::PassOn(peer)) => return self.pass_on(peer).await,
+                Some(Prepared::Again(why)) => {
+                    too_long |= why == Again::WaitTooLong;
                     continue;
                 }
-            }
-            let Some(permit) = self.permit(&plan).await else {
-                continue;
+                Some(Prepared::End(reply)) => return reply,
+                None => return self.reject_stopping(),
             };
-            if !self.target_still_accepts(&plan) {
-                self.skip_target(&plan.target.id);
-                continue;
-            }
-            if self.must_wait() {
-                continue;
-            }
-            if let Some(rejection) = self.quarantined().await {
-                return self.reject_quarantined(rejection);
-            }
-            match self.recheck_settings() {
-                Step::Proceed => {}
-                Step::ChooseAgain => continue,
-                Step::End(reply) => return reply,
-            }
-            if !self.history.may_send(self.route.repeatable(), u32::MAX) {
-                // Newer settings may say that it runs once.
-                return self.give_up("it may have run", 0.0);
-            }
-            if self.deliveries > 0 && !self.take_retry() {
-                return self.give_up("the retry budget is spent", plan.wait_ms);
-            }
             let last_event = self.client_request.last_event_id;
             let exchange = self.begin_send(plan, permit, last_event);
-            let (exchange, outcome) = self.await_outcome(exchange).await;
+            let answer_due = self.answer_due();
+            let answering = self.await_outcome(exchange);
+            let Some((exchange, outcome)) = stop::before(answer_due, answering).await else {
+                return self.answer_unfinished();
+            };
             match self.conclude(exchange, outcome) {
                 Next::Reply(reply) => return reply,
                 Next::Retry => self = self.next_seed(),
--- a/crates/comfreyhall-node/src/serve/pass_on.rs
+++ b/crates/comfreyhall-node/src/serve/pass_on.rs
@@ -17,6 +17,15 @@
 /// Retry delay if no daemon is known to reach a target, in ms.
 const ALL_ISOLATED_RETRY_MS: f64 = 500.0;
 
+/// Where a request is to be served.
+pub(super) enum Reach {
+    Here,
+    /// At the daemon with this address.
+    Peer(Name),
+    /// Nowhere; its final answer.
+    Nowhere(Reply),
+}
+
 impl ActiveRequest {
     /// Counts a stream that was passed on as in progress until it ends: a planned stop
     /// waits for it.
@@ -38,36 +47,41 @@
         }
     }
 
-    /// Passes the request on if this daemon does not reach its targets, or has lost half
-    /// of them to which another daemon has paths; `None` if it is to be served here. It
-    /// has not run and holds no credit then.
-    pub(super) async fn pass_on_if_unreached(&mut self) -> Option<Reply> {
+    /// Where the request is to be served: this daemon may not reach its targets, or have
+    /// lost half of them to which another daemon has paths.
+    pub(super) fn reach(&mut self) -> Reach {
         if self.history.may_have_run {
-            return None;
+            return Reach::Here;
         }
         let isolated = self.node.is_isolated();
-        let give_up = |request: &mut Self| {
-            isolated.then(|| request.give_up("no target is reached", ALL_ISOLATED_RETRY_MS))
-        };
-        if !self.may_pass_on {
-            return give_up(self);
-        }
         let now = self.node.now();
-        let Some(peer) = self
-            .most_lost(isolated)
-            .and_then(|most| self.node.fleet.reaching_peer(most, now))
-        else {
-            return give_up(self);
+        let peer = match self.may_pass_on {
+            true => self
+                .most_lost(isolated)
+                .and_then(|most| self.node.fleet.reaching_peer(most, now)),
+            false => None,
         };
+        match peer {
+            Some(peer) => Reach::Peer(peer),
+            None if isolated => {
+                Reach::Nowhere(self.give_up("no target is reached", ALL_ISOLATED_RETRY_MS))
+            }
+            None => Reach::Here,
+        }
+    }
+
+    /// Passes the request on to the daemon at `peer`. It has not run, and holds no credit
+    /// here any more.
+    pub(super) async fn pass_on(&mut self, peer: Name) -> Reply {
         self.may_pass_on = false;
         let request = self.client_request.clone();
-        let left_ms = self.remaining_ms();
+        let left_ms = self.answer_left_ms();
         // The daemon that serves it reserves credit for it.
         self.return_credit();
         let reply = forward::pass_on(&self.node, &request, &peer, left_ms).await;
         self.finished = true;
         self.node.metrics.request(self.route.kind, "passed_on");
-        Some(self.keep_in_progress(reply))
+        self.keep_in_progress(reply)
     }
 
     /// Share of targets, in percent, that a daemon may have lost that gets this request;
--- a/crates/comfreyhall-node/src/serve/place.rs
+++ b/crates/comfreyhall-node/src/serve/place.rs
@@ -130,7 +130,8 @@
     fn patience_ms(&self) -> u64 {
         let total_ms = (self.deadline_ms - self.began_ms) as f64;
         let until_ms = self.began_ms + (total_ms * SLOT_WAIT_SHARE) as u64;
-        until_ms.saturating_sub(self.node.now()).max(1)
+        let patience_ms = until_ms.saturating_sub(self.node.now());
+        self.wait_limit_ms(patience_ms).max(1)
     }
 
     /// Notes that the planned group has no slot for it for `return_ms`; returns
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -4,60 +4,69 @@
 //! callers are no longer sent to it. Callers with an older address answer still
 //! arrive, and are served for as long as they may cache it. Then the daemon
 //! waits for requests in progress, and ends within the bound.
+//!
+//! A request that waits unsent would be dropped at that end: each wait ends before, with
+//! a rejection, and nothing is sent whose answer is expected later.
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_life::Event;
+use comfreyhall_life::{Event, Grace, LINGER_MS, SendTiming};
 use comfreyhall_relay::EndCause;
 
 use crate::{fleet, node::Node};
 
-/// Time for callers to learn that this daemon is draining: the time-to-live of
-/// an address answer and a margin.
-const LINGER: Duration = Duration::from_millis(2_500);
-
-/// Time before the platform kills the process at which remaining requests are abandoned, in
-/// ms, so that the process still ends by itself.
-const STOP_MARGIN_MS: u64 = 400;
-
 /// Interval between checks.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Whether a draining daemon still accepts a request that may last until
-/// `limit`.
-///
-/// A caller with an old address answer may send a stream seconds after the
-/// signal, and the process would end in the middle of it. Once callers have had
-/// time to learn of the stop, only requests that surely end before the process
-/// are accepted.
-pub(crate) fn accepts(node: &Node, limit: u64) -> bool {
-    let began = node.drain_began_ms();
+/// Whether a request may be sent now, as far as a planned stop is concerned.
+pub(crate) fn may_send(node: &Node, send: SendTiming) -> bool {
+    match node.grace() {
+        None => true,
+        Some(grace) => !node.rejects_all() && grace.allows(send, node.now()),
+    }
+}
+
+/// Waits until a planned stop forbids to send a request.
+pub(crate) async fn too_late(node: &Node, send: SendTiming) {
+    let grace = node.stop_began().await;
     if node.rejects_all() {
-        return false;
+        return;
     }
-    if began == 0 || node.now().saturating_sub(began) < LINGER.as_millis() as u64 {
-        return true;
+    match grace.send_by_ms(send) {
+        Some(by_ms) => sleep_until(node, by_ms).await,
+        None => std::future::pending().await,
     }
-    limit < began + grace_ms(node)
 }
 
-/// Why a request that is dropped now ends before its answer is complete.
-pub(crate) fn cause_of_drop(node: &Node) -> EndCause {
-    let began = node.drain_began_ms();
-    match began > 0 && node.now() >= began + grace_ms(node) {
-        true => EndCause::GraceEnded,
-        false => EndCause::CallerLeft,
-    }
+/// Waits until a planned stop is so near its end that requests without an answer get one.
+pub(crate) async fn answer_due(node: &Node) {
+    let grace = node.stop_began().await;
+    sleep_until(node, grace.answer_by_ms()).await;
+}
+
+async fn sleep_until(node: &Node, at_ms: u64) {
+    let left_ms = at_ms.saturating_sub(node.now());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
 }
 
-/// Time in ms after the signal at which the process ends at the latest.
-fn grace_ms(node: &Node) -> u64 {
-    bound_ms(node.settings().bounds.grace_s)
+/// What `work` comes to; `None` if `limit` ends first.
+pub(crate) async fn before<T>(
+    limit: impl Future<Output = ()>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        () = limit => None,
+        done = work => Some(done),
+    }
 }
 
-/// The same for a process that is killed after `grace_s`.
-fn bound_ms(grace_s: f64) -> u64 {
-    ((grace_s * 1_000.0) as u64).saturating_sub(STOP_MARGIN_MS)
+/// Why a request that is dropped now ends before its answer is complete.
+pub(crate) fn cause_of_drop(node: &Node) -> EndCause {
+    match node.grace() {
+        Some(grace) if node.now() >= grace.answer_by_ms() => EndCause::GraceEnded,
+        _ => EndCause::CallerLeft,
+    }
 }
 
 /// Drains the daemon; returns once nothing is in progress or the time limit is
@@ -67,35 +76,31 @@
 /// should accept no new connections from then on and close idle ones; those in
 /// use end on their own.
 pub async fn drain(node: &Arc<Node>, close_idle: impl Fn()) -> Duration {
-    let began = node.now();
-    node.set_drain_began(began);
+    let kill_ms = (node.settings().bounds.grace_s * 1_000.0) as u64;
+    let grace = Grace::new(node.now(), kill_ms);
+    node.begin_stop(grace);
     node.life.handle(Event::Stop);
     log::info!(target: "stop", in_flight = node.in_flight(); "leaving");
     fleet::notify_all(node).await;
-    tokio::time::sleep(LINGER).await;
+    tokio::time::sleep(Duration::from_millis(LINGER_MS)).await;
     close_idle();
-    await_idle(node, began).await;
+    await_idle(node, grace).await;
     // From here on everything is rejected: otherwise a request that arrives
     // just before the process ends would be forwarded and cut off.
     node.reject_all();
-    await_idle(node, began).await;
+    await_idle(node, grace).await;
     if node.in_flight() == 0 {
         // The last answers are still on their way to their callers.
         tokio::time::sleep(POLL * 4).await;
     }
     node.life.handle(Event::Drained);
     log::info!(target: "stop", in_flight = node.in_flight(); "stopped");
-    let used_ms = node.now().saturating_sub(began);
-    Duration::from_millis(grace_ms(node).saturating_sub(used_ms))
+    Duration::from_millis(grace.ends_ms().saturating_sub(node.now()))
 }
 
 /// Waits until nothing is in progress, at most until the bound.
-async fn await_idle(node: &Node, began: u64) {
-    while node.in_flight() > 0 && node.now().saturating_sub(began) < grace_ms(node) {
+async fn await_idle(node: &Node, grace: Grace) {
+    while node.in_flight() > 0 && node.now() < grace.ends_ms() {
         tokio::time::sleep(POLL).await;
     }
 }
-
-#[cfg(test)]
-#[path = "stop_tests.rs"]
-mod tests;
--- a/crates/comfreyhall-node/tests/engines/mod.rs
+++ b/crates/comfreyhall-node/tests/engines/mod.rs
@@ -10,7 +10,9 @@
     time::Duration,
 };
 
-use comfreyhall_domain::{AdapterRef, ClientRequest, LoadedModel, Name, RouteKind, Set, Target};
+use comfreyhall_domain::{
+    AdapterRef, ClientRequest, LoadedModel, Name, Route, RouteKind, Set, Target,
+};
 use comfreyhall_fakes::FakeTable;
 use comfreyhall_node::{Node, ports::*};
 use futures::{FutureExt, future::BoxFuture};
@@ -170,7 +172,7 @@
 /// The paths of one daemon to the engines.
 pub struct Paths {
     engines: Engines,
-    scripted: ScriptedBackend,
+    pub scripted: ScriptedBackend,
     pub cuts: Mutex<BTreeMap<Name, Cut>>,
     /// Whether the engines are silent: they carry out commands once they go on.
     silent: watch::Receiver<bool>,
@@ -287,16 +289,21 @@
 }
 
 pub async fn start_fleet(plan: Plan) -> Fleet {
+    let mut long = route(RouteKind::Stream, 2, false);
+    long.objective_ms = 600;
+    start_fleet_on(long, plan).await
+}
+
+/// The same, which serves `route`.
+pub async fn start_fleet_on(route: Route, plan: Plan) -> Fleet {
     let Plan {
         daemons,
         engines,
         fencing,
     } = plan;
-    let mut long = route(RouteKind::Stream, 2, false);
-    long.objective_ms = 600;
     let mut config = engine();
     config.adapter_slots = SLOTS as u32;
-    let mut source = scripted_source(long, Some(config));
+    let mut source = scripted_source(route, Some(config));
     let only = Arc::get_mut(&mut source).expect("the source has one owner");
     only.targets = (0..engines)
         .map(|i| Target {
--- a/crates/comfreyhall-node/tests/forward.rs
+++ b/crates/comfreyhall-node/tests/forward.rs
@@ -244,3 +244,25 @@
     let result = caller_result(pair.cut.serve(request).await).await;
     assert_eq!(result, CallerResult::Complete(200));
 }
+
+/// Guards against a request that was passed on and whose caller gets no answer when a planned
+/// stop ends, as the other daemon waits for a silent target.
+#[tokio::test]
+async fn drain_answers_passed_on_request() {
+    let mut long = route(RouteKind::NonIdempotent, 2, false);
+    long.timeout_ms = 15_000;
+    let pair = start_pair(long, Behavior::Unreachable, Behavior::Hang).await;
+    let mut settings = (*pair.cut.settings()).clone();
+    settings.bounds.grace_s = 3.0;
+    pair.cut.set_settings(settings);
+    let mut request = ask("r");
+    request.remaining_ms = Some(15_000);
+    let serving = pair.cut.clone();
+    let call = tokio::spawn(async move { caller_result(serving.serve(request).await).await });
+    while pair.peer_backend.sent.lock().unwrap().is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    comfreyhall_node::drain(&pair.cut, || {}).await;
+    assert!(call.is_finished(), "no answer");
+    assert_eq!(call.await.unwrap(), CallerResult::Unknown);
+}
--- a/crates/comfreyhall-routing/src/pace.rs
+++ b/crates/comfreyhall-routing/src/pace.rs
@@ -273,6 +273,12 @@
         }
     }
 
+    /// Mean time between two events of `target`, in ms.
+    pub fn event_ms(&self, target: &Name, now: u64) -> f64 {
+        let mean_ms = self.gap_ms.value(ALL, INITIAL_GAP_MS, now);
+        mean_ms * self.current(target, now).gap
+    }
+
     /// Longest wait of one event at an engine of mean pace, in ms.
     pub fn event_wait_ms(&self) -> f64 {
         self.wait_ms
