Own daemon: a planned stop answers what waits or runs at its end

What callers saw: a request that waited for the load of its adapter, and a call at a silent service, got no answer when the drain limit of a planned stop passed.

Change: the stop has a module (stopping.rs, out of http/mod.rs), which keeps the `Grace` of comfreyhall-life. `Search::place` and each attempt ask it; at its end a request that was not sent is rejected and another one is "unknown".

Failed before: both tests of stops.rs (no answer, status 0).

--- a/crates/comfreyhall-daemon/src/app.rs
+++ b/crates/comfreyhall-daemon/src/app.rs
@@ -10,7 +10,7 @@
 
 use comfreyhall_catalog::{Catalog, Follower, Labels, Table};
 use comfreyhall_lease::Lease;
-use comfreyhall_life::{Lifecycle, Stage};
+use comfreyhall_life::{Grace, Lifecycle, Stage};
 use comfreyhall_once::IdempotencyClaims;
 use comfreyhall_placement::{EngineView, Policy};
 use comfreyhall_protocol::{
@@ -18,7 +18,7 @@
     objects_client::ObjectsClient, peer_client::PeerClient, plain_client::PlainClient,
 };
 use comfreyhall_settings::{Instance, PolicyKind, Settings};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tonic::transport::Channel;
 
@@ -59,6 +59,8 @@
     pub(crate) labels: Labels,
     pub(crate) members: Members,
     pub(crate) lifecycle: Lifecycle,
+    /// The time of a planned stop, once it has begun.
+    pub(crate) grace: watch::Sender<Option<Grace>>,
     pub(crate) started: Instant,
     pub(crate) idle: Notify,
     pub(crate) counters: Counters,
@@ -126,6 +128,7 @@
                 labels,
                 members: Members::default(),
                 lifecycle: Lifecycle::new(),
+                grace: watch::Sender::new(None),
                 started: Instant::now(),
                 idle: Notify::new(),
                 counters: Counters::default(),
--- a/crates/comfreyhall-daemon/src/error.rs
+++ b/crates/comfreyhall-daemon/src/error.rs
@@ -90,6 +90,11 @@
 }
 
 impl RouteError {
+    /// The outcome of a request whose attempts are open at the end of a planned stop.
+    pub(crate) fn stop_ended() -> Self {
+        RouteError::OutcomeUnknown("the planned stop is at its end".to_string())
+    }
+
     fn kind(&self) -> Kind {
         use RouteError::*;
         let unavailable = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/comfreyhall-daemon/src/http/call.rs
+++ b/crates/comfreyhall-daemon/src/http/call.rs
@@ -24,6 +24,7 @@
     error::RouteError,
     outbound::{self, Target},
     quarantine::{self, SuspectTarget},
+    stopping,
 };
 
 /// Targets at which one call is attempted.
@@ -71,7 +72,7 @@
     app.inner.counters.count_request();
     let Some(key) = key else {
         let mut open = OpenAnswer::new(app, &request.request_id);
-        let result = send(app, &request, true).await;
+        let result = send_until_stop(app, &request, true).await;
         open.close();
         return result;
     };
@@ -80,7 +81,7 @@
         ClaimedKey::Replay(stored) => return Ok(stored),
     };
     let mut open = OpenAnswer::new(app, &request.request_id);
-    let result = send(app, &request, false).await;
+    let result = send_until_stop(app, &request, false).await;
     open.close();
     match result {
         Ok(body) => {
@@ -103,6 +104,18 @@
     MayHaveRun(String),
 }
 
+/// Sends the call; at the end of a planned stop its outcome is not known.
+async fn send_until_stop(
+    app: &App,
+    request: &CallRequest,
+    repeatable: bool,
+) -> Result<Vec<u8>, RouteError> {
+    tokio::select! {
+        result = send(app, request, repeatable) => result,
+        () = stopping::answer_due(app) => Err(RouteError::stop_ended()),
+    }
+}
+
 /// Sends the call to services in turn, those in this failure domain first.
 ///
 /// A silent service may still answer, so its attempt goes on beside the next one, and the
--- a/crates/comfreyhall-daemon/src/http/mod.rs
+++ b/crates/comfreyhall-daemon/src/http/mod.rs
@@ -58,46 +58,6 @@
     Ok(())
 }
 
-/// Waits for a planned stop and drains the requests in progress.
-///
-/// Even when idle, the daemon keeps running for as long as callers may cache an
-/// address answer, so that a caller with an old answer gets the addresses of
-/// other instances instead of finding nothing there.
-pub(crate) async fn stop_task(app: App) {
-    tokio::spawn({
-        let app = app.clone();
-        async move {
-            comfreyhall_telemetry::stop_signal().await;
-            app.inner.lifecycle.handle(Event::Stop);
-        }
-    });
-    app.inner.lifecycle.wait_for_stage(Stage::Leaving).await;
-    let tuning = &app.inner.settings.tuning;
-    if let Err(e) = member::write_heartbeat(&app).await {
-        log::warn!(target: "member", "draining state not written: {e}");
-    }
-    tokio::time::sleep(Duration::from_millis(tuning.address_ttl_ms)).await;
-    let timeout = Duration::from_millis(tuning.drain_ms);
-    if tokio::time::timeout(timeout, wait_until_idle(&app))
-        .await
-        .is_err()
-    {
-        let remaining = app.in_flight();
-        log::warn!(target: "daemon", "drain limit passed with {remaining} requests still running");
-    }
-    app.inner.lifecycle.handle(Event::Drained);
-}
-
-async fn wait_until_idle(app: &App) {
-    loop {
-        let idle = app.inner.idle.notified();
-        if app.in_flight() == 0 {
-            return;
-        }
-        idle.await;
-    }
-}
-
 async fn drain(State(app): State<App>) -> impl IntoResponse {
     app.inner.lifecycle.handle(Event::Stop);
     Json(serde_json::json!({ "draining": true }))
--- a/crates/comfreyhall-daemon/src/lib.rs
+++ b/crates/comfreyhall-daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod resolve;
 mod route;
 mod stats;
+mod stopping;
 mod stuck;
 
 use comfreyhall_settings::{PolicyKind, Settings};
@@ -50,7 +51,7 @@
     quarantine::spawn(&app);
     orders::spawn(&app);
     orders::spawn_reports(&app);
-    tokio::spawn(http::stop_task(app.clone()));
+    tokio::spawn(stopping::stop_task(app.clone()));
     let listener = tokio::net::TcpListener::bind(&app.instance.listen)
         .await
         .wrap_err_with(|| {
--- a/crates/comfreyhall-daemon/src/route.rs
+++ b/crates/comfreyhall-daemon/src/route.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyhall_life::SendTiming;
 use comfreyhall_protocol::{
     CancelOrder, GenerateChunk, GenerateRequest, engine_client::EngineClient,
 };
@@ -22,6 +23,7 @@
     orders::{self, PlaceOutcome},
     outbound::{self, Target},
     quarantine::{self, SuspectTarget},
+    stopping,
 };
 
 /// Placement attempts per request before it fails.
@@ -61,6 +63,16 @@
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// Its next send; `may_have_run` by those before.
+    fn send_timing(&self, app: &App, may_have_run: bool) -> SendTiming {
+        let left_ms = self.remaining().as_millis() as u64;
+        SendTiming {
+            deadline_ms: app.now_ms().saturating_add(left_ms),
+            run_ms: 0,
+            may_have_run,
+        }
+    }
 }
 
 /// A run that an engine has accepted.
@@ -94,6 +106,8 @@
 enum Found {
     Place(PlaceOutcome),
     Started(Box<StartedRun>),
+    /// A planned stop lets it wait no longer.
+    TooLate,
 }
 
 /// Places the adapter of `request` and starts the request on an engine.
@@ -106,50 +120,13 @@
 /// may still answer: its attempt stays open beside the next one.
 pub(crate) async fn start(app: &App, request: &RoutedRequest) -> Result<StartedRun, RouteError> {
     let mut search = Search::new(app, request);
-    for _ in 0..MAX_TRIES {
-        if request.remaining().is_zero() || (!request.repeatable && !search.attempts.is_empty()) {
-            return search.finish(RouteError::Expired).await;
-        }
-        let started_at = Instant::now();
-        let engine = match search.place().await? {
-            Found::Started(run) => return Ok(*run),
-            Found::Place(PlaceOutcome::Resident(engine)) => engine,
-            Found::Place(PlaceOutcome::Loaded(engine)) => {
-                search.load_wait += started_at.elapsed();
-                engine
-            }
-            Found::Place(PlaceOutcome::Failed) => {
-                search.load_wait += started_at.elapsed();
-                continue;
-            }
-            Found::Place(PlaceOutcome::Busy) => {
-                let reason = all_unavailable(app).unwrap_or(RouteError::Busy);
-                return search.finish(reason).await;
-            }
-        };
-        if request.remaining().is_zero() {
-            return search.finish(RouteError::Expired).await;
-        }
-        let may_have_run = search.may_run.is_some() || !search.attempts.is_empty();
-        if let Err(e) = quarantine::admit(app, &request.fingerprint, may_have_run) {
-            return match search.attempts.is_empty() {
-                true => Err(e),
-                false => search.finish(e).await,
-            };
-        }
-        if let Err(reason) = outbound::admit(app, Target::Engine(engine)) {
-            search.unavailable = Some(reason);
-            continue;
-        }
-        search.attempts.begin(engine, request.command.clone());
-        if let Some(run) = search.await_answer(engine).await? {
-            return Ok(run);
-        }
+    tokio::select! {
+        started = search.run() => started,
+        () = stopping::answer_due(app) => Err(match search.may_have_run() {
+            true => RouteError::stop_ended(),
+            false => RouteError::Draining,
+        }),
     }
-    let reason = search.unavailable.take();
-    search
-        .finish(reason.unwrap_or(RouteError::Exhausted(MAX_TRIES)))
-        .await
 }
 
 impl<'a> Search<'a> {
@@ -165,11 +142,69 @@
         }
     }
 
+    /// Searches until an engine has accepted the request.
+    async fn run(&mut self) -> Result<StartedRun, RouteError> {
+        let (app, request) = (self.app, self.request);
+        for _ in 0..MAX_TRIES {
+            if request.remaining().is_zero() || (!request.repeatable && !self.attempts.is_empty()) {
+                return self.finish(RouteError::Expired).await;
+            }
+            let started_at = Instant::now();
+            let engine = match self.place().await? {
+                Found::Started(run) => return Ok(*run),
+                Found::TooLate => return self.finish(RouteError::Draining).await,
+                Found::Place(PlaceOutcome::Resident(engine)) => engine,
+                Found::Place(PlaceOutcome::Loaded(engine)) => {
+                    self.load_wait += started_at.elapsed();
+                    engine
+                }
+                Found::Place(PlaceOutcome::Failed) => {
+                    self.load_wait += started_at.elapsed();
+                    continue;
+                }
+                Found::Place(PlaceOutcome::Busy) => {
+                    let reason = all_unavailable(app).unwrap_or(RouteError::Busy);
+                    return self.finish(reason).await;
+                }
+            };
+            if request.remaining().is_zero() {
+                return self.finish(RouteError::Expired).await;
+            }
+            let may_have_run = self.may_have_run();
+            if !stopping::may_send(app, request.send_timing(app, may_have_run)) {
+                return self.finish(RouteError::Draining).await;
+            }
+            if let Err(e) = quarantine::admit(app, &request.fingerprint, may_have_run) {
+                return match self.attempts.is_empty() {
+                    true => Err(e),
+                    false => self.finish(e).await,
+                };
+            }
+            if let Err(reason) = outbound::admit(app, Target::Engine(engine)) {
+                self.unavailable = Some(reason);
+                continue;
+            }
+            self.attempts.begin(engine, request.command.clone());
+            if let Some(run) = self.await_answer(engine).await? {
+                return Ok(run);
+            }
+        }
+        let reason = self.unavailable.take();
+        self.finish(reason.unwrap_or(RouteError::Exhausted(MAX_TRIES)))
+            .await
+    }
+
+    /// Whether one of its attempts may have run it.
+    fn may_have_run(&self) -> bool {
+        self.may_run.is_some() || !self.attempts.is_empty()
+    }
+
     /// Has the adapter placed, while open attempts may be answered.
     async fn place(&mut self) -> Result<Found, RouteError> {
         let (app, request, key) = (self.app, self.request, self.key.clone());
         let placing = place(app, request, &key);
-        tokio::pin!(placing);
+        let too_late = stopping::too_late(app, request.send_timing(app, self.may_have_run()));
+        tokio::pin!(placing, too_late);
         loop {
             tokio::select! {
                 biased;
@@ -178,6 +213,7 @@
                         return Ok(Found::Started(Box::new(run)));
                     }
                 }
+                () = &mut too_late => return Ok(Found::TooLate),
                 placed = &mut placing => return Ok(Found::Place(placed)),
             }
         }
