Times that others state are bounded before they are used

An idle timeout of 2^63 - 1 s in the head of one target's answers ended the daemon 10 times in 12 s; 55 requests on kept connections that sound targets ran were not answered.

Cause: `release` added the stated time to `Instant::now()`, which panics beyond the clock's range, and a panic aborts the process. Evidence: `overflow when adding duration to instant` at that place. Ruled out: memory, an assertion on the head.

Why it works: nothing that is added to a clock is longer. Aborting on a panic stays; the postmortem says why.

--- a/crates/comfreyhall-domain/src/lib.rs
+++ b/crates/comfreyhall-domain/src/lib.rs
@@ -11,6 +11,7 @@
 mod outcome;
 mod priority;
 mod request;
+mod stated;
 mod target;
 
 pub use comfreyhall_protocol::{Map, Revision, Set};
@@ -24,6 +25,7 @@
 pub use outcome::{Answer, Outcome, Refusal, SendHistory, answer_for, answer_quarantined};
 pub use priority::PriorityTable;
 pub use request::{AdapterRef, ClientRequest, ForwardedRequest, PromptSegment, TokenCounts};
+pub use stated::StatedTime;
 pub use target::{LoadedModel, Stage, Target};
 
 /// A shared, immutable string.
--- a/crates/comfreyhall-domain/src/tests.rs
+++ b/crates/comfreyhall-domain/src/tests.rs
@@ -144,3 +144,21 @@
         crate::Revision::new(0, 306)
     );
 }
+
+/// Guards against a time that somebody states and that no clock can add.
+#[test]
+fn stated_time_is_bounded() {
+    use std::time::Instant;
+    let mut times: Vec<StatedTime> = [0, 1, u64::MAX / 1_000, u64::MAX - 1, u64::MAX]
+        .into_iter()
+        .flat_map(|n| [StatedTime::from_ms(n), StatedTime::from_secs(n)])
+        .collect();
+    let floats = [-1.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY, 1e300];
+    times.extend(floats.map(StatedTime::from_ms_f64));
+    for time in times {
+        assert!(Instant::now().checked_add(time.duration()).is_some());
+        assert!(time.ms() <= 86_400_000);
+    }
+    assert_eq!(StatedTime::from_secs(4).ms(), 4_000);
+    assert_eq!(StatedTime::from_ms_f64(-5.0).ms(), 0);
+}
--- a/crates/comfreyhall-node/src/bind/wire.rs
+++ b/crates/comfreyhall-node/src/bind/wire.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use comfreyhall_domain::{AdapterRef, Name, PromptSegment, TokenCounts};
+use comfreyhall_domain::{AdapterRef, Name, PromptSegment, StatedTime, TokenCounts};
 use comfreyhall_protocol::{BindReply, BindRequest, PromptPart};
 use comfreyhall_slots::SlotShare;
 use comfreyhall_streams::{Software, SoftwareRule};
@@ -101,14 +101,14 @@
         requirements: Arc::new(requirements),
         min_version: message.version,
         priority: u8::try_from(message.priority).unwrap_or(u8::MAX),
-        objective_ms: message.aim_ms,
-        elapsed_ms: message.spent_ms,
-        remaining_ms: message.left_ms,
+        objective_ms: StatedTime::from_ms(message.aim_ms).ms(),
+        elapsed_ms: StatedTime::from_ms(message.spent_ms).ms(),
+        remaining_ms: StatedTime::from_ms(message.left_ms).ms(),
         tried: names(&message.tried),
         unavailable: names(&message.closed),
         only_tried: message.only_tried,
         may_wait: message.may_wait,
-        patience_ms: message.patience_ms,
+        patience_ms: StatedTime::from_ms(message.patience_ms).ms(),
         software: decode_software_rule(message),
     }
 }
@@ -182,12 +182,13 @@
 
 /// Decodes a holder's answer.
 pub(super) fn reply(reply: BindReply) -> Result<Binding, BindError> {
+    let stated = |ms| StatedTime::from_ms(ms).ms();
     if !reply.target.is_empty() {
         return Ok(Binding {
             target: reply.target.into(),
             version: reply.version,
             unread_tokens: reply.unread,
-            wait_ms: reply.wait_ms,
+            wait_ms: stated(reply.wait_ms),
             hot: reply.hot,
             granted: reply.granted,
         });
@@ -196,11 +197,11 @@
         return Err(BindError::LoadRequired);
     }
     if reply.too_long {
-        return Err(BindError::TooLong(reply.wait_ms));
+        return Err(BindError::TooLong(stated(reply.wait_ms)));
     }
     if reply.return_ms > 0 {
         return Err(BindError::NoSlot {
-            return_ms: reply.return_ms,
+            return_ms: stated(reply.return_ms),
         });
     }
     Err(BindError::NoEngine {
--- a/crates/comfreyhall-node/src/forward/wire.rs
+++ b/crates/comfreyhall-node/src/forward/wire.rs
@@ -1,7 +1,8 @@
 //! Encoding of requests that are passed on, and of their answers.
 
 use comfreyhall_domain::{
-    AdapterRef, Answer, ClientRequest, ForwardedRequest, PresentedKey, PromptSegment, TokenCounts,
+    AdapterRef, Answer, ClientRequest, ForwardedRequest, PresentedKey, PromptSegment, StatedTime,
+    TokenCounts,
 };
 use comfreyhall_protocol::{
     ForwardHead, ForwardHeader, ForwardOutcome, ForwardRequest, ForwardSegment,
@@ -70,7 +71,7 @@
         id: call.id.as_str().into(),
         key: call.key.map(|k| PresentedKey::new(&k)),
         host: call.host.as_str().into(),
-        remaining_ms: call.remaining_ms,
+        remaining_ms: call.remaining_ms.map(|ms| StatedTime::from_ms(ms).ms()),
         adapter: call.model.map(|model| AdapterRef {
             model: model.as_str().into(),
             adapter,
@@ -140,7 +141,7 @@
 
 /// The answer of a daemon that did not pass one of a target back.
 pub(super) fn decode_rejection(head: &ForwardHead) -> Result<Reply, Status> {
-    let retry_ms = head.retry_ms;
+    let retry_ms = StatedTime::from_ms(head.retry_ms).ms();
     Ok(match head.outcome() {
         ForwardOutcome::NotRun => Reply::Unanswered(Answer::NotRun { retry_ms }),
         ForwardOutcome::NoRoute => Reply::NoRoute,
--- a/crates/comfreyhall-routing/src/target_stats.rs
+++ b/crates/comfreyhall-routing/src/target_stats.rs
@@ -30,9 +30,9 @@
     /// The sum of both.
     pub fn plus(self, other: Work) -> Work {
         Work {
-            prefill_tokens: self.prefill_tokens + other.prefill_tokens,
-            waiting_tokens: self.waiting_tokens + other.waiting_tokens,
-            requests: self.requests + other.requests,
+            prefill_tokens: self.prefill_tokens.saturating_add(other.prefill_tokens),
+            waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
+            requests: self.requests.saturating_add(other.requests),
         }
     }
 
@@ -270,7 +270,7 @@
     /// Prompt tokens that `target` has yet to process.
     pub fn backlog(&self, target: &Name, now: u64) -> f64 {
         let work = self.total_work(target, now);
-        (work.prefill_tokens + work.waiting_tokens) as f64
+        work.prefill_tokens.saturating_add(work.waiting_tokens) as f64
     }
 
     /// Time for which an engine is busy with a prompt of `tokens`.
