Settings: times and counts have bounds

What one would see: a daemon that ends when it answers a question for addresses, or at its planned stop, as a setting is infinite or no number: the check let both pass, as neither is at most zero.

Cause: `value <= 0.0` is false for them; `Duration::from_secs_f64` panics.

An invalid file is rejected with the field's name, as before.

Failed before: parse_extreme_numbers (grace_s: Infinity was accepted).

--- a/crates/comfreyhall-settings/src/node.rs
+++ b/crates/comfreyhall-settings/src/node.rs
@@ -220,6 +220,27 @@
     pub policies: Policies,
 }
 
+/// Longest time that a setting may have, in ms: a day.
+const MAX_TIME_MS: f64 = 86_400_000.0;
+
+/// Largest other number.
+const MAX_COUNT: f64 = 1e9;
+
+/// Checks that `value` is a number within these bounds.
+fn check_number(field: &str, value: f64, low: f64, high: f64) -> Result<(), SettingsError> {
+    if (low..=high).contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field: field.to_string(),
+        problem: format!("{value} is out of range"),
+        remedy: match low > 0.0 {
+            true => "give a positive number, and a time of at most a day".to_string(),
+            false => "give no negative number, and a time of at most a day".to_string(),
+        },
+    })
+}
+
 impl NodeSettings {
     /// Reads, parses and validates the file at `path`.
     pub fn load(path: impl AsRef<std::path::Path>) -> Result<Self, SettingsError> {
@@ -239,32 +260,28 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         let b = &self.bounds;
-        let positive = [
-            ("bounds.grace_s", b.grace_s),
+        let second = 1_000.0;
+        let times = [
+            ("bounds.grace_s", b.grace_s * second),
             ("bounds.drain_ms", b.drain_ms as f64),
             ("bounds.lease_ms", b.lease_ms as f64),
             ("bounds.apply_ms", b.apply_ms as f64),
             ("bounds.version_ms", b.version_ms as f64),
-            ("bounds.address_s", b.address_s),
-            ("bounds.retry_s", b.retry_s),
-            ("caps.window_s", self.quotas.window_s),
+            ("bounds.address_s", b.address_s * second),
+            ("bounds.retry_s", b.retry_s * second),
+            ("caps.window_s", self.quotas.window_s * second),
         ];
-        for (field, value) in positive {
-            if value <= 0.0 {
-                return Err(SettingsError::Field {
-                    field: field.to_string(),
-                    problem: format!("{value} is not a positive number"),
-                    remedy: "give a number above 0".to_string(),
-                });
-            }
-        }
-        if self.cores <= 0.0 {
-            return Err(SettingsError::Field {
-                field: "cores".to_string(),
-                problem: format!("{} is not a number of CPU cores", self.cores),
-                remedy: "give the CPU cores of the instance, a number above 0".to_string(),
-            });
+        for (field, ms) in times {
+            check_number(field, ms, f64::MIN_POSITIVE, MAX_TIME_MS)?;
         }
+        let revoke_ms = b.revoke_ms.unwrap_or(0) as f64;
+        check_number("bounds.revoke_ms", revoke_ms, 0.0, MAX_TIME_MS)?;
+        check_number("bounds.return_s", b.return_s * second, 0.0, MAX_TIME_MS)?;
+        check_number("bounds.retry_ratio", b.retry_ratio, 0.0, MAX_COUNT)?;
+        check_number("bounds.retry_allowance", b.retry_allowance, 0.0, MAX_COUNT)?;
+        check_number("caps.overshoot", self.quotas.overshoot, 0.0, MAX_COUNT)?;
+        check_number("caps.slack", self.quotas.slack, 0.0, MAX_COUNT)?;
+        check_number("cores", self.cores, f64::MIN_POSITIVE, MAX_COUNT)?;
         if self.id.is_empty() || self.domain.is_empty() {
             return Err(SettingsError::Field {
                 field: "id, domain".to_string(),
--- a/crates/comfreyhall-settings/src/tests.rs
+++ b/crates/comfreyhall-settings/src/tests.rs
@@ -46,17 +46,16 @@
     assert!(err.to_string().contains("heartbeat_msec"), "{err}");
 }
 
+const NODE: &str = r#"{
+  id: "n", domain: "d", seeds: [], store: "127.0.0.1:1", cores: 0.25,
+  listen: { front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:1", peers: "127.0.0.1:1" },
+  bounds: { grace_s: 8, drain_ms: 2000, lease_ms: 3000, apply_ms: 2000, version_ms: 5000, address_s: 5,
+            retry_ratio: 0.2, retry_allowance: 54, retry_s: 10, fencing: true, return_s: 2 },
+  POLICIES
+}"#;
+
 fn node_settings(policies: &str) -> Result<crate::NodeSettings, crate::SettingsError> {
-    let text = format!(
-        r#"{{
-      id: "n", domain: "d", seeds: [], store: "127.0.0.1:1", cores: 0.25,
-      listen: {{ front: "127.0.0.1:1", ready: "127.0.0.1:1", directory: "127.0.0.1:1", peers: "127.0.0.1:1" }},
-      bounds: {{ grace_s: 8, drain_ms: 2000, lease_ms: 3000, apply_ms: 2000, version_ms: 5000, address_s: 5,
-                retry_ratio: 0.2, retry_allowance: 54, retry_s: 10, fencing: true, return_s: 2 }},
-      {policies}
-    }}"#
-    );
-    crate::NodeSettings::parse(&text, "test")
+    crate::NodeSettings::parse(&NODE.replace("POLICIES", policies), "test")
 }
 
 #[test]
@@ -68,3 +67,33 @@
     let unknown = node_settings("policies: { admision: false }").unwrap_err();
     assert!(unknown.to_string().contains("admision"), "{unknown}");
 }
+
+/// Guards against a number in the settings that ends the daemon when it is used: infinite, no
+/// number, or a time that no clock can add.
+#[test]
+fn parse_extreme_numbers() {
+    let fields = [
+        "grace_s: 8",
+        "drain_ms: 2000",
+        "lease_ms: 3000",
+        "apply_ms: 2000",
+        "version_ms: 5000",
+        "address_s: 5",
+        "retry_ratio: 0.2",
+        "retry_allowance: 54",
+        "retry_s: 10",
+        "return_s: 2",
+    ];
+    let text = |field: &str, value: &str| {
+        let name = field.split(':').next().unwrap();
+        let text = NODE.replace("POLICIES", "");
+        text.replace(field, &format!("{name}: {value}"))
+    };
+    for field in fields {
+        assert!(NODE.contains(field));
+        for value in ["Infinity", "NaN", "-1", "1e300", "18446744073709551615"] {
+            let parsed = crate::NodeSettings::parse(&text(field, value), "test");
+            assert!(parsed.is_err(), "{field} is {value}");
+        }
+    }
+}
