No call to a daemon without an address

What one would see: a daemon that ends (a panic in a task aborts it) after a message of another daemon that names newer settings and an address that is none.

Cause: `client_at` opened a channel to any text; `link::channel` expects an address that the settings have validated. Found by answer_extreme_numbers, which sends random messages with extreme numbers and counts panics of spawned tasks too.

Failed before: answer_extreme_numbers (InvalidUri).

--- a/crates/comfreyhall-node/src/fleet/fetch.rs
+++ b/crates/comfreyhall-node/src/fleet/fetch.rs
@@ -8,6 +8,7 @@
 //! others at a time and names the latest recipients, so that they spread
 //! through the fleet and no daemon's link carries all copies.
 
+use std::net::SocketAddr;
 use std::{
     collections::VecDeque,
     pin::Pin,
@@ -253,7 +254,8 @@
 
 /// Receives all chunks of a transfer from `addr`.
 async fn read_chunks(node: &Node, addr: &str, ask: SettingsAsk) -> Result<Bytes, FetchError> {
-    let mut client = node.fleet.client_at(addr);
+    let client = node.fleet.client_at(addr);
+    let mut client = client.ok_or(FetchError::Unusable("their daemon has no address"))?;
     let failed = |status: Status| FetchError::Failed(status.message().to_string());
     let ask = node.metrics.peer_sent(Kind::Settings, ask);
     let begun = tokio::time::timeout(SILENCE_TIMEOUT, client.fetch(ask)).await;
@@ -299,10 +301,14 @@
         sources.map(|(a, _)| a.clone()).choose(&mut rand::rng())
     }
 
-    /// A client for the daemon at `addr`, whether it is a known peer or not.
-    fn client_at(&self, addr: &str) -> FleetClient<Channel> {
+    /// A client for the daemon at `addr`, whether it is a known peer or not; `None` if that
+    /// is no address, which another daemon may have sent.
+    fn client_at(&self, addr: &str) -> Option<FleetClient<Channel>> {
         let known = self.client(addr);
-        known.unwrap_or_else(|| FleetClient::new(link::channel(addr)))
+        known.or_else(|| {
+            addr.parse::<SocketAddr>().ok()?;
+            Some(FleetClient::new(link::channel(addr)))
+        })
     }
 
     /// The id of the daemon at `addr`, or the address if it is not known.
--- a/crates/comfreyhall-node/src/lib.rs
+++ b/crates/comfreyhall-node/src/lib.rs
@@ -66,6 +66,8 @@
     streams::spawn(node);
 }
 
+#[cfg(test)]
+mod border_tests;
 #[cfg(test)]
 mod settings_tests;
 #[cfg(test)]
