Stored versions prove nothing if they are incomplete or of an earlier era

What callers would see: after all instances were lost, a stream that is resumed goes on at another software version than the one that began it (ORDER).

Cause: a daemon that starts takes the member rows for all versions that may have had streams. A daemon that had learned nothing itself wrote such a row too, and rows of a store that came back from a copy are of an earlier time.

Change: a member row says whether its daemon knew all versions, and the era of the store in which it was written. Why it works: only rows that cover the time up to the loss are a proof.

--- a/crates/comfreyhall-node/src/members.rs
+++ b/crates/comfreyhall-node/src/members.rs
@@ -15,7 +15,10 @@
 use crate::{
     follow,
     node::Node,
-    streams::stored::{self, MemberValue},
+    streams::{
+        stored::{self, MemberValue},
+        versions,
+    },
 };
 
 const PREFIX: &str = "member/";
@@ -75,7 +78,7 @@
             }
             era = newest_era;
         }
-        let value = own_value(&node);
+        let value = own_value(&node, era);
         if written.as_ref() == Some(&value) {
             value.mark_stored(&mut node.view());
         } else if inherited {
@@ -143,7 +146,7 @@
     let found = rows.scan(PREFIX, "", 0).await?;
     if !found.iter().any(|row| row.key == key) {
         // Other daemons took this one for lost while it was cut off.
-        write_own_row(node, rows, key, &own_value(node)).await?;
+        write_own_row(node, rows, key, &own_value(node, newest_era(node, rows))).await?;
     }
     let now = node.now();
     let listed: Set<String> = found.iter().map(|row| row.key.clone()).collect();
@@ -161,9 +164,10 @@
     Ok(())
 }
 
-fn own_value(node: &Node) -> MemberValue {
-    let id = node.settings().id.clone();
-    MemberValue::current(&node.view(), &id, node.now())
+fn own_value(node: &Node, era: u32) -> MemberValue {
+    let settings = node.settings();
+    let timing = versions::timing(settings.bounds.drain_ms);
+    MemberValue::current(&node.view(), &settings.id, era, &timing, node.now())
 }
 
 async fn write_own_row<R: Rows>(
@@ -184,6 +188,7 @@
     let found = rows.scan(PREFIX, "", 0).await?;
     let values: Vec<Vec<u8>> = found.into_iter().map(|row| row.value).collect();
     let now = node.now();
-    stored::learn(&mut node.view(), &values, now);
+    let era = newest_era(node, rows);
+    stored::learn(&mut node.view(), &values, era, now);
     Ok(())
 }
--- a/crates/comfreyhall-node/src/streams/stored.rs
+++ b/crates/comfreyhall-node/src/streams/stored.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use comfreyhall_streams::{Software, Stored, VersionHistory};
+use comfreyhall_streams::{Software, Stored, Timing, VersionHistory};
 use serde::{Deserialize, Serialize};
 
 use crate::view::View;
@@ -24,6 +24,18 @@
     /// Those of them that every daemon with a complete history knows.
     #[serde(default)]
     established: Versions,
+    /// Era of the store in which it was written: a row from before the store came back from a
+    /// copy may lack what was written since.
+    #[serde(default)]
+    era: u32,
+    /// Whether `software` names all versions that may have had streams.
+    #[serde(default = "is_complete_by_default")]
+    is_complete: bool,
+}
+
+/// Earlier builds wrote rows without saying so.
+fn is_complete_by_default() -> bool {
+    true
 }
 
 fn decode(software: &str) -> Software {
@@ -31,10 +43,13 @@
 }
 
 impl MemberValue {
-    /// The value to store for the daemon `id`.
-    pub(crate) fn current(view: &View, id: &str, now: u64) -> Self {
+    /// The value to store for the daemon `id` in this era of the store.
+    pub(crate) fn current(view: &View, id: &str, era: u32, timing: &Timing, now: u64) -> Self {
+        let mut histories = view.versions.values();
         let mut value = Self {
             id: id.to_string(),
+            era,
+            is_complete: histories.all(|h| h.is_complete(timing, now)),
             ..Self::default()
         };
         for (service, history) in &view.versions {
@@ -57,6 +72,11 @@
         value
     }
 
+    /// Whether it names all versions that its daemon may have used.
+    fn is_proof(&self, era: u32) -> bool {
+        self.is_complete && self.era >= era && !self.software.is_empty()
+    }
+
     pub(crate) fn encode(&self) -> Vec<u8> {
         serde_json::to_vec(self).expect("a map of texts can be encoded")
     }
@@ -71,14 +91,15 @@
     }
 }
 
-/// Learns the versions in the values of all member rows, as a daemon that starts. A row
-/// without any, as other builds and recently started daemons write it, leaves open which versions
-/// its daemon has used; then nothing is learned.
-pub(crate) fn learn(view: &mut View, values: &[Vec<u8>], now: u64) {
+/// Learns the versions in the values of all member rows, as a daemon that starts in this era
+/// of the store. A row without any, as other builds and recently started daemons write it,
+/// leaves open which versions its daemon has used; so does one that does not name all of them,
+/// and one of an earlier era. Then nothing is learned.
+pub(crate) fn learn(view: &mut View, values: &[Vec<u8>], era: u32, now: u64) {
     let decoded = values.iter().map(|v| serde_json::from_slice(v));
     let decoded: Result<Vec<MemberValue>, _> = decoded.collect();
     let rows = match decoded {
-        Ok(rows) if !rows.is_empty() && rows.iter().all(|r| !r.software.is_empty()) => rows,
+        Ok(rows) if !rows.is_empty() && rows.iter().all(|r| r.is_proof(era)) => rows,
         Ok(_) => return,
         Err(e) => {
             log::info!(target: "streams", error:% = e; "software versions of a member not read");
--- a/crates/comfreyhall-node/tests/streams.rs
+++ b/crates/comfreyhall-node/tests/streams.rs
@@ -101,6 +101,61 @@
     assert_eq!((result, after.sends()), (CallerResult::NotRun, 0));
 }
 
+/// Guards against a guess after the store came back from a copy and the whole fleet was lost:
+/// the stored versions are those of an earlier time, and the old version has left.
+#[tokio::test]
+async fn serve_resumption_after_store_copy_is_rejected() {
+    let table = FakeTable::default();
+    let before = start(&table, &[Some("v1")], true).await;
+    tokio::time::sleep(STORED_WITHIN).await;
+    let copy = table.copy();
+    drop(before);
+    // In between another version has begun streams and left.
+    table.restore(&copy);
+    let after = start(&table, &[Some("v1")], false).await;
+    let result = after.serve(resumption("r2", "r1")).await;
+    assert_eq!((result, after.sends()), (CallerResult::NotRun, 0));
+}
+
+/// Guards against a guess by the second daemon that starts after the rows of all were lost: the
+/// first one does not know which versions have served.
+#[tokio::test]
+async fn serve_resumption_by_second_starter_is_rejected() {
+    let table = FakeTable::default();
+    let first = start(&table, &[Some("v1")], false).await;
+    tokio::time::sleep(STORED_WITHIN).await;
+    drop(first);
+    let second = start(&table, &[Some("v1")], false).await;
+    let result = second.serve(resumption("r2", "r1")).await;
+    assert_eq!((result, second.sends()), (CallerResult::NotRun, 0));
+}
+
+/// Guards against a stream that goes on at another version on a day on which all instances are
+/// lost during a rollout: before and after the old version has left.
+#[tokio::test]
+async fn serve_resumptions_after_loss_in_rollout() {
+    for left in [false, true] {
+        let table = FakeTable::default();
+        let before = start(&table, &[Some("v1"), Some("v2")], true).await;
+        let began = Instant::now();
+        while before.serve(ask("r1")).await != CallerResult::Stream(vec![1, 2, 3], true) {
+            assert!(began.elapsed() < BEGIN_WITHIN);
+        }
+        tokio::time::sleep(STORED_WITHIN).await;
+        drop(before);
+        let versions = [Some("v1"), Some("v2")];
+        let after = start(&table, &versions[usize::from(left)..], false).await;
+        for resumed in 0..8 {
+            let result = after.serve(resumption(&format!("r{resumed}x"), "r1")).await;
+            assert_eq!(
+                (result, after.sends()),
+                (CallerResult::NotRun, 0),
+                "left: {left}"
+            );
+        }
+    }
+}
+
 /// Guards against a stream that is resumed at a target of unknown version, inside one
 /// answer or by its caller.
 #[tokio::test]
--- a/crates/comfreyhall-streams/src/history.rs
+++ b/crates/comfreyhall-streams/src/history.rs
@@ -288,6 +288,12 @@
         self.list.age_ms(now)
     }
 
+    /// Whether it names every version that may have streams at `now`.
+    pub fn is_complete(&self, timing: &Timing, now: u64) -> bool {
+        let from_ms = self.list.complete_from_ms;
+        from_ms.is_some_and(|at| at <= now.saturating_sub(timing.horizon_ms))
+    }
+
     /// How long this history has been complete, in ms.
     pub fn span_ms(&self, now: u64) -> u64 {
         let from = self.list.complete_from_ms.unwrap_or(now);
@@ -298,7 +304,7 @@
     /// `None` if that is not certain.
     pub fn only_version(&self, timing: &Timing, now: u64) -> Option<&Name> {
         let complete_from = self.list.complete_from_ms?;
-        let complete = complete_from <= now.saturating_sub(timing.horizon_ms);
+        let complete = self.is_complete(timing, now);
         if !self.list.is_fresh(timing, now) || !complete || self.is_mixed() {
             return None;
         }
--- a/crates/comfreyhall-streams/tests/model.rs
+++ b/crates/comfreyhall-streams/tests/model.rs
@@ -46,8 +46,22 @@
     running: Vec<Stream>,
     /// Targets as last listed: index and version.
     targets: Vec<(usize, usize)>,
+    /// Whether it runs.
+    is_up: bool,
+    /// The versions that it is about to store.
+    unsent: Option<Vec<Stored>>,
     /// The versions in its stored record, which outlives it.
-    stored: Vec<Stored>,
+    stored: Option<Row>,
+}
+
+/// A daemon's stored record.
+#[derive(Debug, Clone)]
+struct Row {
+    versions: Vec<Stored>,
+    /// Whether its daemon knew all versions that may have had streams.
+    is_complete: bool,
+    /// Era of the store in which it was written.
+    era: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -69,6 +83,14 @@
     Lose(usize),
     Restart(usize),
     RestartAll,
+    /// The record that the daemon was about to store is written.
+    Write(usize),
+    /// All daemons are lost; each starts again later.
+    KillAll,
+    Up(usize),
+    /// A copy of the store is made, or the store comes back from the last one.
+    Copy,
+    Restore,
 }
 
 fn op() -> impl Strategy<Value = Op> {
@@ -87,6 +109,11 @@
         1 => any_index().prop_map(Op::Lose),
         1 => d().prop_map(Op::Restart),
         1 => Just(Op::RestartAll),
+        6 => d().prop_map(Op::Write),
+        1 => Just(Op::KillAll),
+        3 => d().prop_map(Op::Up),
+        1 => Just(Op::Copy),
+        1 => Just(Op::Restore),
     ]
 }
 
@@ -139,6 +166,11 @@
     daemons: Vec<Daemon>,
     streams: Vec<Stream>,
     in_flight: Vec<(usize, Stream)>,
+    /// Whether records are written as soon as they change.
+    writes_at_once: bool,
+    /// Era of the store, and the records in its last copy.
+    era: u32,
+    copy: Vec<Option<Row>>,
     /// Resumptions that went on, and those that were rejected.
     resumed: usize,
     rejected: usize,
@@ -151,7 +183,9 @@
             records: StreamRecords::default(),
             running: Vec::new(),
             targets: Vec::new(),
-            stored: Vec::new(),
+            is_up: true,
+            unsent: None,
+            stored: None,
         };
         let mut fleet = Self {
             now_ms: 1,
@@ -159,6 +193,9 @@
             daemons: (0..DAEMONS).map(daemon).collect(),
             streams: Vec::new(),
             in_flight: Vec::new(),
+            writes_at_once: true,
+            era: 0,
+            copy: vec![None; DAEMONS],
             resumed: 0,
             rejected: 0,
         };
@@ -192,18 +229,34 @@
         daemon.history.observe(&listings, &TIMING, self.now_ms);
         daemon.history.confirm(self.now_ms, &TIMING);
         let reports = daemon.history.report(self.now_ms);
-        daemon.stored = reports
-            .map(|r| Stored {
-                software: r.software,
-                established: r.established,
-            })
-            .collect();
-        let stored: Vec<Software> = daemon.stored.iter().map(|s| s.software.clone()).collect();
-        daemon.history.mark_stored(&stored);
+        let stored = reports.map(|r| Stored {
+            software: r.software,
+            established: r.established,
+        });
+        daemon.unsent = Some(stored.collect());
+        if self.writes_at_once {
+            self.write(d);
+        }
+        let daemon = &mut self.daemons[d];
         let begun = daemon.record_running(self.now_ms);
         self.send_records(d, begun);
     }
 
+    /// Writes what the daemon was about to store.
+    fn write(&mut self, d: usize) {
+        let daemon = &mut self.daemons[d];
+        let Some(versions) = daemon.unsent.take() else {
+            return;
+        };
+        let stored: Vec<Software> = versions.iter().map(|s| s.software.clone()).collect();
+        daemon.history.mark_stored(&stored);
+        daemon.stored = Some(Row {
+            versions,
+            is_complete: daemon.history.is_complete(&TIMING, self.now_ms),
+            era: self.era,
+        });
+    }
+
     fn send_records(&mut self, from: usize, streams: Vec<Stream>) {
         for stream in streams {
             for copy in 1..=COPIES {
@@ -244,7 +297,8 @@
         }
         let mut answers = vec![self.daemons[d].answer(&stream.id, now)];
         if answers[0] == Answer::Unknown {
-            let peers = (0..DAEMONS).filter(|p| *p != d && reached & (1 << p) != 0);
+            let peers = (0..DAEMONS)
+                .filter(|p| *p != d && reached & (1 << p) != 0 && self.daemons[*p].is_up);
             answers = peers
                 .map(|p| self.daemons[p].answer(&stream.id, now))
                 .collect();
@@ -267,14 +321,29 @@
         self.daemons[d].history = VersionHistory::new(ListTimes::new(false));
         self.daemons[d].records = StreamRecords::default();
         self.daemons[d].running.clear();
-        let stored = self.daemons.iter().flat_map(|d| d.stored.clone());
-        let stored: Vec<Stored> = stored.collect();
-        self.daemons[d].history.learn_stored(&stored, now);
+        self.daemons[d].is_up = true;
+        self.daemons[d].unsent = None;
+        let rows: Vec<&Row> = self
+            .daemons
+            .iter()
+            .filter_map(|d| d.stored.as_ref())
+            .collect();
+        // As a daemon that starts: nothing is learned if a row names nothing, or was written
+        // before the store came back from a copy.
+        let is_complete = |row: &&Row| row.is_complete && row.era == self.era;
+        if !rows.is_empty() && rows.iter().all(is_complete) {
+            let stored = rows.iter().flat_map(|r| r.versions.clone());
+            let stored: Vec<Stored> = stored.collect();
+            self.daemons[d].history.learn_stored(&stored, now);
+        }
         self.list(d);
         if !asks_peer {
             return;
         }
         let peer = (d + 1) % DAEMONS;
+        if !self.daemons[peer].is_up {
+            return;
+        }
         let reports: Vec<Reported> = self.daemons[peer].history.report(now).collect();
         for reported in &reports {
             self.daemons[d].history.learn(reported, now);
@@ -292,9 +361,26 @@
                 self.targets[i % targets].listed = false;
                 self.targets[i % targets].alive = false;
             }
-            Op::List(d) => self.list(d),
-            Op::Begin(d, choice) => self.begin(d, choice),
-            Op::Resume(d, index, reached) => self.resume(d, index, reached)?,
+            Op::List(d) if self.daemons[d].is_up => self.list(d),
+            Op::Begin(d, choice) if self.daemons[d].is_up => self.begin(d, choice),
+            Op::Resume(d, index, reached) if self.daemons[d].is_up => {
+                self.resume(d, index, reached)?;
+            }
+            Op::Write(d) if self.daemons[d].is_up => self.write(d),
+            Op::List(_) | Op::Begin(..) | Op::Resume(..) | Op::Write(_) => {}
+            Op::KillAll => {
+                self.in_flight.clear();
+                self.daemons.iter_mut().for_each(|d| d.is_up = false);
+            }
+            Op::Up(d) if !self.daemons[d].is_up => self.restart(d, true),
+            Op::Up(_) => {}
+            Op::Copy => self.copy = self.daemons.iter().map(|d| d.stored.clone()).collect(),
+            Op::Restore => {
+                self.era += 1;
+                for (daemon, row) in self.daemons.iter_mut().zip(&self.copy) {
+                    daemon.stored = row.clone();
+                }
+            }
             // A delivered message may arrive again.
             Op::Deliver(i) => {
                 if let Some((to, stream)) = self.in_flight.get(i).cloned() {
@@ -324,8 +410,9 @@
 
     /// Guards against a stream that holds events of two versions.
     #[test]
-    fn resume_keeps_version(ops in prop::collection::vec(op(), 1..150)) {
+    fn resume_keeps_version(ops in prop::collection::vec(op(), 1..150), writes_at_once: bool) {
         let mut fleet = Fleet::new(&[0, 0]);
+        fleet.writes_at_once = writes_at_once;
         for op in &ops {
             fleet.apply(op)?;
         }
