--- a/crates/comfreyhall-relay/src/order.rs
+++ b/crates/comfreyhall-relay/src/order.rs
@@ -16,6 +16,9 @@
 /// that resumes a stream sends none, or few. The same bounds the events that are held.
 const MAX_HELD_BYTES: usize = 1 << 20;
 
+/// Most events that are held: each takes several times its bytes if it is short.
+const MAX_HELD_EVENTS: usize = 64;
+
 /// Largest id with which a stream is expected to begin. Another one is only believed once
 /// the next event confirms it.
 const MAX_FIRST_ID: u64 = 1;
@@ -200,6 +203,9 @@
 
     fn hold(&mut self, event: Event) -> Result<(), OrderError> {
         self.count_held(event.bytes.len())?;
+        if self.held.len() == MAX_HELD_EVENTS {
+            return Err(OrderError::TooManyHeld);
+        }
         self.held.push(event);
         Ok(())
     }
--- a/crates/comfreyhall-relay/src/order_tests.rs
+++ b/crates/comfreyhall-relay/src/order_tests.rs
@@ -112,6 +112,13 @@
     let event = events(&text).remove(0);
     let taken = (0..1_000).take_while(|_| order.accept(event.clone(), &mut ready).is_ok());
     assert!(taken.count() <= MAX_HELD_BYTES / 100_000);
+    let mut order = EventOrder::after(None);
+    order
+        .accept(events(b"id: 1\ndata: a\n\n").remove(0), &mut ready)
+        .unwrap();
+    let short = events(b"data: x\n\n").remove(0);
+    let taken = (0..1_000).take_while(|_| order.accept(short.clone(), &mut ready).is_ok());
+    assert_eq!(taken.count(), MAX_HELD_EVENTS);
 }
 
 /// Events of a stream.
