An answer whose status is none is no answer

Here 000 and 099 did not pass, but 600 to 999 and an unasked 101 reached callers as successes, from targets and from other daemons.

Cause: the HTTP library takes any three digits from 100 on, and nothing after it asked.

--- a/crates/comfreyhall-node/src/forward/tests.rs
+++ b/crates/comfreyhall-node/src/forward/tests.rs
@@ -34,3 +34,22 @@
     let read = read.load(Ordering::SeqCst);
     assert!(read < 20, "{read} MB");
 }
+
+/// Guards against a status that is none and that another daemon passes back.
+#[tokio::test]
+async fn read_answer_without_status() {
+    for status in [0, 99, 100, 101, 600, 999, 1_000, u32::MAX] {
+        let head = ForwardHead {
+            outcome: i32::from(ForwardOutcome::Answered),
+            status,
+            ..ForwardHead::default()
+        };
+        let last = ForwardPart {
+            last: true,
+            ..ForwardPart::default()
+        };
+        let parts = futures::stream::iter([Ok(last)]);
+        let answer = read_answer(&node(), head, parts).await;
+        assert!(answer.is_err(), "{status}");
+    }
+}
--- a/crates/comfreyhall-node/src/forward/wire.rs
+++ b/crates/comfreyhall-node/src/forward/wire.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use tonic::Status;
 
-use crate::serve::Reply;
+use crate::{ports::is_final_status, serve::Reply};
 
 fn encode_headers(headers: &HeaderMap) -> Vec<ForwardHeader> {
     let header = |(name, value): (&HeaderName, &HeaderValue)| ForwardHeader {
@@ -135,6 +135,7 @@
 pub(super) fn decode_head(head: &ForwardHead) -> Result<(StatusCode, HeaderMap), Status> {
     let status = u16::try_from(head.status).ok();
     let status = status.and_then(|s| StatusCode::from_u16(s).ok());
+    let status = status.filter(|s| is_final_status(*s));
     let status = status.ok_or_else(|| Status::invalid_argument("the status is invalid"))?;
     Ok((status, decode_headers(&head.headers)?))
 }
--- a/crates/comfreyhall-node/src/ports.rs
+++ b/crates/comfreyhall-node/src/ports.rs
@@ -153,6 +153,12 @@
     UntilClose,
 }
 
+/// Whether `status` is that of an answer. Interim ones come before an answer, and the others
+/// are none of the protocol's: the library parses any three digits from 100 on.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The head of a target's response, with its body to come.
 pub struct Response {
     /// Status code.
