--- a/crates/comfreyhall/tests/soak.rs
+++ b/crates/comfreyhall/tests/soak.rs
@@ -25,6 +25,9 @@
 //! From seed [`turns::TURNS_FROM`] on, holders of the lease on commands are stopped or killed
 //! in series while engines are silent; engines check no tokens, and no two holders take turns.
 //!
+//! From seed [`stops::STOPS_FROM`] on, daemons are stopped in turn while requests wait for
+//! slots: none that was read ends without an answer.
+//!
 //! CI runs [`SEEDS`]. To run others: `SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo
 //! test -p comfreyhall --test soak -- --nocapture`. A seed that has failed stays in
 //! [`SEEDS`], with a line on the cause. `SOAK_PROGRAM` is the path of another build of the
@@ -56,6 +59,9 @@
 #[path = "soak/silence.rs"]
 mod silence;
 
+#[path = "soak/stops.rs"]
+mod stops;
+
 #[path = "soak/turns.rs"]
 mod turns;
 
@@ -245,6 +251,7 @@
             targets.push((host, wire.unwrap()));
         }
         let routes = match seed >= silence::SILENCE_FROM {
+            true if seed >= stops::STOPS_FROM => stops::long_config,
             true => silence::config,
             false if (COPIES_FROM..SEGMENTS_FROM).contains(&seed) => keys::config,
             false => |version| config(version, "/g/"),
--- a/crates/comfreyhall/tests/soak/turns.rs
+++ b/crates/comfreyhall/tests/soak/turns.rs
@@ -22,6 +22,7 @@
     EVENT_INTERVAL_MS, Fleet, GRACE, ONE_RUN, POLL_INTERVAL, Recovery,
     emulator::caller::{Caller, Kind, is_ready},
     silence::number,
+    stops::{LONG_INTERVAL_MS, STOPS_FROM},
 };
 
 /// From this seed on, engines check no tokens, and their holders end in series.
@@ -37,9 +38,10 @@
 
 /// The interval between the events of a stream, in ms.
 pub fn event_interval_ms(seed: u64) -> u64 {
-    match seed >= TURNS_FROM {
-        true => SHORT_INTERVAL_MS,
-        false => EVENT_INTERVAL_MS,
+    match seed {
+        STOPS_FROM.. => LONG_INTERVAL_MS,
+        TURNS_FROM.. => SHORT_INTERVAL_MS,
+        _ => EVENT_INTERVAL_MS,
     }
 }
 
@@ -137,7 +139,7 @@
     }
 
     /// Waits until all daemons run and are ready.
-    async fn await_daemons(&mut self) {
+    pub async fn await_daemons(&mut self) {
         while !self.active_faults.is_empty() {
             self.end_faults(false);
             tokio::time::sleep(POLL_INTERVAL).await;
