--- a/crates/comfreyhall-daemon/src/stopping.rs
+++ b/crates/comfreyhall-daemon/src/stopping.rs
@@ -25,7 +25,8 @@
     app.inner.lifecycle.wait_for_stage(Stage::Leaving).await;
     let tuning = &app.inner.settings.tuning;
     let length_ms = tuning.address_ttl_ms.saturating_add(tuning.drain_ms);
-    let grace = Grace::new(app.now_ms(), length_ms);
+    // Requests may wait for one half of the time, so that the other one is left to run.
+    let grace = Grace::new(app.now_ms(), length_ms / 2, length_ms);
     app.inner.grace.send_replace(Some(grace));
     if let Err(e) = member::write_heartbeat(&app).await {
         log::warn!(target: "member", "draining state not written: {e}");
--- a/crates/comfreyhall-life/src/grace.rs
+++ b/crates/comfreyhall-life/src/grace.rs
@@ -3,10 +3,6 @@
 //! What a process still holds when it ends is dropped without an answer. So every wait of a
 //! request that has not been sent, and every send, asks [`Grace`] first.
 
-/// Time for callers to learn that a daemon is draining, in ms: the time-to-live of an
-/// address answer and a margin.
-pub const LINGER_MS: u64 = 2_500;
-
 /// Time before the platform kills the process at which remaining requests are abandoned, in
 /// ms, so that the process still ends by itself.
 const STOP_MARGIN_MS: u64 = 400;
@@ -34,11 +30,12 @@
 }
 
 impl Grace {
-    /// The stop that began at `began_ms` of a process that is killed `kill_ms` later.
-    pub fn new(began_ms: u64, kill_ms: u64) -> Self {
+    /// The stop that began at `began_ms` of a process that is killed `kill_ms` later; for
+    /// `linger_ms` requests are sent whose answer may outlast it.
+    pub fn new(began_ms: u64, linger_ms: u64, kill_ms: u64) -> Self {
         let length_ms = kill_ms.saturating_sub(STOP_MARGIN_MS);
         Self {
-            linger_ends_ms: began_ms.saturating_add(LINGER_MS),
+            linger_ends_ms: began_ms.saturating_add(linger_ms),
             ends_ms: began_ms.saturating_add(length_ms),
         }
     }
--- a/crates/comfreyhall-life/src/lib.rs
+++ b/crates/comfreyhall-life/src/lib.rs
@@ -7,7 +7,7 @@
 
 mod grace;
 
-pub use grace::{Grace, LINGER_MS, SendTiming};
+pub use grace::{Grace, SendTiming};
 
 use std::sync::Mutex;
 
--- a/crates/comfreyhall-node/src/stop.rs
+++ b/crates/comfreyhall-node/src/stop.rs
@@ -10,11 +10,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyhall_life::{Event, Grace, LINGER_MS, SendTiming};
+use comfreyhall_life::{Event, Grace, SendTiming};
 use comfreyhall_relay::EndCause;
 
 use crate::{fleet, node::Node};
 
+/// Time for callers to learn that this daemon is draining, in ms: the time-to-live of an
+/// address answer and a margin.
+const LINGER_MS: u64 = 2_500;
+
 /// Interval between checks.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -77,7 +81,7 @@
 /// use end on their own.
 pub async fn drain(node: &Arc<Node>, close_idle: impl Fn()) -> Duration {
     let kill_ms = (node.settings().bounds.grace_s * 1_000.0) as u64;
-    let grace = Grace::new(node.now(), kill_ms);
+    let grace = Grace::new(node.now(), LINGER_MS, kill_ms);
     node.begin_stop(grace);
     node.life.handle(Event::Stop);
     log::info!(target: "stop", in_flight = node.in_flight(); "leaving");
